--- /dev/null
+++ b/cmd/keelbridge_main.cc
@@ -0,0 +1,52 @@
+// keelbridge: the operators' and callers' command line; see
+// keelbridge/cli/commands.h.
+
+#include <iostream>
+#include <string>
+#include <vector>
+
+#include "absl/flags/flag.h"
+#include "absl/flags/parse.h"
+#include "absl/flags/usage.h"
+#include "absl/strings/str_split.h"
+#include "keelbridge/cli/commands.h"
+
+ABSL_FLAG(bool, json, false, "print for programs");
+ABSL_FLAG(std::string, log, "", "address of the platform's log");
+ABSL_FLAG(std::string, scheduler, "",
+          "addresses of the zone's schedulers, separated by commas");
+ABSL_FLAG(std::string, gateway, "",
+          "address of a gateway, or of the balancer before them");
+ABSL_FLAG(std::string, out, "", "file for the plan");
+ABSL_FLAG(std::string, method, "GET", "method of the request");
+ABSL_FLAG(std::string, key, "", "idempotency key of the request");
+ABSL_FLAG(std::string, ticket, "",
+          "ticket of the request; \"new\" gets one first");
+ABSL_FLAG(std::string, body, "", "body of the request");
+ABSL_FLAG(std::string, zone, "", "zone of a drain");
+ABSL_FLAG(absl::Duration, timeout, absl::Seconds(10),
+          "how long to wait at most");
+ABSL_FLAG(bool, follow, false, "watch: go on until interrupted");
+ABSL_FLAG(bool, yes, false, "drain: confirm the plan at once");
+
+int main(int argc, char** argv) {
+  absl::SetProgramUsageMessage(keelbridge::cli::Usage());
+  const std::vector<char*> rest = absl::ParseCommandLine(argc, argv);
+  keelbridge::cli::Options options;
+  options.json = absl::GetFlag(FLAGS_json);
+  options.log = absl::GetFlag(FLAGS_log);
+  options.schedulers =
+      absl::StrSplit(absl::GetFlag(FLAGS_scheduler), ',', absl::SkipEmpty());
+  options.gateway = absl::GetFlag(FLAGS_gateway);
+  options.out = absl::GetFlag(FLAGS_out);
+  options.method = absl::GetFlag(FLAGS_method);
+  options.key = absl::GetFlag(FLAGS_key);
+  options.ticket = absl::GetFlag(FLAGS_ticket);
+  options.body = absl::GetFlag(FLAGS_body);
+  options.zone = absl::GetFlag(FLAGS_zone);
+  options.timeout = absl::GetFlag(FLAGS_timeout);
+  options.follow = absl::GetFlag(FLAGS_follow);
+  options.yes = absl::GetFlag(FLAGS_yes);
+  const std::vector<std::string> words(rest.begin() + 1, rest.end());
+  return keelbridge::cli::RunCommand(words, options, std::cout, std::cerr);
+}
--- /dev/null
+++ b/keelbridge/base/json_reader.cc
@@ -0,0 +1,235 @@
+#include "keelbridge/base/json_reader.h"
+
+#include <algorithm>
+#include <cmath>
+#include <memory>
+#include <utility>
+
+#include "absl/strings/str_cat.h"
+#include "absl/strings/str_join.h"
+
+namespace keelbridge {
+namespace {
+
+// Deeper texts are refused before they cost stack.
+constexpr int kDeepestNesting = 32;
+constexpr size_t kLongestValueShown = 60;
+
+std::string Shown(const Json::Value& value) {
+  std::string text = ToJsonText(value);
+  if (text.size() > kLongestValueShown)
+    text = text.substr(0, kLongestValueShown) + "...";
+  return text;
+}
+
+std::string OneLine(std::string text) {
+  std::replace(text.begin(), text.end(), '\n', ' ');
+  return text;
+}
+
+}  // namespace
+
+std::string ToJsonText(const Json::Value& value) {
+  static const Json::StreamWriterBuilder* kWriter = [] {
+    auto* writer = new Json::StreamWriterBuilder();
+    (*writer)["indentation"] = "";
+    return writer;
+  }();
+  return Json::writeString(*kWriter, value);
+}
+
+JsonDocument JsonDocument::Parse(std::string text, std::string source) {
+  JsonDocument document;
+  document.text_ = std::move(text);
+  document.source_ = std::move(source);
+  Json::CharReaderBuilder builder;
+  builder["collectComments"] = false;
+  builder["allowComments"] = true;
+  builder["strictRoot"] = true;
+  builder["failIfExtra"] = true;
+  builder["rejectDupKeys"] = true;
+  builder["allowSpecialFloats"] = false;
+  builder["stackLimit"] = kDeepestNesting;
+  std::unique_ptr<Json::CharReader> reader(builder.newCharReader());
+  Json::Value root;
+  std::string errors;
+  bool ok = false;
+  try {
+    const char* begin = document.text_.data();
+    ok = reader->parse(begin, begin + document.text_.size(), &root, &errors);
+  } catch (const Json::Exception& e) {
+    errors = absl::StrCat(e.what(), " (deeper than ", kDeepestNesting,
+                          " levels, or a number out of range)");
+  }
+  if (!ok) {
+    document.faults_.push_back(
+        absl::StrCat(document.source_, ": not valid JSON: ", OneLine(errors)));
+  } else if (!root.isObject()) {
+    document.faults_.push_back(
+        absl::StrCat(document.source_, ": line 1: must be an object {...}"));
+  } else {
+    document.root_ = std::move(root);
+  }
+  return document;
+}
+
+Error JsonDocument::FaultError() const {
+  return MakeError(ErrorCode::kInvalid, absl::StrJoin(faults_, "\n"));
+}
+
+int JsonDocument::LineOf(ptrdiff_t offset) const {
+  const auto end =
+      std::min<ptrdiff_t>(offset, static_cast<ptrdiff_t>(text_.size()));
+  return 1 +
+         static_cast<int>(std::count(text_.begin(), text_.begin() + end, '\n'));
+}
+
+void JsonDocument::AddFault(const Json::Value& at, const std::string& key,
+                            const std::string& what) {
+  faults_.push_back(absl::StrCat(
+      source_, ": line ", LineOf(at.getOffsetStart()), ": ", key, ": ", what));
+}
+
+JsonReader::JsonReader(JsonDocument& document, const Json::Value& object,
+                       std::string path)
+    : document_(document), object_(object), path_(std::move(path)) {}
+
+const Json::Value* JsonReader::Find(const std::string& key,
+                                    const char* allowed) {
+  known_.insert(key);
+  const Json::Value* value = object_.find(key.data(), key.data() + key.size());
+  if (value == nullptr)
+    document_.AddFault(object_, path_ + key,
+                       absl::StrCat("missing; must be ", allowed));
+  return value;
+}
+
+void JsonReader::Fault(const std::string& key, const std::string& what) {
+  const Json::Value* value = object_.find(key.data(), key.data() + key.size());
+  const Json::Value& at = value == nullptr ? object_ : *value;
+  const std::string shown =
+      value == nullptr ? "" : absl::StrCat("is ", Shown(*value), "; ");
+  document_.AddFault(at, path_ + key, shown + what);
+}
+
+void JsonReader::Text(const std::string& key, std::string* out) {
+  const Json::Value* value = Find(key, "a text that is not empty");
+  if (value == nullptr) return;
+  if (!value->isString() || value->asString().empty())
+    return Fault(key, "must be a text that is not empty");
+  *out = value->asString();
+}
+
+void JsonReader::Choice(const std::string& key,
+                        const std::vector<std::string>& allowed,
+                        std::string* out) {
+  const std::string list = absl::StrJoin(allowed, ", ");
+  const Json::Value* value = Find(key, absl::StrCat("one of ", list).c_str());
+  if (value == nullptr) return;
+  if (!value->isString() || std::find(allowed.begin(), allowed.end(),
+                                      value->asString()) == allowed.end()) {
+    return Fault(key, absl::StrCat("must be one of ", list));
+  }
+  *out = value->asString();
+}
+
+void JsonReader::Integer(const std::string& key, int64_t least, int64_t most,
+                         int64_t* out) {
+  const std::string allowed =
+      absl::StrCat("a whole number from ", least, " to ", most);
+  const Json::Value* value = Find(key, allowed.c_str());
+  if (value == nullptr) return;
+  if (!value->isInt64() || value->asInt64() < least ||
+      value->asInt64() > most) {
+    return Fault(key, "must be " + allowed);
+  }
+  *out = value->asInt64();
+}
+
+void JsonReader::Number(const std::string& key, double least, double most,
+                        double* out) {
+  const std::string allowed =
+      absl::StrCat("a number from ", least, " to ", most);
+  const Json::Value* value = Find(key, allowed.c_str());
+  if (value == nullptr) return;
+  const bool in_range = value->isNumeric() &&
+                        std::isfinite(value->asDouble()) &&
+                        value->asDouble() >= least && value->asDouble() <= most;
+  if (!in_range) return Fault(key, "must be " + allowed);
+  *out = value->asDouble();
+}
+
+void JsonReader::Flag(const std::string& key, bool* out) {
+  const Json::Value* value = Find(key, "true or false");
+  if (value == nullptr) return;
+  if (!value->isBool()) return Fault(key, "must be true or false");
+  *out = value->asBool();
+}
+
+void JsonReader::Each(const std::string& key,
+                      const std::function<void(JsonReader&)>& read) {
+  const Json::Value* value = Find(key, "a list of objects");
+  if (value == nullptr) return;
+  if (!value->isArray()) return Fault(key, "must be a list of objects");
+  for (Json::ArrayIndex i = 0; i < value->size(); ++i) {
+    const std::string path = absl::StrCat(path_, key, "[", i, "].");
+    if (!(*value)[i].isObject()) {
+      document_.AddFault((*value)[i], path, "must be an object");
+      continue;
+    }
+    JsonReader reader(document_, (*value)[i], path);
+    read(reader);
+    reader.Finish();
+  }
+}
+
+void JsonReader::Texts(const std::string& key, std::vector<std::string>* out) {
+  const Json::Value* value = Find(key, "a list of texts");
+  if (value == nullptr) return;
+  if (!value->isArray()) return Fault(key, "must be a list of texts");
+  out->clear();
+  for (const Json::Value& item : *value) {
+    if (!item.isString() || item.asString().empty())
+      return Fault(key, "must hold only texts that are not empty");
+    out->push_back(item.asString());
+  }
+}
+
+void JsonReader::OptionalText(const std::string& key, std::string* out) {
+  known_.insert(key);
+  if (Has(key)) Text(key, out);
+}
+
+void JsonReader::OptionalInteger(const std::string& key, int64_t least,
+                                 int64_t most, int64_t* out) {
+  known_.insert(key);
+  if (Has(key)) Integer(key, least, most, out);
+}
+
+void JsonReader::OptionalNumber(const std::string& key, double least,
+                                double most, double* out) {
+  known_.insert(key);
+  if (Has(key)) Number(key, least, most, out);
+}
+
+void JsonReader::OptionalFlag(const std::string& key, bool* out) {
+  known_.insert(key);
+  if (Has(key)) Flag(key, out);
+}
+
+void JsonReader::OptionalMillis(const std::string& key, int64_t least,
+                                int64_t most, absl::Duration* out) {
+  int64_t millis = absl::ToInt64Milliseconds(*out);
+  OptionalInteger(key, least, most, &millis);
+  *out = absl::Milliseconds(millis);
+}
+
+void JsonReader::Finish() {
+  std::vector<std::string> known(known_.begin(), known_.end());
+  for (const std::string& key : object_.getMemberNames()) {
+    if (known_.count(key) == 0)
+      Fault(key, "unknown key; known here: " + absl::StrJoin(known, ", "));
+  }
+}
+
+}  // namespace keelbridge
--- /dev/null
+++ b/keelbridge/coordination/decider.cc
@@ -0,0 +1,607 @@
+#include "keelbridge/coordination/decider.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace keelbridge {
+namespace {
+
+constexpr double kMillisPerSecond = 1000;
+// A team without quota is last among equals, but not infinitely so.
+constexpr double kLeastQuota = 0.001;
+// How many tasks are promoted in one call, to bound its work.
+constexpr int kMostPromotions = 200;
+
+template <typename T>
+void Erase(std::vector<T>& items, const T& item) {
+  const auto it = std::find(items.begin(), items.end(), item);
+  if (it == items.end()) return;
+  *it = items.back();
+  items.pop_back();
+}
+
+}  // namespace
+
+DeciderOptions DeciderOptions::ForPolicy(PolicyKind policy) {
+  DeciderOptions options;
+  if (policy == PolicyKind::kWaitingFirst) {
+    options.headroom = 0.04;
+    options.interactive_yields = true;
+  } else {
+    options.headroom = 0;
+    options.interactive_yields = false;
+    options.queue.largest_first = true;
+  }
+  return options;
+}
+
+Decider::Decider(DeciderOptions options)
+    : options_(options), queue_(options.queue) {}
+
+int16_t Decider::AddTeam(const std::string& name, double quota) {
+  const auto [it, added] =
+      team_by_name_.emplace(name, static_cast<int16_t>(teams_.size()));
+  if (added) {
+    teams_.push_back({name, quota, {}});
+    shares_.push_back(0);
+  }
+  teams_[it->second].quota = quota;
+  RefreshShare(it->second);
+  return it->second;
+}
+
+int16_t Decider::FindTeam(const std::string& name) const {
+  const auto it = team_by_name_.find(name);
+  return it == team_by_name_.end() ? -1 : it->second;
+}
+
+WorkerId Decider::AddWorker(const std::string& name, const std::string& rack,
+                            const Resources& total) {
+  on_worker_.emplace_back();
+  RoomAppeared();
+  return cell_.Add(name, rack, total);
+}
+
+void Decider::SetSchedulable(WorkerId worker, bool schedulable) {
+  if (schedulable && !cell_.Schedulable(worker)) RoomAppeared();
+  cell_.SetSchedulable(worker, schedulable);
+}
+
+void Decider::SetTotal(WorkerId worker, const Resources& total) {
+  if (cell_.Total(worker) == total) return;
+  cell_.SetTotal(worker, total);
+  RoomAppeared();
+}
+
+int32_t Decider::ShapeOf(const TaskRow& row) {
+  // Work that must be spread is blocked for its own reason, so each group of it
+  // has a shape of its own.
+  if (row.spread) return -1 - row.group;
+  return shapes_.emplace(row.need, static_cast<int32_t>(shapes_.size()))
+      .first->second;
+}
+
+TaskId Decider::AddRow(const TaskSpec& spec, int64_t now_ms) {
+  TaskRow row;
+  row.need = spec.need;
+  row.group = spec.group;
+  row.team = spec.team;
+  row.work_class = spec.work_class;
+  row.checkpoints = spec.checkpoints;
+  row.spread = spec.spread && spec.group >= 0;
+  row.service = spec.duration_ms == 0;
+  row.pinned = spec.pinned;
+  row.sequence = sequence_++;
+  row.submitted_ms = now_ms;
+  row.done_ms = spec.done_ms;
+  row.shape = ShapeOf(row);
+  if (!row.service) {
+    row.duration_ms = std::max<int64_t>(1, spec.duration_ms - spec.done_ms);
+    row.longest_ms = static_cast<int64_t>(static_cast<double>(row.duration_ms) *
+                                          (1 + spec.estimate_error));
+    if (spec.deadline_ms != kNever)
+      row.latest_start_ms = spec.deadline_ms - row.longest_ms;
+  }
+  if (row.group >= 0) ++group_size_[row.group];
+  return tasks_.Add(row);
+}
+
+TaskId Decider::Submit(const TaskSpec& spec, int64_t now_ms) {
+  const TaskId id = AddRow(spec, now_ms);
+  queue_.Push(id, tasks_[id], now_ms);
+  return id;
+}
+
+TaskId Decider::Adopt(const TaskSpec& spec, WorkerId worker, int64_t started_ms,
+                      int64_t now_ms) {
+  const TaskId id = AddRow(spec, now_ms);
+  TakeRoom(id, worker, started_ms);
+  Decision record;
+  record.task = id;
+  record.at_ms = now_ms;
+  record.rule = Rule::kAdopted;
+  record.worker = worker;
+  Record(record);
+  return id;
+}
+
+// Accounts of room.
+
+void Decider::Charge(const TaskRow& row, int sign) {
+  Team& team = teams_[row.team];
+  team.used[0] += sign * row.need.cpu_milli;
+  team.used[1] += sign * row.need.memory_mib;
+  team.used[2] += sign * row.need.accelerators;
+  RefreshShare(row.team);
+}
+
+double Decider::ShareOf(int16_t team) const {
+  double share = 0;
+  for (size_t i = 0; i < cell_.Totals().size(); ++i) {
+    if (cell_.Totals()[i] <= 0) continue;
+    share = std::max(share, static_cast<double>(teams_[team].used[i]) /
+                                static_cast<double>(cell_.Totals()[i]));
+  }
+  return share;
+}
+
+void Decider::RefreshShare(int16_t team) {
+  shares_[team] = ShareOf(team) / std::max(teams_[team].quota, kLeastQuota);
+}
+
+void Decider::TakeRoom(TaskId id, WorkerId worker, int64_t now_ms) {
+  TaskRow& row = tasks_[id];
+  row.state = TaskState::kPlaced;
+  row.worker = worker;
+  row.started_ms = now_ms;
+  cell_.Take(worker, row.need);
+  on_worker_[worker].push_back(id);
+  Charge(row, 1);
+  if (!row.spread) return;
+  std::vector<int32_t>& racks = group_by_rack_[row.group];
+  if (racks.size() < static_cast<size_t>(cell_.Racks()))
+    racks.resize(cell_.Racks());
+  ++racks[cell_.Rack(worker)];
+}
+
+void Decider::GiveRoom(TaskId id) {
+  TaskRow& row = tasks_[id];
+  cell_.Give(row.worker, row.need);
+  Erase(on_worker_[row.worker], id);
+  Charge(row, -1);
+  if (row.spread) --group_by_rack_[row.group][cell_.Rack(row.worker)];
+  RoomAppeared();
+}
+
+// What really happened.
+
+void Decider::Leave(TaskId id, int64_t now_ms) {
+  TaskRow& row = tasks_[id];
+  switch (row.state) {
+    case TaskState::kWaiting:
+      queue_.Remove(id, row);
+      DropReservation(id);
+      break;
+    case TaskState::kPlaced:
+      GiveRoom(id);
+      // A task may end by itself while others yield beside it.
+      break;
+    case TaskState::kYielding: {
+      const WorkerId worker = row.worker;
+      GiveRoom(id);
+      FinishYield(worker, now_ms);
+      break;
+    }
+    case TaskState::kHeld: {
+      const auto it = std::find_if(yields_.begin(), yields_.end(),
+                                   [id](const YieldInProgress& yield) {
+                                     return yield.beneficiary == id;
+                                   });
+      if (it != yields_.end()) it->beneficiary = kNoTask;
+      break;
+    }
+    case TaskState::kGone:
+      break;
+  }
+}
+
+void Decider::FinishYield(WorkerId worker, int64_t now_ms) {
+  const auto it = std::find_if(yields_.begin(), yields_.end(),
+                               [worker](const YieldInProgress& yield) {
+                                 return yield.worker == worker;
+                               });
+  if (it == yields_.end() || --it->left > 0) return;
+  const TaskId id = it->beneficiary;
+  yields_.erase(it);
+  RoomAppeared();
+  if (id == kNoTask) return;
+  TaskRow& row = tasks_[id];
+  if (!row.need.FitsIn(cell_.Free(worker)) || !cell_.Schedulable(worker)) {
+    queue_.Push(id, row, now_ms);
+    return;
+  }
+  TakeRoom(id, worker, now_ms);
+  due_.push_back({Order::Kind::kStart, id, worker, false, kNoTask});
+}
+
+void Decider::OnStartFailed(TaskId id, int64_t now_ms) {
+  OnStopped(id, tasks_[id].done_ms, now_ms);
+}
+
+void Decider::OnStopped(TaskId id, int64_t done_ms, int64_t now_ms) {
+  Leave(id, now_ms);
+  TaskRow& row = tasks_[id];
+  const int64_t saved = std::max<int64_t>(0, done_ms - row.done_ms);
+  if (!row.service) {
+    const int64_t before = row.duration_ms;
+    row.duration_ms = std::max<int64_t>(1, before - saved);
+    const double ratio =
+        static_cast<double>(row.duration_ms) / static_cast<double>(before);
+    row.longest_ms = std::max<int64_t>(
+        1, static_cast<int64_t>(static_cast<double>(row.longest_ms) * ratio));
+  }
+  row.done_ms = std::max(row.done_ms, done_ms);
+  row.worker = kNoWorker;
+  queue_.Push(id, row, now_ms);
+}
+
+void Decider::OnEnded(TaskId id, int64_t now_ms) {
+  Leave(id, now_ms);
+  const TaskRow& row = tasks_[id];
+  if (row.group >= 0 && --group_size_[row.group] == 0) {
+    group_size_.erase(row.group);
+    group_by_rack_.erase(row.group);
+  }
+  tasks_.Remove(id);
+}
+
+void Decider::SetClass(TaskId id, WorkClass work_class, int64_t now_ms) {
+  TaskRow& row = tasks_[id];
+  if (row.state == TaskState::kWaiting) {
+    queue_.Remove(id, row);
+    row.work_class = work_class;
+    queue_.Push(id, row, now_ms);
+    RoomAppeared();
+  }
+  row.work_class = work_class;
+}
+
+// Decisions.
+
+std::vector<Order> Decider::Decide(int64_t now_ms, int budget) {
+  std::vector<Order> orders = std::move(due_);
+  due_.clear();
+  queue_.Promote(tasks_, now_ms, kMostPromotions);
+  if (std::exchange(room_appeared_, false)) queue_.Unblock();
+  while (budget-- > 0) {
+    const TaskId id = queue_.Next(shares_);
+    if (id == kNoTask) break;
+    if (!TryOne(id, now_ms, orders)) queue_.Block(tasks_[id]);
+  }
+  return orders;
+}
+
+bool Decider::TryOne(TaskId id, int64_t now_ms, std::vector<Order>& orders) {
+  TaskRow& row = tasks_[id];
+  Found found;
+  found.record.rule = Rule::kWaitsHeadroom;
+  if (!BreaksHeadroom(row)) found = FindRoom(id, now_ms);
+  found.record.task = id;
+  found.record.at_ms = now_ms;
+  counts_.examined += found.record.examined;
+  if (found.worker != kNoWorker) {
+    Start(id, found, now_ms, orders);
+    return true;
+  }
+  Record(found.record);
+  if (MayMakeOthersYield(row) && MakeRoom(id, now_ms, orders)) return true;
+  if (found.record.rule == Rule::kWaitsForRoom) Reserve(id, now_ms);
+  return false;
+}
+
+bool Decider::BreaksHeadroom(const TaskRow& row) const {
+  if (options_.headroom <= 0 || row.rank < kStandardRank) return false;
+  const auto keep = static_cast<int64_t>(
+      options_.headroom * static_cast<double>(cell_.Totals()[0]));
+  return cell_.FreeCpuMilli() - row.need.cpu_milli < keep;
+}
+
+bool Decider::BreaksSpread(const TaskRow& row, WorkerId worker) const {
+  if (!row.spread) return false;
+  const auto racks = group_by_rack_.find(row.group);
+  if (racks == group_by_rack_.end()) return false;
+  const auto rack = static_cast<size_t>(cell_.Rack(worker));
+  const int32_t here = rack < racks->second.size() ? racks->second[rack] : 0;
+  const int32_t size = group_size_.at(row.group);
+  const int32_t most = (size + cell_.Racks() - 1) / cell_.Racks();
+  return here >= most;
+}
+
+std::optional<RuledOut> Decider::Unfit(const TaskRow& row, WorkerId worker,
+                                       int64_t now_ms) const {
+  const Resources free = cell_.Free(worker);
+  if (row.need.cpu_milli > free.cpu_milli) return RuledOut::kProcessors;
+  if (row.need.memory_mib > free.memory_mib) return RuledOut::kMemory;
+  if (row.need.accelerators > free.accelerators) return RuledOut::kAccelerators;
+  if (BreaksSpread(row, worker)) return RuledOut::kSpread;
+  for (const YieldInProgress& yield : yields_) {
+    if (yield.worker == worker) return RuledOut::kReserved;
+  }
+  for (const Reservation& reservation : reservations_) {
+    if (reservation.worker != worker) continue;
+    // Work of a higher rank may use the room; the reservation is then made
+    // anew.
+    if (row.rank < tasks_[reservation.task].rank) continue;
+    if (&row == &tasks_[reservation.task]) continue;
+    if (!KeepsReservation(row, reservation, now_ms)) return RuledOut::kReserved;
+  }
+  return std::nullopt;
+}
+
+bool Decider::KeepsReservation(const TaskRow& row,
+                               const Reservation& reservation,
+                               int64_t now_ms) const {
+  const bool ends_before =
+      !row.service && now_ms + row.longest_ms <= reservation.start_ms;
+  return ends_before || row.need.FitsIn(reservation.spare);
+}
+
+double Decider::Score(const TaskRow& row, WorkerId worker) const {
+  // Lower is better. What is left over on a worker is of use only as far as its
+  // dimensions stay in balance, so the score is the room left plus how uneven
+  // it is left.
+  const Resources total = cell_.Total(worker);
+  const Resources left = cell_.Free(worker) - row.need;
+  const double cpu =
+      static_cast<double>(left.cpu_milli) / std::max(1, total.cpu_milli);
+  const double memory =
+      static_cast<double>(left.memory_mib) / std::max(1, total.memory_mib);
+  const double uneven = std::abs(cpu - memory);
+  // Free accelerators beside work that needs none are stranded when the
+  // processors run out.
+  const double stranded = row.need.accelerators == 0 && left.accelerators > 0
+                              ? (1 - cpu) * left.accelerators
+                              : 0;
+  const double room =
+      options_.tightest_first && !row.service ? cpu + memory : 2 - cpu - memory;
+  return room + uneven + stranded;
+}
+
+Decider::Found Decider::FindRoom(TaskId id, int64_t now_ms) const {
+  const TaskRow& row = tasks_[id];
+  Found found;
+  found.record.rule = Rule::kWaitsForRoom;
+  const bool tightest = options_.tightest_first && !row.service;
+  int fitting = 0;
+  const auto salt = static_cast<uint32_t>(row.sequence) * 2654435761U;
+  cell_.Visit(
+      row.need,
+      tightest ? SearchOrder::kTightestFirst : SearchOrder::kRoomiestFirst,
+      salt, [&](WorkerId worker) {
+        Decision& record = found.record;
+        ++record.examined;
+        if (const std::optional<RuledOut> why = Unfit(row, worker, now_ms)) {
+          ++record.ruled_out[static_cast<size_t>(*why)];
+          return fitting == 0 || record.examined < options_.most_examined;
+        }
+        ++fitting;
+        const auto score = static_cast<float>(Score(row, worker));
+        WorkerId loser = worker;
+        float loser_score = score;
+        if (found.worker == kNoWorker || score < record.score) {
+          std::swap(loser, found.worker);
+          loser_score = record.score;
+          record.score = score;
+        }
+        if (loser != kNoWorker && fitting > 1 &&
+            fitting <= Decision::kRunnersUp + 1) {
+          record.runner_up[fitting - 2] = loser;
+          record.runner_up_score[fitting - 2] = loser_score;
+        }
+        return fitting < options_.candidates &&
+               record.examined < options_.most_examined;
+      });
+  if (found.worker != kNoWorker)
+    found.record.rule = tightest ? Rule::kTightest : Rule::kRoomiest;
+  found.record.worker = found.worker;
+  return found;
+}
+
+void Decider::Start(TaskId id, const Found& found, int64_t now_ms,
+                    std::vector<Order>& orders) {
+  TaskRow& row = tasks_[id];
+  queue_.Remove(id, row);
+  Decision record = found.record;
+  for (Reservation& reservation : reservations_) {
+    if (reservation.worker != found.worker) continue;
+    if (reservation.task == id) record.rule = Rule::kReservation;
+    const bool ends_before =
+        !row.service && now_ms + row.longest_ms <= reservation.start_ms;
+    if (reservation.task != id && !ends_before) reservation.spare -= row.need;
+  }
+  DropReservation(id);
+  TakeRoom(id, found.worker, now_ms);
+  ++counts_.placements;
+  Record(record);
+  orders.push_back({Order::Kind::kStart, id, found.worker, false, kNoTask});
+}
+
+// Yields. Only urgent and interactive work, and work of a team below its quota,
+// makes others yield; what yields is always standard or bulk, which never makes
+// others yield by its class. So a yield cannot cause another: a team whose work
+// yields to a reclaim is above its quota and may not reclaim itself.
+
+bool Decider::MayMakeOthersYield(const TaskRow& row) const {
+  if (row.rank == kUrgentRank) return true;
+  if (row.rank == kInteractiveRank && options_.interactive_yields) return true;
+  return options_.reclaim && row.rank <= kStandardRank && shares_[row.team] < 1;
+}
+
+bool Decider::MayYieldTo(const TaskRow& victim, const TaskRow& row) const {
+  if (victim.state != TaskState::kPlaced || victim.pinned ||
+      victim.work_class < WorkClass::kStandard)
+    return false;
+  if (row.rank == kUrgentRank) return true;
+  if (row.rank == kInteractiveRank && options_.interactive_yields) return true;
+  return victim.team != row.team && shares_[victim.team] > 1;
+}
+
+double Decider::YieldCost(const TaskRow& victim, int64_t now_ms) const {
+  const double ran_s =
+      static_cast<double>(std::max<int64_t>(0, now_ms - victim.started_ms)) /
+      kMillisPerSecond;
+  const double lost_s = victim.checkpoints || victim.service ? 0 : ran_s;
+  return (lost_s + options_.yield_touch_s) *
+         (1 + options_.repeat_factor * victim.yields);
+}
+
+VictimSet Decider::VictimsOn(WorkerId worker, const TaskRow& row,
+                             bool sheltered_too, int64_t now_ms) const {
+  std::vector<VictimCandidate> candidates;
+  Resources room = cell_.Free(worker);
+  for (const TaskId id : on_worker_[worker]) {
+    const TaskRow& victim = tasks_[id];
+    if (!MayYieldTo(victim, row)) continue;
+    if (!sheltered_too && now_ms - victim.started_ms < options_.shelter_ms)
+      continue;
+    candidates.push_back({id, victim.need, YieldCost(victim, now_ms)});
+    room += victim.need;
+  }
+  if (!row.need.FitsIn(room)) return {};
+  return FindVictims(std::move(candidates),
+                     Shortfall(row.need, cell_.Free(worker)));
+}
+
+bool Decider::MakeRoom(TaskId id, int64_t now_ms, std::vector<Order>& orders) {
+  TaskRow& row = tasks_[id];
+  VictimSet best;
+  WorkerId best_worker = kNoWorker;
+  const auto workers = static_cast<WorkerId>(cell_.size());
+  for (const bool sheltered_too : {false, true}) {
+    int weighed = 0;
+    for (WorkerId i = 0; i < workers && weighed < options_.victim_workers;
+         ++i) {
+      const auto worker = static_cast<WorkerId>(
+          (static_cast<uint32_t>(row.sequence) * 40503U + i) % workers);
+      if (!cell_.Schedulable(worker) || !row.need.FitsIn(cell_.Total(worker)) ||
+          BreaksSpread(row, worker))
+        continue;
+      const bool busy = std::any_of(yields_.begin(), yields_.end(),
+                                    [worker](const YieldInProgress& yield) {
+                                      return yield.worker == worker;
+                                    });
+      if (busy) continue;
+      VictimSet set = VictimsOn(worker, row, sheltered_too, now_ms);
+      if (!set.found) continue;
+      ++weighed;
+      if (best_worker != kNoWorker && set.cost >= best.cost) continue;
+      best = std::move(set);
+      best_worker = worker;
+    }
+    if (best_worker != kNoWorker) break;
+  }
+  if (best_worker == kNoWorker) return false;
+
+  queue_.Remove(id, row);
+  DropReservation(id);
+  row.state = TaskState::kHeld;
+  row.worker = best_worker;
+  yields_.push_back({id, best_worker, static_cast<int>(best.tasks.size())});
+  for (const TaskId victim : best.tasks) {
+    tasks_[victim].state = TaskState::kYielding;
+    if (tasks_[victim].yields < UINT8_MAX) ++tasks_[victim].yields;
+    orders.push_back({Order::Kind::kYield, victim, best_worker,
+                      tasks_[victim].checkpoints, id});
+  }
+  counts_.yields += static_cast<int64_t>(best.tasks.size());
+  counts_.yield_cost_s += best.cost;
+  Decision record;
+  record.task = id;
+  record.at_ms = now_ms;
+  record.rule = Rule::kWaitsForYield;
+  record.worker = best_worker;
+  record.yielded = static_cast<int16_t>(best.tasks.size());
+  record.yield_cost_s = static_cast<float>(best.cost);
+  Record(record);
+  return true;
+}
+
+// Reservations: room is kept for large work that fits nowhere, and smaller work
+// fills the time before it as long as it ends before, or fits beside it.
+
+int64_t Decider::RoomAt(WorkerId worker, const Resources& need, int64_t now_ms,
+                        Resources* spare) const {
+  std::vector<std::pair<int64_t, Resources>> ends;
+  for (const TaskId id : on_worker_[worker]) {
+    const TaskRow& row = tasks_[id];
+    if (!row.service)
+      ends.emplace_back(std::max(now_ms + 1, row.started_ms + row.longest_ms),
+                        row.need);
+  }
+  std::sort(ends.begin(), ends.end(),
+            [](const auto& a, const auto& b) { return a.first < b.first; });
+  Resources room = cell_.Free(worker);
+  int64_t at = now_ms;
+  for (size_t i = 0; i < ends.size() && !need.FitsIn(room); ++i) {
+    room += ends[i].second;
+    at = ends[i].first;
+  }
+  if (!need.FitsIn(room)) return kNever;
+  *spare = room - need;
+  return at;
+}
+
+void Decider::Reserve(TaskId id, int64_t now_ms) {
+  const TaskRow& row = tasks_[id];
+  DropReservation(id);
+  if (reservations_.size() >= static_cast<size_t>(options_.most_reservations) ||
+      row.rank == kBulkRank)
+    return;
+  Reservation best;
+  best.start_ms = kNever;
+  const auto workers = static_cast<WorkerId>(cell_.size());
+  int weighed = 0;
+  for (WorkerId i = 0; i < workers && weighed < options_.victim_workers; ++i) {
+    const auto worker = static_cast<WorkerId>(
+        (static_cast<uint32_t>(row.sequence) * 40503U + i) % workers);
+    if (!cell_.Schedulable(worker) || !row.need.FitsIn(cell_.Total(worker)) ||
+        BreaksSpread(row, worker))
+      continue;
+    const bool taken = std::any_of(
+        reservations_.begin(), reservations_.end(),
+        [worker](const Reservation& other) { return other.worker == worker; });
+    if (taken) continue;
+    ++weighed;
+    Resources spare;
+    const int64_t at = RoomAt(worker, row.need, now_ms, &spare);
+    if (at < best.start_ms) best = {id, worker, at, spare};
+  }
+  if (best.worker != kNoWorker) reservations_.push_back(best);
+}
+
+void Decider::DropReservation(TaskId id) {
+  reservations_.erase(std::remove_if(reservations_.begin(), reservations_.end(),
+                                     [id](const Reservation& reservation) {
+                                       return reservation.task == id;
+                                     }),
+                      reservations_.end());
+}
+
+// Records.
+
+void Decider::Record(const Decision& decision) {
+  decisions_.push_back(decision);
+  ++counts_.decisions;
+  if (decisions_.size() > static_cast<size_t>(options_.records))
+    decisions_.pop_front();
+}
+
+std::optional<Decision> Decider::LastDecision(TaskId task) const {
+  for (auto it = decisions_.rbegin(); it != decisions_.rend(); ++it) {
+    if (it->task == task) return *it;
+  }
+  return std::nullopt;
+}
+
+}  // namespace keelbridge
--- /dev/null
+++ b/keelbridge/coordination/lease_book.h
@@ -0,0 +1,193 @@
+// Which task holds which lease on which worker, as far as can be known from
+// here.
+//
+// The worker's own table is the truth; this book is what one leader knows of
+// it. An answer that is lost leaves a lease *unsettled*: neither running nor
+// free until a listing that was asked for after the command could no longer
+// take effect says which. A worker that stops answering is *silent*: its leases
+// end for certain only when the last message that could have renewed them has
+// lapsed; until then nothing exclusive of it starts elsewhere.
+//
+//   LeaseBook book(options);
+//   book.BeginLeadership(epoch, now);
+//   book.Starting(task, attempt, worker, need, sent_at);
+//   for (const LeaseEvent& event : book.OnHoldReply(worker, sent_at, reply,
+//   now)) Handle(event);
+
+#ifndef KEELBRIDGE_COORDINATION_LEASE_BOOK_H_
+#define KEELBRIDGE_COORDINATION_LEASE_BOOK_H_
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "absl/container/flat_hash_map.h"
+#include "absl/time/time.h"
+#include "keelbridge/protocol/worker_messages.h"
+
+namespace keelbridge {
+
+enum class LeasePhase {
+  kStarting,   // The start is on its way.
+  kUnsettled,  // Its answer was lost.
+  kRunning,
+  kStopping,  // Asked to stop, or to save its progress and stop.
+};
+
+struct Lease {
+  std::string task;
+  int64_t attempt = 0;
+  std::string worker;
+  Resources resources;
+  LeasePhase phase = LeasePhase::kStarting;
+  absl::Time known_since;  // When the phase began; a listing asked for earlier
+                           // says nothing about it.
+  absl::Time settles_after;  // Of an unsettled one: a listing asked for later
+                             // is proof.
+  int64_t started_ms = 0;    // Wall clock of the worker.
+  std::string decision;
+  StopMode stop_mode = StopMode::kStop;
+  absl::Time next_stop;  // When to ask again.
+};
+
+enum class LeaseEventKind {
+  kRunning,     // The start took effect.
+  kNotStarted,  // It is certain that the attempt did not start and will not.
+  kFinished,    // The worker says that it finished, or failed.
+  kStopped,     // The worker says that it stopped; `progress_ms` is saved.
+  kVanished,    // It ended for certain, and nobody knows how far it came.
+  kFound,       // The worker runs a lease that this book does not know.
+  kSealed,  // The worker's table is known, anew after a doubt or for the first
+            // time in this leadership.
+  kSilent,  // The worker does not answer; its leases are unknown.
+  kLapsed,  // Every lease that the silent worker may have had has ended for
+            // certain.
+};
+
+struct LeaseEvent {
+  LeaseEventKind kind = LeaseEventKind::kRunning;
+  std::string worker;
+  std::string task;
+  int64_t attempt = 0;
+  bool failed = false;
+  int64_t progress_ms = 0;
+  std::string refusal;  // Of a start that was refused: why.
+  LeaseRow row;         // Of a lease that was found.
+};
+
+// Pure. Times are monotonic.
+class LeaseBook {
+ public:
+  struct Options {
+    absl::Duration lease_ttl = absl::Seconds(10);
+    absl::Duration command_validity =
+        absl::Seconds(1);  // From sending a command to its not-after.
+    absl::Duration clock_error = absl::Milliseconds(
+        250);  // Most that two wall clocks differ from true time.
+    absl::Duration margin = absl::Milliseconds(250);
+    int silent_after = 3;  // Holds without answer.
+    // Test builds only: without it an unsettled start counts as not started at
+    // once, and a silent worker's leases as ended.
+    bool wait_for_certainty = true;
+  };
+
+  explicit LeaseBook(Options options) : options_(options) {}
+
+  // Forgets everything: each worker has to be sealed anew.
+  void BeginLeadership(absl::Time now);
+  void SetWorkers(const std::vector<std::string>& names);
+
+  // A start is being sent.
+  void Starting(const std::string& task, int64_t attempt,
+                const std::string& worker, const Resources& resources,
+                const std::string& decision, absl::Time now);
+  // Takes in a lease that was found, as running.
+  void Adopt(const std::string& worker, const LeaseRow& row, absl::Time now);
+  // A stop is wanted; `StopsDue` repeats it until the worker's table says that
+  // the lease is gone.
+  void Stopping(const std::string& task, StopMode mode, absl::Time now);
+  std::vector<Lease> StopsDue(absl::Time now);
+  // A found lease that nobody wants; it is stopped like one of ours.
+  void StopUnwanted(const std::string& worker, const LeaseRow& row,
+                    absl::Time now);
+
+  // A hold was sent; `mode` is what `HoldModeFor` said.
+  void OnHoldSent(const std::string& worker, HoldMode mode, absl::Time now);
+  // What to send in place of a renewal: a silent worker is only asked, so that
+  // its leases can lapse.
+  HoldMode HoldModeFor(const std::string& worker) const;
+  // The digest that the worker's table has if it agrees with this book; 0 asks
+  // for the rows.
+  uint64_t ExpectedDigest(const std::string& worker) const;
+  // Attempts whose end is dealt with. They are forgotten when the worker has
+  // taken them in.
+  std::vector<int64_t> Acknowledgements(const std::string& worker) const;
+  void Acknowledge(const std::string& worker, int64_t attempt);
+
+  std::vector<LeaseEvent> OnHoldReply(const std::string& worker, HoldMode mode,
+                                      absl::Time sent_at,
+                                      const std::optional<HoldReply>& reply,
+                                      absl::Time now);
+  std::vector<LeaseEvent> OnStartReply(const std::string& task, int64_t attempt,
+                                       const std::optional<CommandReply>& reply,
+                                       absl::Time now);
+  std::vector<LeaseEvent> OnStopReply(const std::string& task, int64_t attempt,
+                                      const std::optional<CommandReply>& reply);
+  // What ended because time passed.
+  std::vector<LeaseEvent> Tick(absl::Time now);
+
+  // Forgets a lease whose task may run twice; should the worker come back with
+  // it, it is found and stopped.
+  void Abandon(const std::string& task) { Drop(task); }
+
+  // The worker answers, and its table is as this book says.
+  bool Sealed(const std::string& worker) const;
+  // True while the worker runs a lease that nobody wants: its room is not what
+  // the accounts say.
+  bool HasUnwanted(const std::string& worker) const;
+  // Every worker is sealed, or what it had has lapsed: a task that nobody has
+  // found runs nowhere.
+  bool AllSettled() const;
+  const Lease* Find(const std::string& task) const;
+  const std::map<std::string, Lease>& leases() const { return leases_; }
+  // True while a stop on the worker is under way, so that it is worth asking it
+  // more often.
+  bool StopsPending(const std::string& worker) const;
+
+ private:
+  enum class Contact { kUnsealed, kSealed, kSilent, kLapsed };
+  struct WorkerView {
+    Contact contact = Contact::kUnsealed;
+    absl::Time renewed_until;  // The last moment at which a message of ours, or
+                               // of the leader before, may take effect.
+    int missed = 0;
+    bool relist = true;
+    std::set<int64_t> acknowledged;
+    std::set<std::string> tasks;
+  };
+
+  absl::Duration Certainty() const {
+    return 2 * options_.clock_error + options_.margin;
+  }
+  void Drop(const std::string& task);
+  void Settle(WorkerView& view, absl::Time sent_at,
+              std::vector<LeaseEvent>& events);
+  void TakeRows(WorkerView& view, const std::string& worker, absl::Time sent_at,
+                const HoldReply& reply, absl::Time now,
+                std::vector<LeaseEvent>& events);
+  void TakeEndedRow(WorkerView& view, const std::string& worker,
+                    const LeaseRow& row, std::vector<LeaseEvent>& events);
+  void OnMissed(WorkerView& view, const std::string& worker,
+                std::vector<LeaseEvent>& events);
+
+  const Options options_;
+  std::map<std::string, WorkerView> workers_;
+  std::map<std::string, Lease> leases_;  // By task.
+};
+
+}  // namespace keelbridge
+
+#endif  // KEELBRIDGE_COORDINATION_LEASE_BOOK_H_
--- /dev/null
+++ b/keelbridge/coordination/membership.cc
@@ -0,0 +1,201 @@
+#include "keelbridge/coordination/membership.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace keelbridge {
+namespace {
+
+Json::Value MemberToJson(const Member& member) {
+  Json::Value out;
+  out["name"] = member.name;
+  out["address"] = member.address;
+  out["incarnation"] = static_cast<Json::UInt64>(member.incarnation);
+  out["state"] = static_cast<int>(member.state);
+  return out;
+}
+
+Member MemberFromJson(const Json::Value& in) {
+  const int state =
+      std::clamp(in["state"].asInt(), 0, static_cast<int>(MemberState::kLeft));
+  return {in["name"].asString(), in["address"].asString(),
+          in["incarnation"].asUInt64(), static_cast<MemberState>(state)};
+}
+
+// Whether `news` replaces `known`: a later incarnation, or of the same one a
+// graver state.
+bool Replaces(const Member& news, const Member& known) {
+  if (news.incarnation != known.incarnation)
+    return news.incarnation > known.incarnation;
+  return news.state > known.state;
+}
+
+}  // namespace
+
+Json::Value ToJson(const MemberMessage& message) {
+  Json::Value out;
+  out["sender"] = MemberToJson(message.sender);
+  out["configuration_version"] =
+      static_cast<Json::Int64>(message.configuration_version);
+  for (const Member& member : message.changes)
+    out["changes"].append(MemberToJson(member));
+  return out;
+}
+
+MemberMessage MemberMessageFromJson(const Json::Value& in) {
+  MemberMessage message;
+  message.sender = MemberFromJson(in["sender"]);
+  message.configuration_version = in["configuration_version"].asInt64();
+  for (const Json::Value& member : in["changes"])
+    message.changes.push_back(MemberFromJson(member));
+  return message;
+}
+
+Membership::Membership(Options options, Member self,
+                       std::vector<std::string> seeds, uint64_t seed)
+    : options_(options),
+      self_(std::move(self)),
+      seeds_(std::move(seeds)),
+      random_(seed) {}
+
+void Membership::Spread(const std::string& name) {
+  const auto it = std::find_if(changes_.begin(), changes_.end(),
+                               [&](const Change& c) { return c.name == name; });
+  if (it != changes_.end()) {
+    it->sends = 0;
+  } else {
+    changes_.push_back({name, 0});
+  }
+}
+
+void Membership::Learn(const Member& member, absl::Time now) {
+  if (member.name.empty()) return;
+  if (member.name == self_.name) {
+    // Somebody doubts this host, or knows a former run of it under a higher
+    // number: say otherwise.
+    const bool doubted = member.state != MemberState::kAlive &&
+                         member.incarnation >= self_.incarnation;
+    if (doubted && self_.state == MemberState::kAlive) {
+      self_.incarnation = member.incarnation + 1;
+      Spread(self_.name);
+    }
+    return;
+  }
+  const auto it = view_.find(member.name);
+  if (it != view_.end() && !Replaces(member, it->second)) return;
+  view_[member.name] = member;
+  since_[member.name] = now;
+  Spread(member.name);
+}
+
+MemberMessage Membership::MakeMessage() {
+  MemberMessage message;
+  message.sender = self_;
+  message.configuration_version = version_;
+  // The least often sent first.
+  std::stable_sort(
+      changes_.begin(), changes_.end(),
+      [](const Change& a, const Change& b) { return a.sends < b.sends; });
+  for (Change& change : changes_) {
+    if (message.changes.size() >=
+        static_cast<size_t>(options_.changes_a_message))
+      break;
+    ++change.sends;
+    const auto it = view_.find(change.name);
+    if (it != view_.end()) message.changes.push_back(it->second);
+  }
+  changes_.erase(std::remove_if(changes_.begin(), changes_.end(),
+                                [this](const Change& c) {
+                                  return c.sends >= options_.sends_a_change;
+                                }),
+                 changes_.end());
+  return message;
+}
+
+std::optional<Membership::Probe> Membership::Tick(absl::Time now) {
+  for (auto it = view_.begin(); it != view_.end();) {
+    Member& member = it->second;
+    const absl::Duration age = now - since_[member.name];
+    if (member.state == MemberState::kSuspect && age >= options_.suspect_for) {
+      member.state = MemberState::kDead;
+      since_[member.name] = now;
+      Spread(member.name);
+    }
+    const bool gone = member.state == MemberState::kDead ||
+                      member.state == MemberState::kLeft;
+    if (gone && age >= options_.forget_after) {
+      since_.erase(member.name);
+      it = view_.erase(it);
+    } else {
+      ++it;
+    }
+  }
+  if (now < next_round_) return std::nullopt;
+  next_round_ = now + options_.round;
+  if (turns_.empty()) {
+    for (const auto& [name, member] : view_) {
+      if (member.state == MemberState::kAlive ||
+          member.state == MemberState::kSuspect)
+        turns_.push_back(name);
+    }
+    std::shuffle(turns_.begin(), turns_.end(), random_);
+    // One seed a turn, so that two halves that once lost each other meet again.
+    if (!seeds_.empty()) {
+      const std::string& address = seeds_[next_seed_++ % seeds_.size()];
+      if (address != self_.address) return Probe{"", address, MakeMessage()};
+    }
+  }
+  while (!turns_.empty()) {
+    const std::string name = turns_.back();
+    turns_.pop_back();
+    const auto it = view_.find(name);
+    if (it == view_.end()) continue;
+    return Probe{name, it->second.address, MakeMessage()};
+  }
+  return std::nullopt;
+}
+
+void Membership::Note(const MemberMessage& message, absl::Time now) {
+  Learn(message.sender, now);
+  for (const Member& member : message.changes) Learn(member, now);
+  if (message.configuration_version > version_) {
+    newer_at_ = message.sender.address;
+  } else if (newer_at_ == message.sender.address) {
+    newer_at_.reset();
+  }
+}
+
+MemberMessage Membership::OnProbe(const MemberMessage& probe, absl::Time now) {
+  Note(probe, now);
+  return MakeMessage();
+}
+
+void Membership::OnAnswer(const Probe& probe,
+                          const std::optional<MemberMessage>& answer,
+                          absl::Time now) {
+  if (answer) return Note(*answer, now);
+  const auto it = view_.find(probe.name);
+  if (it == view_.end() || it->second.state != MemberState::kAlive) return;
+  it->second.state = MemberState::kSuspect;
+  since_[probe.name] = now;
+  Spread(probe.name);
+}
+
+MemberMessage Membership::Farewell() {
+  self_.state = MemberState::kLeft;
+  return MakeMessage();
+}
+
+std::vector<Member> Membership::Live() const {
+  std::vector<Member> live = {self_};
+  for (const auto& [name, member] : view_) {
+    if (member.state == MemberState::kAlive ||
+        member.state == MemberState::kSuspect)
+      live.push_back(member);
+  }
+  std::sort(live.begin(), live.end(),
+            [](const Member& a, const Member& b) { return a.name < b.name; });
+  return live;
+}
+
+}  // namespace keelbridge
--- /dev/null
+++ b/keelbridge/coordination/once.cc
@@ -0,0 +1,91 @@
+#include "keelbridge/coordination/once.h"
+
+#include <utility>
+#include <vector>
+
+#include "absl/strings/numbers.h"
+#include "absl/strings/str_format.h"
+#include "absl/strings/str_split.h"
+
+namespace keelbridge {
+
+std::string TicketToText(const Ticket& ticket) {
+  return absl::StrFormat("%016x.%d.%d.%s", ticket.incarnation, ticket.number,
+                         ticket.expires_ms, ticket.gateway);
+}
+
+Result<Ticket> TicketFromText(const std::string& text) {
+  const std::vector<std::string> parts =
+      absl::StrSplit(text, absl::MaxSplits('.', 3));
+  Ticket ticket;
+  const bool ok =
+      parts.size() == 4 && absl::SimpleHexAtoi(parts[0], &ticket.incarnation) &&
+      absl::SimpleAtoi(parts[1], &ticket.number) &&
+      absl::SimpleAtoi(parts[2], &ticket.expires_ms) && !parts[3].empty();
+  if (!ok) {
+    return MakeError(ErrorCode::kInvalid,
+                     "malformed ticket; get one with POST /keelbridge/ticket "
+                     "and send it unchanged");
+  }
+  ticket.gateway = parts[3];
+  return ticket;
+}
+
+std::string TicketTable::Issue(absl::Time wall) {
+  return TicketToText(
+      {gateway_, incarnation_, ++next_, absl::ToUnixMillis(wall + lifetime_)});
+}
+
+OnceUse TicketTable::Use(const Ticket& ticket, absl::Time wall) {
+  const int64_t now_ms = absl::ToUnixMillis(wall);
+  while (!used_.empty() && used_.begin()->first < now_ms)
+    used_.erase(used_.begin());
+  const bool issued = ticket.number >= 1 && ticket.number <= next_;
+  if (!issued || ticket.expires_ms < now_ms) return OnceUse::kUsed;
+  return used_.emplace(ticket.expires_ms, ticket.number).second
+             ? OnceUse::kFirst
+             : OnceUse::kUsed;
+}
+
+void ClaimTable::OnBatch(const LogBatch& batch) {
+  if (batch.first > next_) next_ = batch.first;
+  while (!by_offset_.empty() && by_offset_.front().first < batch.first) {
+    // Beyond the log's memory. Keys are promised for that long and no longer.
+    const auto it = owners_.find(by_offset_.front().second);
+    if (it != owners_.end() && it->second.offset == by_offset_.front().first)
+      owners_.erase(it);
+    by_offset_.pop_front();
+  }
+  for (const LogRecord& record : batch.records) {
+    if (record.offset != next_) break;
+    ++next_;
+    Result<Envelope> envelope = EnvelopeFromText(record.text);
+    if (!envelope) continue;
+    const EnvelopeId& id = envelope.value().id;
+    const auto writer = writers_.try_emplace(id.incarnation, 0).first;
+    if (writer->second >= id.sequence) continue;
+    writer->second = id.sequence;
+    for (const LogEntry& entry : envelope.value().entries) {
+      if (const auto* claim = std::get_if<KeyClaimEntry>(&entry)) {
+        if (!owners_
+                 .try_emplace(claim->key, Claim{claim->gateway, record.offset})
+                 .second)
+          continue;
+        by_offset_.emplace_back(record.offset, claim->key);
+      } else if (const auto* release = std::get_if<KeyReleaseEntry>(&entry)) {
+        const auto it = owners_.find(release->key);
+        if (it != owners_.end() && it->second.gateway == release->gateway)
+          owners_.erase(it);
+      }
+    }
+  }
+  caught_up_ = next_ >= batch.next;
+}
+
+ClaimTable::Owner ClaimTable::OwnerOf(const std::string& key) const {
+  const auto it = owners_.find(key);
+  if (it == owners_.end()) return Owner::kNobody;
+  return it->second.gateway == incarnation_ ? Owner::kMe : Owner::kOther;
+}
+
+}  // namespace keelbridge
--- /dev/null
+++ b/keelbridge/coordination/planner.cc
@@ -0,0 +1,362 @@
+#include "keelbridge/coordination/planner.h"
+
+#include <algorithm>
+#include <map>
+#include <queue>
+#include <set>
+#include <utility>
+
+#include "absl/strings/str_cat.h"
+#include "absl/strings/str_format.h"
+#include "absl/strings/str_join.h"
+
+namespace keelbridge {
+namespace {
+
+// The forecast stops after this many starts and ends; what is later is said to
+// be beyond it.
+constexpr int kMostForecastEvents = 60000;
+constexpr int kDecideBudget = 4000;
+constexpr int kMostWorkersShown = 4;
+constexpr int32_t kFirstForecastGroup = 1 << 30;
+constexpr absl::Duration kForecastStopTime =
+    absl::Seconds(1);  // What a yield takes in the forecast.
+
+int64_t MonoMillis(Now now) { return ToMillis(now.mono); }
+
+bool IsWork(const Intent& intent) {
+  return intent.kind == IntentKind::kService ||
+         intent.kind == IntentKind::kBatch;
+}
+
+// Everything that is wrong with one intent against the state of the zone.
+void CheckIntent(const Intent& intent, const PlanContext& context,
+                 std::vector<std::string>& faults) {
+  const auto fault = [&](const std::string& what) {
+    faults.push_back(absl::StrCat("intent ", intent.id, ": ", what));
+  };
+  const Decider& decider = context.decider;
+  if (intent.zone != context.zone) {
+    fault(absl::StrCat("zone is ", intent.zone, ", but this scheduler serves ",
+                       context.zone, "; send it to a scheduler of that zone"));
+  }
+  if (IsWork(intent)) {
+    if (context.state.work().count(intent.id) > 0)
+      fault("the id is in use; choose another, or resize that intent");
+    if (decider.FindTeam(intent.team) < 0)
+      fault(absl::StrCat("team ", intent.team, " is not in the configuration"));
+    const auto workers = static_cast<WorkerId>(decider.cell().size());
+    bool fits = false;
+    for (WorkerId w = 0; w < workers && !fits; ++w)
+      fits = intent.resources.FitsIn(decider.cell().Total(w));
+    if (!fits)
+      fault(
+          "no worker of the zone is large enough for one task, even when "
+          "empty");
+    return;
+  }
+  if (intent.kind == IntentKind::kDrainHost &&
+      decider.cell().Find(intent.subject) == kNoWorker) {
+    fault(absl::StrCat("worker ", intent.subject,
+                       " is not in the configuration of this zone"));
+  }
+  const bool names_work = intent.kind == IntentKind::kResize ||
+                          intent.kind == IntentKind::kPriority;
+  const bool known = context.state.work().count(intent.subject) > 0;
+  const bool drained =
+      context.state.drained_hosts().count(intent.subject) > 0 ||
+      context.state.drained_targets().count(intent.subject) > 0;
+  if (names_work && !known)
+    fault(absl::StrCat("there is no intent ", intent.subject));
+  if (intent.kind == IntentKind::kCancel && !known && !drained) {
+    fault(absl::StrCat("there is no intent and no drain of ", intent.subject));
+  }
+}
+
+// What the forecast saw of one intent.
+struct Outlook {
+  int64_t started = 0;
+  int64_t started_at_once = 0;
+  int64_t last_end_ms = 0;
+  int64_t last_start_ms = 0;
+  std::map<std::string, int64_t> workers;
+};
+
+// Runs a copy of the decision core on a clock of its own.
+class Forecast {
+ public:
+  Forecast(const Decider& decider, Now now)
+      : decider_(decider), start_ms_(MonoMillis(now)), now_ms_(start_ms_) {
+    for (WorkerId w = 0; w < static_cast<WorkerId>(decider_.cell().size());
+         ++w) {
+      for (const TaskId id : decider_.TasksOn(w)) NoteEnd(id);
+    }
+  }
+
+  void Submit(const Intent& intent, int32_t group, Now now) {
+    const int16_t team = decider_.FindTeam(intent.team);
+    for (int64_t i = 0; i < intent.tasks; ++i)
+      mine_[decider_.Submit(SpecOf(intent, group, team, now), now_ms_)] = group;
+  }
+
+  void Drain(const std::string& worker) {
+    const WorkerId id = decider_.cell().Find(worker);
+    if (id == kNoWorker) return;
+    decider_.SetSchedulable(id, false);
+    drained_ += static_cast<int64_t>(decider_.TasksOn(id).size());
+    const std::vector<TaskId> tasks = decider_.TasksOn(id);
+    for (const TaskId task : tasks)
+      decider_.OnStopped(task, decider_.task(task).done_ms, now_ms_);
+  }
+
+  void Run() {
+    int events = 0;
+    while (events < kMostForecastEvents) {
+      for (const Order& order : decider_.Decide(now_ms_, kDecideBudget)) {
+        ++events;
+        Take(order);
+      }
+      const bool more = !ends_.empty() && WaitingOfMine() > 0;
+      if (!more) break;
+      now_ms_ = std::max(now_ms_, ends_.top().first);
+      while (!ends_.empty() && ends_.top().first <= now_ms_) {
+        const TaskId id = ends_.top().second;
+        ends_.pop();
+        ++events;
+        End(id);
+      }
+    }
+  }
+
+  const Decider& decider() const { return decider_; }
+  Outlook& outlook(int32_t group) { return outlooks_[group]; }
+  int64_t WaitingOfMine() const {
+    int64_t waiting = static_cast<int64_t>(mine_.size());
+    for (const auto& [group, outlook] : outlooks_) waiting -= outlook.started;
+    return waiting;
+  }
+  int64_t drained() const { return drained_; }
+  const std::vector<TaskId>& yielded() const { return yielded_; }
+  double yield_cost_s() const { return decider_.counts().yield_cost_s; }
+
+ private:
+  using End_ = std::pair<int64_t, TaskId>;
+
+  void NoteEnd(TaskId id) {
+    const TaskRow& row = decider_.task(id);
+    if (row.state == TaskState::kYielding) {
+      ends_.emplace(now_ms_ + absl::ToInt64Milliseconds(kForecastStopTime), id);
+    } else if (!row.service && row.state == TaskState::kPlaced) {
+      ends_.emplace(std::max(now_ms_ + 1, row.started_ms + row.duration_ms),
+                    id);
+    }
+  }
+
+  void Take(const Order& order) {
+    if (order.kind == Order::Kind::kYield) {
+      yielded_.push_back(order.task);
+      NoteEnd(order.task);
+      return;
+    }
+    NoteEnd(order.task);
+    const auto it = mine_.find(order.task);
+    if (it == mine_.end()) return;
+    Outlook& outlook = outlooks_[it->second];
+    ++outlook.started;
+    if (now_ms_ <= start_ms_ + absl::ToInt64Milliseconds(kForecastStopTime))
+      ++outlook.started_at_once;
+    outlook.last_start_ms = now_ms_ - start_ms_;
+    outlook.last_end_ms =
+        std::max(outlook.last_end_ms,
+                 now_ms_ - start_ms_ + decider_.task(order.task).longest_ms);
+    ++outlook.workers[decider_.cell().Name(order.worker)];
+  }
+
+  void End(TaskId id) {
+    const TaskRow& row = decider_.task(id);
+    if (row.state == TaskState::kYielding) {
+      decider_.OnStopped(id,
+                         row.checkpoints
+                             ? row.done_ms + (now_ms_ - row.started_ms)
+                             : row.done_ms,
+                         now_ms_);
+    } else if (row.state == TaskState::kPlaced &&
+               row.started_ms + row.duration_ms <= now_ms_) {
+      decider_.OnEnded(id, now_ms_);
+    }
+  }
+
+  Decider decider_;
+  const int64_t start_ms_;
+  int64_t now_ms_;
+  std::map<TaskId, int32_t> mine_;
+  std::map<int32_t, Outlook> outlooks_;
+  std::priority_queue<End_, std::vector<End_>, std::greater<>> ends_;
+  std::vector<TaskId> yielded_;
+  int64_t drained_ = 0;
+};
+
+std::string Seconds(int64_t ms) {
+  return absl::FormatDuration(absl::Seconds((ms + 999) / 1000));
+}
+
+std::string WorkersText(const Outlook& outlook) {
+  std::vector<std::pair<std::string, int64_t>> workers(outlook.workers.begin(),
+                                                       outlook.workers.end());
+  std::sort(workers.begin(), workers.end(),
+            [](const auto& a, const auto& b) { return a.second > b.second; });
+  std::vector<std::string> parts;
+  for (size_t i = 0; i < workers.size() && i < kMostWorkersShown; ++i) {
+    parts.push_back(absl::StrCat(workers[i].first, " ", workers[i].second));
+  }
+  if (workers.size() > kMostWorkersShown) {
+    parts.push_back(
+        absl::StrCat(workers.size() - kMostWorkersShown, " workers more"));
+  }
+  return absl::StrJoin(parts, ", ");
+}
+
+void DescribeWork(const Intent& intent, Outlook& outlook, Now now, Plan& plan) {
+  if (outlook.started_at_once > 0) {
+    plan.steps.push_back({"start", intent.id, "", outlook.started_at_once, 0,
+                          "on " + WorkersText(outlook)});
+  }
+  const int64_t later = outlook.started - outlook.started_at_once;
+  if (later > 0) {
+    plan.steps.push_back({"wait", intent.id, "", later, outlook.last_start_ms,
+                          absl::StrCat("the last of them starts in about ",
+                                       Seconds(outlook.last_start_ms))});
+  }
+  const int64_t never = intent.tasks - outlook.started;
+  if (never > 0) {
+    plan.risks.push_back(
+        absl::StrCat(intent.id, ": ", never,
+                     " tasks find no room within the forecast; add workers, or "
+                     "cancel other work"));
+  }
+  if (intent.deadline_ms == 0 || intent.kind != IntentKind::kBatch) return;
+  const int64_t deadline_in = intent.deadline_ms - ToMillis(now.wall);
+  if (never == 0 && outlook.last_end_ms <= deadline_in) return;
+  const std::string earliest = never > 0
+                                   ? "none within the forecast"
+                                   : Seconds(outlook.last_end_ms) + " from now";
+  plan.risks.push_back(
+      absl::StrCat(intent.id, ": the deadline in ", Seconds(deadline_in),
+                   " cannot be kept; the earliest that can: ", earliest));
+}
+
+void DescribeYields(const Forecast& forecast, const PlanContext& context,
+                    Plan& plan) {
+  std::map<std::string, int64_t> by_intent;
+  for (const TaskId id : forecast.yielded()) {
+    const std::string name = context.name_of(id);
+    ++by_intent[name.substr(0, name.rfind('/'))];
+  }
+  for (const auto& [intent, tasks] : by_intent) {
+    plan.steps.push_back({"yield", intent, "", tasks, 0,
+                          "makes room and waits for its turn again"});
+  }
+  if (!by_intent.empty()) {
+    plan.weighed.push_back(
+        absl::StrFormat("yields lose about %.0f s of work; waiting for room in "
+                        "place of them was weighed "
+                        "and ruled out by the class of the new work",
+                        forecast.yield_cost_s()));
+  }
+}
+
+void DescribeQuotas(const Decider& before, const Decider& after, Plan& plan) {
+  for (int16_t team = 0; team < before.Teams(); ++team) {
+    const double from = before.ShareOf(team);
+    const double to = after.ShareOf(team);
+    if (from == to) continue;
+    plan.quotas.push_back(
+        absl::StrFormat("%s: %.1f%% -> %.1f%% of the zone at the end of the "
+                        "forecast (quota %.1f%%)",
+                        before.TeamName(team), 100 * from, 100 * to,
+                        100 * before.QuotaOf(team)));
+  }
+}
+
+// Intents that change what is there; the forecast does not need to run them.
+void DescribeChange(const Intent& intent, Plan& plan) {
+  const std::string kind = IntentKindName(intent.kind);
+  std::string detail = kind + " " + intent.subject;
+  if (intent.kind == IntentKind::kResize)
+    absl::StrAppend(&detail, " to ", intent.tasks, " tasks");
+  if (intent.kind == IntentKind::kPriority)
+    absl::StrAppend(&detail, " to ", WorkClassName(intent.work_class));
+  plan.steps.push_back({kind, intent.id, "", 0, 0, detail});
+}
+
+}  // namespace
+
+TaskSpec SpecOf(const Intent& intent, int32_t group, int16_t team, Now now) {
+  TaskSpec spec;
+  spec.need = intent.resources;
+  spec.group = group;
+  spec.team = team;
+  spec.work_class = intent.work_class;
+  spec.checkpoints = intent.checkpoints;
+  spec.spread = intent.spread_racks;
+  spec.pinned = !intent.repeatable && !intent.checkpoints;
+  spec.duration_ms = absl::ToInt64Milliseconds(intent.task_duration);
+  spec.estimate_error = intent.estimate_error;
+  if (intent.deadline_ms != 0)
+    spec.deadline_ms =
+        MonoMillis(now) + intent.deadline_ms - ToMillis(now.wall);
+  return spec;
+}
+
+Result<Plan> MakePlan(std::vector<Intent> intents, const PlanContext& context,
+                      Now now) {
+  std::vector<std::string> faults;
+  std::set<std::string> ids;
+  for (Intent& intent : intents) {
+    CheckIntent(intent, context, faults);
+    if (!ids.insert(intent.id).second)
+      faults.push_back(
+          absl::StrCat("intent ", intent.id, ": the id stands twice"));
+    if (intent.deadline_ms == 0 && intent.deadline_in > absl::ZeroDuration()) {
+      intent.deadline_ms = ToMillis(now.wall + intent.deadline_in);
+    }
+  }
+  if (!faults.empty())
+    return MakeError(ErrorCode::kInvalid, absl::StrJoin(faults, "\n"));
+
+  Plan plan;
+  plan.id = context.plan_id;
+  plan.zone = context.zone;
+  plan.base = context.state.last_plan();
+  Forecast forecast(context.decider, now);
+  for (const Intent& intent : intents) {
+    if (intent.kind == IntentKind::kDrainHost) forecast.Drain(intent.subject);
+  }
+  for (size_t i = 0; i < intents.size(); ++i) {
+    if (IsWork(intents[i]))
+      forecast.Submit(intents[i], kFirstForecastGroup + static_cast<int32_t>(i),
+                      now);
+  }
+  forecast.Run();
+  for (size_t i = 0; i < intents.size(); ++i) {
+    if (IsWork(intents[i])) {
+      DescribeWork(
+          intents[i],
+          forecast.outlook(kFirstForecastGroup + static_cast<int32_t>(i)), now,
+          plan);
+    } else {
+      DescribeChange(intents[i], plan);
+    }
+  }
+  if (forecast.drained() > 0) {
+    plan.steps.push_back(
+        {"move", "", "", forecast.drained(), 0,
+         "tasks of drained hosts stop there and start elsewhere"});
+  }
+  DescribeYields(forecast, context, plan);
+  DescribeQuotas(context.decider, forecast.decider(), plan);
+  plan.intents = std::move(intents);
+  return plan;
+}
+
+}  // namespace keelbridge
--- /dev/null
+++ b/keelbridge/coordination/task_queue.h
@@ -0,0 +1,90 @@
+// Waiting tasks in the order in which they should be tried.
+//
+// Rank first (urgent before interactive before promoted before standard before
+// bulk), then the team with the smallest share for its quota, then the least
+// slack, then the first come. A shape that found no room is blocked until room
+// appears, so a full cell costs little.
+//
+//   queue.Push(id, row);
+//   TaskId next = queue.Next(shares);
+//   queue.Block(row);        // Nothing of this need fits now.
+//   queue.Unblock();         // Room appeared.
+
+#ifndef KEELBRIDGE_COORDINATION_TASK_QUEUE_H_
+#define KEELBRIDGE_COORDINATION_TASK_QUEUE_H_
+
+#include <array>
+#include <cstdint>
+#include <tuple>
+#include <vector>
+
+#include "absl/container/btree_map.h"
+#include "absl/container/btree_set.h"
+#include "keelbridge/coordination/task_table.h"
+
+namespace keelbridge {
+
+// Ranks of the queue. Only `kUrgentRank` and `kInteractiveRank` may make others
+// yield.
+constexpr int kUrgentRank = 0;
+constexpr int kInteractiveRank = 1;
+constexpr int kPromotedRank = 2;  // A deadline is near, or it waited for long.
+constexpr int kStandardRank = 3;
+constexpr int kBulkRank = 4;
+constexpr int kRanks = 5;
+
+class TaskQueue {
+ public:
+  struct Options {
+    bool largest_first = false;  // Among tasks without deadline, for packing.
+    int64_t promote_after_ms =
+        1800000;  // Waiting time after which a task of a low class is promoted.
+    int64_t deadline_guard_ms =
+        120000;  // Slack below which a task with a deadline is promoted.
+  };
+
+  explicit TaskQueue(Options options) : options_(options) {}
+
+  void Push(TaskId id, TaskRow& row, int64_t now_ms);
+  void Remove(TaskId id, const TaskRow& row);
+
+  // Moves tasks whose time has come to the promoted rank. At most `most` in a
+  // call.
+  void Promote(TaskTable& tasks, int64_t now_ms, int most);
+
+  // The task to try next, or `kNoTask` when all that wait are blocked. `shares`
+  // is the share of each team divided by its quota.
+  TaskId Next(const std::vector<double>& shares) const;
+
+  // No task with this rank, team and shape is offered again before `Unblock`.
+  void Block(const TaskRow& row);
+  void Unblock();
+
+  size_t size() const { return size_; }
+  size_t WaitingInRank(int rank) const { return by_rank_[rank]; }
+
+ private:
+  using Key = std::tuple<int64_t, int32_t,
+                         TaskId>;  // Latest start (or size), sequence, task.
+  struct Line {
+    absl::btree_set<Key> tasks;
+    bool blocked = false;
+  };
+  using Lines = absl::btree_map<int32_t, Line>;  // By shape.
+
+  Key KeyOf(TaskId id, const TaskRow& row) const;
+  int RankOf(const TaskRow& row, int64_t now_ms) const;
+  int64_t PromoteAt(const TaskRow& row) const;
+  Lines& LinesOf(const TaskRow& row);
+
+  const Options options_;
+  std::array<std::vector<Lines>, kRanks> ranks_;  // By team.
+  std::array<size_t, kRanks> by_rank_{};
+  absl::btree_set<std::pair<int64_t, TaskId>> promotions_;
+  std::vector<std::tuple<int, int, int32_t>> blocked_;
+  size_t size_ = 0;
+};
+
+}  // namespace keelbridge
+
+#endif  // KEELBRIDGE_COORDINATION_TASK_QUEUE_H_
--- /dev/null
+++ b/keelbridge/coordination/task_table.h
@@ -0,0 +1,82 @@
+// The tasks of a zone as decisions see them: compact rows, reused when a task
+// is gone.
+//
+//   TaskId id = table.Add(row);
+//   table[id].state = TaskState::kPlaced;
+
+#ifndef KEELBRIDGE_COORDINATION_TASK_TABLE_H_
+#define KEELBRIDGE_COORDINATION_TASK_TABLE_H_
+
+#include <cstdint>
+#include <vector>
+
+#include "keelbridge/coordination/decision.h"
+#include "keelbridge/protocol/intent.h"
+#include "keelbridge/protocol/resources.h"
+
+namespace keelbridge {
+
+enum class TaskState : uint8_t {
+  kGone,      // The row is free.
+  kWaiting,   // In the queue.
+  kPlaced,    // Capacity is taken on `worker`.
+  kYielding,  // Placed, and asked to make room.
+  kHeld,      // Waits on `worker` for others that yield for it.
+};
+
+constexpr int64_t kNever = INT64_MAX;
+
+// Times are monotonic milliseconds.
+struct TaskRow {
+  Resources need;
+  int32_t group = -1;  // Tasks of one intent, for spread over racks; -1: none.
+  int32_t shape = -1;  // Equal needs have equal shapes.
+  int32_t sequence = 0;
+  int16_t team = 0;
+  WorkClass work_class = WorkClass::kStandard;
+  TaskState state = TaskState::kGone;
+  uint8_t rank = 0;    // Of the queue it is in.
+  uint8_t yields = 0;  // How often it made room for others.
+  bool checkpoints = false;
+  bool spread = false;
+  bool service = false;
+  bool pinned = false;
+  WorkerId worker = kNoWorker;
+  int64_t submitted_ms = 0;
+  int64_t started_ms = 0;
+  int64_t duration_ms = 0;  // Estimate of what is left; 0 for a service.
+  int64_t longest_ms =
+      kNever;  // Estimate with its error: what reservations reckon with.
+  int64_t latest_start_ms = kNever;
+  int64_t done_ms = 0;  // Work that a checkpoint saved.
+};
+
+class TaskTable {
+ public:
+  TaskId Add(const TaskRow& row) {
+    if (free_.empty()) {
+      rows_.push_back(row);
+      return static_cast<TaskId>(rows_.size() - 1);
+    }
+    const TaskId id = free_.back();
+    free_.pop_back();
+    rows_[id] = row;
+    return id;
+  }
+  void Remove(TaskId id) {
+    rows_[id].state = TaskState::kGone;
+    free_.push_back(id);
+  }
+  TaskRow& operator[](TaskId id) { return rows_[id]; }
+  const TaskRow& operator[](TaskId id) const { return rows_[id]; }
+  size_t capacity() const { return rows_.size(); }
+  size_t live() const { return rows_.size() - free_.size(); }
+
+ private:
+  std::vector<TaskRow> rows_;
+  std::vector<TaskId> free_;
+};
+
+}  // namespace keelbridge
+
+#endif  // KEELBRIDGE_COORDINATION_TASK_TABLE_H_
--- /dev/null
+++ b/keelbridge/coordination/victim_search.cc
@@ -0,0 +1,80 @@
+#include "keelbridge/coordination/victim_search.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace keelbridge {
+namespace {
+
+constexpr int kMostSteps = 4000;
+constexpr Resources kNothing{};
+
+// Depth first: take or leave each candidate, cheapest for its use first.
+class Search {
+ public:
+  Search(const std::vector<VictimCandidate>& candidates,
+         const Resources& shortfall)
+      : candidates_(candidates), suffix_(candidates.size() + 1) {
+    for (size_t i = candidates.size(); i-- > 0;)
+      suffix_[i] = suffix_[i + 1] + candidates[i].frees;
+    Descend(0, shortfall, 0);
+  }
+
+  bool found() const {
+    return best_cost_ < std::numeric_limits<double>::infinity();
+  }
+  double cost() const { return best_cost_; }
+  const std::vector<size_t>& best() const { return best_; }
+
+ private:
+  void Descend(size_t at, const Resources& left, double cost) {
+    if (cost >= best_cost_) return;
+    if (left == kNothing) {
+      best_cost_ = cost;
+      best_ = chosen_;
+      return;
+    }
+    if (at == candidates_.size() || ++steps_ > kMostSteps ||
+        !left.FitsIn(suffix_[at]))
+      return;
+    const VictimCandidate& candidate = candidates_[at];
+    const Resources after = Shortfall(left, candidate.frees);
+    if (after != left) {
+      chosen_.push_back(at);
+      Descend(at + 1, after, cost + candidate.cost);
+      chosen_.pop_back();
+    }
+    Descend(at + 1, left, cost);
+  }
+
+  const std::vector<VictimCandidate>& candidates_;
+  std::vector<Resources> suffix_;  // What all from here on would free.
+  std::vector<size_t> chosen_;
+  std::vector<size_t> best_;
+  double best_cost_ = std::numeric_limits<double>::infinity();
+  int steps_ = 0;
+};
+
+}  // namespace
+
+VictimSet FindVictims(std::vector<VictimCandidate> candidates,
+                      const Resources& shortfall) {
+  const auto worth = [&shortfall](const VictimCandidate& c) {
+    const Resources useful = shortfall - Shortfall(shortfall, c.frees);
+    return DominantShare(useful, shortfall) / c.cost;
+  };
+  std::sort(candidates.begin(), candidates.end(),
+            [&worth](const VictimCandidate& a, const VictimCandidate& b) {
+              return worth(a) > worth(b);
+            });
+  const Search search(candidates, shortfall);
+  VictimSet out;
+  out.found = search.found();
+  if (!out.found) return out;
+  out.cost = search.cost();
+  for (const size_t at : search.best())
+    out.tasks.push_back(candidates[at].task);
+  return out;
+}
+
+}  // namespace keelbridge
--- /dev/null
+++ b/keelbridge/daemon/claim_desk.h
@@ -0,0 +1,71 @@
+// Claims idempotency keys in the log for callers that wait, many claims in one
+// append.
+//
+//   ClaimDesk desk(log, incarnation, timeout, gateways);
+//   ClaimDesk::Answer answer = desk.Claim(key, deadline);   // On the caller's
+//   thread. desk.Step();                                            // On the
+//   duty's thread.
+
+#ifndef KEELBRIDGE_DAEMON_CLAIM_DESK_H_
+#define KEELBRIDGE_DAEMON_CLAIM_DESK_H_
+
+#include <cstdint>
+#include <functional>
+#include <set>
+#include <string>
+
+#include "absl/base/thread_annotations.h"
+#include "absl/synchronization/mutex.h"
+#include "absl/time/time.h"
+#include "keelbridge/base/bounded_ring.h"
+#include "keelbridge/coordination/log_writer.h"
+#include "keelbridge/coordination/once.h"
+#include "keelbridge/protocol/platform_clients.h"
+
+namespace keelbridge {
+
+// `Claim` and `Release` are thread-safe; `Step` runs on one thread.
+class ClaimDesk {
+ public:
+  enum class Answer {
+    kMine,      // Dispatch it: the only run of this key is yours.
+    kTaken,     // Somebody claimed it before: it may have run.
+    kNoRecord,  // The log did not take it in time. Nothing was dispatched.
+    kBusy,      // Too many wait.
+  };
+
+  ClaimDesk(LogClient& log, uint64_t incarnation, absl::Duration log_timeout,
+            absl::Duration append_every);
+
+  Answer Claim(const std::string& key, absl::Duration wait);
+  // The request did not run: its key may be claimed again.
+  void Release(const std::string& key);
+
+  // Reads and appends what is due. Cheap when nothing waits.
+  void Step();
+  void SetWaker(std::function<void()> wake) { wake_ = std::move(wake); }
+
+ private:
+  static constexpr size_t kMostWaiting = 4096;
+  static constexpr absl::Duration IdlePoll() { return absl::Seconds(2); }
+
+  void ReadOnce();
+  void AppendOnce();
+
+  LogClient& log_;
+  const uint64_t incarnation_;
+  const absl::Duration log_timeout_;
+  std::function<void()> wake_;
+  BoundedRing<LogEntry> entries_{kMostWaiting};
+  LogWriter writer_;
+  absl::Time next_idle_read_ = absl::InfinitePast();
+  absl::Mutex mutex_;
+  ClaimTable table_ ABSL_GUARDED_BY(mutex_);
+  std::set<std::string> in_use_ ABSL_GUARDED_BY(
+      mutex_);  // Keys that this gateway claimed or is claiming.
+  size_t waiting_ ABSL_GUARDED_BY(mutex_) = 0;
+};
+
+}  // namespace keelbridge
+
+#endif  // KEELBRIDGE_DAEMON_CLAIM_DESK_H_
--- /dev/null
+++ b/keelbridge/daemon/duty.h
@@ -0,0 +1,52 @@
+// A duty: one job on a thread of its own, a detached CAF actor.
+//
+// A duty's step runs when its period is over and when somebody wakes it. Work
+// reaches it through bounded rings; the actor's message is only the wake-up, of
+// which at most one waits, because CAF's mailboxes are unbounded.
+//
+//   DutyHost host;
+//   Duty* reader = host.Start("log_reader", absl::Milliseconds(500), [&] {
+//   ReadLog(); }); reader->Wake();
+
+#ifndef KEELBRIDGE_DAEMON_DUTY_H_
+#define KEELBRIDGE_DAEMON_DUTY_H_
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "absl/time/time.h"
+
+namespace keelbridge {
+
+class Duty {
+ public:
+  virtual ~Duty() = default;
+  // Runs the step soon. Thread-safe; does not wait.
+  virtual void Wake() = 0;
+};
+
+// Owns the actor system and its duties.
+class DutyHost {
+ public:
+  DutyHost();
+  ~DutyHost();
+  DutyHost(const DutyHost&) = delete;
+  DutyHost& operator=(const DutyHost&) = delete;
+
+  // The duty lives as long as the host. `step` never runs twice at a time.
+  Duty* Start(const std::string& name, absl::Duration period,
+              std::function<void()> step);
+
+  // Ends all duties after the steps that run now.
+  void Stop();
+
+ private:
+  class Impl;
+  std::unique_ptr<Impl> impl_;
+};
+
+}  // namespace keelbridge
+
+#endif  // KEELBRIDGE_DAEMON_DUTY_H_
--- /dev/null
+++ b/keelbridge/daemon/worker_pool.h
@@ -0,0 +1,75 @@
+// Carries commands to workers on a few threads and hands the replies back.
+//
+// Workers that did not answer last time have threads of their own, so that a
+// lost rack does not hold up the rest.
+//
+//   WorkerPool pool(12, [&](WorkerCall call, WorkerAnswer answer) {
+//   ring.Push(...); }); pool.SetAddresses({{"w1", "10.0.0.1:80"}}); if
+//   (!pool.Send(action, sent_at)) ...
+
+#ifndef KEELBRIDGE_DAEMON_WORKER_POOL_H_
+#define KEELBRIDGE_DAEMON_WORKER_POOL_H_
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <thread>
+#include <variant>
+#include <vector>
+
+#include "absl/base/thread_annotations.h"
+#include "absl/synchronization/mutex.h"
+#include "absl/time/time.h"
+#include "keelbridge/base/bounded_ring.h"
+#include "keelbridge/coordination/zone_scheduler.h"
+#include "keelbridge/protocol/platform_clients.h"
+
+namespace keelbridge {
+
+using WorkerCommand = std::variant<SendHold, SendStart, SendStop>;
+
+struct WorkerCall {
+  WorkerCommand command;
+  absl::Time sent_at;  // Monotonic; taken before the command was queued.
+};
+
+// Empty when no answer came.
+using WorkerAnswer = std::variant<std::monostate, HoldReply, CommandReply>;
+
+class WorkerPool {
+ public:
+  using Done = std::function<void(WorkerCall, WorkerAnswer)>;
+
+  WorkerPool(size_t threads, absl::Duration timeout, Done done);
+  ~WorkerPool();
+
+  void SetAddresses(const std::map<std::string, std::string>& addresses);
+  // False when too much waits already; the command was then not sent.
+  bool Send(WorkerCall call);
+  void Stop();
+
+ private:
+  static constexpr size_t kMostWaiting = 8192;
+
+  void Run(BoundedRing<WorkerCall>& ring);
+  std::shared_ptr<WorkerClient> ClientOf(const std::string& worker);
+  void NoteAnswer(const std::string& worker, bool answered);
+
+  const absl::Duration timeout_;
+  const Done done_;
+  BoundedRing<WorkerCall> calls_{kMostWaiting};
+  BoundedRing<WorkerCall> doubtful_calls_{kMostWaiting};
+  absl::Mutex mutex_;
+  std::map<std::string, std::string> addresses_ ABSL_GUARDED_BY(mutex_);
+  std::map<std::string, std::shared_ptr<WorkerClient>> clients_
+      ABSL_GUARDED_BY(mutex_);
+  std::set<std::string> doubtful_ ABSL_GUARDED_BY(mutex_);
+  std::vector<std::thread> threads_;
+};
+
+}  // namespace keelbridge
+
+#endif  // KEELBRIDGE_DAEMON_WORKER_POOL_H_
--- /dev/null
+++ b/keelbridge/state/configuration_state.cc
@@ -0,0 +1,81 @@
+#include "keelbridge/state/configuration_state.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace keelbridge {
+
+void ConfigurationState::OnBatch(const LogBatch& batch) {
+  first_retained_ = batch.first;
+  if (batch.first > next_) {
+    whole_ = false;
+    next_ = batch.first;
+  }
+  for (const LogRecord& record : batch.records) {
+    if (record.offset != next_) break;
+    ++next_;
+    Result<Envelope> envelope = EnvelopeFromText(record.text);
+    if (!envelope) continue;
+    const EnvelopeId& id = envelope.value().id;
+    if (const auto it = writers_.find(id.incarnation);
+        it != writers_.end() && it->second >= id.sequence)
+      continue;
+    writers_[id.incarnation] = id.sequence;
+    for (const LogEntry& entry : envelope.value().entries) {
+      if (const auto* configuration = std::get_if<ConfigurationEntry>(&entry))
+        Apply(record.offset, *configuration);
+    }
+  }
+  caught_up_ = next_ >= batch.next;
+}
+
+void ConfigurationState::Apply(int64_t offset,
+                               const ConfigurationEntry& entry) {
+  if (entry.version >= 0) {  // A renewal says again what was accepted before;
+                             // it is as old as its version.
+    if (entry.version == current_.version)
+      carried_at_ = std::max(carried_at_, offset);
+    if (entry.version > current_.version)
+      Adopt(entry.version, entry.text, offset, Step::kMany);
+    return;
+  }
+  if (offset <= current_.version) return;  // Already taken from a peer.
+  // With nothing known and records dropped, this may be the loser of a race
+  // whose winner is gone: wait for a renewal, which its author knew to be in
+  // force.
+  const bool first_ever = current_.version == -1 && entry.base == -1 && whole_;
+  const bool follows = current_.version != -1 && entry.base == current_.version;
+  if (!first_ever && !follows) {
+    ++refused_;
+    return;
+  }
+  Adopt(offset, entry.text, offset, Step::kOne);
+}
+
+void ConfigurationState::Adopt(int64_t version, const std::string& text,
+                               int64_t carried_at, Step step) {
+  Result<Configuration> next = ParseConfiguration(text, "configuration");
+  std::string why;
+  const bool checked = step == Step::kOne && current_.version != -1;
+  if (!next || (checked && !MajoritiesOverlap(current_, next.value(), &why))) {
+    ++refused_;
+    return;
+  }
+  current_ = std::move(next.value());
+  current_.version = version;
+  carried_at_ = carried_at;
+}
+
+bool ConfigurationState::OnPeer(int64_t version, const std::string& text) {
+  if (version <= current_.version) return false;
+  Result<Configuration> next =
+      ParseConfiguration(text, "configuration from a peer");
+  if (!next) return false;
+  // No overlap check: the peer took each step, and this host may have missed
+  // some of them.
+  current_ = std::move(next.value());
+  current_.version = version;
+  return true;
+}
+
+}  // namespace keelbridge
--- /dev/null
+++ b/keelbridge/state/configuration_state.h
@@ -0,0 +1,61 @@
+// Which configuration is in force: the newest accepted one, never an older one
+// again.
+//
+// A version is the offset of the first publication. Records come from the log;
+// whole versions come from peers when the log cannot be read. Both ways a lower
+// version never replaces a higher one.
+//
+//   ConfigurationState state;
+//   state.OnBatch(batch);          // From the log, read from state.next().
+//   state.OnPeer(version, text);   // From a peer of the zone.
+
+#ifndef KEELBRIDGE_STATE_CONFIGURATION_STATE_H_
+#define KEELBRIDGE_STATE_CONFIGURATION_STATE_H_
+
+#include <cstdint>
+#include <map>
+#include <string>
+
+#include "keelbridge/protocol/configuration.h"
+#include "keelbridge/protocol/log_messages.h"
+
+namespace keelbridge {
+
+class ConfigurationState {
+ public:
+  void OnBatch(const LogBatch& batch);
+  // True when the peer's version was newer and is now in force.
+  bool OnPeer(int64_t version, const std::string& text);
+
+  int64_t next() const { return next_; }
+  // Version -1: none yet.
+  const Configuration& current() const { return current_; }
+  // Offset of the newest record that carries the version in force.
+  int64_t carried_at() const { return carried_at_; }
+  int64_t first_retained() const { return first_retained_; }
+  bool CaughtUp() const { return caught_up_; }
+  int refused() const { return refused_; }
+
+ private:
+  // Whether the version in force is the direct predecessor. Only then can one
+  // step be judged by itself.
+  enum class Step { kOne, kMany };
+
+  void Apply(int64_t offset, const ConfigurationEntry& entry);
+  void Adopt(int64_t version, const std::string& text, int64_t carried_at,
+             Step step);
+
+  Configuration current_;
+  std::map<uint64_t, int64_t>
+      writers_;  // Incarnation to last sequence applied.
+  int64_t next_ = 0;
+  int64_t carried_at_ = -1;
+  int64_t first_retained_ = 0;
+  bool caught_up_ = false;
+  bool whole_ = true;  // Nothing of the stream was dropped before it was read.
+  int refused_ = 0;
+};
+
+}  // namespace keelbridge
+
+#endif  // KEELBRIDGE_STATE_CONFIGURATION_STATE_H_
--- /dev/null
+++ b/keelbridge/state/zone_state.cc
@@ -0,0 +1,277 @@
+#include "keelbridge/state/zone_state.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "absl/strings/numbers.h"
+#include "absl/strings/str_cat.h"
+#include "absl/strings/str_split.h"
+#include "keelbridge/base/json_reader.h"
+
+namespace keelbridge {
+namespace {
+
+// Confirming a plan twice is recognised for this many later plans.
+constexpr size_t kPlanFatesKept = 256;
+// A writer that has been silent for this many records is forgotten; its last
+// answer was settled long before.
+constexpr int64_t kWriterIdleRecords = 100000;
+
+Json::Int64 Int(int64_t v) { return static_cast<Json::Int64>(v); }
+
+Json::Value SetToJson(const std::set<std::string>& names) {
+  Json::Value out(Json::arrayValue);
+  for (const std::string& name : names) out.append(name);
+  return out;
+}
+
+}  // namespace
+
+void IndexRuns::Insert(int64_t index) {
+  if (Contains(index)) return;
+  int64_t first = index;
+  int64_t last = index;
+  auto next = runs_.upper_bound(index);
+  if (next != runs_.end() && next->first == index + 1) {
+    last = next->second;
+    next = runs_.erase(next);
+  }
+  if (next != runs_.begin() && std::prev(next)->second == index - 1) {
+    first = std::prev(next)->first;
+  }
+  runs_[first] = last;
+}
+
+bool IndexRuns::Contains(int64_t index) const {
+  const auto next = runs_.upper_bound(index);
+  return next != runs_.begin() && std::prev(next)->second >= index;
+}
+
+int64_t IndexRuns::Count() const {
+  int64_t count = 0;
+  for (const auto& [first, last] : runs_) count += last - first + 1;
+  return count;
+}
+
+std::string IndexRuns::ToText() const {
+  std::string out;
+  for (const auto& [first, last] : runs_) {
+    if (!out.empty()) out += ',';
+    absl::StrAppend(&out, first);
+    if (last != first) absl::StrAppend(&out, "-", last);
+  }
+  return out;
+}
+
+IndexRuns IndexRuns::FromText(const std::string& text) {
+  IndexRuns out;
+  for (const auto part : absl::StrSplit(text, ',', absl::SkipEmpty())) {
+    const std::vector<std::string> ends = absl::StrSplit(part, '-');
+    int64_t first = 0;
+    int64_t last = 0;
+    if (!absl::SimpleAtoi(ends.front(), &first) ||
+        !absl::SimpleAtoi(ends.back(), &last))
+      continue;
+    out.runs_[first] = last;
+  }
+  return out;
+}
+
+std::string TaskName(const std::string& intent, int64_t index) {
+  return absl::StrCat(intent, "/", index);
+}
+
+bool SplitTaskName(const std::string& task, std::string* intent,
+                   int64_t* index) {
+  const size_t slash = task.rfind('/');
+  if (slash == std::string::npos) return false;
+  *intent = task.substr(0, slash);
+  return absl::SimpleAtoi(task.substr(slash + 1), index) && *index >= 0;
+}
+
+bool ZoneState::Applied(const EnvelopeId& id) const {
+  const auto it = writers_.find(id.incarnation);
+  return it != writers_.end() && it->second.sequence >= id.sequence;
+}
+
+bool ZoneState::Apply(int64_t offset, const Envelope& envelope) {
+  next_offset_ = offset + 1;
+  if (Applied(envelope.id)) return false;
+  writers_[envelope.id.incarnation] = {envelope.id.sequence, offset};
+  for (const LogEntry& entry : envelope.entries) ApplyEntry(offset, entry);
+  if (offset % 1024 == 0) ForgetIdleWriters();
+  return true;
+}
+
+void ZoneState::ApplyEntry(int64_t offset, const LogEntry& entry) {
+  if (const auto* leader = std::get_if<LeaderEntry>(&entry)) {
+    if (leader->epoch <= epoch_) return;
+    epoch_ = leader->epoch;
+    leader_ = leader->scheduler;
+  } else if (const auto* plan = std::get_if<PlanEntry>(&entry)) {
+    ApplyPlan(offset, *plan);
+  } else if (const auto* ended = std::get_if<TaskEndedEntry>(&entry)) {
+    // An ending is a fact whoever reports it, so an earlier epoch's counts too.
+    ApplyEnded(*ended);
+  } else if (const auto* start = std::get_if<OnceStartEntry>(&entry)) {
+    if (start->epoch >= epoch_) once_.emplace(start->task, start->attempt);
+  } else if (const auto* release = std::get_if<OnceReleaseEntry>(&entry)) {
+    const auto it = once_.find(release->task);
+    if (it != once_.end() && it->second == release->attempt) once_.erase(it);
+  }
+}
+
+void ZoneState::ApplyPlan(int64_t offset, const PlanEntry& entry) {
+  if (FateOf(entry.plan) == PlanFate::kConfirmed) return;
+  if (entry.base != last_plan_)
+    return RememberPlan(entry.plan, PlanFate::kStale);
+  last_plan_ = offset;
+  RememberPlan(entry.plan, PlanFate::kConfirmed);
+  for (const Intent& intent : entry.intents) ApplyIntent(offset, intent);
+}
+
+void ZoneState::ApplyIntent(int64_t offset, const Intent& intent) {
+  const auto subject = work_.find(intent.subject);
+  switch (intent.kind) {
+    case IntentKind::kService:
+    case IntentKind::kBatch:
+      // A name that is in use keeps its first meaning; plans refuse it before
+      // it comes here.
+      work_.emplace(intent.id, WorkRecord{intent, offset, {}, {}});
+      break;
+    case IntentKind::kDrainHost:
+      drained_hosts_.insert(intent.subject);
+      break;
+    case IntentKind::kDrainTarget:
+      drained_targets_.insert(intent.subject);
+      break;
+    case IntentKind::kCancel:
+      if (subject != work_.end()) work_.erase(subject);
+      drained_hosts_.erase(intent.subject);
+      drained_targets_.erase(intent.subject);
+      break;
+    case IntentKind::kResize:
+      if (subject != work_.end()) subject->second.intent.tasks = intent.tasks;
+      break;
+    case IntentKind::kPriority:
+      if (subject != work_.end())
+        subject->second.intent.work_class = intent.work_class;
+      break;
+  }
+}
+
+void ZoneState::ApplyEnded(const TaskEndedEntry& entry) {
+  std::string intent;
+  int64_t index = 0;
+  if (!SplitTaskName(entry.task, &intent, &index)) return;
+  once_.erase(entry.task);
+  const auto it = work_.find(intent);
+  if (it == work_.end() || it->second.intent.kind == IntentKind::kService)
+    return;
+  it->second.ended.Insert(index);
+  if (entry.outcome == "unknown") it->second.unknown.Insert(index);
+  // A batch that is done is forgotten, unless an operator has to look at what
+  // became of some tasks.
+  if (it->second.ended.Count() >= it->second.intent.tasks &&
+      it->second.unknown.Count() == 0)
+    work_.erase(it);
+}
+
+int64_t ZoneState::OnceAttempt(const std::string& task) const {
+  const auto it = once_.find(task);
+  return it == once_.end() ? 0 : it->second;
+}
+
+ZoneState::PlanFate ZoneState::FateOf(const std::string& plan) const {
+  for (const auto& [id, fate] : plan_fates_) {
+    if (id == plan) return fate;
+  }
+  return PlanFate::kUnknown;
+}
+
+void ZoneState::RememberPlan(const std::string& plan, PlanFate fate) {
+  plan_fates_.emplace_back(plan, fate);
+  if (plan_fates_.size() > kPlanFatesKept) plan_fates_.pop_front();
+}
+
+void ZoneState::ForgetIdleWriters() {
+  for (auto it = writers_.begin(); it != writers_.end();) {
+    it = it->second.offset + kWriterIdleRecords < next_offset_
+             ? writers_.erase(it)
+             : std::next(it);
+  }
+}
+
+std::string ZoneState::Snapshot() const {
+  Json::Value out;
+  out["next_offset"] = Int(next_offset_);
+  out["last_plan"] = Int(last_plan_);
+  out["epoch"] = Int(epoch_);
+  out["leader"] = leader_;
+  out["drained_hosts"] = SetToJson(drained_hosts_);
+  out["drained_targets"] = SetToJson(drained_targets_);
+  for (const auto& [id, record] : work_) {
+    Json::Value row;
+    row["intent"] = ToJson(record.intent);
+    row["confirmed_at"] = Int(record.confirmed_at);
+    row["ended"] = record.ended.ToText();
+    row["unknown"] = record.unknown.ToText();
+    out["work"].append(row);
+  }
+  for (const auto& [task, attempt] : once_) out["once"][task] = Int(attempt);
+  for (const auto& [plan, fate] : plan_fates_) {
+    Json::Value row;
+    row["plan"] = plan;
+    row["fate"] = static_cast<int>(fate);
+    out["plan_fates"].append(row);
+  }
+  for (const auto& [incarnation, writer] : writers_) {
+    Json::Value row;
+    row["incarnation"] = static_cast<Json::UInt64>(incarnation);
+    row["sequence"] = Int(writer.sequence);
+    row["offset"] = Int(writer.offset);
+    out["writers"].append(row);
+  }
+  return ToJsonText(out);
+}
+
+Result<ZoneState> ZoneState::Restore(const std::string& text) {
+  const JsonDocument document = JsonDocument::Parse(text, "snapshot");
+  if (!document.faults().empty()) return document.FaultError();
+  const Json::Value& in = document.root();
+  ZoneState out;
+  try {
+    out.next_offset_ = in["next_offset"].asInt64();
+    out.last_plan_ = in["last_plan"].asInt64();
+    out.epoch_ = in["epoch"].asInt64();
+    out.leader_ = in["leader"].asString();
+    for (const Json::Value& name : in["drained_hosts"])
+      out.drained_hosts_.insert(name.asString());
+    for (const Json::Value& name : in["drained_targets"])
+      out.drained_targets_.insert(name.asString());
+    for (const Json::Value& row : in["work"]) {
+      Intent intent = IntentFromJson(row["intent"]);
+      const std::string id = intent.id;
+      out.work_.emplace(
+          id, WorkRecord{std::move(intent), row["confirmed_at"].asInt64(),
+                         IndexRuns::FromText(row["ended"].asString()),
+                         IndexRuns::FromText(row["unknown"].asString())});
+    }
+    for (const std::string& task : in["once"].getMemberNames())
+      out.once_[task] = in["once"][task].asInt64();
+    for (const Json::Value& row : in["plan_fates"]) {
+      const auto fate =
+          static_cast<PlanFate>(std::clamp(row["fate"].asInt(), 0, 2));
+      out.plan_fates_.emplace_back(row["plan"].asString(), fate);
+    }
+    for (const Json::Value& row : in["writers"]) {
+      out.writers_[row["incarnation"].asUInt64()] = {row["sequence"].asInt64(),
+                                                     row["offset"].asInt64()};
+    }
+  } catch (const Json::Exception& e) {
+    return MakeError(ErrorCode::kInvalid, absl::StrCat("snapshot: ", e.what()));
+  }
+  return out;
+}
+
+}  // namespace keelbridge
--- /dev/null
+++ b/keelbridge/state/zone_state.h
@@ -0,0 +1,113 @@
+// What operators confirmed and what ended, as the log of a zone says it.
+//
+// Every reader that applies the same records has the same state, to the byte of
+// its snapshot text. Nothing here looks at a clock. Entries that come too late
+// (a stale plan, an entry of an earlier epoch) are applied as refused, by every
+// reader alike.
+//
+//   ZoneState state;
+//   state.Apply(offset, envelope);
+//   std::string text = state.Snapshot();
+//   Result<ZoneState> same = ZoneState::Restore(text);
+
+#ifndef KEELBRIDGE_STATE_ZONE_STATE_H_
+#define KEELBRIDGE_STATE_ZONE_STATE_H_
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "keelbridge/base/result.h"
+#include "keelbridge/protocol/log_messages.h"
+
+namespace keelbridge {
+
+// A set of task numbers, kept as runs: a batch that ends in any order stays
+// small.
+class IndexRuns {
+ public:
+  void Insert(int64_t index);
+  bool Contains(int64_t index) const;
+  int64_t Count() const;
+  std::string ToText() const;  // "0-9,12,20-31"
+  static IndexRuns FromText(const std::string& text);
+
+ private:
+  std::map<int64_t, int64_t> runs_;  // First to last, both inside.
+};
+
+// A service or batch that operators asked for.
+struct WorkRecord {
+  Intent intent;  // With later resizes and priorities applied.
+  int64_t confirmed_at = -1;
+  IndexRuns ended;
+  IndexRuns unknown;  // Part of `ended`: may have run, must not be repeated.
+};
+
+class ZoneState {
+ public:
+  // Applies one record. False when its id was seen before and nothing happened.
+  bool Apply(int64_t offset, const Envelope& envelope);
+
+  int64_t next_offset() const { return next_offset_; }
+  int64_t last_plan() const { return last_plan_; }
+  int64_t epoch() const { return epoch_; }
+  const std::string& leader() const { return leader_; }
+  const std::map<std::string, WorkRecord>& work() const { return work_; }
+  const std::set<std::string>& drained_hosts() const { return drained_hosts_; }
+  const std::set<std::string>& drained_targets() const {
+    return drained_targets_;
+  }
+
+  // The attempt that may run a task which must not be repeated; 0 when none has
+  // been claimed.
+  int64_t OnceAttempt(const std::string& task) const;
+
+  enum class PlanFate { kUnknown, kConfirmed, kStale };
+  // What became of a confirmation, for as long as recent fates are kept.
+  PlanFate FateOf(const std::string& plan) const;
+
+  // True when the last entry of this writer that was applied is `sequence` or
+  // later.
+  bool Applied(const EnvelopeId& id) const;
+
+  std::string Snapshot() const;
+  static Result<ZoneState> Restore(const std::string& text);
+
+ private:
+  struct Writer {
+    int64_t sequence = 0;
+    int64_t offset = 0;
+  };
+
+  void ApplyEntry(int64_t offset, const LogEntry& entry);
+  void ApplyPlan(int64_t offset, const PlanEntry& entry);
+  void ApplyIntent(int64_t offset, const Intent& intent);
+  void ApplyEnded(const TaskEndedEntry& entry);
+  void RememberPlan(const std::string& plan, PlanFate fate);
+  void ForgetIdleWriters();
+
+  int64_t next_offset_ = 0;
+  int64_t last_plan_ = -1;
+  int64_t epoch_ = 0;
+  std::string leader_;
+  std::map<std::string, WorkRecord> work_;
+  std::set<std::string> drained_hosts_;
+  std::set<std::string> drained_targets_;
+  std::map<std::string, int64_t> once_;
+  std::deque<std::pair<std::string, PlanFate>> plan_fates_;
+  std::map<uint64_t, Writer> writers_;
+};
+
+// "intent/number".
+std::string TaskName(const std::string& intent, int64_t index);
+// False when `task` is no task name.
+bool SplitTaskName(const std::string& task, std::string* intent,
+                   int64_t* index);
+
+}  // namespace keelbridge
+
+#endif  // KEELBRIDGE_STATE_ZONE_STATE_H_
--- /dev/null
+++ b/keelbridge/transport/address.cc
@@ -0,0 +1,49 @@
+#include "keelbridge/transport/address.h"
+
+#include <arpa/inet.h>
+
+#include "absl/strings/numbers.h"
+#include "absl/strings/str_cat.h"
+
+namespace keelbridge {
+namespace {
+
+constexpr int kHighestPort = 65535;
+
+bool IsIpNumber(const std::string& text) {
+  unsigned char buffer[sizeof(in6_addr)];
+  return inet_pton(AF_INET, text.c_str(), buffer) == 1 ||
+         inet_pton(AF_INET6, text.c_str(), buffer) == 1;
+}
+
+}  // namespace
+
+std::string Address::ToString() const {
+  return absl::StrCat(ip, ":", port, prefix);
+}
+
+Result<Address> ParseAddress(const std::string& text) {
+  const auto fail = [&text](const char* why) {
+    return MakeError(
+        ErrorCode::kInvalid,
+        absl::StrCat("address \"", text, "\" ", why,
+                     "; write IP:PORT, for example 127.0.0.1:8080"));
+  };
+  Address address;
+  std::string host_port = text;
+  if (const size_t slash = text.find('/'); slash != std::string::npos) {
+    address.prefix = text.substr(slash);
+    host_port = text.substr(0, slash);
+  }
+  const size_t colon = host_port.rfind(':');
+  if (colon == std::string::npos) return fail("has no port");
+  address.ip = host_port.substr(0, colon);
+  if (!absl::SimpleAtoi(host_port.substr(colon + 1), &address.port) ||
+      address.port < 0 || address.port > kHighestPort) {
+    return fail("has no port from 0 to 65535");
+  }
+  if (!IsIpNumber(address.ip)) return fail("does not start with an IP number");
+  return address;
+}
+
+}  // namespace keelbridge
--- /dev/null
+++ b/testing/fakes/fake_log.h
@@ -0,0 +1,48 @@
+// A stand-in for the platform's log service: streams of records with offsets,
+// kept for a limited time.
+
+#ifndef KEELBRIDGE_TESTING_FAKES_FAKE_LOG_H_
+#define KEELBRIDGE_TESTING_FAKES_FAKE_LOG_H_
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <string>
+
+#include "absl/time/time.h"
+#include "keelbridge/protocol/log_messages.h"
+
+namespace keelbridge::testing {
+
+class FakeLog {
+ public:
+  explicit FakeLog(absl::Duration retention = absl::InfiniteDuration())
+      : retention_(retention) {}
+
+  int64_t Append(const std::string& stream, std::string text, absl::Time now);
+  LogBatch Read(const std::string& stream, int64_t from, size_t most,
+                absl::Time now);
+  // Drops the oldest records now, whatever their age.
+  void DropBefore(const std::string& stream, int64_t offset);
+  int64_t appends() const { return appends_; }
+
+ private:
+  struct Record {
+    std::string text;
+    absl::Time at;
+  };
+  struct Stream {
+    int64_t first = 0;
+    std::deque<Record> records;
+  };
+
+  void Expire(Stream& stream, absl::Time now) const;
+
+  const absl::Duration retention_;
+  std::map<std::string, Stream> streams_;
+  int64_t appends_ = 0;
+};
+
+}  // namespace keelbridge::testing
+
+#endif  // KEELBRIDGE_TESTING_FAKES_FAKE_LOG_H_
--- /dev/null
+++ b/testing/fakes/fake_worker.h
@@ -0,0 +1,90 @@
+// A stand-in for a worker of the platform: holds, leases that lapse,
+// checkpoints, stops.
+//
+// The model is pure (time comes in), so that the same code serves the HTTP
+// stand-in and the tests on a virtual clock. It journals what really ran, from
+// when to when.
+
+#ifndef KEELBRIDGE_TESTING_FAKES_FAKE_WORKER_H_
+#define KEELBRIDGE_TESTING_FAKES_FAKE_WORKER_H_
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "absl/time/time.h"
+#include "keelbridge/base/clock.h"
+#include "keelbridge/protocol/worker_messages.h"
+
+namespace keelbridge::testing {
+
+// One fact of a journal: a task began or ceased to run on a worker.
+struct RunFact {
+  absl::Time at;  // True (monotonic) time.
+  std::string worker;
+  std::string task;
+  int64_t attempt = 0;
+  bool begins = false;
+  Resources resources;
+  std::string how;  // Of an end: "finished", "failed", "checkpointed",
+                    // "stopped", "lapsed" or "killed".
+};
+
+class FakeWorker {
+ public:
+  struct Options {
+    std::string name;
+    Resources total;
+    absl::Duration checkpoint_time = absl::Milliseconds(200);
+    // Switched off only to show that a checker finds what then goes wrong.
+    bool check_epoch = true;
+    bool check_not_after = true;
+    bool check_capacity = true;
+  };
+
+  FakeWorker(Options options, uint64_t incarnation, absl::Time started,
+             std::function<void(const RunFact&)> journal);
+
+  HoldReply Hold(const HoldRequest& request, Now now);
+  CommandReply Start(const StartRequest& request, Now now);
+  CommandReply Stop(const StopRequest& request, Now now);
+  // Lets time pass: leases lapse, tasks finish, checkpoints complete.
+  void Advance(absl::Time mono);
+  // The host restarts: everything it ran and knew is gone.
+  void Restart(uint64_t incarnation, absl::Time now);
+
+  Resources used() const { return used_; }
+  size_t running() const;
+  const std::string& name() const { return options_.name; }
+
+ private:
+  struct Row {
+    LeaseRow row;
+    absl::Time lapses;
+    absl::Time finishes = absl::InfiniteFuture();
+    absl::Time began;
+    absl::Time checkpoint_done = absl::InfiniteFuture();
+  };
+
+  // Why a command is refused, or empty.
+  std::string Refusal(const std::string& holder, int64_t epoch,
+                      int64_t not_after_ms, Now now, bool needs_hold) const;
+  void End(Row& row, LeaseState state, const std::string& how, absl::Time at);
+  std::vector<LeaseRow> Rows() const;
+
+  const Options options_;
+  const std::function<void(const RunFact&)> journal_;
+  uint64_t incarnation_;
+  absl::Time started_;
+  std::string holder_;
+  int64_t epoch_ = 0;
+  absl::Time hold_until_ = absl::InfinitePast();
+  std::map<int64_t, Row> rows_;  // By attempt.
+  Resources used_;
+};
+
+}  // namespace keelbridge::testing
+
+#endif  // KEELBRIDGE_TESTING_FAKES_FAKE_WORKER_H_
--- /dev/null
+++ b/testing/fakes/platform_server.cc
@@ -0,0 +1,278 @@
+#include "testing/fakes/platform_server.h"
+
+#include <utility>
+
+#include "absl/strings/numbers.h"
+#include "absl/strings/str_cat.h"
+#include "absl/strings/str_split.h"
+#include "absl/time/clock.h"
+#include "keelbridge/base/clock.h"
+#include "keelbridge/base/json_reader.h"
+#include "keelbridge/protocol/verdict.h"
+#include "keelbridge/transport/trace.h"
+
+namespace keelbridge::testing {
+namespace {
+
+// How long a part that is down keeps its caller waiting before the connection
+// is cut.
+constexpr absl::Duration kDownWait = absl::Milliseconds(300);
+constexpr size_t kMostRead = 1000;
+constexpr size_t kCutOffBytes = 64;
+
+ServerResponse JsonAnswer(const Json::Value& value, int status = 200) {
+  return {status, {}, ToJsonText(value)};
+}
+
+// An answer that never arrives whole: the caller cannot tell what happened.
+ServerResponse NoAnswer() {
+  ServerResponse response{200, {}, "", "application/json"};
+  response.body = "{";
+  response.cut_off_bytes = kCutOffBytes;
+  return response;
+}
+
+Json::Value ParseBody(const std::string& body) {
+  return JsonDocument::Parse(body, "request").root();
+}
+
+int64_t ToInt(const std::string& text) {
+  int64_t out = 0;
+  return absl::SimpleAtoi(text, &out) ? out : 0;
+}
+
+}  // namespace
+
+PlatformServer::PlatformServer(Options options)
+    : options_(std::move(options)),
+      log_(options_.log_retention),
+      next_append_(absl::InfinitePast()) {}
+
+PlatformServer::~PlatformServer() { Stop(); }
+
+void PlatformServer::Serve(const Configuration& configuration) {
+  absl::MutexLock lock(&mutex_);
+  for (const WorkerConfig& worker : configuration.workers) {
+    if (workers_.count(worker.name) > 0) continue;
+    FakeWorker::Options options;
+    options.name = worker.name;
+    options.total = worker.resources;
+    const auto journal =
+        [this](const RunFact& fact) ABSL_NO_THREAD_SAFETY_ANALYSIS {
+          Json::Value line;
+          line["kind"] = "run";
+          line["at_ms"] = static_cast<Json::Int64>(ToMillis(fact.at));
+          line["begins"] = fact.begins;
+          line["worker"] = fact.worker;
+          line["task"] = fact.task;
+          line["attempt"] = static_cast<Json::Int64>(fact.attempt);
+          line["how"] = fact.how;
+          Note(line);
+        };
+    workers_[worker.name] = std::make_unique<FakeWorker>(
+        options, RandomId() >> 1, SystemNow().mono, journal);
+  }
+  for (const TargetConfig& target : configuration.targets)
+    runners_[target.name].slots = target.slots;
+}
+
+Result<int> PlatformServer::Start() {
+  HttpServer::Options options;
+  options.ip = options_.ip;
+  options.port = options_.port;
+  options.most_threads = options_.most_threads;
+  server_ = std::make_unique<HttpServer>(
+      options,
+      [this](const ServerRequest& request) { return Handle(request); });
+  return server_->Start();
+}
+
+void PlatformServer::Stop() {
+  if (server_) server_->Stop();
+}
+
+void PlatformServer::SetFaults(const std::string& part, const Faults& faults) {
+  absl::MutexLock lock(&mutex_);
+  faults_[part] = faults;
+}
+
+void PlatformServer::SetLeaving(const std::string& host, bool leaving) {
+  absl::MutexLock lock(&mutex_);
+  if (leaving) {
+    leaving_.emplace(host, SystemNow().mono);
+  } else {
+    leaving_.erase(host);
+  }
+}
+
+std::vector<std::string> PlatformServer::Journal() const {
+  absl::MutexLock lock(&mutex_);
+  return journal_;
+}
+
+int64_t PlatformServer::LogAppends() const {
+  absl::MutexLock lock(&mutex_);
+  return log_.appends();
+}
+
+Faults PlatformServer::FaultsOf(const std::string& part) const {
+  absl::MutexLock lock(&mutex_);
+  const auto it = faults_.find(part);
+  return it == faults_.end() ? Faults() : it->second;
+}
+
+void PlatformServer::Note(const Json::Value& line) {
+  journal_.push_back(ToJsonText(line));
+}
+
+ServerResponse PlatformServer::Handle(const ServerRequest& request) {
+  const std::vector<std::string> path =
+      absl::StrSplit(request.path.substr(1), absl::MaxSplits('/', 2));
+  const std::string part =
+      path[0] == "worker" || path[0] == "runner"
+          ? absl::StrCat(path[0], "/", path.size() > 1 ? path[1] : "")
+          : path[0];
+  const Faults faults = FaultsOf(part);
+  if (faults.delay_ms > 0) absl::SleepFor(absl::Milliseconds(faults.delay_ms));
+  if (faults.down) {
+    absl::SleepFor(kDownWait);
+    return NoAnswer();
+  }
+  ServerResponse response{404, {}, "no such stand-in\n", "text/plain"};
+  if (path[0] == "log") {
+    response = HandleLog(request);
+  } else if (path[0] == "hosts") {
+    response = HandleHosts();
+  } else if (path[0] == "control") {
+    return HandleControl(request);
+  } else if (path[0] == "journal") {
+    std::string body;
+    for (const std::string& line : Journal())
+      absl::StrAppend(&body, line, "\n");
+    return {200, {}, body, "application/x-ndjson"};
+  } else if (path[0] == "worker" && path.size() == 3) {
+    response = HandleWorker(path[1], path[2], request);
+  } else if (path[0] == "runner" && path.size() == 3) {
+    response = HandleRunner(path[1], path[2], request);
+  }
+  return faults.lose_answers ? NoAnswer() : response;
+}
+
+ServerResponse PlatformServer::HandleLog(const ServerRequest& request) {
+  absl::Time wait_until = absl::InfinitePast();
+  Json::Value out;
+  {
+    absl::MutexLock lock(&mutex_);
+    const absl::Time now = SystemNow().mono;
+    if (request.path == "/log/append") {
+      next_append_ = std::max(next_append_, now) +
+                     absl::Seconds(1 / options_.appends_a_second);
+      wait_until = next_append_;
+      out["offset"] = static_cast<Json::Int64>(
+          log_.Append(request.Query("stream"), request.body, now));
+    } else {
+      out = ToJson(log_.Read(request.Query("stream"),
+                             ToInt(request.Query("from")), kMostRead, now));
+    }
+  }
+  const absl::Duration wait = wait_until - SystemNow().mono;
+  if (wait > absl::ZeroDuration()) absl::SleepFor(wait);
+  return JsonAnswer(out);
+}
+
+ServerResponse PlatformServer::HandleHosts() {
+  absl::MutexLock lock(&mutex_);
+  Json::Value out;
+  out["leaving"] = Json::Value(Json::arrayValue);
+  for (const auto& [host, since] : leaving_) {
+    if (SystemNow().mono - since >= options_.host_list_lag)
+      out["leaving"].append(host);
+  }
+  return JsonAnswer(out);
+}
+
+ServerResponse PlatformServer::HandleWorker(const std::string& name,
+                                            const std::string& verb,
+                                            const ServerRequest& request) {
+  const Json::Value in = ParseBody(request.body);
+  absl::MutexLock lock(&mutex_);
+  const auto it = workers_.find(name);
+  if (it == workers_.end()) return {404, {}, "no such worker\n", "text/plain"};
+  FakeWorker& worker = *it->second;
+  const Now now = SystemNow();
+  if (verb == "hold")
+    return JsonAnswer(ToJson(worker.Hold(HoldRequestFromJson(in), now)));
+  if (verb == "start")
+    return JsonAnswer(ToJson(worker.Start(StartRequestFromJson(in), now)));
+  if (verb == "stop")
+    return JsonAnswer(ToJson(worker.Stop(StopRequestFromJson(in), now)));
+  return {404, {}, "hold, start or stop\n", "text/plain"};
+}
+
+ServerResponse PlatformServer::HandleRunner(const std::string& name,
+                                            const std::string& path,
+                                            const ServerRequest& request) {
+  const std::string id = FindHeader(request.headers, kRequestIdHeader);
+  const std::string attempt = FindHeader(request.headers, kAttemptHeader);
+  const Faults faults = FaultsOf("runner/" + name);
+  {
+    absl::MutexLock lock(&mutex_);
+    Runner& runner = runners_[name];
+    if (faults.refuse || runner.busy >= runner.slots) {
+      Json::Value line;
+      line["kind"] = "refused";
+      line["id"] = id;
+      line["attempt"] = attempt;
+      line["runner"] = name;
+      Note(line);
+      ServerResponse refusal{
+          503,
+          {{kVerdictHeader, VerdictName(Verdict::kDidNotRun)}},
+          "no slot is free\n",
+          "text/plain"};
+      return refusal;
+    }
+    runner.most_busy = std::max(runner.most_busy, ++runner.busy);
+    Json::Value line;
+    line["kind"] = "request";
+    line["id"] = id;
+    line["key"] = FindHeader(request.headers, kIdempotencyKeyHeader);
+    line["attempt"] = attempt;
+    line["runner"] = name;
+    line["path"] = path;
+    line["busy"] = static_cast<Json::Int64>(runner.busy);
+    line["at_ms"] = static_cast<Json::Int64>(ToMillis(SystemNow().mono));
+    Note(line);
+  }
+  absl::SleepFor(absl::Milliseconds(options_.runner_work_ms));
+  {
+    absl::MutexLock lock(&mutex_);
+    --runners_[name].busy;
+  }
+  ServerResponse response{200,
+                          {{kRequestIdHeader, id}, {kAttemptHeader, attempt}},
+                          "",
+                          "text/plain"};
+  response.body = absl::StrCat("answer of ", name, " to ", path, " for ", id,
+                               "\n", request.body);
+  if (faults.cut_off) response.cut_off_bytes = kCutOffBytes;
+  return response;
+}
+
+ServerResponse PlatformServer::HandleControl(const ServerRequest& request) {
+  const Json::Value in = ParseBody(request.body);
+  if (in.isMember("leaving")) {
+    SetLeaving(in["leaving"].asString(), in.get("is", true).asBool());
+    return JsonAnswer(Json::Value("ok"));
+  }
+  Faults faults;
+  faults.down = in["down"].asBool();
+  faults.lose_answers = in["lose_answers"].asBool();
+  faults.cut_off = in["cut_off"].asBool();
+  faults.refuse = in["refuse"].asBool();
+  faults.delay_ms = in["delay_ms"].asInt64();
+  SetFaults(in["part"].asString(), faults);
+  return JsonAnswer(Json::Value("ok"));
+}
+
+}  // namespace keelbridge::testing
--- /dev/null
+++ b/testing/fakes/platform_server.h
@@ -0,0 +1,106 @@
+// The stand-ins as HTTP services on one port: log, host list, workers and
+// runners of a configuration.
+//
+//   /log/append?stream=S, /log/read?stream=S&from=N&most=M
+//   /hosts                            leaving hosts: {"leaving": ["w1"]}, with
+//   a lag /worker/NAME/hold|start|stop /runner/NAME/SERVICE/...          a
+//   target: slots, connections, late and cut-off answers POST /control faults,
+//   by part: {"part": "log", "down": true, ...} GET /journal what really
+//   happened, one JSON object a line
+//
+// Faults of a part ("log", "hosts", "worker/NAME", "runner/NAME"):
+//   down (no answer), delay_ms, lose_answers (takes effect, no answer), cut_off
+//   (of runners), refuse (of runners)
+
+#ifndef KEELBRIDGE_TESTING_FAKES_PLATFORM_SERVER_H_
+#define KEELBRIDGE_TESTING_FAKES_PLATFORM_SERVER_H_
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "absl/base/thread_annotations.h"
+#include "absl/synchronization/mutex.h"
+#include "keelbridge/protocol/configuration.h"
+#include "keelbridge/transport/http_server.h"
+#include "testing/fakes/fake_log.h"
+#include "testing/fakes/fake_worker.h"
+
+namespace keelbridge::testing {
+
+struct Faults {
+  bool down = false;
+  bool lose_answers = false;
+  bool cut_off = false;
+  bool refuse = false;
+  int64_t delay_ms = 0;
+};
+
+// Thread-safe.
+class PlatformServer {
+ public:
+  struct Options {
+    std::string ip = "127.0.0.1";
+    int port = 0;
+    size_t most_threads = 400;
+    absl::Duration host_list_lag = absl::Seconds(1);
+    absl::Duration log_retention = absl::Hours(1);
+    double appends_a_second = 100;
+    int64_t runner_work_ms = 2;  // What a runner takes for a request.
+  };
+
+  explicit PlatformServer(Options options);
+  ~PlatformServer();
+
+  // Stands in for the workers and targets of `configuration`.
+  void Serve(const Configuration& configuration);
+  Result<int> Start();
+  void Stop();
+
+  void SetFaults(const std::string& part, const Faults& faults);
+  // Marks a worker or target as leaving; the host list shows it after its lag.
+  void SetLeaving(const std::string& host, bool leaving);
+  // Lines of JSON: {"kind": "run", "begins", "worker", "task", ...}, {"kind":
+  // "request", "id", "attempt", ...}.
+  std::vector<std::string> Journal() const;
+  int64_t LogAppends() const;
+
+ private:
+  struct Runner {
+    int64_t slots = 0;
+    int64_t busy = 0;
+    int64_t most_busy = 0;
+  };
+
+  ServerResponse Handle(const ServerRequest& request);
+  ServerResponse HandleLog(const ServerRequest& request);
+  ServerResponse HandleWorker(const std::string& name, const std::string& verb,
+                              const ServerRequest& request);
+  ServerResponse HandleRunner(const std::string& name, const std::string& path,
+                              const ServerRequest& request);
+  ServerResponse HandleControl(const ServerRequest& request);
+  ServerResponse HandleHosts();
+  Faults FaultsOf(const std::string& part) const;
+  void Note(const Json::Value& line);
+
+  const Options options_;
+  mutable absl::Mutex mutex_;
+  FakeLog log_ ABSL_GUARDED_BY(mutex_);
+  absl::Time next_append_ ABSL_GUARDED_BY(mutex_);
+  std::map<std::string, std::unique_ptr<FakeWorker>> workers_
+      ABSL_GUARDED_BY(mutex_);
+  std::map<std::string, Runner> runners_ ABSL_GUARDED_BY(mutex_);
+  std::map<std::string, absl::Time> leaving_
+      ABSL_GUARDED_BY(mutex_);  // Since when.
+  std::map<std::string, Faults> faults_ ABSL_GUARDED_BY(mutex_);
+  std::vector<std::string> journal_ ABSL_GUARDED_BY(mutex_);
+  uint64_t next_incarnation_ ABSL_GUARDED_BY(mutex_) = 1;
+  std::unique_ptr<HttpServer> server_;
+};
+
+}  // namespace keelbridge::testing
+
+#endif  // KEELBRIDGE_TESTING_FAKES_PLATFORM_SERVER_H_
