Leases and leadership proved under failure on a virtual clock; the faults this found are mended

Traced one by one (KEELBRIDGE_SEED=N replays a seed): - a candidate's hold renewed task leases that the leader counted as lapsed: only a leader renews them now; - a start whose answer was lost was settled as never started by the listing of a restarted worker, or of one where the lease had lapsed: such a listing proves an end, not that nothing ran; - a new leader that had never read the log stopped everything as unknown while the log was down; - the record of an end by an earlier leader arrived after its task had been taken up again; - a failed campaign left a higher epoch on a worker, which then refused the leader for ever: the leader now takes a new epoch without giving up its holds; - a count of unsettled tasks went wrong: it is a set now; - lost answers of the log were only settled by an answer: reading one's own envelope settles it too. Ruled out: clocks (errors of 200 ms either way were on in all runs), the fakes (their tests hold).

--- a/keelbridge/coordination/leadership.cc
+++ b/keelbridge/coordination/leadership.cc
@@ -59,6 +59,11 @@
         StandBy(now + Jitter(0.1, 0.5));
         return {};
       }
+      if (overtaken_) {
+        // The holds are still ours, so nobody can come between.
+        Campaign(both);
+        return ToAll(HoldMode::kAcquire);
+      }
       return Renewals(now);
   }
   return {};
@@ -116,6 +121,7 @@
 
 void Leadership::Campaign(Now now) {
   role_ = Role::kCandidate;
+  overtaken_ = false;
   epoch_ = std::max(highest_seen_ + 1, absl::ToUnixSeconds(now.wall));
   campaign_ends_ = now.mono + options_.campaign_timeout;
   for (auto& [name, vote] : votes_)
@@ -134,6 +140,9 @@
   if (role_ != Role::kCandidate && role_ != Role::kLeader) return;
   if (!reply->granted) {
     it->second.held_until = absl::InfinitePast();
+    // A campaign that failed left a higher epoch there, and this worker will
+    // never take our orders again.
+    overtaken_ = overtaken_ || reply->epoch > epoch_;
   } else if (reply->up >= options_.hold_ttl + options_.margin) {
     it->second.held_until =
         std::max(it->second.held_until, sent_at + options_.hold_ttl);
--- a/keelbridge/coordination/leadership.h
+++ b/keelbridge/coordination/leadership.h
@@ -116,7 +116,8 @@
   absl::Time won_at_ = absl::InfinitePast();
   absl::Time next_poll_ = absl::InfinitePast();
   absl::Time campaign_ends_ = absl::InfinitePast();
-  bool ask_all_ = false;  // A broadcast of queries is due.
+  bool overtaken_ = false;  // A worker has seen a higher epoch than ours.
+  bool ask_all_ = false;    // A broadcast of queries is due.
 };
 
 }  // namespace keelbridge
--- a/keelbridge/coordination/lease_book.cc
+++ b/keelbridge/coordination/lease_book.cc
@@ -57,9 +57,12 @@
   lease.worker = worker;
   lease.resources = resources;
   lease.known_since = now;
+  lease.sent_at = now;
   lease.decision = decision;
-  leases_[task] = std::move(lease);
+  Drop(task);
   WorkerView& view = workers_[worker];
+  lease.incarnation = view.incarnation;
+  leases_[task] = std::move(lease);
   view.tasks.insert(task);
   view.renewed_until =
       std::max(view.renewed_until, now + options_.command_validity);
@@ -76,6 +79,7 @@
   lease.known_since = now;
   lease.started_ms = row.started_ms;
   lease.decision = row.decision;
+  Drop(row.task);
   leases_[row.task] = std::move(lease);
   workers_[worker].tasks.insert(row.task);
 }
@@ -188,6 +192,7 @@
     return events;
   }
   view.missed = 0;
+  view.incarnation = reply->incarnation;
   if (view.contact == Contact::kSilent || view.contact == Contact::kLapsed) {
     view.contact = Contact::kUnsealed;
     view.relist = true;
@@ -204,7 +209,7 @@
   } else {
     // The tables agree, so no row of an ended task is left there.
     view.acknowledged.clear();
-    Settle(view, sent_at, events);
+    Settle(view, sent_at, now, events);
   }
   return events;
 }
@@ -263,7 +268,7 @@
     events.push_back(wanted ? EventOf(LeaseEventKind::kVanished, lease)
                             : WorkerEvent(LeaseEventKind::kSealed, worker));
   }
-  Settle(view, sent_at, events);
+  Settle(view, sent_at, now, events);
 }
 
 void LeaseBook::TakeEndedRow(WorkerView& view, const std::string& worker,
@@ -294,16 +299,24 @@
 }
 
 // A listing, or a digest that agrees, was asked for at `sent_at` and does not
-// hold the unsettled starts whose time is over: they never happened.
-void LeaseBook::Settle(WorkerView& view, absl::Time sent_at,
+// hold the unsettled starts whose time is over. They never happened, unless the
+// worker restarted or their leases lapsed meanwhile: both leave no row.
+void LeaseBook::Settle(WorkerView& view, absl::Time sent_at, absl::Time now,
                        std::vector<LeaseEvent>& events) {
   const std::set<std::string> tasks = view.tasks;
   for (const std::string& task : tasks) {
     const Lease lease = leases_.at(task);
-    if (lease.phase != LeasePhase::kUnsettled || sent_at < lease.settles_after)
+    if (lease.phase != LeasePhase::kUnsettled ||
+        sent_at < lease.settles_after) {
       continue;
+    }
+    const bool forgotten =
+        view.incarnation != lease.incarnation ||
+        now > lease.sent_at + options_.lease_ttl - options_.margin;
     Drop(task);
-    events.push_back(EventOf(LeaseEventKind::kNotStarted, lease));
+    events.push_back(EventOf(
+        forgotten ? LeaseEventKind::kVanished : LeaseEventKind::kNotStarted,
+        lease));
   }
 }
 
@@ -411,6 +424,13 @@
                      });
 }
 
+bool LeaseBook::HasUnwantedOf(const std::string& task) const {
+  const std::string prefix = task + "#";
+  const auto it = leases_.lower_bound(prefix);
+  return it != leases_.end() &&
+         it->first.compare(0, prefix.size(), prefix) == 0;
+}
+
 bool LeaseBook::AllSettled() const {
   return std::all_of(workers_.begin(), workers_.end(), [](const auto& entry) {
     return entry.second.contact == Contact::kSealed ||
--- a/keelbridge/coordination/lease_book.h
+++ b/keelbridge/coordination/lease_book.h
@@ -45,8 +45,11 @@
   LeasePhase phase = LeasePhase::kStarting;
   absl::Time known_since;  // When the phase began; a listing asked for earlier
                            // says nothing about it.
-  absl::Time settles_after;  // Of an unsettled one: a listing asked for later
-                             // is proof.
+  // Of an unsettled one: a listing asked for between these times proves by the
+  // task's absence that it never started. Later, its lease may have lapsed.
+  absl::Time settles_after;
+  absl::Time sent_at;
+  uint64_t incarnation = 0;  // Of the worker that the start was sent to.
   int64_t started_ms = 0;    // Wall clock of the worker.
   std::string decision;
   StopMode stop_mode = StopMode::kStop;
@@ -148,6 +151,8 @@
   // True while the worker runs a lease that nobody wants: its room is not what
   // the accounts say.
   bool HasUnwanted(const std::string& worker) const;
+  // True while an unwanted lease of this task may still run somewhere.
+  bool HasUnwantedOf(const std::string& task) const;
   // Every worker is sealed, or what it had has lapsed: a task that nobody has
   // found runs nowhere.
   bool AllSettled() const;
@@ -164,6 +169,7 @@
     absl::Time renewed_until;  // The last moment at which a message of ours, or
                                // of the leader before, may take effect.
     int missed = 0;
+    uint64_t incarnation = 0;  // As of the last answer.
     bool relist = true;
     std::set<int64_t> acknowledged;
     std::set<std::string> tasks;
@@ -173,7 +179,7 @@
     return 2 * options_.clock_error + options_.margin;
   }
   void Drop(const std::string& task);
-  void Settle(WorkerView& view, absl::Time sent_at,
+  void Settle(WorkerView& view, absl::Time sent_at, absl::Time now,
               std::vector<LeaseEvent>& events);
   void TakeRows(WorkerView& view, const std::string& worker, absl::Time sent_at,
                 const HoldReply& reply, absl::Time now,
--- a/keelbridge/coordination/log_writer.cc
+++ b/keelbridge/coordination/log_writer.cc
@@ -59,6 +59,13 @@
   not_before_ = now + BackOff();
 }
 
+void LogWriter::OnSeen(absl::Time now) {
+  if (!unsettled()) return;
+  in_flight_.reset();
+  failures_ = 0;
+  not_before_ = now + options_.append_every;
+}
+
 absl::Duration LogWriter::BackOff() {
   const int doublings = std::min(failures_ - 1, kMostDoublings);
   const absl::Duration most = std::min(
--- a/keelbridge/coordination/log_writer.h
+++ b/keelbridge/coordination/log_writer.h
@@ -52,6 +52,14 @@
   // answer was lost or a refusal.
   void OnAnswer(std::optional<int64_t> offset, absl::Time now);
 
+  // The envelope whose answer was lost, if any. When a reader meets it in the
+  // log, `OnSeen` settles it without another append.
+  std::optional<EnvelopeId> unsettled() const {
+    if (!in_flight_ || awaiting_answer_) return std::nullopt;
+    return in_flight_->id;
+  }
+  void OnSeen(absl::Time now);
+
   size_t waiting() const {
     return queue_.size() + (in_flight_ ? in_flight_->entries.size() : 0);
   }
--- a/keelbridge/coordination/once.h
+++ b/keelbridge/coordination/once.h
@@ -86,6 +86,11 @@
   void OnBatch(const LogBatch& batch);
   int64_t next() const { return next_; }
   bool caught_up() const { return caught_up_; }
+  // True when the log holds this envelope, or a later one of its writer.
+  bool Applied(const EnvelopeId& id) const {
+    const auto it = writers_.find(id.incarnation);
+    return it != writers_.end() && it->second >= id.sequence;
+  }
   Owner OwnerOf(const std::string& key) const;
   size_t size() const { return owners_.size(); }
 
--- a/keelbridge/coordination/zone_scheduler.cc
+++ b/keelbridge/coordination/zone_scheduler.cc
@@ -12,6 +12,8 @@
 // An attempt is unique for all time: the epoch in the high bits, a counter
 // below.
 constexpr int kAttemptBits = 31;
+// No plan has this offset, and -1 stands for "none yet".
+constexpr int64_t kNeverSynced = -2;
 // After a change of leader, work that may run twice waits for this long to be
 // found running.
 constexpr absl::Duration kLookAround = absl::Seconds(2);
@@ -97,13 +99,27 @@
 void ZoneScheduler::OnLogBatch(const LogBatch& batch, Now now) {
   last_log_answer_ = now.mono;
   const std::set<std::string> drained = replica_.state().drained_hosts();
+  const int gaps = replica_.gaps();
   replica_.OnBatch(batch);
+  was_current_ = was_current_ || replica_.Current();
   leadership_.NoteEpoch(replica_.state().epoch());
   if (drained != replica_.state().drained_hosts()) workers_changed_ = true;
+  const std::optional<EnvelopeId> unsettled = writer_.unsettled();
+  if (unsettled && replica_.state().Applied(*unsettled)) {
+    writer_.OnSeen(now.mono);
+  }
+  const std::vector<std::string> ended = replica_.TakeEnded();
   if (!leading_) return;
-  if (leader_offset_ == INT64_MAX && replica_.state().epoch() == led_epoch_)
+  if (leader_offset_ == INT64_MAX && Authoritative()) {
     leader_offset_ = replica_.next() - 1;
-  FinishEndings();
+  }
+  for (const std::string& name : ended) OnEndRecorded(name, now);
+  // After a gap the ends that were dropped show only in the state.
+  if (gaps != replica_.gaps()) {
+    const std::set<std::string> ending = ending_;
+    for (const std::string& name : ending) OnEndRecorded(name, now);
+    synced_plan_ = kNeverSynced;
+  }
 }
 
 void ZoneScheduler::OnAppendAnswer(std::optional<int64_t> offset, Now now) {
@@ -116,9 +132,7 @@
   return it == replica_.state().work().end() ? nullptr : &it->second;
 }
 
-bool ZoneScheduler::Wanted(const std::string& name,
-                           const TaskEntry& entry) const {
-  (void)name;
+bool ZoneScheduler::Wanted(const TaskEntry& entry) const {
   const WorkRecord* record = RecordOf(entry.intent);
   return record != nullptr && entry.index < record->intent.tasks &&
          !record->ended.Contains(entry.index);
@@ -126,26 +140,33 @@
 
 // Leadership.
 
-bool ZoneScheduler::Ready(Now now) const {
-  // What was confirmed and what ended must be known up to our own record of
-  // leadership. While the log is down, what was read before has to do; work
-  // that needs a record waits.
-  return replica_.state().epoch() == led_epoch_ || LogDown(now.mono);
+bool ZoneScheduler::Authoritative() const {
+  // Everything that earlier leaders recorded is applied.
+  return replica_.state().epoch() == led_epoch_;
+}
+
+bool ZoneScheduler::Ready(Now now) {
+  // While the log is down, what was read before has to do; work that needs a
+  // record waits. A scheduler that never read the log only renews leases. Once
+  // tasks are in hand they stay so, also while the log is coming back.
+  ready_ = ready_ || Authoritative() || (LogDown(now.mono) && was_current_);
+  return ready_;
 }
 
 void ZoneScheduler::BeginLeading(Now now) {
   leading_ = true;
+  ready_ = false;
   led_epoch_ = leadership_.epoch();
   next_attempt_ = led_epoch_ << kAttemptBits;
   leader_offset_ = INT64_MAX;
-  synced_plan_ = -2;
+  synced_plan_ = kNeverSynced;
   synced_.clear();
   tasks_.clear();
   names_.clear();
-  found_early_.clear();
+  early_.clear();
   claiming_.clear();
   ending_.clear();
-  maybes_ = 0;
+  maybe_.clear();
   snapshot_seen_ = replica_.last_snapshot_covers();
   snapshot_seen_at_ = now.mono;
   ++counts_.leaderships;
@@ -189,10 +210,11 @@
   hold.request.holder = options_.leadership.holder;
   hold.request.epoch = epoch;
   hold.request.hold_ttl = options_.leadership.hold_ttl;
-  hold.request.lease_ttl = options_.leases.lease_ttl;
-  hold.request.not_after_ms =
-      ToMillis(now.wall + options_.leases.command_validity);
+  hold.request.not_after_ms = NotAfter(now);
   if (leading_ && mode == HoldMode::kAcquire) {
+    // Only a leader renews task leases: a candidate that did would keep alive
+    // what the leader counts as lapsed.
+    hold.request.lease_ttl = options_.leases.lease_ttl;
     hold.request.known_digest = book_.ExpectedDigest(worker);
     hold.request.acknowledged = book_.Acknowledgements(worker);
     book_.OnHoldSent(worker, mode, now.mono);
@@ -243,9 +265,8 @@
   for (const LeaseEvent& event : book_.Tick(now.mono)) Handle(event, now);
   if (!Ready(now)) return;
   if (synced_plan_ != replica_.state().last_plan()) SyncWork(now);
-  for (const LeaseEvent& event : std::exchange(found_early_, {}))
-    Handle(event, now);
-  if (maybes_ > 0) SettleMaybes(now);
+  for (const auto& [key, event] : std::exchange(early_, {})) Handle(event, now);
+  if (!maybe_.empty()) SettleMaybes(now);
   if (std::exchange(workers_changed_, false)) RefreshSchedulable();
   TickDrains(now);
   TickClaims(now, actions);
@@ -326,11 +347,11 @@
   entry.index = index;
   entry.repeatable = record.intent.repeatable;
   entry.exclusive = record.intent.exclusive;
-  if (record.confirmed_at > leader_offset_) {
+  if (record.confirmed_at > leader_offset_ && !book_.HasUnwantedOf(name)) {
     SubmitTask(name, entry, now);
   } else {
     entry.stage = Stage::kMaybe;
-    ++maybes_;
+    maybe_.insert(name);
   }
 }
 
@@ -353,27 +374,29 @@
     names_.erase(entry.id);
     entry.id = kNoTask;
   }
-  if (entry.stage == Stage::kMaybe) --maybes_;
+  maybe_.erase(name);
   claiming_.erase(name);
   ending_.erase(name);
 }
 
+bool ZoneScheduler::Dismiss(const std::string& name, TaskEntry& entry,
+                            Now now) {
+  if (entry.stage == Stage::kLeased) {
+    entry.unwanted = true;
+    book_.Stopping(name, StopMode::kStop, now.mono);
+    return true;
+  }
+  Forget(name, entry, now);
+  return false;
+}
+
 void ZoneScheduler::RemoveUnwanted(Now now) {
   for (auto it = tasks_.begin(); it != tasks_.end();) {
     TaskEntry& entry = it->second;
-    if (entry.stage == Stage::kEnding || entry.unwanted ||
-        Wanted(it->first, entry)) {
-      ++it;
-      continue;
-    }
-    if (entry.stage == Stage::kLeased) {
-      entry.unwanted = true;
-      book_.Stopping(it->first, StopMode::kStop, now.mono);
-      ++it;
-      continue;
-    }
-    Forget(it->first, entry, now);
-    it = tasks_.erase(it);
+    const bool stays =
+        entry.stage == Stage::kEnding || entry.unwanted || Wanted(entry);
+    it = stays || Dismiss(it->first, entry, now) ? std::next(it)
+                                                 : tasks_.erase(it);
   }
   for (auto it = synced_.begin(); it != synced_.end();) {
     it = RecordOf(it->first) == nullptr ? synced_.erase(it) : std::next(it);
@@ -384,21 +407,26 @@
   const bool all = book_.AllSettled();
   const bool looked = now.mono - leadership_.won_at() > kLookAround;
   if (!all && !looked) return;
-  for (auto& [name, entry] : tasks_) {
-    if (entry.stage != Stage::kMaybe) continue;
-    if (all || (!entry.exclusive && entry.repeatable))
+  const std::set<std::string> maybe = maybe_;
+  for (const std::string& name : maybe) {
+    TaskEntry& entry = tasks_[name];
+    if (book_.HasUnwantedOf(name)) continue;
+    // Whether it may run at all stands in the log.
+    if (!entry.repeatable && !Authoritative()) continue;
+    if (all || (!entry.exclusive && entry.repeatable)) {
       SettleMaybe(name, entry, now);
+    }
   }
 }
 
 void ZoneScheduler::SettleMaybe(const std::string& name, TaskEntry& entry,
                                 Now now) {
-  --maybes_;
   // It was about to start, it is found nowhere, and its end was not recorded.
   if (!entry.repeatable && replica_.state().OnceAttempt(name) != 0) {
     RecordEnd(name, entry, "unknown", "", 0, now);
     return;
   }
+  maybe_.erase(name);
   SubmitTask(name, entry, now);
 }
 
@@ -452,11 +480,14 @@
 }
 
 void ZoneScheduler::HandleFound(const LeaseEvent& event, Now now) {
-  if (!Ready(now) || synced_plan_ == -2) {
-    found_early_.push_back(event);
+  if (Ready(now) && synced_plan_ != kNeverSynced && AdoptFound(event, now)) {
+    return;
+  }
+  if (!Authoritative() || synced_plan_ == kNeverSynced) {
+    // Not known here does not mean not wanted.
+    early_[{event.worker, event.attempt}] = event;
     return;
   }
-  if (AdoptFound(event, now)) return;
   book_.StopUnwanted(event.worker, event.row, now.mono);
   workers_changed_ = true;
 }
@@ -491,8 +522,10 @@
 }
 
 void ZoneScheduler::HandleEnded(const LeaseEvent& event, Now now) {
-  if (!Ready(now) || synced_plan_ == -2) {
-    if (event.kind != LeaseEventKind::kVanished) found_early_.push_back(event);
+  if (!Ready(now) || synced_plan_ == kNeverSynced) {
+    if (event.kind != LeaseEventKind::kVanished) {
+      early_[{event.worker, event.attempt}] = event;
+    }
     return;
   }
   if (event.kind == LeaseEventKind::kVanished) ++counts_.vanished;
@@ -509,8 +542,11 @@
       entry.stage == Stage::kMaybe || entry.stage == Stage::kWaiting;
   if (entry.unwanted && current) {
     book_.Acknowledge(event.worker, event.attempt);
+    const TaskEntry old = entry;
     Forget(event.task, entry, now);
     tasks_.erase(it);
+    // Wanted again meanwhile, for example by a second resize.
+    if (Wanted(old)) AddTask(*RecordOf(old.intent), old.index, now);
     return;
   }
   if (event.kind == LeaseEventKind::kFinished && (current || from_before)) {
@@ -561,19 +597,14 @@
       writer_.Add(TaskEndedEntry{led_epoch_, name, entry.outcome});
 }
 
-void ZoneScheduler::FinishEndings() {
-  for (auto it = ending_.begin(); it != ending_.end();) {
-    const auto task = tasks_.find(*it);
-    if (task != tasks_.end() && Wanted(*it, task->second)) {
-      ++it;
-      continue;
-    }
-    if (task != tasks_.end()) {
-      book_.Acknowledge(task->second.ending_worker, task->second.attempt);
-      tasks_.erase(task);
-    }
-    it = ending_.erase(it);
+void ZoneScheduler::OnEndRecorded(const std::string& name, Now now) {
+  const auto it = tasks_.find(name);
+  if (it == tasks_.end() || Wanted(it->second)) return;
+  TaskEntry& entry = it->second;
+  if (entry.stage == Stage::kEnding) {
+    book_.Acknowledge(entry.ending_worker, entry.attempt);
   }
+  if (!Dismiss(name, entry, now)) tasks_.erase(it);
 }
 
 void ZoneScheduler::OnHoldReply(const SendHold& sent, absl::Time sent_at,
--- a/keelbridge/coordination/zone_scheduler.h
+++ b/keelbridge/coordination/zone_scheduler.h
@@ -164,8 +164,10 @@
                                 // is in the log.
   };
 
-  bool Ready(Now now) const;
-  bool Wanted(const std::string& name, const TaskEntry& entry) const;
+  // Whether the zone's work is known well enough to act on it.
+  bool Ready(Now now);
+  bool Authoritative() const;
+  bool Wanted(const TaskEntry& entry) const;
   void BeginLeading(Now now);
   void StopLeading();
   void BuildDecider();
@@ -174,6 +176,8 @@
   void SyncIntent(const WorkRecord& record, Now now);
   void AddTask(const WorkRecord& record, int64_t index, Now now);
   void RemoveUnwanted(Now now);
+  // False when nothing of the task is left and its entry can go.
+  bool Dismiss(const std::string& name, TaskEntry& entry, Now now);
   void SettleMaybes(Now now);
   void SettleMaybe(const std::string& name, TaskEntry& entry, Now now);
   void Forget(const std::string& name, TaskEntry& entry, Now now);
@@ -190,7 +194,7 @@
                  const std::string& outcome, const std::string& worker,
                  int64_t attempt, Now now);
   void QueueEnd(const std::string& name, TaskEntry& entry);
-  void FinishEndings();
+  void OnEndRecorded(const std::string& name, Now now);
   void RefreshSchedulable();
 
   void TickLeader(Now now, std::vector<Action>& actions);
@@ -218,8 +222,9 @@
   std::map<std::string, TaskEntry> tasks_;
   absl::flat_hash_map<TaskId, std::string> names_;
   absl::flat_hash_map<std::string, int32_t> groups_;
-  std::vector<LeaseEvent>
-      found_early_;  // Found before the zone's state was known.
+  // Found, or ended, before the zone's state was known; by worker and attempt,
+  // since each listing tells of them again.
+  std::map<std::pair<std::string, int64_t>, LeaseEvent> early_;
   std::set<std::string> leaving_;
   std::set<std::string> holds_in_flight_;
   std::map<std::string, absl::Time> next_extra_hold_;
@@ -227,9 +232,11 @@
   int64_t led_epoch_ = 0;
   int64_t leader_offset_ = INT64_MAX;  // Plans confirmed after this were never
                                        // started by an earlier leader.
-  int64_t synced_plan_ = -2;
+  int64_t synced_plan_ = -2;           // As of this confirmed plan.
+  bool was_current_ = false;           // The log has been read to its end once.
   int64_t next_attempt_ = 0;
-  size_t maybes_ = 0;
+  std::set<std::string> maybe_;  // Tasks in stage `kMaybe`.
+  bool ready_ = false;
   int64_t snapshot_seen_ = -1;
   absl::Time snapshot_seen_at_ = absl::InfinitePast();
   bool workers_changed_ = true;
--- a/keelbridge/daemon/claim_desk.cc
+++ b/keelbridge/daemon/claim_desk.cc
@@ -107,6 +107,10 @@
     if (!batch) return;
     absl::MutexLock lock(&mutex_);
     table_.OnBatch(batch.value());
+    const std::optional<EnvelopeId> unsettled = writer_.unsettled();
+    if (unsettled && table_.Applied(*unsettled)) {
+      writer_.OnSeen(SystemNow().mono);
+    }
     if (table_.caught_up() || batch.value().records.empty()) return;
   }
 }
--- a/keelbridge/protocol/worker_messages.h
+++ b/keelbridge/protocol/worker_messages.h
@@ -60,7 +60,7 @@
   std::string holder;  // Scheduler name and incarnation.
   int64_t epoch = 0;
   absl::Duration hold_ttl;
-  absl::Duration lease_ttl;
+  absl::Duration lease_ttl;  // Zero: the task leases are not renewed.
   int64_t not_after_ms = 0;  // Wall clock, milliseconds since the epoch.
   uint64_t known_digest =
       0;  // Rows travel only when the worker's digest differs from this.
--- a/keelbridge/state/zone_replica.h
+++ b/keelbridge/state/zone_replica.h
@@ -33,6 +33,7 @@
 
   int64_t next() const { return next_; }
   const ZoneState& state() const { return state_; }
+  std::vector<std::string> TakeEnded() { return state_.TakeEnded(); }
   // True when everything up to the end of the log, as of the last batch, is
   // applied and nothing is missing.
   bool Current() const { return current_ && !seeking_; }
--- a/keelbridge/state/zone_state.cc
+++ b/keelbridge/state/zone_state.cc
@@ -165,6 +165,7 @@
   int64_t index = 0;
   if (!SplitTaskName(entry.task, &intent, &index)) return;
   once_.erase(entry.task);
+  ended_.push_back(entry.task);
   const auto it = work_.find(intent);
   if (it == work_.end() || it->second.intent.kind == IntentKind::kService)
     return;
--- a/keelbridge/state/zone_state.h
+++ b/keelbridge/state/zone_state.h
@@ -18,6 +18,7 @@
 #include <map>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "keelbridge/base/result.h"
@@ -74,6 +75,9 @@
   // later.
   bool Applied(const EnvelopeId& id) const;
 
+  // Tasks whose end was applied since the last call; not part of the state.
+  std::vector<std::string> TakeEnded() { return std::exchange(ended_, {}); }
+
   std::string Snapshot() const;
   static Result<ZoneState> Restore(const std::string& text);
 
@@ -100,6 +104,7 @@
   std::map<std::string, int64_t> once_;
   std::deque<std::pair<std::string, PlanFate>> plan_fates_;
   std::map<uint64_t, Writer> writers_;
+  std::vector<std::string> ended_;
 };
 
 // "intent/number".
--- a/testing/fakes/fake_worker.cc
+++ b/testing/fakes/fake_worker.cc
@@ -44,7 +44,7 @@
       epoch_ = std::max(epoch_, request.epoch);
       hold_until_ = now.mono + request.hold_ttl;
       for (auto& [attempt, row] : rows_)
-        row.lapses = now.mono + request.lease_ttl;
+        row.lapses = std::max(row.lapses, now.mono + request.lease_ttl);
       for (const int64_t attempt : request.acknowledged) {
         const auto it = rows_.find(attempt);
         if (it != rows_.end() && it->second.row.state != LeaseState::kRunning)
--- /dev/null
+++ b/testing/support/run_checker_test.cc
@@ -0,0 +1,62 @@
+#include "testing/support/run_checker.h"
+
+#include <doctest/doctest.h>
+
+namespace keelbridge::testing {
+namespace {
+
+RunFact Fact(int64_t at_ms, const std::string& worker, const std::string& task,
+             int64_t attempt, bool begins) {
+  return {absl::FromUnixMillis(at_ms),
+          worker,
+          task,
+          attempt,
+          begins,
+          {2000, 100, 0},
+          ""};
+}
+
+RunRules Rules() {
+  RunRules rules;
+  rules.totals["w1"] = {4000, 1000, 0};
+  rules.totals["w2"] = {4000, 1000, 0};
+  return rules;
+}
+
+TEST_CASE(
+    "run checker: a clean journal has no faults; an end and a start at the "
+    "same instant do not overlap") {
+  CHECK(CheckRuns({Fact(1, "w1", "a/0", 1, true), Fact(5, "w2", "a/0", 2, true),
+                   Fact(5, "w1", "a/0", 1, false)},
+                  Rules())
+            .empty());
+}
+
+TEST_CASE("run checker: refuses a task on two hosts at once") {
+  CHECK(CheckRuns({Fact(1, "w1", "a/0", 1, true), Fact(4, "w2", "a/0", 2, true),
+                   Fact(5, "w1", "a/0", 1, false)},
+                  Rules())
+            .size() == 1);
+}
+
+TEST_CASE("run checker: refuses more than a worker has") {
+  CHECK(CheckRuns({Fact(1, "w1", "a/0", 1, true), Fact(2, "w1", "a/1", 2, true),
+                   Fact(3, "w1", "a/2", 3, true)},
+                  Rules())
+            .size() == 1);
+}
+
+TEST_CASE(
+    "run checker: refuses a second start of what must not be repeated, and a "
+    "start on a leaving worker") {
+  RunRules rules = Rules();
+  rules.once.insert("a");
+  rules.no_starts_after["w2"] = absl::FromUnixMillis(7);
+  const std::vector<RunFact> facts = {Fact(1, "w1", "a/0", 1, true),
+                                      Fact(5, "w1", "a/0", 1, false),
+                                      Fact(8, "w2", "a/0", 2, true)};
+  CHECK(CheckRuns(facts, rules).size() == 2);
+}
+
+}  // namespace
+}  // namespace keelbridge::testing
--- /dev/null
+++ b/testing/support/zone_harness.cc
@@ -0,0 +1,396 @@
+#include "testing/support/zone_harness.h"
+
+#include <algorithm>
+#include <iostream>
+#include <optional>
+#include <utility>
+
+#include "absl/strings/str_cat.h"
+
+namespace keelbridge::testing {
+namespace {
+
+constexpr char kZone[] = "z";
+constexpr absl::Duration kReplyTimeout = absl::Seconds(1);
+constexpr absl::Duration kReadEvery = absl::Milliseconds(200);
+constexpr size_t kMostRead = 1000;
+
+}  // namespace
+
+ZoneHarness::ZoneHarness(Options options)
+    : options_(options), random_(options.seed), log_(options.log_retention) {
+  const double error_ms = absl::ToDoubleMilliseconds(options_.clock_error);
+  std::uniform_real_distribution<double> error(-error_ms, error_ms);
+  for (int i = 0; i < options_.workers; ++i) {
+    FakeWorker::Options worker;
+    worker.name = absl::StrCat("w", i);
+    worker.total = options_.worker_size;
+    worker.check_not_after = options_.mechanisms.not_after;
+    worker.check_epoch = options_.mechanisms.epochs;
+    Worker& slot = workers_.emplace_back();
+    slot.wall_error = absl::Milliseconds(error(random_));
+    slot.fake = std::make_unique<FakeWorker>(
+        worker, next_incarnation_++, now_ - absl::Hours(1),
+        [this](const RunFact& fact) {
+          facts_.push_back(fact);
+          Trace(absl::StrCat(fact.worker, fact.begins ? " begins " : " ends ",
+                             fact.task, "#", fact.attempt, " ", fact.how));
+        });
+  }
+  nodes_.resize(static_cast<size_t>(options_.schedulers));
+  for (int i = 0; i < options_.schedulers; ++i) {
+    nodes_[i].wall_error = absl::Milliseconds(error(random_));
+    Start(i);
+  }
+}
+
+Configuration ZoneHarness::MakeConfiguration() const {
+  Configuration configuration;
+  configuration.version = 0;
+  configuration.teams = {{"a", 0.5}, {"b", 0.5}};
+  for (size_t i = 0; i < workers_.size(); ++i) {
+    configuration.workers.push_back({absl::StrCat("w", i), kZone,
+                                     absl::StrCat("rack", i / 4), "127.0.0.1:1",
+                                     options_.worker_size});
+  }
+  return configuration;
+}
+
+void ZoneHarness::Start(int i) {
+  Trace(absl::StrCat("start s", i));
+  Node& node = nodes_[i];
+  ZoneScheduler::Options options;
+  options.name = absl::StrCat("s", i);
+  options.zone = kZone;
+  options.incarnation = next_incarnation_++;
+  options.seed = random_();
+  options.leadership.holder =
+      absl::StrCat(options.name, "/", options.incarnation);
+  options.leases.clock_error = options_.clock_error;
+  options.leases.wait_for_certainty = options_.mechanisms.wait_for_certainty;
+  options.log.incarnation = options.incarnation;
+  options.log.seed = options.seed;
+  options.snapshot_every = options_.snapshot_every;
+  node.incarnation = options.incarnation;
+  node.paused = false;
+  node.waiting.clear();
+  node.core = std::make_unique<ZoneScheduler>(options);
+  node.core->OnConfiguration(MakeConfiguration(), NodeNow(node));
+}
+
+void ZoneHarness::Trace(const std::string& line) const {
+  if (options_.trace) std::cout << ToMillis(now_) << " " << line << "\n";
+}
+
+void ZoneHarness::Kill(int i) {
+  Trace(absl::StrCat("kill s", i));
+  nodes_[i].core.reset();
+  nodes_[i].incarnation = 0;
+}
+
+void ZoneHarness::HandOver(int i) {
+  const std::vector<Action> actions =
+      nodes_[i].core->HandOver(NodeNow(nodes_[i]));
+  for (const Action& action : actions) CarryOut(i, action);
+  Kill(i);
+}
+
+void ZoneHarness::Pause(int i) {
+  Trace(absl::StrCat("pause s", i));
+  nodes_[i].paused = true;
+}
+
+void ZoneHarness::PauseBeforeNextStart(int i) {
+  nodes_[i].pause_before_start = true;
+}
+
+void ZoneHarness::Resume(int i) {
+  Trace(absl::StrCat("resume s", i));
+  Node& node = nodes_[i];
+  node.paused = false;
+  for (const auto& event : std::exchange(node.waiting, {})) event();
+}
+
+void ZoneHarness::PauseWorker(int i) {
+  Trace(absl::StrCat("pause w", i));
+  workers_[i].paused = true;
+}
+
+void ZoneHarness::ResumeWorker(int i) {
+  Trace(absl::StrCat("resume w", i));
+  workers_[i].paused = false;
+  // They came over several connections, so in any order.
+  auto waiting = std::exchange(workers_[i].waiting, {});
+  std::shuffle(waiting.begin(), waiting.end(), random_);
+  for (const auto& event : waiting) event();
+}
+
+void ZoneHarness::RestartWorker(int i) {
+  workers_[i].fake->Restart(next_incarnation_++, now_);
+}
+
+void ZoneHarness::Cut(int scheduler, int worker, bool one_way) {
+  Trace(absl::StrCat("cut s", scheduler, " w", worker,
+                     one_way ? " one way" : ""));
+  cuts_[{scheduler, worker}] = one_way;
+}
+void ZoneHarness::Heal() { cuts_.clear(); }
+
+absl::Duration ZoneHarness::Delay() {
+  return absl::Milliseconds(
+      std::uniform_real_distribution<double>(0.5, 6)(random_));
+}
+
+void ZoneHarness::AtNode(int i, uint64_t incarnation,
+                         std::function<void()> event) {
+  Node& node = nodes_[i];
+  if (node.incarnation != incarnation) return;
+  if (node.paused) {
+    node.waiting.push_back([this, i, incarnation, event = std::move(event)] {
+      AtNode(i, incarnation, event);
+    });
+  } else {
+    event();
+  }
+}
+
+template <typename Reply>
+void ZoneHarness::Exchange(
+    int i, const std::string& name,
+    std::function<Reply(FakeWorker&, Now)> carry_out,
+    std::function<void(ZoneScheduler&, const std::optional<Reply>&, Now)>
+        deliver) {
+  const int w = std::stoi(name.substr(1));
+  const uint64_t incarnation = nodes_[i].incarnation;
+  // The answer or its absence reaches the scheduler exactly once.
+  auto settled = std::make_shared<bool>(false);
+  const auto settle = [this, i, incarnation, settled,
+                       deliver](const std::optional<Reply>& reply) {
+    AtNode(i, incarnation, [this, i, settled, deliver, reply] {
+      if (std::exchange(*settled, true)) return;
+      deliver(*nodes_[i].core, reply, NodeNow(nodes_[i]));
+    });
+  };
+  At(now_ + kReplyTimeout, [settle] { settle(std::nullopt); });
+  const auto cut = cuts_.find({i, w});
+  const bool heard = (cut == cuts_.end() || cut->second) && !Lost();
+  if (!heard) return;
+  const auto arrive = [this, i, w, carry_out, settle] {
+    const Reply reply = carry_out(*workers_[w].fake, WorkerNow(workers_[w]));
+    if (cuts_.count({i, w}) > 0 || Lost()) return;
+    At(now_ + Delay(), [settle, reply] { settle(reply); });
+  };
+  At(now_ + Delay(), [this, w, arrive] {
+    if (workers_[w].paused) {
+      workers_[w].waiting.push_back(arrive);
+    } else {
+      arrive();
+    }
+  });
+}
+
+void ZoneHarness::SendAppend(int i, const keelbridge::SendAppend& append) {
+  const uint64_t incarnation = nodes_[i].incarnation;
+  const auto answer = [this, i, incarnation](std::optional<int64_t> offset) {
+    AtNode(i, incarnation, [this, i, offset] {
+      nodes_[i].core->OnAppendAnswer(offset, NodeNow(nodes_[i]));
+    });
+  };
+  At(now_ + Delay(), [this, append, answer] {
+    if (log_down_) {
+      At(now_ + kReplyTimeout, [answer] { answer(std::nullopt); });
+      return;
+    }
+    const int64_t offset =
+        log_.Append(ZoneStream(kZone), EnvelopeToText(append.envelope), now_);
+    Trace(absl::StrCat("log ", offset, ": ", EnvelopeToText(append.envelope)));
+    if (log_loses_answers_ || Lost()) {
+      At(now_ + kReplyTimeout, [answer] { answer(std::nullopt); });
+    } else {
+      At(now_ + Delay(), [answer, offset] { answer(offset); });
+    }
+  });
+}
+
+void ZoneHarness::CarryOut(int i, const Action& action) {
+  if (const auto* append = std::get_if<keelbridge::SendAppend>(&action))
+    return SendAppend(i, *append);
+  const absl::Time sent_at = now_;
+  if (const auto* hold = std::get_if<SendHold>(&action)) {
+    Exchange<HoldReply>(
+        i, hold->worker,
+        [hold = *hold](FakeWorker& worker, Now now) {
+          return worker.Hold(hold.request, now);
+        },
+        [hold = *hold, sent_at](
+            ZoneScheduler& core, const std::optional<HoldReply>& reply,
+            Now now) { core.OnHoldReply(hold, sent_at, reply, now); });
+  } else if (const auto* start = std::get_if<SendStart>(&action)) {
+    Exchange<CommandReply>(
+        i, start->worker,
+        [start = *start](FakeWorker& worker, Now now) {
+          return worker.Start(start.request, now);
+        },
+        [start = *start](ZoneScheduler& core,
+                         const std::optional<CommandReply>& reply,
+                         Now now) { core.OnStartReply(start, reply, now); });
+  } else if (const auto* stop = std::get_if<SendStop>(&action)) {
+    Exchange<CommandReply>(
+        i, stop->worker,
+        [stop = *stop](FakeWorker& worker, Now now) {
+          return worker.Stop(stop.request, now);
+        },
+        [stop = *stop](ZoneScheduler& core,
+                       const std::optional<CommandReply>& reply,
+                       Now now) { core.OnStopReply(stop, reply, now); });
+  }
+}
+
+void ZoneHarness::Step() {
+  const absl::Time end = now_ + options_.step;
+  for (int i = 0; i < schedulers(); ++i) {
+    Node& node = nodes_[i];
+    if (!node.core || node.paused) continue;
+    if (now_ >= node.next_read && !log_down_) {
+      node.next_read = now_ + kReadEvery;
+      const LogBatch batch = log_.Read(
+          ZoneStream(kZone), node.core->replica().next(), kMostRead, now_);
+      node.core->OnLogBatch(batch, NodeNow(node));
+    }
+    if (node.core->Leads(now_) != node.led) {
+      node.led = !node.led;
+      Trace(absl::StrCat("s", i, node.led ? " leads" : " leads no longer"));
+    }
+    const std::vector<Action> actions = node.core->Tick(NodeNow(node));
+    const bool starts =
+        std::any_of(actions.begin(), actions.end(), [](const Action& action) {
+          return std::holds_alternative<SendStart>(action);
+        });
+    if (starts && std::exchange(node.pause_before_start, false)) Pause(i);
+    for (const Action& action : actions) {
+      if (node.paused) {
+        const uint64_t incarnation = node.incarnation;
+        node.waiting.push_back([this, i, incarnation, action] {
+          if (nodes_[i].incarnation == incarnation) CarryOut(i, action);
+        });
+      } else {
+        CarryOut(i, action);
+      }
+    }
+  }
+  while (!events_.empty() && events_.begin()->first <= end) {
+    now_ = std::max(now_, events_.begin()->first);
+    const std::function<void()> event = std::move(events_.begin()->second);
+    events_.erase(events_.begin());
+    event();
+  }
+  now_ = end;
+  for (Worker& worker : workers_) {
+    if (!worker.paused) worker.fake->Advance(now_);
+  }
+}
+
+void ZoneHarness::RunFor(absl::Duration time) {
+  const absl::Time end = now_ + time;
+  while (now_ < end) Step();
+}
+
+bool ZoneHarness::RunUntil(const std::function<bool()>& done,
+                           absl::Duration most) {
+  const absl::Time end = now_ + most;
+  while (now_ < end && !done()) Step();
+  return done();
+}
+
+int ZoneHarness::Leader() const {
+  for (int i = 0; i < schedulers(); ++i) {
+    if (nodes_[i].core && !nodes_[i].paused && nodes_[i].core->Leads(now_))
+      return i;
+  }
+  return -1;
+}
+
+int ZoneHarness::AwaitLeader() {
+  const auto settled = [this] {
+    return Leader() >= 0 && scheduler(Leader()).replica().state().epoch() ==
+                                scheduler(Leader()).epoch();
+  };
+  const auto stays = [&] {
+    RunUntil(settled, absl::Seconds(20));
+    const int leader = Leader();
+    RunFor(absl::Seconds(1));
+    return leader >= 0 && Leader() == leader;
+  };
+  for (int i = 0; i < 10; ++i) {
+    if (stays()) return Leader();
+  }
+  return -1;
+}
+
+bool ZoneHarness::Confirm(std::vector<Intent> intents) {
+  for (const Intent& intent : intents) {
+    if (!intent.exclusive) may_overlap_.insert(intent.id);
+    if (!intent.repeatable) once_.insert(intent.id);
+  }
+  const absl::Time end = now_ + absl::Seconds(30);
+  while (now_ < end) {
+    RunUntil([this] { return Leader() >= 0; }, absl::Seconds(20));
+    const int leader = Leader();
+    if (leader < 0) return false;
+    Node& node = nodes_[leader];
+    Result<Plan> plan = node.core->Propose(intents, NodeNow(node));
+    if (!plan && plan.error().code == ErrorCode::kInvalid) return false;
+    if (plan && node.core->Confirm(plan.value(), NodeNow(node))) {
+      const std::string id = plan.value().id;
+      const auto confirmed = [&] {
+        return nodes_[leader].core && nodes_[leader].core->FateOf(id) ==
+                                          ZoneState::PlanFate::kConfirmed;
+      };
+      if (RunUntil(confirmed, absl::Seconds(5))) return true;
+    }
+    RunFor(absl::Milliseconds(200));
+  }
+  return false;
+}
+
+Intent ZoneHarness::Batch(const std::string& id, int64_t tasks,
+                          absl::Duration duration) {
+  Intent intent;
+  intent.id = id;
+  intent.kind = IntentKind::kBatch;
+  intent.zone = kZone;
+  intent.team = "a";
+  intent.tasks = tasks;
+  intent.resources = {4000, 4096, 0};
+  intent.task_duration = duration;
+  return intent;
+}
+
+Intent ZoneHarness::Service(const std::string& id, int64_t tasks) {
+  Intent intent = Batch(id, tasks, absl::ZeroDuration());
+  intent.kind = IntentKind::kService;
+  intent.work_class = WorkClass::kInteractive;
+  return intent;
+}
+
+size_t ZoneHarness::Running() const {
+  size_t running = 0;
+  for (const Worker& worker : workers_) running += worker.fake->running();
+  return running;
+}
+
+RunRules ZoneHarness::Rules() const {
+  RunRules rules;
+  for (const Worker& worker : workers_)
+    rules.totals[worker.fake->name()] = options_.worker_size;
+  rules.may_overlap = may_overlap_;
+  rules.once = once_;
+  return rules;
+}
+
+std::vector<std::string> ZoneHarness::Judge() {
+  for (Worker& worker : workers_) worker.fake->Advance(now_);
+  return CheckRuns(facts_, Rules());
+}
+
+}  // namespace keelbridge::testing
--- /dev/null
+++ b/testing/support/zone_harness.h
@@ -0,0 +1,175 @@
+// A few schedulers, workers and a log on a virtual clock, for focused tests of
+// failures.
+//
+// Messages take a few milliseconds, may be lost in either direction, and are
+// carried out by the fakes that the HTTP stand-ins use. Everything follows from
+// one seed.
+//
+//   ZoneHarness zone({.schedulers = 2, .workers = 5, .seed = 7});
+//   zone.Confirm({intent});
+//   zone.RunFor(absl::Seconds(10));
+//   zone.Kill(zone.Leader());
+
+#ifndef KEELBRIDGE_TESTING_SUPPORT_ZONE_HARNESS_H_
+#define KEELBRIDGE_TESTING_SUPPORT_ZONE_HARNESS_H_
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "absl/time/time.h"
+#include "keelbridge/coordination/zone_scheduler.h"
+#include "testing/fakes/fake_log.h"
+#include "testing/fakes/fake_worker.h"
+#include "testing/support/run_checker.h"
+
+namespace keelbridge::testing {
+
+// Mechanisms that can be switched off, to show that the checkers then find a
+// fault.
+struct Mechanisms {
+  bool wait_for_certainty =
+      true;               // Of leases: unsettled starts and silent workers.
+  bool not_after = true;  // Of commands.
+  bool epochs = true;     // Of workers: the hold and its epoch.
+};
+
+class ZoneHarness {
+ public:
+  struct Options {
+    int schedulers = 2;
+    int workers = 5;
+    uint64_t seed = 1;
+    Resources worker_size{16000, 32768, 0};
+    absl::Duration clock_error = absl::Milliseconds(
+        200);         // Wall clocks differ by up to this from true time.
+    double loss = 0;  // Of each message, either way.
+    Mechanisms mechanisms = {};
+    absl::Duration step = absl::Milliseconds(20);
+    absl::Duration log_retention = absl::InfiniteDuration();
+    int64_t snapshot_every = 2000;
+    bool trace = false;  // Prints every fact and failure, to follow one seed.
+  };
+
+  explicit ZoneHarness(Options options);
+
+  void RunFor(absl::Duration time);
+  // Runs until `done` holds; false when `most` went by.
+  bool RunUntil(const std::function<bool()>& done, absl::Duration most);
+
+  // The scheduler that leads, or -1.
+  int Leader() const;
+  // Runs until one leads, has read its own record, and stays; -1 if none does.
+  int AwaitLeader();
+  // Plans and confirms `intents` with the leader, waiting for one. False when
+  // it was refused.
+  bool Confirm(std::vector<Intent> intents);
+  static Intent Batch(const std::string& id, int64_t tasks,
+                      absl::Duration duration);
+  static Intent Service(const std::string& id, int64_t tasks);
+
+  void Kill(int scheduler);
+  // A planned stop: gives leadership back, then ends.
+  void HandOver(int scheduler);
+  void Start(int scheduler);  // A new run of it.
+  // A paused scheduler does nothing; what comes for it waits. On resuming, it
+  // first carries out what it had decided.
+  void Pause(int scheduler);
+  // Pauses it at its worst moment: after it decided on a start, before it
+  // sends.
+  void PauseBeforeNextStart(int scheduler);
+  bool Paused(int scheduler) const { return nodes_[scheduler].paused; }
+  void Resume(int scheduler);
+  void SetLogDown(bool down) { log_down_ = down; }
+  // Appends take effect but are not answered.
+  void SetLogLosesAnswers(bool loses) { log_loses_answers_ = loses; }
+  // A scheduler that cannot reach a worker; one way: the worker hears it but is
+  // not heard.
+  void Cut(int scheduler, int worker, bool one_way);
+  void Heal();
+  void RestartWorker(int worker);
+  // A paused worker carries out what came for it when it resumes.
+  void PauseWorker(int worker);
+  void ResumeWorker(int worker);
+
+  ZoneScheduler& scheduler(int i) { return *nodes_[i].core; }
+  bool alive(int i) const { return nodes_[i].core != nullptr; }
+  int schedulers() const { return static_cast<int>(nodes_.size()); }
+  int workers() const { return static_cast<int>(workers_.size()); }
+  FakeWorker& worker(int i) { return *workers_[i].fake; }
+  FakeLog& log() { return log_; }
+  absl::Time now() const { return now_; }
+  const std::vector<RunFact>& facts() const { return facts_; }
+  size_t Running() const;
+  RunRules Rules() const;
+  // Lets every worker's leases and tasks come to their end, then judges.
+  std::vector<std::string> Judge();
+  std::mt19937_64& random() { return random_; }
+  // Prints a line when tracing.
+  void Trace(const std::string& line) const;
+
+ private:
+  struct Node {
+    std::unique_ptr<ZoneScheduler> core;
+    uint64_t incarnation = 0;
+    bool paused = false;
+    bool led = false;
+    bool pause_before_start = false;
+    absl::Duration wall_error;
+    std::vector<std::function<void()>> waiting;  // Arrived while paused.
+    absl::Time next_read;
+  };
+  struct Worker {
+    std::unique_ptr<FakeWorker> fake;
+    bool paused = false;
+    absl::Duration wall_error;
+    std::vector<std::function<void()>> waiting;
+  };
+
+  Now NodeNow(const Node& node) const { return {now_, now_ + node.wall_error}; }
+  Now WorkerNow(const Worker& worker) const {
+    return {now_, now_ + worker.wall_error};
+  }
+  void At(absl::Time time, std::function<void()> event) {
+    events_.emplace(time, std::move(event));
+  }
+  absl::Duration Delay();
+  bool Lost() { return std::bernoulli_distribution(options_.loss)(random_); }
+  void Step();
+  void CarryOut(int node, const Action& action);
+  void SendAppend(int node, const SendAppend& append);
+  // Runs `carry_out` at the worker and `deliver` back at the scheduler's same
+  // run.
+  template <typename Reply>
+  void Exchange(
+      int node, const std::string& worker,
+      std::function<Reply(FakeWorker&, Now)> carry_out,
+      std::function<void(ZoneScheduler&, const std::optional<Reply>&, Now)>
+          deliver);
+  void AtNode(int node, uint64_t incarnation, std::function<void()> event);
+  Configuration MakeConfiguration() const;
+
+  const Options options_;
+  std::mt19937_64 random_;
+  absl::Time now_ = absl::FromUnixSeconds(1000000);
+  std::multimap<absl::Time, std::function<void()>> events_;
+  std::vector<Node> nodes_;
+  std::vector<Worker> workers_;
+  FakeLog log_;
+  bool log_down_ = false;
+  bool log_loses_answers_ = false;
+  std::map<std::pair<int, int>, bool> cuts_;  // Value: one way.
+  std::vector<RunFact> facts_;
+  std::set<std::string> may_overlap_;
+  std::set<std::string> once_;
+  uint64_t next_incarnation_ = 1;
+};
+
+}  // namespace keelbridge::testing
+
+#endif  // KEELBRIDGE_TESTING_SUPPORT_ZONE_HARNESS_H_
