--- /dev/null
+++ b/keelbridge/coordination/router_test.cc
@@ -0,0 +1,105 @@
+#include "keelbridge/coordination/router.h"
+
+#include <doctest/doctest.h>
+
+#include "absl/strings/str_cat.h"
+
+namespace keelbridge {
+namespace {
+
+const absl::Time kNow = absl::FromUnixSeconds(1000);
+
+Configuration Targets(int count, int64_t slots) {
+  Configuration configuration;
+  configuration.services = {{"licence", true, absl::Seconds(1)}};
+  for (int i = 0; i < count; ++i) {
+    configuration.targets.push_back(
+        {absl::StrCat("t", i), "z", "127.0.0.1:1", slots, 64, {"licence"}});
+  }
+  return configuration;
+}
+
+TEST_CASE("shares of all gateways add up to each target's limit") {
+  for (int gateways = 1; gateways <= 12; ++gateways) {
+    std::vector<int64_t> sums(5, 0);
+    for (int g = 0; g < gateways; ++g) {
+      Router router({});
+      router.SetConfiguration(Targets(5, 8), "z");
+      router.SetShare(g, gateways);
+      for (int t = 0; t < 5; ++t) {
+        sums[t] += router.ShareOf(absl::StrCat("t", t));
+      }
+    }
+    for (const int64_t sum : sums) CHECK(sum == 8);
+  }
+}
+
+TEST_CASE("no more in flight than the share; then overload is said at once") {
+  Router router({});
+  router.SetConfiguration(Targets(3, 4), "z");
+  for (int i = 0; i < 12; ++i) {
+    CHECK(router.Choose("licence", {}, kNow).has_value());
+  }
+  Result<Router::Pick> none = router.Choose("licence", {}, kNow);
+  REQUIRE(!none.has_value());
+  CHECK(none.error().code == ErrorCode::kOverloaded);
+  CHECK(none.error().retry_after > absl::ZeroDuration());
+  router.Done("t1", AttemptResult::kAnswered, kNow);
+  CHECK(router.Choose("licence", {}, kNow).value().target == "t1");
+}
+
+TEST_CASE("leaving targets and those tried before get nothing") {
+  Router router({});
+  router.SetConfiguration(Targets(3, 100), "z");
+  router.SetLeaving({"t0"});
+  for (int i = 0; i < 50; ++i) {
+    CHECK(router.Choose("licence", {"t1"}, kNow).value().target == "t2");
+  }
+  CHECK(router.Choose("nosuch", {}, kNow).error().code == ErrorCode::kNotFound);
+}
+
+TEST_CASE("a target that fails again and again is left out, then tried again") {
+  Router router({});
+  router.SetConfiguration(Targets(4, 100), "z");
+  for (int i = 0; i < 5; ++i) {
+    router.Done("t2", AttemptResult::kNoAnswer, kNow);
+  }
+  CHECK(router.Ejected("t2", kNow));
+  for (int i = 0; i < 50; ++i) {
+    CHECK(router.Choose("licence", {}, kNow).value().target != "t2");
+  }
+  CHECK_FALSE(router.Ejected("t2", kNow + absl::Seconds(3)));
+}
+
+TEST_CASE(
+    "when most targets fail all are used: the fault is more likely ours") {
+  Router router({});
+  router.SetConfiguration(Targets(3, 100), "z");
+  for (const char* target : {"t0", "t1", "t2"}) {
+    for (int i = 0; i < 5; ++i) {
+      router.Done(target, AttemptResult::kNoAnswer, kNow);
+    }
+  }
+  CHECK(router.Choose("licence", {}, kNow).has_value());
+}
+
+TEST_CASE("what may be tried again") {
+  CHECK_FALSE(Router::MayRetry(AttemptResult::kAnswered, true));
+  CHECK(Router::MayRetry(AttemptResult::kRefused, false));
+  CHECK(Router::MayRetry(AttemptResult::kUnreached, false));
+  CHECK_FALSE(Router::MayRetry(AttemptResult::kNoAnswer, false));
+  CHECK(Router::MayRetry(AttemptResult::kNoAnswer, true));
+}
+
+TEST_CASE("retries stay a fraction of first tries however many fail") {
+  RetryBudget budget({});
+  int retries = 0;
+  for (int i = 0; i < 10000; ++i) {
+    budget.OnFirstTry();
+    while (budget.Spend()) ++retries;
+  }
+  CHECK(retries <= 0.2 * 10000 + 20);
+}
+
+}  // namespace
+}  // namespace keelbridge
--- /dev/null
+++ b/keelbridge/state/configuration_state_test.cc
@@ -0,0 +1,193 @@
+#include "keelbridge/state/configuration_state.h"
+
+#include <doctest/doctest.h>
+
+#include <random>
+
+#include "absl/strings/str_cat.h"
+#include "testing/fakes/fake_log.h"
+
+namespace keelbridge {
+namespace {
+
+std::string Text(int n, int workers = 5) {
+  std::string out =
+      absl::StrCat("{\"deployment\": \"d", n,
+                   "\", \"policy\": \"waiting-first\", \"zones\": "
+                   "[{\"name\": \"z\"}], \"services\": [], "
+                   "\"teams\": [], \"entry_hosts\": [], "
+                   "\"targets\": [], \"workers\": [");
+  for (int i = 0; i < workers; ++i) {
+    absl::StrAppend(&out, i > 0 ? ", " : "", "{\"name\": \"w", n * 1000 + i,
+                    "\", \"zone\": \"z\", \"rack\": \"r\", \"address\": "
+                    "\"127.0.0.1:1\", \"cpu_cores\": 1, \"memory_gib\": 1}");
+  }
+  return out + "]}";
+}
+
+std::string SameWorkers(int n) {
+  std::string text = Text(0);
+  return text.replace(text.find("d0"), 2, absl::StrCat("d", n));
+}
+
+// Appends one record by a writer of its own.
+class Publisher {
+ public:
+  explicit Publisher(testing::FakeLog& log) : log_(log) {}
+  int64_t Publish(int64_t base, const std::string& text) {
+    return Append({base, -1, text});
+  }
+  int64_t Renew(int64_t version, const std::string& text) {
+    return Append({-1, version, text});
+  }
+  int64_t Append(ConfigurationEntry entry) {
+    const Envelope envelope{{++incarnation_, 1}, {std::move(entry)}};
+    return log_.Append(kConfigurationStream, EnvelopeToText(envelope),
+                       absl::UnixEpoch());
+  }
+
+ private:
+  testing::FakeLog& log_;
+  uint64_t incarnation_ = 0;
+};
+
+void Read(testing::FakeLog& log, ConfigurationState& state) {
+  state.OnBatch(
+      log.Read(kConfigurationStream, state.next(), 100, absl::UnixEpoch()));
+}
+
+TEST_CASE("configuration: two operators publish at once, the first wins") {
+  testing::FakeLog log;
+  Publisher publisher(log);
+  ConfigurationState state;
+  publisher.Publish(-1, SameWorkers(1));
+  publisher.Publish(0, SameWorkers(2));
+  publisher.Publish(0, SameWorkers(3));
+  Read(log, state);
+  CHECK(state.current().version == 1);
+  CHECK(state.current().deployment == "d2");
+  CHECK(state.refused() == 1);
+}
+
+TEST_CASE("configuration: a renewal never outranks a later version") {
+  testing::FakeLog log;
+  Publisher publisher(log);
+  ConfigurationState state;
+  publisher.Publish(-1, SameWorkers(1));
+  publisher.Publish(0, SameWorkers(2));
+  publisher.Renew(0, SameWorkers(1));
+  Read(log, state);
+  CHECK(state.current().deployment == "d2");
+}
+
+TEST_CASE("configuration: after a gap only a renewal or a peer is believed") {
+  testing::FakeLog log;
+  Publisher publisher(log);
+  publisher.Publish(-1, SameWorkers(1));
+  publisher.Publish(0, SameWorkers(2));  // The winner, which is dropped below.
+  publisher.Publish(0, SameWorkers(3));  // The loser.
+  log.DropBefore(kConfigurationStream, 2);
+  ConfigurationState fresh;
+  Read(log, fresh);
+  CHECK(fresh.current().version == -1);
+  publisher.Renew(1, SameWorkers(2));
+  Read(log, fresh);
+  CHECK(fresh.current().version == 1);
+  CHECK(fresh.current().deployment == "d2");
+  ConfigurationState other;
+  CHECK(other.OnPeer(1, SameWorkers(2)));
+  CHECK_FALSE(other.OnPeer(0, SameWorkers(1)));
+  Read(log, other);
+  CHECK(other.current().deployment == "d2");
+}
+
+TEST_CASE("configuration: a change after which two could lead is refused") {
+  testing::FakeLog log;
+  Publisher publisher(log);
+  ConfigurationState state;
+  publisher.Publish(-1, Text(1));
+  publisher.Publish(0, Text(2));  // Not one worker in common.
+  Read(log, state);
+  CHECK(state.current().deployment == "d1");
+}
+
+// Random publications, renewals, drops, reads, restarts and peers. Returns
+// how often a host's version went back. The naive host takes the newest record.
+int Reversals(uint64_t seed, bool naive) {
+  std::mt19937_64 random(seed);
+  const auto pick = [&random](int n) {
+    return std::uniform_int_distribution<int>(0, n - 1)(random);
+  };
+  testing::FakeLog log;
+  Publisher publisher(log);
+  std::vector<ConfigurationState> hosts(3);
+  std::vector<int64_t> naive_version(3, -1);
+  std::vector<int64_t> naive_next(3, 0);
+  std::vector<int64_t> seen(3, -1);
+  int reversals = 0;
+  for (int step = 0; step < 200; ++step) {
+    const int h = pick(3);
+    const Configuration& best =
+        std::max_element(hosts.begin(), hosts.end(), [](auto& a, auto& b) {
+          return a.current().version < b.current().version;
+        })->current();
+    switch (pick(6)) {
+      case 0:
+        publisher.Publish(hosts[h].current().version, SameWorkers(step));
+        break;
+      case 1:
+        // A slow leader renews what it still thinks is in force.
+        if (hosts[h].current().version >= 0) {
+          publisher.Renew(hosts[h].current().version, hosts[h].current().text);
+        }
+        break;
+      case 2:
+        if (best.version >= 0) {
+          const int64_t carried = publisher.Renew(best.version, best.text);
+          log.DropBefore(kConfigurationStream, carried - pick(5));
+        }
+        break;
+      case 3:
+        // A host is replaced: it knows what a peer gives it, and no more.
+        hosts[h] = ConfigurationState();
+        hosts[h].OnPeer(hosts[(h + 1) % 3].current().version,
+                        hosts[(h + 1) % 3].current().text);
+        seen[h] = hosts[h].current().version;
+        break;
+      default: {
+        const LogBatch batch = log.Read(
+            kConfigurationStream, naive ? naive_next[h] : hosts[h].next(),
+            static_cast<size_t>(1 + pick(4)), absl::UnixEpoch());
+        for (const LogRecord& record : batch.records) {
+          const auto entry = std::get<ConfigurationEntry>(
+              EnvelopeFromText(record.text).value().entries[0]);
+          naive_version[h] = entry.version >= 0 ? entry.version : record.offset;
+          naive_next[h] = record.offset + 1;
+          if (naive) {
+            reversals += naive_version[h] < seen[h] ? 1 : 0;
+            seen[h] = naive_version[h];
+          }
+        }
+        hosts[h].OnBatch(batch);
+      }
+    }
+    if (naive) continue;
+    reversals += hosts[h].current().version < seen[h] ? 1 : 0;
+    seen[h] = hosts[h].current().version;
+  }
+  return reversals;
+}
+
+TEST_CASE("configuration: no host ever goes back, over 500 seeded schedules") {
+  int naive_seeds = 0;
+  for (uint64_t seed = 1; seed <= 500; ++seed) {
+    CAPTURE(seed);
+    CHECK(Reversals(seed, false) == 0);
+    naive_seeds += Reversals(seed, true) > 0 ? 1 : 0;
+  }
+  MESSAGE("seeds of 500 in which the naive host goes back: ", naive_seeds);
+  CHECK(naive_seeds > 0);
+}
+
+}  // namespace
+}  // namespace keelbridge
--- /dev/null
+++ b/keelbridge/state/zone_state_test.cc
@@ -0,0 +1,116 @@
+#include "keelbridge/state/zone_state.h"
+
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+#include <set>
+
+namespace keelbridge {
+namespace {
+
+Intent Batch(const std::string& id, int64_t tasks) {
+  Intent intent;
+  intent.id = id;
+  intent.kind = IntentKind::kBatch;
+  intent.tasks = tasks;
+  return intent;
+}
+
+TEST_CASE("index runs hold what a set holds, and survive their text") {
+  const bool ok = rc::check([](const std::vector<uint8_t>& indices) {
+    IndexRuns runs;
+    std::set<int64_t> set;
+    for (const uint8_t index : indices) {
+      runs.Insert(index % 40);
+      set.insert(index % 40);
+    }
+    const IndexRuns again = IndexRuns::FromText(runs.ToText());
+    RC_ASSERT(again.ToText() == runs.ToText());
+    RC_ASSERT(runs.Count() == static_cast<int64_t>(set.size()));
+    for (int64_t i = -1; i <= 41; ++i) {
+      RC_ASSERT(runs.Contains(i) == (set.count(i) > 0));
+      RC_ASSERT(again.Contains(i) == (set.count(i) > 0));
+    }
+  });
+  CHECK(ok);
+}
+
+TEST_CASE("a snapshot restores to the same state, to the byte") {
+  const bool ok = rc::check([](const std::vector<uint16_t>& steps) {
+    ZoneState state;
+    int64_t offset = 0;
+    for (const uint16_t step : steps) {
+      Envelope envelope{{1 + step % 3U, offset / 2}, {}};
+      const std::string task =
+          TaskName("b" + std::to_string(step % 4), step % 7);
+      switch (step % 5) {
+        case 0:
+          envelope.entries.push_back(
+              PlanEntry{"p" + std::to_string(step),
+                        state.last_plan(),
+                        {Batch("b" + std::to_string(step % 4), 5)}});
+          break;
+        case 1:
+          envelope.entries.push_back(
+              TaskEndedEntry{0, task, step % 2 == 0 ? "unknown" : "finished"});
+          break;
+        case 2:
+          envelope.entries.push_back(OnceStartEntry{state.epoch(), task, step});
+          break;
+        case 3:
+          envelope.entries.push_back(LeaderEntry{step, "s"});
+          break;
+        default:
+          envelope.entries.push_back(OnceReleaseEntry{0, task, step - 1});
+      }
+      state.Apply(offset++, envelope);
+    }
+    Result<ZoneState> again = ZoneState::Restore(state.Snapshot());
+    RC_ASSERT(again.has_value());
+    RC_ASSERT(again.value().Snapshot() == state.Snapshot());
+  });
+  CHECK(ok);
+}
+
+TEST_CASE("an envelope that comes twice takes effect once") {
+  ZoneState state;
+  const Envelope plan{{7, 1}, {PlanEntry{"p", -1, {Batch("b", 3)}}}};
+  CHECK(state.Apply(0, plan));
+  CHECK_FALSE(state.Apply(1, plan));
+  CHECK(state.last_plan() == 0);
+}
+
+TEST_CASE("an earlier epoch cannot claim the start of a task") {
+  ZoneState state;
+  state.Apply(0, {{1, 1}, {LeaderEntry{5, "a"}}});
+  state.Apply(1, {{2, 1}, {LeaderEntry{6, "b"}}});
+  state.Apply(2, {{1, 2}, {OnceStartEntry{5, "b/0", 1}}});
+  CHECK(state.OnceAttempt("b/0") == 0);
+  state.Apply(3, {{2, 2}, {OnceStartEntry{6, "b/0", 2}}});
+  state.Apply(4, {{2, 3}, {OnceStartEntry{6, "b/0", 3}}});
+  CHECK(state.OnceAttempt("b/0") == 2);
+}
+
+TEST_CASE("the state grows with live work, not with what has ended") {
+  const auto bytes = [](int ended_batches) {
+    ZoneState state;
+    int64_t offset = 0;
+    for (int b = 0; b < ended_batches; ++b) {
+      const std::string id = "b" + std::to_string(b);
+      state.Apply(offset,
+                  {{1, offset + 1},
+                   {PlanEntry{"p" + id, state.last_plan(), {Batch(id, 10)}}}});
+      ++offset;
+      Envelope ends{{1, offset + 1}, {}};
+      for (int i = 0; i < 10; ++i) {
+        ends.entries.push_back(TaskEndedEntry{0, TaskName(id, i), "finished"});
+      }
+      state.Apply(offset++, ends);
+    }
+    return state.Snapshot().size();
+  };
+  CHECK(bytes(5000) < 2 * bytes(500));
+}
+
+}  // namespace
+}  // namespace keelbridge
--- /dev/null
+++ b/testing/support/small_cell.h
@@ -0,0 +1,96 @@
+// One zone of real processes: entry hosts with gateway and scheduler, against
+// the stand-ins in this process.
+//
+//   SmallCell cell({.entry_hosts = 2});
+//   cell.Publish();
+//   cell.AwaitLeader();
+
+#ifndef KEELBRIDGE_TESTING_SUPPORT_SMALL_CELL_H_
+#define KEELBRIDGE_TESTING_SUPPORT_SMALL_CELL_H_
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "keelbridge/protocol/intent.h"
+#include "keelbridge/transport/rpc_client.h"
+#include "testing/fakes/platform_server.h"
+#include "testing/support/child_process.h"
+#include "testing/support/run_checker.h"
+
+namespace keelbridge::testing {
+
+// Polls until `done` holds; false after a generous time, which only a fault
+// makes a test wait for.
+bool Eventually(const std::function<bool()>& done);
+
+class SmallCell {
+ public:
+  struct Options {
+    int entry_hosts = 2;
+    int workers = 5;
+    int targets = 3;
+    int64_t slots = 8;
+    int64_t runner_work_ms = 2;
+  };
+
+  explicit SmallCell(Options options);
+  ~SmallCell();
+
+  // Appends the configuration, as an operator would.
+  void Publish();
+  // Starts a gateway (again), with all other gateways as peers.
+  void StartGateway(int host);
+  void StartScheduler(int host);
+  bool Ready(int host) const;
+  // The host whose scheduler leads, or -1.
+  int Leader() const;
+  int AwaitLeader() const;
+
+  // Plans and confirms with the leader.
+  bool Confirm(const std::vector<Intent>& intents) const;
+  HttpOutcome Send(int host, HttpRequest request,
+                   absl::Duration timeout = absl::Seconds(10)) const;
+  // Requests of the journal, each as its runner noted it.
+  std::vector<Json::Value> Requests(const std::string& kind = "request") const;
+  int Runs(const std::string& key, const std::string& value) const;
+  std::vector<RunFact> RunFacts() const;
+
+  ChildProcess& gateway(int host) { return *hosts_[host].gateway; }
+  ChildProcess& scheduler(int host) { return *hosts_[host].scheduler; }
+  void ForgetScheduler(int host) { hosts_[host].scheduler.reset(); }
+  std::string GatewayAddress(int host) const {
+    return hosts_[host].gateway_address;
+  }
+  std::string SchedulerAddress(int host) const {
+    return hosts_[host].scheduler_address;
+  }
+  PlatformServer& platform() { return *platform_; }
+  const std::string& directory() const { return directory_; }
+  std::string PlatformAddress() const;
+
+ private:
+  struct Host {
+    std::unique_ptr<ChildProcess> gateway;
+    std::unique_ptr<ChildProcess> scheduler;
+    std::string gateway_address;
+    std::string scheduler_address;
+  };
+
+  // Starts a daemon and returns the address that it serves.
+  std::string StartDaemon(const std::string& role, int host, int port,
+                          std::unique_ptr<ChildProcess>* child);
+  std::string ConfigurationText() const;
+
+  const Options options_;
+  std::string directory_;
+  std::unique_ptr<PlatformServer> platform_;
+  int platform_port_ = 0;
+  std::vector<Host> hosts_;
+};
+
+}  // namespace keelbridge::testing
+
+#endif  // KEELBRIDGE_TESTING_SUPPORT_SMALL_CELL_H_
