A leader's cost grows with its workers, not their square; leaving workers are left out at once

And a change of the platform's list of leaving hosts did not refresh which workers may get work (the new test fails before). Change: the lease book keeps the set of leases that stop; drains are looked for only when something leaves.

--- a/keelbridge/coordination/lease_book.cc
+++ b/keelbridge/coordination/lease_book.cc
@@ -28,6 +28,7 @@
 
 void LeaseBook::BeginLeadership(absl::Time now) {
   leases_.clear();
+  stopping_.clear();
   for (auto& [name, view] : workers_) {
     view = WorkerView();
     // The leader before could send until its leadership ended, which was before
@@ -89,6 +90,7 @@
   const auto it = leases_.find(task);
   if (it == leases_.end()) return;
   it->second.phase = LeasePhase::kStopping;
+  stopping_.insert(task);
   it->second.known_since = now;
   it->second.stop_mode = mode;
   it->second.next_stop = now;
@@ -105,8 +107,9 @@
 
 std::vector<Lease> LeaseBook::StopsDue(absl::Time now) {
   std::vector<Lease> out;
-  for (auto& [task, lease] : leases_) {
-    if (lease.phase != LeasePhase::kStopping || now < lease.next_stop) continue;
+  for (const std::string& task : stopping_) {
+    Lease& lease = leases_.at(task);
+    if (now < lease.next_stop) continue;
     if (workers_[lease.worker].contact == Contact::kSilent) continue;
     lease.next_stop = now + kAskAgain;
     out.push_back(lease);
@@ -115,15 +118,12 @@
   return out;
 }
 
-bool LeaseBook::StopsPending(const std::string& worker) const {
-  const auto view = workers_.find(worker);
-  if (view == workers_.end()) return false;
-  return std::any_of(view->second.tasks.begin(), view->second.tasks.end(),
-                     [this](const std::string& task) {
-                       const auto lease = leases_.find(task);
-                       return lease != leases_.end() &&
-                              lease->second.phase == LeasePhase::kStopping;
-                     });
+std::set<std::string> LeaseBook::WorkersStopping() const {
+  std::set<std::string> workers;
+  for (const std::string& task : stopping_) {
+    workers.insert(leases_.at(task).worker);
+  }
+  return workers;
 }
 
 HoldMode LeaseBook::HoldModeFor(const std::string& worker) const {
@@ -177,6 +177,7 @@
   const auto it = leases_.find(task);
   if (it == leases_.end()) return;
   workers_[it->second.worker].tasks.erase(task);
+  stopping_.erase(task);
   leases_.erase(it);
 }
 
--- a/keelbridge/coordination/lease_book.h
+++ b/keelbridge/coordination/lease_book.h
@@ -158,9 +158,9 @@
   bool AllSettled() const;
   const Lease* Find(const std::string& task) const;
   const std::map<std::string, Lease>& leases() const { return leases_; }
-  // True while a stop on the worker is under way, so that it is worth asking it
-  // more often.
-  bool StopsPending(const std::string& worker) const;
+  // Workers on which a stop is under way, so that it is worth asking them more
+  // often.
+  std::set<std::string> WorkersStopping() const;
 
  private:
   enum class Contact { kUnsealed, kSealed, kSilent, kLapsed };
@@ -192,6 +192,7 @@
   const Options options_;
   std::map<std::string, WorkerView> workers_;
   std::map<std::string, Lease> leases_;  // By task.
+  std::set<std::string> stopping_;       // Those in phase `kStopping`.
 };
 
 }  // namespace keelbridge
--- a/keelbridge/coordination/zone_scheduler.cc
+++ b/keelbridge/coordination/zone_scheduler.cc
@@ -83,6 +83,12 @@
          replica_.state().drained_hosts().count(worker) > 0;
 }
 
+void ZoneScheduler::OnLeaving(const std::set<std::string>& names) {
+  if (names == leaving_) return;
+  leaving_ = names;
+  workers_changed_ = true;
+}
+
 void ZoneScheduler::RefreshSchedulable() {
   std::set<std::string> configured;
   for (const WorkerConfig& worker : configuration_.workers)
@@ -231,14 +237,11 @@
              order.epoch, now, actions);
   }
   if (!leading_) return;
-  for (const WorkerConfig& worker : configuration_.workers) {
-    if (worker.zone != options_.zone || !book_.StopsPending(worker.name))
-      continue;
-    absl::Time& next = next_extra_hold_[worker.name];
+  for (const std::string& worker : book_.WorkersStopping()) {
+    absl::Time& next = next_extra_hold_[worker];
     if (now.mono < next) continue;
     next = now.mono + options_.stops_poll;
-    PushHold(worker.name, book_.HoldModeFor(worker.name), led_epoch_, now,
-             actions);
+    PushHold(worker, book_.HoldModeFor(worker), led_epoch_, now, actions);
   }
 }
 
@@ -712,6 +715,7 @@
 }
 
 void ZoneScheduler::TickDrains(Now now) {
+  if (leaving_.empty() && replica_.state().drained_hosts().empty()) return;
   const Cell& cell = decider_->cell();
   std::vector<std::string> to_stop;
   for (WorkerId id = 0; id < static_cast<WorkerId>(cell.size()); ++id) {
--- a/keelbridge/coordination/zone_scheduler.h
+++ b/keelbridge/coordination/zone_scheduler.h
@@ -91,7 +91,7 @@
 
   void OnConfiguration(const Configuration& configuration, Now now);
   // Workers that the platform lists as leaving.
-  void OnLeaving(const std::set<std::string>& names) { leaving_ = names; }
+  void OnLeaving(const std::set<std::string>& names);
   // A read of the zone's stream from `replica().next()`.
   void OnLogBatch(const LogBatch& batch, Now now);
   void OnAppendAnswer(std::optional<int64_t> offset, Now now);
--- a/keelbridge/coordination/zone_scheduler_test.cc
+++ b/keelbridge/coordination/zone_scheduler_test.cc
@@ -390,5 +390,20 @@
   CHECK(CheckRuns(zone.facts(), rules).empty());
 }
 
+TEST_CASE("a worker that the platform lists as leaving gets no new work") {
+  ZoneHarness zone({.schedulers = 1, .workers = 5, .seed = 52});
+  REQUIRE(zone.Confirm({ZoneHarness::Service("index", 5)}));
+  zone.RunFor(absl::Seconds(2));
+  zone.scheduler(0).OnLeaving({"w3"});
+  zone.RunFor(absl::Milliseconds(100));
+  RunRules rules = zone.Rules();
+  rules.no_starts_after["w3"] = zone.now();
+  REQUIRE(zone.Confirm({ZoneHarness::Service("more", 10)}));
+  zone.RunFor(absl::Seconds(10));
+  CHECK(zone.worker(3).running() == 0);
+  CHECK(zone.Running() == 15);
+  CHECK(CheckRuns(zone.facts(), rules).empty());
+}
+
 }  // namespace
 }  // namespace keelbridge::testing
