A planned stop never crashes and hands leadership over within about a hold time

Cause: (1) a scheduler crashed while it stopped: the worker threads woke a duty that had ended. (2) Under contention a new leader came 3.5 s after a planned stop, longer than task leases last in that test, and all six tasks restarted: a renewal that overtook the release kept some workers held, and a candidate that was refused by them gave everything up and backed off for up to 1.2 hold times, twice. Ruled out: the fakes (the same on a virtual clock), a late configuration (there 0.1 s after the start). Change: worker threads end first; a refused candidate keeps what it has and asks the others again when their hold lapses. Also: readers of the log are woken by writes in place of polling four times a second.

--- a/keelbridge/coordination/leadership.cc
+++ b/keelbridge/coordination/leadership.cc
@@ -6,6 +6,12 @@
 #include <utility>
 
 namespace keelbridge {
+namespace {
+
+// Between two requests for the same hold.
+constexpr absl::Duration kSoonest = absl::Milliseconds(30);
+
+}  // namespace
 
 Leadership::Leadership(Options options, uint64_t seed)
     : options_(std::move(options)), random_(seed) {}
@@ -51,8 +57,13 @@
       return std::exchange(ask_all_, false) ? ToAll(HoldMode::kQuery)
                                             : std::vector<HoldOrder>();
     case Role::kCandidate:
-      if (now < campaign_ends_) return {};
-      return Resign(now, Jitter(0.2, 1.2));
+      if (overtaken_) {
+        Campaign(both);
+        return ToAll(HoldMode::kAcquire);
+      }
+      // Those that were held are asked again when that hold has lapsed.
+      if (now < campaign_ends_) return Renewals(now);
+      return Resign(now, Jitter(0.1, 0.6));
     case Role::kLeader:
       Recount(now);
       if (now >= leads_until_) {
@@ -108,7 +119,7 @@
       return;
     }
     role_ = Role::kAsking;
-    campaign_ends_ = now + options_.campaign_timeout;
+    campaign_ends_ = now + options_.asking_timeout;
     ask_all_ = true;
   }
 }
@@ -123,7 +134,7 @@
   role_ = Role::kCandidate;
   overtaken_ = false;
   epoch_ = std::max(highest_seen_ + 1, absl::ToUnixSeconds(now.wall));
-  campaign_ends_ = now.mono + options_.campaign_timeout;
+  campaign_ends_ = now.mono + options_.hold_ttl;
   for (auto& [name, vote] : votes_)
     vote.next_renewal = now.mono + options_.renew_every;
 }
@@ -140,6 +151,7 @@
   if (role_ != Role::kCandidate && role_ != Role::kLeader) return;
   if (!reply->granted) {
     it->second.held_until = absl::InfinitePast();
+    it->second.next_renewal = now + std::max(reply->hold_left, kSoonest);
     // A campaign that failed left a higher epoch there, and this worker will
     // never take our orders again.
     overtaken_ = overtaken_ || reply->epoch > epoch_;
--- a/keelbridge/coordination/leadership.h
+++ b/keelbridge/coordination/leadership.h
@@ -52,7 +52,8 @@
     absl::Duration renew_every = absl::Seconds(1);
     absl::Duration poll_every =
         absl::Milliseconds(750);  // A standby asks one worker this often.
-    absl::Duration campaign_timeout = absl::Milliseconds(800);
+    // How long a standby that found one worker free asks all the others.
+    absl::Duration asking_timeout = absl::Milliseconds(800);
     absl::Duration margin = absl::Milliseconds(
         150);  // For clock rates and for acting on the answer.
   };
--- a/keelbridge/coordination/zone_scheduler_test.cc
+++ b/keelbridge/coordination/zone_scheduler_test.cc
@@ -267,18 +267,31 @@
   CHECK(zone.Judge().empty());
 }
 
-TEST_CASE("hand-over by a planned stop: a new leader within a hold time") {
-  ZoneHarness zone({.schedulers = 2, .workers = 7, .seed = 5});
-  REQUIRE(zone.Confirm({ZoneHarness::Service("index", 14)}));
-  zone.RunFor(absl::Seconds(3));
-  const int leader = zone.Leader();
-  zone.HandOver(leader);
-  const absl::Time stopped = zone.now();
-  REQUIRE(zone.RunUntil([&] { return zone.Leader() == 1 - leader; },
-                        absl::Seconds(30)));
-  CHECK(zone.now() - stopped <= absl::Seconds(3));
-  zone.RunFor(absl::Seconds(5));
-  CHECK(zone.facts().size() == 14);
+TEST_CASE("planned stops in turn: a new leader soon, nothing restarts") {
+  absl::Duration longest;
+  for (uint64_t seed = 1; seed <= 100; ++seed) {
+    CAPTURE(seed);
+    ZoneHarness zone({.schedulers = 2, .workers = 7, .seed = seed});
+    REQUIRE(zone.Confirm({ZoneHarness::Service("index", 14)}));
+    // Stops fall anywhere between two renewals.
+    zone.RunFor(absl::Milliseconds(2000 + 20 * (seed % 60)));
+    for (int round = 0; round < 4; ++round) {
+      const int leader = zone.Leader();
+      REQUIRE(leader >= 0);
+      zone.HandOver(leader);
+      const absl::Time stopped = zone.now();
+      zone.RunFor(absl::Milliseconds(400));
+      zone.Start(leader);
+      REQUIRE(
+          zone.RunUntil([&] { return zone.Leader() >= 0; }, absl::Seconds(30)));
+      longest = std::max(longest, zone.now() - stopped);
+      zone.RunFor(absl::Milliseconds(2500));
+    }
+    CHECK(zone.facts().size() == 14);
+  }
+  const double holds = absl::FDivDuration(longest, absl::Seconds(3));
+  MESSAGE("longest time without a leader: ", holds, " hold times");
+  CHECK(holds <= 1);
 }
 
 TEST_CASE("two operators confirm at once: one is refused as stale") {
--- a/keelbridge/daemon/claim_desk.cc
+++ b/keelbridge/daemon/claim_desk.cc
@@ -3,12 +3,16 @@
 #include <optional>
 #include <utility>
 
+#include "absl/time/clock.h"
 #include "keelbridge/base/clock.h"
 
 namespace keelbridge {
 namespace {
 
 constexpr int kMostReadsAStep = 50;
+// While callers wait, a step goes on for so long, with such pauses.
+constexpr absl::Duration kLongestStep = absl::Seconds(1);
+constexpr absl::Duration kBetweenRounds = absl::Milliseconds(10);
 
 LogWriter::Options WriterOptions(uint64_t incarnation,
                                  absl::Duration append_every) {
@@ -71,19 +75,27 @@
   in_use_.erase(key);
 }
 
+bool ClaimDesk::SomebodyWaits() {
+  absl::MutexLock lock(&mutex_);
+  return waiting_ > 0;
+}
+
 void ClaimDesk::Step() {
-  for (LogEntry& entry : entries_.Drain(kMostWaiting))
-    writer_.Add(std::move(entry));
-  AppendOnce();
-  bool waiting = false;
-  {
-    absl::MutexLock lock(&mutex_);
-    waiting = waiting_ > 0;
+  const absl::Time start = SystemNow().mono;
+  while (true) {
+    for (LogEntry& entry : entries_.Drain(kMostWaiting)) {
+      writer_.Add(std::move(entry));
+    }
+    AppendOnce();
+    const absl::Time now = SystemNow().mono;
+    const bool waits = SomebodyWaits();
+    if (waits || now >= next_idle_read_) {
+      next_idle_read_ = now + IdlePoll();
+      ReadOnce();
+    }
+    if ((!waits && writer_.idle()) || now - start > kLongestStep) return;
+    absl::SleepFor(kBetweenRounds);
   }
-  const absl::Time now = SystemNow().mono;
-  if (!waiting && now < next_idle_read_) return;
-  next_idle_read_ = now + IdlePoll();
-  ReadOnce();
 }
 
 void ClaimDesk::AppendOnce() {
--- a/keelbridge/daemon/claim_desk.h
+++ b/keelbridge/daemon/claim_desk.h
@@ -49,6 +49,7 @@
   static constexpr size_t kMostWaiting = 4096;
   static constexpr absl::Duration IdlePoll() { return absl::Seconds(2); }
 
+  bool SomebodyWaits();
   void ReadOnce();
   void AppendOnce();
 
--- a/keelbridge/daemon/gateway.cc
+++ b/keelbridge/daemon/gateway.cc
@@ -128,11 +128,11 @@
     StartMembership(absl::StrCat(listen.value().ip, ":", port_));
     duties_.Start("configuration", settings_.poll_every,
                   [this] { FollowConfiguration(); });
-    duties_.Start("hosts", settings_.poll_every, [this] { FollowHosts(); });
-    duties_.Start("membership", absl::Milliseconds(250),
+    duties_.Start("hosts", 2 * settings_.poll_every, [this] { FollowHosts(); });
+    duties_.Start("membership", absl::Milliseconds(500),
                   [this] { StepMembership(); });
-    Duty* claims = duties_.Start("claims", absl::Milliseconds(100),
-                                 [this] { claims_.Step(); });
+    Duty* claims =
+        duties_.Start("claims", absl::Seconds(1), [this] { claims_.Step(); });
     claims_.SetWaker([claims] { claims->Wake(); });
     if (!settings_.ready_file.empty())
       std::ofstream(settings_.ready_file) << port_ << "\n";
--- a/keelbridge/daemon/scheduler.cc
+++ b/keelbridge/daemon/scheduler.cc
@@ -103,10 +103,11 @@
     decider_ = duties_.Start("decider", settings_.tick, [this] { Step(); });
     duties_.Start("configuration", settings_.poll_every,
                   [this] { FollowConfiguration(); });
-    duties_.Start("log_reader", absl::Milliseconds(250), [this] { ReadLog(); });
-    writer_ = duties_.Start("log_writer", absl::Milliseconds(200),
-                            [this] { WriteLog(); });
-    duties_.Start("hosts", settings_.poll_every, [this] { FollowHosts(); });
+    reader_ =
+        duties_.Start("log_reader", absl::Seconds(1), [this] { ReadLog(); });
+    writer_ =
+        duties_.Start("log_writer", absl::Seconds(1), [this] { WriteLog(); });
+    duties_.Start("hosts", 2 * settings_.poll_every, [this] { FollowHosts(); });
     if (!settings_.ready_file.empty())
       std::ofstream(settings_.ready_file) << port_ << "\n";
     LogEvent(Severity::kInfo, "scheduler_serves",
@@ -140,8 +141,9 @@
  private:
   void Stop() {
     if (server_) server_->Stop();
-    duties_.Stop();
+    // Its threads wake the decider, so they end first.
     workers_.Stop();
+    duties_.Stop();
   }
 
   // The one thread that owns the core.
@@ -300,6 +302,8 @@
       PushEvent([answer](ZoneScheduler& core, Now now) {
         core.OnAppendAnswer(answer, now);
       });
+      // What was written counts when it has been read back.
+      reader_->Wake();
     }
   }
 
@@ -523,6 +527,7 @@
   absl::Time next_publish_ = absl::InfinitePast();
   WorkerPool workers_;
   Duty* decider_ = nullptr;
+  Duty* reader_ = nullptr;
   Duty* writer_ = nullptr;
   std::unique_ptr<HttpServer> server_;
   DutyHost duties_;
--- a/keelbridge/daemon/settings.h
+++ b/keelbridge/daemon/settings.h
@@ -41,7 +41,7 @@
       absl::Seconds(30);  // At most until requests in flight have ended.
 
   // Scheduler.
-  absl::Duration tick = absl::Milliseconds(20);
+  absl::Duration tick = absl::Milliseconds(50);  // Replies wake it earlier.
   absl::Duration hold_ttl = absl::Seconds(3);
   absl::Duration lease_ttl = absl::Seconds(10);
   absl::Duration command_validity = absl::Seconds(1);
--- a/testing/process_test.cc
+++ b/testing/process_test.cc
@@ -90,6 +90,23 @@
   CHECK(cell.Leader() >= 0);
 }
 
+TEST_CASE(
+    "processes: the leading scheduler is stopped as planned, again and again") {
+  SmallCell cell({});
+  cell.Publish();
+  REQUIRE(cell.Confirm({Service("index", 6)}));
+  REQUIRE(AllRun(cell, 6));
+  for (int round = 0; round < 4; ++round) {
+    const int leader = cell.AwaitLeader();
+    cell.scheduler(leader).Signal(SIGTERM);
+    CHECK(cell.scheduler(leader).Wait() == 0);
+    CHECK(cell.AwaitLeader() == 1 - leader);
+    cell.StartScheduler(leader);
+  }
+  absl::SleepFor(absl::Seconds(2));
+  CHECK(cell.RunFacts().size() == 6);
+}
+
 TEST_CASE(
     "processes: the log is down; a killed scheduler is replaced and requests "
     "go on") {
--- a/testing/support/small_cell.cc
+++ b/testing/support/small_cell.cc
@@ -54,7 +54,10 @@
 SmallCell::~SmallCell() {
   hosts_.clear();
   platform_->Stop();
-  std::filesystem::remove_all(directory_);
+  // KEELBRIDGE_KEEP leaves the logs of the processes for a look.
+  if (std::getenv("KEELBRIDGE_KEEP") == nullptr) {
+    std::filesystem::remove_all(directory_);
+  }
 }
 
 std::string SmallCell::PlatformAddress() const {
