--- a/keelbridge/base/json_reader.cc
+++ b/keelbridge/base/json_reader.cc
@@ -30,12 +30,12 @@
 }  // namespace
 
 std::string ToJsonText(const Json::Value& value) {
-  static const Json::StreamWriterBuilder* kWriter = [] {
+  static const Json::StreamWriterBuilder* writer_builder = [] {
     auto* writer = new Json::StreamWriterBuilder();
     (*writer)["indentation"] = "";
     return writer;
   }();
-  return Json::writeString(*kWriter, value);
+  return Json::writeString(*writer_builder, value);
 }
 
 JsonDocument JsonDocument::Parse(std::string text, std::string source) {
--- a/keelbridge/base/logging.cc
+++ b/keelbridge/base/logging.cc
@@ -61,13 +61,13 @@
   line["process"] = ProcessName();
   line["event"] = event;
   for (const auto& [key, value] : fields) line[key] = value;
-  static const Json::StreamWriterBuilder* kWriter = [] {
+  static const Json::StreamWriterBuilder* writer_builder = [] {
     auto* writer = new Json::StreamWriterBuilder();
     (*writer)["indentation"] = "";
     return writer;
   }();
   BOOST_LOG_SEV(logger, static_cast<int>(severity))
-      << Json::writeString(*kWriter, line);
+      << Json::writeString(*writer_builder, line);
 }
 
 }  // namespace keelbridge
--- a/keelbridge/coordination/decider.cc
+++ b/keelbridge/coordination/decider.cc
@@ -136,9 +136,9 @@
 
 void Decider::Charge(const TaskRow& row, int sign) {
   Team& team = teams_[row.team];
-  team.used[0] += sign * row.need.cpu_milli;
-  team.used[1] += sign * row.need.memory_mib;
-  team.used[2] += sign * row.need.accelerators;
+  team.used[0] += int64_t{sign} * row.need.cpu_milli;
+  team.used[1] += int64_t{sign} * row.need.memory_mib;
+  team.used[2] += int64_t{sign} * row.need.accelerators;
   RefreshShare(row.team);
 }
 
--- a/keelbridge/coordination/decider_benchmark.cc
+++ b/keelbridge/coordination/decider_benchmark.cc
@@ -64,7 +64,7 @@
       if (order.kind == Order::Kind::kStart) running.push_back(order.task);
     }
   };
-  while (running.size() < static_cast<size_t>(workers * kTasksAWorker)) {
+  while (running.size() < static_cast<size_t>(workers) * kTasksAWorker) {
     decider.Submit(RandomTask(random), now);
     decide();
     if (decider.waiting() > 100) break;
--- a/keelbridge/coordination/once_test.cc
+++ b/keelbridge/coordination/once_test.cc
@@ -91,7 +91,7 @@
         break;
       case 1:
         gateway.table.OnBatch(log.Read(kClaimsStream, gateway.table.next(),
-                                       static_cast<size_t>(1 + pick(3)),
+                                       1 + static_cast<size_t>(pick(3)),
                                        kWall));
         break;
       default: {
--- a/keelbridge/coordination/planner.cc
+++ b/keelbridge/coordination/planner.cc
@@ -266,7 +266,8 @@
 }
 
 void DescribeQuotas(const Decider& before, const Decider& after, Plan& plan) {
-  for (int16_t team = 0; team < before.Teams(); ++team) {
+  const auto teams = static_cast<int16_t>(before.Teams());
+  for (int16_t team = 0; team < teams; ++team) {
     const double from = before.ShareOf(team);
     const double to = after.ShareOf(team);
     if (from == to) continue;
--- a/keelbridge/daemon/scheduler.cc
+++ b/keelbridge/daemon/scheduler.cc
@@ -500,7 +500,8 @@
       out["workers"].append(row);
     }
     out["teams"] = Json::Value(Json::arrayValue);
-    for (int16_t team = 0; team < core.decider().Teams(); ++team) {
+    const auto teams = static_cast<int16_t>(core.decider().Teams());
+    for (int16_t team = 0; team < teams; ++team) {
       Json::Value row;
       row["team"] = core.decider().TeamName(team);
       row["share"] = core.decider().ShareOf(team);
--- a/keelbridge/protocol/platform_clients.cc
+++ b/keelbridge/protocol/platform_clients.cc
@@ -13,9 +13,9 @@
 HttpClient::Options FewConnections() {
   HttpClient::Options options;
   options.most_idle = 2;
-  // A little longer than the time between two polls, so that they share a
-  // connection.
-  options.idle_expiry = absl::Milliseconds(900);
+  // Longer than the time between two polls, so that they share a connection, and
+  // shorter than a server of the platform keeps an idle one.
+  options.idle_expiry = absl::Seconds(4);
   return options;
 }
 
--- a/keelbridge/state/configuration_state_test.cc
+++ b/keelbridge/state/configuration_state_test.cc
@@ -157,7 +157,7 @@
       default: {
         const LogBatch batch = log.Read(
             kConfigurationStream, naive ? naive_next[h] : hosts[h].next(),
-            static_cast<size_t>(1 + pick(4)), absl::UnixEpoch());
+            1 + static_cast<size_t>(pick(4)), absl::UnixEpoch());
         for (const LogRecord& record : batch.records) {
           const auto entry = std::get<ConfigurationEntry>(
               EnvelopeFromText(record.text).value().entries[0]);
--- a/testing/fakes/platform_server.cc
+++ b/testing/fakes/platform_server.cc
@@ -81,6 +81,7 @@
   options.ip = options_.ip;
   options.port = options_.port;
   options.most_threads = options_.most_threads;
+  options.keep_alive = absl::Seconds(5);
   server_ = std::make_unique<HttpServer>(
       options,
       [this](const ServerRequest& request) { return Handle(request); });
--- a/testing/workload/report_main.cc
+++ b/testing/workload/report_main.cc
@@ -70,7 +70,7 @@
     double best_load = 0;
     double best_work = 0;
     double hours = 0;
-    for (double load = 0.6; load < 1.36; load += 0.05) {
+    for (double load = 0.6; load < 2.01; load += 0.05) {
       double work = 0;
       bool kept = true;
       for (int seed = 1; seed <= absl::GetFlag(FLAGS_seeds) && kept; ++seed) {
