Only the leader explains; large files split by concern; one filter for envelopes that come twice

Ruled out: a lost confirmation (the plan was confirmed and the leader explained it). Change: explain, watch and top are refused by a scheduler that does not lead, and the command line tries the next; a test for it.

--- a/keelbridge/coordination/once.cc
+++ b/keelbridge/coordination/once.cc
@@ -61,10 +61,7 @@
     ++next_;
     Result<Envelope> envelope = EnvelopeFromText(record.text);
     if (!envelope) continue;
-    const EnvelopeId& id = envelope.value().id;
-    const auto writer = writers_.try_emplace(id.incarnation, 0).first;
-    if (writer->second >= id.sequence) continue;
-    writer->second = id.sequence;
+    if (!writers_.Take(envelope.value().id, record.offset)) continue;
     for (const LogEntry& entry : envelope.value().entries) {
       if (const auto* claim = std::get_if<KeyClaimEntry>(&entry)) {
         if (!owners_
--- a/keelbridge/coordination/once.h
+++ b/keelbridge/coordination/once.h
@@ -27,6 +27,7 @@
 #include "absl/time/time.h"
 #include "keelbridge/base/result.h"
 #include "keelbridge/protocol/log_messages.h"
+#include "keelbridge/state/envelope_filter.h"
 
 namespace keelbridge {
 
@@ -87,10 +88,7 @@
   int64_t next() const { return next_; }
   bool caught_up() const { return caught_up_; }
   // True when the log holds this envelope, or a later one of its writer.
-  bool Applied(const EnvelopeId& id) const {
-    const auto it = writers_.find(id.incarnation);
-    return it != writers_.end() && it->second >= id.sequence;
-  }
+  bool Applied(const EnvelopeId& id) const { return writers_.Taken(id); }
   Owner OwnerOf(const std::string& key) const;
   size_t size() const { return owners_.size(); }
 
@@ -103,7 +101,7 @@
   const uint64_t incarnation_;
   absl::flat_hash_map<std::string, Claim> owners_;
   std::deque<std::pair<int64_t, std::string>> by_offset_;
-  absl::flat_hash_map<uint64_t, int64_t> writers_;
+  EnvelopeFilter writers_;
   int64_t next_ = 0;
   bool caught_up_ = false;
 };
--- a/keelbridge/coordination/zone_scheduler.h
+++ b/keelbridge/coordination/zone_scheduler.h
@@ -212,6 +212,9 @@
   std::string DecisionText(TaskId id) const;
   const WorkRecord* RecordOf(const std::string& intent) const;
 
+  // No plan has this offset, and -1 stands for "none yet".
+  static constexpr int64_t kNeverSynced = -2;
+
   const Options options_;
   Configuration configuration_;
   Leadership leadership_;
@@ -230,10 +233,10 @@
   std::map<std::string, absl::Time> next_extra_hold_;
   bool leading_ = false;
   int64_t led_epoch_ = 0;
-  int64_t leader_offset_ = INT64_MAX;  // Plans confirmed after this were never
-                                       // started by an earlier leader.
-  int64_t synced_plan_ = -2;           // As of this confirmed plan.
-  bool was_current_ = false;           // The log has been read to its end once.
+  int64_t leader_offset_ = INT64_MAX;   // Plans confirmed after this were never
+                                        // started by an earlier leader.
+  int64_t synced_plan_ = kNeverSynced;  // As of this confirmed plan.
+  bool was_current_ = false;  // The log has been read to its end once.
   int64_t next_attempt_ = 0;
   std::set<std::string> maybe_;  // Tasks in stage `kMaybe`.
   bool ready_ = false;
--- a/keelbridge/coordination/zone_scheduler_test.cc
+++ b/keelbridge/coordination/zone_scheduler_test.cc
@@ -318,6 +318,20 @@
   CHECK(late.error().code == ErrorCode::kStale);
 }
 
+TEST_CASE("only the leader explains; a standby sends to another") {
+  ZoneHarness zone({.schedulers = 2, .workers = 5, .seed = 12});
+  REQUIRE(zone.Confirm({ZoneHarness::Service("a", 2)}));
+  const int leader = zone.AwaitLeader();
+  const Result<std::string> asked = zone.scheduler(leader).Explain("a/0");
+  REQUIRE(asked.has_value());
+  CHECK(asked.value().find("running on w") == 0);
+  const Result<std::string> standby = zone.scheduler(1 - leader).Explain("a/0");
+  REQUIRE(!standby.has_value());
+  CHECK(standby.error().code == ErrorCode::kUnavailable);
+  CHECK(zone.scheduler(leader).Explain("b/0").error().code ==
+        ErrorCode::kNotFound);
+}
+
 TEST_CASE("the log loses answers: each entry takes effect once") {
   ZoneHarness zone({.schedulers = 1, .workers = 5, .seed = 21});
   REQUIRE(zone.AwaitLeader() >= 0);
--- /dev/null
+++ b/keelbridge/daemon/request_server.h
@@ -0,0 +1,113 @@
+// Serves callers' requests: from a request to an answer with its verdict.
+//
+// Finds the service, makes sure that what must not run twice does not, chooses
+// targets, retries within deadline and budget, and judges answers. Knows
+// nothing of configuration files, logs or peers; the gateway tells it.
+//
+//   RequestServer requests(settings, incarnation, log, metrics);
+//   requests.ApplyConfiguration(configuration);
+//   ServerResponse response = requests.Serve(request, span);
+
+#ifndef KEELBRIDGE_DAEMON_REQUEST_SERVER_H_
+#define KEELBRIDGE_DAEMON_REQUEST_SERVER_H_
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+
+#include "absl/base/thread_annotations.h"
+#include "absl/synchronization/mutex.h"
+#include "absl/time/time.h"
+#include "keelbridge/coordination/once.h"
+#include "keelbridge/coordination/router.h"
+#include "keelbridge/daemon/claim_desk.h"
+#include "keelbridge/daemon/metrics.h"
+#include "keelbridge/daemon/settings.h"
+#include "keelbridge/protocol/platform_clients.h"
+#include "keelbridge/protocol/verdict.h"
+#include "keelbridge/transport/http_server.h"
+#include "keelbridge/transport/trace.h"
+
+namespace keelbridge {
+
+// Where callers get tickets.
+constexpr char kTicketPath[] = "/keelbridge/ticket";
+
+// Thread-safe.
+class RequestServer {
+ public:
+  RequestServer(const Settings& settings, uint64_t incarnation, LogClient& log,
+                Metrics& metrics);
+
+  void ApplyConfiguration(const Configuration& configuration);
+  // Targets that get nothing new.
+  void SetLeaving(const std::set<std::string>& names);
+  // This gateway is `index` of `count` live ones in the zone.
+  void SetShare(int index, int count);
+
+  // Answers a caller. Every answer carries a verdict.
+  ServerResponse Serve(const ServerRequest& request, Span& span);
+  ServerResponse IssueTicket(const ServerRequest& request);
+
+  // To be stepped by a duty.
+  ClaimDesk& claims() { return claims_; }
+
+ private:
+  // What a request is allowed and how it is identified.
+  struct RequestContext {
+    std::string service;
+    std::string request_id;
+    std::string team;
+    absl::Time deadline;  // Monotonic.
+    bool repeatable = false;
+  };
+
+  ServerResponse ServeOnce(const ServerRequest& request,
+                           const RequestContext& context, Span& span);
+  static bool VerdictIs(const ServerResponse& response, Verdict verdict);
+  ServerResponse ServeWithTicket(const std::string& text,
+                                 const ServerRequest& request,
+                                 const RequestContext& context, Span& span);
+  ServerResponse PassToOwner(const Ticket& ticket, const ServerRequest& request,
+                             const RequestContext& context, Span& span);
+  HttpRequest OutRequest(const ServerRequest& request,
+                         const RequestContext& context, const Span& span,
+                         int attempt) const;
+  static bool OwnHeader(const std::string& name);
+  static std::string UrlEncode(const std::string& text);
+  ServerResponse Forward(const ServerRequest& request,
+                         const RequestContext& context, Span& parent);
+  static const char* AttemptName(AttemptResult result);
+  AttemptResult Judge(HttpOutcome& outcome, const RequestContext& context,
+                      int attempt);
+  static ServerResponse FromTarget(const HttpResponse& in,
+                                   const std::string& verdict);
+  RetryBudget& Budget(const std::string& team)
+
+      ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
+
+  static constexpr size_t kMostBudgets = 256;
+
+  const std::string name_;
+  const std::string zone_;
+  Metrics& metrics_;
+  ClaimDesk claims_;
+  absl::Mutex mutex_;
+  bool configured_ ABSL_GUARDED_BY(mutex_) = false;
+  Router router_ ABSL_GUARDED_BY(mutex_);
+  TicketTable tickets_ ABSL_GUARDED_BY(mutex_);
+  std::map<std::string, std::shared_ptr<HttpClient>> clients_
+      ABSL_GUARDED_BY(mutex_);
+  std::map<std::string, std::string> addresses_ ABSL_GUARDED_BY(mutex_);
+  std::map<std::string, std::string> entry_hosts_ ABSL_GUARDED_BY(mutex_);
+  // Gateways that issued tickets, by address.
+  std::map<std::string, std::shared_ptr<HttpClient>> owners_
+      ABSL_GUARDED_BY(mutex_);
+  std::map<std::string, RetryBudget> budgets_ ABSL_GUARDED_BY(mutex_);
+};
+
+}  // namespace keelbridge
+
+#endif  // KEELBRIDGE_DAEMON_REQUEST_SERVER_H_
--- a/keelbridge/daemon/scheduler.cc
+++ b/keelbridge/daemon/scheduler.cc
@@ -345,6 +345,14 @@
                                 absl::Seconds(1)));
   }
 
+  // Only the leader knows what is decided; a caller tries the next scheduler.
+  static JsonRpcReply IfLeader(const Json::Value& value) {
+    if (value["leads"].asBool()) return Reply(value);
+    return ToRpcReply(MakeError(ErrorCode::kUnavailable,
+                                "this scheduler does not lead its zone",
+                                absl::Seconds(1)));
+  }
+
   void AddRpcMethods() {
     rpc_.Add("plan",
              [this](const Json::Value& params) { return OnPlan(params); });
@@ -362,8 +370,9 @@
     });
     rpc_.Add("watch", [this](const Json::Value& params) {
       const int64_t after = params["after"].asInt64();
-      const auto out = Ask([after](ZoneScheduler& core, Now) {
+      const auto out = Ask([after](ZoneScheduler& core, Now now) {
         Json::Value value;
+        value["leads"] = core.Leads(now.mono);
         int64_t next = 0;
         value["lines"] = Json::Value(Json::arrayValue);
         for (const std::string& line : core.Watch(after, &next))
@@ -371,7 +380,7 @@
         value["next"] = static_cast<Json::Int64>(next);
         return value;
       });
-      return out ? Reply(*out) : Busy();
+      return out ? IfLeader(*out) : Busy();
     });
     rpc_.Add("drained_targets", [this](const Json::Value&) {
       const auto out = Ask([](ZoneScheduler& core, Now) {
--- a/keelbridge/state/configuration_state.cc
+++ b/keelbridge/state/configuration_state.cc
@@ -16,11 +16,7 @@
     ++next_;
     Result<Envelope> envelope = EnvelopeFromText(record.text);
     if (!envelope) continue;
-    const EnvelopeId& id = envelope.value().id;
-    if (const auto it = writers_.find(id.incarnation);
-        it != writers_.end() && it->second >= id.sequence)
-      continue;
-    writers_[id.incarnation] = id.sequence;
+    if (!writers_.Take(envelope.value().id, record.offset)) continue;
     for (const LogEntry& entry : envelope.value().entries) {
       if (const auto* configuration = std::get_if<ConfigurationEntry>(&entry))
         Apply(record.offset, *configuration);
--- a/keelbridge/state/configuration_state.h
+++ b/keelbridge/state/configuration_state.h
@@ -13,11 +13,11 @@
 #define KEELBRIDGE_STATE_CONFIGURATION_STATE_H_
 
 #include <cstdint>
-#include <map>
 #include <string>
 
 #include "keelbridge/protocol/configuration.h"
 #include "keelbridge/protocol/log_messages.h"
+#include "keelbridge/state/envelope_filter.h"
 
 namespace keelbridge {
 
@@ -46,8 +46,7 @@
              Step step);
 
   Configuration current_;
-  std::map<uint64_t, int64_t>
-      writers_;  // Incarnation to last sequence applied.
+  EnvelopeFilter writers_;
   int64_t next_ = 0;
   int64_t carried_at_ = -1;
   int64_t first_retained_ = 0;
--- a/keelbridge/state/zone_state.cc
+++ b/keelbridge/state/zone_state.cc
@@ -13,9 +13,6 @@
 
 // Confirming a plan twice is recognised for this many later plans.
 constexpr size_t kPlanFatesKept = 256;
-// A writer that has been silent for this many records is forgotten; its last
-// answer was settled long before.
-constexpr int64_t kWriterIdleRecords = 100000;
 
 Json::Int64 Int(int64_t v) { return static_cast<Json::Int64>(v); }
 
@@ -89,17 +86,10 @@
   return absl::SimpleAtoi(task.substr(slash + 1), index) && *index >= 0;
 }
 
-bool ZoneState::Applied(const EnvelopeId& id) const {
-  const auto it = writers_.find(id.incarnation);
-  return it != writers_.end() && it->second.sequence >= id.sequence;
-}
-
 bool ZoneState::Apply(int64_t offset, const Envelope& envelope) {
   next_offset_ = offset + 1;
-  if (Applied(envelope.id)) return false;
-  writers_[envelope.id.incarnation] = {envelope.id.sequence, offset};
+  if (!writers_.Take(envelope.id, offset)) return false;
   for (const LogEntry& entry : envelope.entries) ApplyEntry(offset, entry);
-  if (offset % 1024 == 0) ForgetIdleWriters();
   return true;
 }
 
@@ -195,14 +185,6 @@
   if (plan_fates_.size() > kPlanFatesKept) plan_fates_.pop_front();
 }
 
-void ZoneState::ForgetIdleWriters() {
-  for (auto it = writers_.begin(); it != writers_.end();) {
-    it = it->second.offset + kWriterIdleRecords < next_offset_
-             ? writers_.erase(it)
-             : std::next(it);
-  }
-}
-
 std::string ZoneState::Snapshot() const {
   Json::Value out;
   out["next_offset"] = Int(next_offset_);
@@ -226,7 +208,7 @@
     row["fate"] = static_cast<int>(fate);
     out["plan_fates"].append(row);
   }
-  for (const auto& [incarnation, writer] : writers_) {
+  for (const auto& [incarnation, writer] : writers_.writers()) {
     Json::Value row;
     row["incarnation"] = static_cast<Json::UInt64>(incarnation);
     row["sequence"] = Int(writer.sequence);
@@ -266,8 +248,9 @@
       out.plan_fates_.emplace_back(row["plan"].asString(), fate);
     }
     for (const Json::Value& row : in["writers"]) {
-      out.writers_[row["incarnation"].asUInt64()] = {row["sequence"].asInt64(),
-                                                     row["offset"].asInt64()};
+      out.writers_.Restore(
+          row["incarnation"].asUInt64(),
+          {row["sequence"].asInt64(), row["offset"].asInt64()});
     }
   } catch (const Json::Exception& e) {
     return MakeError(ErrorCode::kInvalid, absl::StrCat("snapshot: ", e.what()));
--- a/keelbridge/state/zone_state.h
+++ b/keelbridge/state/zone_state.h
@@ -23,6 +23,7 @@
 
 #include "keelbridge/base/result.h"
 #include "keelbridge/protocol/log_messages.h"
+#include "keelbridge/state/envelope_filter.h"
 
 namespace keelbridge {
 
@@ -73,7 +74,7 @@
 
   // True when the last entry of this writer that was applied is `sequence` or
   // later.
-  bool Applied(const EnvelopeId& id) const;
+  bool Applied(const EnvelopeId& id) const { return writers_.Taken(id); }
 
   // Tasks whose end was applied since the last call; not part of the state.
   std::vector<std::string> TakeEnded() { return std::exchange(ended_, {}); }
@@ -82,17 +83,11 @@
   static Result<ZoneState> Restore(const std::string& text);
 
  private:
-  struct Writer {
-    int64_t sequence = 0;
-    int64_t offset = 0;
-  };
-
   void ApplyEntry(int64_t offset, const LogEntry& entry);
   void ApplyPlan(int64_t offset, const PlanEntry& entry);
   void ApplyIntent(int64_t offset, const Intent& intent);
   void ApplyEnded(const TaskEndedEntry& entry);
   void RememberPlan(const std::string& plan, PlanFate fate);
-  void ForgetIdleWriters();
 
   int64_t next_offset_ = 0;
   int64_t last_plan_ = -1;
@@ -103,7 +98,7 @@
   std::set<std::string> drained_targets_;
   std::map<std::string, int64_t> once_;
   std::deque<std::pair<std::string, PlanFate>> plan_fates_;
-  std::map<uint64_t, Writer> writers_;
+  EnvelopeFilter writers_;
   std::vector<std::string> ended_;
 };
 
--- a/testing/workload/workload.h
+++ b/testing/workload/workload.h
@@ -17,7 +17,7 @@
 struct WorkloadOptions {
   int workers = 50;
   uint64_t seed = 1;
-  int64_t length_ms = 3600 * 1000;
+  int64_t length_ms = int64_t{3600} * 1000;
   double load = 1.0;           // Of the cell's processors, on average.
   double estimates_wrong = 1;  // True durations are estimates times up to this.
 };
--- a/testing/workload/workload_test.cc
+++ b/testing/workload/workload_test.cc
@@ -16,7 +16,7 @@
   options.load = load;
   options.seed = seed;
   options.estimates_wrong = wrong;
-  options.length_ms = 30 * 60 * 1000;
+  options.length_ms = int64_t{30} * 60 * 1000;
   return options;
 }
 
