--- a/keelbridge/coordination/zone_scheduler.cc
+++ b/keelbridge/coordination/zone_scheduler.cc
@@ -25,8 +25,7 @@
 
 // Configuration and the zone's state.
 
-void ZoneScheduler::OnConfiguration(const Configuration& configuration,
-                                    Now now) {
+void ZoneScheduler::OnConfiguration(const Configuration& configuration) {
   if (configuration.version <= configuration_.version) return;
   const bool new_policy = configuration.policy != configuration_.policy;
   configuration_ = configuration;
@@ -47,7 +46,6 @@
   for (const TeamConfig& team : configuration_.teams)
     decider_->AddTeam(team.name, team.quota);
   SyncWorkers();
-  (void)now;
 }
 
 void ZoneScheduler::BuildDecider() {
@@ -157,7 +155,8 @@
   leading_ = true;
   ready_ = false;
   led_epoch_ = leadership_.epoch();
-  next_attempt_ = led_epoch_ << kAttemptBits;
+  // The epoch stays when only the policy changed; attempts are never reused.
+  next_attempt_ = std::max(next_attempt_, led_epoch_ << kAttemptBits);
   leader_offset_ = INT64_MAX;
   synced_plan_ = kNeverSynced;
   synced_.clear();
--- a/keelbridge/coordination/zone_scheduler.h
+++ b/keelbridge/coordination/zone_scheduler.h
@@ -89,7 +89,7 @@
 
   explicit ZoneScheduler(Options options);
 
-  void OnConfiguration(const Configuration& configuration, Now now);
+  void OnConfiguration(const Configuration& configuration);
   // Workers that the platform lists as leaving.
   void OnLeaving(const std::set<std::string>& names);
   // A read of the zone's stream from `replica().next()`.
@@ -224,7 +224,9 @@
   std::unique_ptr<Decider> decider_;
   std::map<std::string, TaskEntry> tasks_;
   absl::flat_hash_map<TaskId, std::string> names_;
+  // Numbers for the decision core, of intents that are there.
   absl::flat_hash_map<std::string, int32_t> groups_;
+  int32_t next_group_ = 0;
   // Found, or ended, before the zone's state was known; by worker and attempt,
   // since each listing tells of them again.
   std::map<std::pair<std::string, int64_t>, LeaseEvent> early_;
--- a/keelbridge/coordination/zone_scheduler_test.cc
+++ b/keelbridge/coordination/zone_scheduler_test.cc
@@ -3,6 +3,7 @@
 #include <doctest/doctest.h>
 
 #include <cstdlib>
+#include <set>
 
 #include "testing/support/zone_harness.h"
 
@@ -318,6 +319,23 @@
   CHECK(late.error().code == ErrorCode::kStale);
 }
 
+TEST_CASE("another policy: what runs goes on, and what comes starts") {
+  ZoneHarness zone({.schedulers = 1, .workers = 5, .seed = 13});
+  REQUIRE(zone.Confirm({ZoneHarness::Service("a", 10)}));
+  zone.RunFor(absl::Seconds(2));
+  zone.SetPolicy(PolicyKind::kPackingFirst);
+  zone.RunFor(absl::Seconds(3));
+  REQUIRE(zone.Confirm({ZoneHarness::Service("b", 10)}));
+  zone.RunFor(absl::Seconds(3));
+  CHECK(zone.Running() == 20);
+  CHECK(zone.facts().size() == 20);
+  CHECK(zone.Judge().empty());
+  // No attempt is used twice.
+  std::set<int64_t> attempts;
+  for (const RunFact& fact : zone.facts()) attempts.insert(fact.attempt);
+  CHECK(attempts.size() == 20);
+}
+
 TEST_CASE("only the leader explains; a standby sends to another") {
   ZoneHarness zone({.schedulers = 2, .workers = 5, .seed = 12});
   REQUIRE(zone.Confirm({ZoneHarness::Service("a", 2)}));
--- a/keelbridge/coordination/zone_scheduler_work.cc
+++ b/keelbridge/coordination/zone_scheduler_work.cc
@@ -20,8 +20,9 @@
 // Work as it was confirmed.
 
 int32_t ZoneScheduler::GroupOf(const std::string& intent) {
-  return groups_.emplace(intent, static_cast<int32_t>(groups_.size()))
-      .first->second;
+  const auto [it, fresh] = groups_.emplace(intent, next_group_);
+  if (fresh) ++next_group_;
+  return it->second;
 }
 
 void ZoneScheduler::SyncWork(Now now) {
@@ -111,7 +112,12 @@
                                                  : tasks_.erase(it);
   }
   for (auto it = synced_.begin(); it != synced_.end();) {
-    it = RecordOf(it->first) == nullptr ? synced_.erase(it) : std::next(it);
+    if (RecordOf(it->first) != nullptr) {
+      ++it;
+      continue;
+    }
+    groups_.erase(it->first);
+    it = synced_.erase(it);
   }
 }
 
--- a/keelbridge/daemon/scheduler.cc
+++ b/keelbridge/daemon/scheduler.cc
@@ -261,9 +261,8 @@
           addresses[worker.name] = worker.address;
       }
       workers_.SetAddresses(addresses);
-      PushEvent([next](ZoneScheduler& core, Now now) {
-        core.OnConfiguration(next, now);
-      });
+      PushEvent(
+          [next](ZoneScheduler& core, Now) { core.OnConfiguration(next); });
       LogEvent(Severity::kInfo, "configuration_in_force",
                {{"version", absl::StrCat(next.version)}});
     }
--- a/testing/support/zone_harness.cc
+++ b/testing/support/zone_harness.cc
@@ -46,7 +46,8 @@
 
 Configuration ZoneHarness::MakeConfiguration() const {
   Configuration configuration;
-  configuration.version = 0;
+  configuration.version = version_;
+  configuration.policy = policy_;
   configuration.teams = {{"a", 0.5}, {"b", 0.5}};
   for (size_t i = 0; i < workers_.size(); ++i) {
     configuration.workers.push_back({absl::StrCat("w", i), kZone,
@@ -75,7 +76,7 @@
   node.paused = false;
   node.waiting.clear();
   node.core = std::make_unique<ZoneScheduler>(options);
-  node.core->OnConfiguration(MakeConfiguration(), NodeNow(node));
+  node.core->OnConfiguration(MakeConfiguration());
 }
 
 void ZoneHarness::Trace(const std::string& line) const {
@@ -88,6 +89,14 @@
   nodes_[i].incarnation = 0;
 }
 
+void ZoneHarness::SetPolicy(PolicyKind policy) {
+  policy_ = policy;
+  ++version_;
+  for (Node& node : nodes_) {
+    if (node.core) node.core->OnConfiguration(MakeConfiguration());
+  }
+}
+
 void ZoneHarness::HandOver(int i) {
   const std::vector<Action> actions =
       nodes_[i].core->HandOver(NodeNow(nodes_[i]));
--- a/testing/support/zone_harness.h
+++ b/testing/support/zone_harness.h
@@ -73,6 +73,8 @@
                       absl::Duration duration);
   static Intent Service(const std::string& id, int64_t tasks);
 
+  // Publishes the same configuration with another policy.
+  void SetPolicy(PolicyKind policy);
   void Kill(int scheduler);
   // A planned stop: gives leadership back, then ends.
   void HandOver(int scheduler);
@@ -168,6 +170,8 @@
   std::set<std::string> may_overlap_;
   std::set<std::string> once_;
   uint64_t next_incarnation_ = 1;
+  int64_t version_ = 0;
+  PolicyKind policy_ = PolicyKind::kWaitingFirst;
 };
 
 }  // namespace keelbridge::testing
