--- a/keelbridge/daemon/gateway.cc
+++ b/keelbridge/daemon/gateway.cc
@@ -61,7 +61,7 @@
     StartMembership(absl::StrCat(listen.value().ip, ":", port_));
     duties_.Start("configuration", settings_.poll_every,
                   [this] { FollowConfiguration(); });
-    duties_.Start("hosts", 2 * settings_.poll_every, [this] { FollowHosts(); });
+    duties_.Start("hosts", settings_.poll_every, [this] { FollowHosts(); });
     duties_.Start("membership", absl::Milliseconds(500),
                   [this] { StepMembership(); });
     Duty* claims = duties_.Start("claims", absl::Seconds(1),
--- a/keelbridge/daemon/scheduler.cc
+++ b/keelbridge/daemon/scheduler.cc
@@ -1,5 +1,6 @@
 #include "keelbridge/daemon/scheduler.h"
 
+#include <algorithm>
 #include <atomic>
 #include <fstream>
 #include <functional>
@@ -52,6 +53,8 @@
   options.leases.lease_ttl = settings.lease_ttl;
   options.leases.command_validity = settings.command_validity;
   options.leases.clock_error = settings.clock_error;
+  // Silence is more than a poll or two that went wrong.
+  options.log_silence = std::max(options.log_silence, 3 * settings.poll_every);
   options.log.incarnation = incarnation;
   options.log.seed = incarnation;
   options.log.append_every = settings.append_every;
@@ -107,7 +110,7 @@
         duties_.Start("log_reader", absl::Seconds(1), [this] { ReadLog(); });
     writer_ =
         duties_.Start("log_writer", absl::Seconds(1), [this] { WriteLog(); });
-    duties_.Start("hosts", 2 * settings_.poll_every, [this] { FollowHosts(); });
+    duties_.Start("hosts", settings_.poll_every, [this] { FollowHosts(); });
     if (!settings_.ready_file.empty())
       std::ofstream(settings_.ready_file) << port_ << "\n";
     LogEvent(Severity::kInfo, "scheduler_serves",
--- a/keelbridge/daemon/settings.h
+++ b/keelbridge/daemon/settings.h
@@ -33,8 +33,7 @@
   int64_t most_connections = 256;  // Callers' connections served at a time.
   int64_t most_body_bytes = 4 << 20;
   absl::Duration log_timeout = absl::Seconds(2);
-  absl::Duration poll_every =
-      absl::Seconds(1);  // Of the configuration and the host list.
+  absl::Duration poll_every = absl::Seconds(2);  // Of log and host list.
   // Least time between two appends of this daemon to the log, which takes about
   // a hundred a second from everybody together.
   absl::Duration append_every = absl::Milliseconds(200);
