A task that others yielded for is explained as such once it runs

Cause: the last read of the change: the rule for it stood in decision.h and nobody used it, so the record of the order to yield stayed the newest one, and a running task was said to start as soon as the others had stopped. The new test fails before and passes after. Placements after a yield were not counted either. Ruled out: the lease's own text, which is taken from this record.

--- a/keelbridge/coordination/decider.cc
+++ b/keelbridge/coordination/decider.cc
@@ -249,6 +249,14 @@
     return;
   }
   TakeRoom(id, worker, now_ms);
+  ++counts_.placements;
+  // The decision to make others yield, carried out.
+  Decision record = LastDecision(id).value_or(Decision());
+  record.task = id;
+  record.at_ms = now_ms;
+  record.rule = Rule::kAfterYield;
+  record.worker = worker;
+  Record(record);
   due_.push_back({Order::Kind::kStart, id, worker, false, kNoTask});
 }
 
--- a/keelbridge/coordination/decider_test.cc
+++ b/keelbridge/coordination/decider_test.cc
@@ -351,6 +351,22 @@
   CHECK(decider.counts().yields == 4);
 }
 
+TEST_CASE("explanation: what others yielded for says so once it runs") {
+  Decider decider = Cell(Plain(), 1);
+  const TaskId bulk = decider.Submit(Task(16, 8, WorkClass::kBulk), 0);
+  (void)decider.Decide(0, 10);
+  const TaskId urgent = decider.Submit(Task(16, 8, WorkClass::kUrgent), 1000);
+  const std::vector<Order> yields = decider.Decide(1000, 10);
+  REQUIRE(yields.size() == 1);
+  CHECK(yields[0].task == bulk);
+  decider.OnStopped(bulk, 0, 2000);
+  const std::vector<Order> starts = decider.Decide(2000, 10);
+  REQUIRE(starts.size() == 1);
+  const std::string why = decider.LastDecision(urgent)->ToText(decider.cell());
+  CHECK(why.find("on w0 (r0): others yielded for it; 1 yielded") == 0);
+  CHECK(why.find("it starts") == std::string::npos);
+}
+
 TEST_CASE("explanation: says why here, why not there, and what would help") {
   Decider decider = Cell(Plain(), 4);
   const TaskId first = decider.Submit(Task(16, 8), 0);
