--- /dev/null
+++ b/cmd/keelbridge_node_main.cc
@@ -0,0 +1,106 @@
+// keelbridge-node: a node of a site on the users' platform; see
+// keelbridge/daemon/site_node.h.
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <cstdlib>
+#include <iostream>
+#include <string>
+
+#include "absl/flags/flag.h"
+#include "absl/flags/parse.h"
+#include "absl/flags/usage.h"
+#include "keelbridge/base/logging.h"
+#include "keelbridge/daemon/daemon_main.h"
+#include "keelbridge/daemon/node_settings.h"
+#include "keelbridge/daemon/site_node.h"
+#include "platform/dialect.h"
+#include "platform/log_store.h"
+#include "platform/settings_path.h"
+#include "platform/workers.h"
+
+ABSL_FLAG(std::string, settings, "",
+          "settings file; without it, the platform's own place");
+
+namespace {
+
+using keelbridge::LogEvent;
+using keelbridge::Result;
+using keelbridge::Severity;
+
+Result<keelbridge::NodeSettings> LoadSettings(const std::string& path) {
+  auto text = keelbridge::ReadFile(path);
+  if (!text) return text.error();
+  return keelbridge::ParseNodeSettings(text.value(), path);
+}
+
+// An exception in one handler is that handler's failure, not the process's.
+void RunLoop(boost::asio::io_context& loop) {
+  for (;;) {
+    try {
+      loop.run();
+      return;
+    } catch (const std::exception& e) {
+      LogEvent(Severity::kError, "handler_failed", {{"what", e.what()}});
+    }
+  }
+}
+
+void WatchReload(boost::asio::signal_set& reload, const std::string& path) {
+  reload.async_wait([&reload, path](boost::system::error_code error, int) {
+    if (error) return;
+    const auto settings = LoadSettings(path);
+    LogEvent(settings ? Severity::kInfo : Severity::kError, "settings_read",
+             {{"what", settings ? "in order; addresses hold until a restart"
+                                : settings.error().message}});
+    WatchReload(reload, path);
+  });
+}
+
+int Run(const std::string& path) {
+  auto settings = LoadSettings(path);
+  if (!settings) {
+    std::cerr << settings.error().message << "\n";
+    return keelbridge::kExitBadSettings;
+  }
+  keelbridge::InitBoundedLogging("node", settings.value().name,
+                                 settings.value().log_level);
+  boost::asio::io_context loop(1);
+  boost::asio::signal_set stop(loop, SIGTERM, SIGINT);
+  boost::asio::signal_set reload(loop, SIGHUP);
+  keelbridge::EventRpcClient rpc(loop);
+  keelbridge::StoreFailover carrier(loop, settings.value().store, rpc);
+  keelbridge::StoreLongPolls long_polls(loop, settings.value().store);
+  platform::LogStore store(carrier, long_polls);
+  platform::Workers workers(loop);
+  platform::Advice advice(loop, settings.value().advice);
+  const platform::Dialect dialect;
+  keelbridge::SiteNode node(loop, settings.value(),
+                            {&store, &workers, &advice, &dialect}, carrier,
+                            rpc);
+  if (auto started = node.Start(); !started) {
+    std::cerr << started.error().message << "\n";
+    return keelbridge::kExitFailed;
+  }
+  stop.async_wait([&](boost::system::error_code error, int) {
+    if (!error) node.Drain([&loop] { loop.stop(); });
+  });
+  WatchReload(reload, path);
+  RunLoop(loop);
+  keelbridge::StopLogging();
+  // The loop's handlers hold what stands on this stack: end without them.
+  std::cout.flush();
+  std::_Exit(keelbridge::kExitOk);
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  absl::SetProgramUsageMessage(
+      "keelbridge-node --settings=FILE: a node of a site on the platform");
+  absl::ParseCommandLine(argc, argv);
+  std::signal(SIGPIPE, SIG_IGN);
+  std::string path = absl::GetFlag(FLAGS_settings);
+  if (path.empty()) path = platform::SettingsPath();
+  return Run(path);
+}
--- /dev/null
+++ b/keelbridge/coordination/job_scheduler.cc
@@ -0,0 +1,245 @@
+#include "keelbridge/coordination/job_scheduler.h"
+
+#include <algorithm>
+
+#include "absl/strings/str_cat.h"
+
+namespace keelbridge {
+namespace {
+
+constexpr absl::Duration kHousekeepingEvery = absl::Seconds(1);
+// The longest time between two looks for work that nothing announced, such as a
+// retry that falls due.
+constexpr absl::Duration kPlacementEvery = absl::Milliseconds(100);
+
+}  // namespace
+
+JobScheduler::JobScheduler(Options options, int64_t epoch, absl::Time started)
+    : options_(options),
+      epoch_(epoch),
+      started_(started),
+      earlier_leader_until_(started + options.earlier_leader_bound) {}
+
+void JobScheduler::Load(JobTable jobs) {
+  jobs_ = std::move(jobs);
+  for (const auto& [id, job] : jobs_) {
+    if (!job->Ended()) active_.emplace(id, job.get());
+  }
+  placement_wanted_ = true;
+}
+
+void JobScheduler::Explain(std::string event, LogFields fields,
+                           Severity severity) {
+  actions_.push_back(
+      ExplainAction{severity, std::move(event), std::move(fields)});
+}
+
+std::vector<Action> JobScheduler::TakeActions() {
+  return std::exchange(actions_, {});
+}
+
+bool JobScheduler::HasBatch() const {
+  return batch_wanted_ || !undescribed_.empty() || !dirty_.empty() ||
+         !dropped_keys_.empty();
+}
+
+JobScheduler::Batch JobScheduler::TakeBatch(Now now) {
+  (void)now;
+  Batch batch;
+  batch.number = next_batch_++;
+  for (const JobId id : undescribed_) {
+    const auto found = jobs_.find(id);
+    if (found != jobs_.end())
+      batch.records.push_back(DescriptionRecord(*found->second));
+  }
+  for (const JobId id : dirty_) {
+    const auto found = jobs_.find(id);
+    if (found == jobs_.end()) continue;
+    batch.records.push_back(ProgressRecord(*found->second));
+    if (found->second->Ended())
+      batch.records.push_back(DropRecord(DescriptionKey(id)));
+  }
+  for (std::string& key : dropped_keys_)
+    batch.records.push_back(DropRecord(std::move(key)));
+  undescribed_.clear();
+  dirty_.clear();
+  dropped_keys_.clear();
+  batch_wanted_ = false;
+  return batch;
+}
+
+void JobScheduler::OnDurable(int64_t batch, Now now) {
+  (void)now;
+  durable_batch_ = std::max(durable_batch_, batch);
+  for (auto& [id, worker] : workers_) NoteDurableEnds(*worker);
+  placement_wanted_ = true;
+}
+
+void JobScheduler::MarkDirty(Job& job) { dirty_.insert(job.id); }
+
+int64_t JobScheduler::Submit(JobId id, const std::string& queue, JobSpec spec,
+                             Now now) {
+  const auto found = jobs_.find(id);
+  if (found != jobs_.end()) {
+    const int64_t batch = found->second->durable_at_batch;
+    return batch <= durable_batch_ ? 0 : batch;
+  }
+  auto job =
+      std::make_unique<Job>(id, queue, std::move(spec), ToMillis(now.wall));
+  job->durable_at_batch = next_batch_;
+  if (job->spec.rounds == 0) job->AddRound(0);
+  undescribed_.insert(id);
+  const int64_t batch = next_batch_;
+  Explain("job_taken", {{"job", JobIdText(id)},
+                        {"queue", queue},
+                        {"steps", absl::StrCat(job->spec.steps.size())},
+                        {"batch", absl::StrCat(batch)}});
+  active_.emplace(id, job.get());
+  jobs_.emplace(id, std::move(job));
+  placement_wanted_ = true;
+  return batch;
+}
+
+std::optional<int64_t> JobScheduler::Cancel(JobId id, Now now) {
+  const auto found = jobs_.find(id);
+  if (found == jobs_.end()) return std::nullopt;
+  Job& job = *found->second;
+  if (!job.Ended()) EndJob(job, JobState::kCancelled, "cancelled", now);
+  return job.end_batch <= durable_batch_ ? 0 : job.end_batch;
+}
+
+std::optional<JobState> JobScheduler::Status(JobId id) const {
+  const auto found = jobs_.find(id);
+  if (found == jobs_.end()) return std::nullopt;
+  const Job& job = *found->second;
+  if (job.Ended() && job.end_batch <= durable_batch_) return job.end;
+  if (job.Ended() || job.begun) return JobState::kRunning;
+  return JobState::kQueued;
+}
+
+std::map<std::string, int64_t> JobScheduler::Waiting() const {
+  std::map<std::string, int64_t> waiting;
+  for (const auto& [id, job] : active_) {
+    if (job->begun) continue;
+    if (job->durable_at_batch > durable_batch_) continue;
+    ++waiting[job->queue];
+  }
+  return waiting;
+}
+
+void JobScheduler::EndJob(Job& job, JobState end, std::string why, Now now) {
+  job.end = end;
+  job.ended_ms = ToMillis(now.wall);
+  job.end_batch = next_batch_;
+  job.failure = std::move(why);
+  active_.erase(job.id);
+  MarkDirty(job);
+  StopRunsOf(job);
+  Explain("job_ended",
+          {{"job", JobIdText(job.id)},
+           {"queue", job.queue},
+           {"end", JobStateName(end)},
+           {"why", job.failure},
+           {"age_ms", absl::StrCat(job.ended_ms - job.accepted_ms)}});
+  placement_wanted_ = true;
+}
+
+void JobScheduler::StopRunsOf(Job& job) {
+  for (Round& round : job.rounds) {
+    for (size_t s = 0; s < round.steps.size(); ++s) {
+      StepState& step = round.steps[s];
+      for (size_t i = 0; i < step.tasks.size(); ++i) {
+        TaskState& task = step.tasks[i];
+        if (task.worker.empty()) continue;
+        const auto worker = workers_.find(task.worker);
+        if (worker == workers_.end()) continue;
+        const TaskId id{job.id, round.number, static_cast<int32_t>(s),
+                        static_cast<int32_t>(i)};
+        WantStop(*worker->second, {id, task.run});
+      }
+    }
+  }
+}
+
+void JobScheduler::AddDueRounds(Job& job, Now now) {
+  if (job.spec.rounds == 0 || job.Ended()) return;
+  int32_t next =
+      job.rounds.empty() ? job.rounds_done : job.rounds.back().number + 1;
+  while (next < job.spec.rounds) {
+    const int64_t due =
+        job.spec.first_round_ms + next * job.spec.round_interval_ms;
+    if (ToMillis(now.wall) < due) return;
+    job.AddRound(next++);
+    placement_wanted_ = true;
+  }
+}
+
+void JobScheduler::DropEnded(Now now) {
+  const int64_t before =
+      ToMillis(now.wall) - absl::ToInt64Milliseconds(options_.ended_kept);
+  for (auto it = jobs_.begin(); it != jobs_.end();) {
+    const Job& job = *it->second;
+    const bool drop =
+        job.Ended() && job.ended_ms < before && job.end_batch <= durable_batch_;
+    if (!drop) {
+      ++it;
+      continue;
+    }
+    dropped_keys_.push_back(ProgressKey(job.id));
+    it = jobs_.erase(it);
+  }
+}
+
+void JobScheduler::SetConfiguration(
+    std::shared_ptr<const SiteConfiguration> configuration) {
+  configuration_ = std::move(configuration);
+  placement_wanted_ = true;
+}
+
+void JobScheduler::OnEarlierLeaderStopped(absl::Time since) {
+  if (since >= earlier_leader_until_) return;
+  earlier_leader_until_ = since;
+  placement_wanted_ = true;
+}
+
+void JobScheduler::Tick(Now now) {
+  if (now.mono >= next_housekeeping_) {
+    next_housekeeping_ = now.mono + kHousekeepingEvery;
+    DropEnded(now);
+  }
+  for (auto& [id, job] : active_) {
+    if (job->spec.rounds > 0) AddDueRounds(*job, now);
+  }
+  std::vector<std::string> gone;
+  for (auto& [id, worker] : workers_) {
+    TickWorker(*worker, now);
+    if (worker->record_removed && worker->occupants.empty() &&
+        now.mono > worker->lapse_at && (worker->listed || AllAccountedFor(now)))
+      gone.push_back(id);
+  }
+  for (const std::string& id : gone) {
+    actions_.push_back(ForgetWorkerAction{id});
+    workers_.erase(id);
+  }
+  if (placement_wanted_ || now.mono >= next_placement_) {
+    placement_wanted_ = false;
+    next_placement_ = now.mono + kPlacementEvery;
+    PlaceAll(now);
+  }
+}
+
+JobScheduler::Figures JobScheduler::figures() const {
+  Figures out = figures_;
+  out.jobs = static_cast<int64_t>(jobs_.size());
+  out.workers = static_cast<int64_t>(workers_.size());
+  for (const auto& [id, worker] : workers_) {
+    if (worker->listed) ++out.workers_listed;
+    out.cpu_milli_total += worker->record.capacity.cpu_milli;
+    out.cpu_milli_used +=
+        worker->record.capacity.cpu_milli - worker->free.cpu_milli;
+    out.running_tasks += static_cast<int64_t>(worker->occupants.size());
+  }
+  return out;
+}
+
+}  // namespace keelbridge
--- /dev/null
+++ b/keelbridge/coordination/job_scheduler.h
@@ -0,0 +1,310 @@
+// Decides for a site: which task starts where and when, and what a lost answer,
+// a silent worker or a change of leader means for it.
+//
+// Pure: state, event, now -> actions. It never asks for the time and does no
+// I/O; whoever drives it carries out the actions and reports what came of them.
+// Only the leader of a site has one. It keeps three kinds of truth apart: what
+// lasts is in batches of records (a batch is durable once `OnDurable` says so),
+// what runs is told by the workers, and the rest is rebuilt.
+//
+//   JobScheduler scheduler(options, epoch);
+//   int64_t batch = scheduler.Submit(id, "restore", spec, now);
+//   store.Append(scheduler.TakeBatch());      // ... later:
+//   scheduler.OnDurable(batch, now);          // Now the job counts as
+//   accepted. for (const Action& action : scheduler.TakeActions())
+//   CarryOut(action);
+
+#ifndef KEELBRIDGE_COORDINATION_JOB_SCHEDULER_H_
+#define KEELBRIDGE_COORDINATION_JOB_SCHEDULER_H_
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <utility>
+#include <variant>
+#include <vector>
+
+#include "absl/container/flat_hash_map.h"
+#include "absl/time/time.h"
+#include "keelbridge/base/clock.h"
+#include "keelbridge/base/logging.h"
+#include "keelbridge/protocol/job.h"
+#include "keelbridge/protocol/record_store.h"
+#include "keelbridge/protocol/site_configuration.h"
+#include "keelbridge/protocol/site_worker.h"
+#include "keelbridge/state/job_table.h"
+
+namespace keelbridge {
+
+struct StartAction {
+  WorkerRecord worker;
+  StartOrder order;
+};
+struct StopAction {
+  WorkerRecord worker;
+  StopOrder order;
+};
+struct ObserveAction {
+  WorkerRecord worker;
+  ObserveOrder order;
+};
+struct AskAdviceAction {
+  std::string adviser;  // The node that is to ask.
+  AdviceRequest request;
+  absl::Duration timeout;
+};
+// A line for the log: what was decided, about what, by which inputs.
+struct ExplainAction {
+  Severity severity = Severity::kInfo;
+  std::string event;
+  LogFields fields;
+};
+// The connections to a worker that is gone may be closed.
+struct ForgetWorkerAction {
+  std::string worker_id;
+};
+using Action = std::variant<StartAction, StopAction, ObserveAction,
+                            AskAdviceAction, ExplainAction, ForgetWorkerAction>;
+
+// The first run number of a leader's epoch. Each epoch numbers runs from its
+// own range, so that a later leader never gives a number again.
+int32_t FirstRunOfEpoch(int64_t epoch);
+
+class JobScheduler {
+ public:
+  struct Options {
+    absl::Duration lease = absl::Seconds(6);  // The longest a worker grants.
+    double clock_error = 0.02;  // How much slower a worker's clock may run.
+    absl::Duration gang_wait =
+        absl::Seconds(3);  // Of a worker, for the others.
+    absl::Duration stop_timeout = absl::Milliseconds(200);
+    absl::Duration ended_kept = absl::Seconds(130);  // Ended jobs stay known.
+    absl::Duration round_early = absl::Milliseconds(0);
+    absl::Duration observe_wait = absl::Milliseconds(1000);
+    // How long an earlier leader that cannot be reached may go on giving leases
+    // after it was fenced in the store.
+    absl::Duration earlier_leader_bound = absl::Seconds(20);
+    double remote_penalty = 2;
+  };
+
+  // `epoch` is this leader's: unique, above all earlier ones.
+  JobScheduler(Options options, int64_t epoch, absl::Time started);
+
+  // --- What lasts ---
+  struct Batch {
+    int64_t number = 0;
+    std::vector<Record> records;
+  };
+  // Takes over the jobs of earlier leaders. Call once, before anything else.
+  void Load(JobTable jobs);
+  bool HasBatch() const;
+  Batch TakeBatch(Now now);
+  // The batch, and all before it, are kept for good.
+  void OnDurable(int64_t batch, Now now);
+
+  // --- Clients ---
+  // The batch whose durability accepts the job; 0: it is accepted already.
+  int64_t Submit(JobId id, const std::string& queue, JobSpec spec, Now now);
+  // The batch whose durability cancels it; 0: done already; none: no such job.
+  std::optional<int64_t> Cancel(JobId id, Now now);
+  // None: no such job.
+  std::optional<JobState> Status(JobId id) const;
+  // Accepted jobs of a queue none of whose tasks has begun.
+  std::map<std::string, int64_t> Waiting() const;
+
+  // --- The site ---
+  void SetConfiguration(std::shared_ptr<const SiteConfiguration> configuration);
+  // Nodes that can ask for advice, this one included; `self` may be named.
+  void SetAdvisers(const std::vector<std::string>& nodes,
+                   const std::string& self);
+  // While suspended it starts nothing and extends no lease: this leader may
+  // have been replaced without knowing.
+  void SetSuspended(bool suspended) { suspended_ = suspended; }
+  // The leader before this one gives no more orders since `since`.
+  void OnEarlierLeaderStopped(absl::Time since);
+  void OnWorkerRecord(const WorkerRecord& record, Now now);
+  // Its record is gone; it may still run.
+  void OnWorkerRemoved(const std::string& worker_id, Now now);
+
+  // --- What came of actions ---
+  void OnStartReply(const StartAction& action, const OrderReply& reply,
+                    Now now);
+  void OnStopReply(const StopAction& action, const OrderReply& reply, Now now);
+  // `sent`: when the observation left.
+  void OnObserveReply(const ObserveAction& action, const ObserveReply& reply,
+                      absl::Time sent, Now now);
+  void OnAdvice(const AskAdviceAction& action, const AdviceReply& reply,
+                Now now);
+
+  // Due work: observations, retries, rounds, placement. Call at least every
+  // 50 ms, and after events.
+  void Tick(Now now);
+  std::vector<Action> TakeActions();
+
+  // A worker has seen a higher fence: another leads.
+  bool fenced() const { return fenced_; }
+
+  // Figures for metrics.
+  struct Figures {
+    int64_t jobs = 0;
+    int64_t ready_tasks = 0;
+    int64_t running_tasks = 0;
+    int64_t workers = 0;
+    int64_t workers_listed = 0;
+    int64_t cpu_milli_total = 0;
+    int64_t cpu_milli_used = 0;
+    int64_t starts = 0;
+    int64_t starts_refused = 0;
+    int64_t advice_calls = 0;
+    int64_t ends_done = 0;
+    int64_t ends_failed = 0;
+    int64_t ends_other = 0;
+  };
+  Figures figures() const;
+
+ private:
+  // One run that takes room on a worker.
+  struct Occupant {
+    Resources need;
+    bool foreign = false;  // Not a run that this leader wants there.
+    absl::Time start_answered = absl::InfiniteFuture();
+    absl::Time placed;
+    absl::Time stop_sent = absl::InfinitePast();
+    absl::Time stop_answered = absl::InfiniteFuture();
+    bool stop_wanted = false;
+    bool stop_in_flight = false;
+    bool uncertain = false;  // The start had no answer.
+    int32_t percent = 0;
+    absl::Time percent_changed;
+  };
+  using RunKey = std::pair<TaskId, int32_t>;
+  struct Worker {
+    WorkerRecord record;
+    Resources free;
+    std::map<RunKey, Occupant> occupants;
+    bool listed = false;  // Its lists were taken under this leader's fence.
+    bool record_removed = false;
+    bool observing = false;
+    absl::Time next_observe = absl::InfinitePast();
+    absl::Time last_answer = absl::InfinitePast();
+    int failed_observations = 0;
+    int64_t ends_noted = 0;  // Told to the worker.
+    int64_t ends_processed = 0;
+    std::deque<std::pair<int64_t, int64_t>> unnoted;  // End number, its batch.
+    int64_t clock_ms = -1;
+    absl::Time clock_at;                         // When `clock_ms` arrived.
+    absl::Time lapse_at = absl::InfinitePast();  // All has ended by then.
+    absl::Time unknown_until;  // While not listed: an earlier lease may last.
+    absl::Time suspect_until = absl::InfinitePast();
+    absl::Time drained_at = absl::InfiniteFuture();
+    int failures_in_row = 0;
+    const StepState* reserved_by = nullptr;
+  };
+  struct Adviser {
+    std::string node;
+    bool short_only = false;
+    absl::Time busy_until = absl::InfinitePast();
+    absl::Time avoid_until = absl::InfinitePast();
+  };
+  // A step that has tasks to place, with what orders it among the others.
+  struct ReadyStep {
+    Job* job;
+    Round* round;
+    StepState* state;
+    const StepSpec* spec;
+    const Queue* queue;
+    int32_t number;
+    int32_t waiting;
+    int tier;             // 0: its objective can still be met.
+    absl::Time deadline;  // Of the objective.
+  };
+
+  // job_scheduler.cc
+  void MarkDirty(Job& job);
+  void EndJob(Job& job, JobState end, std::string why, Now now);
+  void StopRunsOf(Job& job);
+  void AddDueRounds(Job& job, Now now);
+  void DropEnded(Now now);
+  void Explain(std::string event, LogFields fields,
+               Severity severity = Severity::kInfo);
+
+  // job_scheduler_workers.cc
+  void TakeClock(Worker& worker, int64_t clock_ms, absl::Time at);
+  // A lease as long as the worker grants, in its own clock; 0: clock unknown.
+  int64_t LeaseUntil(Worker& worker, absl::Time now);
+  Occupant& Occupy(Worker& worker, const TaskId& task, int32_t run,
+                   const Resources& need, Now now);
+  void Release(Worker& worker, const RunKey& key);
+  // The run is over without a success: its task waits again.
+  void Requeue(const TaskId& task, int32_t run, const std::string& worker,
+               absl::Time retry_at);
+  void OnEnd(Worker& worker, const EndedTask& end, Now now);
+  void OnTaskDone(Job& job, const EndedTask& end, Now now);
+  void OnTaskFailed(Worker& worker, Job& job, const EndedTask& end, Now now);
+  void OnRunning(Worker& worker, const RunningTask& running, Now now);
+  void OnMissing(Worker& worker, const ObserveReply& reply, absl::Time sent,
+                 Now now);
+  void LoseAll(Worker& worker, const std::string& why, Now now);
+  void NoteDurableEnds(Worker& worker);
+  void TickWorker(Worker& worker, Now now);
+  void WantStop(Worker& worker, const RunKey& key);
+  void SendStops(Worker& worker, Now now);
+  bool Reachable(const Worker& worker, Now now) const;
+  // No worker may run something that is not known of.
+  bool AllAccountedFor(Now now) const;
+
+  // job_scheduler_placement.cc
+  void PlaceAll(Now now);
+  std::vector<ReadyStep> CollectReady(Now now);
+  void PlaceSingles(ReadyStep& ready, Now now);
+  void PlaceGang(ReadyStep& ready, Now now);
+  bool FinishGang(ReadyStep& ready, Now now);
+  void ReserveForGang(ReadyStep& ready, Now now);
+  void StartTask(ReadyStep& ready, int32_t index, int32_t run, Worker& worker,
+                 Now now);
+  bool MayRun(const Worker& worker, const ReadyStep& ready, Now now) const;
+  bool HasTicket(const Worker& worker, const ReadyStep& ready, Now now) const;
+  int32_t Fits(const Worker& worker, const ReadyStep& ready,
+               const Resources& room) const;
+  int32_t PlacedOf(const Worker& worker, const ReadyStep& ready) const;
+  void AskAdvice(ReadyStep& ready, std::vector<std::string> workers, Now now);
+  void EnsureSinglesAdvice(ReadyStep& ready, Now now);
+  void EnsureGangAdvice(ReadyStep& ready, Now now);
+  Adviser* FreeAdviser(double cost_ms, Now now);
+  absl::Duration Objective(const Job& job, const Queue& queue) const;
+  void Block(ReadyStep& ready, const char* why);
+
+  const Options options_;
+  const int64_t epoch_;
+  const absl::Time started_;
+  JobTable jobs_;
+  std::map<JobId, Job*> active_;  // Those that have not ended.
+  std::map<std::string, std::unique_ptr<Worker>> workers_;
+  std::shared_ptr<const SiteConfiguration> configuration_;
+  std::vector<Adviser> advisers_;
+  absl::flat_hash_map<std::string, double> good_share_;  // Queue -> learnt.
+  std::vector<Action> actions_;
+
+  int64_t next_batch_ = 1;
+  int64_t durable_batch_ = 0;
+  bool batch_wanted_ = false;
+  std::set<JobId> undescribed_;
+  std::set<JobId> dirty_;
+  std::vector<std::string> dropped_keys_;
+
+  absl::Time earlier_leader_until_;
+  bool fenced_ = false;
+  bool suspended_ = false;
+  bool placement_wanted_ = false;
+  absl::Time next_placement_ = absl::InfinitePast();
+  absl::Time next_housekeeping_ = absl::InfinitePast();
+  Figures figures_;
+};
+
+}  // namespace keelbridge
+
+#endif  // KEELBRIDGE_COORDINATION_JOB_SCHEDULER_H_
--- /dev/null
+++ b/keelbridge/coordination/job_scheduler_workers.cc
@@ -0,0 +1,563 @@
+// What workers tell, and what their silence means.
+
+#include <algorithm>
+#include <set>
+
+#include "absl/strings/str_cat.h"
+#include "keelbridge/coordination/job_scheduler.h"
+
+namespace keelbridge {
+namespace {
+
+constexpr absl::Duration kObserveRetry = absl::Milliseconds(300);
+constexpr absl::Duration kStopRetry = absl::Milliseconds(400);
+// How long after a start without an answer a listing may still explain it.
+constexpr absl::Duration kUncertainPatience = absl::Milliseconds(300);
+constexpr absl::Duration kRetryAfterRefusal = absl::Milliseconds(100);
+constexpr absl::Duration kLapseMargin = absl::Milliseconds(100);
+constexpr absl::Duration kSuspectAfterRefusal = absl::Seconds(2);
+constexpr absl::Duration kSuspectAfterFailures = absl::Seconds(5);
+constexpr int kFailuresInRowToSuspect = 2;
+// A worker that answered nothing for this long gets no new work.
+constexpr absl::Duration kSilentAfter = absl::Milliseconds(2500);
+// Runs of one leader's epoch are numbered from here on, so that a later leader
+// never gives a number again.
+constexpr int32_t kRunsInEpoch = 1000;
+
+}  // namespace
+
+void JobScheduler::OnWorkerRecord(const WorkerRecord& record, Now now) {
+  auto& slot = workers_[record.id];
+  const bool fresh = slot == nullptr;
+  if (fresh) {
+    slot = std::make_unique<Worker>();
+    slot->free = record.capacity;
+    slot->unknown_until = absl::InfiniteFuture();
+    // A machine runs one life at a time: an earlier life on it is over.
+    for (auto& [id, other] : workers_) {
+      if (id == record.id || other == nullptr) continue;
+      if (!record.machine.empty() && other->record.machine == record.machine) {
+        LoseAll(*other, "another life of the machine registered", now);
+        other->listed = true;
+        other->record_removed = true;
+        other->lapse_at = absl::InfinitePast();
+      }
+    }
+    Explain("worker_found", {{"worker", record.id},
+                             {"machine", record.machine},
+                             {"zone", record.zone}});
+  }
+  Worker& worker = *slot;
+  if (!fresh && record.draining && !worker.record.draining) {
+    Explain("worker_draining",
+            {{"worker", record.id},
+             {"leaves_in_ms", absl::StrCat(record.leaves_in_ms)}});
+  }
+  if (record.draining && record.leaves_in_ms >= 0)
+    worker.drained_at = now.mono + absl::Milliseconds(record.leaves_in_ms);
+  const Resources used = worker.record.capacity - worker.free;
+  if (!fresh) worker.free = record.capacity - used;
+  worker.record = record;
+  worker.record_removed = false;
+  placement_wanted_ = true;
+}
+
+void JobScheduler::OnWorkerRemoved(const std::string& worker_id, Now now) {
+  const auto found = workers_.find(worker_id);
+  if (found == workers_.end() || found->second->record_removed) return;
+  found->second->record_removed = true;
+  Explain("worker_record_removed",
+          {{"worker", worker_id},
+           {"runs", absl::StrCat(found->second->occupants.size())}});
+  (void)now;
+}
+
+void JobScheduler::TakeClock(Worker& worker, int64_t clock_ms, absl::Time at) {
+  if (clock_ms < 0) return;
+  // Answers on different connections may overtake each other.
+  if (worker.clock_ms >= 0 && clock_ms < worker.clock_ms) return;
+  worker.clock_ms = clock_ms;
+  worker.clock_at = at;
+}
+
+int64_t JobScheduler::LeaseUntil(Worker& worker, absl::Time now) {
+  if (worker.clock_ms < 0) return 0;
+  const int64_t since = absl::ToInt64Milliseconds(now - worker.clock_at);
+  const int64_t lease = absl::ToInt64Milliseconds(options_.lease);
+  const int64_t until = worker.clock_ms + since + lease;
+  const absl::Duration longest =
+      absl::Milliseconds(static_cast<double>(since + lease) /
+                         (1.0 - options_.clock_error)) +
+      kLapseMargin;
+  worker.lapse_at = std::max(worker.lapse_at, worker.clock_at + longest);
+  return until;
+}
+
+JobScheduler::Occupant& JobScheduler::Occupy(Worker& worker, const TaskId& task,
+                                             int32_t run, const Resources& need,
+                                             Now now) {
+  const auto [it, inserted] = worker.occupants.try_emplace({task, run});
+  if (inserted) {
+    it->second.need = need;
+    it->second.placed = now.mono;
+    it->second.percent_changed = now.mono;
+    worker.free -= need;
+  }
+  return it->second;
+}
+
+void JobScheduler::Release(Worker& worker, const RunKey& key) {
+  const auto it = worker.occupants.find(key);
+  if (it == worker.occupants.end()) return;
+  worker.free += it->second.need;
+  worker.occupants.erase(it);
+  placement_wanted_ = true;
+}
+
+void JobScheduler::Requeue(const TaskId& task_id, int32_t run,
+                           const std::string& worker, absl::Time retry_at) {
+  const auto job = jobs_.find(task_id.job);
+  if (job == jobs_.end()) return;
+  TaskState* task = job->second->FindTask(task_id);
+  if (task == nullptr || task->run != run || task->worker != worker) return;
+  if (task->phase == TaskPhase::kDone) return;
+  task->phase = TaskPhase::kWaiting;
+  task->worker.clear();
+  task->retry_at = retry_at;
+  placement_wanted_ = true;
+}
+
+void JobScheduler::LoseAll(Worker& worker, const std::string& why, Now now) {
+  if (worker.occupants.empty()) return;
+  Explain("runs_lost",
+          {{"worker", worker.record.id},
+           {"why", why},
+           {"runs", absl::StrCat(worker.occupants.size())}},
+          Severity::kWarning);
+  const auto occupants = std::move(worker.occupants);
+  worker.occupants.clear();
+  for (const auto& [key, occupant] : occupants) {
+    worker.free += occupant.need;
+    Requeue(key.first, key.second, worker.record.id, now.mono);
+  }
+}
+
+void JobScheduler::OnStartReply(const StartAction& action,
+                                const OrderReply& reply, Now now) {
+  const auto found = workers_.find(action.worker.id);
+  if (found == workers_.end()) return;
+  Worker& worker = *found->second;
+  TakeClock(worker, reply.clock_ms, now.mono);
+  const RunKey key{action.order.task, action.order.run};
+  const auto occupant = worker.occupants.find(key);
+  if (reply.result != OrderResult::kDone) {
+    ++figures_.starts_refused;
+    Explain("start_not_done", {{"task", TaskIdText(key.first)},
+                               {"run", absl::StrCat(key.second)},
+                               {"worker", action.worker.id},
+                               {"result", OrderResultName(reply.result)},
+                               {"detail", reply.message}});
+  }
+  if (occupant == worker.occupants.end()) return;
+  Job* job =
+      jobs_.count(key.first.job) > 0 ? jobs_[key.first.job].get() : nullptr;
+  TaskState* task = job != nullptr ? job->FindTask(key.first) : nullptr;
+  const bool current = task != nullptr && task->run == key.second &&
+                       task->worker == action.worker.id;
+  switch (reply.result) {
+    case OrderResult::kDone:
+      occupant->second.start_answered = now.mono;
+      worker.last_answer = now.mono;
+      if (current && task->phase == TaskPhase::kStarting)
+        task->phase = TaskPhase::kRunning;
+      if (job != nullptr) job->begun = true;
+      return;
+    case OrderResult::kUnknown:
+      occupant->second.uncertain = true;
+      if (current) task->phase = TaskPhase::kUncertain;
+      worker.next_observe = now.mono;
+      return;
+    case OrderResult::kOtherLife:
+      LoseAll(worker, "another life answered", now);
+      worker.record_removed = true;
+      worker.listed = true;
+      worker.lapse_at = absl::InfinitePast();
+      return;
+    case OrderResult::kFenced:
+      fenced_ = true;
+      break;
+    case OrderResult::kUnhealthy:
+      worker.suspect_until = now.mono + kSuspectAfterRefusal;
+      break;
+    case OrderResult::kNotSent:
+      worker.suspect_until = now.mono + kRetryAfterRefusal;
+      break;
+    case OrderResult::kBadTicket:
+      if (StepState* step = job != nullptr ? job->FindStep(key.first) : nullptr)
+        step->advice.tickets.erase(action.worker.id);
+      break;
+    case OrderResult::kNoRoom:
+      worker.suspect_until = now.mono + kRetryAfterRefusal;
+      break;
+    default:
+      break;
+  }
+  // It was not started there and will not be.
+  Release(worker, key);
+  Requeue(key.first, key.second, action.worker.id,
+          reply.result == OrderResult::kBadTicket
+              ? now.mono
+              : now.mono + kRetryAfterRefusal);
+}
+
+void JobScheduler::WantStop(Worker& worker, const RunKey& key) {
+  const auto it = worker.occupants.find(key);
+  if (it == worker.occupants.end()) return;
+  it->second.stop_wanted = true;
+  const auto job = jobs_.find(key.first.job);
+  if (job == jobs_.end()) return;
+  TaskState* task = job->second->FindTask(key.first);
+  const bool current = task != nullptr && task->run == key.second &&
+                       task->worker == worker.record.id &&
+                       task->phase != TaskPhase::kDone;
+  if (current) task->phase = TaskPhase::kStopping;
+}
+
+void JobScheduler::SendStops(Worker& worker, Now now) {
+  for (auto& [key, occupant] : worker.occupants) {
+    const bool overdue = occupant.uncertain && !occupant.stop_wanted &&
+                         now.mono - occupant.placed > kUncertainPatience;
+    if (overdue && worker.last_answer > occupant.placed + kUncertainPatience)
+      occupant.stop_wanted = true;
+    const bool due = occupant.stop_wanted && !occupant.stop_in_flight &&
+                     now.mono - occupant.stop_sent > kStopRetry;
+    if (!due) continue;
+    occupant.stop_sent = now.mono;
+    occupant.stop_in_flight = true;
+    actions_.push_back(
+        StopAction{worker.record, {key.first, key.second, epoch_}});
+    Explain("stop_sent", {{"task", TaskIdText(key.first)},
+                          {"run", absl::StrCat(key.second)},
+                          {"worker", worker.record.id}});
+  }
+}
+
+void JobScheduler::OnStopReply(const StopAction& action,
+                               const OrderReply& reply, Now now) {
+  const auto found = workers_.find(action.worker.id);
+  if (found == workers_.end()) return;
+  Worker& worker = *found->second;
+  TakeClock(worker, reply.clock_ms, now.mono);
+  if (reply.result == OrderResult::kFenced) fenced_ = true;
+  if (reply.result == OrderResult::kOtherLife) {
+    LoseAll(worker, "another life answered", now);
+    worker.record_removed = true;
+    worker.listed = true;
+    worker.lapse_at = absl::InfinitePast();
+    return;
+  }
+  const auto it = worker.occupants.find({action.order.task, action.order.run});
+  if (it == worker.occupants.end()) return;
+  it->second.stop_in_flight = false;
+  if (reply.result == OrderResult::kDone) {
+    it->second.stop_answered = std::min(it->second.stop_answered, now.mono);
+    worker.next_observe = now.mono;
+  }
+}
+
+void JobScheduler::OnTaskDone(Job& job, const EndedTask& end, Now now) {
+  StepState* step = job.FindStep(end.task);
+  TaskState* task = job.FindTask(end.task);
+  if (step == nullptr || task == nullptr) return;
+  const StepSpec& spec = job.spec.steps[static_cast<size_t>(end.task.step)];
+  const auto finish = [&](int32_t index) {
+    TaskState& one = step->tasks[static_cast<size_t>(index)];
+    if (one.phase == TaskPhase::kDone) return;
+    if (!one.worker.empty()) {
+      const auto worker = workers_.find(one.worker);
+      const RunKey key{{job.id, end.task.round, end.task.step, index}, one.run};
+      if (worker != workers_.end() &&
+          (index != end.task.index || one.run != end.run)) {
+        // Another copy, or a member of the gang whose end will be listed too.
+        if (!spec.gang) WantStop(*worker->second, key);
+      }
+    }
+    one.phase = TaskPhase::kDone;
+    one.worker.clear();
+    one.checkpoint.clear();
+    ++step->done;
+  };
+  if (spec.gang) {
+    for (int32_t i = 0; i < spec.count; ++i) finish(i);
+  } else {
+    finish(end.task.index);
+  }
+  MarkDirty(job);
+  placement_wanted_ = true;
+  Round* round = job.FindRound(end.task.round);
+  if (round == nullptr || !job.RoundDone(*round)) return;
+  if (job.spec.rounds == 0) {
+    EndJob(job, JobState::kCompleted, "all tasks are done", now);
+    return;
+  }
+  while (!job.rounds.empty() && job.RoundDone(job.rounds.front())) {
+    job.rounds.pop_front();
+    ++job.rounds_done;
+  }
+  if (job.rounds_done >= job.spec.rounds)
+    EndJob(job, JobState::kCompleted, "all rounds are done", now);
+}
+
+void JobScheduler::OnTaskFailed(Worker& worker, Job& job, const EndedTask& end,
+                                Now now) {
+  StepState* step = job.FindStep(end.task);
+  TaskState* task = job.FindTask(end.task);
+  if (step == nullptr || task == nullptr) return;
+  if (task->failures == 0 &&
+      ++worker.failures_in_row >= kFailuresInRowToSuspect) {
+    worker.suspect_until = now.mono + kSuspectAfterFailures;
+    Explain("worker_suspected",
+            {{"worker", worker.record.id},
+             {"failures_in_row", absl::StrCat(worker.failures_in_row)}},
+            Severity::kWarning);
+  }
+  const StepSpec& spec = job.spec.steps[static_cast<size_t>(end.task.step)];
+  ++task->failures;
+  task->failed_on = worker.record.id;
+  int32_t failures = task->failures;
+  if (spec.gang) {
+    failures = 0;
+    for (const TaskState& one : step->tasks) failures += one.failures;
+  }
+  MarkDirty(job);
+  if (spec.lasting || job.Ended()) return;
+  const Queue* queue = configuration_ != nullptr
+                           ? configuration_->FindQueueByName(job.queue)
+                           : nullptr;
+  if (queue == nullptr || failures < queue->most_attempts) return;
+  EndJob(job, JobState::kFailed,
+         absl::StrCat("task ", TaskIdText(end.task), " failed ", failures,
+                      " times, last on ", worker.record.id),
+         now);
+}
+
+void JobScheduler::OnEnd(Worker& worker, const EndedTask& end, Now now) {
+  const RunKey key{end.task, end.run};
+  const auto found = jobs_.find(end.task.job);
+  Job* job = found != jobs_.end() ? found->second.get() : nullptr;
+  TaskState* task = job != nullptr ? job->FindTask(end.task) : nullptr;
+  Explain("run_ended", {{"task", TaskIdText(end.task)},
+                        {"run", absl::StrCat(end.run)},
+                        {"worker", worker.record.id},
+                        {"how", RunEndName(end.end)}});
+  const bool current = task != nullptr && task->run == end.run &&
+                       task->worker == worker.record.id;
+  if (task != nullptr && end.run > task->run) task->run = end.run;
+  if (job != nullptr) job->begun = true;
+  if (end.end == RunEnd::kDone) {
+    ++figures_.ends_done;
+    worker.failures_in_row = 0;
+    if (task != nullptr && task->phase != TaskPhase::kDone && !job->Ended())
+      OnTaskDone(*job, end, now);
+  } else if (end.end == RunEnd::kFailed) {
+    ++figures_.ends_failed;
+    if (task != nullptr && task->phase != TaskPhase::kDone && !job->Ended())
+      OnTaskFailed(worker, *job, end, now);
+  } else {
+    ++figures_.ends_other;
+  }
+  if (task != nullptr && !end.checkpoint.empty() &&
+      task->phase != TaskPhase::kDone)
+    task->checkpoint = end.checkpoint;
+  if (current && task->phase != TaskPhase::kDone)
+    Requeue(end.task, end.run, worker.record.id, now.mono);
+  Release(worker, key);
+}
+
+void JobScheduler::OnRunning(Worker& worker, const RunningTask& running,
+                             Now now) {
+  const RunKey key{running.task, running.run};
+  const auto found = jobs_.find(running.task.job);
+  Job* job = found != jobs_.end() ? found->second.get() : nullptr;
+  TaskState* task = job != nullptr ? job->FindTask(running.task) : nullptr;
+  const auto occupant = worker.occupants.find(key);
+  if (occupant != worker.occupants.end()) {
+    Occupant& known = occupant->second;
+    if (known.percent != running.percent) {
+      known.percent = running.percent;
+      known.percent_changed = now.mono;
+    }
+    known.start_answered = std::min(known.start_answered, now.mono);
+    known.uncertain = false;
+    if (job != nullptr) job->begun = true;
+    if (task != nullptr && task->run == running.run &&
+        task->worker == worker.record.id) {
+      if (!running.checkpoint.empty()) task->checkpoint = running.checkpoint;
+      const bool was_starting = task->phase == TaskPhase::kStarting ||
+                                task->phase == TaskPhase::kUncertain;
+      if (was_starting) task->phase = TaskPhase::kRunning;
+    }
+    return;
+  }
+  Resources need;
+  if (job != nullptr &&
+      static_cast<size_t>(running.task.step) < job->spec.steps.size())
+    need = job->spec.steps[static_cast<size_t>(running.task.step)].need;
+  Occupant& added = Occupy(worker, running.task, running.run, need, now);
+  added.start_answered = now.mono;
+  added.percent = running.percent;
+  const bool wanted = task != nullptr && !job->Ended() &&
+                      task->phase == TaskPhase::kWaiting &&
+                      running.run >= task->run;
+  if (wanted) {
+    task->phase = TaskPhase::kRunning;
+    task->worker = worker.record.id;
+    task->run = running.run;
+    if (!running.checkpoint.empty()) task->checkpoint = running.checkpoint;
+    job->begun = true;
+    StepState* step = job->FindStep(running.task);
+    if (step->gang_started == absl::InfinitePast())
+      step->gang_started = now.mono;
+    Explain("run_adopted", {{"task", TaskIdText(running.task)},
+                            {"run", absl::StrCat(running.run)},
+                            {"worker", worker.record.id}});
+    return;
+  }
+  added.foreign = true;
+  added.stop_wanted = true;
+  Explain("run_unwanted", {{"task", TaskIdText(running.task)},
+                           {"run", absl::StrCat(running.run)},
+                           {"worker", worker.record.id},
+                           {"job_known", job != nullptr ? "yes" : "no"}});
+}
+
+void JobScheduler::OnMissing(Worker& worker, const ObserveReply& reply,
+                             absl::Time sent, Now now) {
+  std::set<RunKey> listed;
+  for (const RunningTask& running : reply.running)
+    listed.insert({running.task, running.run});
+  std::vector<RunKey> missing;
+  for (const auto& [key, occupant] : worker.occupants) {
+    if (listed.count(key) > 0) continue;
+    // Only a listing asked for after the start was answered, or after a stop
+    // that keeps it from starting late, tells that the run is not there.
+    const bool told =
+        occupant.start_answered < sent || occupant.stop_answered < sent;
+    if (told) missing.push_back(key);
+  }
+  for (const RunKey& key : missing) {
+    Explain("run_missing", {{"task", TaskIdText(key.first)},
+                            {"run", absl::StrCat(key.second)},
+                            {"worker", worker.record.id}});
+    Release(worker, key);
+    Requeue(key.first, key.second, worker.record.id, now.mono);
+  }
+}
+
+void JobScheduler::OnObserveReply(const ObserveAction& action,
+                                  const ObserveReply& reply, absl::Time sent,
+                                  Now now) {
+  const auto found = workers_.find(action.worker.id);
+  if (found == workers_.end()) return;
+  Worker& worker = *found->second;
+  worker.observing = false;
+  if (reply.order.result == OrderResult::kOtherLife) {
+    LoseAll(worker, "another life answered", now);
+    worker.record_removed = true;
+    worker.listed = true;
+    worker.lapse_at = absl::InfinitePast();
+    worker.next_observe = now.mono + kObserveRetry;
+    return;
+  }
+  if (reply.order.result != OrderResult::kDone) {
+    if (reply.order.result == OrderResult::kFenced) fenced_ = true;
+    if (++worker.failed_observations == 1) {
+      Explain("worker_silent",
+              {{"worker", worker.record.id},
+               {"result", OrderResultName(reply.order.result)},
+               {"detail", reply.order.message}},
+              Severity::kWarning);
+    }
+    worker.next_observe = now.mono + kObserveRetry;
+    return;
+  }
+  if (worker.failed_observations > 0) {
+    worker.failed_observations = 0;
+    Explain("worker_back", {{"worker", worker.record.id}});
+  }
+  TakeClock(worker, reply.order.clock_ms, now.mono);
+  worker.last_answer = now.mono;
+  for (const EndedTask& end : reply.ended) {
+    if (end.number <= worker.ends_processed) continue;
+    OnEnd(worker, end, now);
+    worker.ends_processed = end.number;
+    worker.unnoted.emplace_back(end.number, next_batch_);
+    batch_wanted_ = true;
+  }
+  for (const RunningTask& running : reply.running)
+    OnRunning(worker, running, now);
+  OnMissing(worker, reply, sent, now);
+  if (!worker.listed) {
+    worker.listed = true;
+    placement_wanted_ = true;
+  }
+  // While ends wait to be kept for good, another look would only list them
+  // again.
+  worker.next_observe =
+      worker.unnoted.empty() ? now.mono : now.mono + kObserveRetry;
+}
+
+void JobScheduler::NoteDurableEnds(Worker& worker) {
+  bool noted = false;
+  while (!worker.unnoted.empty() &&
+         worker.unnoted.front().second <= durable_batch_) {
+    worker.ends_noted = worker.unnoted.front().first;
+    worker.unnoted.pop_front();
+    noted = true;
+  }
+  if (noted && worker.unnoted.empty())
+    worker.next_observe = absl::InfinitePast();
+}
+
+bool JobScheduler::Reachable(const Worker& worker, Now now) const {
+  return now.mono - worker.last_answer < kSilentAfter;
+}
+
+bool JobScheduler::AllAccountedFor(Now now) const {
+  // What an earlier leader may have started on a worker that this one has not
+  // reached ends at the latest when the last lease that it gave has passed.
+  const absl::Duration lease =
+      options_.lease / (1.0 - options_.clock_error) + kLapseMargin;
+  if (now.mono > earlier_leader_until_ + lease) return true;
+  return std::all_of(workers_.begin(), workers_.end(),
+                     [](const auto& entry) { return entry.second->listed; });
+}
+
+void JobScheduler::TickWorker(Worker& worker, Now now) {
+  if (!worker.occupants.empty() && worker.listed && !Reachable(worker, now) &&
+      now.mono > worker.lapse_at)
+    LoseAll(worker, "its lease has passed without an answer", now);
+  SendStops(worker, now);
+  if (worker.observing || now.mono < worker.next_observe) return;
+  worker.observing = true;
+  ObserveAction action;
+  action.worker = worker.record;
+  action.order.fence = epoch_;
+  action.order.ends_noted = worker.ends_noted;
+  // A silent worker's lease is left alone: each try might extend it unseen, and
+  // then nobody could tell when it has passed.
+  const bool extend = !suspended_ && worker.failed_observations == 0;
+  action.order.lease_until_ms = extend ? LeaseUntil(worker, now.mono) : 0;
+  const bool wait = worker.listed && worker.unnoted.empty() &&
+                    worker.failed_observations == 0;
+  action.order.wait_ms =
+      wait ? absl::ToInt64Milliseconds(options_.observe_wait) : 0;
+  actions_.push_back(std::move(action));
+}
+
+// The first run number of an epoch; see kRunsInEpoch.
+int32_t FirstRunOfEpoch(int64_t epoch) {
+  return static_cast<int32_t>(epoch - 1) * kRunsInEpoch + 1;
+}
+
+}  // namespace keelbridge
--- /dev/null
+++ b/keelbridge/coordination/site_election.cc
@@ -0,0 +1,170 @@
+#include "keelbridge/coordination/site_election.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <utility>
+
+#include "keelbridge/base/json_reader.h"
+
+namespace keelbridge {
+namespace {
+
+// After this long no earlier leader gives orders, whatever it believes.
+constexpr int64_t kEarlierLeaderMs = 30000;
+
+}  // namespace
+
+Record ToRecord(const LeaderRecord& leader) {
+  Json::Value value(Json::objectValue);
+  value["epoch"] = Json::Int64(leader.epoch);
+  value["node"] = leader.node;
+  value["boot"] = Json::UInt64(leader.boot);
+  value["address"] = leader.address;
+  value["claimed_ms"] = Json::Int64(leader.claimed_ms);
+  for (const EarlierLeader& earlier : leader.earlier) {
+    Json::Value one(Json::objectValue);
+    one["address"] = earlier.address;
+    one["claimed_ms"] = Json::Int64(earlier.claimed_ms);
+    value["earlier"].append(one);
+  }
+  return Record{kLeaderKey, ToJsonText(value)};
+}
+
+std::optional<LeaderRecord> LeaderFromRecord(const Record& record) {
+  if (record.key != kLeaderKey || !record.value) return std::nullopt;
+  const JsonDocument document = JsonDocument::Parse(*record.value, "leader");
+  const Json::Value& value = document.root();
+  if (!document.faults().empty() || !value["epoch"].isIntegral())
+    return std::nullopt;
+  LeaderRecord leader;
+  leader.epoch = value["epoch"].asInt64();
+  leader.node = value["node"].asString();
+  leader.boot = value["boot"].asUInt64();
+  leader.address = value["address"].asString();
+  leader.claimed_ms = value["claimed_ms"].asInt64();
+  for (const Json::Value& one : value["earlier"])
+    leader.earlier.push_back(
+        {one["address"].asString(), one["claimed_ms"].asInt64()});
+  return leader;
+}
+
+SiteElection::SiteElection(std::string node, uint64_t boot, std::string address,
+                           Options options)
+    : node_(std::move(node)),
+      boot_(boot),
+      address_(std::move(address)),
+      options_(options) {}
+
+void SiteElection::Follow(const LeaderRecord& leader, absl::Time now) {
+  if (leader.epoch <= leader_.epoch) return;
+  leader_ = leader;
+  leads_ = leader.boot == boot_;
+  leader_gone_ = false;
+  last_heard_ = now;  // A new leader gets time to be heard.
+  // This process's record from before it was started again: nobody leads.
+  if (!leads_ && leader.node == node_) OnLeaderGone(now);
+}
+
+void SiteElection::OnControlRead(const std::vector<Record>& records,
+                                 int64_t end, absl::Time now) {
+  for (const Record& record : records) {
+    if (const auto leader = LeaderFromRecord(record)) Follow(*leader, now);
+  }
+  control_known_ = true;
+  control_end_ = std::max(control_end_, end);
+}
+
+void SiteElection::OnLeaderHeard(const LeaderRecord& leader, absl::Time now) {
+  if (leader.epoch > leader_.epoch) control_known_ = false;
+  Follow(leader, now);
+}
+
+void SiteElection::OnHeartbeatAnswered(absl::Time now) {
+  last_heard_ = now;
+  leader_gone_ = false;
+}
+
+void SiteElection::OnLeaderVouched(absl::Time now) { last_heard_ = now; }
+
+void SiteElection::OnLeaderGone(absl::Time now) {
+  if (!leader_gone_) gone_since_ = now;
+  leader_gone_ = true;
+}
+
+void SiteElection::OnClaimed(int64_t end, absl::Time now) {
+  leader_ = claim_;
+  leads_ = true;
+  control_end_ = end;
+  last_heard_ = now;
+  leader_gone_ = false;
+}
+
+void SiteElection::OnClaimFailed(absl::Time now) {
+  control_known_ = false;
+  (void)now;
+}
+
+void SiteElection::StepDown(absl::Time now) {
+  leads_ = false;
+  control_known_ = false;
+  last_heard_ = now;
+}
+
+absl::Duration SiteElection::Stagger() const {
+  std::vector<std::pair<uint64_t, std::string>> order;
+  const auto weight = [&](const std::string& node) {
+    return XXH64(node.data(), node.size(),
+                 static_cast<uint64_t>(leader_.epoch));
+  };
+  for (const std::string& peer : peers_) {
+    if (peer != leader_.node && peer != node_)
+      order.emplace_back(weight(peer), peer);
+  }
+  const auto self = std::make_pair(weight(node_), node_);
+  const auto ahead =
+      std::count_if(order.begin(), order.end(),
+                    [&](const auto& other) { return other < self; });
+  // Without peers, names alone must spread the tries.
+  if (order.empty())
+    return options_.rank_step * static_cast<double>(self.first % 4);
+  return options_.rank_step * static_cast<double>(ahead);
+}
+
+ElectionStep SiteElection::Decide(absl::Time now) {
+  if (started_ == absl::InfiniteFuture()) started_ = now;
+  const bool stood_still = last_look_ != absl::InfinitePast() &&
+                           now - last_look_ > options_.standstill;
+  last_look_ = now;
+  if (stood_still) last_heard_ = std::max(last_heard_, now);
+  if (leads_ || retired_) return ElectionStep::kNone;
+  if (!control_known_) return ElectionStep::kReadControl;
+  if (leader_.epoch == 0)
+    return now - started_ > Stagger() ? ElectionStep::kClaim
+                                      : ElectionStep::kNone;
+  if (leader_gone_) {
+    if (leader_.node == node_) return ElectionStep::kClaim;
+    return now - gone_since_ > Stagger() ? ElectionStep::kClaim
+                                         : ElectionStep::kNone;
+  }
+  return now - last_heard_ > options_.suspect_after + Stagger()
+             ? ElectionStep::kClaim
+             : ElectionStep::kNone;
+}
+
+AppendOrder SiteElection::Claim(int64_t wall_ms) {
+  claim_ = LeaderRecord{leader_.epoch + 1, node_, boot_, address_, wall_ms, {}};
+  for (const EarlierLeader& earlier : leader_.earlier) {
+    const bool past = wall_ms - leader_.claimed_ms > kEarlierLeaderMs;
+    if (!past && earlier.address != address_) claim_.earlier.push_back(earlier);
+  }
+  if (leader_.epoch > 0 && leader_.address != address_)
+    claim_.earlier.push_back({leader_.address, leader_.claimed_ms});
+  AppendOrder order;
+  order.stream = Stream::kControl;
+  order.expected_end = control_end_;
+  order.records.push_back(ToRecord(claim_));
+  return order;
+}
+
+}  // namespace keelbridge
--- /dev/null
+++ b/keelbridge/coordination/site_election.h
@@ -0,0 +1,113 @@
+// Who leads a site: one record in the store, claimed by a conditional append.
+//
+// Pure: events and the time in, what to do out. A claim is safe at any moment,
+// because the new leader's epoch fences the old one in the store and on every
+// worker; this class only decides when a claim is worth making. The order in
+// which nodes try is spread by rank, so that they rarely race.
+//
+//   SiteElection election("node-a", boot);
+//   election.OnControlRead(records, end, now);
+//   if (election.Decide(now) == ElectionStep::kClaim) Append(election.Claim());
+
+#ifndef KEELBRIDGE_COORDINATION_SITE_ELECTION_H_
+#define KEELBRIDGE_COORDINATION_SITE_ELECTION_H_
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "absl/time/time.h"
+#include "keelbridge/protocol/record_store.h"
+
+namespace keelbridge {
+
+// A leader that may still give orders, since nobody has heard it stop.
+struct EarlierLeader {
+  std::string address;
+  int64_t claimed_ms = 0;  // Wall clock, when it claimed.
+};
+
+struct LeaderRecord {
+  int64_t epoch = 0;  // 0: nobody ever led.
+  std::string node;
+  uint64_t boot = 0;  // Of the process that claimed.
+  std::string address;
+  int64_t claimed_ms = 0;
+  std::vector<EarlierLeader>
+      earlier;  // Not known to have stopped at the claim.
+};
+
+constexpr char kLeaderKey[] = "leader";
+Record ToRecord(const LeaderRecord& leader);
+std::optional<LeaderRecord> LeaderFromRecord(const Record& record);
+
+enum class ElectionStep { kNone, kReadControl, kClaim };
+
+class SiteElection {
+ public:
+  struct Options {
+    // Heartbeats that fail for this long make a leader suspect.
+    absl::Duration suspect_after = absl::Milliseconds(1400);
+    absl::Duration rank_step = absl::Milliseconds(250);
+    // A gap between two looks this long means that this process stood still:
+    // what it believes about others is then worth nothing.
+    absl::Duration standstill = absl::Seconds(1);
+  };
+
+  SiteElection(std::string node, uint64_t boot, std::string address,
+               Options options);
+
+  // The newest records of the control stream and where it ends.
+  void OnControlRead(const std::vector<Record>& records, int64_t end,
+                     absl::Time now);
+  // A peer named a leader.
+  void OnLeaderHeard(const LeaderRecord& leader, absl::Time now);
+  void OnHeartbeatAnswered(absl::Time now);
+  // The process that leads is not there: its port refused, or another answered.
+  void OnLeaderGone(absl::Time now);
+  // Peers that still hear the leader: not suspect for a while.
+  void OnLeaderVouched(absl::Time now);
+  // The append of `Claim` was done; the stream now ends at `end`.
+  void OnClaimed(int64_t end, absl::Time now);
+  // The claim failed; the control stream must be read again.
+  void OnClaimFailed(absl::Time now);
+  // This node gives leadership to others; it does not claim any more.
+  void Retire() { retired_ = true; }
+  void SetPeers(std::vector<std::string> nodes) { peers_ = std::move(nodes); }
+
+  ElectionStep Decide(absl::Time now);
+  // The append that claims the next epoch.
+  AppendOrder Claim(int64_t wall_ms);
+
+  const LeaderRecord& leader() const { return leader_; }
+  bool Leads() const { return leads_; }
+  absl::Time last_heard() const { return last_heard_; }
+  // The leader was replaced while this node led.
+  void StepDown(absl::Time now);
+
+ private:
+  absl::Duration Stagger() const;
+  void Follow(const LeaderRecord& leader, absl::Time now);
+
+  const std::string node_;
+  const uint64_t boot_;
+  const std::string address_;
+  const Options options_;
+  LeaderRecord leader_;
+  LeaderRecord claim_;  // What this node tries to become.
+  bool leads_ = false;
+  bool retired_ = false;
+  bool control_known_ = false;
+  int64_t control_end_ = 0;
+  absl::Time started_ = absl::InfiniteFuture();
+  absl::Time last_heard_ = absl::InfinitePast();
+  absl::Time last_look_ = absl::InfinitePast();
+  bool leader_gone_ = false;
+  absl::Time gone_since_ = absl::InfinitePast();
+  std::vector<std::string> peers_;
+};
+
+}  // namespace keelbridge
+
+#endif  // KEELBRIDGE_COORDINATION_SITE_ELECTION_H_
--- /dev/null
+++ b/keelbridge/daemon/leader_session.cc
@@ -0,0 +1,445 @@
+#include "keelbridge/daemon/leader_session.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "absl/strings/str_cat.h"
+#include "keelbridge/base/logging.h"
+
+namespace keelbridge {
+namespace {
+
+constexpr char kWriter[] = "leader";
+constexpr absl::Duration kTickEvery = absl::Milliseconds(50);
+constexpr absl::Duration kPumpDelay = absl::Milliseconds(3);
+// Least time between two appends, so that many changes share one.
+constexpr absl::Duration kFlushEvery = absl::Milliseconds(15);
+// With nothing to write, an empty append shows that this leader still leads.
+constexpr absl::Duration kRenewEvery = absl::Milliseconds(1500);
+constexpr absl::Duration kAppendTimeout = absl::Milliseconds(700);
+constexpr absl::Duration kRetryDelay = absl::Milliseconds(60);
+constexpr absl::Duration kReadTimeout = absl::Milliseconds(1500);
+// New jobs are refused once appends have failed for this long.
+constexpr absl::Duration kFailingTolerated = absl::Milliseconds(400);
+constexpr absl::Duration kWorkerPollEvery = absl::Milliseconds(400);
+constexpr absl::Duration kFiguresEvery = absl::Seconds(1);
+// A gap between two ticks this long means that this process stood still.
+constexpr absl::Duration kStandstill = absl::Milliseconds(1500);
+// Leases and starts stop this much before other leaders count on it.
+constexpr absl::Duration kBoundMargin = absl::Seconds(2);
+constexpr absl::Duration kRetryAfter = absl::Seconds(1);
+
+ClientReply Reply(ClientAnswer answer, std::string message = "") {
+  ClientReply reply;
+  reply.answer = answer;
+  reply.message = std::move(message);
+  return reply;
+}
+
+}  // namespace
+
+LeaderSession::LeaderSession(boost::asio::io_context& loop, NodePorts ports,
+                             Options options, int64_t epoch, Metrics& metrics)
+    : loop_(loop),
+      ports_(ports),
+      options_(std::move(options)),
+      epoch_(epoch),
+      metrics_(metrics),
+      scheduler_(options_.scheduler, epoch, SystemNow().mono),
+      tick_timer_(loop),
+      pump_timer_(loop) {}
+
+void LeaderSession::Start() {
+  LogEvent(Severity::kInfo, "term_begins", {{"epoch", absl::StrCat(epoch_)}});
+  Fence();
+}
+
+void LeaderSession::After(absl::Duration delay, std::function<void()> step) {
+  auto timer = std::make_shared<boost::asio::steady_timer>(
+      loop_, absl::ToChronoNanoseconds(delay));
+  timer->async_wait([self = shared_from_this(), timer,
+                     step = std::move(step)](boost::system::error_code error) {
+    if (!error && !self->ended()) step();
+  });
+}
+
+void LeaderSession::End(const std::string& why) {
+  if (ended()) return;
+  phase_ = Phase::kEnded;
+  LogEvent(Severity::kWarning, "term_ended",
+           {{"epoch", absl::StrCat(epoch_)}, {"why", why}});
+  tick_timer_.cancel();
+  pump_timer_.cancel();
+  const auto waiters = std::move(waiters_);
+  waiters_.clear();
+  for (const auto& [batch, waiter] : waiters)
+    waiter.reply(Reply(ClientAnswer::kUnknown, "the leader was replaced"));
+  options_.on_ended(why);
+}
+
+void LeaderSession::Fence() {
+  AppendOrder order;
+  order.stream = Stream::kJobs;
+  order.writer = WriterEpoch{kWriter, epoch_, 0};
+  const absl::Time sent = SystemNow().mono;
+  ports_.store->Append(
+      order, kAppendTimeout,
+      [self = shared_from_this(), sent](const AppendReply& reply) {
+        if (self->ended()) return;
+        if (reply.result == StoreResult::kDone) {
+          self->last_append_sent_ = sent;
+          self->phase_ = Phase::kLoading;
+          return self->LoadJobs("");
+        }
+        if (reply.result == StoreResult::kFenced)
+          return self->End("fenced in the store at its beginning");
+        self->After(kRetryDelay, [self] { self->Fence(); });
+      });
+}
+
+void LeaderSession::LoadJobs(const std::string& after) {
+  ports_.store->Newest(
+      Stream::kJobs, after, kReadTimeout,
+      [self = shared_from_this(), after](const NewestReply& reply) {
+        if (self->ended()) return;
+        if (reply.result != StoreResult::kDone)
+          return self->After(kRetryDelay,
+                             [self, after] { self->LoadJobs(after); });
+        for (const Record& record : reply.records) self->records_.Add(record);
+        if (reply.more && !reply.records.empty())
+          return self->LoadJobs(reply.records.back().key);
+        JobTable jobs = self->records_.Build();
+        LogEvent(Severity::kInfo, "jobs_loaded",
+                 {{"jobs", absl::StrCat(jobs.size())},
+                  {"unreadable", absl::StrCat(self->records_.unreadable())}});
+        self->records_ = JobRecords();
+        self->scheduler_.Load(std::move(jobs));
+        self->phase_ = Phase::kLearningWorkers;
+        self->LearnWorkers("");
+      });
+}
+
+void LeaderSession::LearnWorkers(const std::string& after) {
+  if (after.empty()) listed_workers_.clear();
+  polling_workers_ = true;
+  ports_.store->Newest(
+      Stream::kWorkers, after, kReadTimeout,
+      [self = shared_from_this(), after](const NewestReply& reply) {
+        if (self->ended()) return;
+        if (reply.result != StoreResult::kDone)
+          return self->After(kRetryDelay,
+                             [self, after] { self->LearnWorkers(after); });
+        for (const Record& record : reply.records)
+          self->TakeWorkerRecord(record);
+        // Reading goes on from where the first page was taken.
+        if (after.empty()) self->workers_next_ = reply.end;
+        if (reply.more && !reply.records.empty())
+          return self->LearnWorkers(reply.records.back().key);
+        self->polling_workers_ = false;
+        self->next_worker_poll_ = SystemNow().mono + kWorkerPollEvery;
+        if (self->phase_ == Phase::kLearningWorkers) self->Activate();
+      });
+}
+
+void LeaderSession::TakeWorkerRecord(const Record& record) {
+  const Now now = SystemNow();
+  if (!record.value) {
+    listed_workers_.erase(record.key);
+    scheduler_.OnWorkerRemoved(record.key, now);
+    return;
+  }
+  auto worker = ports_.dialect->ParseWorkerRecord(record.key, *record.value);
+  if (!worker) {
+    LogEvent(Severity::kWarning, "worker_record_unreadable",
+             {{"worker", record.key}, {"what", worker.error().message}});
+    return;
+  }
+  listed_workers_.insert(record.key);
+  scheduler_.OnWorkerRecord(worker.value(), now);
+}
+
+void LeaderSession::PollWorkers() {
+  if (polling_workers_ || SystemNow().mono < next_worker_poll_) return;
+  next_worker_poll_ = SystemNow().mono + kWorkerPollEvery;
+  polling_workers_ = true;
+  const int64_t from = workers_next_;
+  ports_.store->Read(Stream::kWorkers, from, absl::ZeroDuration(), kReadTimeout,
+                     [self = shared_from_this(), from](const ReadReply& reply) {
+                       if (self->ended()) return;
+                       self->polling_workers_ = false;
+                       if (reply.result == StoreResult::kGone)
+                         return self->LearnWorkers("");
+                       if (reply.result != StoreResult::kDone) return;
+                       for (const Record& record : reply.records)
+                         self->TakeWorkerRecord(record);
+                       self->workers_next_ =
+                           from + static_cast<int64_t>(reply.records.size());
+                       if (!reply.records.empty()) self->PumpSoon();
+                     });
+}
+
+void LeaderSession::Activate() {
+  phase_ = Phase::kActive;
+  LogEvent(Severity::kInfo, "term_active",
+           {{"epoch", absl::StrCat(epoch_)},
+            {"workers", absl::StrCat(listed_workers_.size())}});
+  last_tick_ = SystemNow().mono;
+  Pump();
+  ArmTick();
+}
+
+void LeaderSession::ArmTick() {
+  tick_timer_.expires_after(absl::ToChronoNanoseconds(kTickEvery));
+  tick_timer_.async_wait(
+      [self = shared_from_this()](boost::system::error_code error) {
+        if (error || self->ended()) return;
+        self->Pump();
+        self->ArmTick();
+      });
+}
+
+void LeaderSession::PumpSoon() {
+  if (pump_armed_ || phase_ != Phase::kActive) return;
+  pump_armed_ = true;
+  pump_timer_.expires_after(absl::ToChronoNanoseconds(kPumpDelay));
+  pump_timer_.async_wait(
+      [self = shared_from_this()](boost::system::error_code error) {
+        self->pump_armed_ = false;
+        if (!error && !self->ended()) self->Pump();
+      });
+}
+
+void LeaderSession::Pump() {
+  const Now now = SystemNow();
+  if (now.mono - last_tick_ > kStandstill) {
+    LogEvent(Severity::kWarning, "stood_still",
+             {{"ms", absl::StrCat(
+                         absl::ToInt64Milliseconds(now.mono - last_tick_))}});
+    stood_still_ = true;  // Until the store confirms this leader.
+  }
+  last_tick_ = now.mono;
+  const bool bound_passed =
+      now.mono - last_append_sent_ >
+      options_.scheduler.earlier_leader_bound - kBoundMargin;
+  scheduler_.SetSuspended(stood_still_ || bound_passed);
+  scheduler_.Tick(now);
+  CarryOut(scheduler_.TakeActions());
+  if (scheduler_.fenced()) return End("a worker has seen a higher fence");
+  MaybeFlush();
+  PollWorkers();
+  if (now.mono >= next_figures_) {
+    next_figures_ = now.mono + kFiguresEvery;
+    PublishFigures();
+  }
+}
+
+void LeaderSession::CarryOut(std::vector<Action> actions) {
+  for (const Action& action : actions) {
+    if (const auto* start = std::get_if<StartAction>(&action)) {
+      ports_.workers->Start(
+          start->worker, start->order,
+          [self = shared_from_this(), start = *start](const OrderReply& reply) {
+            if (self->ended()) return;
+            self->scheduler_.OnStartReply(start, reply, SystemNow());
+            self->PumpSoon();
+          });
+    } else if (const auto* stop = std::get_if<StopAction>(&action)) {
+      ports_.workers->Stop(
+          stop->worker, stop->order,
+          [self = shared_from_this(), stop = *stop](const OrderReply& reply) {
+            if (self->ended()) return;
+            self->scheduler_.OnStopReply(stop, reply, SystemNow());
+            self->PumpSoon();
+          });
+    } else if (const auto* observe = std::get_if<ObserveAction>(&action)) {
+      const absl::Time sent = SystemNow().mono;
+      ports_.workers->Observe(observe->worker, observe->order,
+                              [self = shared_from_this(), observe = *observe,
+                               sent](const ObserveReply& reply) {
+                                if (self->ended()) return;
+                                self->scheduler_.OnObserveReply(
+                                    observe, reply, sent, SystemNow());
+                                self->PumpSoon();
+                              });
+    } else if (const auto* ask = std::get_if<AskAdviceAction>(&action)) {
+      options_.ask_advice(
+          *ask, [self = shared_from_this(), ask = *ask](const AdviceReply& r) {
+            if (self->ended()) return;
+            self->scheduler_.OnAdvice(ask, r, SystemNow());
+            self->PumpSoon();
+          });
+    } else if (const auto* forget = std::get_if<ForgetWorkerAction>(&action)) {
+      ports_.workers->Forget(forget->worker_id);
+    } else if (const auto* explain = std::get_if<ExplainAction>(&action)) {
+      LogEvent(explain->severity, explain->event, explain->fields);
+    }
+  }
+}
+
+bool LeaderSession::CanAccept() const {
+  return active() && SystemNow().mono - failing_since_ < kFailingTolerated;
+}
+
+void LeaderSession::MaybeFlush() {
+  if (flight_) return;
+  const absl::Time now = SystemNow().mono;
+  const bool renew = now - last_flush_ > kRenewEvery;
+  if (!renew && !(scheduler_.HasBatch() && now - last_flush_ >= kFlushEvery)) {
+    if (scheduler_.HasBatch() && !pump_armed_) PumpSoon();
+    return;
+  }
+  flight_ = std::make_unique<Flight>();
+  flight_->batch = scheduler_.TakeBatch(SystemNow());
+  flight_->sequence = next_sequence_++;
+  last_flush_ = now;
+  SendFlight();
+}
+
+void LeaderSession::SendFlight() {
+  ++flight_->tries;
+  AppendOrder order;
+  order.stream = Stream::kJobs;
+  order.records = flight_->batch.records;
+  order.writer = WriterEpoch{kWriter, epoch_, flight_->sequence};
+  const absl::Time sent = SystemNow().mono;
+  ports_.store->Append(
+      order, kAppendTimeout,
+      [self = shared_from_this(), sent](const AppendReply& reply) {
+        if (!self->ended()) self->OnAppended(reply, sent);
+      });
+}
+
+void LeaderSession::OnAppended(const AppendReply& reply, absl::Time sent) {
+  metrics_.Count("appends_total", {{"result", StoreResultName(reply.result)}});
+  const Now now = SystemNow();
+  if (reply.result == StoreResult::kFenced ||
+      reply.result == StoreResult::kSequence)
+    return End(
+        absl::StrCat("the store answered ", StoreResultName(reply.result)));
+  if (reply.result != StoreResult::kDone) {
+    if (failing_since_ == absl::InfiniteFuture()) {
+      failing_since_ = sent;
+      LogEvent(Severity::kWarning, "store_lost",
+               {{"result", StoreResultName(reply.result)},
+                {"detail", reply.message}});
+    }
+    return After(kRetryDelay, [self = shared_from_this()] {
+      if (self->flight_) self->SendFlight();
+    });
+  }
+  if (failing_since_ != absl::InfiniteFuture()) {
+    LogEvent(
+        Severity::kInfo, "store_back",
+        {{"after_ms",
+          absl::StrCat(absl::ToInt64Milliseconds(now.mono - failing_since_))}});
+    failing_since_ = absl::InfiniteFuture();
+  }
+  last_append_sent_ = sent;
+  stood_still_ = false;
+  metrics_.Observe("append_seconds", {},
+                   absl::ToDoubleSeconds(now.mono - sent));
+  const int64_t number = flight_->batch.number;
+  flight_.reset();
+  scheduler_.OnDurable(number, now);
+  while (!waiters_.empty() && waiters_.begin()->first <= number) {
+    const Waiter waiter = waiters_.begin()->second;
+    waiters_.erase(waiters_.begin());
+    waiter.reply(waiter.answer);
+  }
+  PumpSoon();
+}
+
+void LeaderSession::Await(int64_t batch, ClientReply answer,
+                          std::function<void(ClientReply)> reply) {
+  if (batch == 0) return reply(std::move(answer));
+  waiters_.emplace(batch, Waiter{std::move(reply), std::move(answer)});
+  PumpSoon();
+}
+
+void LeaderSession::Handle(const ClientCall& call,
+                           std::function<void(ClientReply)> reply) {
+  const Now now = SystemNow();
+  switch (call.kind) {
+    case ClientCallKind::kSubmit: {
+      const bool known = scheduler_.Status(call.job).has_value();
+      if (!known && !CanAccept()) {
+        ClientReply refused =
+            Reply(ClientAnswer::kNotTaken, "the store does not take records");
+        refused.retry_after = kRetryAfter;
+        LogEvent(Severity::kInfo, "job_refused",
+                 {{"job", JobIdText(call.job)}, {"why", refused.message}});
+        return reply(std::move(refused));
+      }
+      const int64_t batch =
+          scheduler_.Submit(call.job, call.queue, call.spec, now);
+      return Await(batch, Reply(ClientAnswer::kAccepted), std::move(reply));
+    }
+    case ClientCallKind::kCancel: {
+      const auto batch = scheduler_.Cancel(call.job, now);
+      if (!batch) return reply(Reply(ClientAnswer::kNoSuchJob));
+      return Await(*batch, Reply(ClientAnswer::kAccepted), std::move(reply));
+    }
+    case ClientCallKind::kStatus: {
+      const auto state = scheduler_.Status(call.job);
+      if (!state) return reply(Reply(ClientAnswer::kNoSuchJob));
+      ClientReply answer = Reply(ClientAnswer::kState);
+      answer.state = JobStateName(*state);
+      return reply(std::move(answer));
+    }
+    case ClientCallKind::kWaiting: {
+      ClientReply answer = Reply(ClientAnswer::kWaiting);
+      const auto waiting = scheduler_.Waiting();
+      const auto found = waiting.find(call.queue);
+      answer.waiting = found == waiting.end() ? 0 : found->second;
+      return reply(std::move(answer));
+    }
+  }
+}
+
+void LeaderSession::SetConfiguration(
+    std::shared_ptr<const SiteConfiguration> configuration) {
+  scheduler_.SetConfiguration(std::move(configuration));
+  PumpSoon();
+}
+
+void LeaderSession::SetAdvisers(const std::vector<std::string>& nodes) {
+  scheduler_.SetAdvisers(nodes, options_.node);
+}
+
+void LeaderSession::OnEarlierLeaderStopped(absl::Time since) {
+  scheduler_.OnEarlierLeaderStopped(since);
+  PumpSoon();
+}
+
+void LeaderSession::PublishFigures() {
+  const JobScheduler::Figures f = scheduler_.figures();
+  const auto set = [&](const char* name, int64_t value) {
+    metrics_.Set(name, {}, static_cast<double>(value));
+  };
+  set("jobs", f.jobs);
+  set("tasks_ready", f.ready_tasks);
+  set("tasks_on_workers", f.running_tasks);
+  set("workers", f.workers);
+  set("workers_listed", f.workers_listed);
+  set("cpu_milli_total", f.cpu_milli_total);
+  set("cpu_milli_used", f.cpu_milli_used);
+  set("starts", f.starts);
+  set("starts_refused", f.starts_refused);
+  set("advice_calls", f.advice_calls);
+  set("ends_done", f.ends_done);
+  set("ends_failed", f.ends_failed);
+  set("ends_other", f.ends_other);
+  LogEvent(Severity::kInfo, "site_figures",
+           {{"jobs", absl::StrCat(f.jobs)},
+            {"tasks_ready", absl::StrCat(f.ready_tasks)},
+            {"tasks_on_workers", absl::StrCat(f.running_tasks)},
+            {"workers", absl::StrCat(f.workers)},
+            {"listed", absl::StrCat(f.workers_listed)},
+            {"cpu_used", absl::StrCat(f.cpu_milli_used / 1000)},
+            {"cpu_total", absl::StrCat(f.cpu_milli_total / 1000)},
+            {"advice_calls", absl::StrCat(f.advice_calls)},
+            {"starts", absl::StrCat(f.starts)},
+            {"refused", absl::StrCat(f.starts_refused)}});
+}
+
+}  // namespace keelbridge
--- /dev/null
+++ b/keelbridge/daemon/leader_session.h
@@ -0,0 +1,132 @@
+// One term of leadership: drives the scheduler of a site against the store, the
+// workers and the advisers, from the claim until another leader fences it.
+//
+// A term begins by fencing earlier leaders in the store, loads the jobs, learns
+// the workers, and then serves. Batches of records are appended one at a time,
+// under the term's epoch and a sequence number, so that a try that lands twice
+// or late changes nothing.
+//
+//   LeaderSession session(loop, ports, options, epoch, configuration);
+//   session.Start();
+//   session.Handle(call, [](ClientReply reply) { ... });
+
+#ifndef KEELBRIDGE_DAEMON_LEADER_SESSION_H_
+#define KEELBRIDGE_DAEMON_LEADER_SESSION_H_
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "keelbridge/coordination/job_scheduler.h"
+#include "keelbridge/daemon/metrics.h"
+#include "keelbridge/protocol/client_call.h"
+#include "keelbridge/protocol/record_store.h"
+#include "keelbridge/protocol/site_worker.h"
+
+namespace keelbridge {
+
+// What a node of a site talks to. All must outlive the node.
+struct NodePorts {
+  RecordStore* store = nullptr;
+  WorkerOrders* workers = nullptr;
+  AdviceService* advice = nullptr;
+  const SiteDialect* dialect = nullptr;
+};
+
+class LeaderSession : public std::enable_shared_from_this<LeaderSession> {
+ public:
+  using AskAdvice = std::function<void(const AskAdviceAction&,
+                                       std::function<void(AdviceReply)>)>;
+  struct Options {
+    JobScheduler::Options scheduler;
+    std::string node;
+    AskAdvice ask_advice;  // Through the node that the action names.
+    std::function<void(const std::string&)> on_ended;  // Why the term ended.
+  };
+
+  LeaderSession(boost::asio::io_context& loop, NodePorts ports, Options options,
+                int64_t epoch, Metrics& metrics);
+
+  void Start();
+  // Ends the term at once; unanswered calls get `kUnknown`.
+  void End(const std::string& why);
+
+  bool active() const { return phase_ == Phase::kActive; }
+  bool ended() const { return phase_ == Phase::kEnded; }
+  int64_t epoch() const { return epoch_; }
+  // Whether new jobs can be kept: the store takes records.
+  bool CanAccept() const;
+
+  void Handle(const ClientCall& call, std::function<void(ClientReply)> reply);
+  void SetConfiguration(std::shared_ptr<const SiteConfiguration> configuration);
+  void SetAdvisers(const std::vector<std::string>& nodes);
+  void OnEarlierLeaderStopped(absl::Time since);
+  // No batch is on its way and none waits.
+  bool Flushed() const { return !flight_ && !scheduler_.HasBatch(); }
+
+ private:
+  enum class Phase { kFencing, kLoading, kLearningWorkers, kActive, kEnded };
+  struct Flight {
+    JobScheduler::Batch batch;
+    int64_t sequence = 0;
+    int tries = 0;
+  };
+  struct Waiter {
+    std::function<void(ClientReply)> reply;
+    ClientReply answer;
+  };
+
+  void Fence();
+  void LoadJobs(const std::string& after);
+  void LearnWorkers(const std::string& after);
+  void Activate();
+  void ArmTick();
+  void Pump();
+  void PumpSoon();
+  void CarryOut(std::vector<Action> actions);
+  void MaybeFlush();
+  void SendFlight();
+  void OnAppended(const AppendReply& reply, absl::Time sent);
+  void PollWorkers();
+  void TakeWorkerRecord(const Record& record);
+  void Await(int64_t batch, ClientReply answer,
+             std::function<void(ClientReply)> reply);
+  void After(absl::Duration delay, std::function<void()> step);
+  void PublishFigures();
+
+  boost::asio::io_context& loop_;
+  const NodePorts ports_;
+  const Options options_;
+  const int64_t epoch_;
+  Metrics& metrics_;
+  JobScheduler scheduler_;
+  Phase phase_ = Phase::kFencing;
+  JobRecords records_;
+  std::set<std::string> listed_workers_;
+  int64_t workers_next_ = -1;  // Offset to read on from; -1: list them anew.
+  absl::Time next_worker_poll_ = absl::InfinitePast();
+  bool polling_workers_ = false;
+
+  std::unique_ptr<Flight> flight_;
+  int64_t next_sequence_ = 1;
+  absl::Time last_flush_ = absl::InfinitePast();
+  absl::Time last_append_sent_ = absl::InfinitePast();  // Of a successful one.
+  absl::Time failing_since_ = absl::InfiniteFuture();
+  std::multimap<int64_t, Waiter> waiters_;  // By batch.
+
+  boost::asio::steady_timer tick_timer_;
+  boost::asio::steady_timer pump_timer_;
+  bool pump_armed_ = false;
+  absl::Time last_tick_ = absl::InfinitePast();
+  absl::Time next_figures_ = absl::InfinitePast();
+  bool stood_still_ = false;
+};
+
+}  // namespace keelbridge
+
+#endif  // KEELBRIDGE_DAEMON_LEADER_SESSION_H_
--- /dev/null
+++ b/keelbridge/daemon/node_messages.cc
@@ -0,0 +1,95 @@
+#include "keelbridge/daemon/node_messages.h"
+
+#include "keelbridge/base/json_reader.h"
+
+namespace keelbridge {
+
+Json::Value ToJson(const ClientCall& call) {
+  Json::Value out(Json::objectValue);
+  out["kind"] = static_cast<int>(call.kind);
+  out["queue"] = call.queue;
+  out["job"] = JobIdText(call.job);
+  if (call.kind == ClientCallKind::kSubmit) out["spec"] = ToJson(call.spec);
+  return out;
+}
+
+ClientCall ClientCallFromJson(const Json::Value& in) {
+  ClientCall call;
+  call.kind = static_cast<ClientCallKind>(in["kind"].asInt());
+  call.queue = in["queue"].asString();
+  ParseJobId(in["job"].asString(), &call.job);
+  if (in.isMember("spec")) call.spec = JobSpecFromJson(in["spec"]);
+  return call;
+}
+
+Json::Value ToJson(const ClientReply& reply) {
+  Json::Value out(Json::objectValue);
+  out["answer"] = static_cast<int>(reply.answer);
+  if (!reply.state.empty()) out["state"] = reply.state;
+  if (reply.waiting != 0) out["waiting"] = Json::Int64(reply.waiting);
+  if (!reply.message.empty()) out["message"] = reply.message;
+  out["retry_after_ms"] =
+      Json::Int64(absl::ToInt64Milliseconds(reply.retry_after));
+  return out;
+}
+
+ClientReply ClientReplyFromJson(const Json::Value& in) {
+  ClientReply reply;
+  reply.answer = static_cast<ClientAnswer>(in["answer"].asInt());
+  reply.state = in["state"].asString();
+  reply.waiting = in["waiting"].asInt64();
+  reply.message = in["message"].asString();
+  reply.retry_after = absl::Milliseconds(in["retry_after_ms"].asInt64());
+  return reply;
+}
+
+Json::Value ToJson(const AdviceRequest& request) {
+  Json::Value out(Json::objectValue);
+  out["step"] = TaskIdText(request.step);
+  out["workers"] = Json::Value(Json::arrayValue);
+  for (const std::string& worker : request.workers)
+    out["workers"].append(worker);
+  return out;
+}
+
+AdviceRequest AdviceRequestFromJson(const Json::Value& in) {
+  AdviceRequest request;
+  ParseTaskId(in["step"].asString(), &request.step);
+  for (const Json::Value& worker : in["workers"])
+    request.workers.push_back(worker.asString());
+  return request;
+}
+
+Json::Value ToJson(const AdviceReply& reply) {
+  Json::Value out(Json::objectValue);
+  out["answered"] = reply.answered;
+  out["overloaded"] = reply.overloaded;
+  out["good"] = Json::Value(Json::arrayValue);
+  for (const AdviceTicket& ticket : reply.good) {
+    Json::Value row(Json::arrayValue);
+    row.append(ticket.worker);
+    row.append(ticket.ticket);
+    out["good"].append(row);
+  }
+  return out;
+}
+
+AdviceReply AdviceReplyFromJson(const Json::Value& in) {
+  AdviceReply reply;
+  reply.answered = in["answered"].asBool();
+  reply.overloaded = in["overloaded"].asBool();
+  for (const Json::Value& row : in["good"])
+    reply.good.push_back({row[0].asString(), row[1].asString()});
+  return reply;
+}
+
+Json::Value ToJson(const LeaderRecord& leader) {
+  return JsonDocument::Parse(*ToRecord(leader).value, "leader").root();
+}
+
+LeaderRecord LeaderFromJson(const Json::Value& in) {
+  const auto leader = LeaderFromRecord(Record{kLeaderKey, ToJsonText(in)});
+  return leader ? *leader : LeaderRecord();
+}
+
+}  // namespace keelbridge
--- /dev/null
+++ b/keelbridge/daemon/node_messages.h
@@ -0,0 +1,28 @@
+// What nodes of a site tell each other, as JSON.
+
+#ifndef KEELBRIDGE_DAEMON_NODE_MESSAGES_H_
+#define KEELBRIDGE_DAEMON_NODE_MESSAGES_H_
+
+#include <json/json.h>
+
+#include "keelbridge/coordination/site_election.h"
+#include "keelbridge/protocol/client_call.h"
+#include "keelbridge/protocol/site_worker.h"
+
+namespace keelbridge {
+
+Json::Value ToJson(const ClientCall& call);
+ClientCall ClientCallFromJson(const Json::Value& in);
+Json::Value ToJson(const ClientReply& reply);
+ClientReply ClientReplyFromJson(const Json::Value& in);
+Json::Value ToJson(const AdviceRequest& request);
+AdviceRequest AdviceRequestFromJson(const Json::Value& in);
+Json::Value ToJson(const AdviceReply& reply);
+AdviceReply AdviceReplyFromJson(const Json::Value& in);
+Json::Value ToJson(const LeaderRecord& leader);
+// Epoch 0 when `in` names none.
+LeaderRecord LeaderFromJson(const Json::Value& in);
+
+}  // namespace keelbridge
+
+#endif  // KEELBRIDGE_DAEMON_NODE_MESSAGES_H_
--- /dev/null
+++ b/keelbridge/daemon/node_settings.cc
@@ -0,0 +1,57 @@
+#include "keelbridge/daemon/node_settings.h"
+
+#include "keelbridge/base/json_reader.h"
+
+namespace keelbridge {
+namespace {
+
+void ReadAddress(JsonReader& reader, const std::string& key, bool required,
+                 Address* out) {
+  std::string text;
+  if (required)
+    reader.Text(key, &text);
+  else
+    reader.OptionalText(key, &text);
+  if (text.empty()) return;
+  auto address = ParseAddress(text);
+  if (!address) return reader.Fault(key, address.error().message);
+  *out = address.value();
+}
+
+}  // namespace
+
+Result<NodeSettings> ParseNodeSettings(const std::string& text,
+                                       const std::string& source) {
+  JsonDocument document = JsonDocument::Parse(text, source);
+  if (!document.faults().empty()) return document.FaultError();
+  NodeSettings out;
+  JsonReader reader(document, document.root(), "");
+  reader.Text("name", &out.name);
+  reader.Text("zone", &out.zone);
+  ReadAddress(reader, "client_listen", true, &out.client_listen);
+  ReadAddress(reader, "ready_listen", true, &out.ready_listen);
+  ReadAddress(reader, "peer_listen", true, &out.peer_listen);
+  ReadAddress(reader, "metrics_listen", false, &out.metrics_listen);
+  ReadAddress(reader, "store", true, &out.store);
+  ReadAddress(reader, "advice", false, &out.advice);
+  if (reader.Has("seeds")) reader.Texts("seeds", &out.seeds);
+  std::string level = "info";
+  if (reader.Has("log_level"))
+    reader.Choice("log_level", {"debug", "info", "warning", "error"}, &level);
+  out.log_level = SeverityFromName(level);
+  reader.OptionalInteger("most_connections", 4, 65536, &out.most_connections);
+  reader.OptionalMillis("lease_ms", 100, 600000, &out.lease);
+  reader.OptionalMillis("stop_timeout_ms", 1, 600000, &out.stop_timeout);
+  reader.OptionalMillis("gang_wait_ms", 1, 600000, &out.gang_wait);
+  double seconds = absl::ToDoubleSeconds(out.ended_kept);
+  reader.OptionalNumber("ended_kept_s", 1, 1e6, &seconds);
+  out.ended_kept = absl::Seconds(seconds);
+  seconds = absl::ToDoubleSeconds(out.stop_grace);
+  reader.OptionalNumber("stop_grace_s", 1, 1e6, &seconds);
+  out.stop_grace = absl::Seconds(seconds);
+  reader.OptionalNumber("remote_penalty", 1, 1000, &out.remote_penalty);
+  if (!document.faults().empty()) return document.FaultError();
+  return out;
+}
+
+}  // namespace keelbridge
--- /dev/null
+++ b/keelbridge/daemon/node_settings.h
@@ -0,0 +1,47 @@
+// What a node of a site is told when it starts, in the product's own form: JSON
+// with comments, checked whole before anything runs. Unknown members are passed
+// over, since deployments add some.
+//
+//   Result<NodeSettings> settings = ParseNodeSettings(text, "node.json");
+
+#ifndef KEELBRIDGE_DAEMON_NODE_SETTINGS_H_
+#define KEELBRIDGE_DAEMON_NODE_SETTINGS_H_
+
+#include <string>
+#include <vector>
+
+#include "absl/time/time.h"
+#include "keelbridge/base/logging.h"
+#include "keelbridge/base/result.h"
+#include "keelbridge/transport/address.h"
+
+namespace keelbridge {
+
+struct NodeSettings {
+  std::string name;
+  std::string zone;
+  Address client_listen;  // Clients' requests.
+  Address ready_listen;   // The balancer's question whether this node is ready.
+  Address peer_listen;    // Other nodes.
+  Address metrics_listen;          // Port 0: no metrics are served.
+  std::vector<std::string> seeds;  // "ip:port" of nodes; only the ip is used.
+  Address store;
+  Address advice;  // Port 0: there is none.
+  Severity log_level = Severity::kInfo;
+  int64_t most_connections = 1500;  // Of clients.
+
+  absl::Duration lease = absl::Seconds(6);
+  absl::Duration stop_timeout = absl::Milliseconds(200);
+  absl::Duration gang_wait = absl::Seconds(3);
+  absl::Duration ended_kept = absl::Seconds(120);
+  absl::Duration stop_grace = absl::Seconds(6);  // From SIGTERM to SIGKILL.
+  double remote_penalty = 2;
+};
+
+// Every fault of `text` at once, or the settings.
+Result<NodeSettings> ParseNodeSettings(const std::string& text,
+                                       const std::string& source);
+
+}  // namespace keelbridge
+
+#endif  // KEELBRIDGE_DAEMON_NODE_SETTINGS_H_
--- a/keelbridge/daemon/settings.cc
+++ b/keelbridge/daemon/settings.cc
@@ -17,12 +17,6 @@
     reader.Fault(key, address.error().message);
 }
 
-Severity SeverityFrom(const std::string& name) {
-  if (name == "debug") return Severity::kDebug;
-  if (name == "warning") return Severity::kWarning;
-  return name == "error" ? Severity::kError : Severity::kInfo;
-}
-
 }  // namespace
 
 Result<Settings> ParseSettings(const std::string& text,
@@ -51,7 +45,7 @@
   std::string level = "info";
   if (reader.Has("log_level"))
     reader.Choice("log_level", {"debug", "info", "warning", "error"}, &level);
-  out.log_level = SeverityFrom(level);
+  out.log_level = SeverityFromName(level);
   reader.OptionalInteger("most_connections", 4, 4096, &out.most_connections);
   reader.OptionalInteger("most_body_bytes", 1024, 1 << 28,
                          &out.most_body_bytes);
--- /dev/null
+++ b/keelbridge/daemon/site_node.cc
@@ -0,0 +1,164 @@
+#include "keelbridge/daemon/site_node.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "absl/strings/str_cat.h"
+#include "keelbridge/base/logging.h"
+#include "keelbridge/transport/trace.h"
+
+namespace keelbridge {
+namespace {
+
+constexpr absl::Duration kElectEvery = absl::Milliseconds(100);
+constexpr absl::Duration kHeartbeatEvery = absl::Milliseconds(400);
+// A node is ready while a leader that takes jobs answered this lately.
+constexpr absl::Duration kLeaderFresh = absl::Milliseconds(1500);
+// From the stop signal until nothing new arrives: the balancer looks every
+// second and takes a node out after two misses.
+constexpr absl::Duration kDrainNotice = absl::Milliseconds(2300);
+// Before the grace ends, so that the process ends by itself.
+constexpr absl::Duration kGraceMargin = absl::Milliseconds(500);
+constexpr absl::Duration kTakeOverTimeout = absl::Milliseconds(800);
+constexpr int kNotFoundStatus = 404;
+constexpr int kUnavailableStatus = 503;
+
+EventHttpServer::Options ServerOptions(const Address& listen, size_t most) {
+  EventHttpServer::Options options;
+  options.listen = listen;
+  options.most_connections = most;
+  return options;
+}
+
+SiteElection::Options ElectionOptions() { return SiteElection::Options(); }
+
+}  // namespace
+
+SiteNode::SiteNode(boost::asio::io_context& loop, NodeSettings settings,
+                   NodePorts ports, StoreFailover& carrier, EventRpcClient& rpc)
+    : loop_(loop),
+      settings_(std::move(settings)),
+      ports_(ports),
+      carrier_(carrier),
+      rpc_(rpc),
+      boot_(RandomId()),
+      metrics_("node"),
+      peer_server_(loop, settings_.peer_listen),
+      election_(settings_.name, boot_, settings_.peer_listen.ToString(),
+                ElectionOptions()) {}
+
+void SiteNode::Every(absl::Duration period, std::function<void()> step) {
+  auto timer = std::make_shared<boost::asio::steady_timer>(loop_);
+  auto run = std::make_shared<std::function<void()>>();
+  *run = [timer, period, step = std::move(step), run] {
+    step();
+    timer->expires_after(absl::ToChronoNanoseconds(period));
+    timer->async_wait([run](boost::system::error_code error) {
+      if (!error) (*run)();
+    });
+  };
+  (*run)();
+}
+
+Result<void> SiteNode::Start() {
+  const auto most = static_cast<size_t>(settings_.most_connections);
+  clients_ = std::make_unique<EventHttpServer>(
+      loop_, ServerOptions(settings_.client_listen, most),
+      [this](const ServerRequest& request, EventHttpServer::Reply reply) {
+        ServeClient(request, std::move(reply));
+      });
+  ready_ = std::make_unique<EventHttpServer>(
+      loop_, ServerOptions(settings_.ready_listen, 16),
+      [this](const ServerRequest& request, EventHttpServer::Reply reply) {
+        ServeReady(request, std::move(reply));
+      });
+  AddPeerMethods();
+  for (auto start :
+       {clients_->Start(), ready_->Start(), peer_server_.Start()}) {
+    if (!start) return start.error();
+  }
+  if (settings_.metrics_listen.port != 0) {
+    metrics_server_ = std::make_unique<EventHttpServer>(
+        loop_, ServerOptions(settings_.metrics_listen, 16),
+        [this](const ServerRequest& request, EventHttpServer::Reply reply) {
+          ServeMetrics(request, std::move(reply));
+        });
+    if (auto start = metrics_server_->Start(); !start) return start.error();
+  }
+  LogEvent(Severity::kInfo, "node_started",
+           {{"zone", settings_.zone},
+            {"clients", settings_.client_listen.ToString()},
+            {"peers", settings_.peer_listen.ToString()}});
+  ReadConfiguration();
+  Every(kElectEvery, [this] { Elect(); });
+  Every(kHeartbeatEvery, [this] { Heartbeat(); });
+  return Success();
+}
+
+bool SiteNode::Ready() const {
+  if (draining_ || configuration_ == nullptr) return false;
+  if (session_ != nullptr && session_->active()) return session_->CanAccept();
+  return leader_accepts_ && SystemNow().mono - leader_answered_ < kLeaderFresh;
+}
+
+void SiteNode::ServeReady(const ServerRequest& request,
+                          EventHttpServer::Reply reply) {
+  (void)request;
+  const bool ready = Ready();
+  reply({ready ? 200 : kUnavailableStatus,
+         {},
+         ready ? "ready\n" : "not ready\n",
+         "text/plain"});
+}
+
+void SiteNode::ServeMetrics(const ServerRequest& request,
+                            EventHttpServer::Reply reply) {
+  if (request.path != "/metrics")
+    return reply({kNotFoundStatus, {}, "see /metrics\n", "text/plain"});
+  metrics_.Set("log_lines_dropped", {}, static_cast<double>(DroppedLogLines()));
+  metrics_.Set("store_calls", {}, static_cast<double>(carrier_.calls()));
+  metrics_.Set("store_calls_through_peers", {},
+               static_cast<double>(carrier_.relayed()));
+  metrics_.Set("ready", {}, Ready() ? 1 : 0);
+  metrics_.Set("leads", {}, session_ != nullptr && session_->active() ? 1 : 0);
+  metrics_.Set("configuration_version", {},
+               configuration_ == nullptr
+                   ? 0
+                   : static_cast<double>(configuration_->version));
+  reply({200, {}, metrics_.Text(), "text/plain"});
+}
+
+void SiteNode::Drain(std::function<void()> done) {
+  if (draining_) return;
+  draining_ = true;
+  drained_ = std::move(done);
+  drain_begun_ = SystemNow().mono;
+  election_.Retire();
+  clients_->Drain();
+  LogEvent(Severity::kInfo, "node_draining", {});
+  Every(absl::Milliseconds(100), [this] {
+    const absl::Duration since = SystemNow().mono - drain_begun_;
+    const bool leads = session_ != nullptr && !session_->ended();
+    if (leads) {
+      for (const auto& [name, peer] : peers_) {
+        if (!peer.store_ok) continue;
+        Json::Value params(Json::objectValue);
+        params["epoch"] = Json::Int64(session_->epoch());
+        rpc_.Call(peer.address, "take_over", params, kTakeOverTimeout,
+                  [](const RpcOutcome&) {});
+        break;
+      }
+    }
+    const bool idle =
+        since > kDrainNotice && clients_->InFlight() == 0 && !leads;
+    const bool out_of_time = since > settings_.stop_grace - kGraceMargin;
+    if (!idle && !out_of_time) return;
+    if (!drained_) return;
+    LogEvent(Severity::kInfo, "node_stopped",
+             {{"in_flight", absl::StrCat(clients_->InFlight())},
+              {"leads", leads ? "yes" : "no"}});
+    std::exchange(drained_, nullptr)();
+  });
+}
+
+}  // namespace keelbridge
--- /dev/null
+++ b/keelbridge/daemon/site_node.h
@@ -0,0 +1,133 @@
+// A node of a site: takes clients' calls, follows the configuration, knows who
+// leads, and leads when it is its turn.
+//
+//   SiteNode node(loop, settings, ports, carrier, rpc);
+//   Result<void> started = node.Start();
+//   loop.run();
+
+#ifndef KEELBRIDGE_DAEMON_SITE_NODE_H_
+#define KEELBRIDGE_DAEMON_SITE_NODE_H_
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "keelbridge/coordination/site_election.h"
+#include "keelbridge/daemon/leader_session.h"
+#include "keelbridge/daemon/metrics.h"
+#include "keelbridge/daemon/node_settings.h"
+#include "keelbridge/daemon/store_failover.h"
+#include "keelbridge/transport/event_http_server.h"
+#include "keelbridge/transport/event_rpc.h"
+
+namespace keelbridge {
+
+// All on the loop's thread.
+class SiteNode {
+ public:
+  SiteNode(boost::asio::io_context& loop, NodeSettings settings,
+           NodePorts ports, StoreFailover& carrier, EventRpcClient& rpc);
+
+  Result<void> Start();
+  // A planned stop: no longer ready, hands leadership over, finishes what is in
+  // flight, then calls `done`.
+  void Drain(std::function<void()> done);
+
+ private:
+  // Another node, as far as this one has heard of it.
+  struct Peer {
+    std::string name;
+    std::string address;
+    bool store_ok = false;
+    absl::Time heard = absl::InfinitePast();
+  };
+  // A client's call on its way to an answer.
+  struct Forward {
+    ClientCall call;
+    absl::Time begun;
+    absl::Time deadline;
+    bool may_have_run = false;
+    std::function<void(ClientReply)> reply;
+  };
+
+  // site_node.cc
+  void Every(absl::Duration period, std::function<void()> step);
+  void ServeReady(const ServerRequest& request, EventHttpServer::Reply reply);
+  void ServeMetrics(const ServerRequest& request, EventHttpServer::Reply reply);
+  bool Ready() const;
+  void AddPeerMethods();
+
+  // site_node_clients.cc
+  void ServeClient(const ServerRequest& request, EventHttpServer::Reply reply);
+  void Try(const std::shared_ptr<Forward>& forward);
+  void TryAgain(const std::shared_ptr<Forward>& forward);
+  void GiveUp(const std::shared_ptr<Forward>& forward);
+
+  // site_node_peers.cc
+  void Heartbeat();
+  void OnHeartbeatReply(const RpcOutcome& outcome, const LeaderRecord& to);
+  Json::Value AnswerHeartbeat(const Json::Value& params);
+  void TakePeer(const Json::Value& in);
+  void UpdatePeers();
+  void FetchConfiguration(const std::string& address);
+  void AskAdvice(const AskAdviceAction& action,
+                 std::function<void(AdviceReply)> done);
+
+  // site_node_leading.cc
+  void Elect();
+  void ReadControl();
+  void FollowControl();
+  void AskPeersThenClaim();
+  void Claim();
+  void BeginTerm();
+  void OnTermEnded(const std::string& why);
+  void AskEarlierLeaders();
+
+  // site_node_configuration.cc
+  void ReadConfiguration();
+  void FollowConfiguration();
+  void TakeConfiguration(const std::string& document,
+                         const std::string& source);
+
+  boost::asio::io_context& loop_;
+  const NodeSettings settings_;
+  const NodePorts ports_;
+  StoreFailover& carrier_;
+  EventRpcClient& rpc_;
+  const uint64_t boot_;
+  Metrics metrics_;
+
+  std::unique_ptr<EventHttpServer> clients_;
+  std::unique_ptr<EventHttpServer> ready_;
+  std::unique_ptr<EventHttpServer> metrics_server_;
+  EventRpcServer peer_server_;
+
+  std::shared_ptr<const SiteConfiguration> configuration_;
+  int64_t configuration_next_ = -1;  // Offset to follow from; -1: read anew.
+  bool fetching_configuration_ = false;
+
+  SiteElection election_;
+  std::shared_ptr<LeaderSession> session_;
+  std::map<std::string, Peer> peers_;  // By name.
+  std::vector<EarlierLeader> earlier_leaders_;
+  bool reading_control_ = false;
+  bool following_control_ = false;
+  bool claiming_ = false;
+  int64_t control_next_ = -1;
+  bool heartbeat_under_way_ = false;
+  int failed_heartbeats_ = 0;
+  bool leader_accepts_ = false;
+  absl::Time leader_answered_ = absl::InfinitePast();
+
+  bool draining_ = false;
+  absl::Time drain_begun_ = absl::InfiniteFuture();
+  std::function<void()> drained_;
+};
+
+}  // namespace keelbridge
+
+#endif  // KEELBRIDGE_DAEMON_SITE_NODE_H_
--- /dev/null
+++ b/keelbridge/daemon/site_node_clients.cc
@@ -0,0 +1,161 @@
+// Clients' calls: read, carried to the leader, answered. All of them may be
+// tried again, since a job's id makes each of them happen once.
+
+#include <algorithm>
+#include <utility>
+
+#include "absl/strings/str_cat.h"
+#include "keelbridge/base/logging.h"
+#include "keelbridge/daemon/node_messages.h"
+#include "keelbridge/daemon/site_node.h"
+
+namespace keelbridge {
+namespace {
+
+// A client gets its answer this much before it stops waiting.
+constexpr absl::Duration kAnswerMargin = absl::Milliseconds(200);
+constexpr absl::Duration kLongestForward = absl::Milliseconds(2600);
+constexpr absl::Duration kTryTimeout = absl::Milliseconds(1000);
+constexpr absl::Duration kTryPause = absl::Milliseconds(60);
+// Without anybody who leads, a call is given up after this long.
+constexpr absl::Duration kLeaderlessPatience = absl::Milliseconds(1000);
+constexpr absl::Duration kRetryAfter = absl::Seconds(1);
+
+ClientAnswer AnswerOf(const Error& error) {
+  return error.code == ErrorCode::kNotFound ? ClientAnswer::kNoSuchQueue
+                                            : ClientAnswer::kInvalid;
+}
+
+const char* KindName(ClientCallKind kind) {
+  switch (kind) {
+    case ClientCallKind::kSubmit:
+      return "submit";
+    case ClientCallKind::kStatus:
+      return "status";
+    case ClientCallKind::kCancel:
+      return "cancel";
+    case ClientCallKind::kWaiting:
+      return "waiting";
+  }
+  return "status";
+}
+
+}  // namespace
+
+void SiteNode::ServeClient(const ServerRequest& request,
+                           EventHttpServer::Reply reply) {
+  ClientReply refused;
+  if (configuration_ == nullptr) {
+    refused.answer = ClientAnswer::kNotTaken;
+    refused.message = "this node has no configuration yet";
+    refused.retry_after = kRetryAfter;
+    return reply(ports_.dialect->FormatReply(refused));
+  }
+  auto call = ports_.dialect->ParseClientCall(request, *configuration_);
+  if (!call) {
+    refused.answer = AnswerOf(call.error());
+    refused.message = call.error().message;
+    return reply(ports_.dialect->FormatReply(refused));
+  }
+  auto forward = std::make_shared<Forward>();
+  forward->call = std::move(call.value());
+  forward->begun = SystemNow().mono;
+  forward->deadline =
+      forward->begun +
+      std::min(kLongestForward,
+               std::max(forward->call.remaining - kAnswerMargin, kTryPause));
+  const ClientCallKind kind = forward->call.kind;
+  forward->reply = [this, kind, begun = forward->begun,
+                    reply = std::move(reply)](const ClientReply& answer) {
+    metrics_.Observe("call_seconds", {{"kind", KindName(kind)}},
+                     absl::ToDoubleSeconds(SystemNow().mono - begun));
+    ServerResponse response = ports_.dialect->FormatReply(answer);
+    metrics_.Count("calls_total", {{"kind", KindName(kind)},
+                                   {"status", absl::StrCat(response.status)}});
+    reply(std::move(response));
+  };
+  Try(forward);
+}
+
+void SiteNode::Try(const std::shared_ptr<Forward>& forward) {
+  const absl::Time now = SystemNow().mono;
+  if (now >= forward->deadline) return GiveUp(forward);
+  const auto answered = [forward](const ClientReply& reply) {
+    if (forward->reply) std::exchange(forward->reply, nullptr)(reply);
+  };
+  if (session_ != nullptr && !session_->ended()) {
+    if (!session_->active()) return TryAgain(forward);
+    forward->may_have_run = true;
+    // The term may end before the answer: then the next leader is asked.
+    session_->Handle(forward->call,
+                     [this, forward, answered](const ClientReply& reply) {
+                       if (reply.answer == ClientAnswer::kUnknown)
+                         return TryAgain(forward);
+                       answered(reply);
+                     });
+    auto timer = std::make_shared<boost::asio::steady_timer>(
+        loop_, absl::ToChronoNanoseconds(forward->deadline - now));
+    timer->async_wait([this, forward, timer](boost::system::error_code error) {
+      if (!error) GiveUp(forward);
+    });
+    return;
+  }
+  const LeaderRecord& leader = election_.leader();
+  if (leader.epoch == 0 || leader.address == settings_.peer_listen.ToString())
+    return TryAgain(forward);
+  rpc_.Call(leader.address, "call", ToJson(forward->call),
+            std::min(kTryTimeout, forward->deadline - now),
+            [this, forward, answered](const RpcOutcome& outcome) {
+              if (!forward->reply) return;
+              if (!outcome.answered || outcome.result["not_leader"].asBool()) {
+                forward->may_have_run = forward->may_have_run ||
+                                        (outcome.sent && !outcome.answered);
+                return TryAgain(forward);
+              }
+              const ClientReply reply = ClientReplyFromJson(outcome.result);
+              if (reply.answer == ClientAnswer::kUnknown) {
+                forward->may_have_run = true;
+                return TryAgain(forward);
+              }
+              // What an earlier try may have brought about is not denied.
+              const bool denied = reply.answer == ClientAnswer::kNotTaken &&
+                                  forward->may_have_run;
+              if (denied) return TryAgain(forward);
+              answered(reply);
+            });
+}
+
+void SiteNode::TryAgain(const std::shared_ptr<Forward>& forward) {
+  if (!forward->reply) return;
+  const absl::Time now = SystemNow().mono;
+  const bool leaderless =
+      !forward->may_have_run && now - forward->begun > kLeaderlessPatience;
+  if (leaderless || now + kTryPause >= forward->deadline)
+    return GiveUp(forward);
+  auto timer = std::make_shared<boost::asio::steady_timer>(
+      loop_, absl::ToChronoNanoseconds(kTryPause));
+  timer->async_wait([this, forward, timer](boost::system::error_code error) {
+    if (!error && forward->reply) Try(forward);
+  });
+}
+
+void SiteNode::GiveUp(const std::shared_ptr<Forward>& forward) {
+  if (!forward->reply) return;
+  ClientReply reply;
+  const bool unknown =
+      forward->call.kind == ClientCallKind::kSubmit && forward->may_have_run;
+  reply.answer = unknown ? ClientAnswer::kUnknown : ClientAnswer::kNotTaken;
+  reply.message = unknown ? "nobody could confirm the job in time"
+                          : "no leader answered; come back later";
+  reply.retry_after = kRetryAfter;
+  LogEvent(Severity::kInfo, "call_given_up",
+           {{"kind", KindName(forward->call.kind)},
+            {"job", JobIdText(forward->call.job)},
+            {"queue", forward->call.queue},
+            {"leader", election_.leader().node},
+            {"epoch", absl::StrCat(election_.leader().epoch)},
+            {"answer", unknown ? "unknown" : "not_taken"}});
+  std::exchange(forward->reply, nullptr)(reply);
+}
+
+}  // namespace keelbridge
--- /dev/null
+++ b/keelbridge/daemon/site_node_configuration.cc
@@ -0,0 +1,93 @@
+// Following the operator's configuration, from the store and from peers.
+
+#include "absl/strings/str_cat.h"
+#include "keelbridge/base/logging.h"
+#include "keelbridge/daemon/site_node.h"
+
+namespace keelbridge {
+namespace {
+
+constexpr absl::Duration kReadTimeout = absl::Milliseconds(1000);
+constexpr absl::Duration kFollowWait = absl::Seconds(20);
+constexpr absl::Duration kFollowTimeout = absl::Seconds(22);
+constexpr absl::Duration kRetry = absl::Milliseconds(300);
+
+}  // namespace
+
+void SiteNode::ReadConfiguration() {
+  ports_.store->Newest(
+      Stream::kConfiguration, "", kReadTimeout, [this](const NewestReply& r) {
+        if (r.result != StoreResult::kDone) {
+          auto timer = std::make_shared<boost::asio::steady_timer>(
+              loop_, absl::ToChronoNanoseconds(kRetry));
+          timer->async_wait([this, timer](boost::system::error_code error) {
+            if (!error) ReadConfiguration();
+          });
+          return;
+        }
+        for (const Record& record : r.records) {
+          if (record.key == ports_.dialect->ConfigurationKey() && record.value)
+            TakeConfiguration(*record.value, "store");
+        }
+        configuration_next_ = r.end;
+        FollowConfiguration();
+      });
+}
+
+void SiteNode::FollowConfiguration() {
+  const int64_t from = configuration_next_;
+  ports_.store->Read(
+      Stream::kConfiguration, from, kFollowWait, kFollowTimeout,
+      [this, from](const ReadReply& reply) {
+        if (reply.result != StoreResult::kDone) {
+          auto timer = std::make_shared<boost::asio::steady_timer>(
+              loop_, absl::ToChronoNanoseconds(kRetry));
+          timer->async_wait([this, timer](boost::system::error_code error) {
+            if (!error) ReadConfiguration();
+          });
+          return;
+        }
+        for (const Record& record : reply.records) {
+          if (record.key == ports_.dialect->ConfigurationKey() && record.value)
+            TakeConfiguration(*record.value, "store");
+        }
+        configuration_next_ = from + static_cast<int64_t>(reply.records.size());
+        FollowConfiguration();
+      });
+}
+
+void SiteNode::FetchConfiguration(const std::string& address) {
+  if (fetching_configuration_) return;
+  fetching_configuration_ = true;
+  rpc_.Call(address, "configuration", Json::Value(Json::objectValue),
+            kReadTimeout, [this, address](const RpcOutcome& outcome) {
+              fetching_configuration_ = false;
+              if (outcome.answered && outcome.result["document"].isString())
+                TakeConfiguration(outcome.result["document"].asString(),
+                                  address);
+            });
+}
+
+void SiteNode::TakeConfiguration(const std::string& document,
+                                 const std::string& source) {
+  auto parsed = ports_.dialect->ParseConfiguration(document);
+  if (!parsed) {
+    LogEvent(Severity::kError, "configuration_unreadable",
+             {{"source", source}, {"what", parsed.error().message}});
+    return;
+  }
+  const int64_t version = parsed.value().version;
+  const int64_t before =
+      configuration_ == nullptr ? 0 : configuration_->version;
+  if (version <= before) return;
+  configuration_ =
+      std::make_shared<SiteConfiguration>(std::move(parsed.value()));
+  LogEvent(Severity::kInfo, "configuration_in_force",
+           {{"version", absl::StrCat(version)},
+            {"before", absl::StrCat(before)},
+            {"queues", absl::StrCat(configuration_->queues.size())},
+            {"source", source}});
+  if (session_ != nullptr) session_->SetConfiguration(configuration_);
+}
+
+}  // namespace keelbridge
--- /dev/null
+++ b/keelbridge/daemon/site_node_leading.cc
@@ -0,0 +1,208 @@
+// Who leads: reading and following the control stream, claiming, serving a
+// term.
+
+#include <utility>
+
+#include "absl/strings/str_cat.h"
+#include "keelbridge/base/logging.h"
+#include "keelbridge/daemon/node_messages.h"
+#include "keelbridge/daemon/site_node.h"
+
+namespace keelbridge {
+namespace {
+
+constexpr absl::Duration kReadTimeout = absl::Milliseconds(800);
+constexpr absl::Duration kFollowWait = absl::Seconds(20);
+constexpr absl::Duration kFollowTimeout = absl::Seconds(22);
+constexpr absl::Duration kFollowRetry = absl::Milliseconds(500);
+constexpr absl::Duration kAskPeersTimeout = absl::Milliseconds(300);
+// A peer that the leader answered this lately vouches for it.
+constexpr int64_t kVouchMs = 1000;
+constexpr absl::Duration kAskEarlierEvery = absl::Milliseconds(300);
+
+}  // namespace
+
+void SiteNode::Elect() {
+  const absl::Time now = SystemNow().mono;
+  const bool serving = session_ != nullptr && !session_->ended();
+  const bool replaced =
+      serving &&
+      (!election_.Leads() || election_.leader().epoch != session_->epoch());
+  if (replaced) {
+    session_->End(absl::StrCat("epoch ", election_.leader().epoch, " of ",
+                               election_.leader().node, " was heard"));
+    return;
+  }
+  if (election_.Leads() && !serving) return BeginTerm();
+  switch (election_.Decide(now)) {
+    case ElectionStep::kReadControl:
+      return ReadControl();
+    case ElectionStep::kClaim:
+      if (!claiming_) AskPeersThenClaim();
+      return;
+    case ElectionStep::kNone:
+      return;
+  }
+}
+
+void SiteNode::ReadControl() {
+  if (reading_control_) return;
+  reading_control_ = true;
+  ports_.store->Newest(
+      Stream::kControl, "", kReadTimeout, [this](const NewestReply& reply) {
+        reading_control_ = false;
+        if (reply.result != StoreResult::kDone) return;
+        election_.OnControlRead(reply.records, reply.end, SystemNow().mono);
+        control_next_ = reply.end;
+        if (!following_control_) FollowControl();
+        Elect();
+      });
+}
+
+void SiteNode::FollowControl() {
+  following_control_ = true;
+  const int64_t from = control_next_;
+  ports_.store->Read(
+      Stream::kControl, from, kFollowWait, kFollowTimeout,
+      [this, from](const ReadReply& reply) {
+        if (reply.result == StoreResult::kDone) {
+          const int64_t next =
+              from + static_cast<int64_t>(reply.records.size());
+          control_next_ = std::max(control_next_, next);
+          if (!reply.records.empty()) {
+            election_.OnControlRead(reply.records, next, SystemNow().mono);
+            Elect();
+          }
+          return FollowControl();
+        }
+        auto timer = std::make_shared<boost::asio::steady_timer>(
+            loop_, absl::ToChronoNanoseconds(kFollowRetry));
+        timer->async_wait([this, timer](boost::system::error_code error) {
+          if (error) return;
+          following_control_ = false;
+          ReadControl();
+          if (!following_control_ && control_next_ >= 0) FollowControl();
+        });
+      });
+}
+
+void SiteNode::AskPeersThenClaim() {
+  claiming_ = true;
+  struct Round {
+    size_t open = 0;
+    bool vouched = false;
+  };
+  auto round = std::make_shared<Round>();
+  const auto finish = [this, round] {
+    if (round->vouched) {
+      election_.OnLeaderVouched(SystemNow().mono);
+      claiming_ = false;
+      return;
+    }
+    claiming_ = false;
+    // Something may have been heard meanwhile.
+    if (election_.Decide(SystemNow().mono) == ElectionStep::kClaim) Claim();
+  };
+  Json::Value params(Json::objectValue);
+  params["epoch"] = Json::Int64(election_.leader().epoch);
+  for (const auto& [name, peer] : peers_) {
+    if (name == election_.leader().node) continue;
+    ++round->open;
+    rpc_.Call(peer.address, "leader_age", params, kAskPeersTimeout,
+              [this, round, finish](const RpcOutcome& outcome) {
+                if (outcome.answered) {
+                  election_.OnLeaderHeard(
+                      LeaderFromJson(outcome.result["newer"]),
+                      SystemNow().mono);
+                  if (outcome.result.isMember("age_ms") &&
+                      outcome.result["age_ms"].asInt64() < kVouchMs)
+                    round->vouched = true;
+                }
+                if (--round->open == 0) finish();
+              });
+  }
+  if (round->open == 0) finish();
+}
+
+void SiteNode::Claim() {
+  if (claiming_ || election_.Leads()) return;
+  claiming_ = true;
+  const Now begun = SystemNow();
+  LogEvent(Severity::kInfo, "claiming",
+           {{"after_epoch", absl::StrCat(election_.leader().epoch)},
+            {"leader", election_.leader().node},
+            {"silent_ms", absl::StrCat(absl::ToInt64Milliseconds(
+                              begun.mono - election_.last_heard()))}});
+  ports_.store->Append(election_.Claim(ToMillis(begun.wall)), kReadTimeout,
+                       [this](const AppendReply& reply) {
+                         claiming_ = false;
+                         LogEvent(Severity::kInfo, "claim_answered",
+                                  {{"result", StoreResultName(reply.result)}});
+                         if (reply.result == StoreResult::kDone)
+                           election_.OnClaimed(reply.end, SystemNow().mono);
+                         else
+                           election_.OnClaimFailed(SystemNow().mono);
+                         Elect();
+                       });
+}
+
+void SiteNode::BeginTerm() {
+  if (draining_) return;
+  LeaderSession::Options options;
+  options.node = settings_.name;
+  options.scheduler.lease = settings_.lease;
+  options.scheduler.gang_wait = settings_.gang_wait;
+  options.scheduler.stop_timeout = settings_.stop_timeout;
+  options.scheduler.ended_kept = settings_.ended_kept + absl::Seconds(10);
+  options.scheduler.remote_penalty = settings_.remote_penalty;
+  options.ask_advice = [this](const AskAdviceAction& action,
+                              std::function<void(AdviceReply)> done) {
+    AskAdvice(action, std::move(done));
+  };
+  options.on_ended = [this](const std::string& why) { OnTermEnded(why); };
+  earlier_leaders_ = election_.leader().earlier;
+  session_ = std::make_shared<LeaderSession>(
+      loop_, ports_, std::move(options), election_.leader().epoch, metrics_);
+  if (configuration_ != nullptr) session_->SetConfiguration(configuration_);
+  UpdatePeers();
+  session_->Start();
+  AskEarlierLeaders();
+}
+
+void SiteNode::OnTermEnded(const std::string& why) {
+  (void)why;
+  election_.StepDown(SystemNow().mono);
+  ReadControl();
+}
+
+void SiteNode::AskEarlierLeaders() {
+  if (session_ == nullptr || session_->ended()) return;
+  if (earlier_leaders_.empty()) {
+    session_->OnEarlierLeaderStopped(SystemNow().mono);
+    return;
+  }
+  Json::Value params(Json::objectValue);
+  params["leader"] = ToJson(election_.leader());
+  for (const EarlierLeader& earlier : earlier_leaders_) {
+    rpc_.Call(earlier.address, "leader_heard", params, kReadTimeout,
+              [this, address = earlier.address](const RpcOutcome& outcome) {
+                if (!outcome.answered || outcome.result["leads"].asBool())
+                  return;
+                for (auto it = earlier_leaders_.begin();
+                     it != earlier_leaders_.end(); ++it) {
+                  if (it->address != address) continue;
+                  LogEvent(Severity::kInfo, "earlier_leader_stopped",
+                           {{"address", address}});
+                  earlier_leaders_.erase(it);
+                  break;
+                }
+              });
+  }
+  auto timer = std::make_shared<boost::asio::steady_timer>(
+      loop_, absl::ToChronoNanoseconds(kAskEarlierEvery));
+  timer->async_wait([this, timer](boost::system::error_code error) {
+    if (!error) AskEarlierLeaders();
+  });
+}
+
+}  // namespace keelbridge
--- /dev/null
+++ b/keelbridge/daemon/site_node_peers.cc
@@ -0,0 +1,241 @@
+// What nodes tell each other: heartbeats to the leader, and calls on its
+// behalf.
+
+#include <algorithm>
+#include <boost/asio/post.hpp>
+#include <utility>
+
+#include "absl/strings/str_cat.h"
+#include "keelbridge/base/logging.h"
+#include "keelbridge/daemon/node_messages.h"
+#include "keelbridge/daemon/site_node.h"
+
+namespace keelbridge {
+namespace {
+
+constexpr absl::Duration kHeartbeatTimeout = absl::Milliseconds(700);
+constexpr absl::Duration kPeerFresh = absl::Milliseconds(1500);
+// A peer that nobody heard for this long is forgotten.
+constexpr absl::Duration kPeerForgotten = absl::Seconds(30);
+constexpr int kBadCall = -32602;
+
+JsonRpcReply Ok(Json::Value result) { return {std::move(result), 0, ""}; }
+
+}  // namespace
+
+void SiteNode::AddPeerMethods() {
+  peer_server_.Add("heartbeat", [this](const Json::Value& params,
+                                       EventRpcServer::Reply reply) {
+    reply(Ok(AnswerHeartbeat(params)));
+  });
+  peer_server_.Add(
+      "call", [this](const Json::Value& params, EventRpcServer::Reply reply) {
+        if (session_ == nullptr || !session_->active()) {
+          Json::Value out(Json::objectValue);
+          out["not_leader"] = true;
+          return reply(Ok(out));
+        }
+        session_->Handle(ClientCallFromJson(params),
+                         [reply = std::move(reply)](const ClientReply& answer) {
+                           reply(Ok(ToJson(answer)));
+                         });
+      });
+  peer_server_.Add("advise", [this](const Json::Value& params,
+                                    EventRpcServer::Reply reply) {
+    ports_.advice->Ask(AdviceRequestFromJson(params),
+                       absl::Milliseconds(params["timeout_ms"].asInt64()),
+                       [reply = std::move(reply)](const AdviceReply& answer) {
+                         reply(Ok(ToJson(answer)));
+                       });
+  });
+  peer_server_.Add(StoreFailover::kMethod, [this](const Json::Value& params,
+                                                  EventRpcServer::Reply reply) {
+    carrier_.ServePeer(params, std::move(reply));
+  });
+  peer_server_.Add(
+      "configuration", [this](const Json::Value&, EventRpcServer::Reply reply) {
+        if (configuration_ == nullptr)
+          return reply({Json::Value(), kBadCall, "no configuration"});
+        Json::Value out(Json::objectValue);
+        out["document"] = configuration_->document;
+        reply(Ok(out));
+      });
+  // A node that leads tells one that led before, and asks whether it stopped.
+  peer_server_.Add("leader_heard", [this](const Json::Value& params,
+                                          EventRpcServer::Reply reply) {
+    election_.OnLeaderHeard(LeaderFromJson(params["leader"]), SystemNow().mono);
+    Elect();
+    Json::Value out(Json::objectValue);
+    out["leads"] = session_ != nullptr && !session_->ended();
+    reply(Ok(out));
+  });
+  // How long ago the leader answered this node, in milliseconds.
+  peer_server_.Add("leader_age", [this](const Json::Value& params,
+                                        EventRpcServer::Reply reply) {
+    Json::Value out(Json::objectValue);
+    const bool same = params["epoch"].asInt64() == election_.leader().epoch;
+    const bool leads = session_ != nullptr && session_->CanAccept();
+    out["newer"] = ToJson(election_.leader());
+    if (leads)
+      out["age_ms"] = 0;
+    else if (same && leader_accepts_)
+      out["age_ms"] = Json::Int64(absl::ToInt64Milliseconds(
+          std::min(SystemNow().mono - leader_answered_, absl::Hours(1))));
+    reply(Ok(out));
+  });
+  peer_server_.Add("take_over", [this](const Json::Value& params,
+                                       EventRpcServer::Reply reply) {
+    if (params["epoch"].asInt64() == election_.leader().epoch && !draining_) {
+      LogEvent(Severity::kInfo, "asked_to_take_over",
+               {{"epoch", params["epoch"].asString()}});
+      Claim();
+    }
+    reply(Ok(Json::Value(Json::objectValue)));
+  });
+}
+
+void SiteNode::TakePeer(const Json::Value& in) {
+  const std::string name = in["node"].asString();
+  if (name.empty() || name == settings_.name) return;
+  Peer& peer = peers_[name];
+  peer.name = name;
+  peer.address = in["address"].asString();
+  peer.store_ok = in["store_ok"].asBool();
+  peer.heard = SystemNow().mono;
+}
+
+void SiteNode::UpdatePeers() {
+  const absl::Time now = SystemNow().mono;
+  std::vector<std::string> names;
+  std::vector<std::string> fresh = {settings_.name};
+  std::vector<std::string> relays;
+  for (auto it = peers_.begin(); it != peers_.end();) {
+    const Peer& peer = it->second;
+    if (now - peer.heard > kPeerForgotten) {
+      it = peers_.erase(it);
+      continue;
+    }
+    const bool is_fresh = now - peer.heard < kPeerFresh;
+    if (is_fresh) names.push_back(peer.name);
+    if (is_fresh) fresh.push_back(peer.name);
+    if (peer.store_ok && is_fresh) relays.push_back(peer.address);
+    ++it;
+  }
+  election_.SetPeers(names);
+  if (relays.empty()) {
+    // Before anybody was heard, the seeds may reach the store.
+    for (const std::string& seed : settings_.seeds) {
+      const std::string address = absl::StrCat(seed.substr(0, seed.find(':')),
+                                               ":", settings_.peer_listen.port);
+      if (address != settings_.peer_listen.ToString())
+        relays.push_back(address);
+    }
+  }
+  carrier_.SetPeers(std::move(relays));
+  if (session_ != nullptr && !session_->ended()) session_->SetAdvisers(fresh);
+}
+
+Json::Value SiteNode::AnswerHeartbeat(const Json::Value& params) {
+  TakePeer(params);
+  const LeaderRecord theirs = LeaderFromJson(params["leader"]);
+  if (theirs.epoch > election_.leader().epoch)
+    election_.OnLeaderHeard(theirs, SystemNow().mono);
+  const int64_t version = params["configuration_version"].asInt64();
+  if (version > (configuration_ == nullptr ? 0 : configuration_->version))
+    FetchConfiguration(params["address"].asString());
+  Json::Value out(Json::objectValue);
+  out["boot"] = Json::UInt64(boot_);
+  out["leads"] = session_ != nullptr && !session_->ended();
+  out["accepts"] = session_ != nullptr && session_->CanAccept();
+  out["draining"] = draining_;
+  out["leader"] = ToJson(election_.leader());
+  out["configuration_version"] =
+      Json::Int64(configuration_ == nullptr ? 0 : configuration_->version);
+  const absl::Time now = SystemNow().mono;
+  for (const auto& [name, peer] : peers_) {
+    if (now - peer.heard > kPeerFresh) continue;
+    Json::Value one(Json::objectValue);
+    one["node"] = name;
+    one["address"] = peer.address;
+    one["store_ok"] = peer.store_ok;
+    out["peers"].append(one);
+  }
+  Json::Value self(Json::objectValue);
+  self["node"] = settings_.name;
+  self["address"] = settings_.peer_listen.ToString();
+  self["store_ok"] = carrier_.direct();
+  out["peers"].append(self);
+  return out;
+}
+
+void SiteNode::Heartbeat() {
+  UpdatePeers();
+  const LeaderRecord leader = election_.leader();
+  const bool self = leader.address == settings_.peer_listen.ToString();
+  if (leader.epoch == 0 || self || heartbeat_under_way_) return;
+  heartbeat_under_way_ = true;
+  Json::Value params(Json::objectValue);
+  params["node"] = settings_.name;
+  params["address"] = settings_.peer_listen.ToString();
+  params["store_ok"] = carrier_.direct();
+  params["leader"] = ToJson(leader);
+  params["configuration_version"] =
+      Json::Int64(configuration_ == nullptr ? 0 : configuration_->version);
+  rpc_.Call(leader.address, "heartbeat", params, kHeartbeatTimeout,
+            [this, leader](const RpcOutcome& outcome) {
+              heartbeat_under_way_ = false;
+              OnHeartbeatReply(outcome, leader);
+            });
+}
+
+void SiteNode::OnHeartbeatReply(const RpcOutcome& outcome,
+                                const LeaderRecord& to) {
+  const absl::Time now = SystemNow().mono;
+  if (!outcome.answered) {
+    if (++failed_heartbeats_ == 1) {
+      LogEvent(Severity::kWarning, "leader_silent",
+               {{"leader", to.node},
+                {"epoch", absl::StrCat(to.epoch)},
+                {"detail", outcome.error}});
+    }
+    return;
+  }
+  if (failed_heartbeats_ > 0)
+    LogEvent(Severity::kInfo, "leader_back", {{"leader", to.node}});
+  failed_heartbeats_ = 0;
+  const Json::Value& in = outcome.result;
+  election_.OnLeaderHeard(LeaderFromJson(in["leader"]), now);
+  for (const Json::Value& peer : in["peers"]) TakePeer(peer);
+  const int64_t version = in["configuration_version"].asInt64();
+  if (version > (configuration_ == nullptr ? 0 : configuration_->version))
+    FetchConfiguration(to.address);
+  if (in["boot"].asUInt64() != to.boot) {
+    election_.OnLeaderGone(now);
+    return;
+  }
+  if (!in["leads"].asBool()) return;  // It stepped down; silence follows.
+  election_.OnHeartbeatAnswered(now);
+  leader_accepts_ = in["accepts"].asBool();
+  leader_answered_ = now;
+}
+
+void SiteNode::AskAdvice(const AskAdviceAction& action,
+                         std::function<void(AdviceReply)> done) {
+  if (action.adviser == settings_.name)
+    return ports_.advice->Ask(action.request, action.timeout, std::move(done));
+  const auto peer = peers_.find(action.adviser);
+  if (peer == peers_.end()) {
+    boost::asio::post(loop_, [done] { done(AdviceReply()); });
+    return;
+  }
+  Json::Value params = ToJson(action.request);
+  params["timeout_ms"] = Json::Int64(absl::ToInt64Milliseconds(action.timeout));
+  rpc_.Call(peer->second.address, "advise", params,
+            action.timeout + absl::Milliseconds(100),
+            [done](const RpcOutcome& outcome) {
+              done(outcome.answered ? AdviceReplyFromJson(outcome.result)
+                                    : AdviceReply());
+            });
+}
+
+}  // namespace keelbridge
--- /dev/null
+++ b/keelbridge/daemon/store_failover.cc
@@ -0,0 +1,128 @@
+#include "keelbridge/daemon/store_failover.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "absl/strings/escaping.h"
+#include "keelbridge/base/clock.h"
+
+namespace keelbridge {
+namespace {
+
+constexpr int kTooManyRequests = 429;
+constexpr int kUnavailable = 503;
+// While peers carry, the store is tried directly this often.
+constexpr absl::Duration kDirectEvery = absl::Milliseconds(700);
+constexpr size_t kStoreConnections = 4;
+constexpr size_t kLongPollConnections = 8;
+
+EventHttpClient::Options ClientOptions(size_t connections) {
+  EventHttpClient::Options options;
+  options.most_connections = connections;
+  options.idle_expiry = absl::Seconds(30);
+  return options;
+}
+
+// The store did not do what was asked, for a reason that another path may not
+// have.
+bool TurnedAway(const HttpOutcome& outcome) {
+  return !outcome.response || outcome.response->status == kTooManyRequests ||
+         outcome.response->status == kUnavailable;
+}
+
+Json::Value RequestToJson(const HttpRequest& request) {
+  Json::Value out(Json::objectValue);
+  out["method"] = request.method;
+  out["path"] = request.path;
+  out["body"] = absl::Base64Escape(request.body);
+  out["content_type"] = request.content_type;
+  return out;
+}
+
+HttpRequest RequestFromJson(const Json::Value& in) {
+  HttpRequest request;
+  request.method = in["method"].asString();
+  request.path = in["path"].asString();
+  absl::Base64Unescape(in["body"].asString(), &request.body);
+  request.content_type = in["content_type"].asString();
+  return request;
+}
+
+}  // namespace
+
+StoreFailover::StoreFailover(boost::asio::io_context& loop,
+                             const Address& store, EventRpcClient& rpc)
+    : store_(loop, store, ClientOptions(kStoreConnections)), rpc_(rpc) {}
+
+void StoreFailover::Carry(const HttpRequest& request, absl::Duration timeout,
+                          std::function<void(HttpOutcome)> done) {
+  const absl::Time now = SystemNow().mono;
+  const bool through_peer =
+      failures_ > 0 && now < next_direct_ && !peers_.empty();
+  if (through_peer) return Relay(request, timeout, std::move(done));
+  next_direct_ = now + kDirectEvery;
+  Direct(request, timeout, std::move(done));
+}
+
+void StoreFailover::Direct(const HttpRequest& request, absl::Duration timeout,
+                           std::function<void(HttpOutcome)> done) {
+  ++calls_;
+  store_.Send(request, timeout, [this, done](HttpOutcome outcome) {
+    failures_ = TurnedAway(outcome) ? failures_ + 1 : 0;
+    done(std::move(outcome));
+  });
+}
+
+void StoreFailover::Relay(const HttpRequest& request, absl::Duration timeout,
+                          std::function<void(HttpOutcome)> done) {
+  ++relayed_;
+  const std::string& peer = peers_[next_peer_++ % peers_.size()];
+  Json::Value params = RequestToJson(request);
+  params["timeout_ms"] = Json::Int64(absl::ToInt64Milliseconds(timeout));
+  rpc_.Call(peer, kMethod, params, timeout + absl::Milliseconds(100),
+            [done](const RpcOutcome& outcome) {
+              HttpOutcome out;
+              const int status =
+                  outcome.answered ? outcome.result["status"].asInt() : 0;
+              if (status == 0) {
+                const bool sent = outcome.answered
+                                      ? outcome.result["sent"].asBool()
+                                      : outcome.sent;
+                out.failure = sent ? SendFailure::kMayHaveSent
+                                   : SendFailure::kNothingSent;
+                out.message = "through a peer: " + outcome.error;
+                return done(std::move(out));
+              }
+              out.response.emplace();
+              out.response->status = status;
+              absl::Base64Unescape(outcome.result["body"].asString(),
+                                   &out.response->body);
+              done(std::move(out));
+            });
+}
+
+void StoreFailover::ServePeer(const Json::Value& params,
+                              EventRpcServer::Reply reply) {
+  const absl::Duration timeout =
+      absl::Milliseconds(params["timeout_ms"].asInt64());
+  Direct(RequestFromJson(params), timeout,
+         [reply = std::move(reply)](const HttpOutcome& outcome) {
+           Json::Value out(Json::objectValue);
+           out["status"] = outcome.response ? outcome.response->status : 0;
+           out["sent"] = outcome.failure != SendFailure::kNothingSent;
+           if (outcome.response)
+             out["body"] = absl::Base64Escape(outcome.response->body);
+           reply({out, 0, ""});
+         });
+}
+
+StoreLongPolls::StoreLongPolls(boost::asio::io_context& loop,
+                               const Address& store)
+    : store_(loop, store, ClientOptions(kLongPollConnections)) {}
+
+void StoreLongPolls::Carry(const HttpRequest& request, absl::Duration timeout,
+                           std::function<void(HttpOutcome)> done) {
+  store_.Send(request, timeout, std::move(done));
+}
+
+}  // namespace keelbridge
--- /dev/null
+++ b/keelbridge/daemon/store_failover.h
@@ -0,0 +1,76 @@
+// Carries calls to the record store, directly or through a peer.
+//
+// A node that alone has lost the store is one hop from it. After a call failed
+// without an answer or was turned away, the next tries go through peers that
+// still reach the store, and from time to time directly again. Appends are
+// fenced and numbered, so that a try that lands twice changes nothing.
+//
+//   StoreFailover carrier(loop, store_address, rpc);
+//   carrier.SetPeers({"10.0.0.2:7720"});
+//   carrier.Carry(request, absl::Seconds(1), done);
+
+#ifndef KEELBRIDGE_DAEMON_STORE_FAILOVER_H_
+#define KEELBRIDGE_DAEMON_STORE_FAILOVER_H_
+
+#include <boost/asio/io_context.hpp>
+#include <functional>
+#include <string>
+#include <vector>
+
+#include "absl/time/time.h"
+#include "keelbridge/protocol/record_store.h"
+#include "keelbridge/transport/event_rpc.h"
+
+namespace keelbridge {
+
+class StoreFailover : public StoreCarrier {
+ public:
+  StoreFailover(boost::asio::io_context& loop, const Address& store,
+                EventRpcClient& rpc);
+
+  void Carry(const HttpRequest& request, absl::Duration timeout,
+             std::function<void(HttpOutcome)> done) override;
+
+  // Peers that reached the store lately, by address.
+  void SetPeers(std::vector<std::string> peers) { peers_ = std::move(peers); }
+  // Answers a peer's call of `kMethod`.
+  void ServePeer(const Json::Value& params, EventRpcServer::Reply reply);
+
+  // Whether this node itself reached the store at its last try.
+  bool direct() const { return failures_ == 0; }
+  int64_t calls() const { return calls_; }
+  int64_t relayed() const { return relayed_; }
+
+  static constexpr char kMethod[] = "relay";
+
+ private:
+  void Direct(const HttpRequest& request, absl::Duration timeout,
+              std::function<void(HttpOutcome)> done);
+  void Relay(const HttpRequest& request, absl::Duration timeout,
+             std::function<void(HttpOutcome)> done);
+
+  EventHttpClient store_;
+  EventRpcClient& rpc_;
+  std::vector<std::string> peers_;
+  size_t next_peer_ = 0;
+  int failures_ = 0;  // Direct tries in a row.
+  absl::Time next_direct_ = absl::InfinitePast();
+  int64_t calls_ = 0;
+  int64_t relayed_ = 0;
+};
+
+// Carries calls that wait for a record; each has a connection of its own and
+// there is nobody else to ask.
+class StoreLongPolls : public StoreCarrier {
+ public:
+  StoreLongPolls(boost::asio::io_context& loop, const Address& store);
+  void Carry(const HttpRequest& request, absl::Duration timeout,
+             std::function<void(HttpOutcome)> done) override;
+
+ private:
+  EventHttpClient store_;
+};
+
+}  // namespace keelbridge
+
+#endif  // KEELBRIDGE_DAEMON_STORE_FAILOVER_H_
--- /dev/null
+++ b/keelbridge/protocol/job.cc
@@ -0,0 +1,146 @@
+#include "keelbridge/protocol/job.h"
+
+#include "absl/strings/numbers.h"
+#include "absl/strings/str_cat.h"
+#include "absl/strings/str_format.h"
+#include "absl/strings/str_split.h"
+
+namespace keelbridge {
+namespace {
+
+constexpr size_t kJobIdDigits = 16;
+
+Result<void> CheckStep(const StepSpec& step, size_t number) {
+  const auto fault = [&](const std::string& what) {
+    return MakeError(ErrorCode::kInvalid,
+                     absl::StrCat("step ", number, ": ", what));
+  };
+  if (step.count < 1 || step.count > kMostTasksInStep)
+    return fault(absl::StrCat("count must be from 1 to ", kMostTasksInStep));
+  if (step.need.cpu_milli < 0 || step.need.memory_mib < 0 ||
+      step.need.accelerators < 0)
+    return fault("resources must not be negative");
+  for (const int32_t before : step.after) {
+    if (before < 0 || static_cast<size_t>(before) >= number)
+      return fault("may only depend on earlier steps");
+  }
+  if (step.gang && step.lasting) return fault("a gang cannot last");
+  return Success();
+}
+
+// Writes a member only when it differs from zero, to keep records small.
+template <typename T>
+void SetIf(Json::Value& out, const char* key, const T& value) {
+  if (value != T()) out[key] = value;
+}
+
+Json::Value StepToJson(const StepSpec& step) {
+  Json::Value out(Json::objectValue);
+  out["count"] = step.count;
+  SetIf(out, "cpu_milli", step.need.cpu_milli);
+  SetIf(out, "memory_mib", step.need.memory_mib);
+  SetIf(out, "accelerators", step.need.accelerators);
+  if (step.estimated_ms != 0)
+    out["estimated_ms"] = Json::Int64(step.estimated_ms);
+  for (const int32_t before : step.after) out["after"].append(before);
+  SetIf(out, "checkpoints", step.checkpoints);
+  SetIf(out, "gang", step.gang);
+  SetIf(out, "same_rack", step.same_rack);
+  SetIf(out, "duplicates", step.duplicates);
+  SetIf(out, "lasting", step.lasting);
+  SetIf(out, "fills", step.fills);
+  SetIf(out, "label", step.label);
+  SetIf(out, "rack", step.rack);
+  SetIf(out, "most_per_worker", step.most_per_worker);
+  SetIf(out, "may_miss", step.may_miss);
+  if (step.target_ms != 0) out["target_ms"] = Json::Int64(step.target_ms);
+  SetIf(out, "image", step.image);
+  return out;
+}
+
+StepSpec StepFromJson(const Json::Value& in) {
+  StepSpec step;
+  step.count = in["count"].asInt();
+  step.need = ResourcesFromJson(in);
+  step.estimated_ms = in["estimated_ms"].asInt64();
+  for (const Json::Value& before : in["after"])
+    step.after.push_back(before.asInt());
+  step.checkpoints = in["checkpoints"].asBool();
+  step.gang = in["gang"].asBool();
+  step.same_rack = in["same_rack"].asBool();
+  step.duplicates = in["duplicates"].asBool();
+  step.lasting = in["lasting"].asBool();
+  step.fills = in["fills"].asBool();
+  step.label = in["label"].asString();
+  step.rack = in["rack"].asString();
+  step.most_per_worker = in["most_per_worker"].asInt();
+  step.may_miss = in["may_miss"].asInt();
+  step.target_ms = in["target_ms"].asInt64();
+  step.image = in["image"].asString();
+  return step;
+}
+
+}  // namespace
+
+std::string JobIdText(JobId id) { return absl::StrFormat("%016x", id); }
+
+bool ParseJobId(const std::string& text, JobId* id) {
+  if (text.size() != kJobIdDigits) return false;
+  for (const char c : text) {
+    if (!absl::ascii_isxdigit(static_cast<unsigned char>(c))) return false;
+  }
+  return absl::SimpleHexAtoi(text, id);
+}
+
+std::string TaskIdText(const TaskId& id) {
+  return absl::StrFormat("%016x.%d.%d.%d", id.job, id.round, id.step, id.index);
+}
+
+bool ParseTaskId(const std::string& text, TaskId* id) {
+  const std::vector<std::string> parts = absl::StrSplit(text, '.');
+  return parts.size() == 4 && ParseJobId(parts[0], &id->job) &&
+         absl::SimpleAtoi(parts[1], &id->round) &&
+         absl::SimpleAtoi(parts[2], &id->step) &&
+         absl::SimpleAtoi(parts[3], &id->index);
+}
+
+Result<void> CheckJobSpec(const JobSpec& spec) {
+  if (spec.payload.size() > kMostPayloadBytes)
+    return MakeError(ErrorCode::kInvalid, "the payload is over 4000 bytes");
+  if (spec.steps.empty() || spec.steps.size() > kMostSteps)
+    return MakeError(ErrorCode::kInvalid,
+                     absl::StrCat("a job has 1 to ", kMostSteps, " steps"));
+  if (spec.rounds < 0 || spec.rounds > kMostRounds ||
+      spec.round_interval_ms < 0)
+    return MakeError(ErrorCode::kInvalid, "rounds or their interval are wrong");
+  for (size_t i = 0; i < spec.steps.size(); ++i) {
+    if (auto step = CheckStep(spec.steps[i], i); !step) return step.error();
+  }
+  return Success();
+}
+
+Json::Value ToJson(const JobSpec& spec) {
+  Json::Value out(Json::objectValue);
+  out["payload"] = spec.payload;
+  out["steps"] = Json::Value(Json::arrayValue);
+  for (const StepSpec& step : spec.steps) out["steps"].append(StepToJson(step));
+  if (spec.rounds > 0) {
+    out["rounds"] = spec.rounds;
+    out["first_round_ms"] = Json::Int64(spec.first_round_ms);
+    out["round_interval_ms"] = Json::Int64(spec.round_interval_ms);
+  }
+  return out;
+}
+
+JobSpec JobSpecFromJson(const Json::Value& json) {
+  JobSpec spec;
+  spec.payload = json["payload"].asString();
+  for (const Json::Value& step : json["steps"])
+    spec.steps.push_back(StepFromJson(step));
+  spec.rounds = json["rounds"].asInt();
+  spec.first_round_ms = json["first_round_ms"].asInt64();
+  spec.round_interval_ms = json["round_interval_ms"].asInt64();
+  return spec;
+}
+
+}  // namespace keelbridge
--- /dev/null
+++ b/keelbridge/state/job_table.cc
@@ -0,0 +1,260 @@
+#include "keelbridge/state/job_table.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "absl/strings/numbers.h"
+#include "absl/strings/str_cat.h"
+#include "absl/strings/str_split.h"
+#include "keelbridge/base/json_reader.h"
+
+namespace keelbridge {
+namespace {
+
+constexpr char kDescriptionPrefix[] = "d/";
+constexpr char kProgressPrefix[] = "p/";
+constexpr size_t kPrefixLength = 2;
+
+// One hex digit for four tasks, the first task in the lowest bit.
+std::string DoneBits(const StepState& step) {
+  static constexpr char kDigits[] = "0123456789abcdef";
+  std::string bits((step.tasks.size() + 3) / 4, '0');
+  for (size_t i = 0; i < step.tasks.size(); ++i) {
+    if (step.tasks[i].phase != TaskPhase::kDone) continue;
+    char& digit = bits[i / 4];
+    const int value =
+        absl::ascii_isdigit(digit) ? digit - '0' : digit - 'a' + 10;
+    digit = kDigits[value | (1 << (i % 4))];
+  }
+  return bits;
+}
+
+void ReadDoneBits(const std::string& bits, StepState* step) {
+  for (size_t i = 0; i < step->tasks.size() && i / 4 < bits.size(); ++i) {
+    const char digit = bits[i / 4];
+    const int value =
+        absl::ascii_isdigit(digit) ? digit - '0' : digit - 'a' + 10;
+    if ((value >> (i % 4) & 1) == 0) continue;
+    step->tasks[i].phase = TaskPhase::kDone;
+    ++step->done;
+  }
+}
+
+JobState StateFrom(const std::string& name) {
+  if (name == "completed") return JobState::kCompleted;
+  if (name == "failed") return JobState::kFailed;
+  if (name == "cancelled") return JobState::kCancelled;
+  return JobState::kQueued;
+}
+
+Json::Value RoundToJson(const Round& round) {
+  Json::Value out(Json::objectValue);
+  out["round"] = round.number;
+  out["done"] = Json::Value(Json::arrayValue);
+  for (size_t s = 0; s < round.steps.size(); ++s) {
+    const StepState& step = round.steps[s];
+    out["done"].append(step.done > 0 ? DoneBits(step) : std::string());
+    for (size_t i = 0; i < step.tasks.size(); ++i) {
+      const TaskState& task = step.tasks[i];
+      const std::string key = absl::StrCat(s, ".", i);
+      if (task.failures > 0) out["failures"][key] = task.failures;
+      const bool keep =
+          !task.checkpoint.empty() && task.phase == TaskPhase::kWaiting;
+      if (keep) out["checkpoints"][key] = task.checkpoint;
+    }
+  }
+  return out;
+}
+
+TaskState* TaskAt(Round& round, const std::string& key) {
+  const std::vector<std::string> parts = absl::StrSplit(key, '.');
+  size_t step = 0;
+  size_t index = 0;
+  if (parts.size() != 2 || !absl::SimpleAtoi(parts[0], &step) ||
+      !absl::SimpleAtoi(parts[1], &index))
+    return nullptr;
+  if (step >= round.steps.size() || index >= round.steps[step].tasks.size())
+    return nullptr;
+  return &round.steps[step].tasks[index];
+}
+
+void ReadRound(const Json::Value& in, Job* job) {
+  Round& round = job->AddRound(in["round"].asInt());
+  const Json::Value& done = in["done"];
+  for (Json::ArrayIndex s = 0; s < done.size() && s < round.steps.size(); ++s)
+    ReadDoneBits(done[s].asString(), &round.steps[s]);
+  for (const std::string& key : in["failures"].getMemberNames()) {
+    if (TaskState* task = TaskAt(round, key))
+      task->failures = in["failures"][key].asInt();
+  }
+  for (const std::string& key : in["checkpoints"].getMemberNames()) {
+    if (TaskState* task = TaskAt(round, key))
+      task->checkpoint = in["checkpoints"][key].asString();
+  }
+}
+
+void ReadProgress(const Json::Value& in, Job* job) {
+  job->end = StateFrom(in["end"].asString());
+  job->ended_ms = in["ended_ms"].asInt64();
+  job->begun = in["begun"].asBool();
+  job->rounds_done = in["rounds_done"].asInt();
+  if (job->Ended()) return;
+  for (const Json::Value& round : in["rounds"]) ReadRound(round, job);
+}
+
+}  // namespace
+
+const char* JobStateName(JobState state) {
+  switch (state) {
+    case JobState::kQueued:
+      return "queued";
+    case JobState::kRunning:
+      return "running";
+    case JobState::kCompleted:
+      return "completed";
+    case JobState::kFailed:
+      return "failed";
+    case JobState::kCancelled:
+      return "cancelled";
+  }
+  return "queued";
+}
+
+Job::Job(JobId id_in, std::string queue_in, JobSpec spec_in,
+         int64_t accepted_in)
+    : id(id_in),
+      queue(std::move(queue_in)),
+      spec(std::move(spec_in)),
+      accepted_ms(accepted_in) {}
+
+Round& Job::AddRound(int32_t number) {
+  Round round;
+  round.number = number;
+  round.steps.resize(spec.steps.size());
+  for (size_t s = 0; s < spec.steps.size(); ++s)
+    round.steps[s].tasks.resize(static_cast<size_t>(spec.steps[s].count));
+  rounds.push_back(std::move(round));
+  return rounds.back();
+}
+
+Round* Job::FindRound(int32_t number) {
+  for (Round& round : rounds) {
+    if (round.number == number) return &round;
+  }
+  return nullptr;
+}
+
+StepState* Job::FindStep(const TaskId& id) {
+  Round* round = FindRound(id.round);
+  if (round == nullptr || id.step < 0 ||
+      static_cast<size_t>(id.step) >= round->steps.size())
+    return nullptr;
+  return &round->steps[static_cast<size_t>(id.step)];
+}
+
+TaskState* Job::FindTask(const TaskId& id) {
+  StepState* step = FindStep(id);
+  if (step == nullptr || id.index < 0 ||
+      static_cast<size_t>(id.index) >= step->tasks.size())
+    return nullptr;
+  return &step->tasks[static_cast<size_t>(id.index)];
+}
+
+bool Job::StepReady(const Round& round, size_t step) const {
+  for (const int32_t before : spec.steps[step].after) {
+    const StepState& earlier = round.steps[static_cast<size_t>(before)];
+    if (earlier.done < static_cast<int32_t>(earlier.tasks.size())) return false;
+  }
+  return true;
+}
+
+bool Job::RoundDone(const Round& round) const {
+  return std::all_of(
+      round.steps.begin(), round.steps.end(), [](const StepState& step) {
+        return step.done == static_cast<int32_t>(step.tasks.size());
+      });
+}
+
+std::string DescriptionKey(JobId id) {
+  return absl::StrCat(kDescriptionPrefix, JobIdText(id));
+}
+
+std::string ProgressKey(JobId id) {
+  return absl::StrCat(kProgressPrefix, JobIdText(id));
+}
+
+Record DescriptionRecord(const Job& job) {
+  Json::Value value = ToJson(job.spec);
+  value["queue"] = job.queue;
+  value["accepted_ms"] = Json::Int64(job.accepted_ms);
+  return Record{DescriptionKey(job.id), ToJsonText(value)};
+}
+
+Record ProgressRecord(const Job& job) {
+  Json::Value value(Json::objectValue);
+  if (job.begun) value["begun"] = true;
+  if (job.rounds_done > 0) value["rounds_done"] = job.rounds_done;
+  if (job.Ended()) {
+    value["end"] = JobStateName(job.end);
+    value["ended_ms"] = Json::Int64(job.ended_ms);
+    value["queue"] = job.queue;
+  } else {
+    for (const Round& round : job.rounds)
+      value["rounds"].append(RoundToJson(round));
+  }
+  return Record{ProgressKey(job.id), ToJsonText(value)};
+}
+
+Record DropRecord(std::string key) {
+  return Record{std::move(key), std::nullopt};
+}
+
+void JobRecords::Add(const Record& record) {
+  JobId id = 0;
+  if (record.key.size() <= kPrefixLength ||
+      !ParseJobId(record.key.substr(kPrefixLength), &id)) {
+    ++unreadable_;
+    return;
+  }
+  const bool description =
+      record.key.compare(0, kPrefixLength, kDescriptionPrefix) == 0;
+  auto& map = description ? descriptions_ : progress_;
+  if (!record.value.has_value()) {
+    map.erase(id);
+    return;
+  }
+  const JsonDocument document = JsonDocument::Parse(*record.value, record.key);
+  if (!document.faults().empty()) {
+    ++unreadable_;
+    return;
+  }
+  map[id] = document.root();
+}
+
+JobTable JobRecords::Build() const {
+  JobTable jobs;
+  for (const auto& [id, value] : descriptions_) {
+    auto job = std::make_unique<Job>(id, value["queue"].asString(),
+                                     JobSpecFromJson(value),
+                                     value["accepted_ms"].asInt64());
+    const auto progress = progress_.find(id);
+    if (progress != progress_.end()) ReadProgress(progress->second, job.get());
+    if (!job->Ended() && job->spec.rounds == 0 && job->rounds.empty())
+      job->AddRound(0);
+    job->recovered = true;
+    jobs.emplace(id, std::move(job));
+  }
+  // Jobs that have ended keep only their progress.
+  for (const auto& [id, value] : progress_) {
+    if (jobs.count(id) > 0 ||
+        StateFrom(value["end"].asString()) == JobState::kQueued)
+      continue;
+    auto job = std::make_unique<Job>(id, value["queue"].asString(), JobSpec(),
+                                     value["ended_ms"].asInt64());
+    ReadProgress(value, job.get());
+    jobs.emplace(id, std::move(job));
+  }
+  return jobs;
+}
+
+}  // namespace keelbridge
--- /dev/null
+++ b/keelbridge/state/job_table.h
@@ -0,0 +1,134 @@
+// The jobs of a site and how far they are, with the records that make them
+// last.
+//
+// A job has two records: its description, written once, and its progress,
+// written again whenever something happened that a later leader must know: an
+// end that was taken note of, a cancel, how the job ended. What runs where is
+// not recorded: the workers know it.
+//
+//   Job job(id, "restore", spec, accepted_ms);
+//   Record record = DescriptionRecord(job);
+//   ApplyJobRecord(record, &jobs);  // In a process that starts.
+
+#ifndef KEELBRIDGE_STATE_JOB_TABLE_H_
+#define KEELBRIDGE_STATE_JOB_TABLE_H_
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "absl/container/flat_hash_map.h"
+#include "absl/time/time.h"
+#include "keelbridge/protocol/job.h"
+#include "keelbridge/protocol/record_store.h"
+
+namespace keelbridge {
+
+enum class JobState { kQueued, kRunning, kCompleted, kFailed, kCancelled };
+const char* JobStateName(JobState state);
+
+enum class TaskPhase {
+  kWaiting,    // Not on any worker.
+  kStarting,   // The order is on its way.
+  kUncertain,  // The order had no answer: it may run, or may start later.
+  kRunning,
+  kStopping,  // Still takes its room.
+  kDone,
+};
+
+struct TaskState {
+  TaskPhase phase = TaskPhase::kWaiting;
+  int32_t run = 0;        // The last run that was ordered; 0: none yet.
+  int32_t failures = 0;   // Runs that ended failed.
+  std::string worker;     // While it is on one.
+  std::string failed_on;  // The worker of the last failure.
+  std::string checkpoint;
+  absl::Time retry_at = absl::InfinitePast();
+};
+
+// Which workers may run a step, as far as the advice service has told.
+struct StepAdvice {
+  bool asked = false;  // A call is under way.
+  absl::Time next_ask = absl::InfinitePast();
+  absl::flat_hash_map<std::string, bool> known;  // Worker -> may run it.
+  struct Ticket {
+    std::string ticket;
+    absl::Time expires;
+  };
+  absl::flat_hash_map<std::string, Ticket> tickets;
+};
+
+struct StepState {
+  std::vector<TaskState> tasks;
+  int32_t done = 0;
+  StepAdvice advice;
+  absl::Time ready_since = absl::InfiniteFuture();
+  absl::Time gang_started = absl::InfinitePast();
+  std::vector<std::string> reserved;  // Workers held free for this gang.
+  std::string blocked;  // Why nothing of it started at the last attempt.
+};
+
+struct Round {
+  int32_t number = 0;
+  std::vector<StepState> steps;
+};
+
+struct Job {
+  Job(JobId id_in, std::string queue_in, JobSpec spec_in, int64_t accepted_in);
+
+  const JobId id;
+  std::string queue;
+  JobSpec spec;
+  int64_t accepted_ms;       // Wall clock.
+  std::deque<Round> rounds;  // Those that have fallen due.
+  int32_t rounds_done = 0;   // All before this one are done and dropped.
+  bool begun = false;        // A task of it has run.
+  bool recovered = false;    // Was accepted under an earlier leader.
+  JobState end = JobState::kQueued;  // kQueued: has not ended.
+  int64_t ended_ms = 0;
+  std::string failure;           // Why it failed, for explanations.
+  int64_t durable_at_batch = 0;  // The batch that holds the description.
+  int64_t end_batch = 0;         // The batch that holds the end.
+
+  bool Ended() const { return end != JobState::kQueued; }
+  // Adds the round `number`, with all tasks waiting.
+  Round& AddRound(int32_t number);
+  Round* FindRound(int32_t number);
+  StepState* FindStep(const TaskId& id);
+  TaskState* FindTask(const TaskId& id);
+  // Whether all tasks of the steps that `step` depends on are done.
+  bool StepReady(const Round& round, size_t step) const;
+  bool RoundDone(const Round& round) const;
+};
+
+// The jobs by id. Stable addresses.
+using JobTable = std::map<JobId, std::unique_ptr<Job>>;
+
+// How much of a job's description and progress is kept in which record.
+std::string DescriptionKey(JobId id);
+std::string ProgressKey(JobId id);
+Record DescriptionRecord(const Job& job);
+Record ProgressRecord(const Job& job);
+Record DropRecord(std::string key);
+
+// Records in any order, before `BuildJobs`.
+class JobRecords {
+ public:
+  // Takes one record; one that cannot be read is counted and passed over.
+  void Add(const Record& record);
+  // The jobs that the records describe.
+  JobTable Build() const;
+  int64_t unreadable() const { return unreadable_; }
+
+ private:
+  std::map<JobId, Json::Value> descriptions_;
+  std::map<JobId, Json::Value> progress_;
+  int64_t unreadable_ = 0;
+};
+
+}  // namespace keelbridge
+
+#endif  // KEELBRIDGE_STATE_JOB_TABLE_H_
--- /dev/null
+++ b/keelbridge/transport/event_http_client.cc
@@ -0,0 +1,286 @@
+#include "keelbridge/transport/event_http_client.h"
+
+#include <netinet/tcp.h>
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+#include <deque>
+#include <optional>
+#include <set>
+#include <utility>
+
+#include "absl/time/clock.h"
+#include "keelbridge/base/clock.h"
+
+namespace keelbridge {
+namespace {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using Tcp = asio::ip::tcp;
+
+HttpOutcome Failure(SendFailure failure, std::string message) {
+  HttpOutcome outcome;
+  outcome.failure = failure;
+  outcome.message = std::move(message);
+  return outcome;
+}
+
+// One request on its way. Its callback is called exactly once.
+struct PendingRequest {
+  HttpRequest request;
+  EventHttpClient::Callback callback;
+  absl::Time deadline;
+  std::unique_ptr<asio::steady_timer>
+      timer;  // While it waits for a connection.
+};
+
+}  // namespace
+
+class EventHttpClient::Impl
+    : public std::enable_shared_from_this<EventHttpClient::Impl> {
+ public:
+  Impl(asio::io_context& loop, Address address, Options options)
+      : loop_(loop), address_(std::move(address)), options_(options) {}
+
+  void Send(HttpRequest request, absl::Duration timeout, Callback callback);
+  void Release(const std::shared_ptr<EventHttpClientConnection>& connection,
+               bool reusable);
+  void Close();
+
+  asio::io_context& loop_;
+  const Address address_;
+  const Options options_;
+  bool closed_ = false;
+
+ private:
+  void Dispatch();
+  void ExpireWaiting(const std::shared_ptr<PendingRequest>& pending);
+
+  std::deque<std::shared_ptr<PendingRequest>> waiting_;
+  std::set<std::shared_ptr<EventHttpClientConnection>> busy_;
+  std::deque<std::shared_ptr<EventHttpClientConnection>> idle_;
+};
+
+// One kept connection.
+class EventHttpClientConnection
+    : public std::enable_shared_from_this<EventHttpClientConnection> {
+ public:
+  explicit EventHttpClientConnection(
+      std::shared_ptr<EventHttpClient::Impl> pool)
+      : pool_(std::move(pool)), stream_(pool_->loop_) {}
+
+  // Whether it can carry another request: open, quiet, and not idle for long.
+  bool Usable() {
+    if (!stream_.socket().is_open()) return false;
+    if (SystemNow().mono - last_used_ > pool_->options_.idle_expiry)
+      return false;
+    char byte = 0;
+    const ssize_t n = ::recv(stream_.socket().native_handle(), &byte, 1,
+                             MSG_PEEK | MSG_DONTWAIT);
+    return n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+  }
+
+  void Carry(std::shared_ptr<PendingRequest> pending) {
+    pending_ = std::move(pending);
+    pending_->timer.reset();
+    if (stream_.socket().is_open()) return Write();
+    boost::system::error_code error;
+    const auto ip = asio::ip::make_address(pool_->address_.ip, error);
+    if (error) return Finish(Failure(SendFailure::kNothingSent, "bad address"));
+    stream_.expires_after(absl::ToChronoNanoseconds(
+        std::min(pool_->options_.connect_timeout, Remaining())));
+    stream_.async_connect(
+        Tcp::endpoint(ip, static_cast<unsigned short>(pool_->address_.port)),
+        [self = shared_from_this()](beast::error_code e) {
+          if (e)
+            return self->Finish(
+                Failure(SendFailure::kNothingSent, "connect: " + e.message()));
+          self->OnConnected();
+        });
+  }
+
+  void Abort() {
+    stream_.close();
+    if (pending_) Finish(Failure(SendFailure::kMayHaveSent, "client closed"));
+  }
+
+ private:
+  absl::Duration Remaining() const {
+    return std::max(pending_->deadline - SystemNow().mono,
+                    absl::Milliseconds(1));
+  }
+
+  void OnConnected() {
+    boost::system::error_code ignored;
+    stream_.socket().set_option(Tcp::no_delay(true), ignored);
+    const int milliseconds = 3000;
+    setsockopt(stream_.socket().native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT,
+               &milliseconds, sizeof(milliseconds));
+    Write();
+  }
+
+  void Write() {
+    const HttpRequest& from = pending_->request;
+    request_ = {};
+    request_.version(11);
+    request_.method_string(from.method);
+    request_.target(pool_->address_.prefix + from.path);
+    request_.set(http::field::host, pool_->address_.ip + ":" +
+                                        std::to_string(pool_->address_.port));
+    if (!from.body.empty())
+      request_.set(http::field::content_type, from.content_type);
+    for (const auto& [name, value] : from.headers) request_.set(name, value);
+    request_.body() = from.body;
+    request_.prepare_payload();
+    stream_.expires_after(absl::ToChronoNanoseconds(Remaining()));
+    http::async_write(stream_, request_,
+                      [self = shared_from_this()](beast::error_code e, size_t) {
+                        if (e)
+                          return self->Finish(Failure(SendFailure::kMayHaveSent,
+                                                      "write: " + e.message()));
+                        self->Read();
+                      });
+  }
+
+  void Read() {
+    parser_.emplace();
+    parser_->body_limit(pool_->options_.most_body_bytes);
+    http::async_read(stream_, buffer_, *parser_,
+                     [self = shared_from_this()](beast::error_code e, size_t) {
+                       if (e)
+                         return self->Finish(Failure(SendFailure::kMayHaveSent,
+                                                     "read: " + e.message()));
+                       self->OnResponse();
+                     });
+  }
+
+  void OnResponse() {
+    auto& message = parser_->get();
+    HttpOutcome outcome;
+    outcome.response.emplace();
+    outcome.response->status = static_cast<int>(message.result_int());
+    for (const auto& field : message)
+      outcome.response->headers.emplace_back(std::string(field.name_string()),
+                                             std::string(field.value()));
+    outcome.response->body = std::move(message.body());
+    reusable_ = message.keep_alive();
+    Finish(std::move(outcome));
+  }
+
+  void Finish(HttpOutcome outcome) {
+    if (!pending_) return;
+    const auto pending = std::move(pending_);
+    pending_ = nullptr;
+    const bool reusable = outcome.response.has_value() && reusable_;
+    if (reusable) {
+      stream_.expires_never();
+    } else {
+      stream_.close();
+      buffer_.clear();
+    }
+    last_used_ = SystemNow().mono;
+    pool_->Release(shared_from_this(), reusable);
+    pending->callback(std::move(outcome));
+  }
+
+  std::shared_ptr<EventHttpClient::Impl> pool_;
+  beast::tcp_stream stream_;
+  beast::flat_buffer buffer_;
+  http::request<http::string_body> request_;
+  std::optional<http::response_parser<http::string_body>> parser_;
+  std::shared_ptr<PendingRequest> pending_;
+  absl::Time last_used_;
+  bool reusable_ = true;
+};
+
+void EventHttpClient::Impl::Send(HttpRequest request, absl::Duration timeout,
+                                 Callback callback) {
+  auto pending = std::make_shared<PendingRequest>();
+  pending->request = std::move(request);
+  pending->callback = std::move(callback);
+  pending->deadline = SystemNow().mono + timeout;
+  if (closed_ || waiting_.size() >= options_.most_waiting) {
+    asio::post(loop_, [pending] {
+      pending->callback(Failure(SendFailure::kNothingSent, "too many waiting"));
+    });
+    return;
+  }
+  waiting_.push_back(pending);
+  Dispatch();
+  const bool still_waiting = !waiting_.empty() && waiting_.back() == pending;
+  if (!still_waiting) return;
+  pending->timer = std::make_unique<asio::steady_timer>(
+      loop_, absl::ToChronoNanoseconds(timeout));
+  pending->timer->async_wait(
+      [self = shared_from_this(), pending](boost::system::error_code error) {
+        if (!error) self->ExpireWaiting(pending);
+      });
+}
+
+void EventHttpClient::Impl::ExpireWaiting(
+    const std::shared_ptr<PendingRequest>& pending) {
+  const auto at = std::find(waiting_.begin(), waiting_.end(), pending);
+  if (at == waiting_.end()) return;
+  waiting_.erase(at);
+  pending->callback(Failure(SendFailure::kNothingSent, "no free connection"));
+}
+
+void EventHttpClient::Impl::Dispatch() {
+  while (!waiting_.empty()) {
+    std::shared_ptr<EventHttpClientConnection> connection;
+    while (!connection && !idle_.empty()) {
+      connection = idle_.back();
+      idle_.pop_back();
+      if (!connection->Usable()) connection = nullptr;
+    }
+    if (!connection) {
+      if (busy_.size() >= options_.most_connections) return;
+      connection =
+          std::make_shared<EventHttpClientConnection>(shared_from_this());
+    }
+    busy_.insert(connection);
+    const auto pending = waiting_.front();
+    waiting_.pop_front();
+    asio::post(loop_, [connection, pending] { connection->Carry(pending); });
+  }
+}
+
+void EventHttpClient::Impl::Release(
+    const std::shared_ptr<EventHttpClientConnection>& connection,
+    bool reusable) {
+  busy_.erase(connection);
+  if (closed_) return;
+  if (reusable) idle_.push_back(connection);
+  Dispatch();
+}
+
+void EventHttpClient::Impl::Close() {
+  closed_ = true;
+  idle_.clear();
+  const auto waiting = std::move(waiting_);
+  waiting_.clear();
+  for (const auto& pending : waiting) {
+    asio::post(loop_, [pending] {
+      pending->callback(Failure(SendFailure::kNothingSent, "client closed"));
+    });
+  }
+  for (const auto& connection : busy_)
+    asio::post(loop_, [connection] { connection->Abort(); });
+}
+
+EventHttpClient::EventHttpClient(asio::io_context& loop, Address address,
+                                 Options options)
+    : impl_(std::make_shared<Impl>(loop, std::move(address), options)) {}
+EventHttpClient::~EventHttpClient() { impl_->Close(); }
+void EventHttpClient::Send(HttpRequest request, absl::Duration timeout,
+                           Callback callback) {
+  impl_->Send(std::move(request), timeout, std::move(callback));
+}
+const Address& EventHttpClient::address() const { return impl_->address_; }
+
+}  // namespace keelbridge
--- /dev/null
+++ b/keelbridge/transport/event_http_server.cc
@@ -0,0 +1,254 @@
+#include "keelbridge/transport/event_http_server.h"
+
+#include <netinet/tcp.h>
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+#include <optional>
+#include <utility>
+
+#include "absl/strings/str_cat.h"
+#include "absl/strings/str_split.h"
+
+namespace keelbridge {
+namespace {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using Tcp = asio::ip::tcp;
+
+// How long accepting pauses after it failed, for example for want of
+// descriptors.
+constexpr std::chrono::milliseconds kAcceptPause(50);
+
+void SetSocketOptions(Tcp::socket& socket, absl::Duration peer_timeout) {
+  boost::system::error_code ignored;
+  socket.set_option(Tcp::no_delay(true), ignored);
+  const int milliseconds =
+      static_cast<int>(absl::ToInt64Milliseconds(peer_timeout));
+  setsockopt(socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT,
+             &milliseconds, sizeof(milliseconds));
+}
+
+void SplitTarget(const std::string& target, ServerRequest* request) {
+  const size_t mark = target.find('?');
+  request->path = target.substr(0, mark);
+  if (mark == std::string::npos) return;
+  for (absl::string_view pair :
+       absl::StrSplit(absl::string_view(target).substr(mark + 1), '&',
+                      absl::SkipEmpty())) {
+    const std::pair<absl::string_view, absl::string_view> parts =
+        absl::StrSplit(pair, absl::MaxSplits('=', 1));
+    request->query.emplace(std::string(parts.first), std::string(parts.second));
+  }
+}
+
+}  // namespace
+
+class EventHttpServer::Impl
+    : public std::enable_shared_from_this<EventHttpServer::Impl> {
+ public:
+  Impl(asio::io_context& loop, Options options, Handler handler)
+      : options_(std::move(options)),
+        handler_(std::move(handler)),
+        acceptor_(loop),
+        accept_timer_(loop) {}
+
+  Result<int> Listen() {
+    boost::system::error_code error;
+    const auto ip = asio::ip::make_address(options_.listen.ip, error);
+    if (!error) acceptor_.open(Tcp::v4(), error);
+    if (!error) acceptor_.set_option(Tcp::acceptor::reuse_address(true), error);
+    if (!error)
+      acceptor_.bind({ip, static_cast<unsigned short>(options_.listen.port)},
+                     error);
+    if (!error)
+      acceptor_.listen(asio::socket_base::max_listen_connections, error);
+    if (error) {
+      return MakeError(
+          ErrorCode::kUnavailable,
+          absl::StrCat("cannot listen on ", options_.listen.ToString(), ": ",
+                       error.message()));
+    }
+    Accept();
+    return static_cast<int>(acceptor_.local_endpoint().port());
+  }
+
+  void Close() {
+    closed_ = true;
+    boost::system::error_code ignored;
+    acceptor_.close(ignored);
+    accept_timer_.cancel();
+  }
+
+  const Options options_;
+  const Handler handler_;
+  bool draining_ = false;
+  size_t in_flight_ = 0;
+  size_t connections_ = 0;
+
+ private:
+  void Accept();
+
+  Tcp::acceptor acceptor_;
+  asio::steady_timer accept_timer_;
+  bool closed_ = false;
+};
+
+// One connection: reads a request, waits for its reply, writes it, again.
+class EventHttpConnection
+    : public std::enable_shared_from_this<EventHttpConnection> {
+ public:
+  EventHttpConnection(std::shared_ptr<EventHttpServer::Impl> server,
+                      Tcp::socket socket)
+      : server_(std::move(server)), stream_(std::move(socket)) {
+    ++server_->connections_;
+    SetSocketOptions(stream_.socket(), server_->options_.write_timeout);
+  }
+  ~EventHttpConnection() { --server_->connections_; }
+  EventHttpConnection(const EventHttpConnection&) = delete;
+  EventHttpConnection& operator=(const EventHttpConnection&) = delete;
+
+  void Read() {
+    parser_.emplace();
+    parser_->header_limit(
+        static_cast<uint32_t>(server_->options_.most_header_bytes));
+    parser_->body_limit(server_->options_.most_body_bytes);
+    stream_.expires_after(
+        absl::ToChronoNanoseconds(server_->options_.idle_timeout));
+    http::async_read_header(
+        stream_, buffer_, *parser_,
+        [self = shared_from_this()](beast::error_code error, size_t) {
+          self->OnHeader(error);
+        });
+  }
+
+ private:
+  void OnHeader(beast::error_code error) {
+    if (error) return OnBadRequest(error);
+    stream_.expires_after(
+        absl::ToChronoNanoseconds(server_->options_.read_timeout));
+    http::async_read(stream_, buffer_, *parser_,
+                     [self = shared_from_this()](beast::error_code e, size_t) {
+                       self->OnRequest(e);
+                     });
+  }
+
+  void OnBadRequest(beast::error_code error) {
+    if (error == http::error::header_limit) return Refuse(431);
+    if (error == http::error::body_limit) return Refuse(413);
+    const bool from_parser =
+        error.category() ==
+        http::make_error_code(http::error::bad_method).category();
+    if (from_parser && error != http::error::end_of_stream &&
+        error != http::error::partial_message)
+      return Refuse(400);
+    Close();
+  }
+
+  void Refuse(int status) {
+    ++server_->in_flight_;
+    answered_ = false;
+    keep_alive_ = false;
+    Write({status,
+           {},
+           "{\"error\":\"the request is malformed or too large\"}",
+           "application/json"});
+  }
+
+  void OnRequest(beast::error_code error) {
+    if (error) return OnBadRequest(error);
+    stream_.expires_never();
+    auto& message = parser_->get();
+    ServerRequest request;
+    request.method = std::string(message.method_string());
+    SplitTarget(std::string(message.target()), &request);
+    for (const auto& field : message)
+      request.headers.emplace_back(std::string(field.name_string()),
+                                   std::string(field.value()));
+    request.body = std::move(message.body());
+    keep_alive_ = message.keep_alive();
+    answered_ = false;
+    ++server_->in_flight_;
+    const uint64_t number = ++request_number_;
+    server_->handler_(
+        request, [self = shared_from_this(), number](ServerResponse response) {
+          if (number == self->request_number_) self->Write(std::move(response));
+        });
+  }
+
+  void Write(ServerResponse response) {
+    if (answered_) return;
+    answered_ = true;
+    response_.emplace();
+    response_->version(11);
+    response_->result(static_cast<unsigned>(response.status));
+    response_->set(http::field::content_type, response.content_type);
+    for (const auto& [name, value] : response.headers)
+      response_->set(name, value);
+    if (server_->draining_) keep_alive_ = false;
+    response_->keep_alive(keep_alive_);
+    response_->body() = std::move(response.body);
+    response_->prepare_payload();
+    stream_.expires_after(
+        absl::ToChronoNanoseconds(server_->options_.write_timeout));
+    http::async_write(
+        stream_, *response_,
+        [self = shared_from_this()](beast::error_code error, size_t) {
+          --self->server_->in_flight_;
+          if (error || !self->keep_alive_) return self->Close();
+          self->Read();
+        });
+  }
+
+  void Close() {
+    boost::system::error_code ignored;
+    stream_.socket().shutdown(Tcp::socket::shutdown_send, ignored);
+    stream_.close();
+  }
+
+  std::shared_ptr<EventHttpServer::Impl> server_;
+  beast::tcp_stream stream_;
+  beast::flat_buffer buffer_;
+  std::optional<http::request_parser<http::string_body>> parser_;
+  std::optional<http::response<http::string_body>> response_;
+  uint64_t request_number_ = 0;
+  bool keep_alive_ = true;
+  bool answered_ = false;
+};
+
+void EventHttpServer::Impl::Accept() {
+  if (closed_) return;
+  acceptor_.async_accept([self = shared_from_this()](
+                             boost::system::error_code error,
+                             Tcp::socket socket) {
+    if (self->closed_) return;
+    if (error) {
+      self->accept_timer_.expires_after(kAcceptPause);
+      self->accept_timer_.async_wait(
+          [self](boost::system::error_code) { self->Accept(); });
+      return;
+    }
+    // Over the limit the connection is closed at once: its caller tries
+    // another machine.
+    if (self->connections_ < self->options_.most_connections)
+      std::make_shared<EventHttpConnection>(self, std::move(socket))->Read();
+    self->Accept();
+  });
+}
+
+EventHttpServer::EventHttpServer(asio::io_context& loop, Options options,
+                                 Handler handler)
+    : impl_(std::make_shared<Impl>(loop, std::move(options),
+                                   std::move(handler))) {}
+EventHttpServer::~EventHttpServer() { impl_->Close(); }
+Result<int> EventHttpServer::Start() { return impl_->Listen(); }
+void EventHttpServer::Drain() { impl_->draining_ = true; }
+void EventHttpServer::StopAccepting() { impl_->Close(); }
+size_t EventHttpServer::InFlight() const { return impl_->in_flight_; }
+size_t EventHttpServer::Connections() const { return impl_->connections_; }
+
+}  // namespace keelbridge
--- /dev/null
+++ b/keelbridge/transport/event_rpc.cc
@@ -0,0 +1,109 @@
+#include "keelbridge/transport/event_rpc.h"
+
+#include <utility>
+
+#include "keelbridge/base/json_reader.h"
+
+namespace keelbridge {
+namespace {
+
+constexpr size_t kMostPeerConnections = 200;
+constexpr size_t kMostPeerBodyBytes = 8 << 20;
+constexpr size_t kConnectionsToPeer = 24;
+constexpr int kMethodNotFound = -32601;
+constexpr int kInvalidRequest = -32600;
+
+EventHttpServer::Options PeerServerOptions(const Address& listen) {
+  EventHttpServer::Options options;
+  options.listen = listen;
+  options.most_connections = kMostPeerConnections;
+  options.most_body_bytes = kMostPeerBodyBytes;
+  options.idle_timeout = absl::Seconds(60);
+  return options;
+}
+
+ServerResponse Frame(const Json::Value& id, const JsonRpcReply& reply) {
+  Json::Value out(Json::objectValue);
+  out["jsonrpc"] = "2.0";
+  out["id"] = id;
+  if (reply.error_code != 0) {
+    out["error"]["code"] = reply.error_code;
+    out["error"]["message"] = reply.error_message;
+  } else {
+    out["result"] = reply.result;
+  }
+  return {200, {}, ToJsonText(out), "application/json"};
+}
+
+}  // namespace
+
+EventRpcServer::EventRpcServer(boost::asio::io_context& loop,
+                               const Address& listen)
+    : server_(
+          loop, PeerServerOptions(listen),
+          [this](const ServerRequest& request, EventHttpServer::Reply reply) {
+            Handle(request, std::move(reply));
+          }) {}
+
+void EventRpcServer::Add(const std::string& name, Method method) {
+  methods_[name] = std::move(method);
+}
+
+void EventRpcServer::Handle(const ServerRequest& request,
+                            EventHttpServer::Reply reply) {
+  const JsonDocument document = JsonDocument::Parse(request.body, "the call");
+  const Json::Value& call = document.root();
+  const Json::Value id = call["id"];
+  if (!document.faults().empty() || !call["method"].isString())
+    return reply(Frame(id, {Json::Value(), kInvalidRequest, "no call"}));
+  const auto method = methods_.find(call["method"].asString());
+  if (method == methods_.end())
+    return reply(Frame(id, {Json::Value(), kMethodNotFound, "no such method"}));
+  method->second(call["params"], [id, reply](const JsonRpcReply& answer) {
+    reply(Frame(id, answer));
+  });
+}
+
+void EventRpcClient::Call(const std::string& address, const std::string& method,
+                          const Json::Value& params, absl::Duration timeout,
+                          std::function<void(RpcOutcome)> done) {
+  auto& peer = peers_[address];
+  if (peer == nullptr) {
+    auto parsed = ParseAddress(address);
+    EventHttpClient::Options options;
+    options.most_connections = kConnectionsToPeer;
+    options.idle_expiry = absl::Seconds(30);
+    peer = std::make_unique<EventHttpClient>(
+        loop_, parsed ? parsed.value() : Address{"0.0.0.0", 0, ""}, options);
+  }
+  Json::Value call(Json::objectValue);
+  call["jsonrpc"] = "2.0";
+  call["id"] = Json::Int64(next_id_++);
+  call["method"] = method;
+  call["params"] = params;
+  HttpRequest request;
+  request.method = "POST";
+  request.path = "/rpc";
+  request.body = ToJsonText(call);
+  peer->Send(std::move(request), timeout, [done](const HttpOutcome& outcome) {
+    RpcOutcome out;
+    if (!outcome.response) {
+      out.sent = outcome.failure == SendFailure::kMayHaveSent;
+      out.error = outcome.message;
+      return done(std::move(out));
+    }
+    out.sent = true;
+    const JsonDocument document =
+        JsonDocument::Parse(outcome.response->body, "the answer");
+    const Json::Value& answer = document.root();
+    if (answer.isMember("result")) {
+      out.answered = true;
+      out.result = answer["result"];
+    } else {
+      out.error = answer["error"]["message"].asString();
+    }
+    done(std::move(out));
+  });
+}
+
+}  // namespace keelbridge
