--- a/keelbridge/daemon/leader_session.cc
+++ b/keelbridge/daemon/leader_session.cc
@@ -290,7 +290,9 @@
   }
   flight_ = std::make_unique<Flight>();
   flight_->batch = scheduler_.TakeBatch(SystemNow());
-  flight_->sequence = next_sequence_++;
+  // An append without records only shows the epoch: it takes no number.
+  flight_->sequence = next_sequence_;
+  if (!flight_->batch.records.empty()) ++next_sequence_;
   last_flush_ = now;
   SendFlight();
 }
