A failed end that is listed again to a later leader counts once

Ruled out: the count of a gang's members (the jobs were singles), maxAttempts changed by a configuration. Change: with the count goes the last run that it counts; a gang keeps one account.

--- a/keelbridge/coordination/job_scheduler_workers.cc
+++ b/keelbridge/coordination/job_scheduler_workers.cc
@@ -313,7 +313,12 @@
   StepState* step = job.FindStep(end.task);
   TaskState* task = job.FindTask(end.task);
   if (step == nullptr || task == nullptr) return;
-  if (task->failures == 0 &&
+  const StepSpec& spec = job.spec.steps[static_cast<size_t>(end.task.step)];
+  TaskState& account = spec.gang ? step->tasks.front() : *task;
+  if (end.run <= account.failed_run) return;  // Counted already.
+  account.failed_run = end.run;
+  task->failed_on = worker.record.id;
+  if (++account.failures == 1 &&
       ++worker.failures_in_row >= kFailuresInRowToSuspect) {
     worker.suspect_until = now.mono + kSuspectAfterFailures;
     Explain("worker_suspected",
@@ -321,14 +326,7 @@
              {"failures_in_row", absl::StrCat(worker.failures_in_row)}},
             Severity::kWarning);
   }
-  const StepSpec& spec = job.spec.steps[static_cast<size_t>(end.task.step)];
-  ++task->failures;
-  task->failed_on = worker.record.id;
-  int32_t failures = task->failures;
-  if (spec.gang) {
-    failures = 0;
-    for (const TaskState& one : step->tasks) failures += one.failures;
-  }
+  const int32_t failures = account.failures;
   MarkDirty(job);
   if (spec.lasting || job.Ended()) return;
   const Queue* queue = configuration_ != nullptr
--- a/keelbridge/state/job_table.cc
+++ b/keelbridge/state/job_table.cc
@@ -57,7 +57,10 @@
     for (size_t i = 0; i < step.tasks.size(); ++i) {
       const TaskState& task = step.tasks[i];
       const std::string key = absl::StrCat(s, ".", i);
-      if (task.failures > 0) out["failures"][key] = task.failures;
+      if (task.failures > 0) {
+        out["failures"][key].append(task.failures);
+        out["failures"][key].append(task.failed_run);
+      }
       const bool keep =
           !task.checkpoint.empty() && task.phase == TaskPhase::kWaiting;
       if (keep) out["checkpoints"][key] = task.checkpoint;
@@ -84,8 +87,11 @@
   for (Json::ArrayIndex s = 0; s < done.size() && s < round.steps.size(); ++s)
     ReadDoneBits(done[s].asString(), &round.steps[s]);
   for (const std::string& key : in["failures"].getMemberNames()) {
-    if (TaskState* task = TaskAt(round, key))
-      task->failures = in["failures"][key].asInt();
+    TaskState* task = TaskAt(round, key);
+    if (task == nullptr) continue;
+    task->failures = in["failures"][key][0].asInt();
+    task->failed_run = in["failures"][key][1].asInt();
+    task->run = std::max(task->run, task->failed_run);
   }
   for (const std::string& key : in["checkpoints"].getMemberNames()) {
     if (TaskState* task = TaskAt(round, key))
--- a/keelbridge/state/job_table.h
+++ b/keelbridge/state/job_table.h
@@ -42,7 +42,10 @@
 struct TaskState {
   TaskPhase phase = TaskPhase::kWaiting;
   int32_t run = 0;        // The last run that was ordered; 0: none yet.
-  int32_t failures = 0;   // Runs that ended failed.
+  // Runs that ended failed, and the last of them: an end that is listed again,
+  // to a later leader, counts once. A gang keeps both at its first task.
+  int32_t failures = 0;
+  int32_t failed_run = 0;
   std::string worker;     // While it is on one.
   std::string failed_on;  // The worker of the last failure.
   std::string checkpoint;
