Failed runs are named, runs of unknown size take all room, an earlier leader's lease is waited out

Now the failed runs are named in the record, in any order. LIMIT: a job that ended keeps no description; a run of it that was still stopping took no room for the next leader. Now such a run takes all the room that is left there. Found while looking: a worker silent right after its first listing was given up after 2.5 s although the earlier leader's lease may last 6 s. Now the longest lease is waited out. Tests: testing/site_simulation_test.cc (whole sites under drawn failures), coordination/job_scheduler_test.cc.

--- a/keelbridge/coordination/job_scheduler.h
+++ b/keelbridge/coordination/job_scheduler.h
@@ -254,6 +254,8 @@
   void WantStop(Worker& worker, const RunKey& key);
   void SendStops(Worker& worker, Now now);
   bool Reachable(const Worker& worker, Now now) const;
+  // By when a lease that starts now has passed on the slowest clock.
+  absl::Duration LongestLease() const;
   // No worker may run something that is not known of.
   bool AllAccountedFor(Now now) const;
 
--- a/keelbridge/coordination/job_scheduler_placement.cc
+++ b/keelbridge/coordination/job_scheduler_placement.cc
@@ -278,7 +278,7 @@
       if (!ready.spec->rack.empty() && worker->record.rack != ready.spec->rack)
         score += 10;
       if (id == task.failed_on) score += 20;
-      if (task.failures > 0 && worker->failures_in_row > 0) score += 5;
+      if (!task.failed_runs.empty() && worker->failures_in_row > 0) score += 5;
       if (best == nullptr || score < best_score) {
         best = worker.get();
         best_score = score;
--- /dev/null
+++ b/keelbridge/coordination/job_scheduler_test.cc
@@ -0,0 +1,222 @@
+// Single decisions of the site's scheduler; whole sites under failure are in
+// testing/site_simulation_test.cc.
+
+#include "keelbridge/coordination/job_scheduler.h"
+
+#include <doctest/doctest.h>
+
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace keelbridge {
+namespace {
+
+constexpr JobId kJob = 7;
+const absl::Time kBegin = absl::UnixEpoch() + absl::Hours(1);
+
+// A site of workers "a", "b", ... that answer when the test says so.
+class Driver {
+ public:
+  explicit Driver(int64_t epoch, int most_attempts = 2)
+      : scheduler_(JobScheduler::Options(), epoch, kBegin) {
+    auto configuration = std::make_shared<SiteConfiguration>();
+    configuration->version = 1;
+    Queue queue;
+    queue.name = "restore";
+    queue.pool = "pool";
+    queue.most_attempts = most_attempts;
+    configuration->queues.push_back(queue);
+    scheduler_.SetConfiguration(configuration);
+    scheduler_.OnEarlierLeaderStopped(kBegin);
+  }
+
+  JobScheduler& scheduler() { return scheduler_; }
+  Now now() const { return {now_, now_}; }
+
+  // A job of an earlier leader.
+  void Recover(StepSpec step) {
+    JobSpec spec;
+    spec.steps.push_back(step);
+    JobTable jobs;
+    auto job = std::make_unique<Job>(kJob, "restore", spec, 0);
+    job->AddRound(0);
+    job->recovered = true;
+    jobs.emplace(kJob, std::move(job));
+    scheduler_.Load(std::move(jobs));
+  }
+
+  void AddWorker(const std::string& id, int32_t cpu_milli = 8000) {
+    WorkerRecord record;
+    record.id = id;
+    record.machine = "m-" + id;
+    record.pool = "pool";
+    record.capacity = {cpu_milli, 8192, 0};
+    scheduler_.OnWorkerRecord(record, now());
+  }
+
+  // Ticks until `until` after the beginning; every observation of a worker in
+  // `answering` is answered with what `lists` holds for it.
+  void RunUntil(absl::Duration until) {
+    while (now_ < kBegin + until) {
+      now_ += absl::Milliseconds(20);
+      scheduler_.Tick(now());
+      if (scheduler_.HasBatch()) {
+        const auto batch = scheduler_.TakeBatch(now());
+        scheduler_.OnDurable(batch.number, now());
+      }
+      for (const Action& action : scheduler_.TakeActions()) Answer(action);
+    }
+  }
+
+  std::map<std::string, ObserveReply> lists;  // Workers in it answer.
+  std::vector<StartOrder> starts;
+  std::vector<std::string> start_workers;
+
+ private:
+  void Answer(const Action& action) {
+    if (const auto* look = std::get_if<ObserveAction>(&action)) {
+      const auto list = lists.find(look->worker.id);
+      ObserveReply reply;
+      if (list != lists.end()) {
+        reply = list->second;
+        reply.order.result = OrderResult::kDone;
+        reply.order.clock_ms = absl::ToInt64Milliseconds(now_ - kBegin) + 1000;
+      }
+      scheduler_.OnObserveReply(*look, reply, now_ - absl::Milliseconds(1),
+                                now());
+    } else if (const auto* start = std::get_if<StartAction>(&action)) {
+      starts.push_back(start->order);
+      start_workers.push_back(start->worker.id);
+      OrderReply reply;
+      reply.result = OrderResult::kDone;
+      scheduler_.OnStartReply(*start, reply, now());
+      lists[start->worker.id].running.push_back(
+          {start->order.task, start->order.run, "", 0});
+    }
+  }
+
+  absl::Time now_ = kBegin;
+  JobScheduler scheduler_;
+};
+
+StepSpec OneTask(int32_t cpu_milli = 2000) {
+  StepSpec step;
+  step.need = {cpu_milli, 1024, 0};
+  step.estimated_ms = 1000;
+  return step;
+}
+
+const TaskId kTask{kJob, 0, 0, 0};
+
+TEST_CASE("job scheduler: failed runs count once each, heard in any order") {
+  Driver site(2);
+  site.Recover(OneTask());
+  site.AddWorker("a");
+  site.AddWorker("b");
+  // Worker b, heard first, tells of the second run; a of the first.
+  site.lists["b"].ended = {{1, kTask, 2, RunEnd::kFailed, ""}};
+  site.RunUntil(absl::Milliseconds(100));
+  CHECK(site.scheduler().Status(kJob) == JobState::kRunning);
+  site.lists["a"].ended = {{1, kTask, 1, RunEnd::kFailed, ""}};
+  site.RunUntil(absl::Milliseconds(600));
+  CHECK(site.scheduler().Status(kJob) == JobState::kFailed);
+  CHECK(site.starts.empty());
+}
+
+TEST_CASE("job scheduler: a failed end that is heard again is not counted") {
+  Driver first(1);
+  first.Recover(OneTask());
+  first.AddWorker("a");
+  first.lists["a"].ended = {{1, kTask, 1, RunEnd::kFailed, ""}};
+  JobRecords records;
+  first.scheduler().Tick(first.now());
+  for (const Action& action : first.scheduler().TakeActions()) {
+    if (const auto* look = std::get_if<ObserveAction>(&action)) {
+      ObserveReply reply = first.lists["a"];
+      reply.order.result = OrderResult::kDone;
+      reply.order.clock_ms = 1000;
+      first.scheduler().OnObserveReply(*look, reply, first.now().mono,
+                                       first.now());
+    }
+  }
+  JobSpec spec;
+  spec.steps.push_back(OneTask());
+  records.Add(DescriptionRecord(Job(kJob, "restore", spec, 0)));
+  for (const Record& record : first.scheduler().TakeBatch(first.now()).records)
+    records.Add(record);
+  // The leader dies before the worker hears that the end was noted.
+  Driver second(2);
+  second.scheduler().Load(records.Build());
+  second.AddWorker("a");
+  second.lists["a"].ended = {{1, kTask, 1, RunEnd::kFailed, ""}};
+  second.RunUntil(absl::Milliseconds(500));
+  CHECK(second.scheduler().Status(kJob) == JobState::kRunning);
+  REQUIRE(second.starts.size() == 1);
+  CHECK(second.starts[0].run == FirstRunOfEpoch(2));
+}
+
+TEST_CASE("job scheduler: a run adopted from an earlier leader is not given up "
+          "before that leader's lease has passed") {
+  Driver site(2);
+  site.Recover(OneTask());
+  site.AddWorker("a");
+  site.AddWorker("b");
+  site.lists["a"].running = {{kTask, 1, "", 10}};
+  site.lists["b"];
+  // One look each, then a is silent.
+  site.scheduler().Tick(site.now());
+  for (const Action& action : site.scheduler().TakeActions()) {
+    if (const auto* look = std::get_if<ObserveAction>(&action)) {
+      ObserveReply reply = site.lists[look->worker.id];
+      reply.order.result = OrderResult::kDone;
+      reply.order.clock_ms = 1000;
+      site.scheduler().OnObserveReply(*look, reply, site.now().mono,
+                                      site.now());
+    }
+  }
+  site.lists.erase("a");
+  site.RunUntil(absl::Milliseconds(5900));
+  CHECK(site.starts.empty());
+  site.RunUntil(absl::Seconds(14));
+  REQUIRE(site.starts.size() == 1);
+  CHECK(site.start_workers[0] == "b");
+}
+
+TEST_CASE("job scheduler: a job starts only once its acceptance is durable") {
+  Driver site(1);
+  site.AddWorker("a");
+  site.lists["a"];
+  site.RunUntil(absl::Milliseconds(100));
+  JobSpec spec;
+  spec.steps.push_back(OneTask());
+  const int64_t batch =
+      site.scheduler().Submit(9, "restore", spec, site.now());
+  CHECK(batch > 0);
+  site.scheduler().Tick(site.now());
+  for (const Action& action : site.scheduler().TakeActions())
+    CHECK_FALSE(std::holds_alternative<StartAction>(action));
+  site.scheduler().TakeBatch(site.now());
+  site.scheduler().OnDurable(batch, site.now());
+  CHECK(site.scheduler().Submit(9, "restore", spec, site.now()) == 0);
+  site.RunUntil(absl::Milliseconds(200));
+  CHECK(site.starts.size() == 1);
+}
+
+TEST_CASE("job scheduler: a suspended leader starts nothing") {
+  Driver site(1);
+  site.AddWorker("a");
+  site.lists["a"];
+  site.scheduler().SetSuspended(true);
+  JobSpec spec;
+  spec.steps.push_back(OneTask());
+  site.scheduler().Submit(9, "restore", spec, site.now());
+  site.RunUntil(absl::Milliseconds(500));
+  CHECK(site.starts.empty());
+  site.scheduler().SetSuspended(false);
+  site.RunUntil(absl::Seconds(1));
+  CHECK(site.starts.size() == 1);
+}
+
+}  // namespace
+}  // namespace keelbridge
--- a/keelbridge/coordination/job_scheduler_workers.cc
+++ b/keelbridge/coordination/job_scheduler_workers.cc
@@ -315,10 +315,11 @@
   if (step == nullptr || task == nullptr) return;
   const StepSpec& spec = job.spec.steps[static_cast<size_t>(end.task.step)];
   TaskState& account = spec.gang ? step->tasks.front() : *task;
-  if (end.run <= account.failed_run) return;  // Counted already.
-  account.failed_run = end.run;
+  std::vector<int32_t>& failed = account.failed_runs;
+  if (std::find(failed.begin(), failed.end(), end.run) != failed.end()) return;
   task->failed_on = worker.record.id;
-  if (++account.failures == 1 &&
+  if (!spec.lasting) failed.push_back(end.run);
+  if (failed.size() <= 1 &&
       ++worker.failures_in_row >= kFailuresInRowToSuspect) {
     worker.suspect_until = now.mono + kSuspectAfterFailures;
     Explain("worker_suspected",
@@ -326,7 +327,7 @@
              {"failures_in_row", absl::StrCat(worker.failures_in_row)}},
             Severity::kWarning);
   }
-  const int32_t failures = account.failures;
+  const auto failures = static_cast<int32_t>(failed.size());
   MarkDirty(job);
   if (spec.lasting || job.Ended()) return;
   const Queue* queue = configuration_ != nullptr
@@ -397,9 +398,13 @@
     }
     return;
   }
-  Resources need;
-  if (job != nullptr &&
-      static_cast<size_t>(running.task.step) < job->spec.steps.size())
+  // What a run of a job takes whose description is gone is not known: nothing
+  // else starts there until it has ended.
+  Resources need = worker.free;
+  const bool described =
+      job != nullptr &&
+      static_cast<size_t>(running.task.step) < job->spec.steps.size();
+  if (described)
     need = job->spec.steps[static_cast<size_t>(running.task.step)].need;
   Occupant& added = Occupy(worker, running.task, running.run, need, now);
   added.start_answered = now.mono;
@@ -498,6 +503,8 @@
   if (!worker.listed) {
     worker.listed = true;
     placement_wanted_ = true;
+    // An earlier leader may just have given the longest lease.
+    worker.lapse_at = std::max(worker.lapse_at, now.mono + LongestLease());
   }
   // While ends wait to be kept for good, another look would only list them
   // again.
@@ -517,6 +524,10 @@
     worker.next_observe = absl::InfinitePast();
 }
 
+absl::Duration JobScheduler::LongestLease() const {
+  return options_.lease / (1.0 - options_.clock_error) + kLapseMargin;
+}
+
 bool JobScheduler::Reachable(const Worker& worker, Now now) const {
   return now.mono - worker.last_answer < kSilentAfter;
 }
@@ -524,9 +535,7 @@
 bool JobScheduler::AllAccountedFor(Now now) const {
   // What an earlier leader may have started on a worker that this one has not
   // reached ends at the latest when the last lease that it gave has passed.
-  const absl::Duration lease =
-      options_.lease / (1.0 - options_.clock_error) + kLapseMargin;
-  if (now.mono > earlier_leader_until_ + lease) return true;
+  if (now.mono > earlier_leader_until_ + LongestLease()) return true;
   return std::all_of(workers_.begin(), workers_.end(),
                      [](const auto& entry) { return entry.second->listed; });
 }
--- a/keelbridge/state/job_table.cc
+++ b/keelbridge/state/job_table.cc
@@ -57,10 +57,8 @@
     for (size_t i = 0; i < step.tasks.size(); ++i) {
       const TaskState& task = step.tasks[i];
       const std::string key = absl::StrCat(s, ".", i);
-      if (task.failures > 0) {
-        out["failures"][key].append(task.failures);
-        out["failures"][key].append(task.failed_run);
-      }
+      for (const int32_t run : task.failed_runs)
+        out["failed_runs"][key].append(run);
       const bool keep =
           !task.checkpoint.empty() && task.phase == TaskPhase::kWaiting;
       if (keep) out["checkpoints"][key] = task.checkpoint;
@@ -86,12 +84,13 @@
   const Json::Value& done = in["done"];
   for (Json::ArrayIndex s = 0; s < done.size() && s < round.steps.size(); ++s)
     ReadDoneBits(done[s].asString(), &round.steps[s]);
-  for (const std::string& key : in["failures"].getMemberNames()) {
+  for (const std::string& key : in["failed_runs"].getMemberNames()) {
     TaskState* task = TaskAt(round, key);
     if (task == nullptr) continue;
-    task->failures = in["failures"][key][0].asInt();
-    task->failed_run = in["failures"][key][1].asInt();
-    task->run = std::max(task->run, task->failed_run);
+    for (const Json::Value& run : in["failed_runs"][key]) {
+      task->failed_runs.push_back(run.asInt());
+      task->run = std::max(task->run, run.asInt());
+    }
   }
   for (const std::string& key : in["checkpoints"].getMemberNames()) {
     if (TaskState* task = TaskAt(round, key))
--- a/keelbridge/state/job_table.h
+++ b/keelbridge/state/job_table.h
@@ -42,10 +42,10 @@
 struct TaskState {
   TaskPhase phase = TaskPhase::kWaiting;
   int32_t run = 0;        // The last run that was ordered; 0: none yet.
-  // Runs that ended failed, and the last of them: an end that is listed again,
-  // to a later leader, counts once. A gang keeps both at its first task.
-  int32_t failures = 0;
-  int32_t failed_run = 0;
+  // The runs that ended failed. Named, not counted: a later leader hears of the
+  // same end again, and of ends on several workers in any order. A gang keeps
+  // them at its first task.
+  std::vector<int32_t> failed_runs;
   std::string worker;     // While it is on one.
   std::string failed_on;  // The worker of the last failure.
   std::string checkpoint;
--- /dev/null
+++ b/testing/site_simulation_test.cc
@@ -0,0 +1,205 @@
+// The scheduler of a site under failure, on a virtual clock: nothing twice,
+// nothing over a worker's room, nothing before its turn, nothing accepted lost.
+
+#include <doctest/doctest.h>
+
+#include "absl/strings/str_cat.h"
+#include "absl/strings/str_join.h"
+#include "testing/support/site_simulation.h"
+
+namespace keelbridge::testing {
+namespace {
+
+StepSpec Step(int32_t count, int32_t cpu_milli, int64_t estimated_ms) {
+  StepSpec step;
+  step.count = count;
+  step.need = {cpu_milli, 1024, 0};
+  step.estimated_ms = estimated_ms;
+  return step;
+}
+
+JobSpec TwoSteps() {
+  JobSpec spec;
+  spec.steps = {Step(4, 2000, 500), Step(2, 4000, 800)};
+  spec.steps[1].after = {0};
+  return spec;
+}
+
+JobSpec Gang() {
+  JobSpec spec;
+  spec.steps = {Step(6, 5000, 1200)};
+  spec.steps[0].gang = true;
+  return spec;
+}
+
+JobSpec Single(int64_t estimated_ms) {
+  JobSpec spec;
+  spec.steps = {Step(2, 3000, estimated_ms)};
+  return spec;
+}
+
+// All accepted jobs end, and none but by its own failures or its cancel.
+void CheckSettled(SiteSimulation& site) {
+  CAPTURE(absl::StrJoin(site.faults(), "\n"));
+  CHECK(site.faults().empty());
+  for (const JobId id : site.accepted()) {
+    const auto state = site.StatusOf(id);
+    CAPTURE(id);
+    REQUIRE(state.has_value());
+    CAPTURE(std::string(JobStateName(*state)));
+    CHECK((*state == JobState::kCompleted || *state == JobState::kFailed ||
+           *state == JobState::kCancelled));
+  }
+}
+
+// Jobs of all three kinds for `seconds`.
+void Load(SiteSimulation& site, int seconds) {
+  for (int i = 0; i < seconds * 4; ++i) {
+    site.After(absl::Milliseconds(250 * i), [&site, i] {
+      site.Submit(i % 7 == 0   ? Gang()
+                  : i % 3 == 0 ? TwoSteps()
+                               : Single(400 + 100 * (i % 5)));
+    });
+  }
+}
+
+TEST_CASE("site: calm jobs of steps and gangs are completed") {
+  SiteSimulation::Options options;
+  options.failing_runs = 0;
+  SiteSimulation site(options);
+  Load(site, 10);
+  site.Run(absl::Seconds(40));
+  CHECK(site.accepted().size() == 40);
+  CheckSettled(site);
+  for (const JobId id : site.accepted())
+    CHECK(site.StatusOf(id) == JobState::kCompleted);
+}
+
+TEST_CASE("site: tickets of advice are asked for and used") {
+  SiteSimulation::Options options;
+  options.advice = true;
+  SiteSimulation site(options);
+  Load(site, 10);
+  site.Run(absl::Seconds(60));
+  CheckSettled(site);
+  REQUIRE(site.scheduler() != nullptr);
+  CHECK(site.scheduler()->figures().advice_calls > 0);
+}
+
+TEST_CASE("site: a failed end that is listed again counts once") {
+  // The count is durable, the note to the worker is not, and the leader dies.
+  for (uint64_t seed = 1; seed <= 30; ++seed) {
+    SiteSimulation::Options options;
+    options.seed = seed;
+    options.failing_runs = 0.3;
+    options.most_attempts = 2;
+    SiteSimulation site(options);
+    Load(site, 6);
+    for (int i = 1; i < 12; ++i) {
+      site.After(absl::Milliseconds(700 * i), [&site] {
+        site.ReplaceLeader(absl::Milliseconds(200), false);
+      });
+    }
+    site.Run(absl::Seconds(40));
+    CheckSettled(site);
+    for (const JobId id : site.accepted()) {
+      if (site.StatusOf(id) != JobState::kFailed) continue;
+      const std::vector<TaskId> failed = site.FailedOut();
+      const bool with_cause =
+          std::any_of(failed.begin(), failed.end(),
+                      [&](const TaskId& task) { return task.job == id; });
+      CAPTURE(seed);
+      CAPTURE(id);
+      CHECK(with_cause);
+    }
+  }
+}
+
+TEST_CASE("site: leaders replaced, answers lost, workers crashed and cut") {
+  for (uint64_t seed = 1; seed <= 40; ++seed) {
+    CAPTURE(seed);
+    SiteSimulation::Options options;
+    options.seed = seed;
+    options.lost_answers = 0.03;
+    SiteSimulation site(options);
+    Load(site, 12);
+    std::mt19937_64 random(seed);
+    for (int i = 0; i < 6; ++i) {
+      const auto at = absl::Milliseconds(random() % 14000);
+      const int kind = static_cast<int>(random() % 5);
+      const int worker = static_cast<int>(random() % 8);
+      site.After(at, [&site, kind, worker] {
+        if (kind == 0) site.ReplaceLeader(absl::Milliseconds(300), false);
+        if (kind == 1) site.ReplaceLeader(absl::Milliseconds(50), true);
+        if (kind == 2) site.CrashWorker(worker, absl::Seconds(3));
+        if (kind == 3) site.CutWorker(worker, absl::Seconds(5));
+        if (kind == 4) site.StoreDown(absl::Seconds(3));
+      });
+    }
+    site.Run(absl::Seconds(100));
+    CheckSettled(site);
+  }
+}
+
+TEST_CASE("site: orders carried out seconds late change nothing") {
+  for (uint64_t seed = 1; seed <= 30; ++seed) {
+    CAPTURE(seed);
+    SiteSimulation::Options options;
+    options.seed = seed;
+    options.late_orders = 0.05;
+    SiteSimulation site(options);
+    Load(site, 10);
+    site.Run(absl::Seconds(100));
+    CheckSettled(site);
+  }
+}
+
+TEST_CASE("site: room of a run whose job has ended still counts") {
+  // A cancelled job's description is dropped; its runs may still be there when
+  // the next leader takes over.
+  for (uint64_t seed = 1; seed <= 20; ++seed) {
+    CAPTURE(seed);
+    SiteSimulation::Options options;
+    options.seed = seed;
+    options.workers = 2;
+    options.failing_runs = 0;
+    SiteSimulation site(options);
+    std::vector<JobId> jobs;
+    for (int i = 0; i < 4; ++i) {
+      JobSpec spec;
+      spec.steps = {Step(2, 7000, 20000)};
+      jobs.push_back(site.Submit(spec));
+    }
+    site.Run(absl::Milliseconds(500));
+    for (const JobId id : jobs) site.Cancel(id);
+    site.Run(absl::Milliseconds(45));  // The cancels are durable.
+    site.ReplaceLeader(absl::Milliseconds(5), false);
+    site.Run(absl::Milliseconds(10));
+    for (int i = 0; i < 8; ++i) site.Submit(Single(300));
+    site.Run(absl::Seconds(20));
+    CheckSettled(site);
+  }
+}
+
+TEST_CASE("site: a worker cut just after a change of leader keeps its runs") {
+  // Its lease may be one that the earlier leader gave.
+  for (uint64_t seed = 1; seed <= 20; ++seed) {
+    CAPTURE(seed);
+    SiteSimulation::Options options;
+    options.seed = seed;
+    options.workers = 3;
+    options.failing_runs = 0;
+    SiteSimulation site(options);
+    for (int i = 0; i < 6; ++i) site.Submit(Single(8000));
+    site.Run(absl::Seconds(1));
+    site.ReplaceLeader(absl::Milliseconds(20), false);
+    site.Run(absl::Milliseconds(20 + 2 * static_cast<int>(seed)));
+    site.CutWorker(0, absl::Seconds(5));
+    site.CutWorker(1, absl::Seconds(5));
+    site.Run(absl::Seconds(60));
+    CheckSettled(site);
+  }
+}
+
+}  // namespace
+}  // namespace keelbridge::testing
--- /dev/null
+++ b/testing/support/site_simulation.cc
@@ -0,0 +1,463 @@
+#include "testing/support/site_simulation.h"
+
+#include <algorithm>
+
+#include "absl/strings/str_cat.h"
+
+namespace keelbridge::testing {
+namespace {
+
+constexpr char kQueue[] = "restore";
+constexpr char kPool[] = "pool";
+constexpr char kNode[] = "node-a";
+constexpr absl::Duration kStep = absl::Milliseconds(5);
+constexpr absl::Duration kOrderTimeout = absl::Milliseconds(500);
+constexpr absl::Duration kAppendRetry = absl::Milliseconds(60);
+constexpr absl::Duration kGangPatience = absl::Seconds(3);
+
+std::shared_ptr<SiteConfiguration> MakeConfiguration(bool advice,
+                                                     int most_attempts) {
+  auto out = std::make_shared<SiteConfiguration>();
+  out->version = 1;
+  Queue queue;
+  queue.name = kQueue;
+  queue.pool = kPool;
+  queue.most_attempts = most_attempts;
+  queue.stretch = 2;
+  queue.target_latency_ms = 1000;
+  queue.advice.needed = advice;
+  queue.advice.base_ms = 10;
+  queue.advice.per_worker_ms = 1;
+  queue.advice.validity_ms = 1500;
+  out->queues.push_back(queue);
+  out->pools.push_back({kPool, false, false});
+  return out;
+}
+
+}  // namespace
+
+SiteSimulation::SiteSimulation(Options options)
+    : options_(options),
+      random_(options.seed),
+      workers_(static_cast<size_t>(options.workers)),
+      configuration_(MakeConfiguration(options.advice, options.most_attempts)) {
+  for (int i = 0; i < options_.workers; ++i) StartLife(i);
+  StartLeader();
+}
+
+Now SiteSimulation::At() const { return Now{now_, now_}; }
+
+absl::Duration SiteSimulation::Delay() {
+  return absl::Milliseconds(0.5 + 3 * Draw());
+}
+
+void SiteSimulation::Fault(const std::string& text) {
+  faults_.push_back(absl::StrCat(
+      absl::ToInt64Milliseconds(now_ - absl::UnixEpoch()), " ms: ", text));
+}
+
+void SiteSimulation::After(absl::Duration delay, std::function<void()> step) {
+  queue_.emplace(now_ + delay, std::move(step));
+}
+
+void SiteSimulation::StartLife(int index) {
+  WorkerSlot& slot = workers_[static_cast<size_t>(index)];
+  SiteWorker::Options options;
+  options.record.id = absl::StrCat("i-", index, "-", slot.lives++);
+  options.record.machine = absl::StrCat("m-", index);
+  options.record.pool = kPool;
+  options.record.zone = absl::StrCat("zone-", index % 3);
+  options.record.capacity = options_.capacity;
+  options.stop_time = absl::Milliseconds(200);
+  options.clock_rate = 0.98 + 0.02 * Draw();
+  slot.life = std::make_unique<SiteWorker>(
+      options,
+      [this](const StartOrder& order) {
+        const StepSpec& step =
+            jobs_[order.task.job].spec.steps[static_cast<size_t>(
+                order.task.step)];
+        SiteRunPlan plan;
+        plan.need = step.need;
+        plan.work = absl::Milliseconds(step.estimated_ms) * (0.5 + Draw());
+        plan.fails = Draw() < options_.failing_runs;
+        plan.gang = step.gang ? step.count : 0;
+        return plan;
+      },
+      [this](const SiteRun& run, bool begins) { Journal(run, begins); }, now_);
+  if (current_ != nullptr)
+    current_->scheduler->OnWorkerRecord(slot.life->record(), At());
+}
+
+SiteWorker* SiteSimulation::Find(const std::string& worker_id, bool* cut) {
+  for (WorkerSlot& slot : workers_) {
+    if (slot.life->record().id != worker_id) continue;
+    *cut = slot.cut_until > now_;
+    return slot.life.get();
+  }
+  return nullptr;
+}
+
+TaskId SiteSimulation::AccountOf(const TaskId& task) {
+  const StepSpec& step =
+      jobs_[task.job].spec.steps[static_cast<size_t>(task.step)];
+  TaskId account = task;
+  if (step.gang) account.index = 0;
+  return account;
+}
+
+void SiteSimulation::JudgeStart(const SiteRun& run) {
+  const std::string name =
+      absl::StrCat(TaskIdText(run.task), " run ", run.run, " on ", run.worker);
+  const JobFacts& facts = jobs_[run.task.job];
+  Resources used;
+  for (const WorkerSlot& slot : workers_) {
+    for (const auto& [key, other] : slot.life->running()) {
+      const bool here = other.worker == run.worker;
+      if (here) used += other.need;
+      const bool same = key.first == run.task;
+      if (same && (!here || key.second != run.run))
+        Fault(absl::StrCat("TWICE: ", name, " while run ", key.second,
+                           " runs on ", other.worker));
+    }
+  }
+  if (!run.late && !used.FitsIn(options_.capacity))
+    Fault(absl::StrCat("LIMIT: ", name, " takes the worker to ",
+                       used.cpu_milli));
+  if (done_.count(run.task) > 0) {
+    // A done end that nobody could hear of before its lease lapsed may run
+    // again.
+    bool excused = false;
+    for (const WorkerSlot& slot : workers_) {
+      for (const EndedTask& end : slot.life->unnoted()) {
+        if (end.task == run.task && slot.life->LeaseLapsed(now_))
+          excused = true;
+      }
+    }
+    if (!excused) Fault(absl::StrCat("TWICE: ", name, " after it was done"));
+  }
+  const std::set<int32_t>& failed = failed_[AccountOf(run.task)];
+  if (static_cast<int>(failed.size()) >= options_.most_attempts &&
+      failed.count(run.run) == 0)
+    Fault(absl::StrCat("BUDGET: ", name, " after ", failed.size(),
+                       " failed runs"));
+  const StepSpec& step =
+      facts.spec.steps[static_cast<size_t>(run.task.step)];
+  for (const int32_t before : step.after) {
+    const int32_t count = facts.spec.steps[static_cast<size_t>(before)].count;
+    for (int32_t i = 0; i < count; ++i) {
+      if (ever_done_.count({run.task.job, run.task.round, before, i}) == 0)
+        Fault(absl::StrCat("ORDER: ", name, " before step ", before));
+    }
+  }
+}
+
+void SiteSimulation::Journal(const SiteRun& run, bool begins) {
+  if (begins) {
+    runs_.push_back(run);
+    JudgeStart(run);
+    return;
+  }
+  if (run.end == RunEnd::kDone) {
+    done_.insert(run.task);
+    ever_done_.insert(run.task);
+  }
+  if (run.end == RunEnd::kFailed) failed_[AccountOf(run.task)].insert(run.run);
+}
+
+void SiteSimulation::AdvanceWorkers() {
+  struct Gang {
+    int32_t present = 0;
+    int32_t size = 0;
+    absl::Time first = absl::InfiniteFuture();
+    absl::Time last = absl::InfinitePast();
+  };
+  std::map<std::pair<TaskId, int32_t>, Gang> gangs;
+  for (WorkerSlot& slot : workers_) {
+    slot.life->Advance(now_);
+    for (const auto& [key, run] : slot.life->running()) {
+      const StepSpec& step =
+          jobs_[key.first.job].spec.steps[static_cast<size_t>(key.first.step)];
+      if (!step.gang) continue;
+      TaskId of = key.first;
+      of.index = 0;
+      Gang& gang = gangs[{of, key.second}];
+      ++gang.present;
+      gang.size = step.count;
+      gang.first = std::min(gang.first, run.began);
+      gang.last = std::max(gang.last, run.began);
+    }
+  }
+  for (const auto& [key, gang] : gangs) {
+    const StepSpec& step =
+        jobs_[key.first.job].spec.steps[static_cast<size_t>(key.first.step)];
+    const bool whole = gang.present == gang.size;
+    const bool was_whole = gang_done_at_.count(key) > 0;
+    if (whole && !was_whole)
+      gang_done_at_[key] = now_ + absl::Milliseconds(step.estimated_ms);
+    const bool broken =
+        !whole && (was_whole || now_ - gang.first > kGangPatience);
+    const bool done = whole && was_whole && now_ >= gang_done_at_[key];
+    for (WorkerSlot& slot : workers_) {
+      if (broken) slot.life->BreakGang(key.first, key.second, now_);
+      if (done) slot.life->CompleteGang(key.first, key.second, now_);
+    }
+  }
+}
+
+void SiteSimulation::StartLeader() {
+  if (now_ < store_down_until_) {
+    After(absl::Milliseconds(100), [this] { StartLeader(); });
+    return;
+  }
+  auto leader = std::make_shared<Leader>();
+  leader->epoch = ++store_epoch_;
+  leader->scheduler = std::make_unique<JobScheduler>(JobScheduler::Options(),
+                                                     leader->epoch, now_);
+  JobRecords records;
+  for (const auto& [key, value] : store_) records.Add(Record{key, value, -1});
+  leader->scheduler->Load(records.Build());
+  leader->scheduler->SetConfiguration(configuration_);
+  leader->scheduler->SetAdvisers({kNode}, kNode);
+  for (WorkerSlot& slot : workers_)
+    leader->scheduler->OnWorkerRecord(slot.life->record(), At());
+  if (leader->epoch == 1) leader->scheduler->OnEarlierLeaderStopped(now_);
+  current_ = leader;
+  Tick(leader);
+}
+
+void SiteSimulation::Tick(const std::shared_ptr<Leader>& leader) {
+  if (leader->dead) return;
+  leader->scheduler->Tick(At());
+  CarryOut(leader);
+  Append(leader);
+  if (leader->scheduler->fenced()) leader->dead = true;
+  After(absl::Milliseconds(20), [this, leader] { Tick(leader); });
+}
+
+void SiteSimulation::Append(const std::shared_ptr<Leader>& leader) {
+  if (leader->appending || !leader->scheduler->HasBatch()) return;
+  leader->appending = true;
+  const auto batch = std::make_shared<JobScheduler::Batch>(
+      leader->scheduler->TakeBatch(At()));
+  const auto attempt = std::make_shared<std::function<void()>>();
+  *attempt = [this, leader, batch, attempt] {
+    if (leader->dead && Draw() < 0.5) return;  // It never left.
+    if (now_ < store_down_until_) {
+      After(kAppendRetry, [attempt] { (*attempt)(); });
+      return;
+    }
+    if (leader->epoch < store_epoch_) {
+      leader->dead = true;
+      return;
+    }
+    for (const Record& record : batch->records) {
+      if (record.value)
+        store_[record.key] = *record.value;
+      else
+        store_.erase(record.key);
+    }
+    After(options_.store_delay, [this, leader, batch] {
+      if (leader->dead) return;
+      leader->appending = false;
+      leader->scheduler->OnDurable(batch->number, At());
+      auto it = leader->waiting.begin();
+      while (it != leader->waiting.end() && it->first <= batch->number) {
+        for (const auto& done : it->second) done();
+        it = leader->waiting.erase(it);
+      }
+    });
+  };
+  After(options_.store_delay, [attempt] { (*attempt)(); });
+}
+
+template <typename Order, typename Reply>
+void SiteSimulation::Send(
+    const std::shared_ptr<Leader>& leader, const std::string& worker,
+    const Order& order,
+    std::function<Reply(SiteWorker&, const Order&, bool late)> act,
+    std::function<void(const Reply&)> done, Reply lost, Reply other_life) {
+  const bool late = Draw() < options_.late_orders;
+  const bool answer_lost = late || Draw() < options_.lost_answers;
+  const absl::Duration there =
+      late ? absl::Seconds(2 + 10 * Draw()) : Delay();
+  if (answer_lost)
+    After(kOrderTimeout, [leader, done, lost] {
+      if (!leader->dead) done(lost);
+    });
+  After(there, [this, leader, worker, order, act, done, lost, other_life, late,
+                answer_lost] {
+    bool cut = false;
+    SiteWorker* found = Find(worker, &cut);
+    if (cut) {
+      if (!answer_lost)
+        After(kOrderTimeout, [leader, done, lost] {
+          if (!leader->dead) done(lost);
+        });
+      return;
+    }
+    const Reply reply = found == nullptr || !found->alive()
+                            ? other_life
+                            : act(*found, order, late);
+    if (answer_lost) return;
+    After(Delay(), [leader, done, reply] {
+      if (!leader->dead) done(reply);
+    });
+  });
+}
+
+void SiteSimulation::CarryOut(const std::shared_ptr<Leader>& leader) {
+  const OrderReply lost{OrderResult::kUnknown, -1, "lost"};
+  const OrderReply gone{OrderResult::kOtherLife, -1, "gone"};
+  for (const Action& action : leader->scheduler->TakeActions()) {
+    if (const auto* start = std::get_if<StartAction>(&action)) {
+      Send<StartOrder, OrderReply>(
+          leader, start->worker.id, start->order,
+          [this](SiteWorker& w, const StartOrder& o, bool late) {
+            return w.Start(o, now_, late);
+          },
+          [this, leader, start = *start](const OrderReply& reply) {
+            leader->scheduler->OnStartReply(start, reply, At());
+          },
+          lost, gone);
+    } else if (const auto* stop = std::get_if<StopAction>(&action)) {
+      Send<StopOrder, OrderReply>(
+          leader, stop->worker.id, stop->order,
+          [this](SiteWorker& w, const StopOrder& o, bool) {
+            return w.Stop(o, now_);
+          },
+          [this, leader, stop = *stop](const OrderReply& reply) {
+            leader->scheduler->OnStopReply(stop, reply, At());
+          },
+          lost, gone);
+    } else if (const auto* look = std::get_if<ObserveAction>(&action)) {
+      const absl::Time sent = now_;
+      ObserveReply look_lost;
+      look_lost.order = lost;
+      ObserveReply look_gone;
+      look_gone.order = gone;
+      Send<ObserveOrder, ObserveReply>(
+          leader, look->worker.id, look->order,
+          [this](SiteWorker& w, const ObserveOrder& o, bool) {
+            return w.Observe(o, now_);
+          },
+          [this, leader, look = *look, sent](const ObserveReply& reply) {
+            leader->scheduler->OnObserveReply(look, reply, sent, At());
+          },
+          look_lost, look_gone);
+    } else if (const auto* ask = std::get_if<AskAdviceAction>(&action)) {
+      AdviceReply reply;
+      reply.answered = true;
+      for (const std::string& worker : ask->request.workers) {
+        const size_t draw =
+            std::hash<std::string>()(absl::StrCat(
+                worker, ".", ask->request.step.job, ask->request.step.step));
+        if (draw % 2 == 0) reply.good.push_back({worker, "ticket"});
+      }
+      After(absl::Milliseconds(20), [this, leader, ask = *ask, reply] {
+        if (!leader->dead) leader->scheduler->OnAdvice(ask, reply, At());
+      });
+    }
+  }
+}
+
+JobId SiteSimulation::Submit(JobSpec spec) {
+  const JobId id = next_job_++;
+  jobs_[id].spec = std::move(spec);
+  const auto attempt = std::make_shared<std::function<void()>>();
+  *attempt = [this, id, attempt] {
+    const auto leader = current_;
+    if (accepted_.count(id) > 0) return;
+    if (leader == nullptr || leader->dead) {
+      After(absl::Milliseconds(100), [attempt] { (*attempt)(); });
+      return;
+    }
+    const int64_t batch =
+        leader->scheduler->Submit(id, kQueue, jobs_[id].spec, At());
+    if (batch == 0) {
+      accepted_.insert(id);
+      return;
+    }
+    leader->waiting[batch].push_back([this, id] { accepted_.insert(id); });
+    After(absl::Seconds(1), [attempt] { (*attempt)(); });
+  };
+  (*attempt)();
+  return id;
+}
+
+void SiteSimulation::Cancel(JobId id) {
+  if (current_ == nullptr || current_->dead) return;
+  if (current_->scheduler->Cancel(id, At())) jobs_[id].cancelled = true;
+}
+
+void SiteSimulation::ReplaceLeader(absl::Duration pause, bool old_one_lives) {
+  if (current_ == nullptr) return;
+  const auto old = current_;
+  if (!old_one_lives) old->dead = true;
+  current_ = nullptr;
+  After(pause, [this, old_one_lives] {
+    StartLeader();
+    if (!old_one_lives && current_ != nullptr)
+      current_->scheduler->OnEarlierLeaderStopped(now_);
+  });
+}
+
+void SiteSimulation::CrashWorker(int index, absl::Duration down) {
+  SiteWorker& life = *workers_[static_cast<size_t>(index)].life;
+  if (!life.alive()) return;
+  // What only it knew is forgotten.
+  life.Advance(now_);
+  for (const EndedTask& end : life.unnoted()) {
+    if (end.end == RunEnd::kDone) done_.erase(end.task);
+    if (end.end == RunEnd::kFailed) failed_[AccountOf(end.task)].erase(end.run);
+  }
+  life.Crash(now_);
+  After(down, [this, index] { StartLife(index); });
+}
+
+void SiteSimulation::CutWorker(int index, absl::Duration time) {
+  workers_[static_cast<size_t>(index)].cut_until = now_ + time;
+}
+
+void SiteSimulation::StoreDown(absl::Duration time) {
+  store_down_until_ = now_ + time;
+}
+
+void SiteSimulation::Run(absl::Duration time) {
+  const absl::Time until = now_ + time;
+  while (now_ < until) {
+    const absl::Time next = now_ + kStep;
+    while (!queue_.empty() && queue_.begin()->first <= next) {
+      now_ = std::max(now_, queue_.begin()->first);
+      const auto step = std::move(queue_.begin()->second);
+      queue_.erase(queue_.begin());
+      step();
+    }
+    now_ = next;
+    AdvanceWorkers();
+  }
+}
+
+std::optional<JobState> SiteSimulation::StatusOf(JobId id) const {
+  return current_ == nullptr ? std::nullopt : current_->scheduler->Status(id);
+}
+
+std::vector<TaskId> SiteSimulation::FailedOut() const {
+  std::vector<TaskId> out;
+  for (const auto& [task, runs] : failed_) {
+    if (static_cast<int>(runs.size()) >= options_.most_attempts)
+      out.push_back(task);
+  }
+  return out;
+}
+
+size_t SiteSimulation::RunningOf(JobId id) const {
+  size_t count = 0;
+  for (const WorkerSlot& slot : workers_) {
+    for (const auto& [key, run] : slot.life->running()) {
+      if (key.first.job == id) ++count;
+    }
+  }
+  return count;
+}
+
+}  // namespace keelbridge::testing
--- /dev/null
+++ b/testing/support/site_simulation.h
@@ -0,0 +1,130 @@
+// A whole site on a virtual clock: schedulers, a store, workers and advice, with
+// faults drawn from a seed, judged from what the workers really ran.
+//
+//   SiteSimulation site({.seed = 7, .lost_answers = 0.05});
+//   site.Submit(spec);
+//   site.Run(absl::Seconds(60));
+//   CHECK(site.faults().empty());
+
+#ifndef KEELBRIDGE_TESTING_SUPPORT_SITE_SIMULATION_H_
+#define KEELBRIDGE_TESTING_SUPPORT_SITE_SIMULATION_H_
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "keelbridge/coordination/job_scheduler.h"
+#include "testing/fakes/site_worker.h"
+
+namespace keelbridge::testing {
+
+class SiteSimulation {
+ public:
+  struct Options {
+    uint64_t seed = 1;
+    int workers = 8;
+    Resources capacity{16000, 65536, 0};
+    double lost_answers = 0;  // Share of orders carried out but not answered.
+    double late_orders = 0;   // Share carried out 2 to 12 s later, unanswered.
+    double failing_runs = 0.02;
+    bool advice = false;      // Half of the workers may run a step.
+    int most_attempts = 3;
+    absl::Duration store_delay = absl::Milliseconds(5);
+  };
+
+  explicit SiteSimulation(Options options);
+
+  JobId Submit(JobSpec spec);
+  void Cancel(JobId id);
+  // The leader's process is gone; another takes over after `pause`. Batches on
+  // their way land or do not, as the seed draws.
+  void ReplaceLeader(absl::Duration pause, bool old_one_lives);
+  void CrashWorker(int index, absl::Duration down);
+  // Nobody reaches the worker meanwhile; it runs on.
+  void CutWorker(int index, absl::Duration time);
+  void StoreDown(absl::Duration time);
+  void After(absl::Duration delay, std::function<void()> step);
+  void Run(absl::Duration time);
+
+  // Jobs whose acceptance is durable and answered.
+  const std::set<JobId>& accepted() const { return accepted_; }
+  std::optional<JobState> StatusOf(JobId id) const;
+  // Broken promises, in words.
+  const std::vector<std::string>& faults() const { return faults_; }
+  const std::vector<SiteRun>& runs() const { return runs_; }
+  size_t RunningOf(JobId id) const;
+  // Tasks of which as many runs failed as a job bears.
+  std::vector<TaskId> FailedOut() const;
+  bool LeaderActive() const { return current_ != nullptr; }
+  JobScheduler* scheduler() {
+    return current_ == nullptr ? nullptr : current_->scheduler.get();
+  }
+  absl::Time now() const { return now_; }
+
+ private:
+  struct Leader {
+    std::unique_ptr<JobScheduler> scheduler;
+    int64_t epoch = 0;
+    bool dead = false;
+    bool appending = false;
+    std::map<int64_t, std::vector<std::function<void()>>> waiting;  // By batch.
+  };
+  struct WorkerSlot {
+    std::unique_ptr<SiteWorker> life;
+    int lives = 0;
+    absl::Time cut_until = absl::InfinitePast();
+  };
+  struct JobFacts {
+    JobSpec spec;
+    bool cancelled = false;
+  };
+
+  Now At() const;
+  double Draw() { return std::uniform_real_distribution<>(0, 1)(random_); }
+  absl::Duration Delay();
+  void StartLeader();
+  void Tick(const std::shared_ptr<Leader>& leader);
+  void CarryOut(const std::shared_ptr<Leader>& leader);
+  void Append(const std::shared_ptr<Leader>& leader);
+  void StartLife(int index);
+  SiteWorker* Find(const std::string& worker_id, bool* cut);
+  void Journal(const SiteRun& run, bool begins);
+  void JudgeStart(const SiteRun& run);
+  TaskId AccountOf(const TaskId& task);
+  void AdvanceWorkers();
+  void Fault(const std::string& text);
+  template <typename Order, typename Reply>
+  void Send(const std::shared_ptr<Leader>& leader, const std::string& worker,
+            const Order& order,
+            std::function<Reply(SiteWorker&, const Order&, bool late)> act,
+            std::function<void(const Reply&)> done, Reply lost,
+            Reply other_life);
+
+  const Options options_;
+  std::mt19937_64 random_;
+  absl::Time now_ = absl::UnixEpoch() + absl::Hours(1);
+  std::multimap<absl::Time, std::function<void()>> queue_;
+  std::map<std::string, std::string> store_;
+  int64_t store_epoch_ = 0;
+  absl::Time store_down_until_ = absl::InfinitePast();
+  std::shared_ptr<Leader> current_;
+  std::vector<WorkerSlot> workers_;
+  std::map<JobId, JobFacts> jobs_;
+  std::set<JobId> accepted_;
+  std::shared_ptr<SiteConfiguration> configuration_;
+  std::vector<SiteRun> runs_;
+  std::map<TaskId, std::set<int32_t>> failed_;  // Of a gang: at its index 0.
+  std::set<TaskId> done_;       // But for ends that died with their worker.
+  std::set<TaskId> ever_done_;
+  std::map<std::pair<TaskId, int32_t>, absl::Time> gang_done_at_;
+  std::vector<std::string> faults_;
+  JobId next_job_ = 1;
+};
+
+}  // namespace keelbridge::testing
+
+#endif  // KEELBRIDGE_TESTING_SUPPORT_SITE_SIMULATION_H_
