--- /dev/null
+++ b/testing/fakes/site_platform.cc
@@ -0,0 +1,363 @@
+#include "testing/fakes/site_platform.h"
+
+#include <json/json.h>
+
+#include <algorithm>
+
+#include "absl/strings/str_cat.h"
+#include "keelbridge/base/clock.h"
+#include "keelbridge/base/json_reader.h"
+
+namespace keelbridge::testing {
+namespace {
+
+constexpr absl::Duration kAdvanceEvery = absl::Milliseconds(10);
+constexpr int kBeatEvery = 50;  // Advances between two records of a worker.
+constexpr char kLifeHeader[] = "X-Keelbridge-Expected-Instance";
+constexpr absl::Duration kGangPatience = absl::Seconds(3);
+
+Json::Value Parse(const std::string& text) {
+  return JsonDocument::Parse(text, "body").root();
+}
+
+ServerResponse Answer(int status, const Json::Value& body) {
+  return {status, {}, ToJsonText(body), "application/json"};
+}
+
+// What the payload says of a task's step.
+SiteRunPlan PlanOf(const StartOrder& order, double draw) {
+  SiteRunPlan plan;
+  const Json::Value steps = Parse("{\"steps\":" + order.payload + "}")["steps"];
+  const Json::Value& step =
+      steps[static_cast<Json::ArrayIndex>(order.task.step)];
+  plan.need = {step["cpu"].asInt(), step["memory"].asInt(), 0};
+  plan.work = absl::Milliseconds(step["work_ms"].asInt64());
+  plan.fails = draw < step["fails"].asDouble();
+  plan.gang = step["gang"].asInt();
+  return plan;
+}
+
+const char* ReasonOf(OrderResult result) {
+  switch (result) {
+    case OrderResult::kFenced:
+      return "fence";
+    case OrderResult::kOldRun:
+      return "old";
+    case OrderResult::kLate:
+      return "late";
+    default:
+      return "room";
+  }
+}
+
+ServerResponse OrderAnswer(const OrderReply& reply) {
+  Json::Value body(Json::objectValue);
+  body["clockMs"] = Json::Int64(reply.clock_ms);
+  if (reply.result == OrderResult::kDone) return Answer(200, body);
+  body["reason"] = ReasonOf(reply.result);
+  return Answer(409, body);
+}
+
+}  // namespace
+
+SitePlatform::SitePlatform(boost::asio::io_context& loop, Options options)
+    : loop_(loop),
+      options_(options),
+      random_(options.seed),
+      store_(loop, options.seed),
+      slots_(static_cast<size_t>(options.workers)),
+      timer_(loop) {
+  store_address_ = Serve(&store_server_, [this](const ServerRequest& request,
+                                                EventHttpServer::Reply reply) {
+    store_.Handle(request, std::move(reply));
+  });
+  advice_address_ = Serve(
+      &advice_server_,
+      [this](const ServerRequest& request, EventHttpServer::Reply reply) {
+        HandleAdvice(request, std::move(reply));
+      });
+  for (int i = 0; i < options_.workers; ++i) {
+    Slot& slot = slots_[static_cast<size_t>(i)];
+    slot.address = Serve(&slot.server, [this, i](const ServerRequest& request,
+                                                 EventHttpServer::Reply reply) {
+      HandleWorker(i, request, std::move(reply));
+    });
+    StartLife(i);
+  }
+  Arm();
+}
+
+Address SitePlatform::Serve(std::unique_ptr<EventHttpServer>* server,
+                            EventHttpServer::Handler handler) {
+  EventHttpServer::Options options;
+  options.listen = Address{"127.0.0.1", 0, ""};
+  options.idle_timeout = absl::Seconds(60);
+  options.most_body_bytes = 4 << 20;
+  *server = std::make_unique<EventHttpServer>(loop_, options,
+                                              std::move(handler));
+  auto port = (*server)->Start();
+  return Address{"127.0.0.1", port ? port.value() : 0, ""};
+}
+
+void SitePlatform::StartLife(int index) {
+  Slot& slot = slots_[static_cast<size_t>(index)];
+  SiteWorker::Options options;
+  options.record.id = absl::StrCat("i-", index, "-", slot.lives++);
+  options.record.machine = absl::StrCat("m-", index);
+  options.record.zone = absl::StrCat("zone-", index % 3);
+  options.record.capacity = options_.capacity;
+  options.longest_lease = options_.longest_lease;
+  slot.life = std::make_unique<SiteWorker>(
+      options,
+      [this](const StartOrder& order) {
+        const SiteRunPlan plan = PlanOf(
+            order, std::uniform_real_distribution<>(0, 1)(random_));
+        TaskId step = order.task;
+        step.index = 0;
+        gang_size_[step] = plan.gang;
+        return plan;
+      },
+      [this](const SiteRun& run, bool begins) { Journal(run, begins); },
+      SystemNow().mono);
+}
+
+void SitePlatform::PublishConfiguration(int64_t version) {
+  Json::Value route(Json::objectValue);
+  route["name"] = "r-restore";
+  route["host"] = kSiteHost;
+  route["pathPrefix"] = kSitePrefix;
+  route["service"] = "desk";
+  route["priority"] = 0;
+  route["maxAttempts"] = options_.most_attempts;
+  route["stretch"] = 2.0;
+  route["targetLatencyMs"] = 500;
+  if (options_.advice) {
+    route["advice"]["decisionMs"] = 5.0;
+    route["advice"]["periodMs"] = 0.1;
+    route["advice"]["validityMs"] = 1500;
+  }
+  Json::Value service(Json::objectValue);
+  service["name"] = "desk";
+  service["admissionCheck"] = false;
+  Json::Value out(Json::objectValue);
+  out["version"] = Json::Int64(version);
+  out["routes"].append(route);
+  out["services"].append(service);
+  store_.Put("keyed.op", "config", ToJsonText(out));
+}
+
+void SitePlatform::Journal(const SiteRun& run, bool begins) {
+  const std::string name =
+      absl::StrCat(TaskIdText(run.task), " run ", run.run, " on ", run.worker);
+  if (!begins) {
+    if (run.end == RunEnd::kDone) done_by_[run.task] = run.worker;
+    for (SiteRun& known : runs_) {
+      if (known.task == run.task && known.run == run.run &&
+          known.worker == run.worker)
+        known = run;
+    }
+    return;
+  }
+  Resources used;
+  for (const Slot& slot : slots_) {
+    for (const auto& [key, other] : slot.life->running()) {
+      if (other.worker == run.worker) used += other.need;
+      const bool same = key.first == run.task;
+      if (same && (other.worker != run.worker || key.second != run.run))
+        faults_.push_back(absl::StrCat("TWICE: ", name, " beside ",
+                                       other.worker));
+    }
+  }
+  if (!used.FitsIn(options_.capacity))
+    faults_.push_back(absl::StrCat("LIMIT: ", name));
+  if (done_by_.count(run.task) > 0)
+    faults_.push_back(absl::StrCat("TWICE: ", name, " after it was done on ",
+                                   done_by_[run.task]));
+  runs_.push_back(run);
+}
+
+void SitePlatform::HandleWorker(int index, const ServerRequest& request,
+                                EventHttpServer::Reply reply) {
+  Slot& slot = slots_[static_cast<size_t>(index)];
+  SiteWorker& life = *slot.life;
+  if (!life.alive()) return;  // Silence.
+  const std::string expected = FindHeader(request.headers, kLifeHeader);
+  if (!expected.empty() && expected != life.record().id)
+    return reply(Answer(421, Json::Value(Json::objectValue)));
+  const absl::Time now = SystemNow().mono;
+  const bool lost =
+      std::uniform_real_distribution<>(0, 1)(random_) < lost_orders_;
+  const Json::Value body = Parse(request.body);
+  TaskId task;
+  ParseTaskId(body["task"].asString(), &task);
+  ServerResponse answer;
+  if (request.path == "/run-start") {
+    StartOrder order;
+    order.task = task;
+    order.run = body["run"].asInt();
+    order.payload = body["taskSpec"].asString();
+    order.lease_until_ms = body["deadlineMs"].asInt64();
+    order.fence = body["fencingToken"].asInt64();
+    answer = OrderAnswer(life.Start(order, now));
+  } else if (request.path == "/run-stop") {
+    answer = OrderAnswer(life.Stop(
+        {task, body["run"].asInt(), body["fencingToken"].asInt64()}, now));
+  } else if (request.path == "/hold") {
+    Look look{index, {}, now + absl::Milliseconds(body["waitMs"].asInt64()),
+              reply, life.record().id};
+    look.order.fence = body["fencingToken"].asInt64();
+    look.order.ends_noted = body["lastSeen"].asInt64();
+    look.order.lease_until_ms = body["deadlineMs"].asInt64();
+    // The order counts from its arrival; the answer may wait.
+    life.Observe(look.order, now);
+    looks_.push_back(std::move(look));
+    return;
+  } else {
+    answer = Answer(404, Json::Value(Json::objectValue));
+  }
+  if (!lost) reply(answer);
+}
+
+void SitePlatform::AnswerLook(const Look& look) {
+  SiteWorker& life = *slots_[static_cast<size_t>(look.slot)].life;
+  ObserveOrder order = look.order;
+  order.lease_until_ms = 0;
+  const ObserveReply seen = life.Observe(order, SystemNow().mono);
+  if (seen.order.result != OrderResult::kDone)
+    return look.reply(OrderAnswer(seen.order));
+  Json::Value body(Json::objectValue);
+  body["clockMs"] = Json::Int64(seen.order.clock_ms);
+  body["running"] = Json::Value(Json::arrayValue);
+  body["ended"] = Json::Value(Json::arrayValue);
+  for (const RunningTask& running : seen.running) {
+    Json::Value row(Json::arrayValue);
+    row.append(TaskIdText(running.task));
+    row.append(running.run);
+    row.append(running.checkpoint);
+    row.append(running.percent);
+    body["running"].append(row);
+  }
+  for (const EndedTask& ended : seen.ended) {
+    Json::Value row(Json::arrayValue);
+    row.append(Json::Int64(ended.number));
+    row.append(TaskIdText(ended.task));
+    row.append(ended.run);
+    row.append(RunEndName(ended.end));
+    row.append(ended.checkpoint);
+    body["ended"].append(row);
+  }
+  look.reply(Answer(200, body));
+}
+
+void SitePlatform::HandleAdvice(const ServerRequest& request,
+                                EventHttpServer::Reply reply) {
+  const Json::Value body = Parse(request.body);
+  Json::Value out(Json::objectValue);
+  out["healthy"] = Json::Value(Json::arrayValue);
+  for (const Json::Value& worker : body["workers"]) {
+    const size_t draw = std::hash<std::string>()(
+        absl::StrCat(worker.asString(), body["step"].asString()));
+    if (draw % 3 == 0) continue;
+    Json::Value row(Json::arrayValue);
+    row.append(worker.asString());
+    row.append("ticket");
+    out["healthy"].append(row);
+  }
+  auto timer = std::make_shared<boost::asio::steady_timer>(
+      loop_, std::chrono::milliseconds(5));
+  timer->async_wait([timer, reply = std::move(reply),
+                     out](boost::system::error_code error) {
+    if (!error) reply(Answer(200, out));
+  });
+}
+
+void SitePlatform::AdvanceGangs(absl::Time now) {
+  struct Gang {
+    int32_t present = 0;
+    absl::Time first = absl::InfiniteFuture();
+    absl::Duration work;
+  };
+  std::map<std::pair<TaskId, int32_t>, Gang> gangs;
+  for (const Slot& slot : slots_) {
+    for (const auto& [key, run] : slot.life->running()) {
+      TaskId step = key.first;
+      step.index = 0;
+      if (gang_size_[step] == 0) continue;
+      Gang& gang = gangs[{step, key.second}];
+      ++gang.present;
+      gang.first = std::min(gang.first, run.began);
+    }
+  }
+  for (const auto& [key, gang] : gangs) {
+    const bool whole = gang.present == gang_size_[key.first];
+    const bool was_whole = gang_done_at_.count(key) > 0;
+    if (whole && !was_whole)
+      gang_done_at_[key] = now + absl::Milliseconds(400);
+    const bool broken =
+        !whole && (was_whole || now - gang.first > kGangPatience);
+    const bool done = whole && was_whole && now >= gang_done_at_[key];
+    for (Slot& slot : slots_) {
+      if (broken) slot.life->BreakGang(key.first, key.second, now);
+      if (done) slot.life->CompleteGang(key.first, key.second, now);
+    }
+  }
+}
+
+void SitePlatform::Advance() {
+  const absl::Time now = SystemNow().mono;
+  for (Slot& slot : slots_) slot.life->Advance(now);
+  AdvanceGangs(now);
+  std::vector<Look> kept;
+  for (Look& look : looks_) {
+    SiteWorker& life = *slots_[static_cast<size_t>(look.slot)].life;
+    if (!life.alive() || life.record().id != look.life) continue;
+    const bool due = now >= look.deadline || !life.unnoted().empty();
+    if (due)
+      AnswerLook(look);
+    else
+      kept.push_back(std::move(look));
+  }
+  looks_ = std::move(kept);
+  if (ticks_++ % kBeatEvery != 0) return;
+  for (Slot& slot : slots_) {
+    if (!slot.life->alive()) continue;
+    const WorkerRecord& record = slot.life->record();
+    Json::Value out(Json::objectValue);
+    out["service"] = "desk";
+    out["machine"] = record.machine;
+    out["address"] = slot.address.ToString();
+    out["zone"] = record.zone;
+    out["state"] = "ready";
+    out["capacity"]["cpu"] = record.capacity.cpu_milli;
+    out["capacity"]["memoryRequestMb"] = record.capacity.memory_mib;
+    out["capacity"]["gpu"] = record.capacity.accelerators;
+    out["labels"].append("a");
+    out["labels"].append("r1");
+    store_.Put("keyed.servers", record.id, ToJsonText(out));
+  }
+}
+
+void SitePlatform::Arm() {
+  timer_.expires_after(absl::ToChronoNanoseconds(kAdvanceEvery));
+  timer_.async_wait([this](boost::system::error_code error) {
+    if (error) return;
+    Advance();
+    Arm();
+  });
+}
+
+void SitePlatform::CrashWorker(int index, absl::Duration down) {
+  Slot& slot = slots_[static_cast<size_t>(index)];
+  if (!slot.life->alive()) return;
+  for (const EndedTask& end : slot.life->unnoted()) {
+    if (end.end == RunEnd::kDone) done_by_.erase(end.task);
+  }
+  slot.life->Crash(SystemNow().mono);
+  auto timer = std::make_shared<boost::asio::steady_timer>(
+      loop_, absl::ToChronoNanoseconds(down));
+  timer->async_wait([this, timer, index](boost::system::error_code error) {
+    if (!error) StartLife(index);
+  });
+}
+
+}  // namespace keelbridge::testing
--- /dev/null
+++ b/testing/fakes/site_platform.h
@@ -0,0 +1,109 @@
+// A stand-in for the whole of the users' platform on loopback: its store, its
+// workers, its advice, on one event loop, with faults and a journal of what ran.
+//
+// Tasks say in their job's payload what they do: a JSON list with an object a
+// step, of cpu, memory, work_ms, gang (members) and fails (a share).
+//
+//   SitePlatform platform(loop, {.workers = 6});
+//   platform.PublishConfiguration(1);
+//   std::string settings = platform.NodeSettings("node-a", ports);
+
+#ifndef KEELBRIDGE_TESTING_FAKES_SITE_PLATFORM_H_
+#define KEELBRIDGE_TESTING_FAKES_SITE_PLATFORM_H_
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "keelbridge/transport/event_http_server.h"
+#include "testing/fakes/site_store.h"
+#include "testing/fakes/site_worker.h"
+
+namespace keelbridge::testing {
+
+// The queue that `PublishConfiguration` makes.
+inline constexpr char kSiteHost[] = "desk.example";
+inline constexpr char kSitePrefix[] = "/restore/";
+
+// All on the loop's thread.
+class SitePlatform {
+ public:
+  struct Options {
+    int workers = 6;
+    Resources capacity{16000, 65536, 0};
+    bool advice = true;
+    int most_attempts = 3;
+    uint64_t seed = 1;
+    absl::Duration longest_lease = absl::Seconds(6);
+  };
+
+  SitePlatform(boost::asio::io_context& loop, Options options);
+
+  Address store_address() const { return store_address_; }
+  Address advice_address() const { return advice_address_; }
+  SiteStore& store() { return store_; }
+  void PublishConfiguration(int64_t version);
+
+  void CrashWorker(int index, absl::Duration down);
+  // Lost: the worker carries orders out and does not answer.
+  void SetLostOrders(double share) { lost_orders_ = share; }
+
+  const std::vector<SiteRun>& runs() const { return runs_; }
+  // Broken promises that the workers saw, in words.
+  const std::vector<std::string>& faults() const { return faults_; }
+
+ private:
+  struct Slot {
+    std::unique_ptr<SiteWorker> life;
+    std::unique_ptr<EventHttpServer> server;
+    Address address;
+    int lives = 0;
+  };
+  struct Look {
+    int slot;
+    ObserveOrder order;
+    absl::Time deadline;
+    EventHttpServer::Reply reply;
+    std::string life;
+  };
+
+  Address Serve(std::unique_ptr<EventHttpServer>* server,
+                EventHttpServer::Handler handler);
+  void StartLife(int index);
+  void HandleWorker(int index, const ServerRequest& request,
+                    EventHttpServer::Reply reply);
+  void AnswerLook(const Look& look);
+  void HandleAdvice(const ServerRequest& request, EventHttpServer::Reply reply);
+  void Journal(const SiteRun& run, bool begins);
+  void Advance();
+  void AdvanceGangs(absl::Time now);
+  void Arm();
+
+  boost::asio::io_context& loop_;
+  const Options options_;
+  std::mt19937_64 random_;
+  SiteStore store_;
+  std::unique_ptr<EventHttpServer> store_server_;
+  std::unique_ptr<EventHttpServer> advice_server_;
+  Address store_address_;
+  Address advice_address_;
+  std::vector<Slot> slots_;
+  std::vector<Look> looks_;
+  boost::asio::steady_timer timer_;
+  int ticks_ = 0;
+  double lost_orders_ = 0;
+  std::vector<SiteRun> runs_;
+  std::map<TaskId, std::string> done_by_;
+  std::map<std::pair<TaskId, int32_t>, absl::Time> gang_done_at_;
+  std::map<TaskId, int32_t> gang_size_;
+  std::vector<std::string> faults_;
+};
+
+}  // namespace keelbridge::testing
+
+#endif  // KEELBRIDGE_TESTING_FAKES_SITE_PLATFORM_H_
--- /dev/null
+++ b/testing/fakes/site_store.cc
@@ -0,0 +1,248 @@
+#include "testing/fakes/site_store.h"
+
+#include <json/json.h>
+
+#include <boost/asio/steady_timer.hpp>
+#include <boost/endian/conversion.hpp>
+#include <memory>
+#include <utility>
+#include <vector>
+
+#include "absl/strings/escaping.h"
+#include "absl/strings/numbers.h"
+#include "absl/strings/str_cat.h"
+#include "keelbridge/base/clock.h"
+#include "keelbridge/base/json_reader.h"
+
+namespace keelbridge::testing {
+namespace {
+
+constexpr size_t kAnswersKept = 5;
+constexpr size_t kPageItems = 500;
+constexpr absl::Duration kExpiryEvery = absl::Milliseconds(50);
+
+int64_t Number(const ServerRequest& request, const std::string& key,
+               int64_t otherwise) {
+  int64_t value = 0;
+  return absl::SimpleAtoi(request.Query(key), &value) ? value : otherwise;
+}
+
+ServerResponse Answer(int status, const Json::Value& body) {
+  return {status, {}, ToJsonText(body), "application/json"};
+}
+
+void AppendBig64(std::string* out, int64_t value) {
+  unsigned char bytes[8];
+  boost::endian::store_big_u64(bytes, static_cast<uint64_t>(value));
+  out->append(reinterpret_cast<const char*>(bytes), sizeof(bytes));
+}
+
+void AppendBig32(std::string* out, uint32_t value) {
+  unsigned char bytes[4];
+  boost::endian::store_big_u32(bytes, value);
+  out->append(reinterpret_cast<const char*>(bytes), sizeof(bytes));
+}
+
+struct KeyValue {
+  std::string key;
+  std::string value;
+};
+
+// False when the body is no sequence of keyed records.
+bool Decode(const std::string& body, std::vector<KeyValue>* out) {
+  size_t at = 0;
+  while (at < body.size()) {
+    if (body.size() - at < 4) return false;
+    const size_t length = boost::endian::load_big_u32(
+        reinterpret_cast<const unsigned char*>(body.data() + at));
+    at += 4;
+    if (length < 1 || body.size() - at < length) return false;
+    const size_t key_length = static_cast<unsigned char>(body[at]);
+    if (1 + key_length > length) return false;
+    out->push_back({body.substr(at + 1, key_length),
+                    body.substr(at + 1 + key_length, length - 1 - key_length)});
+    at += length;
+  }
+  return true;
+}
+
+}  // namespace
+
+void SiteStore::Handle(const ServerRequest& request,
+                       EventHttpServer::Reply reply) {
+  if (faults_.silent) return;
+  auto timer = std::make_shared<boost::asio::steady_timer>(
+      loop_, absl::ToChronoNanoseconds(faults_.delay));
+  timer->async_wait([this, timer, request, reply = std::move(reply)](
+                        boost::system::error_code error) {
+    if (error || faults_.silent) return;
+    if (faults_.down) return reply(Answer(503, Json::Value(Json::objectValue)));
+    if (request.path == "/log-read") return Read(request, reply);
+    if (request.path == "/log-newest") return reply(Newest(request));
+    if (request.path != "/log-append")
+      return reply(Answer(404, Json::Value(Json::objectValue)));
+    const ServerResponse answer = Append(request);
+    const bool lost = std::uniform_real_distribution<>(0, 1)(random_) <
+                      faults_.lost_answers;
+    if (!lost) reply(answer);
+  });
+}
+
+ServerResponse SiteStore::Append(const ServerRequest& request) {
+  ++appends_;
+  const std::string name = request.Query("topic");
+  Topic& topic = topics_[name];
+  Json::Value body(Json::objectValue);
+  std::vector<KeyValue> records;
+  if (!Decode(request.body, &records)) return Answer(400, body);
+  const int64_t at = Number(request, "at", -1);
+  if (at >= 0 && at != topic.end) {
+    body["end"] = Json::Int64(topic.end);
+    return Answer(412, body);
+  }
+  const std::string producer = request.Query("producer");
+  const int64_t sequence = Number(request, "callSequence", -1);
+  if (!producer.empty()) {
+    Writer& writer = topic.writers[producer];
+    const int64_t epoch = Number(request, "epoch", 0);
+    if (epoch < writer.epoch) {
+      body["reason"] = "fenced";
+      return Answer(409, body);
+    }
+    if (epoch > writer.epoch) writer = Writer{epoch, -1, {}};
+    const auto known = writer.answers.find(sequence);
+    if (!records.empty() && known != writer.answers.end())
+      return {200, {}, known->second, "application/json"};
+    if (!records.empty() && writer.next >= 0 && sequence != writer.next) {
+      body["reason"] = "seq";
+      body["callSequence"] = Json::Int64(writer.next);
+      return Answer(409, body);
+    }
+  }
+  body["offset"] = Json::Int64(topic.end);
+  for (const KeyValue& record : records) Add(name, record.key, record.value);
+  body["end"] = Json::Int64(topic.end);
+  if (!producer.empty() && !records.empty()) {
+    Writer& writer = topic.writers[producer];
+    writer.next = sequence + 1;
+    writer.answers[sequence] = ToJsonText(body);
+    if (writer.answers.size() > kAnswersKept)
+      writer.answers.erase(writer.answers.begin());
+  }
+  Wake(name);
+  return Answer(200, body);
+}
+
+void SiteStore::Add(const std::string& name, const std::string& key,
+                    const std::string& value) {
+  Topic& topic = topics_[name];
+  const Entry entry{topic.end++, key, value};
+  topic.log.push_back(entry);
+  if (value.empty())
+    topic.newest.erase(key);
+  else
+    topic.newest[key] = entry;
+}
+
+void SiteStore::Put(const std::string& topic, const std::string& key,
+                    const std::string& value) {
+  Add(topic, key, value);
+  Wake(topic);
+}
+
+void SiteStore::Forget(const std::string& name) {
+  Topic& topic = topics_[name];
+  topic.log.clear();
+  topic.first = topic.end;
+}
+
+ServerResponse SiteStore::ReadNow(Topic& topic, int64_t from) const {
+  std::string body;
+  AppendBig64(&body, topic.end);
+  AppendBig64(&body, topic.first);
+  for (const Entry& entry : topic.log) {
+    if (entry.offset < from) continue;
+    AppendBig32(&body, static_cast<uint32_t>(1 + entry.key.size() +
+                                             entry.value.size()));
+    body.push_back(static_cast<char>(entry.key.size()));
+    body += entry.key + entry.value;
+  }
+  return {200, {}, body, "application/octet-stream"};
+}
+
+void SiteStore::Read(const ServerRequest& request,
+                     EventHttpServer::Reply reply) {
+  const std::string name = request.Query("topic");
+  Topic& topic = topics_[name];
+  const int64_t from = Number(request, "from", 0);
+  if (from < topic.first) {
+    Json::Value body(Json::objectValue);
+    body["first"] = Json::Int64(topic.first);
+    return reply(Answer(410, body));
+  }
+  const int64_t wait_ms = Number(request, "waitMs", 0);
+  if (from < topic.end || wait_ms <= 0) return reply(ReadNow(topic, from));
+  waiters_.push_back({name, from,
+                      SystemNow().mono + absl::Milliseconds(wait_ms),
+                      std::move(reply)});
+  ArmExpiry();
+}
+
+ServerResponse SiteStore::Newest(const ServerRequest& request) {
+  const Topic& topic = topics_[request.Query("topic")];
+  const std::string after = request.Query("dependsOn");
+  Json::Value body(Json::objectValue);
+  body["items"] = Json::Value(Json::arrayValue);
+  body["more"] = false;
+  body["end"] = Json::Int64(topic.end);
+  for (auto it = topic.newest.upper_bound(after); it != topic.newest.end();
+       ++it) {
+    if (body["items"].size() >= kPageItems) {
+      body["more"] = true;
+      break;
+    }
+    Json::Value item(Json::objectValue);
+    item["privateKey"] = it->first;
+    item["value"] = absl::Base64Escape(it->second.value);
+    item["offset"] = Json::Int64(it->second.offset);
+    body["items"].append(item);
+  }
+  return Answer(200, body);
+}
+
+void SiteStore::Wake(const std::string& name) {
+  for (auto it = waiters_.begin(); it != waiters_.end();) {
+    Topic& topic = topics_[it->topic];
+    if (it->topic != name || it->from >= topic.end) {
+      ++it;
+      continue;
+    }
+    const Waiter waiter = std::move(*it);
+    it = waiters_.erase(it);
+    waiter.reply(ReadNow(topic, waiter.from));
+  }
+}
+
+void SiteStore::ArmExpiry() {
+  if (expiry_armed_) return;
+  expiry_armed_ = true;
+  auto timer = std::make_shared<boost::asio::steady_timer>(
+      loop_, absl::ToChronoNanoseconds(kExpiryEvery));
+  timer->async_wait([this, timer](boost::system::error_code error) {
+    expiry_armed_ = false;
+    if (error) return;
+    const absl::Time now = SystemNow().mono;
+    for (auto it = waiters_.begin(); it != waiters_.end();) {
+      if (it->deadline > now) {
+        ++it;
+        continue;
+      }
+      const Waiter waiter = std::move(*it);
+      it = waiters_.erase(it);
+      waiter.reply(ReadNow(topics_[waiter.topic], waiter.from));
+    }
+    if (!waiters_.empty()) ArmExpiry();
+  });
+}
+
+}  // namespace keelbridge::testing
--- /dev/null
+++ b/testing/fakes/site_store.h
@@ -0,0 +1,91 @@
+// A stand-in for the users' metadata store: topics of records over HTTP, keyed
+// topics, conditional and fenced appends, long polls, and faults.
+//
+//   SiteStore store(loop);
+//   server handler: store.Handle(request, reply);
+
+#ifndef KEELBRIDGE_TESTING_FAKES_SITE_STORE_H_
+#define KEELBRIDGE_TESTING_FAKES_SITE_STORE_H_
+
+#include <boost/asio/io_context.hpp>
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <list>
+#include <map>
+#include <random>
+#include <string>
+
+#include "absl/time/time.h"
+#include "keelbridge/transport/event_http_server.h"
+
+namespace keelbridge::testing {
+
+// All on the loop's thread.
+class SiteStore {
+ public:
+  struct Faults {
+    bool down = false;        // 503 at once.
+    bool silent = false;      // Never answers.
+    double lost_answers = 0;  // Of appends: done, not answered.
+    absl::Duration delay = absl::Milliseconds(2);
+  };
+
+  SiteStore(boost::asio::io_context& loop, uint64_t seed)
+      : loop_(loop), random_(seed) {}
+
+  void Handle(const ServerRequest& request, EventHttpServer::Reply reply);
+  // Writes a record as the operator or a worker would; no value drops the key.
+  void Put(const std::string& topic, const std::string& key,
+           const std::string& value);
+  void SetFaults(Faults faults) { faults_ = faults; }
+  // Drops the history of a topic; the newest record of each key stays.
+  void Forget(const std::string& topic);
+  int64_t appends() const { return appends_; }
+
+ private:
+  struct Entry {
+    int64_t offset = 0;
+    std::string key;
+    std::string value;
+  };
+  struct Writer {
+    int64_t epoch = -1;
+    int64_t next = -1;  // The sequence wanted; -1: any.
+    std::map<int64_t, std::string> answers;  // Of the last five.
+  };
+  struct Topic {
+    int64_t first = 0;
+    int64_t end = 0;
+    std::deque<Entry> log;
+    std::map<std::string, Entry> newest;
+    std::map<std::string, Writer> writers;
+  };
+  struct Waiter {
+    std::string topic;
+    int64_t from = 0;
+    absl::Time deadline;
+    EventHttpServer::Reply reply;
+  };
+
+  ServerResponse Append(const ServerRequest& request);
+  void Read(const ServerRequest& request, EventHttpServer::Reply reply);
+  ServerResponse ReadNow(Topic& topic, int64_t from) const;
+  ServerResponse Newest(const ServerRequest& request);
+  void Add(const std::string& name, const std::string& key,
+           const std::string& value);
+  void Wake(const std::string& topic);
+  void ArmExpiry();
+
+  boost::asio::io_context& loop_;
+  std::mt19937_64 random_;
+  Faults faults_;
+  std::map<std::string, Topic> topics_;
+  std::list<Waiter> waiters_;
+  bool expiry_armed_ = false;
+  int64_t appends_ = 0;
+};
+
+}  // namespace keelbridge::testing
+
+#endif  // KEELBRIDGE_TESTING_FAKES_SITE_STORE_H_
--- /dev/null
+++ b/testing/support/site_cell.cc
@@ -0,0 +1,250 @@
+#include "testing/support/site_cell.h"
+
+#include <arpa/inet.h>
+#include <fcntl.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <sys/stat.h>
+#include <unistd.h>
+
+#include <atomic>
+#include <boost/asio/post.hpp>
+#include <csignal>
+#include <cstdlib>
+#include <fstream>
+#include <future>
+
+#include "absl/strings/match.h"
+#include "absl/strings/numbers.h"
+#include "absl/strings/str_cat.h"
+#include "absl/time/clock.h"
+#include "keelbridge/base/clock.h"
+#include "keelbridge/base/json_reader.h"
+#include "keelbridge/protocol/job.h"
+
+namespace keelbridge::testing {
+namespace {
+
+constexpr absl::Duration kPatience = absl::Seconds(20);
+constexpr absl::Duration kPause = absl::Milliseconds(50);
+constexpr int kFirstHost = 10;  // Nodes listen on 127.0.0.10 and on.
+
+// A port that is free on `ip` now.
+int FreePort(const std::string& ip) {
+  const int fd = ::socket(AF_INET, SOCK_STREAM, 0);
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  inet_pton(AF_INET, ip.c_str(), &address.sin_addr);
+  ::bind(fd, reinterpret_cast<sockaddr*>(&address), sizeof(address));
+  socklen_t length = sizeof(address);
+  ::getsockname(fd, reinterpret_cast<sockaddr*>(&address), &length);
+  ::close(fd);
+  return ntohs(address.sin_port);
+}
+
+HttpOutcome CallAddress(const std::string& address, const HttpRequest& request,
+                        absl::Duration timeout) {
+  HttpClient client(ParseAddress(address).value(), {});
+  return client.Send(request, timeout);
+}
+
+}  // namespace
+
+SiteCell::SiteCell(Options options)
+    : options_(options),
+      work_(boost::asio::make_work_guard(loop_)),
+      nodes_(static_cast<size_t>(options.nodes)) {
+  char path[] = "/tmp/keelbridge-site-XXXXXX";
+  directory_ = ::mkdtemp(path);
+  platform_ = std::make_unique<SitePlatform>(loop_, options_.platform);
+  platform_->PublishConfiguration(1);
+  thread_ = std::thread([this] { loop_.run(); });
+  const int peer_port = FreePort("127.0.0.10");
+  for (int i = 0; i < options_.nodes; ++i) {
+    const std::string ip = absl::StrCat("127.0.0.", kFirstHost + i);
+    Node& node = nodes_[At(i)];
+    node.client_address = absl::StrCat(ip, ":", FreePort(ip));
+    node.ready_address = absl::StrCat(ip, ":", FreePort(ip));
+    node.metrics_address = absl::StrCat(ip, ":", FreePort(ip));
+    node.peer_address = absl::StrCat(ip, ":", peer_port);
+    node.settings_path = absl::StrCat(directory_, "/node-", i, ".json");
+    WriteSettings(i);
+    StartNode(i);
+  }
+}
+
+SiteCell::~SiteCell() {
+  nodes_.clear();
+  for (const int pipe : pipes_) ::close(pipe);
+  WithPlatform([this](SitePlatform&) { platform_.reset(); });
+  work_.reset();
+  loop_.stop();
+  thread_.join();
+}
+
+void SiteCell::WriteSettings(int index) {
+  const Node& node = nodes_[At(index)];
+  Json::Value settings(Json::objectValue);
+  settings["name"] = absl::StrCat("node-", index);
+  settings["zone"] = absl::StrCat("zone-", index % 3);
+  settings["client_listen"] = node.client_address;
+  settings["ready_listen"] = node.ready_address;
+  settings["peer_listen"] = node.peer_address;
+  settings["metrics_listen"] = node.metrics_address;
+  settings["store"] = platform_->store_address().ToString();
+  settings["advice"] = platform_->advice_address().ToString();
+  settings["seeds"].append("127.0.0.10:1");
+  settings["stop_grace_s"] = 6;
+  std::ofstream(node.settings_path) << ToJsonText(settings);
+}
+
+void SiteCell::StartNode(int index) {
+  Node& node = nodes_[At(index)];
+  const std::string log = absl::StrCat(directory_, "/node-", index, ".log");
+  if (options_.blocked_logs && ::mkfifo(log.c_str(), 0600) == 0)
+    pipes_.push_back(::open(log.c_str(), O_RDWR | O_NONBLOCK));
+  node.process = std::make_unique<ChildProcess>(
+      "keelbridge-node",
+      std::vector<std::string>{absl::StrCat("--settings=", node.settings_path)},
+      log);
+}
+
+bool SiteCell::Ready(int index) {
+  const HttpOutcome outcome =
+      CallAddress(nodes_[At(index)].ready_address, {"GET", "/ready", {}, "", ""},
+                  absl::Milliseconds(500));
+  return outcome.response && outcome.response->status == 200;
+}
+
+bool SiteCell::AwaitReady(int count) {
+  const absl::Time until = absl::Now() + kPatience;
+  while (absl::Now() < until) {
+    int ready = 0;
+    for (int i = 0; i < options_.nodes; ++i) ready += Ready(i) ? 1 : 0;
+    if (ready >= count) return true;
+    absl::SleepFor(kPause);
+  }
+  return false;
+}
+
+int SiteCell::Leader() {
+  for (int i = 0; i < options_.nodes; ++i) {
+    if (!Alive(i)) continue;
+    const HttpOutcome outcome =
+        CallAddress(nodes_[At(i)].metrics_address,
+                    {"GET", "/metrics", {}, "", ""}, absl::Milliseconds(500));
+    if (outcome.response &&
+        absl::StrContains(outcome.response->body, "keelbridge_node_leads 1"))
+      return i;
+  }
+  return -1;
+}
+
+int64_t SiteCell::DroppedLogLines(int index) {
+  const HttpOutcome outcome =
+      CallAddress(nodes_[At(index)].metrics_address,
+                  {"GET", "/metrics", {}, "", ""}, absl::Milliseconds(500));
+  if (!outcome.response) return -1;
+  const std::string name = "keelbridge_node_log_lines_dropped ";
+  const size_t at = outcome.response->body.find("\n" + name);
+  int64_t value = -1;
+  if (at == std::string::npos) return value;
+  const std::string rest = outcome.response->body.substr(at + 1 + name.size());
+  return absl::SimpleAtoi(rest.substr(0, rest.find('\n')), &value) ? value : -1;
+}
+
+HttpOutcome SiteCell::Raw(int index, const HttpRequest& request,
+                          absl::Duration timeout) {
+  return CallAddress(nodes_[At(index)].client_address, request, timeout);
+}
+
+HttpOutcome SiteCell::Call(int index, const std::string& method, uint64_t job,
+                           const std::string& body) {
+  HttpRequest request{method,
+                      absl::StrCat(kSitePrefix, JobIdText(job)),
+                      {{"Host", kSiteHost}},
+                      body,
+                      "application/json"};
+  return Raw(index, request);
+}
+
+bool SiteCell::SubmitAnywhere(uint64_t job, const std::string& body) {
+  const absl::Time until = absl::Now() + kPatience;
+  for (int turn = 0; absl::Now() < until; ++turn) {
+    const int index = turn % options_.nodes;
+    if (!Alive(index)) continue;
+    const HttpOutcome outcome = Call(index, "POST", job, body);
+    if (outcome.response && outcome.response->status == 200) return true;
+    absl::SleepFor(kPause);
+  }
+  return false;
+}
+
+std::string SiteCell::State(uint64_t job) {
+  for (int i = 0; i < options_.nodes; ++i) {
+    if (!Alive(i)) continue;
+    const HttpOutcome outcome = Call(i, "GET", job);
+    if (!outcome.response) continue;
+    if (outcome.response->status == 410) return "gone";
+    if (outcome.response->status != 200) continue;
+    return JsonDocument::Parse(outcome.response->body, "state")
+        .root()["state"]
+        .asString();
+  }
+  return "";
+}
+
+bool SiteCell::AwaitState(uint64_t job, const std::string& state,
+                          absl::Duration patience) {
+  const absl::Time until = absl::Now() + patience;
+  while (absl::Now() < until) {
+    if (State(job) == state) return true;
+    absl::SleepFor(kPause);
+  }
+  return false;
+}
+
+void SiteCell::WithPlatform(const std::function<void(SitePlatform&)>& step) {
+  std::promise<void> done;
+  boost::asio::post(loop_, [&] {
+    step(*platform_);
+    done.set_value();
+  });
+  done.get_future().wait();
+}
+
+std::vector<std::string> SiteCell::Faults() {
+  std::vector<std::string> out;
+  WithPlatform([&](SitePlatform& platform) { out = platform.faults(); });
+  return out;
+}
+
+size_t SiteCell::RunCount() {
+  size_t out = 0;
+  WithPlatform([&](SitePlatform& platform) { out = platform.runs().size(); });
+  return out;
+}
+
+std::string SiteCell::OneStep(int tasks, int work_ms, int cpu) {
+  const std::string plan =
+      absl::StrCat("[{\\\"cpu\\\":", cpu, ",\\\"memory\\\":1024,\\\"work_ms\\\":",
+                   work_ms, "}]");
+  return absl::StrCat("{\"taskSpec\":\"", plan, "\",\"steps\":[{\"count\":",
+                      tasks, ",\"cpu\":", cpu,
+                      ",\"memoryRequestMb\":1024,\"estimatedMs\":", work_ms,
+                      "}]}");
+}
+
+std::string SiteCell::GangThenOne(int members) {
+  const std::string plan = absl::StrCat(
+      "[{\\\"cpu\\\":3000,\\\"memory\\\":1024,\\\"work_ms\\\":400,\\\"gang\\\":",
+      members,
+      "},{\\\"cpu\\\":1000,\\\"memory\\\":512,\\\"work_ms\\\":200}]");
+  return absl::StrCat(
+      "{\"taskSpec\":\"", plan, "\",\"steps\":[{\"count\":", members,
+      ",\"cpu\":3000,\"memoryRequestMb\":1024,\"estimatedMs\":400,\"gang\":"
+      "true},{\"count\":1,\"cpu\":1000,\"memoryRequestMb\":512,\"estimatedMs\":"
+      "200,\"dependsOn\":[0]}]}");
+}
+
+}  // namespace keelbridge::testing
--- /dev/null
+++ b/testing/support/site_cell.h
@@ -0,0 +1,97 @@
+// A small site of real processes on loopback: nodes of this build, the platform
+// stand-in in a thread of the test, and a client.
+//
+//   SiteCell cell({.nodes = 3});
+//   REQUIRE(cell.AwaitReady(3));
+//   CHECK(cell.SubmitAnywhere(1, SiteCell::OneStep(2, 300)));
+//   CHECK(cell.AwaitState(1, "completed"));
+
+#ifndef KEELBRIDGE_TESTING_SUPPORT_SITE_CELL_H_
+#define KEELBRIDGE_TESTING_SUPPORT_SITE_CELL_H_
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/io_context.hpp>
+#include <functional>
+#include <memory>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "keelbridge/transport/http_client.h"
+#include "testing/fakes/site_platform.h"
+#include "testing/support/child_process.h"
+
+namespace keelbridge::testing {
+
+class SiteCell {
+ public:
+  struct Options {
+    int nodes = 3;
+    bool blocked_logs = false;  // Nobody reads what the nodes write.
+    SitePlatform::Options platform;
+  };
+
+  explicit SiteCell(Options options);
+  ~SiteCell();
+  SiteCell(const SiteCell&) = delete;
+  SiteCell& operator=(const SiteCell&) = delete;
+
+  void StartNode(int index);
+  ChildProcess& node(int index) { return *nodes_[At(index)].process; }
+  void ForgetNode(int index) { nodes_[At(index)].process.reset(); }
+  bool Alive(int index) const { return nodes_[At(index)].process != nullptr; }
+  // The node that leads, by its metrics; -1: none says so.
+  int Leader();
+  int64_t DroppedLogLines(int index);
+
+  bool Ready(int index);
+  bool AwaitReady(int count);
+
+  // A client's call at one node.
+  HttpOutcome Call(int index, const std::string& method, uint64_t job,
+                   const std::string& body = "");
+  // Tries nodes in turn until one accepts; false when time runs out.
+  bool SubmitAnywhere(uint64_t job, const std::string& body);
+  // The state as any node tells it; empty when none does.
+  std::string State(uint64_t job);
+  bool AwaitState(uint64_t job, const std::string& state,
+                  absl::Duration patience = absl::Seconds(20));
+  HttpOutcome Raw(int index, const HttpRequest& request,
+                  absl::Duration timeout = absl::Seconds(3));
+
+  // Runs `step` on the platform's thread and waits for it.
+  void WithPlatform(const std::function<void(SitePlatform&)>& step);
+  std::vector<std::string> Faults();
+  size_t RunCount();
+  const std::string& directory() const { return directory_; }
+
+  // Bodies of jobs.
+  static std::string OneStep(int tasks, int work_ms, int cpu = 2000);
+  static std::string GangThenOne(int members);
+
+ private:
+  struct Node {
+    std::unique_ptr<ChildProcess> process;
+    std::string client_address;
+    std::string ready_address;
+    std::string peer_address;
+    std::string metrics_address;
+    std::string settings_path;
+  };
+  size_t At(int index) const { return static_cast<size_t>(index); }
+  void WriteSettings(int index);
+
+  const Options options_;
+  std::string directory_;
+  boost::asio::io_context loop_;
+  boost::asio::executor_work_guard<boost::asio::io_context::executor_type>
+      work_;
+  std::unique_ptr<SitePlatform> platform_;
+  std::thread thread_;
+  std::vector<Node> nodes_;
+  std::vector<int> pipes_;  // Held open, never read.
+};
+
+}  // namespace keelbridge::testing
+
+#endif  // KEELBRIDGE_TESTING_SUPPORT_SITE_CELL_H_
