A leader tells its successors of the workers that it may give work to

Ruled out: the wait for the earlier leader's leases (the start came before it was over), late orders, a double epoch. Change: a worker's record is durable before it gets work, and is dropped once it is gone for certain; a new leader asks all of them. Test: 'workers that the platform's list misses are asked all the same' fails when the records are not loaded.

--- a/keelbridge/coordination/job_scheduler.cc
+++ b/keelbridge/coordination/job_scheduler.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "absl/strings/str_cat.h"
+#include "keelbridge/state/known_workers.h"
 
 namespace keelbridge {
 namespace {
@@ -20,11 +21,20 @@
       started_(started),
       earlier_leader_until_(started + options.earlier_leader_bound) {}
 
-void JobScheduler::Load(JobTable jobs) {
+void JobScheduler::Load(JobTable jobs, const std::vector<WorkerRecord>& workers,
+                        Now now) {
   jobs_ = std::move(jobs);
   for (const auto& [id, job] : jobs_) {
     if (!job->Ended()) active_.emplace(id, job.get());
   }
+  for (const WorkerRecord& record : workers) {
+    OnWorkerRecord(record, now);
+    Worker& worker = *workers_[record.id];
+    worker.known_at_batch = 0;
+    // Until the platform lists it, it gets nothing new.
+    worker.record_removed = true;
+  }
+  untold_workers_.clear();
   placement_wanted_ = true;
 }
 
@@ -39,14 +49,20 @@
 }
 
 bool JobScheduler::HasBatch() const {
-  return batch_wanted_ || !undescribed_.empty() || !dirty_.empty() ||
-         !dropped_keys_.empty();
+  return batch_wanted_ || !untold_workers_.empty() || !undescribed_.empty() ||
+         !dirty_.empty() || !dropped_keys_.empty();
 }
 
 JobScheduler::Batch JobScheduler::TakeBatch(Now now) {
   (void)now;
   Batch batch;
   batch.number = next_batch_++;
+  for (const std::string& id : untold_workers_) {
+    const auto found = workers_.find(id);
+    if (found != workers_.end())
+      batch.records.push_back(KnownWorkerRecord(found->second->record));
+  }
+  untold_workers_.clear();
   for (const JobId id : undescribed_) {
     const auto found = jobs_.find(id);
     if (found != jobs_.end())
@@ -219,6 +235,7 @@
   }
   for (const std::string& id : gone) {
     actions_.push_back(ForgetWorkerAction{id});
+    dropped_keys_.push_back(KnownWorkerKey(id));
     workers_.erase(id);
   }
   if (placement_wanted_ || now.mono >= next_placement_) {
--- a/keelbridge/coordination/job_scheduler.h
+++ b/keelbridge/coordination/job_scheduler.h
@@ -99,8 +99,9 @@
     int64_t number = 0;
     std::vector<Record> records;
   };
-  // Takes over the jobs of earlier leaders. Call once, before anything else.
-  void Load(JobTable jobs);
+  // Takes over the jobs of earlier leaders, and the workers that they may have
+  // given work to. Call once, before anything else.
+  void Load(JobTable jobs, const std::vector<WorkerRecord>& workers, Now now);
   bool HasBatch() const;
   Batch TakeBatch(Now now);
   // The batch, and all before it, are kept for good.
@@ -184,6 +185,7 @@
   using RunKey = std::pair<TaskId, int32_t>;
   struct Worker {
     WorkerRecord record;
+    int64_t known_at_batch = 0;  // The batch that tells later leaders of it.
     Resources free;
     std::map<RunKey, Occupant> occupants;
     bool listed = false;  // Its lists were taken under this leader's fence.
@@ -294,6 +296,7 @@
   int64_t next_batch_ = 1;
   int64_t durable_batch_ = 0;
   bool batch_wanted_ = false;
+  std::set<std::string> untold_workers_;
   std::set<JobId> undescribed_;
   std::set<JobId> dirty_;
   std::vector<std::string> dropped_keys_;
--- a/keelbridge/coordination/job_scheduler_placement.cc
+++ b/keelbridge/coordination/job_scheduler_placement.cc
@@ -175,7 +175,8 @@
                           Now now) const {
   const StepSpec& spec = *ready.spec;
   if (worker.record.pool != ready.queue->pool) return false;
-  if (!worker.listed || worker.record.draining || worker.record_removed)
+  if (!worker.listed || worker.record.draining || worker.record_removed ||
+      worker.known_at_batch > durable_batch_)
     return false;
   if (worker.suspect_until > now.mono || !Reachable(worker, now)) return false;
   if (worker.reserved_by != nullptr && worker.reserved_by != ready.state)
--- a/keelbridge/coordination/job_scheduler_workers.cc
+++ b/keelbridge/coordination/job_scheduler_workers.cc
@@ -33,6 +33,8 @@
     slot = std::make_unique<Worker>();
     slot->free = record.capacity;
     slot->unknown_until = absl::InfiniteFuture();
+    slot->known_at_batch = next_batch_;
+    untold_workers_.insert(record.id);
     // A machine runs one life at a time: an earlier life on it is over.
     for (auto& [id, other] : workers_) {
       if (id == record.id || other == nullptr) continue;
--- a/keelbridge/daemon/leader_session.cc
+++ b/keelbridge/daemon/leader_session.cc
@@ -5,6 +5,7 @@
 
 #include "absl/strings/str_cat.h"
 #include "keelbridge/base/logging.h"
+#include "keelbridge/state/known_workers.h"
 
 namespace keelbridge {
 namespace {
@@ -105,7 +106,12 @@
         if (reply.result != StoreResult::kDone)
           return self->After(kRetryDelay,
                              [self, after] { self->LoadJobs(after); });
-        for (const Record& record : reply.records) self->records_.Add(record);
+        for (const Record& record : reply.records) {
+          if (auto worker = KnownWorkerFrom(record))
+            self->known_workers_.push_back(*worker);
+          else
+            self->records_.Add(record);
+        }
         if (reply.more && !reply.records.empty())
           return self->LoadJobs(reply.records.back().key);
         JobTable jobs = self->records_.Build();
@@ -113,7 +119,8 @@
                  {{"jobs", absl::StrCat(jobs.size())},
                   {"unreadable", absl::StrCat(self->records_.unreadable())}});
         self->records_ = JobRecords();
-        self->scheduler_.Load(std::move(jobs));
+        self->scheduler_.Load(std::move(jobs), self->known_workers_,
+                              SystemNow());
         self->phase_ = Phase::kLearningWorkers;
         self->LearnWorkers("");
       });
--- a/keelbridge/daemon/leader_session.h
+++ b/keelbridge/daemon/leader_session.h
@@ -107,6 +107,7 @@
   JobScheduler scheduler_;
   Phase phase_ = Phase::kFencing;
   JobRecords records_;
+  std::vector<WorkerRecord> known_workers_;
   std::set<std::string> listed_workers_;
   int64_t workers_next_ = -1;  // Offset to read on from; -1: list them anew.
   absl::Time next_worker_poll_ = absl::InfinitePast();
--- a/keelbridge/daemon/site_node_peers.cc
+++ b/keelbridge/daemon/site_node_peers.cc
@@ -209,6 +209,9 @@
   const int64_t version = in["configuration_version"].asInt64();
   if (version > (configuration_ == nullptr ? 0 : configuration_->version))
     FetchConfiguration(to.address);
+  // What the answer tells is about the process that was asked, which may have
+  // been replaced by the leader that it names.
+  if (election_.leader().epoch != to.epoch) return;
   if (in["boot"].asUInt64() != to.boot) {
     election_.OnLeaderGone(now);
     return;
--- /dev/null
+++ b/keelbridge/state/known_workers.cc
@@ -0,0 +1,51 @@
+#include "keelbridge/state/known_workers.h"
+
+#include "absl/strings/match.h"
+#include "absl/strings/str_cat.h"
+#include "keelbridge/base/json_reader.h"
+
+namespace keelbridge {
+namespace {
+
+constexpr char kPrefix[] = "w/";
+
+}  // namespace
+
+std::string KnownWorkerKey(const std::string& worker_id) {
+  return absl::StrCat(kPrefix, worker_id);
+}
+
+bool IsKnownWorkerKey(const std::string& key) {
+  return absl::StartsWith(key, kPrefix);
+}
+
+Record KnownWorkerRecord(const WorkerRecord& worker) {
+  Json::Value value = ToJson(worker.capacity);
+  value["machine"] = worker.machine;
+  value["address"] = worker.address;
+  value["zone"] = worker.zone;
+  value["pool"] = worker.pool;
+  value["rack"] = worker.rack;
+  for (const std::string& label : worker.labels) value["labels"].append(label);
+  return Record{KnownWorkerKey(worker.id), ToJsonText(value)};
+}
+
+std::optional<WorkerRecord> KnownWorkerFrom(const Record& record) {
+  if (!IsKnownWorkerKey(record.key) || !record.value) return std::nullopt;
+  const JsonDocument document = JsonDocument::Parse(*record.value, record.key);
+  if (!document.faults().empty()) return std::nullopt;
+  const Json::Value& value = document.root();
+  WorkerRecord worker;
+  worker.id = record.key.substr(sizeof(kPrefix) - 1);
+  worker.machine = value["machine"].asString();
+  worker.address = value["address"].asString();
+  worker.zone = value["zone"].asString();
+  worker.pool = value["pool"].asString();
+  worker.rack = value["rack"].asString();
+  for (const Json::Value& label : value["labels"])
+    worker.labels.push_back(label.asString());
+  worker.capacity = ResourcesFromJson(value);
+  return worker;
+}
+
+}  // namespace keelbridge
--- a/testing/site_simulation_test.cc
+++ b/testing/site_simulation_test.cc
@@ -1,11 +1,12 @@
 // The scheduler of a site under failure, on a virtual clock: nothing twice,
 // nothing over a worker's room, nothing before its turn, nothing accepted lost.
 
+#include "testing/support/site_simulation.h"
+
 #include <doctest/doctest.h>
 
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_join.h"
-#include "testing/support/site_simulation.h"
 
 namespace keelbridge::testing {
 namespace {
@@ -141,6 +142,25 @@
   }
 }
 
+TEST_CASE(
+    "site: workers that the platform's list misses are asked all the same") {
+  for (uint64_t seed = 1; seed <= 30; ++seed) {
+    CAPTURE(seed);
+    SiteSimulation::Options options;
+    options.seed = seed;
+    options.unlisted_workers = 0.3;
+    SiteSimulation site(options);
+    Load(site, 10);
+    for (int i = 1; i < 6; ++i) {
+      site.After(absl::Milliseconds(1900 * i), [&site] {
+        site.ReplaceLeader(absl::Milliseconds(300), false);
+      });
+    }
+    site.Run(absl::Seconds(60));
+    CheckSettled(site);
+  }
+}
+
 TEST_CASE("site: orders carried out seconds late change nothing") {
   for (uint64_t seed = 1; seed <= 30; ++seed) {
     CAPTURE(seed);
--- a/testing/support/site_simulation.cc
+++ b/testing/support/site_simulation.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "absl/strings/str_cat.h"
+#include "keelbridge/state/known_workers.h"
 
 namespace keelbridge::testing {
 namespace {
@@ -74,8 +75,8 @@
       options,
       [this](const StartOrder& order) {
         const StepSpec& step =
-            jobs_[order.task.job].spec.steps[static_cast<size_t>(
-                order.task.step)];
+            jobs_[order.task.job]
+                .spec.steps[static_cast<size_t>(order.task.step)];
         SiteRunPlan plan;
         plan.need = step.need;
         plan.work = absl::Milliseconds(step.estimated_ms) * (0.5 + Draw());
@@ -121,8 +122,8 @@
     }
   }
   if (!run.late && !used.FitsIn(options_.capacity))
-    Fault(absl::StrCat("LIMIT: ", name, " takes the worker to ",
-                       used.cpu_milli));
+    Fault(
+        absl::StrCat("LIMIT: ", name, " takes the worker to ", used.cpu_milli));
   if (done_.count(run.task) > 0) {
     // A done end that nobody could hear of before its lease lapsed may run
     // again.
@@ -140,8 +141,7 @@
       failed.count(run.run) == 0)
     Fault(absl::StrCat("BUDGET: ", name, " after ", failed.size(),
                        " failed runs"));
-  const StepSpec& step =
-      facts.spec.steps[static_cast<size_t>(run.task.step)];
+  const StepSpec& step = facts.spec.steps[static_cast<size_t>(run.task.step)];
   for (const int32_t before : step.after) {
     const int32_t count = facts.spec.steps[static_cast<size_t>(before)].count;
     for (int32_t i = 0; i < count; ++i) {
@@ -214,12 +214,29 @@
   leader->scheduler = std::make_unique<JobScheduler>(JobScheduler::Options(),
                                                      leader->epoch, now_);
   JobRecords records;
-  for (const auto& [key, value] : store_) records.Add(Record{key, value, -1});
-  leader->scheduler->Load(records.Build());
+  std::vector<WorkerRecord> known;
+  for (const auto& [key, value] : store_) {
+    const Record record{key, value, -1};
+    if (auto worker = KnownWorkerFrom(record))
+      known.push_back(*worker);
+    else
+      records.Add(record);
+  }
+  leader->scheduler->Load(records.Build(), known, At());
   leader->scheduler->SetConfiguration(configuration_);
   leader->scheduler->SetAdvisers({kNode}, kNode);
-  for (WorkerSlot& slot : workers_)
-    leader->scheduler->OnWorkerRecord(slot.life->record(), At());
+  for (WorkerSlot& slot : workers_) {
+    const WorkerRecord record = slot.life->record();
+    if (Draw() >= options_.unlisted_workers) {
+      leader->scheduler->OnWorkerRecord(record, At());
+      continue;
+    }
+    After(absl::Seconds(3), [this, leader, record] {
+      bool cut = false;
+      if (!leader->dead && Find(record.id, &cut) != nullptr)
+        leader->scheduler->OnWorkerRecord(record, At());
+    });
+  }
   if (leader->epoch == 1) leader->scheduler->OnEarlierLeaderStopped(now_);
   current_ = leader;
   Tick(leader);
@@ -237,8 +254,8 @@
 void SiteSimulation::Append(const std::shared_ptr<Leader>& leader) {
   if (leader->appending || !leader->scheduler->HasBatch()) return;
   leader->appending = true;
-  const auto batch = std::make_shared<JobScheduler::Batch>(
-      leader->scheduler->TakeBatch(At()));
+  const auto batch =
+      std::make_shared<JobScheduler::Batch>(leader->scheduler->TakeBatch(At()));
   const auto attempt = std::make_shared<std::function<void()>>();
   *attempt = [this, leader, batch, attempt] {
     if (leader->dead && Draw() < 0.5) return;  // It never left.
@@ -278,8 +295,7 @@
     std::function<void(const Reply&)> done, Reply lost, Reply other_life) {
   const bool late = Draw() < options_.late_orders;
   const bool answer_lost = late || Draw() < options_.lost_answers;
-  const absl::Duration there =
-      late ? absl::Seconds(2 + 10 * Draw()) : Delay();
+  const absl::Duration there = late ? absl::Seconds(2 + 10 * Draw()) : Delay();
   if (answer_lost)
     After(kOrderTimeout, [leader, done, lost] {
       if (!leader->dead) done(lost);
@@ -348,9 +364,8 @@
       AdviceReply reply;
       reply.answered = true;
       for (const std::string& worker : ask->request.workers) {
-        const size_t draw =
-            std::hash<std::string>()(absl::StrCat(
-                worker, ".", ask->request.step.job, ask->request.step.step));
+        const size_t draw = std::hash<std::string>()(absl::StrCat(
+            worker, ".", ask->request.step.job, ask->request.step.step));
         if (draw % 2 == 0) reply.good.push_back({worker, "ticket"});
       }
       After(absl::Milliseconds(20), [this, leader, ask = *ask, reply] {
--- a/testing/support/site_simulation.h
+++ b/testing/support/site_simulation.h
@@ -1,5 +1,5 @@
-// A whole site on a virtual clock: schedulers, a store, workers and advice, with
-// faults drawn from a seed, judged from what the workers really ran.
+// A whole site on a virtual clock: schedulers, a store, workers and advice,
+// with faults drawn from a seed, judged from what the workers really ran.
 //
 //   SiteSimulation site({.seed = 7, .lost_answers = 0.05});
 //   site.Submit(spec);
@@ -31,7 +31,10 @@
     double lost_answers = 0;  // Share of orders carried out but not answered.
     double late_orders = 0;   // Share carried out 2 to 12 s later, unanswered.
     double failing_runs = 0.02;
-    bool advice = false;      // Half of the workers may run a step.
+    // Share of the workers that the platform's list misses for 3 s when a
+    // leader begins.
+    double unlisted_workers = 0;
+    bool advice = false;  // Half of the workers may run a step.
     int most_attempts = 3;
     absl::Duration store_delay = absl::Milliseconds(5);
   };
@@ -118,7 +121,7 @@
   std::shared_ptr<SiteConfiguration> configuration_;
   std::vector<SiteRun> runs_;
   std::map<TaskId, std::set<int32_t>> failed_;  // Of a gang: at its index 0.
-  std::set<TaskId> done_;       // But for ends that died with their worker.
+  std::set<TaskId> done_;  // But for ends that died with their worker.
   std::set<TaskId> ever_done_;
   std::map<std::pair<TaskId, int32_t>, absl::Time> gang_done_at_;
   std::vector<std::string> faults_;
