--- a/keelbridge/cli/commands.cc
+++ b/keelbridge/cli/commands.cc
@@ -11,6 +11,8 @@
 #include "absl/time/clock.h"
 #include "keelbridge/base/clock.h"
 #include "keelbridge/base/json_reader.h"
+#include "keelbridge/cli/job_story.h"
+#include "keelbridge/daemon/node_settings.h"
 #include "keelbridge/daemon/settings.h"
 #include "keelbridge/protocol/configuration.h"
 #include "keelbridge/protocol/intent.h"
@@ -124,6 +126,10 @@
       kind = "configuration";
       if (auto read = ParseConfiguration(text.value(), file); !read)
         error = read.error();
+    } else if (document.root().isMember("client_listen")) {
+      kind = "node settings";
+      if (auto read = ParseNodeSettings(text.value(), file); !read)
+        error = read.error();
     } else {
       kind = "settings";
       if (auto read = ParseSettings(text.value(), file); !read)
@@ -360,8 +366,40 @@
 
 // explain, watch, status, top
 
+// One job's way, from log files or standard input.
+int ExplainJob(const Context& context, JobId job,
+               const std::vector<std::string>& files) {
+  JobStory story(job);
+  const auto add_all = [&story](std::istream& in) {
+    std::string line;
+    while (std::getline(in, line)) story.AddLine(line);
+  };
+  for (const std::string& file : files) {
+    std::ifstream in(file);
+    if (!in) {
+      context.err << file << ": cannot be read\n";
+      return kExitBadInput;
+    }
+    add_all(in);
+  }
+  if (files.empty()) add_all(std::cin);
+  if (!story.found()) {
+    context.err << "no line names job " << JobIdText(job)
+                << "; give the logs of all nodes\n";
+    return kExitBadInput;
+  }
+  context.out << story.Text();
+  return kExitOk;
+}
+
 int Explain(const Context& context, const std::vector<std::string>& words) {
-  if (words.size() != 1) return UsageFault(context, "explain INTENT/NUMBER");
+  JobId job = 0;
+  if (!words.empty() && ParseJobId(words[0], &job))
+    return ExplainJob(
+        context, job,
+        std::vector<std::string>(words.begin() + 1, words.end()));
+  if (words.size() != 1)
+    return UsageFault(context, "explain INTENT/NUMBER, or explain JOB [LOG...]");
   Json::Value params;
   params["task"] = words[0];
   Result<Json::Value> answer = CallScheduler(context, "explain", params);
@@ -542,6 +580,7 @@
   confirm PLAN                carry out a plan                            (--scheduler)
   drain host|target NAME      plan a drain; confirm it with --yes         (--scheduler, --zone)
   explain INTENT/NUMBER       why a task is where it is, or why it waits  (--scheduler)
+  explain JOB [LOG...]        a job's way and what went wrong, from nodes' logs (or standard input)
   watch                       decisions, step by step                     (--scheduler, --follow)
   status [ADDRESS...]         what daemons say of themselves              (--scheduler, --gateway)
   top                         workers and teams                           (--scheduler)
--- /dev/null
+++ b/keelbridge/cli/job_story.cc
@@ -0,0 +1,181 @@
+#include "keelbridge/cli/job_story.h"
+
+#include <algorithm>
+#include <map>
+#include <utility>
+
+#include "absl/strings/match.h"
+#include "absl/strings/numbers.h"
+#include "absl/strings/str_cat.h"
+#include "keelbridge/base/json_reader.h"
+
+namespace keelbridge::cli {
+namespace {
+
+// Events that concern every job of the site.
+const std::set<std::string>& SiteEvents() {
+  static const auto* events = new std::set<std::string>{
+      "term_begins",   "term_active",  "term_ended",   "store_lost",
+      "store_back",    "stood_still",  "leader_silent", "claiming",
+      "node_started",  "node_draining", "configuration_in_force"};
+  return *events;
+}
+
+// Events that concern jobs with runs on the worker that they name.
+const std::set<std::string>& WorkerEvents() {
+  static const auto* events = new std::set<std::string>{
+      "worker_silent",    "worker_back",           "runs_lost",
+      "worker_suspected", "worker_record_removed", "worker_draining"};
+  return *events;
+}
+
+std::string Field(const Json::Value& fields, const char* name) {
+  return fields[name].isString() ? fields[name].asString() : "";
+}
+
+// The fields beyond those that every line has.
+std::string Rest(const Json::Value& fields) {
+  static const auto* common = new std::set<std::string>{
+      "time", "severity", "process", "event", "job"};
+  std::string out;
+  for (const std::string& name : fields.getMemberNames()) {
+    if (common->count(name) > 0) continue;
+    absl::StrAppend(&out, out.empty() ? "" : ", ", name, " ",
+                    Field(fields, name.c_str()));
+  }
+  return out;
+}
+
+std::string Sentence(const Json::Value& fields) {
+  const std::string event = Field(fields, "event");
+  static const auto* words = new std::map<std::string, std::string>{
+      {"job_taken", "handed in"},
+      {"job_refused", "refused"},
+      {"call_given_up", "a call was given up"},
+      {"call_answered", "a call was answered"},
+      {"advice_asked", "advice asked for"},
+      {"advice_answered", "advice answered"},
+      {"step_blocked", "could not start"},
+      {"start_sent", "start ordered"},
+      {"start_not_done", "start not done"},
+      {"run_adopted", "found running by a new leader"},
+      {"run_ended", "run ended"},
+      {"run_missing", "run is gone from its worker"},
+      {"run_unwanted", "a run nobody wants is stopped"},
+      {"stop_sent", "stop ordered"},
+      {"job_ended", "the job ended"},
+      {"store_lost", "the leader lost the store"},
+      {"store_back", "the store is back"},
+      {"term_begins", "a leader begins its term"},
+      {"term_active", "the new leader serves"},
+      {"term_ended", "a leader's term ended"},
+      {"stood_still", "the leader stood still"},
+      {"runs_lost", "all runs of a worker were given up"},
+      {"worker_silent", "a worker is silent"},
+      {"worker_back", "the worker answers again"},
+      {"worker_suspected", "a worker gets no work for a while"}};
+  const auto found = words->find(event);
+  return found == words->end() ? event : found->second;
+}
+
+int64_t Number(const std::string& text) {
+  int64_t value = 0;
+  return absl::SimpleAtoi(text, &value) ? value : 0;
+}
+
+}  // namespace
+
+JobStory::JobStory(JobId job) : job_(JobIdText(job)) {}
+
+void JobStory::AddLine(const std::string& line) {
+  const size_t begin = line.find('{');
+  if (begin == std::string::npos) return;
+  const bool names_job = absl::StrContains(line, job_);
+  const bool may_matter = names_job || absl::StrContains(line, "\"event\"");
+  if (!may_matter) return;
+  const JsonDocument document =
+      JsonDocument::Parse(line.substr(begin), "log line");
+  if (!document.faults().empty()) return;
+  const Json::Value& fields = document.root();
+  Line out{Field(fields, "time"), Field(fields, "process"), fields};
+  const std::string event = Field(fields, "event");
+  if (Field(fields, "job") == job_ ||
+      absl::StartsWith(Field(fields, "task"), job_)) {
+    if (fields.isMember("worker")) workers_.insert(Field(fields, "worker"));
+    lines_.push_back(std::move(out));
+  } else if (SiteEvents().count(event) + WorkerEvents().count(event) > 0) {
+    site_.push_back(std::move(out));
+  }
+}
+
+std::vector<JobStory::Line> JobStory::Relevant() const {
+  std::vector<Line> out = lines_;
+  const auto by_time = [](const Line& a, const Line& b) {
+    return a.time < b.time;
+  };
+  std::stable_sort(out.begin(), out.end(), by_time);
+  if (out.empty()) return out;
+  const std::string from = out.front().time;
+  const std::string to = out.back().time;
+  for (const Line& line : site_) {
+    if (line.time < from || line.time > to) continue;
+    const bool of_worker = WorkerEvents().count(Field(line.fields, "event")) > 0;
+    if (of_worker && workers_.count(Field(line.fields, "worker")) == 0)
+      continue;
+    out.push_back(line);
+  }
+  std::stable_sort(out.begin(), out.end(), by_time);
+  return out;
+}
+
+std::vector<std::string> JobStory::Causes() const {
+  std::vector<std::string> out;
+  const auto add = [&out](std::string cause) {
+    if (std::find(out.begin(), out.end(), cause) == out.end())
+      out.push_back(std::move(cause));
+  };
+  std::string blocked;
+  for (const Line& line : Relevant()) {
+    const Json::Value& f = line.fields;
+    const std::string event = Field(f, "event");
+    if (event == "job_ended" && Field(f, "end") == "failed")
+      add("it failed: " + Field(f, "why"));
+    if (event == "job_ended" && Field(f, "end") == "cancelled")
+      add("its client cancelled it");
+    if (event == "job_refused") add("it was refused: " + Field(f, "why"));
+    if (event == "call_given_up")
+      add(absl::StrCat("a call was given up as ", Field(f, "answer"),
+                       " under leader ", Field(f, "leader")));
+    if (event == "term_active")
+      add(absl::StrCat("the leader changed; ", line.process, " served from ",
+                       line.time));
+    if (event == "store_lost") add("the store was lost: " + Field(f, "detail"));
+    if (event == "runs_lost")
+      add(absl::StrCat("runs were lost with worker ", Field(f, "worker"), ": ",
+                       Field(f, "why")));
+    if (event == "run_ended" && Field(f, "how") != "done")
+      add(absl::StrCat("a run on ", Field(f, "worker"), " ended ",
+                       Field(f, "how")));
+    if (event == "step_blocked") blocked = Field(f, "why");
+    if (event == "start_sent" && Number(Field(f, "waited_ms")) >= 500)
+      add(absl::StrCat("a task waited ", Field(f, "waited_ms"), " ms: ",
+                       blocked.empty() ? "no cause was logged" : blocked));
+  }
+  return out;
+}
+
+std::string JobStory::Text() const {
+  std::string out;
+  for (const Line& line : Relevant())
+    absl::StrAppend(&out, line.time, "  ", line.process, "  ",
+                    Sentence(line.fields), "  (", Rest(line.fields), ")\n");
+  const std::vector<std::string> causes = Causes();
+  absl::StrAppend(&out, causes.empty()
+                            ? "Nothing went wrong that the logs tell of.\n"
+                            : "Causes that the logs name:\n");
+  for (const std::string& cause : causes)
+    absl::StrAppend(&out, "  - ", cause, "\n");
+  return out;
+}
+
+}  // namespace keelbridge::cli
--- /dev/null
+++ b/keelbridge/cli/job_story.h
@@ -0,0 +1,53 @@
+// One job's way, told from the log lines of many nodes.
+//
+// Reads lines in any order, from any number of files; whatever stands before the
+// JSON object of a line is passed over, so collectors may add a prefix. Lines
+// that name the job are told in the order of their times, together with what the
+// site went through meanwhile: changes of leader, lost stores, silent workers.
+//
+//   JobStory story(job);
+//   story.AddLine(line);              // For each line of each log.
+//   out << story.Text();
+
+#ifndef KEELBRIDGE_CLI_JOB_STORY_H_
+#define KEELBRIDGE_CLI_JOB_STORY_H_
+
+#include <json/json.h>
+
+#include <set>
+#include <string>
+#include <vector>
+
+#include "keelbridge/protocol/job.h"
+
+namespace keelbridge::cli {
+
+class JobStory {
+ public:
+  explicit JobStory(JobId job);
+
+  void AddLine(const std::string& line);
+  // Whether any line named the job.
+  bool found() const { return !lines_.empty(); }
+  // The way and, last, the causes that the lines name.
+  std::string Text() const;
+  // Only the causes, most telling first.
+  std::vector<std::string> Causes() const;
+
+ private:
+  struct Line {
+    std::string time;
+    std::string process;
+    Json::Value fields;
+  };
+  std::vector<Line> Relevant() const;
+
+  const std::string job_;
+  std::vector<Line> lines_;   // That name the job.
+  std::vector<Line> site_;    // That tell of the site.
+  std::set<std::string> workers_;
+};
+
+}  // namespace keelbridge::cli
+
+#endif  // KEELBRIDGE_CLI_JOB_STORY_H_
--- a/keelbridge/coordination/job_scheduler_placement.cc
+++ b/keelbridge/coordination/job_scheduler_placement.cc
@@ -23,6 +23,7 @@
 constexpr double kLeastGoodShare = 0.1;
 // How much more room to ask for than is needed, since answers scatter.
 constexpr double kAdviceMargin = 1.4;
+constexpr double kGangSpare = 2.0;
 constexpr size_t kMostNamed = 100;
 constexpr size_t kLeastNamed = 4;
 // Gangs that may hold workers free at a time.
@@ -543,29 +544,35 @@
   };
   std::sort(good.begin(), good.end(), by_room);
   std::sort(unknown.begin(), unknown.end(), by_room);
-  std::vector<std::string> named;
-  if (good_now >= ready.spec->count) {
-    // Room is there: fresh tickets for just the workers that it takes.
-    int32_t covered = 0;
-    for (const Candidate& candidate : good) {
-      if (covered >= ready.spec->count) break;
-      covered += candidate.fits;
-      named.push_back(candidate.worker->record.id);
-    }
-    AskAdvice(ready, std::move(named), now);
-    return;
-  }
-  if (good_whole >= ready.spec->count * kAdviceMargin || unknown.empty())
-    return;
   const auto learnt = good_share_.find(ready.queue->name);
   const double share =
       learnt == good_share_.end() ? kInitialGoodShare : learnt->second;
-  double expected = good_whole;
+  const double count = ready.spec->count;
+  double hoped_now = good_now;
+  for (const Candidate& candidate : unknown)
+    hoped_now += candidate.fits * share;
+  const bool room_now = good_now >= ready.spec->count;
+  // Others are asked about when those known to be good have no room now and
+  // the others may, or when too few are known to be good at all.
+  const bool ask_unknown =
+      !room_now && !unknown.empty() &&
+      (hoped_now >= count || good_whole < count * kAdviceMargin);
+  if (!room_now && !ask_unknown) return;
+  // Fresh tickets for the good ones that have room, with some to spare: others
+  // take room while the answer is on its way.
+  std::vector<std::string> named;
+  double expected = 0;
+  for (const Candidate& candidate : good) {
+    if (candidate.fits < 1 || expected >= kGangSpare * count) break;
+    expected += candidate.fits;
+    named.push_back(candidate.worker->record.id);
+  }
   for (const Candidate& candidate : unknown) {
-    if (expected >= 2 * kAdviceMargin * ready.spec->count &&
+    if (!ask_unknown) break;
+    if (expected >= kGangSpare * kAdviceMargin * count &&
         named.size() >= kLeastNamed)
       break;
-    expected += candidate.whole * share;
+    expected += share * (candidate.fits > 0 ? candidate.fits : candidate.whole);
     named.push_back(candidate.worker->record.id);
   }
   AskAdvice(ready, std::move(named), now);
--- a/keelbridge/coordination/job_scheduler_test.cc
+++ b/keelbridge/coordination/job_scheduler_test.cc
@@ -35,7 +35,7 @@
   Now now() const { return {now_, now_}; }
 
   // A job of an earlier leader.
-  void Recover(StepSpec step) {
+  void Recover(const StepSpec& step) {
     JobSpec spec;
     spec.steps.push_back(step);
     JobTable jobs;
--- a/keelbridge/coordination/site_election.cc
+++ b/keelbridge/coordination/site_election.cc
@@ -85,7 +85,10 @@
   leader_gone_ = false;
 }
 
-void SiteElection::OnLeaderVouched(absl::Time now) { last_heard_ = now; }
+void SiteElection::OnLeaderVouched(absl::Time now) {
+  last_heard_ = now;
+  leader_gone_ = false;
+}
 
 void SiteElection::OnLeaderGone(absl::Time now) {
   if (!leader_gone_) gone_since_ = now;
--- /dev/null
+++ b/keelbridge/coordination/site_election_test.cc
@@ -0,0 +1,131 @@
+#include "keelbridge/coordination/site_election.h"
+
+#include <doctest/doctest.h>
+
+namespace keelbridge {
+namespace {
+
+const absl::Time kBegin = absl::UnixEpoch() + absl::Hours(1);
+
+SiteElection Make(const std::string& node, uint64_t boot) {
+  return {node, boot, node + ":1", SiteElection::Options()};
+}
+
+LeaderRecord Leader(int64_t epoch, const std::string& node, uint64_t boot) {
+  LeaderRecord leader;
+  leader.epoch = epoch;
+  leader.node = node;
+  leader.boot = boot;
+  leader.address = node + ":1";
+  leader.claimed_ms = 1000;
+  return leader;
+}
+
+// Looks every 100 ms until `time` after `from`; the first step that is not
+// kNone, or kNone.
+ElectionStep LookUntil(SiteElection& election, absl::Time from,
+                       absl::Duration time) {
+  for (absl::Time at = from; at < from + time; at += absl::Milliseconds(100)) {
+    const ElectionStep step = election.Decide(at);
+    if (step != ElectionStep::kNone) return step;
+  }
+  return ElectionStep::kNone;
+}
+
+TEST_CASE("site election: an empty control stream is claimed, once read") {
+  SiteElection a = Make("a", 1);
+  CHECK(a.Decide(kBegin) == ElectionStep::kReadControl);
+  a.OnControlRead({}, 0, kBegin);
+  CHECK(LookUntil(a, kBegin, absl::Seconds(2)) == ElectionStep::kClaim);
+  const AppendOrder order = a.Claim(5000);
+  CHECK(order.expected_end == 0);
+  a.OnClaimed(1, kBegin);
+  CHECK(a.Leads());
+  CHECK(a.leader().epoch == 1);
+}
+
+TEST_CASE("site election: a silent leader is replaced, a heard one is not") {
+  SiteElection a = Make("a", 1);
+  a.OnControlRead({ToRecord(Leader(3, "b", 7))}, 3, kBegin);
+  absl::Time now = kBegin;
+  for (int i = 0; i < 50; ++i) {
+    now += absl::Milliseconds(100);
+    a.OnHeartbeatAnswered(now);
+    CHECK(a.Decide(now) == ElectionStep::kNone);
+  }
+  CHECK(LookUntil(a, now, absl::Seconds(1)) == ElectionStep::kNone);
+  CHECK(LookUntil(a, now + absl::Seconds(1), absl::Seconds(3)) ==
+        ElectionStep::kClaim);
+}
+
+TEST_CASE("site election: a leader whose port is closed is replaced soon") {
+  SiteElection a = Make("a", 1);
+  a.OnControlRead({ToRecord(Leader(3, "b", 7))}, 3, kBegin);
+  a.Decide(kBegin);
+  a.OnLeaderGone(kBegin);
+  CHECK(LookUntil(a, kBegin, absl::Milliseconds(900)) == ElectionStep::kClaim);
+}
+
+TEST_CASE("site election: peers that hear the leader hold a claim back") {
+  SiteElection a = Make("a", 1);
+  a.OnControlRead({ToRecord(Leader(3, "b", 7))}, 3, kBegin);
+  REQUIRE(LookUntil(a, kBegin, absl::Seconds(4)) == ElectionStep::kClaim);
+  a.OnLeaderVouched(kBegin + absl::Seconds(4));
+  CHECK(LookUntil(a, kBegin + absl::Seconds(4), absl::Seconds(1)) ==
+        ElectionStep::kNone);
+}
+
+TEST_CASE("site election: a process that stood still believes nothing") {
+  SiteElection a = Make("a", 1);
+  a.OnControlRead({ToRecord(Leader(3, "b", 7))}, 3, kBegin);
+  a.Decide(kBegin);
+  CHECK(a.Decide(kBegin + absl::Seconds(20)) == ElectionStep::kNone);
+}
+
+TEST_CASE("site election: a restarted leader claims at once, above itself") {
+  SiteElection a = Make("a", 2);
+  a.OnControlRead({ToRecord(Leader(3, "a", 1))}, 3, kBegin);
+  CHECK(a.Decide(kBegin) == ElectionStep::kClaim);
+  a.Claim(5000);
+  a.OnClaimed(4, kBegin);
+  CHECK(a.leader().epoch == 4);
+  CHECK(a.leader().earlier.empty());  // Its own earlier life is over.
+}
+
+TEST_CASE("site election: earlier leaders not heard to have stopped are named") {
+  SiteElection c = Make("c", 9);
+  LeaderRecord b = Leader(3, "b", 7);
+  b.earlier.push_back({"a:1", 500});
+  c.OnControlRead({ToRecord(b)}, 3, kBegin);
+  const AppendOrder soon = c.Claim(6000);
+  const auto record = LeaderFromRecord(soon.records[0]);
+  REQUIRE(record.has_value());
+  REQUIRE(record->earlier.size() == 2);
+  CHECK(record->earlier[0].address == "a:1");
+  CHECK(record->earlier[1].address == "b:1");
+  // After long enough only the last one matters.
+  const auto later = LeaderFromRecord(c.Claim(100000).records[0]);
+  REQUIRE(later.has_value());
+  CHECK(later->earlier.size() == 1);
+}
+
+TEST_CASE("site election: a lost claim is learnt from the stream") {
+  SiteElection a = Make("a", 1);
+  a.OnControlRead({}, 0, kBegin);
+  const AppendOrder order = a.Claim(5000);
+  a.OnClaimFailed(kBegin);
+  CHECK(a.Decide(kBegin) == ElectionStep::kReadControl);
+  a.OnControlRead(order.records, 1, kBegin);
+  CHECK(a.Leads());
+}
+
+TEST_CASE("site election: a leader that hears of a later one does not lead") {
+  SiteElection a = Make("a", 1);
+  a.OnControlRead({ToRecord(Leader(1, "a", 1))}, 1, kBegin);
+  REQUIRE(a.Leads());
+  a.OnLeaderHeard(Leader(2, "b", 5), kBegin);
+  CHECK_FALSE(a.Leads());
+}
+
+}  // namespace
+}  // namespace keelbridge
--- a/keelbridge/daemon/leader_session.cc
+++ b/keelbridge/daemon/leader_session.cc
@@ -240,7 +240,7 @@
   }
 }
 
-void LeaderSession::CarryOut(std::vector<Action> actions) {
+void LeaderSession::CarryOut(const std::vector<Action>& actions) {
   for (const Action& action : actions) {
     if (const auto* start = std::get_if<StartAction>(&action)) {
       ports_.workers->Start(
--- a/keelbridge/daemon/leader_session.h
+++ b/keelbridge/daemon/leader_session.h
@@ -88,7 +88,7 @@
   void ArmTick();
   void Pump();
   void PumpSoon();
-  void CarryOut(std::vector<Action> actions);
+  void CarryOut(const std::vector<Action>& actions);
   void MaybeFlush();
   void SendFlight();
   void OnAppended(const AppendReply& reply, absl::Time sent);
--- a/keelbridge/daemon/site_node.cc
+++ b/keelbridge/daemon/site_node.cc
@@ -69,8 +69,8 @@
       });
   ready_ = std::make_unique<EventHttpServer>(
       loop_, ServerOptions(settings_.ready_listen, 16),
-      [this](const ServerRequest& request, EventHttpServer::Reply reply) {
-        ServeReady(request, std::move(reply));
+      [this](const ServerRequest& request, const EventHttpServer::Reply& reply) {
+        ServeReady(request, reply);
       });
   AddPeerMethods();
   for (auto start :
@@ -80,8 +80,8 @@
   if (settings_.metrics_listen.port != 0) {
     metrics_server_ = std::make_unique<EventHttpServer>(
         loop_, ServerOptions(settings_.metrics_listen, 16),
-        [this](const ServerRequest& request, EventHttpServer::Reply reply) {
-          ServeMetrics(request, std::move(reply));
+        [this](const ServerRequest& request, const EventHttpServer::Reply& reply) {
+          ServeMetrics(request, reply);
         });
     if (auto start = metrics_server_->Start(); !start) return start.error();
   }
@@ -101,8 +101,7 @@
   return leader_accepts_ && SystemNow().mono - leader_answered_ < kLeaderFresh;
 }
 
-void SiteNode::ServeReady(const ServerRequest& request,
-                          EventHttpServer::Reply reply) {
+void SiteNode::ServeReady(const ServerRequest& request, const EventHttpServer::Reply& reply) {
   (void)request;
   const bool ready = Ready();
   reply({ready ? 200 : kUnavailableStatus,
@@ -111,8 +110,7 @@
          "text/plain"});
 }
 
-void SiteNode::ServeMetrics(const ServerRequest& request,
-                            EventHttpServer::Reply reply) {
+void SiteNode::ServeMetrics(const ServerRequest& request, const EventHttpServer::Reply& reply) {
   if (request.path != "/metrics")
     return reply({kNotFoundStatus, {}, "see /metrics\n", "text/plain"});
   metrics_.Set("log_lines_dropped", {}, static_cast<double>(DroppedLogLines()));
--- a/keelbridge/daemon/site_node.h
+++ b/keelbridge/daemon/site_node.h
@@ -56,8 +56,8 @@
 
   // site_node.cc
   void Every(absl::Duration period, std::function<void()> step);
-  void ServeReady(const ServerRequest& request, EventHttpServer::Reply reply);
-  void ServeMetrics(const ServerRequest& request, EventHttpServer::Reply reply);
+  void ServeReady(const ServerRequest& request, const EventHttpServer::Reply& reply);
+  void ServeMetrics(const ServerRequest& request, const EventHttpServer::Reply& reply);
   bool Ready() const;
   void AddPeerMethods();
 
--- a/keelbridge/daemon/site_node_clients.cc
+++ b/keelbridge/daemon/site_node_clients.cc
@@ -65,11 +65,24 @@
       std::min(kLongestForward,
                std::max(forward->call.remaining - kAnswerMargin, kTryPause));
   const ClientCallKind kind = forward->call.kind;
-  forward->reply = [this, kind, begun = forward->begun,
+  forward->reply = [this, kind, job = forward->call.job,
+                    begun = forward->begun,
                     reply = std::move(reply)](const ClientReply& answer) {
+    const absl::Duration took = SystemNow().mono - begun;
     metrics_.Observe("call_seconds", {{"kind", KindName(kind)}},
-                     absl::ToDoubleSeconds(SystemNow().mono - begun));
+                     absl::ToDoubleSeconds(took));
     ServerResponse response = ports_.dialect->FormatReply(answer);
+    // Looks at a state change nothing; only those that fail are told of.
+    const bool telling = kind == ClientCallKind::kSubmit ||
+                         kind == ClientCallKind::kCancel ||
+                         response.status >= 500;
+    if (telling)
+      LogEvent(Severity::kInfo, "call_answered",
+               {{"kind", KindName(kind)},
+                {"job", JobIdText(job)},
+                {"status", absl::StrCat(response.status)},
+                {"took_ms", absl::StrCat(absl::ToInt64Milliseconds(took))},
+                {"why", answer.message}});
     metrics_.Count("calls_total", {{"kind", KindName(kind)},
                                    {"status", absl::StrCat(response.status)}});
     reply(std::move(response));
--- a/keelbridge/daemon/site_node_peers.cc
+++ b/keelbridge/daemon/site_node_peers.cc
@@ -14,6 +14,7 @@
 namespace {
 
 constexpr absl::Duration kHeartbeatTimeout = absl::Milliseconds(700);
+constexpr absl::Duration kHeartbeatAgain = absl::Milliseconds(40);
 constexpr absl::Duration kPeerFresh = absl::Milliseconds(1500);
 // A peer that nobody heard for this long is forgotten.
 constexpr absl::Duration kPeerForgotten = absl::Seconds(30);
@@ -192,7 +193,16 @@
                                 const LeaderRecord& to) {
   const absl::Time now = SystemNow().mono;
   if (!outcome.answered) {
+    // A closed port tells that the process is gone; a connection that broke is
+    // looked into at once.
+    if (outcome.refused && to.epoch == election_.leader().epoch)
+      election_.OnLeaderGone(now);
     if (++failed_heartbeats_ == 1) {
+      auto timer = std::make_shared<boost::asio::steady_timer>(
+          loop_, absl::ToChronoNanoseconds(kHeartbeatAgain));
+      timer->async_wait([this, timer](boost::system::error_code error) {
+        if (!error) Heartbeat();
+      });
       LogEvent(Severity::kWarning, "leader_silent",
                {{"leader", to.node},
                 {"epoch", absl::StrCat(to.epoch)},
--- a/keelbridge/transport/event_http_client.cc
+++ b/keelbridge/transport/event_http_client.cc
@@ -97,9 +97,13 @@
     stream_.async_connect(
         Tcp::endpoint(ip, static_cast<unsigned short>(pool_->address_.port)),
         [self = shared_from_this()](beast::error_code e) {
-          if (e)
-            return self->Finish(
-                Failure(SendFailure::kNothingSent, "connect: " + e.message()));
+          if (e) {
+            HttpOutcome outcome =
+                Failure(SendFailure::kNothingSent, "connect: " + e.message());
+            outcome.refused = e == boost::asio::error::connection_refused ||
+                              e == boost::asio::error::connection_reset;
+            return self->Finish(std::move(outcome));
+          }
           self->OnConnected();
         });
   }
--- a/keelbridge/transport/event_rpc.cc
+++ b/keelbridge/transport/event_rpc.cc
@@ -90,6 +90,7 @@
     if (!outcome.response) {
       out.sent = outcome.failure == SendFailure::kMayHaveSent;
       out.error = outcome.message;
+      out.refused = outcome.refused;
       return done(std::move(out));
     }
     out.sent = true;
--- a/keelbridge/transport/event_rpc.h
+++ b/keelbridge/transport/event_rpc.h
@@ -51,6 +51,7 @@
 struct RpcOutcome {
   bool answered = false;  // The method ran and gave `result`.
   bool sent = false;      // The method may have run.
+  bool refused = false;   // The peer's port is closed.
   Json::Value result;
   std::string error;
 };
--- a/keelbridge/transport/http_client.h
+++ b/keelbridge/transport/http_client.h
@@ -55,6 +55,7 @@
   std::optional<HttpResponse> response;
   SendFailure failure = SendFailure::kNone;
   std::string message;  // Why there is no answer.
+  bool refused = false;  // The port is closed: nobody listens there.
 };
 
 // Thread-safe: each call takes a connection of its own from the pool.
--- /dev/null
+++ b/testing/fakes/fault_proxy.cc
@@ -0,0 +1,140 @@
+#include "testing/fakes/fault_proxy.h"
+
+#include <array>
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/write.hpp>
+#include <string>
+#include <utility>
+
+namespace keelbridge::testing {
+namespace {
+
+using Tcp = boost::asio::ip::tcp;
+constexpr size_t kPieceBytes = 16 << 10;
+
+}  // namespace
+
+// One connection through the proxy: two sockets, a pump in each direction.
+class ProxiedConnection
+    : public std::enable_shared_from_this<ProxiedConnection> {
+ public:
+  ProxiedConnection(FaultProxy* proxy, Tcp::socket client)
+      : proxy_(proxy), client_(std::move(client)), server_(proxy->loop_) {}
+
+  void Start() {
+    boost::system::error_code error;
+    client_.set_option(Tcp::no_delay(true), error);
+    const Tcp::endpoint to(
+        boost::asio::ip::make_address(proxy_->target_.ip),
+        static_cast<unsigned short>(proxy_->target_.port));
+    server_.async_connect(
+        to, [self = shared_from_this()](boost::system::error_code e) {
+          if (e) return self->Close(false);
+          self->Pump(self->client_, self->server_, &self->up_, false);
+          self->Pump(self->server_, self->client_, &self->down_, true);
+        });
+  }
+
+  void Close(bool reset) {
+    boost::system::error_code ignored;
+    if (reset)
+      client_.set_option(boost::asio::socket_base::linger(true, 0), ignored);
+    client_.close(ignored);
+    server_.close(ignored);
+    if (proxy_ != nullptr) proxy_->open_.erase(shared_from_this());
+  }
+
+  void Orphan() { proxy_ = nullptr; }
+
+ private:
+  using Piece = std::array<char, kPieceBytes>;
+
+  void Pump(Tcp::socket& from, Tcp::socket& to, Piece* piece, bool answers) {
+    from.async_read_some(
+        boost::asio::buffer(*piece),
+        [self = shared_from_this(), &from, &to, piece, answers](
+            boost::system::error_code error, size_t bytes) {
+          if (error) return self->Close(false);
+          self->Pass(from, to, piece, bytes, answers);
+        });
+  }
+
+  void Pass(Tcp::socket& from, Tcp::socket& to, Piece* piece, size_t bytes,
+            bool answers) {
+    if (proxy_ == nullptr) return Close(false);
+    const FaultProxy::Mode mode = proxy_->mode_;
+    const bool dropped =
+        mode == FaultProxy::Mode::kSilent ||
+        (mode == FaultProxy::Mode::kOneWay && answers);
+    // What was dropped makes the rest of the connection meaningless: it stays
+    // open and says nothing more.
+    if (dropped) return;
+    const absl::Duration delay = mode == FaultProxy::Mode::kDelay
+                                     ? proxy_->delay_
+                                     : absl::ZeroDuration();
+    auto timer = std::make_shared<boost::asio::steady_timer>(
+        proxy_->loop_, absl::ToChronoNanoseconds(delay));
+    timer->async_wait([self = shared_from_this(), timer, &from, &to, piece,
+                       bytes, answers](boost::system::error_code) {
+      boost::asio::async_write(
+          to, boost::asio::buffer(piece->data(), bytes),
+          [self, &from, &to, piece, answers](boost::system::error_code error,
+                                             size_t) {
+            if (error) return self->Close(false);
+            self->Pump(from, to, piece, answers);
+          });
+    });
+  }
+
+  FaultProxy* proxy_;
+  Tcp::socket client_;
+  Tcp::socket server_;
+  Piece up_;
+  Piece down_;
+};
+
+FaultProxy::FaultProxy(boost::asio::io_context& loop, Address target)
+    : loop_(loop),
+      target_(std::move(target)),
+      acceptor_(loop,
+                Tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"), 0)),
+      address_{"127.0.0.1", acceptor_.local_endpoint().port(), ""} {
+  Accept();
+}
+
+FaultProxy::~FaultProxy() {
+  const auto open = std::move(open_);
+  open_.clear();
+  for (const auto& connection : open) {
+    connection->Orphan();
+    connection->Close(false);
+  }
+}
+
+void FaultProxy::Accept() {
+  acceptor_.async_accept(
+      [this](boost::system::error_code error, Tcp::socket socket) {
+        if (error) return;
+        auto connection =
+            std::make_shared<ProxiedConnection>(this, std::move(socket));
+        open_.insert(connection);
+        if (mode_ == Mode::kReset)
+          connection->Close(true);
+        else
+          connection->Start();
+        Accept();
+      });
+}
+
+void FaultProxy::SetMode(Mode mode, absl::Duration delay) {
+  mode_ = mode;
+  delay_ = delay;
+  if (mode != Mode::kReset && mode != Mode::kPass) return;
+  // Connections on which something was dropped say nothing further: end them.
+  const auto open = open_;
+  for (const auto& connection : open) connection->Close(mode == Mode::kReset);
+}
+
+}  // namespace keelbridge::testing
--- /dev/null
+++ b/testing/fakes/fault_proxy.h
@@ -0,0 +1,57 @@
+// A TCP proxy on loopback that harms what passes: delays it, resets it, silences
+// it, or drops one direction.
+//
+//   FaultProxy proxy(loop, store_address);
+//   settings.store = proxy.address();
+//   proxy.SetMode(FaultProxy::Mode::kSilent);
+
+#ifndef KEELBRIDGE_TESTING_FAKES_FAULT_PROXY_H_
+#define KEELBRIDGE_TESTING_FAKES_FAULT_PROXY_H_
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <memory>
+#include <set>
+
+#include "absl/time/time.h"
+#include "keelbridge/transport/address.h"
+
+namespace keelbridge::testing {
+
+class ProxiedConnection;
+
+// All on the loop's thread.
+class FaultProxy {
+ public:
+  enum class Mode {
+    kPass,
+    kDelay,       // Each piece waits for `delay`.
+    kReset,       // Open connections are reset, new ones too.
+    kSilent,      // Nothing passes; connections stay open.
+    kOneWay,      // Requests pass, answers do not.
+  };
+
+  FaultProxy(boost::asio::io_context& loop, Address target);
+  ~FaultProxy();
+  FaultProxy(const FaultProxy&) = delete;
+  FaultProxy& operator=(const FaultProxy&) = delete;
+
+  const Address& address() const { return address_; }
+  void SetMode(Mode mode, absl::Duration delay = absl::Milliseconds(200));
+
+ private:
+  friend class ProxiedConnection;
+  void Accept();
+
+  boost::asio::io_context& loop_;
+  const Address target_;
+  boost::asio::ip::tcp::acceptor acceptor_;
+  Address address_;
+  Mode mode_ = Mode::kPass;
+  absl::Duration delay_;
+  std::set<std::shared_ptr<ProxiedConnection>> open_;
+};
+
+}  // namespace keelbridge::testing
+
+#endif  // KEELBRIDGE_TESTING_FAKES_FAULT_PROXY_H_
--- a/testing/fakes/site_platform.cc
+++ b/testing/fakes/site_platform.cc
@@ -351,6 +351,17 @@
   });
 }
 
+void SitePlatform::UseWorkerProxies() {
+  for (Slot& slot : slots_) {
+    slot.proxy = std::make_unique<FaultProxy>(loop_, slot.address);
+    slot.address = slot.proxy->address();
+  }
+}
+
+void SitePlatform::SetWorkerProxy(int index, FaultProxy::Mode mode) {
+  slots_[static_cast<size_t>(index)].proxy->SetMode(mode);
+}
+
 void SitePlatform::CrashWorker(int index, absl::Duration down) {
   Slot& slot = slots_[static_cast<size_t>(index)];
   if (!slot.life->alive()) return;
--- a/testing/fakes/site_platform.h
+++ b/testing/fakes/site_platform.h
@@ -21,6 +21,7 @@
 #include <vector>
 
 #include "keelbridge/transport/event_http_server.h"
+#include "testing/fakes/fault_proxy.h"
 #include "testing/fakes/site_store.h"
 #include "testing/fakes/site_worker.h"
 
@@ -49,6 +50,9 @@
   SiteStore& store() { return store_; }
   void PublishConfiguration(int64_t version);
 
+  // Puts a proxy before each worker. Call before the first record is read.
+  void UseWorkerProxies();
+  void SetWorkerProxy(int index, FaultProxy::Mode mode);
   void CrashWorker(int index, absl::Duration down);
   // Lost: the worker carries orders out and does not answer.
   void SetLostOrders(double share) { lost_orders_ = share; }
@@ -61,7 +65,8 @@
   struct Slot {
     std::unique_ptr<SiteWorker> life;
     std::unique_ptr<EventHttpServer> server;
-    Address address;
+    Address address;  // That its record tells.
+    std::unique_ptr<FaultProxy> proxy;
     int lives = 0;
   };
   struct Look {
--- /dev/null
+++ b/testing/soak_main.cc
@@ -0,0 +1,45 @@
+// keelbridge-soak: soaks of a site by hand, one seed after another.
+//
+//   build/keelbridge-soak --first=1 --seeds=50 --length=15s
+
+#include <iostream>
+
+#include "absl/flags/flag.h"
+#include "absl/flags/parse.h"
+#include "testing/support/site_soak.h"
+
+ABSL_FLAG(uint64_t, first, 1, "first seed");
+ABSL_FLAG(uint64_t, seeds, 10, "how many seeds");
+ABSL_FLAG(absl::Duration, length, absl::Seconds(15), "faults for so long");
+ABSL_FLAG(int, nodes, 4, "nodes");
+ABSL_FLAG(int, workers, 6, "workers");
+ABSL_FLAG(int, faults, 6, "faults at most");
+
+int main(int argc, char** argv) {
+  absl::ParseCommandLine(argc, argv);
+  const uint64_t first = absl::GetFlag(FLAGS_first);
+  const uint64_t last = first + absl::GetFlag(FLAGS_seeds);
+  int failed = 0;
+  for (uint64_t seed = first; seed < last; ++seed) {
+    keelbridge::testing::SoakOptions options;
+    options.seed = seed;
+    options.length = absl::GetFlag(FLAGS_length);
+    options.nodes = absl::GetFlag(FLAGS_nodes);
+    options.workers = absl::GetFlag(FLAGS_workers);
+    options.faults_at_most = absl::GetFlag(FLAGS_faults);
+    const auto report = keelbridge::testing::RunSiteSoak(options);
+    std::cout << "seed " << seed << ": " << report.faults.size() << " faults, "
+              << report.accepted << " accepted, " << report.refused
+              << " refused, " << report.unknown << " unknown, " << report.runs
+              << " runs, " << report.happened.size() << " troubles\n";
+    if (report.faults.empty()) continue;
+    ++failed;
+    std::cout << "  logs: " << report.logs << "\n";
+    for (const std::string& what : report.happened)
+      std::cout << "  " << what << "\n";
+    for (const std::string& fault : report.faults)
+      std::cout << "  " << fault << "\n";
+  }
+  std::cout << failed << " of " << last - first << " seeds failed\n";
+  return failed == 0 ? 0 : 1;
+}
--- a/testing/support/site_cell.cc
+++ b/testing/support/site_cell.cc
@@ -58,6 +58,10 @@
   directory_ = ::mkdtemp(path);
   platform_ = std::make_unique<SitePlatform>(loop_, options_.platform);
   platform_->PublishConfiguration(1);
+  for (int i = 0; options_.proxies && i < options_.nodes; ++i)
+    store_proxies_.push_back(
+        std::make_unique<FaultProxy>(loop_, platform_->store_address()));
+  if (options_.proxies) platform_->UseWorkerProxies();
   thread_ = std::thread([this] { loop_.run(); });
   const int peer_port = FreePort("127.0.0.10");
   for (int i = 0; i < options_.nodes; ++i) {
@@ -76,7 +80,10 @@
 SiteCell::~SiteCell() {
   nodes_.clear();
   for (const int pipe : pipes_) ::close(pipe);
-  WithPlatform([this](SitePlatform&) { platform_.reset(); });
+  WithPlatform([this](SitePlatform&) {
+    store_proxies_.clear();
+    platform_.reset();
+  });
   work_.reset();
   loop_.stop();
   thread_.join();
@@ -91,7 +98,9 @@
   settings["ready_listen"] = node.ready_address;
   settings["peer_listen"] = node.peer_address;
   settings["metrics_listen"] = node.metrics_address;
-  settings["store"] = platform_->store_address().ToString();
+  const Address store = options_.proxies ? store_proxies_[At(index)]->address()
+                                         : platform_->store_address();
+  settings["store"] = store.ToString();
   settings["advice"] = platform_->advice_address().ToString();
   settings["seeds"].append("127.0.0.10:1");
   settings["stop_grace_s"] = 6;
@@ -204,6 +213,16 @@
   return false;
 }
 
+void SiteCell::SetStoreProxy(int node, FaultProxy::Mode mode) {
+  WithPlatform(
+      [&](SitePlatform&) { store_proxies_[At(node)]->SetMode(mode); });
+}
+
+void SiteCell::SetWorkerProxy(int worker, FaultProxy::Mode mode) {
+  WithPlatform(
+      [&](SitePlatform& platform) { platform.SetWorkerProxy(worker, mode); });
+}
+
 void SiteCell::WithPlatform(const std::function<void(SitePlatform&)>& step) {
   std::promise<void> done;
   boost::asio::post(loop_, [&] {
--- a/testing/support/site_cell.h
+++ b/testing/support/site_cell.h
@@ -18,6 +18,7 @@
 #include <vector>
 
 #include "keelbridge/transport/http_client.h"
+#include "testing/fakes/fault_proxy.h"
 #include "testing/fakes/site_platform.h"
 #include "testing/support/child_process.h"
 
@@ -27,6 +28,7 @@
  public:
   struct Options {
     int nodes = 3;
+    bool proxies = false;  // Before the store of each node, and each worker.
     bool blocked_logs = false;  // Nobody reads what the nodes write.
     SitePlatform::Options platform;
   };
@@ -59,6 +61,10 @@
   HttpOutcome Raw(int index, const HttpRequest& request,
                   absl::Duration timeout = absl::Seconds(3));
 
+  // With `proxies`: harms what passes.
+  void SetStoreProxy(int node, FaultProxy::Mode mode);
+  void SetWorkerProxy(int worker, FaultProxy::Mode mode);
+
   // Runs `step` on the platform's thread and waits for it.
   void WithPlatform(const std::function<void(SitePlatform&)>& step);
   std::vector<std::string> Faults();
@@ -88,6 +94,7 @@
       work_;
   std::unique_ptr<SitePlatform> platform_;
   std::thread thread_;
+  std::vector<std::unique_ptr<FaultProxy>> store_proxies_;  // By node.
   std::vector<Node> nodes_;
   std::vector<int> pipes_;  // Held open, never read.
 };
