--- a/keelbridge/coordination/job_scheduler_test.cc
+++ b/keelbridge/coordination/job_scheduler_test.cc
@@ -5,7 +5,9 @@
 
 #include <doctest/doctest.h>
 
+#include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -46,6 +48,28 @@
     scheduler_.Load(std::move(jobs), {}, now());
   }
 
+  // Tasks need a ticket; the workers in `good` get one.
+  void UseAdvice() {
+    auto configuration = std::make_shared<SiteConfiguration>();
+    configuration->version = 2;
+    Queue queue;
+    queue.name = "restore";
+    queue.pool = "pool";
+    queue.most_attempts = 2;
+    queue.advice = {true, 500, 8, 1500};
+    configuration->queues.push_back(queue);
+    queue.name = "plain";
+    queue.advice = AdviceTerms();
+    configuration->queues.push_back(queue);
+    scheduler_.SetConfiguration(configuration);
+    scheduler_.SetAdvisers({"n"}, "n");
+  }
+
+  void AnswerHeldAdvice() {
+    for (const AskAdviceAction& ask : std::exchange(held_, {}))
+      AnswerAdvice(ask);
+  }
+
   void AddWorker(const std::string& id, int32_t cpu_milli = 8000) {
     WorkerRecord record;
     record.id = id;
@@ -70,10 +94,21 @@
   }
 
   std::map<std::string, ObserveReply> lists;  // Workers in it answer.
+  std::set<std::string> good;
+  bool hold_advice = false;
   std::vector<StartOrder> starts;
   std::vector<std::string> start_workers;
 
  private:
+  void AnswerAdvice(const AskAdviceAction& ask) {
+    AdviceReply reply;
+    reply.answered = true;
+    for (const std::string& worker : ask.request.workers) {
+      if (good.count(worker) > 0) reply.good.push_back({worker, "t"});
+    }
+    scheduler_.OnAdvice(ask, reply, now());
+  }
+
   void Answer(const Action& action) {
     if (const auto* look = std::get_if<ObserveAction>(&action)) {
       const auto list = lists.find(look->worker.id);
@@ -85,6 +120,11 @@
       }
       scheduler_.OnObserveReply(*look, reply, now_ - absl::Milliseconds(1),
                                 now());
+    } else if (const auto* ask = std::get_if<AskAdviceAction>(&action)) {
+      if (hold_advice)
+        held_.push_back(*ask);
+      else
+        AnswerAdvice(*ask);
     } else if (const auto* start = std::get_if<StartAction>(&action)) {
       starts.push_back(start->order);
       start_workers.push_back(start->worker.id);
@@ -96,6 +136,7 @@
     }
   }
 
+  std::vector<AskAdviceAction> held_;
   absl::Time now_ = kBegin;
   JobScheduler scheduler_;
 };
@@ -203,6 +244,36 @@
   CHECK(site.starts.size() == 1);
 }
 
+TEST_CASE(
+    "job scheduler: a gang whose good workers are full asks about others") {
+  Driver site(1);
+  site.UseAdvice();
+  for (const char* id : {"a", "b", "c", "d", "e", "f", "g", "h", "i", "z"}) {
+    site.AddWorker(id);
+    site.lists[id];
+  }
+  site.good = {"a", "b", "z"};
+  site.RunUntil(absl::Milliseconds(100));
+  JobSpec gang;
+  gang.steps.push_back(OneTask(8000));
+  gang.steps[0].gang = true;
+  JobSpec filler;
+  filler.steps.push_back(OneTask(8000));
+  // While the answer is on its way, others take both workers that it will name.
+  site.hold_advice = true;
+  site.scheduler().Submit(1, "restore", gang, site.now());
+  site.RunUntil(absl::Milliseconds(200));
+  site.scheduler().Submit(2, "plain", filler, site.now());
+  site.scheduler().Submit(3, "plain", filler, site.now());
+  site.RunUntil(absl::Milliseconds(400));
+  REQUIRE(site.start_workers == std::vector<std::string>{"a", "b"});
+  site.hold_advice = false;
+  site.AnswerHeldAdvice();
+  site.RunUntil(absl::Seconds(4));
+  REQUIRE(site.starts.size() == 3);
+  CHECK(site.start_workers[2] == "z");
+}
+
 TEST_CASE("job scheduler: a suspended leader starts nothing") {
   Driver site(1);
   site.AddWorker("a");
--- a/testing/support/site_cell.cc
+++ b/testing/support/site_cell.cc
@@ -80,13 +80,11 @@
 SiteCell::~SiteCell() {
   nodes_.clear();
   for (const int pipe : pipes_) ::close(pipe);
-  WithPlatform([this](SitePlatform&) {
-    store_proxies_.clear();
-    platform_.reset();
-  });
-  work_.reset();
+  // The loop first: what waits in it refers to the platform.
   loop_.stop();
   thread_.join();
+  store_proxies_.clear();
+  platform_.reset();
 }
 
 void SiteCell::WriteSettings(int index) {
@@ -120,8 +118,8 @@
 
 bool SiteCell::Ready(int index) {
   const HttpOutcome outcome =
-      CallAddress(nodes_[At(index)].ready_address, {"GET", "/ready", {}, "", ""},
-                  absl::Milliseconds(500));
+      CallAddress(nodes_[At(index)].ready_address,
+                  {"GET", "/ready", {}, "", ""}, absl::Milliseconds(500));
   return outcome.response && outcome.response->status == 200;
 }
 
@@ -214,8 +212,7 @@
 }
 
 void SiteCell::SetStoreProxy(int node, FaultProxy::Mode mode) {
-  WithPlatform(
-      [&](SitePlatform&) { store_proxies_[At(node)]->SetMode(mode); });
+  WithPlatform([&](SitePlatform&) { store_proxies_[At(node)]->SetMode(mode); });
 }
 
 void SiteCell::SetWorkerProxy(int worker, FaultProxy::Mode mode) {
@@ -246,19 +243,19 @@
 
 std::string SiteCell::OneStep(int tasks, int work_ms, int cpu) {
   const std::string plan =
-      absl::StrCat("[{\\\"cpu\\\":", cpu, ",\\\"memory\\\":1024,\\\"work_ms\\\":",
-                   work_ms, "}]");
-  return absl::StrCat("{\"taskSpec\":\"", plan, "\",\"steps\":[{\"count\":",
-                      tasks, ",\"cpu\":", cpu,
+      absl::StrCat("[{\\\"cpu\\\":", cpu,
+                   ",\\\"memory\\\":1024,\\\"work_ms\\\":", work_ms, "}]");
+  return absl::StrCat("{\"taskSpec\":\"", plan,
+                      "\",\"steps\":[{\"count\":", tasks, ",\"cpu\":", cpu,
                       ",\"memoryRequestMb\":1024,\"estimatedMs\":", work_ms,
                       "}]}");
 }
 
 std::string SiteCell::GangThenOne(int members) {
   const std::string plan = absl::StrCat(
-      "[{\\\"cpu\\\":3000,\\\"memory\\\":1024,\\\"work_ms\\\":400,\\\"gang\\\":",
-      members,
-      "},{\\\"cpu\\\":1000,\\\"memory\\\":512,\\\"work_ms\\\":200}]");
+      "[{\\\"cpu\\\":3000,\\\"memory\\\":1024,\\\"work_ms\\\":400,"
+      "\\\"gang\\\":",
+      members, "},{\\\"cpu\\\":1000,\\\"memory\\\":512,\\\"work_ms\\\":200}]");
   return absl::StrCat(
       "{\"taskSpec\":\"", plan, "\",\"steps\":[{\"count\":", members,
       ",\"cpu\":3000,\"memoryRequestMb\":1024,\"estimatedMs\":400,\"gang\":"
