--- a/keelbridge/daemon/site_node_peers.cc
+++ b/keelbridge/daemon/site_node_peers.cc
@@ -26,7 +26,7 @@
 
 void SiteNode::AddPeerMethods() {
   peer_server_.Add("heartbeat", [this](const Json::Value& params,
-                                       EventRpcServer::Reply reply) {
+                                       const EventRpcServer::Reply& reply) {
     reply(Ok(AnswerHeartbeat(params)));
   });
   peer_server_.Add(
@@ -53,17 +53,17 @@
                                                   EventRpcServer::Reply reply) {
     carrier_.ServePeer(params, std::move(reply));
   });
-  peer_server_.Add(
-      "configuration", [this](const Json::Value&, EventRpcServer::Reply reply) {
-        if (configuration_ == nullptr)
-          return reply({Json::Value(), kBadCall, "no configuration"});
-        Json::Value out(Json::objectValue);
-        out["document"] = configuration_->document;
-        reply(Ok(out));
-      });
+  peer_server_.Add("configuration", [this](const Json::Value&,
+                                           const EventRpcServer::Reply& reply) {
+    if (configuration_ == nullptr)
+      return reply({Json::Value(), kBadCall, "no configuration"});
+    Json::Value out(Json::objectValue);
+    out["document"] = configuration_->document;
+    reply(Ok(out));
+  });
   // A node that leads tells one that led before, and asks whether it stopped.
   peer_server_.Add("leader_heard", [this](const Json::Value& params,
-                                          EventRpcServer::Reply reply) {
+                                          const EventRpcServer::Reply& reply) {
     election_.OnLeaderHeard(LeaderFromJson(params["leader"]), SystemNow().mono);
     Elect();
     Json::Value out(Json::objectValue);
@@ -72,7 +72,7 @@
   });
   // How long ago the leader answered this node, in milliseconds.
   peer_server_.Add("leader_age", [this](const Json::Value& params,
-                                        EventRpcServer::Reply reply) {
+                                        const EventRpcServer::Reply& reply) {
     Json::Value out(Json::objectValue);
     const bool same = params["epoch"].asInt64() == election_.leader().epoch;
     const bool leads = session_ != nullptr && session_->CanAccept();
@@ -85,7 +85,7 @@
     reply(Ok(out));
   });
   peer_server_.Add("take_over", [this](const Json::Value& params,
-                                       EventRpcServer::Reply reply) {
+                                       const EventRpcServer::Reply& reply) {
     if (params["epoch"].asInt64() == election_.leader().epoch && !draining_) {
       LogEvent(Severity::kInfo, "asked_to_take_over",
                {{"epoch", params["epoch"].asString()}});
--- a/keelbridge/daemon/store_failover.cc
+++ b/keelbridge/daemon/store_failover.cc
@@ -67,10 +67,11 @@
 void StoreFailover::Direct(const HttpRequest& request, absl::Duration timeout,
                            std::function<void(HttpOutcome)> done) {
   ++calls_;
-  store_.Send(request, timeout, [this, done](HttpOutcome outcome) {
-    failures_ = TurnedAway(outcome) ? failures_ + 1 : 0;
-    done(std::move(outcome));
-  });
+  store_.Send(request, timeout,
+              [this, done = std::move(done)](HttpOutcome outcome) {
+                failures_ = TurnedAway(outcome) ? failures_ + 1 : 0;
+                done(std::move(outcome));
+              });
 }
 
 void StoreFailover::Relay(const HttpRequest& request, absl::Duration timeout,
@@ -80,7 +81,7 @@
   Json::Value params = RequestToJson(request);
   params["timeout_ms"] = Json::Int64(absl::ToInt64Milliseconds(timeout));
   rpc_.Call(peer, kMethod, params, timeout + absl::Milliseconds(100),
-            [done](const RpcOutcome& outcome) {
+            [done = std::move(done)](const RpcOutcome& outcome) {
               HttpOutcome out;
               const int status =
                   outcome.answered ? outcome.result["status"].asInt() : 0;
--- a/keelbridge/transport/event_rpc.cc
+++ b/keelbridge/transport/event_rpc.cc
@@ -53,15 +53,16 @@
                             EventHttpServer::Reply reply) {
   const JsonDocument document = JsonDocument::Parse(request.body, "the call");
   const Json::Value& call = document.root();
-  const Json::Value id = call["id"];
+  const Json::Value& id = call["id"];
   if (!document.faults().empty() || !call["method"].isString())
     return reply(Frame(id, {Json::Value(), kInvalidRequest, "no call"}));
   const auto method = methods_.find(call["method"].asString());
   if (method == methods_.end())
     return reply(Frame(id, {Json::Value(), kMethodNotFound, "no such method"}));
-  method->second(call["params"], [id, reply](const JsonRpcReply& answer) {
-    reply(Frame(id, answer));
-  });
+  method->second(call["params"],
+                 [id, reply = std::move(reply)](const JsonRpcReply& answer) {
+                   reply(Frame(id, answer));
+                 });
 }
 
 void EventRpcClient::Call(const std::string& address, const std::string& method,
@@ -85,26 +86,27 @@
   request.method = "POST";
   request.path = "/rpc";
   request.body = ToJsonText(call);
-  peer->Send(std::move(request), timeout, [done](const HttpOutcome& outcome) {
-    RpcOutcome out;
-    if (!outcome.response) {
-      out.sent = outcome.failure == SendFailure::kMayHaveSent;
-      out.error = outcome.message;
-      out.refused = outcome.refused;
-      return done(std::move(out));
-    }
-    out.sent = true;
-    const JsonDocument document =
-        JsonDocument::Parse(outcome.response->body, "the answer");
-    const Json::Value& answer = document.root();
-    if (answer.isMember("result")) {
-      out.answered = true;
-      out.result = answer["result"];
-    } else {
-      out.error = answer["error"]["message"].asString();
-    }
-    done(std::move(out));
-  });
+  peer->Send(std::move(request), timeout,
+             [done = std::move(done)](const HttpOutcome& outcome) {
+               RpcOutcome out;
+               if (!outcome.response) {
+                 out.sent = outcome.failure == SendFailure::kMayHaveSent;
+                 out.error = outcome.message;
+                 out.refused = outcome.refused;
+                 return done(std::move(out));
+               }
+               out.sent = true;
+               const JsonDocument document =
+                   JsonDocument::Parse(outcome.response->body, "the answer");
+               const Json::Value& answer = document.root();
+               if (answer.isMember("result")) {
+                 out.answered = true;
+                 out.result = answer["result"];
+               } else {
+                 out.error = answer["error"]["message"].asString();
+               }
+               done(std::move(out));
+             });
 }
 
 }  // namespace keelbridge
--- a/testing/fakes/site_platform.cc
+++ b/testing/fakes/site_platform.cc
@@ -207,7 +207,7 @@
     Look look{index,
               {},
               now + absl::Milliseconds(body["waitMs"].asInt64()),
-              reply,
+              std::move(reply),
               life.record().id};
     look.order.fence = body["fencingToken"].asInt64();
     look.order.ends_noted = body["lastSeen"].asInt64();
--- a/testing/support/site_cell.cc
+++ b/testing/support/site_cell.cc
@@ -35,7 +35,10 @@
   sockaddr_in address{};
   address.sin_family = AF_INET;
   inet_pton(AF_INET, ip.c_str(), &address.sin_addr);
-  ::bind(fd, reinterpret_cast<sockaddr*>(&address), sizeof(address));
+  if (::bind(fd, reinterpret_cast<sockaddr*>(&address), sizeof(address)) != 0) {
+    ::close(fd);
+    return 0;
+  }
   socklen_t length = sizeof(address);
   ::getsockname(fd, reinterpret_cast<sockaddr*>(&address), &length);
   ::close(fd);
