--- a/keelbridge/coordination/site_election.cc
+++ b/keelbridge/coordination/site_election.cc
@@ -170,4 +170,12 @@
   return order;
 }
 
+AppendOrder SiteElection::Reaffirm() const {
+  AppendOrder order;
+  order.stream = Stream::kControl;
+  order.expected_end = control_end_;
+  order.records.push_back(ToRecord(leader_));
+  return order;
+}
+
 }  // namespace keelbridge
--- a/keelbridge/coordination/site_election.h
+++ b/keelbridge/coordination/site_election.h
@@ -12,6 +12,7 @@
 #ifndef KEELBRIDGE_COORDINATION_SITE_ELECTION_H_
 #define KEELBRIDGE_COORDINATION_SITE_ELECTION_H_
 
+#include <algorithm>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -79,6 +80,10 @@
   ElectionStep Decide(absl::Time now);
   // The append that claims the next epoch.
   AppendOrder Claim(int64_t wall_ms);
+  // Of a node that leads: says so again, so that a claim that is still on its
+  // way from before an outage finds the stream moved on and fails.
+  AppendOrder Reaffirm() const;
+  void OnReaffirmed(int64_t end) { control_end_ = std::max(control_end_, end); }
 
   const LeaderRecord& leader() const { return leader_; }
   bool Leads() const { return leads_; }
--- a/keelbridge/coordination/site_election_test.cc
+++ b/keelbridge/coordination/site_election_test.cc
@@ -92,7 +92,8 @@
   CHECK(a.leader().earlier.empty());  // Its own earlier life is over.
 }
 
-TEST_CASE("site election: earlier leaders not heard to have stopped are named") {
+TEST_CASE(
+    "site election: earlier leaders not heard to have stopped are named") {
   SiteElection c = Make("c", 9);
   LeaderRecord b = Leader(3, "b", 7);
   b.earlier.push_back({"a:1", 500});
@@ -119,6 +120,25 @@
   CHECK(a.Leads());
 }
 
+TEST_CASE(
+    "site election: a claim from before an outage fails once the leader "
+    "has said again that it leads") {
+  SiteElection b = Make("b", 5);
+  b.OnControlRead({ToRecord(Leader(1, "a", 1))}, 1, kBegin);
+  const AppendOrder late = b.Claim(5000);
+  SiteElection a = Make("a", 1);
+  a.OnControlRead({ToRecord(Leader(1, "a", 1))}, 1, kBegin);
+  const AppendOrder again = a.Reaffirm();
+  CHECK(again.expected_end == 1);
+  CHECK(LeaderFromRecord(again.records[0])->epoch == 1);
+  a.OnReaffirmed(2);
+  CHECK(late.expected_end == 1);  // The stream now ends at 2.
+  // Nobody takes the record for a new leader's.
+  b.OnControlRead(again.records, 2, kBegin);
+  CHECK(b.leader().epoch == 1);
+  CHECK_FALSE(b.Leads());
+}
+
 TEST_CASE("site election: a leader that hears of a later one does not lead") {
   SiteElection a = Make("a", 1);
   a.OnControlRead({ToRecord(Leader(1, "a", 1))}, 1, kBegin);
--- a/keelbridge/daemon/leader_session.cc
+++ b/keelbridge/daemon/leader_session.cc
@@ -19,6 +19,7 @@
 constexpr absl::Duration kRenewEvery = absl::Milliseconds(1500);
 constexpr absl::Duration kAppendTimeout = absl::Milliseconds(700);
 constexpr absl::Duration kRetryDelay = absl::Milliseconds(60);
+constexpr absl::Duration kLongestRetryDelay = absl::Milliseconds(200);
 constexpr absl::Duration kReadTimeout = absl::Milliseconds(1500);
 // New jobs are refused once appends have failed for this long.
 constexpr absl::Duration kFailingTolerated = absl::Milliseconds(400);
@@ -332,7 +333,16 @@
                {{"result", StoreResultName(reply.result)},
                 {"detail", reply.message}});
     }
-    return After(kRetryDelay, [self = shared_from_this()] {
+    LogEvent(Severity::kInfo, "append_not_done",
+             {{"result", StoreResultName(reply.result)},
+              {"detail", reply.message},
+              {"tries", absl::StrCat(flight_->tries)},
+              {"took_ms",
+               absl::StrCat(absl::ToInt64Milliseconds(now.mono - sent))}});
+    // Each call is priced, refused ones included: an outage is not hammered.
+    const absl::Duration pause =
+        std::min(kRetryDelay * flight_->tries, kLongestRetryDelay);
+    return After(pause, [self = shared_from_this()] {
       if (self->flight_) self->SendFlight();
     });
   }
@@ -342,6 +352,7 @@
         {{"after_ms",
           absl::StrCat(absl::ToInt64Milliseconds(now.mono - failing_since_))}});
     failing_since_ = absl::InfiniteFuture();
+    ++store_returns_;
   }
   last_append_sent_ = sent;
   stood_still_ = false;
--- a/keelbridge/daemon/leader_session.h
+++ b/keelbridge/daemon/leader_session.h
@@ -66,6 +66,8 @@
   void SetConfiguration(std::shared_ptr<const SiteConfiguration> configuration);
   void SetAdvisers(const std::vector<std::string>& nodes);
   void OnEarlierLeaderStopped(absl::Time since);
+  // How often the store came back after it was lost.
+  int64_t store_returns() const { return store_returns_; }
   // No batch is on its way and none waits.
   bool Flushed() const { return !flight_ && !scheduler_.HasBatch(); }
 
@@ -118,6 +120,7 @@
   absl::Time last_flush_ = absl::InfinitePast();
   absl::Time last_append_sent_ = absl::InfinitePast();  // Of a successful one.
   absl::Time failing_since_ = absl::InfiniteFuture();
+  int64_t store_returns_ = 0;
   std::multimap<int64_t, Waiter> waiters_;  // By batch.
 
   boost::asio::steady_timer tick_timer_;
--- a/keelbridge/daemon/site_node.h
+++ b/keelbridge/daemon/site_node.h
@@ -56,8 +56,10 @@
 
   // site_node.cc
   void Every(absl::Duration period, std::function<void()> step);
-  void ServeReady(const ServerRequest& request, const EventHttpServer::Reply& reply);
-  void ServeMetrics(const ServerRequest& request, const EventHttpServer::Reply& reply);
+  void ServeReady(const ServerRequest& request,
+                  const EventHttpServer::Reply& reply);
+  void ServeMetrics(const ServerRequest& request,
+                    const EventHttpServer::Reply& reply);
   bool Ready() const;
   void AddPeerMethods();
 
@@ -83,6 +85,7 @@
   void FollowControl();
   void AskPeersThenClaim();
   void Claim();
+  void Reaffirm();
   void BeginTerm();
   void OnTermEnded(const std::string& why);
   void AskEarlierLeaders();
@@ -117,6 +120,7 @@
   bool reading_control_ = false;
   bool following_control_ = false;
   bool claiming_ = false;
+  int64_t reaffirmed_returns_ = 0;  // Of the store, in this term.
   int64_t control_next_ = -1;
   bool heartbeat_under_way_ = false;
   int failed_heartbeats_ = 0;
--- a/keelbridge/daemon/site_node_leading.cc
+++ b/keelbridge/daemon/site_node_leading.cc
@@ -34,6 +34,7 @@
     return;
   }
   if (election_.Leads() && !serving) return BeginTerm();
+  if (serving && session_->store_returns() > reaffirmed_returns_) Reaffirm();
   switch (election_.Decide(now)) {
     case ElectionStep::kReadControl:
       return ReadControl();
@@ -146,8 +147,20 @@
                        });
 }
 
+void SiteNode::Reaffirm() {
+  reaffirmed_returns_ = session_->store_returns();
+  ports_.store->Append(election_.Reaffirm(), kReadTimeout,
+                       [this](const AppendReply& reply) {
+                         if (reply.result == StoreResult::kDone)
+                           election_.OnReaffirmed(reply.end);
+                         else if (reply.result == StoreResult::kConflict)
+                           ReadControl();
+                       });
+}
+
 void SiteNode::BeginTerm() {
   if (draining_) return;
+  reaffirmed_returns_ = 0;
   LeaderSession::Options options;
   options.node = settings_.name;
   options.scheduler.lease = settings_.lease;
