Traced calls leave a span a hop

Calls that carry traceparent are traced through the node that took them and the leader, into a file of the settings; never on standard output, which is for logs. Test: 'a traced call leaves a span a hop'.

--- a/cmd/keelbridge_node_main.cc
+++ b/cmd/keelbridge_node_main.cc
@@ -65,6 +65,7 @@
   }
   keelbridge::InitBoundedLogging("node", settings.value().name,
                                  settings.value().log_level);
+  keelbridge::InitTracing("node", settings.value().trace_file);
   boost::asio::io_context loop(1);
   boost::asio::signal_set stop(loop, SIGTERM, SIGINT);
   boost::asio::signal_set reload(loop, SIGHUP);
--- a/keelbridge/daemon/node_settings.cc
+++ b/keelbridge/daemon/node_settings.cc
@@ -34,6 +34,9 @@
   ReadAddress(reader, "metrics_listen", false, &out.metrics_listen);
   ReadAddress(reader, "store", true, &out.store);
   ReadAddress(reader, "advice", false, &out.advice);
+  reader.OptionalText("trace_file", &out.trace_file);
+  if (out.trace_file == "-")
+    reader.Fault("trace_file", "must be a file: standard output is for logs");
   if (reader.Has("seeds")) reader.Texts("seeds", &out.seeds);
   std::string level = "info";
   if (reader.Has("log_level"))
--- a/keelbridge/daemon/node_settings.h
+++ b/keelbridge/daemon/node_settings.h
@@ -26,7 +26,8 @@
   Address metrics_listen;          // Port 0: no metrics are served.
   std::vector<std::string> seeds;  // "ip:port" of nodes; only the ip is used.
   Address store;
-  Address advice;  // Port 0: there is none.
+  Address advice;          // Port 0: there is none.
+  std::string trace_file;  // Spans as OTLP/JSON lines; "": none.
   Severity log_level = Severity::kInfo;
   int64_t most_connections = 1500;  // Of clients.
 
--- a/keelbridge/daemon/site_node.h
+++ b/keelbridge/daemon/site_node.h
@@ -51,6 +51,7 @@
     absl::Time begun;
     absl::Time deadline;
     bool may_have_run = false;
+    std::string trace;  // W3C traceparent of this node's span; "": not traced.
     std::function<void(ClientReply)> reply;
   };
 
--- a/keelbridge/daemon/site_node_clients.cc
+++ b/keelbridge/daemon/site_node_clients.cc
@@ -8,6 +8,7 @@
 #include "keelbridge/base/logging.h"
 #include "keelbridge/daemon/node_messages.h"
 #include "keelbridge/daemon/site_node.h"
+#include "keelbridge/transport/trace.h"
 
 namespace keelbridge {
 namespace {
@@ -65,13 +66,24 @@
       std::min(kLongestForward,
                std::max(forward->call.remaining - kAnswerMargin, kTryPause));
   const ClientCallKind kind = forward->call.kind;
-  forward->reply = [this, kind, job = forward->call.job,
+  // Callers choose which of their calls are traced: a span a hop.
+  std::shared_ptr<Span> span;
+  const TraceContext parent =
+      TraceContext::Parse(FindHeader(request.headers, "traceparent"));
+  if (parent.valid()) {
+    span = std::make_shared<Span>("node.call", parent);
+    span->Set("kind", KindName(kind));
+    span->Set("job", JobIdText(forward->call.job));
+    forward->trace = span->context().ToHeader();
+  }
+  forward->reply = [this, kind, span, job = forward->call.job,
                     begun = forward->begun,
                     reply = std::move(reply)](const ClientReply& answer) {
     const absl::Duration took = SystemNow().mono - begun;
     metrics_.Observe("call_seconds", {{"kind", KindName(kind)}},
                      absl::ToDoubleSeconds(took));
     ServerResponse response = ports_.dialect->FormatReply(answer);
+    if (span != nullptr) span->Set("status", absl::StrCat(response.status));
     // Looks at a state change nothing; only those that fail are told of.
     const bool telling = kind == ClientCallKind::kSubmit ||
                          kind == ClientCallKind::kCancel ||
@@ -116,7 +128,9 @@
   const LeaderRecord& leader = election_.leader();
   if (leader.epoch == 0 || leader.address == settings_.peer_listen.ToString())
     return TryAgain(forward);
-  rpc_.Call(leader.address, "call", ToJson(forward->call),
+  Json::Value params = ToJson(forward->call);
+  if (!forward->trace.empty()) params["traceparent"] = forward->trace;
+  rpc_.Call(leader.address, "call", params,
             std::min(kTryTimeout, forward->deadline - now),
             [this, forward, answered](const RpcOutcome& outcome) {
               if (!forward->reply) return;
--- a/keelbridge/daemon/site_node_peers.cc
+++ b/keelbridge/daemon/site_node_peers.cc
@@ -9,6 +9,7 @@
 #include "keelbridge/base/logging.h"
 #include "keelbridge/daemon/node_messages.h"
 #include "keelbridge/daemon/site_node.h"
+#include "keelbridge/transport/trace.h"
 
 namespace keelbridge {
 namespace {
@@ -36,10 +37,16 @@
           out["not_leader"] = true;
           return reply(Ok(out));
         }
-        session_->Handle(ClientCallFromJson(params),
-                         [reply = std::move(reply)](const ClientReply& answer) {
-                           reply(Ok(ToJson(answer)));
-                         });
+        std::shared_ptr<Span> span;
+        const TraceContext parent =
+            TraceContext::Parse(params["traceparent"].asString());
+        if (parent.valid())
+          span = std::make_shared<Span>("leader.call", parent);
+        session_->Handle(
+            ClientCallFromJson(params),
+            [span, reply = std::move(reply)](const ClientReply& answer) {
+              reply(Ok(ToJson(answer)));
+            });
       });
   peer_server_.Add("advise", [this](const Json::Value& params,
                                     EventRpcServer::Reply reply) {
--- a/testing/site_process_test.cc
+++ b/testing/site_process_test.cc
@@ -11,6 +11,7 @@
 #include "absl/strings/str_join.h"
 #include "absl/time/clock.h"
 #include "testing/support/site_cell.h"
+#include "testing/support/small_cell.h"
 
 namespace keelbridge::testing {
 namespace {
@@ -46,8 +47,7 @@
 TEST_CASE("site processes: bad settings are named, and nothing starts") {
   const std::string path = "/tmp/keelbridge-bad-settings.json";
   std::ofstream(path) << "{\"name\": \"n\", \"store\": \"nowhere\"}";
-  ChildProcess node("keelbridge-node", {"--settings=" + path},
-                    path + ".log");
+  ChildProcess node("keelbridge-node", {"--settings=" + path}, path + ".log");
   CHECK(node.Wait() == 2);
   std::ifstream log(path + ".log");
   const std::string text((std::istreambuf_iterator<char>(log)),
@@ -71,8 +71,10 @@
   HttpRequest bad_id{
       "GET", absl::StrCat(kSitePrefix, "zz"), {{"Host", kSiteHost}}, "", ""};
   CHECK(StatusOf(cell.Raw(0, bad_id)) == 400);
-  HttpRequest large{"POST", absl::StrCat(kSitePrefix, "0000000000000005"),
-                    {{"Host", kSiteHost}}, std::string(1 << 20, 'x'),
+  HttpRequest large{"POST",
+                    absl::StrCat(kSitePrefix, "0000000000000005"),
+                    {{"Host", kSiteHost}},
+                    std::string(1 << 20, 'x'),
                     "application/json"};
   const int status = StatusOf(cell.Raw(0, large));
   CHECK((status == 413 || status == 0));
@@ -80,6 +82,31 @@
   CHECK(StatusOf(cell.Call(0, "GET", 5)) == 410);
 }
 
+TEST_CASE("site processes: a traced call leaves a span a hop") {
+  SiteCell cell({});
+  REQUIRE(cell.AwaitReady(3));
+  const int follower = cell.Leader() == 0 ? 1 : 0;
+  const std::string trace = "0af7651916cd43dd8448eb211c80319c";
+  HttpRequest request{
+      "POST",
+      absl::StrCat(kSitePrefix, "00000000000000aa"),
+      {{"Host", kSiteHost},
+       {"traceparent", absl::StrCat("00-", trace, "-b7ad6b7169203331-01")}},
+      SiteCell::OneStep(1, 100),
+      "application/json"};
+  REQUIRE(StatusOf(cell.Raw(follower, request)) == 200);
+  const auto spans = [&](int node) {
+    std::ifstream in(cell.directory() + absl::StrCat("/node-", node, ".spans"));
+    return std::string((std::istreambuf_iterator<char>(in)),
+                       std::istreambuf_iterator<char>());
+  };
+  CHECK(Eventually([&] {
+    return absl::StrContains(spans(follower), trace) &&
+           absl::StrContains(spans(follower), "node.call") &&
+           absl::StrContains(spans(cell.Leader()), "leader.call");
+  }));
+}
+
 TEST_CASE("site processes: a cancelled job stops and is told so") {
   SiteCell cell({});
   REQUIRE(cell.AwaitReady(3));
@@ -96,8 +123,9 @@
   CHECK(running == 0);
 }
 
-TEST_CASE("site processes: the leader is killed; nothing runs twice, nothing "
-          "is lost") {
+TEST_CASE(
+    "site processes: the leader is killed; nothing runs twice, nothing "
+    "is lost") {
   SiteCell cell({});
   REQUIRE(cell.AwaitReady(3));
   for (uint64_t job = 1; job <= 6; ++job)
--- a/testing/support/site_cell.cc
+++ b/testing/support/site_cell.cc
@@ -104,6 +104,7 @@
   settings["store"] = store.ToString();
   settings["advice"] = platform_->advice_address().ToString();
   settings["seeds"].append("127.0.0.10:1");
+  settings["trace_file"] = absl::StrCat(directory_, "/node-", index, ".spans");
   settings["stop_grace_s"] = 6;
   std::ofstream(node.settings_path) << ToJsonText(settings);
 }
