A worker with any run of unknown size gets nothing

Ruled out: orders carried out late, the earlier leader's orders (fenced 0.37 s before). Test: 'runs of unknown size keep all room until the last has ended' failed before (2 starts) and passes.

--- a/keelbridge/coordination/job_scheduler.h
+++ b/keelbridge/coordination/job_scheduler.h
@@ -171,7 +171,8 @@
   // One run that takes room on a worker.
   struct Occupant {
     Resources need;
-    bool foreign = false;  // Not a run that this leader wants there.
+    bool foreign = false;       // Not a run that this leader wants there.
+    bool unknown_size = false;  // Its job's description is gone.
     absl::Time start_answered = absl::InfiniteFuture();
     absl::Time placed;
     absl::Time stop_sent = absl::InfinitePast();
@@ -188,7 +189,8 @@
     int64_t known_at_batch = 0;  // The batch that tells later leaders of it.
     Resources free;
     std::map<RunKey, Occupant> occupants;
-    bool listed = false;  // Its lists were taken under this leader's fence.
+    int unknown_sizes = 0;  // Occupants of unknown size: nothing else starts.
+    bool listed = false;    // Its lists were taken under this leader's fence.
     bool record_removed = false;
     bool observing = false;
     absl::Time next_observe = absl::InfinitePast();
--- a/keelbridge/coordination/job_scheduler_placement.cc
+++ b/keelbridge/coordination/job_scheduler_placement.cc
@@ -179,6 +179,7 @@
   if (!worker.listed || worker.record.draining || worker.record_removed ||
       worker.known_at_batch > durable_batch_)
     return false;
+  if (worker.unknown_sizes > 0) return false;
   if (worker.suspect_until > now.mono || !Reachable(worker, now)) return false;
   if (worker.reserved_by != nullptr && worker.reserved_by != ready.state)
     return false;
--- a/keelbridge/coordination/job_scheduler_test.cc
+++ b/keelbridge/coordination/job_scheduler_test.cc
@@ -274,6 +274,33 @@
   CHECK(site.start_workers[2] == "z");
 }
 
+TEST_CASE(
+    "job scheduler: runs of unknown size keep all room until the last has "
+    "ended") {
+  Driver site(2);
+  JobTable jobs;
+  auto ended = std::make_unique<Job>(5, "restore", JobSpec(), 0);
+  ended->end = JobState::kCancelled;
+  jobs.emplace(5, std::move(ended));
+  site.scheduler().Load(std::move(jobs), {}, site.now());
+  site.AddWorker("a");
+  site.lists["a"].running = {{{5, 0, 0, 0}, 1, "", 0},
+                             {{5, 0, 0, 1}, 1, "", 0}};
+  site.RunUntil(absl::Milliseconds(100));
+  JobSpec spec;
+  spec.steps.push_back(OneTask(6000));
+  site.scheduler().Submit(9, "restore", spec, site.now());
+  site.RunUntil(absl::Milliseconds(200));
+  site.lists["a"].running.erase(site.lists["a"].running.begin());
+  site.lists["a"].ended = {{1, {5, 0, 0, 0}, 1, RunEnd::kStopped, ""}};
+  site.RunUntil(absl::Milliseconds(400));
+  CHECK(site.starts.empty());
+  site.lists["a"].running.clear();
+  site.lists["a"].ended.push_back({2, {5, 0, 0, 1}, 1, RunEnd::kStopped, ""});
+  site.RunUntil(absl::Milliseconds(600));
+  CHECK(site.starts.size() == 1);
+}
+
 TEST_CASE("job scheduler: a suspended leader starts nothing") {
   Driver site(1);
   site.AddWorker("a");
--- a/keelbridge/coordination/job_scheduler_workers.cc
+++ b/keelbridge/coordination/job_scheduler_workers.cc
@@ -112,6 +112,7 @@
   const auto it = worker.occupants.find(key);
   if (it == worker.occupants.end()) return;
   worker.free += it->second.need;
+  if (it->second.unknown_size) --worker.unknown_sizes;
   worker.occupants.erase(it);
   placement_wanted_ = true;
 }
@@ -138,6 +139,7 @@
           Severity::kWarning);
   const auto occupants = std::move(worker.occupants);
   worker.occupants.clear();
+  worker.unknown_sizes = 0;
   for (const auto& [key, occupant] : occupants) {
     worker.free += occupant.need;
     Requeue(key.first, key.second, worker.record.id, now.mono);
@@ -400,15 +402,16 @@
     }
     return;
   }
-  // What a run of a job takes whose description is gone is not known: nothing
-  // else starts there until it has ended.
-  Resources need = worker.free;
+  // What a run takes whose job's description is gone is not known.
   const bool described =
       job != nullptr &&
       static_cast<size_t>(running.task.step) < job->spec.steps.size();
-  if (described)
-    need = job->spec.steps[static_cast<size_t>(running.task.step)].need;
+  const Resources need =
+      described ? job->spec.steps[static_cast<size_t>(running.task.step)].need
+                : Resources();
   Occupant& added = Occupy(worker, running.task, running.run, need, now);
+  added.unknown_size = !described;
+  if (!described) ++worker.unknown_sizes;
   added.start_answered = now.mono;
   added.percent = running.percent;
   const bool wanted = task != nullptr && !job->Ended() &&
