--- a/keelbridge/daemon/leader_session.cc
+++ b/keelbridge/daemon/leader_session.cc
@@ -18,6 +18,12 @@
 // With nothing to write, an empty append shows that this leader still leads.
 constexpr absl::Duration kRenewEvery = absl::Milliseconds(1500);
 constexpr absl::Duration kAppendTimeout = absl::Milliseconds(700);
+// An answer that takes this many times as long as answers lately did is taken
+// for lost; each further try of the same append waits twice as long. A try that
+// lands twice changes nothing.
+constexpr double kLateAnswerFactor = 8;
+constexpr absl::Duration kShortestAppendTimeout = absl::Milliseconds(120);
+constexpr double kLatencyWeight = 0.2;  // Of a new answer.
 constexpr absl::Duration kRetryDelay = absl::Milliseconds(60);
 constexpr absl::Duration kLongestRetryDelay = absl::Milliseconds(200);
 constexpr absl::Duration kReadTimeout = absl::Milliseconds(1500);
@@ -305,6 +311,13 @@
   SendFlight();
 }
 
+absl::Duration LeaderSession::AppendTimeout(int tries) const {
+  const absl::Duration first =
+      std::max(append_latency_ * kLateAnswerFactor, kShortestAppendTimeout);
+  const double longer = static_cast<double>(1 << std::min(tries - 1, 4));
+  return std::min(first * longer, kAppendTimeout);
+}
+
 void LeaderSession::SendFlight() {
   ++flight_->tries;
   AppendOrder order;
@@ -313,7 +326,7 @@
   order.writer = WriterEpoch{kWriter, epoch_, flight_->sequence};
   const absl::Time sent = SystemNow().mono;
   ports_.store->Append(
-      order, kAppendTimeout,
+      order, AppendTimeout(flight_->tries),
       [self = shared_from_this(), sent](const AppendReply& reply) {
         if (!self->ended()) self->OnAppended(reply, sent);
       });
@@ -354,6 +367,7 @@
     failing_since_ = absl::InfiniteFuture();
     ++store_returns_;
   }
+  append_latency_ += kLatencyWeight * (now.mono - sent - append_latency_);
   last_append_sent_ = sent;
   stood_still_ = false;
   metrics_.Observe("append_seconds", {},
--- a/keelbridge/daemon/leader_session.h
+++ b/keelbridge/daemon/leader_session.h
@@ -92,6 +92,7 @@
   void PumpSoon();
   void CarryOut(const std::vector<Action>& actions);
   void MaybeFlush();
+  absl::Duration AppendTimeout(int tries) const;
   void SendFlight();
   void OnAppended(const AppendReply& reply, absl::Time sent);
   void PollWorkers();
@@ -119,6 +120,7 @@
   int64_t next_sequence_ = 1;
   absl::Time last_flush_ = absl::InfinitePast();
   absl::Time last_append_sent_ = absl::InfinitePast();  // Of a successful one.
+  absl::Duration append_latency_ = absl::Milliseconds(10);  // Smoothed.
   absl::Time failing_since_ = absl::InfiniteFuture();
   int64_t store_returns_ = 0;
   std::multimap<int64_t, Waiter> waiters_;  // By batch.
--- a/testing/fakes/site_platform.cc
+++ b/testing/fakes/site_platform.cc
@@ -181,7 +181,10 @@
                                 EventHttpServer::Reply reply) {
   Slot& slot = slots_[static_cast<size_t>(index)];
   SiteWorker& life = *slot.life;
-  if (!life.alive()) return;  // Silence.
+  if (!life.alive()) {
+    unanswered_.push_back(std::move(reply));
+    return;
+  }
   const std::string expected = FindHeader(request.headers, kLifeHeader);
   if (!expected.empty() && expected != life.record().id)
     return reply(Answer(421, Json::Value(Json::objectValue)));
@@ -219,7 +222,10 @@
   } else {
     answer = Answer(404, Json::Value(Json::objectValue));
   }
-  if (!lost) reply(answer);
+  if (lost)
+    unanswered_.push_back(std::move(reply));
+  else
+    reply(answer);
 }
 
 void SitePlatform::AnswerLook(const Look& look) {
@@ -315,7 +321,10 @@
   std::vector<Look> kept;
   for (Look& look : looks_) {
     SiteWorker& life = *slots_[static_cast<size_t>(look.slot)].life;
-    if (!life.alive() || life.record().id != look.life) continue;
+    if (!life.alive() || life.record().id != look.life) {
+      unanswered_.push_back(std::move(look.reply));
+      continue;
+    }
     const bool due = now >= look.deadline || !life.unnoted().empty();
     if (due)
       AnswerLook(look);
--- a/testing/fakes/site_platform.h
+++ b/testing/fakes/site_platform.h
@@ -1,5 +1,6 @@
 // A stand-in for the whole of the users' platform on loopback: its store, its
-// workers, its advice, on one event loop, with faults and a journal of what ran.
+// workers, its advice, on one event loop, with faults and a journal of what
+// ran.
 //
 // Tasks say in their job's payload what they do: a JSON list with an object a
 // step, of cpu, memory, work_ms, gang (members) and fails (a share).
@@ -98,6 +99,8 @@
   Address store_address_;
   Address advice_address_;
   std::vector<Slot> slots_;
+  // Orders that get no answer: their connections stay open and say nothing.
+  std::vector<EventHttpServer::Reply> unanswered_;
   std::vector<Look> looks_;
   boost::asio::steady_timer timer_;
   int ticks_ = 0;
--- a/testing/fakes/site_store.cc
+++ b/testing/fakes/site_store.cc
@@ -70,21 +70,31 @@
 
 void SiteStore::Handle(const ServerRequest& request,
                        EventHttpServer::Reply reply) {
-  if (faults_.silent) return;
+  if (faults_.silent) {
+    unanswered_.push_back(std::move(reply));
+    return;
+  }
   auto timer = std::make_shared<boost::asio::steady_timer>(
       loop_, absl::ToChronoNanoseconds(faults_.delay));
   timer->async_wait([this, timer, request, reply = std::move(reply)](
                         boost::system::error_code error) {
-    if (error || faults_.silent) return;
+    if (error) return;
+    if (faults_.silent) {
+      unanswered_.push_back(reply);
+      return;
+    }
     if (faults_.down) return reply(Answer(503, Json::Value(Json::objectValue)));
     if (request.path == "/log-read") return Read(request, reply);
     if (request.path == "/log-newest") return reply(Newest(request));
     if (request.path != "/log-append")
       return reply(Answer(404, Json::Value(Json::objectValue)));
     const ServerResponse answer = Append(request);
-    const bool lost = std::uniform_real_distribution<>(0, 1)(random_) <
-                      faults_.lost_answers;
-    if (!lost) reply(answer);
+    const bool lost =
+        std::uniform_real_distribution<>(0, 1)(random_) < faults_.lost_answers;
+    if (lost)
+      unanswered_.push_back(reply);
+    else
+      reply(answer);
   });
 }
 
--- a/testing/fakes/site_store.h
+++ b/testing/fakes/site_store.h
@@ -15,6 +15,7 @@
 #include <map>
 #include <random>
 #include <string>
+#include <vector>
 
 #include "absl/time/time.h"
 #include "keelbridge/transport/event_http_server.h"
@@ -51,7 +52,7 @@
   };
   struct Writer {
     int64_t epoch = -1;
-    int64_t next = -1;  // The sequence wanted; -1: any.
+    int64_t next = -1;                       // The sequence wanted; -1: any.
     std::map<int64_t, std::string> answers;  // Of the last five.
   };
   struct Topic {
@@ -81,6 +82,8 @@
   std::mt19937_64 random_;
   Faults faults_;
   std::map<std::string, Topic> topics_;
+  // Calls that get no answer: their connections stay open and say nothing.
+  std::vector<EventHttpServer::Reply> unanswered_;
   std::list<Waiter> waiters_;
   bool expiry_armed_ = false;
   int64_t appends_ = 0;
--- a/testing/site_process_test.cc
+++ b/testing/site_process_test.cc
@@ -3,6 +3,7 @@
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
 #include <csignal>
 #include <fstream>
 
@@ -203,6 +204,31 @@
   CheckNoFaults(cell);
 }
 
+TEST_CASE("site processes: a lost answer of the store costs little time") {
+  SiteCell cell({});
+  REQUIRE(cell.AwaitReady(3));
+  SiteStore::Faults lossy;
+  lossy.lost_answers = 0.4;
+  cell.WithPlatform(
+      [&](SitePlatform& platform) { platform.store().SetFaults(lossy); });
+  constexpr uint64_t kJobs = 30;
+  std::vector<absl::Duration> times;
+  for (uint64_t job = 1; job <= kJobs; ++job) {
+    const absl::Time begun = absl::Now();
+    REQUIRE(cell.SubmitAnywhere(job, SiteCell::OneStep(1, 50, 200)));
+    times.push_back(absl::Now() - begun);
+  }
+  std::sort(times.begin(), times.end());
+  // Seven of ten lost no answer or one.
+  CHECK(times[kJobs * 7 / 10] < absl::Milliseconds(450));
+  cell.WithPlatform([&](SitePlatform& platform) {
+    platform.store().SetFaults(SiteStore::Faults());
+  });
+  for (uint64_t job = 1; job <= kJobs; ++job)
+    CHECK(cell.AwaitState(job, "completed"));
+  CheckNoFaults(cell);
+}
+
 TEST_CASE("site processes: each node is stopped as planned, in turn") {
   SiteCell cell({});
   REQUIRE(cell.AwaitReady(3));
