--- a/keelbridge/coordination/job_scheduler.h
+++ b/keelbridge/coordination/job_scheduler.h
@@ -268,26 +268,34 @@
   void PlaceAll(Now now);
   std::vector<ReadyStep> CollectReady(Now now);
   void PlaceSingles(ReadyStep& ready, Now now);
-  void PlaceGang(ReadyStep& ready, Now now);
-  bool FinishGang(ReadyStep& ready, Now now);
-  void ReserveForGang(ReadyStep& ready, Now now);
   void StartTask(ReadyStep& ready, int32_t index, int32_t run, Worker& worker,
                  Now now);
   bool MayRun(const Worker& worker, const ReadyStep& ready, Now now) const;
-  bool HasTicket(const Worker& worker, const ReadyStep& ready, Now now) const;
   int32_t Fits(const Worker& worker, const ReadyStep& ready,
                const Resources& room) const;
   int32_t PlacedOf(const Worker& worker, const ReadyStep& ready) const;
-  void AskAdvice(ReadyStep& ready, std::vector<std::string> workers, Now now);
-  void EnsureSinglesAdvice(ReadyStep& ready, Now now);
-  void EnsureGangAdvice(ReadyStep& ready, Now now);
-  Adviser* FreeAdviser(double cost_ms, Now now);
   absl::Duration Objective(const Job& job, const Queue& queue) const;
   void Block(ReadyStep& ready, const char* why);
   static bool FollowsWhatEndedHere(const Job& job, const Round& round,
                                    size_t step);
   static bool MayTry(const ReadyStep& ready, const TaskState& task, Now now);
 
+  // job_scheduler_gangs.cc
+  void PlaceGang(ReadyStep& ready, Now now);
+  // Of a gang some of whose members are placed: places or stops the rest. False
+  // when none is placed.
+  bool FinishGang(ReadyStep& ready, Now now);
+  void ReserveForGang(ReadyStep& ready, Now now);
+
+  // job_scheduler_advice.cc
+  bool HasTicket(const Worker& worker, const ReadyStep& ready, Now now) const;
+  // The share of workers that may run a step of the queue, as far as learnt.
+  double GoodShare(const Queue& queue) const;
+  void AskAdvice(ReadyStep& ready, std::vector<std::string> workers, Now now);
+  void EnsureSinglesAdvice(ReadyStep& ready, Now now);
+  void EnsureGangAdvice(ReadyStep& ready, Now now);
+  Adviser* FreeAdviser(double cost_ms, Now now);
+
   const Options options_;
   const int64_t epoch_;
   const absl::Time started_;
--- /dev/null
+++ b/keelbridge/coordination/job_scheduler_advice.cc
@@ -0,0 +1,269 @@
+// Whom to ask which workers may run a step, when, and about how many.
+
+#include <algorithm>
+
+#include "absl/strings/str_cat.h"
+#include "keelbridge/coordination/job_scheduler.h"
+
+namespace keelbridge {
+namespace {
+
+// A ticket must hold for at least this long when the order leaves.
+constexpr absl::Duration kTicketMargin = absl::Milliseconds(150);
+// A ticket counts as that much shorter than told, for the answer's way.
+constexpr absl::Duration kTicketGrace = absl::Milliseconds(20);
+constexpr absl::Duration kAdviceRetry = absl::Milliseconds(150);
+constexpr absl::Duration kAvoidAdviser = absl::Seconds(1);
+// Calls that take less are short: they never stand behind long ones.
+constexpr double kShortAdviceMs = 100;
+// At most this much advice may wait at one node, beside what is under way.
+constexpr absl::Duration kShortBacklog = absl::Milliseconds(300);
+constexpr absl::Duration kLongBacklog = absl::Milliseconds(200);
+// The share of workers that may run a step, until it is learnt.
+constexpr double kInitialGoodShare = 0.5;
+constexpr double kGoodShareWeight = 0.2;  // Of a new answer.
+constexpr double kLeastGoodShare = 0.1;
+// How much more room to ask for than is needed, since answers scatter, and
+// since others take room while an answer is on its way.
+constexpr double kAdviceMargin = 1.4;
+constexpr double kGangSpare = 2.0;
+constexpr size_t kMostNamed = 100;  // The advice service takes no more.
+constexpr size_t kLeastNamed = 4;
+
+}  // namespace
+
+void JobScheduler::SetAdvisers(const std::vector<std::string>& nodes,
+                               const std::string& self) {
+  std::vector<Adviser> next;
+  for (const std::string& node : nodes) {
+    Adviser adviser;
+    adviser.node = node;
+    for (const Adviser& old : advisers_) {
+      if (old.node == node) adviser = old;
+    }
+    next.push_back(adviser);
+  }
+  // With enough nodes two are kept free of long calls.
+  std::sort(next.begin(), next.end(), [&](const Adviser& a, const Adviser& b) {
+    return std::make_pair(a.node != self, a.node) <
+           std::make_pair(b.node != self, b.node);
+  });
+  const size_t short_only = next.size() >= 5 ? 2 : next.size() >= 3 ? 1 : 0;
+  for (size_t i = 0; i < next.size(); ++i) next[i].short_only = i < short_only;
+  advisers_ = std::move(next);
+}
+
+JobScheduler::Adviser* JobScheduler::FreeAdviser(double cost_ms, Now now) {
+  const bool is_short = cost_ms < kShortAdviceMs;
+  Adviser* best = nullptr;
+  for (Adviser& adviser : advisers_) {
+    if (adviser.avoid_until > now.mono) continue;
+    if (!is_short && adviser.short_only) continue;
+    if (best == nullptr || adviser.busy_until < best->busy_until)
+      best = &adviser;
+  }
+  if (best == nullptr) return nullptr;
+  const absl::Duration backlog = is_short ? kShortBacklog : kLongBacklog;
+  return best->busy_until > now.mono + backlog ? nullptr : best;
+}
+
+double JobScheduler::GoodShare(const Queue& queue) const {
+  const auto learnt = good_share_.find(queue.name);
+  return learnt == good_share_.end() ? kInitialGoodShare : learnt->second;
+}
+
+bool JobScheduler::HasTicket(const Worker& worker, const ReadyStep& ready,
+                             Now now) const {
+  if (!ready.queue->advice.needed) return true;
+  const auto& tickets = ready.state->advice.tickets;
+  const auto it = tickets.find(worker.record.id);
+  return it != tickets.end() && it->second.expires > now.mono + kTicketMargin;
+}
+
+void JobScheduler::AskAdvice(ReadyStep& ready, std::vector<std::string> workers,
+                             Now now) {
+  if (workers.empty()) return;
+  if (workers.size() > kMostNamed) workers.resize(kMostNamed);
+  const AdviceTerms& terms = ready.queue->advice;
+  const double cost_ms =
+      terms.base_ms + terms.per_worker_ms * static_cast<double>(workers.size());
+  Adviser* adviser = FreeAdviser(cost_ms, now);
+  if (adviser == nullptr) return;
+  adviser->busy_until =
+      std::max(adviser->busy_until, now.mono) + absl::Milliseconds(cost_ms);
+  ready.state->advice.asked = true;
+  ++figures_.advice_calls;
+  AskAdviceAction action;
+  action.adviser = adviser->node;
+  action.request.step =
+      TaskId{ready.job->id, ready.round->number, ready.number, 0};
+  action.request.workers = std::move(workers);
+  action.timeout =
+      (adviser->busy_until - now.mono) * 1.5 + absl::Milliseconds(500);
+  Explain("advice_asked",
+          {{"job", JobIdText(ready.job->id)},
+           {"step", absl::StrCat(ready.number)},
+           {"adviser", adviser->node},
+           {"workers", absl::StrCat(action.request.workers.size())},
+           {"expected_ms", absl::StrCat(static_cast<int64_t>(cost_ms))}});
+  actions_.push_back(std::move(action));
+}
+
+void JobScheduler::EnsureSinglesAdvice(ReadyStep& ready, Now now) {
+  StepAdvice& advice = ready.state->advice;
+  if (advice.asked || advice.next_ask > now.mono) return;
+  struct Candidate {
+    const Worker* worker;
+    int32_t fits;
+    bool good;
+  };
+  std::vector<Candidate> candidates;
+  int32_t usable = 0;
+  for (auto& [id, worker] : workers_) {
+    if (!MayRun(*worker, ready, now)) continue;
+    const int32_t fits = Fits(*worker, ready, worker->free);
+    if (fits < 1) continue;
+    if (HasTicket(*worker, ready, now)) {
+      usable += fits;
+      continue;
+    }
+    const auto known = advice.known.find(id);
+    if (known != advice.known.end() && !known->second) continue;
+    candidates.push_back({worker.get(), fits, known != advice.known.end()});
+  }
+  if (usable >= ready.waiting || candidates.empty()) return;
+  std::sort(candidates.begin(), candidates.end(),
+            [](const Candidate& a, const Candidate& b) {
+              return std::make_tuple(!a.good, -a.fits, a.worker->record.id) <
+                     std::make_tuple(!b.good, -b.fits, b.worker->record.id);
+            });
+  const double share = GoodShare(*ready.queue);
+  double expected = usable;
+  std::vector<std::string> named;
+  for (const Candidate& candidate : candidates) {
+    const bool enough = expected >= kAdviceMargin * ready.waiting &&
+                        named.size() >= kLeastNamed;
+    if (enough) break;
+    expected += candidate.fits * (candidate.good ? 1.0 : share);
+    named.push_back(candidate.worker->record.id);
+  }
+  AskAdvice(ready, std::move(named), now);
+}
+
+void JobScheduler::EnsureGangAdvice(ReadyStep& ready, Now now) {
+  StepAdvice& advice = ready.state->advice;
+  if (advice.asked || advice.next_ask > now.mono) return;
+  struct Candidate {
+    const Worker* worker;
+    int32_t fits;   // Now.
+    int32_t whole;  // When nothing else runs there.
+  };
+  std::vector<Candidate> good;
+  std::vector<Candidate> unknown;
+  int32_t good_now = 0;
+  int32_t good_whole = 0;
+  for (auto& [id, worker] : workers_) {
+    if (!MayRun(*worker, ready, now)) continue;
+    const Candidate candidate{worker.get(), Fits(*worker, ready, worker->free),
+                              Fits(*worker, ready, worker->record.capacity)};
+    if (candidate.whole < 1) continue;
+    const auto known = advice.known.find(id);
+    if (known == advice.known.end()) {
+      unknown.push_back(candidate);
+    } else if (known->second) {
+      good.push_back(candidate);
+      good_now += candidate.fits;
+      good_whole += candidate.whole;
+    }
+  }
+  const auto by_room = [](const Candidate& a, const Candidate& b) {
+    return std::make_tuple(-a.fits, -a.worker->free.cpu_milli,
+                           a.worker->record.id) <
+           std::make_tuple(-b.fits, -b.worker->free.cpu_milli,
+                           b.worker->record.id);
+  };
+  std::sort(good.begin(), good.end(), by_room);
+  std::sort(unknown.begin(), unknown.end(), by_room);
+  const double share = GoodShare(*ready.queue);
+  const double count = ready.spec->count;
+  double hoped_now = good_now;
+  for (const Candidate& candidate : unknown)
+    hoped_now += candidate.fits * share;
+  const bool room_now = good_now >= ready.spec->count;
+  // Others are asked about when those known to be good have no room now and
+  // the others may, or when too few are known to be good at all.
+  const bool ask_unknown =
+      !room_now && !unknown.empty() &&
+      (hoped_now >= count || good_whole < count * kAdviceMargin);
+  if (!room_now && !ask_unknown) return;
+  // Fresh tickets for the good ones that have room, with some to spare: others
+  // take room while the answer is on its way.
+  std::vector<std::string> named;
+  double expected = 0;
+  for (const Candidate& candidate : good) {
+    if (candidate.fits < 1 || expected >= kGangSpare * count) break;
+    expected += candidate.fits;
+    named.push_back(candidate.worker->record.id);
+  }
+  for (const Candidate& candidate : unknown) {
+    if (!ask_unknown) break;
+    if (expected >= kGangSpare * kAdviceMargin * count &&
+        named.size() >= kLeastNamed)
+      break;
+    expected += share * (candidate.fits > 0 ? candidate.fits : candidate.whole);
+    named.push_back(candidate.worker->record.id);
+  }
+  AskAdvice(ready, std::move(named), now);
+}
+
+void JobScheduler::OnAdvice(const AskAdviceAction& action,
+                            const AdviceReply& reply, Now now) {
+  const auto found = jobs_.find(action.request.step.job);
+  for (Adviser& adviser : advisers_) {
+    if (adviser.node != action.adviser) continue;
+    if (!reply.answered && !reply.overloaded)
+      adviser.avoid_until = now.mono + kAvoidAdviser;
+  }
+  if (found == jobs_.end()) return;
+  StepState* step = found->second->FindStep(action.request.step);
+  if (step == nullptr) return;
+  StepAdvice& advice = step->advice;
+  advice.asked = false;
+  placement_wanted_ = true;
+  Explain("advice_answered",
+          {{"job", JobIdText(action.request.step.job)},
+           {"step", absl::StrCat(action.request.step.step)},
+           {"adviser", action.adviser},
+           {"answered", reply.answered ? "yes" : "no"},
+           {"named", absl::StrCat(action.request.workers.size())},
+           {"good", absl::StrCat(reply.good.size())}});
+  if (!reply.answered) {
+    advice.next_ask = now.mono + kAdviceRetry;
+    return;
+  }
+  const Queue* queue = configuration_->FindQueueByName(found->second->queue);
+  if (queue == nullptr) return;
+  int64_t fresh = 0;
+  int64_t fresh_good = 0;
+  for (const std::string& worker : action.request.workers) {
+    if (advice.known.try_emplace(worker, false).second) ++fresh;
+  }
+  const absl::Time expires =
+      now.mono + absl::Milliseconds(queue->advice.validity_ms) - kTicketGrace;
+  for (const AdviceTicket& ticket : reply.good) {
+    bool& good = advice.known[ticket.worker];
+    if (!good) ++fresh_good;
+    good = true;
+    advice.tickets[ticket.worker] = {ticket.ticket, expires};
+  }
+  if (fresh > 0) {
+    double& share =
+        good_share_.try_emplace(queue->name, kInitialGoodShare).first->second;
+    const double seen =
+        static_cast<double>(fresh_good) / static_cast<double>(fresh);
+    share += kGoodShareWeight * (seen - share);
+    share = std::max(share, kLeastGoodShare);
+  }
+}
+
+}  // namespace keelbridge
--- /dev/null
+++ b/keelbridge/coordination/job_scheduler_gangs.cc
@@ -0,0 +1,161 @@
+// Gangs: all members start together, or none; blocked ones hold workers free.
+
+#include <algorithm>
+#include <map>
+
+#include "absl/strings/str_cat.h"
+#include "keelbridge/coordination/job_scheduler.h"
+
+namespace keelbridge {
+namespace {
+
+// Missing members of a gang are tried again for this part of the time that the
+// others wait for them.
+constexpr double kGangRetryShare = 0.6;
+
+}  // namespace
+
+bool JobScheduler::FinishGang(ReadyStep& ready, Now now) {
+  std::vector<int32_t> missing;
+  int32_t run = 0;
+  bool stopping = false;
+  bool any_placed = false;
+  for (int32_t i = 0; i < ready.spec->count; ++i) {
+    const TaskState& task = ready.state->tasks[static_cast<size_t>(i)];
+    if (task.phase == TaskPhase::kWaiting) {
+      // It may be at work on a worker that was not reached yet.
+      if (ready.only_seen && !task.seen) return true;
+      missing.push_back(i);
+      continue;
+    }
+    any_placed = true;
+    stopping = stopping || task.phase == TaskPhase::kStopping;
+    run = std::max(run, task.run);
+  }
+  if (!any_placed) return false;
+  const absl::Duration patience = options_.gang_wait * kGangRetryShare;
+  const bool give_up =
+      stopping || now.mono - ready.state->gang_started > patience;
+  if (!give_up) {
+    for (const int32_t index : missing) {
+      TaskState& task = ready.state->tasks[static_cast<size_t>(index)];
+      // A member whose run ended cannot join that run again.
+      if (task.run >= run || task.retry_at > now.mono) continue;
+      for (auto& [id, worker] : workers_) {
+        if (!MayRun(*worker, ready, now) || !HasTicket(*worker, ready, now) ||
+            Fits(*worker, ready, worker->free) < 1)
+          continue;
+        StartTask(ready, index, run, *worker, now);
+        break;
+      }
+    }
+    return true;
+  }
+  for (int32_t i = 0; i < ready.spec->count; ++i) {
+    TaskState& task = ready.state->tasks[static_cast<size_t>(i)];
+    if (task.worker.empty()) continue;
+    const auto worker = workers_.find(task.worker);
+    if (worker == workers_.end()) continue;
+    WantStop(*worker->second,
+             {TaskId{ready.job->id, ready.round->number, ready.number, i},
+              task.run});
+  }
+  return true;
+}
+
+void JobScheduler::PlaceGang(ReadyStep& ready, Now now) {
+  if (ready.waiting < ready.spec->count) return;  // Some may not be tried yet.
+  struct Room {
+    Worker* worker;
+    int32_t fits;
+  };
+  std::vector<Room> rooms;
+  int32_t total = 0;
+  for (auto& [id, worker] : workers_) {
+    if (!MayRun(*worker, ready, now) || !HasTicket(*worker, ready, now))
+      continue;
+    const int32_t fits = Fits(*worker, ready, worker->free);
+    if (fits < 1) continue;
+    rooms.push_back({worker.get(), fits});
+    total += fits;
+  }
+  if (total < ready.spec->count) {
+    Block(ready, ready.state->advice.asked
+                     ? "waits for advice"
+                     : "no room for the whole gang on workers that may run it");
+    return;
+  }
+  // Workers of one rack first where that matters, else the fullest first.
+  std::map<std::string, int32_t> in_rack;
+  for (const Room& room : rooms) in_rack[room.worker->record.rack] += room.fits;
+  const auto rank = [&](const Room& room) {
+    const std::string& rack = room.worker->record.rack;
+    const bool near = !ready.spec->rack.empty() && rack == ready.spec->rack;
+    const int32_t whole =
+        ready.spec->same_rack ? std::min(in_rack[rack], ready.spec->count) : 0;
+    return std::make_tuple(!near, -whole, ready.spec->same_rack ? rack : "",
+                           room.worker->free.cpu_milli, room.worker->record.id);
+  };
+  std::sort(rooms.begin(), rooms.end(),
+            [&](const Room& a, const Room& b) { return rank(a) < rank(b); });
+  int32_t run = FirstRunOfEpoch(epoch_);
+  std::string checkpoint;
+  for (const TaskState& task : ready.state->tasks) {
+    run = std::max(run, task.run + 1);
+    // The saved text of any member is good for all, and all bring the same.
+    if (task.checkpoint > checkpoint) checkpoint = task.checkpoint;
+  }
+  ready.state->gang_started = now.mono;
+  ready.state->reserved.clear();
+  int32_t index = 0;
+  for (const Room& room : rooms) {
+    for (int32_t i = 0; i < room.fits && index < ready.spec->count; ++i) {
+      ready.state->tasks[static_cast<size_t>(index)].checkpoint = checkpoint;
+      StartTask(ready, index, run, *room.worker, now);
+      ++index;
+    }
+  }
+}
+
+void JobScheduler::ReserveForGang(ReadyStep& ready, Now now) {
+  const StepAdvice& advice = ready.state->advice;
+  struct Candidate {
+    Worker* worker;
+    int32_t whole;  // Tasks that fit when nothing else runs there.
+    bool held;      // Held free by this gang at the last look.
+  };
+  std::vector<Candidate> candidates;
+  for (auto& [id, worker] : workers_) {
+    if (!MayRun(*worker, ready, now)) continue;
+    if (ready.queue->advice.needed) {
+      const auto known = advice.known.find(id);
+      if (known == advice.known.end() || !known->second) continue;
+    }
+    const int32_t whole = Fits(*worker, ready, worker->record.capacity);
+    if (whole < 1) continue;
+    const auto& reserved = ready.state->reserved;
+    const bool held =
+        std::find(reserved.begin(), reserved.end(), id) != reserved.end();
+    candidates.push_back({worker.get(), whole, held});
+  }
+  std::sort(candidates.begin(), candidates.end(),
+            [](const Candidate& a, const Candidate& b) {
+              return std::make_tuple(!a.held, -a.worker->free.cpu_milli,
+                                     a.worker->record.id) <
+                     std::make_tuple(!b.held, -b.worker->free.cpu_milli,
+                                     b.worker->record.id);
+            });
+  int32_t covered = 0;
+  size_t taken = 0;
+  while (taken < candidates.size() && covered < ready.spec->count)
+    covered += candidates[taken++].whole;
+  ready.state->reserved.clear();
+  // Workers are not held for a gang that they could not carry.
+  if (covered < ready.spec->count) return;
+  for (size_t i = 0; i < taken; ++i) {
+    candidates[i].worker->reserved_by = ready.state;
+    ready.state->reserved.push_back(candidates[i].worker->record.id);
+  }
+}
+
+}  // namespace keelbridge
--- a/keelbridge/daemon/leader_session.cc
+++ b/keelbridge/daemon/leader_session.cc
@@ -6,6 +6,7 @@
 #include "absl/strings/str_cat.h"
 #include "keelbridge/base/logging.h"
 #include "keelbridge/state/known_workers.h"
+#include "keelbridge/transport/event_timer.h"
 
 namespace keelbridge {
 namespace {
@@ -63,11 +64,8 @@
 }
 
 void LeaderSession::After(absl::Duration delay, std::function<void()> step) {
-  auto timer = std::make_shared<boost::asio::steady_timer>(
-      loop_, absl::ToChronoNanoseconds(delay));
-  timer->async_wait([self = shared_from_this(), timer,
-                     step = std::move(step)](boost::system::error_code error) {
-    if (!error && !self->ended()) step();
+  RunAfter(loop_, delay, [self = shared_from_this(), step = std::move(step)] {
+    if (!self->ended()) step();
   });
 }
 
--- a/keelbridge/daemon/site_node_clients.cc
+++ b/keelbridge/daemon/site_node_clients.cc
@@ -8,6 +8,7 @@
 #include "keelbridge/base/logging.h"
 #include "keelbridge/daemon/node_messages.h"
 #include "keelbridge/daemon/site_node.h"
+#include "keelbridge/transport/event_timer.h"
 #include "keelbridge/transport/trace.h"
 
 namespace keelbridge {
@@ -118,11 +119,8 @@
                          return TryAgain(forward);
                        answered(reply);
                      });
-    auto timer = std::make_shared<boost::asio::steady_timer>(
-        loop_, absl::ToChronoNanoseconds(forward->deadline - now));
-    timer->async_wait([this, forward, timer](boost::system::error_code error) {
-      if (!error) GiveUp(forward);
-    });
+    RunAfter(loop_, forward->deadline - now,
+             [this, forward] { GiveUp(forward); });
     return;
   }
   const LeaderRecord& leader = election_.leader();
@@ -159,10 +157,8 @@
       !forward->may_have_run && now - forward->begun > kLeaderlessPatience;
   if (leaderless || now + kTryPause >= forward->deadline)
     return GiveUp(forward);
-  auto timer = std::make_shared<boost::asio::steady_timer>(
-      loop_, absl::ToChronoNanoseconds(kTryPause));
-  timer->async_wait([this, forward, timer](boost::system::error_code error) {
-    if (!error && forward->reply) Try(forward);
+  RunAfter(loop_, kTryPause, [this, forward] {
+    if (forward->reply) Try(forward);
   });
 }
 
--- a/keelbridge/daemon/site_node_configuration.cc
+++ b/keelbridge/daemon/site_node_configuration.cc
@@ -3,6 +3,7 @@
 #include "absl/strings/str_cat.h"
 #include "keelbridge/base/logging.h"
 #include "keelbridge/daemon/site_node.h"
+#include "keelbridge/transport/event_timer.h"
 
 namespace keelbridge {
 namespace {
@@ -18,11 +19,7 @@
   ports_.store->Newest(
       Stream::kConfiguration, "", kReadTimeout, [this](const NewestReply& r) {
         if (r.result != StoreResult::kDone) {
-          auto timer = std::make_shared<boost::asio::steady_timer>(
-              loop_, absl::ToChronoNanoseconds(kRetry));
-          timer->async_wait([this, timer](boost::system::error_code error) {
-            if (!error) ReadConfiguration();
-          });
+          RunAfter(loop_, kRetry, [this] { ReadConfiguration(); });
           return;
         }
         for (const Record& record : r.records) {
@@ -40,11 +37,7 @@
       Stream::kConfiguration, from, kFollowWait, kFollowTimeout,
       [this, from](const ReadReply& reply) {
         if (reply.result != StoreResult::kDone) {
-          auto timer = std::make_shared<boost::asio::steady_timer>(
-              loop_, absl::ToChronoNanoseconds(kRetry));
-          timer->async_wait([this, timer](boost::system::error_code error) {
-            if (!error) ReadConfiguration();
-          });
+          RunAfter(loop_, kRetry, [this] { ReadConfiguration(); });
           return;
         }
         for (const Record& record : reply.records) {
--- a/keelbridge/daemon/site_node_leading.cc
+++ b/keelbridge/daemon/site_node_leading.cc
@@ -7,6 +7,7 @@
 #include "keelbridge/base/logging.h"
 #include "keelbridge/daemon/node_messages.h"
 #include "keelbridge/daemon/site_node.h"
+#include "keelbridge/transport/event_timer.h"
 
 namespace keelbridge {
 namespace {
@@ -63,28 +64,26 @@
 void SiteNode::FollowControl() {
   following_control_ = true;
   const int64_t from = control_next_;
-  ports_.store->Read(
-      Stream::kControl, from, kFollowWait, kFollowTimeout,
-      [this, from](const ReadReply& reply) {
-        if (reply.result == StoreResult::kDone) {
-          const int64_t next =
-              from + static_cast<int64_t>(reply.records.size());
-          control_next_ = std::max(control_next_, next);
-          if (!reply.records.empty()) {
-            election_.OnControlRead(reply.records, next, SystemNow().mono);
-            Elect();
-          }
-          return FollowControl();
-        }
-        auto timer = std::make_shared<boost::asio::steady_timer>(
-            loop_, absl::ToChronoNanoseconds(kFollowRetry));
-        timer->async_wait([this, timer](boost::system::error_code error) {
-          if (error) return;
-          following_control_ = false;
-          ReadControl();
-          if (!following_control_ && control_next_ >= 0) FollowControl();
-        });
-      });
+  ports_.store->Read(Stream::kControl, from, kFollowWait, kFollowTimeout,
+                     [this, from](const ReadReply& reply) {
+                       if (reply.result == StoreResult::kDone) {
+                         const int64_t next =
+                             from + static_cast<int64_t>(reply.records.size());
+                         control_next_ = std::max(control_next_, next);
+                         if (!reply.records.empty()) {
+                           election_.OnControlRead(reply.records, next,
+                                                   SystemNow().mono);
+                           Elect();
+                         }
+                         return FollowControl();
+                       }
+                       RunAfter(loop_, kFollowRetry, [this] {
+                         following_control_ = false;
+                         ReadControl();
+                         if (!following_control_ && control_next_ >= 0)
+                           FollowControl();
+                       });
+                     });
 }
 
 void SiteNode::AskPeersThenClaim() {
@@ -211,11 +210,7 @@
                 }
               });
   }
-  auto timer = std::make_shared<boost::asio::steady_timer>(
-      loop_, absl::ToChronoNanoseconds(kAskEarlierEvery));
-  timer->async_wait([this, timer](boost::system::error_code error) {
-    if (!error) AskEarlierLeaders();
-  });
+  RunAfter(loop_, kAskEarlierEvery, [this] { AskEarlierLeaders(); });
 }
 
 }  // namespace keelbridge
--- a/keelbridge/daemon/site_node_peers.cc
+++ b/keelbridge/daemon/site_node_peers.cc
@@ -9,6 +9,7 @@
 #include "keelbridge/base/logging.h"
 #include "keelbridge/daemon/node_messages.h"
 #include "keelbridge/daemon/site_node.h"
+#include "keelbridge/transport/event_timer.h"
 #include "keelbridge/transport/trace.h"
 
 namespace keelbridge {
@@ -205,11 +206,7 @@
     if (outcome.refused && to.epoch == election_.leader().epoch)
       election_.OnLeaderGone(now);
     if (++failed_heartbeats_ == 1) {
-      auto timer = std::make_shared<boost::asio::steady_timer>(
-          loop_, absl::ToChronoNanoseconds(kHeartbeatAgain));
-      timer->async_wait([this, timer](boost::system::error_code error) {
-        if (!error) Heartbeat();
-      });
+      RunAfter(loop_, kHeartbeatAgain, [this] { Heartbeat(); });
       LogEvent(Severity::kWarning, "leader_silent",
                {{"leader", to.node},
                 {"epoch", absl::StrCat(to.epoch)},
