--- a/testing/support/site_soak.cc
+++ b/testing/support/site_soak.cc
@@ -109,6 +109,7 @@
     const int count = 2 + static_cast<int>(random_() %
                                            (options_.faults_at_most - 1));
     std::vector<std::pair<absl::Duration, int>> plan;
+    plan.reserve(static_cast<size_t>(count));
     for (int i = 0; i < count; ++i) {
       plan.emplace_back(
           options_.length * (static_cast<double>(random_() % 100) / 100.0),
