Dead state and parameters of the scheduler go

Fields that nothing read (a worker's unknown_until and drained_at, three options), settings that nothing used (stop_timeout_ms, remote_penalty) and times passed for nothing.

--- a/keelbridge/coordination/job_scheduler.cc
+++ b/keelbridge/coordination/job_scheduler.cc
@@ -18,7 +18,6 @@
 JobScheduler::JobScheduler(Options options, int64_t epoch, absl::Time started)
     : options_(options),
       epoch_(epoch),
-      started_(started),
       earlier_leader_until_(started + options.earlier_leader_bound) {}
 
 void JobScheduler::Load(JobTable jobs, const std::vector<WorkerRecord>& workers,
@@ -53,8 +52,7 @@
          !dirty_.empty() || !dropped_keys_.empty();
 }
 
-JobScheduler::Batch JobScheduler::TakeBatch(Now now) {
-  (void)now;
+JobScheduler::Batch JobScheduler::TakeBatch() {
   Batch batch;
   batch.number = next_batch_++;
   for (const std::string& id : untold_workers_) {
@@ -84,8 +82,7 @@
   return batch;
 }
 
-void JobScheduler::OnDurable(int64_t batch, Now now) {
-  (void)now;
+void JobScheduler::OnDurable(int64_t batch) {
   durable_batch_ = std::max(durable_batch_, batch);
   for (auto& [id, worker] : workers_) NoteDurableEnds(*worker);
   placement_wanted_ = true;
--- a/keelbridge/coordination/job_scheduler.h
+++ b/keelbridge/coordination/job_scheduler.h
@@ -10,7 +10,7 @@
 //   JobScheduler scheduler(options, epoch);
 //   int64_t batch = scheduler.Submit(id, "restore", spec, now);
 //   store.Append(scheduler.TakeBatch());      // ... later:
-//   scheduler.OnDurable(batch, now);          // Now the job counts as
+//   scheduler.OnDurable(batch);               // Now the job counts as
 //   accepted. for (const Action& action : scheduler.TakeActions())
 //   CarryOut(action);
 
@@ -81,14 +81,11 @@
     double clock_error = 0.02;  // How much slower a worker's clock may run.
     absl::Duration gang_wait =
         absl::Seconds(3);  // Of a worker, for the others.
-    absl::Duration stop_timeout = absl::Milliseconds(200);
     absl::Duration ended_kept = absl::Seconds(130);  // Ended jobs stay known.
-    absl::Duration round_early = absl::Milliseconds(0);
     absl::Duration observe_wait = absl::Milliseconds(1000);
     // How long an earlier leader that cannot be reached may go on giving leases
     // after it was fenced in the store.
     absl::Duration earlier_leader_bound = absl::Seconds(6);
-    double remote_penalty = 2;
   };
 
   // `epoch` is this leader's: unique, above all earlier ones.
@@ -103,9 +100,9 @@
   // given work to. Call once, before anything else.
   void Load(JobTable jobs, const std::vector<WorkerRecord>& workers, Now now);
   bool HasBatch() const;
-  Batch TakeBatch(Now now);
+  Batch TakeBatch();
   // The batch, and all before it, are kept for good.
-  void OnDurable(int64_t batch, Now now);
+  void OnDurable(int64_t batch);
 
   // --- Clients ---
   // The batch whose durability accepts the job; 0: it is accepted already.
@@ -129,7 +126,7 @@
   void OnEarlierLeaderStopped(absl::Time since);
   void OnWorkerRecord(const WorkerRecord& record, Now now);
   // Its record is gone; it may still run.
-  void OnWorkerRemoved(const std::string& worker_id, Now now);
+  void OnWorkerRemoved(const std::string& worker_id);
 
   // --- What came of actions ---
   void OnStartReply(const StartAction& action, const OrderReply& reply,
@@ -202,9 +199,7 @@
     int64_t clock_ms = -1;
     absl::Time clock_at;                         // When `clock_ms` arrived.
     absl::Time lapse_at = absl::InfinitePast();  // All has ended by then.
-    absl::Time unknown_until;  // While not listed: an earlier lease may last.
     absl::Time suspect_until = absl::InfinitePast();
-    absl::Time drained_at = absl::InfiniteFuture();
     int failures_in_row = 0;
     const StepState* reserved_by = nullptr;
   };
@@ -298,7 +293,6 @@
 
   const Options options_;
   const int64_t epoch_;
-  const absl::Time started_;
   JobTable jobs_;
   std::map<JobId, Job*> active_;  // Those that have not ended.
   std::map<std::string, std::unique_ptr<Worker>> workers_;
--- a/keelbridge/coordination/job_scheduler_test.cc
+++ b/keelbridge/coordination/job_scheduler_test.cc
@@ -86,8 +86,8 @@
       now_ += absl::Milliseconds(20);
       scheduler_.Tick(now());
       if (scheduler_.HasBatch()) {
-        const auto batch = scheduler_.TakeBatch(now());
-        scheduler_.OnDurable(batch.number, now());
+        const auto batch = scheduler_.TakeBatch();
+        scheduler_.OnDurable(batch.number);
       }
       for (const Action& action : scheduler_.TakeActions()) Answer(action);
     }
@@ -184,7 +184,7 @@
   JobSpec spec;
   spec.steps.push_back(OneTask());
   records.Add(DescriptionRecord(Job(kJob, "restore", spec, 0)));
-  for (const Record& record : first.scheduler().TakeBatch(first.now()).records)
+  for (const Record& record : first.scheduler().TakeBatch().records)
     records.Add(record);
   // The leader dies before the worker hears that the end was noted.
   Driver second(2);
@@ -237,8 +237,8 @@
   site.scheduler().Tick(site.now());
   for (const Action& action : site.scheduler().TakeActions())
     CHECK_FALSE(std::holds_alternative<StartAction>(action));
-  site.scheduler().TakeBatch(site.now());
-  site.scheduler().OnDurable(batch, site.now());
+  site.scheduler().TakeBatch();
+  site.scheduler().OnDurable(batch);
   CHECK(site.scheduler().Submit(9, "restore", spec, site.now()) == 0);
   site.RunUntil(absl::Milliseconds(200));
   CHECK(site.starts.size() == 1);
--- a/keelbridge/coordination/job_scheduler_workers.cc
+++ b/keelbridge/coordination/job_scheduler_workers.cc
@@ -32,7 +32,6 @@
   if (fresh) {
     slot = std::make_unique<Worker>();
     slot->free = record.capacity;
-    slot->unknown_until = absl::InfiniteFuture();
     slot->known_at_batch = next_batch_;
     untold_workers_.insert(record.id);
     // A machine runs one life at a time: an earlier life on it is over.
@@ -55,8 +54,6 @@
             {{"worker", record.id},
              {"leaves_in_ms", absl::StrCat(record.leaves_in_ms)}});
   }
-  if (record.draining && record.leaves_in_ms >= 0)
-    worker.drained_at = now.mono + absl::Milliseconds(record.leaves_in_ms);
   const Resources used = worker.record.capacity - worker.free;
   if (!fresh) worker.free = record.capacity - used;
   worker.record = record;
@@ -64,14 +61,13 @@
   placement_wanted_ = true;
 }
 
-void JobScheduler::OnWorkerRemoved(const std::string& worker_id, Now now) {
+void JobScheduler::OnWorkerRemoved(const std::string& worker_id) {
   const auto found = workers_.find(worker_id);
   if (found == workers_.end() || found->second->record_removed) return;
   found->second->record_removed = true;
   Explain("worker_record_removed",
           {{"worker", worker_id},
            {"runs", absl::StrCat(found->second->occupants.size())}});
-  (void)now;
 }
 
 void JobScheduler::TakeClock(Worker& worker, int64_t clock_ms, absl::Time at) {
--- a/keelbridge/coordination/site_election.cc
+++ b/keelbridge/coordination/site_election.cc
@@ -103,10 +103,7 @@
   leader_gone_ = false;
 }
 
-void SiteElection::OnClaimFailed(absl::Time now) {
-  control_known_ = false;
-  (void)now;
-}
+void SiteElection::OnClaimFailed() { control_known_ = false; }
 
 void SiteElection::StepDown(absl::Time now) {
   leads_ = false;
--- a/keelbridge/coordination/site_election.h
+++ b/keelbridge/coordination/site_election.h
@@ -72,7 +72,7 @@
   // The append of `Claim` was done; the stream now ends at `end`.
   void OnClaimed(int64_t end, absl::Time now);
   // The claim failed; the control stream must be read again.
-  void OnClaimFailed(absl::Time now);
+  void OnClaimFailed();
   // This node gives leadership to others; it does not claim any more.
   void Retire() { retired_ = true; }
   void SetPeers(std::vector<std::string> nodes) { peers_ = std::move(nodes); }
--- a/keelbridge/coordination/site_election_test.cc
+++ b/keelbridge/coordination/site_election_test.cc
@@ -114,7 +114,7 @@
   SiteElection a = Make("a", 1);
   a.OnControlRead({}, 0, kBegin);
   const AppendOrder order = a.Claim(5000);
-  a.OnClaimFailed(kBegin);
+  a.OnClaimFailed();
   CHECK(a.Decide(kBegin) == ElectionStep::kReadControl);
   a.OnControlRead(order.records, 1, kBegin);
   CHECK(a.Leads());
--- a/keelbridge/daemon/leader_session.cc
+++ b/keelbridge/daemon/leader_session.cc
@@ -157,7 +157,7 @@
   const Now now = SystemNow();
   if (!record.value) {
     listed_workers_.erase(record.key);
-    scheduler_.OnWorkerRemoved(record.key, now);
+    scheduler_.OnWorkerRemoved(record.key);
     return;
   }
   auto worker = ports_.dialect->ParseWorkerRecord(record.key, *record.value);
@@ -301,7 +301,7 @@
     return;
   }
   flight_ = std::make_unique<Flight>();
-  flight_->batch = scheduler_.TakeBatch(SystemNow());
+  flight_->batch = scheduler_.TakeBatch();
   // An append without records only shows the epoch: it takes no number.
   flight_->sequence = next_sequence_;
   if (!flight_->batch.records.empty()) ++next_sequence_;
@@ -372,7 +372,7 @@
                    absl::ToDoubleSeconds(now.mono - sent));
   const int64_t number = flight_->batch.number;
   flight_.reset();
-  scheduler_.OnDurable(number, now);
+  scheduler_.OnDurable(number);
   while (!waiters_.empty() && waiters_.begin()->first <= number) {
     const Waiter waiter = waiters_.begin()->second;
     waiters_.erase(waiters_.begin());
--- a/keelbridge/daemon/leader_session.h
+++ b/keelbridge/daemon/leader_session.h
@@ -68,8 +68,6 @@
   void OnEarlierLeaderStopped(absl::Time since);
   // How often the store came back after it was lost.
   int64_t store_returns() const { return store_returns_; }
-  // No batch is on its way and none waits.
-  bool Flushed() const { return !flight_ && !scheduler_.HasBatch(); }
 
  private:
   enum class Phase { kFencing, kLoading, kLearningWorkers, kActive, kEnded };
--- a/keelbridge/daemon/node_settings.cc
+++ b/keelbridge/daemon/node_settings.cc
@@ -44,7 +44,6 @@
   out.log_level = SeverityFromName(level);
   reader.OptionalInteger("most_connections", 4, 65536, &out.most_connections);
   reader.OptionalMillis("lease_ms", 100, 600000, &out.lease);
-  reader.OptionalMillis("stop_timeout_ms", 1, 600000, &out.stop_timeout);
   reader.OptionalMillis("gang_wait_ms", 1, 600000, &out.gang_wait);
   double seconds = absl::ToDoubleSeconds(out.ended_kept);
   reader.OptionalNumber("ended_kept_s", 1, 1e6, &seconds);
@@ -52,7 +51,6 @@
   seconds = absl::ToDoubleSeconds(out.stop_grace);
   reader.OptionalNumber("stop_grace_s", 1, 1e6, &seconds);
   out.stop_grace = absl::Seconds(seconds);
-  reader.OptionalNumber("remote_penalty", 1, 1000, &out.remote_penalty);
   if (!document.faults().empty()) return document.FaultError();
   return out;
 }
--- a/keelbridge/daemon/node_settings.h
+++ b/keelbridge/daemon/node_settings.h
@@ -32,11 +32,9 @@
   int64_t most_connections = 1500;  // Of clients.
 
   absl::Duration lease = absl::Seconds(6);
-  absl::Duration stop_timeout = absl::Milliseconds(200);
   absl::Duration gang_wait = absl::Seconds(3);
   absl::Duration ended_kept = absl::Seconds(120);
   absl::Duration stop_grace = absl::Seconds(6);  // From SIGTERM to SIGKILL.
-  double remote_penalty = 2;
 };
 
 // Every fault of `text` at once, or the settings.
--- a/keelbridge/daemon/site_node_leading.cc
+++ b/keelbridge/daemon/site_node_leading.cc
@@ -141,7 +141,7 @@
                          if (reply.result == StoreResult::kDone)
                            election_.OnClaimed(reply.end, SystemNow().mono);
                          else
-                           election_.OnClaimFailed(SystemNow().mono);
+                           election_.OnClaimFailed();
                          Elect();
                        });
 }
@@ -164,9 +164,7 @@
   options.node = settings_.name;
   options.scheduler.lease = settings_.lease;
   options.scheduler.gang_wait = settings_.gang_wait;
-  options.scheduler.stop_timeout = settings_.stop_timeout;
   options.scheduler.ended_kept = settings_.ended_kept + absl::Seconds(10);
-  options.scheduler.remote_penalty = settings_.remote_penalty;
   options.ask_advice = [this](const AskAdviceAction& action,
                               std::function<void(AdviceReply)> done) {
     AskAdvice(action, std::move(done));
--- a/testing/support/site_simulation.cc
+++ b/testing/support/site_simulation.cc
@@ -255,7 +255,7 @@
   if (leader->appending || !leader->scheduler->HasBatch()) return;
   leader->appending = true;
   const auto batch =
-      std::make_shared<JobScheduler::Batch>(leader->scheduler->TakeBatch(At()));
+      std::make_shared<JobScheduler::Batch>(leader->scheduler->TakeBatch());
   const auto attempt = std::make_shared<std::function<void()>>();
   *attempt = [this, leader, batch, attempt] {
     if (leader->dead && Draw() < 0.5) return;  // It never left.
@@ -276,7 +276,7 @@
     After(options_.store_delay, [this, leader, batch] {
       if (leader->dead) return;
       leader->appending = false;
-      leader->scheduler->OnDurable(batch->number, At());
+      leader->scheduler->OnDurable(batch->number);
       auto it = leader->waiting.begin();
       while (it != leader->waiting.end() && it->first <= batch->number) {
         for (const auto& done : it->second) done();
