--- a/keelbridge/cli/commands.cc
+++ b/keelbridge/cli/commands.cc
@@ -395,11 +395,11 @@
 int Explain(const Context& context, const std::vector<std::string>& words) {
   JobId job = 0;
   if (!words.empty() && ParseJobId(words[0], &job))
-    return ExplainJob(
-        context, job,
-        std::vector<std::string>(words.begin() + 1, words.end()));
+    return ExplainJob(context, job,
+                      std::vector<std::string>(words.begin() + 1, words.end()));
   if (words.size() != 1)
-    return UsageFault(context, "explain INTENT/NUMBER, or explain JOB [LOG...]");
+    return UsageFault(context,
+                      "explain INTENT/NUMBER, or explain JOB [LOG...]");
   Json::Value params;
   params["task"] = words[0];
   Result<Json::Value> answer = CallScheduler(context, "explain", params);
--- a/keelbridge/cli/job_story.cc
+++ b/keelbridge/cli/job_story.cc
@@ -14,10 +14,18 @@
 
 // Events that concern every job of the site.
 const std::set<std::string>& SiteEvents() {
-  static const auto* events = new std::set<std::string>{
-      "term_begins",   "term_active",  "term_ended",   "store_lost",
-      "store_back",    "stood_still",  "leader_silent", "claiming",
-      "node_started",  "node_draining", "configuration_in_force"};
+  static const auto* events =
+      new std::set<std::string>{"term_begins",
+                                "term_active",
+                                "term_ended",
+                                "store_lost",
+                                "store_back",
+                                "stood_still",
+                                "leader_silent",
+                                "claiming",
+                                "node_started",
+                                "node_draining",
+                                "configuration_in_force"};
   return *events;
 }
 
@@ -35,8 +43,8 @@
 
 // The fields beyond those that every line has.
 std::string Rest(const Json::Value& fields) {
-  static const auto* common = new std::set<std::string>{
-      "time", "severity", "process", "event", "job"};
+  static const auto* common =
+      new std::set<std::string>{"time", "severity", "process", "event", "job"};
   std::string out;
   for (const std::string& name : fields.getMemberNames()) {
     if (common->count(name) > 0) continue;
@@ -119,7 +127,8 @@
   const std::string to = out.back().time;
   for (const Line& line : site_) {
     if (line.time < from || line.time > to) continue;
-    const bool of_worker = WorkerEvents().count(Field(line.fields, "event")) > 0;
+    const bool of_worker =
+        WorkerEvents().count(Field(line.fields, "event")) > 0;
     if (of_worker && workers_.count(Field(line.fields, "worker")) == 0)
       continue;
     out.push_back(line);
--- a/keelbridge/cli/job_story.h
+++ b/keelbridge/cli/job_story.h
@@ -1,9 +1,10 @@
 // One job's way, told from the log lines of many nodes.
 //
-// Reads lines in any order, from any number of files; whatever stands before the
-// JSON object of a line is passed over, so collectors may add a prefix. Lines
-// that name the job are told in the order of their times, together with what the
-// site went through meanwhile: changes of leader, lost stores, silent workers.
+// Reads lines in any order, from any number of files; whatever stands before
+// the JSON object of a line is passed over, so collectors may add a prefix.
+// Lines that name the job are told in the order of their times, together with
+// what the site went through meanwhile: changes of leader, lost stores, silent
+// workers.
 //
 //   JobStory story(job);
 //   story.AddLine(line);              // For each line of each log.
@@ -43,8 +44,8 @@
   std::vector<Line> Relevant() const;
 
   const std::string job_;
-  std::vector<Line> lines_;   // That name the job.
-  std::vector<Line> site_;    // That tell of the site.
+  std::vector<Line> lines_;  // That name the job.
+  std::vector<Line> site_;   // That tell of the site.
   std::set<std::string> workers_;
 };
 
--- a/keelbridge/daemon/site_node.cc
+++ b/keelbridge/daemon/site_node.cc
@@ -69,7 +69,8 @@
       });
   ready_ = std::make_unique<EventHttpServer>(
       loop_, ServerOptions(settings_.ready_listen, 16),
-      [this](const ServerRequest& request, const EventHttpServer::Reply& reply) {
+      [this](const ServerRequest& request,
+             const EventHttpServer::Reply& reply) {
         ServeReady(request, reply);
       });
   AddPeerMethods();
@@ -80,7 +81,8 @@
   if (settings_.metrics_listen.port != 0) {
     metrics_server_ = std::make_unique<EventHttpServer>(
         loop_, ServerOptions(settings_.metrics_listen, 16),
-        [this](const ServerRequest& request, const EventHttpServer::Reply& reply) {
+        [this](const ServerRequest& request,
+               const EventHttpServer::Reply& reply) {
           ServeMetrics(request, reply);
         });
     if (auto start = metrics_server_->Start(); !start) return start.error();
@@ -101,7 +103,8 @@
   return leader_accepts_ && SystemNow().mono - leader_answered_ < kLeaderFresh;
 }
 
-void SiteNode::ServeReady(const ServerRequest& request, const EventHttpServer::Reply& reply) {
+void SiteNode::ServeReady(const ServerRequest& request,
+                          const EventHttpServer::Reply& reply) {
   (void)request;
   const bool ready = Ready();
   reply({ready ? 200 : kUnavailableStatus,
@@ -110,7 +113,8 @@
          "text/plain"});
 }
 
-void SiteNode::ServeMetrics(const ServerRequest& request, const EventHttpServer::Reply& reply) {
+void SiteNode::ServeMetrics(const ServerRequest& request,
+                            const EventHttpServer::Reply& reply) {
   if (request.path != "/metrics")
     return reply({kNotFoundStatus, {}, "see /metrics\n", "text/plain"});
   metrics_.Set("log_lines_dropped", {}, static_cast<double>(DroppedLogLines()));
--- a/keelbridge/transport/http_client.h
+++ b/keelbridge/transport/http_client.h
@@ -54,7 +54,7 @@
 struct HttpOutcome {
   std::optional<HttpResponse> response;
   SendFailure failure = SendFailure::kNone;
-  std::string message;  // Why there is no answer.
+  std::string message;   // Why there is no answer.
   bool refused = false;  // The port is closed: nobody listens there.
 };
 
--- a/testing/fakes/fault_proxy.cc
+++ b/testing/fakes/fault_proxy.cc
@@ -26,9 +26,8 @@
   void Start() {
     boost::system::error_code error;
     client_.set_option(Tcp::no_delay(true), error);
-    const Tcp::endpoint to(
-        boost::asio::ip::make_address(proxy_->target_.ip),
-        static_cast<unsigned short>(proxy_->target_.port));
+    const Tcp::endpoint to(boost::asio::ip::make_address(proxy_->target_.ip),
+                           static_cast<unsigned short>(proxy_->target_.port));
     server_.async_connect(
         to, [self = shared_from_this()](boost::system::error_code e) {
           if (e) return self->Close(false);
@@ -65,9 +64,8 @@
             bool answers) {
     if (proxy_ == nullptr) return Close(false);
     const FaultProxy::Mode mode = proxy_->mode_;
-    const bool dropped =
-        mode == FaultProxy::Mode::kSilent ||
-        (mode == FaultProxy::Mode::kOneWay && answers);
+    const bool dropped = mode == FaultProxy::Mode::kSilent ||
+                         (mode == FaultProxy::Mode::kOneWay && answers);
     // What was dropped makes the rest of the connection meaningless: it stays
     // open and says nothing more.
     if (dropped) return;
@@ -78,13 +76,12 @@
         proxy_->loop_, absl::ToChronoNanoseconds(delay));
     timer->async_wait([self = shared_from_this(), timer, &from, &to, piece,
                        bytes, answers](boost::system::error_code) {
-      boost::asio::async_write(
-          to, boost::asio::buffer(piece->data(), bytes),
-          [self, &from, &to, piece, answers](boost::system::error_code error,
-                                             size_t) {
-            if (error) return self->Close(false);
-            self->Pump(from, to, piece, answers);
-          });
+      boost::asio::async_write(to, boost::asio::buffer(piece->data(), bytes),
+                               [self, &from, &to, piece, answers](
+                                   boost::system::error_code error, size_t) {
+                                 if (error) return self->Close(false);
+                                 self->Pump(from, to, piece, answers);
+                               });
     });
   }
 
--- a/testing/fakes/fault_proxy.h
+++ b/testing/fakes/fault_proxy.h
@@ -1,5 +1,5 @@
-// A TCP proxy on loopback that harms what passes: delays it, resets it, silences
-// it, or drops one direction.
+// A TCP proxy on loopback that harms what passes: delays it, resets it,
+// silences it, or drops one direction.
 //
 //   FaultProxy proxy(loop, store_address);
 //   settings.store = proxy.address();
@@ -25,10 +25,10 @@
  public:
   enum class Mode {
     kPass,
-    kDelay,       // Each piece waits for `delay`.
-    kReset,       // Open connections are reset, new ones too.
-    kSilent,      // Nothing passes; connections stay open.
-    kOneWay,      // Requests pass, answers do not.
+    kDelay,   // Each piece waits for `delay`.
+    kReset,   // Open connections are reset, new ones too.
+    kSilent,  // Nothing passes; connections stay open.
+    kOneWay,  // Requests pass, answers do not.
   };
 
   FaultProxy(boost::asio::io_context& loop, Address target);
--- a/testing/fakes/site_fakes_main.cc
+++ b/testing/fakes/site_fakes_main.cc
@@ -1,4 +1,5 @@
-// keelbridge-site-fakes: the platform stand-in as a process, for the quickstart.
+// keelbridge-site-fakes: the platform stand-in as a process, for the
+// quickstart.
 //
 //   keelbridge-site-fakes --workers=6 --ready_file=platform.json
 //
@@ -33,7 +34,6 @@
   loop.run();
   std::cout << platform.runs().size() << " runs, " << platform.faults().size()
             << " broken promises\n";
-  for (const std::string& fault : platform.faults())
-    std::cout << fault << "\n";
+  for (const std::string& fault : platform.faults()) std::cout << fault << "\n";
   return platform.faults().empty() ? 0 : 1;
 }
--- a/testing/fakes/site_worker.h
+++ b/testing/fakes/site_worker.h
@@ -1,6 +1,6 @@
-// A stand-in for one worker of a site: fences, one lease on its own clock, lists
-// of what runs and what ended, gangs, checkpoints, and a journal of what really
-// ran, from which promises are judged.
+// A stand-in for one worker of a site: fences, one lease on its own clock,
+// lists of what runs and what ended, gangs, checkpoints, and a journal of what
+// really ran, from which promises are judged.
 //
 //   SiteWorker worker({"i-1", ...}, site_time);
 //   OrderReply reply = worker.Start(order, now);
--- a/testing/site_soak_test.cc
+++ b/testing/site_soak_test.cc
@@ -1,10 +1,11 @@
 // Short seeded soaks; more seeds by hand: build/keelbridge-soak --seeds=50.
 
+#include "testing/support/site_soak.h"
+
 #include <doctest/doctest.h>
 
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_join.h"
-#include "testing/support/site_soak.h"
 
 namespace keelbridge::testing {
 namespace {
--- a/testing/support/site_soak.cc
+++ b/testing/support/site_soak.cc
@@ -106,8 +106,8 @@
   }
 
   void DrawFaults() {
-    const int count = 2 + static_cast<int>(random_() %
-                                           (options_.faults_at_most - 1));
+    const int count =
+        2 + static_cast<int>(random_() % (options_.faults_at_most - 1));
     std::vector<std::pair<absl::Duration, int>> plan;
     plan.reserve(static_cast<size_t>(count));
     for (int i = 0; i < count; ++i) {
--- a/testing/support/site_soak.h
+++ b/testing/support/site_soak.h
@@ -1,7 +1,7 @@
 // A soak of a site of real processes under faults drawn from a seed: signals to
-// nodes, proxies before the store and the workers, outages of the store, crashes
-// of workers, in series that overlap. Judged while it runs from what callers and
-// workers see.
+// nodes, proxies before the store and the workers, outages of the store,
+// crashes of workers, in series that overlap. Judged while it runs from what
+// callers and workers see.
 //
 //   SoakReport report = RunSiteSoak({.seed = 7, .length = absl::Seconds(20)});
 //   CHECK(report.faults.empty());
@@ -21,19 +21,19 @@
   uint64_t seed = 1;
   int nodes = 4;
   int workers = 6;
-  absl::Duration length = absl::Seconds(15);    // Faults are drawn for so long.
-  absl::Duration settle = absl::Seconds(60);    // Then everything must end.
+  absl::Duration length = absl::Seconds(15);  // Faults are drawn for so long.
+  absl::Duration settle = absl::Seconds(60);  // Then everything must end.
   int faults_at_most = 6;
 };
 
 struct SoakReport {
-  std::vector<std::string> faults;   // Broken promises, in words.
-  std::vector<std::string> happened; // What was done, with times.
+  std::vector<std::string> faults;    // Broken promises, in words.
+  std::vector<std::string> happened;  // What was done, with times.
   size_t accepted = 0;
   size_t refused = 0;
   size_t unknown = 0;  // Calls without a certain answer.
   size_t runs = 0;
-  std::string logs;    // The folder with the nodes' logs.
+  std::string logs;  // The folder with the nodes' logs.
 };
 
 SoakReport RunSiteSoak(const SoakOptions& options);
