Able nodes lead; calls wait for a new term; an unchanged list of peers is not sent again

Ruled out: the store (claims take 8 to 16 ms) and the decisions (the same load is served by a node of 0.5 processors).

Change: nodes tell their capacity (processors, bounded by their link) with each heartbeat; a node with under half of the best one's claims after all others, and a weak leader offers leadership to an able peer that has the store. Calls that come before a term is active wait for it, bounded in time and number; further tries wait twice as long each. A leader sends its list of peers only to those that do not have its newest version.

--- a/keelbridge/coordination/site_election.cc
+++ b/keelbridge/coordination/site_election.cc
@@ -3,6 +3,7 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <tuple>
 #include <utility>
 
 #include "keelbridge/base/json_reader.h"
@@ -12,6 +13,12 @@
 
 // After this long no earlier leader gives orders, whatever it believes.
 constexpr int64_t kEarlierLeaderMs = 30000;
+// A node with less than this share of the best one's capacity is weak.
+constexpr double kWeakShare = 0.5;
+// Without peers to compare with, a node with less than this many processors
+// gives others a head start, the longer the less it has.
+constexpr double kAmpleProcessors = 0.25;
+constexpr absl::Duration kHeadStart = absl::Seconds(1);
 
 }  // namespace
 
@@ -111,24 +118,44 @@
   last_heard_ = now;
 }
 
+bool SiteElection::IsWeak(double capacity) const {
+  double best = options_.capacity;
+  for (const ElectionPeer& peer : peers_) best = std::max(best, peer.capacity);
+  return capacity < kWeakShare * best;
+}
+
+std::optional<std::string> SiteElection::BetterLeader() const {
+  if (!leads_ || !IsWeak(options_.capacity)) return std::nullopt;
+  const ElectionPeer* best = nullptr;
+  for (const ElectionPeer& peer : peers_) {
+    if (!peer.store_ok || IsWeak(peer.capacity)) continue;
+    if (best == nullptr || peer.capacity > best->capacity) best = &peer;
+  }
+  if (best == nullptr) return std::nullopt;
+  return best->node;
+}
+
 absl::Duration SiteElection::Stagger() const {
-  std::vector<std::pair<uint64_t, std::string>> order;
-  const auto weight = [&](const std::string& node) {
+  const auto hash = [&](const std::string& node) {
     return XXH64(node.data(), node.size(),
                  static_cast<uint64_t>(leader_.epoch));
   };
-  for (const std::string& peer : peers_) {
-    if (peer != leader_.node && peer != node_)
-      order.emplace_back(weight(peer), peer);
+  const auto rank = [&](const std::string& node, double capacity) {
+    return std::make_tuple(IsWeak(capacity), hash(node), node);
+  };
+  const auto self = rank(node_, options_.capacity);
+  int64_t others = 0;
+  int64_t ahead = 0;
+  for (const ElectionPeer& peer : peers_) {
+    if (peer.node == leader_.node || peer.node == node_) continue;
+    ++others;
+    if (rank(peer.node, peer.capacity) < self) ++ahead;
   }
-  const auto self = std::make_pair(weight(node_), node_);
-  const auto ahead =
-      std::count_if(order.begin(), order.end(),
-                    [&](const auto& other) { return other < self; });
+  if (others > 0) return options_.rank_step * static_cast<double>(ahead);
   // Without peers, names alone must spread the tries.
-  if (order.empty())
-    return options_.rank_step * static_cast<double>(self.first % 4);
-  return options_.rank_step * static_cast<double>(ahead);
+  const double lack = std::max(0.0, 1.0 - options_.capacity / kAmpleProcessors);
+  return options_.rank_step * static_cast<double>(hash(node_) % 4) +
+         kHeadStart * lack;
 }
 
 ElectionStep SiteElection::Decide(absl::Time now) {
--- a/keelbridge/coordination/site_election.h
+++ b/keelbridge/coordination/site_election.h
@@ -45,6 +45,14 @@
 
 enum class ElectionStep { kNone, kReadControl, kClaim };
 
+// Another node that may lead.
+struct ElectionPeer {
+  std::string node;
+  // What it can spend on leading, in processors; see NodeSettings::Capacity.
+  double capacity = 1;
+  bool store_ok = true;  // It reaches the store itself.
+};
+
 class SiteElection {
  public:
   struct Options {
@@ -54,6 +62,8 @@
     // A gap between two looks this long means that this process stood still:
     // what it believes about others is then worth nothing.
     absl::Duration standstill = absl::Seconds(1);
+    // What this node can spend on leading, in processors.
+    double capacity = 1;
   };
 
   SiteElection(std::string node, uint64_t boot, std::string address,
@@ -75,7 +85,10 @@
   void OnClaimFailed();
   // This node gives leadership to others; it does not claim any more.
   void Retire() { retired_ = true; }
-  void SetPeers(std::vector<std::string> nodes) { peers_ = std::move(nodes); }
+  // The peers that were heard lately.
+  void SetPeers(std::vector<ElectionPeer> peers) { peers_ = std::move(peers); }
+  // Of a node that leads: a peer that is far better able to, if there is one.
+  std::optional<std::string> BetterLeader() const;
 
   ElectionStep Decide(absl::Time now);
   // The append that claims the next epoch.
@@ -93,6 +106,8 @@
 
  private:
   absl::Duration Stagger() const;
+  // Whether a node of that capacity should leave leading to better ones.
+  bool IsWeak(double capacity) const;
   void Follow(const LeaderRecord& leader, absl::Time now);
 
   const std::string node_;
@@ -110,7 +125,7 @@
   absl::Time last_look_ = absl::InfinitePast();
   bool leader_gone_ = false;
   absl::Time gone_since_ = absl::InfinitePast();
-  std::vector<std::string> peers_;
+  std::vector<ElectionPeer> peers_;
 };
 
 }  // namespace keelbridge
--- a/keelbridge/coordination/site_election_test.cc
+++ b/keelbridge/coordination/site_election_test.cc
@@ -147,5 +147,65 @@
   CHECK_FALSE(a.Leads());
 }
 
+SiteElection MakeWithCapacity(const std::string& node, double capacity) {
+  SiteElection::Options options;
+  options.capacity = capacity;
+  return {node, 1, node + ":1", options};
+}
+
+TEST_CASE("site election: weak nodes claim after all that are able") {
+  std::vector<ElectionPeer> able;
+  for (int i = 0; i < 6; ++i) able.push_back({"able" + std::to_string(i), 0.5});
+  for (int i = 0; i < 30; ++i) {
+    SiteElection weak =
+        MakeWithCapacity("weak" + std::to_string(i), /*capacity=*/0.12);
+    weak.OnControlRead({ToRecord(Leader(3, "gone", 7))}, 3, kBegin);
+    weak.SetPeers(able);
+    weak.OnLeaderGone(kBegin);
+    // Six able nodes try before it, 250 ms apart.
+    CHECK(LookUntil(weak, kBegin, absl::Milliseconds(1400)) ==
+          ElectionStep::kNone);
+    CHECK(LookUntil(weak, kBegin + absl::Milliseconds(1400),
+                    absl::Seconds(2)) == ElectionStep::kClaim);
+  }
+  SiteElection one = MakeWithCapacity("able0", 0.5);
+  std::vector<ElectionPeer> peers;
+  for (int i = 0; i < 30; ++i)
+    peers.push_back({"weak" + std::to_string(i), 0.12});
+  one.OnControlRead({ToRecord(Leader(3, "gone", 7))}, 3, kBegin);
+  one.SetPeers(peers);
+  one.OnLeaderGone(kBegin);
+  CHECK(LookUntil(one, kBegin, absl::Milliseconds(250)) ==
+        ElectionStep::kClaim);
+}
+
+TEST_CASE("site election: without peers a weak node lets others go first") {
+  SiteElection weak = MakeWithCapacity("weak", 0.05);
+  weak.OnControlRead({}, 0, kBegin);
+  CHECK(LookUntil(weak, kBegin, absl::Milliseconds(750)) ==
+        ElectionStep::kNone);
+  CHECK(LookUntil(weak, kBegin + absl::Milliseconds(750), absl::Seconds(2)) ==
+        ElectionStep::kClaim);
+}
+
+TEST_CASE(
+    "site election: a weak leader names an able peer that has the store") {
+  SiteElection weak = MakeWithCapacity("weak", 0.12);
+  weak.OnControlRead({}, 0, kBegin);
+  weak.Claim(1000);
+  weak.SetPeers({{"able", 0.5, true}});
+  CHECK(!weak.BetterLeader());  // It does not lead yet.
+  weak.OnClaimed(1, kBegin);
+  CHECK(weak.BetterLeader() == "able");
+  weak.SetPeers({{"able", 0.5, false}, {"weak2", 0.13, true}});
+  CHECK(!weak.BetterLeader());
+  SiteElection able = MakeWithCapacity("able", 0.3);
+  able.OnControlRead({}, 0, kBegin);
+  able.Claim(1000);
+  able.OnClaimed(1, kBegin);
+  able.SetPeers({{"abler", 0.5, true}});
+  CHECK(!able.BetterLeader());  // Not worth a change of leader.
+}
+
 }  // namespace
 }  // namespace keelbridge
--- a/keelbridge/daemon/leader_session.cc
+++ b/keelbridge/daemon/leader_session.cc
@@ -37,6 +37,10 @@
 // Leases and starts stop this much before other leaders count on it.
 constexpr absl::Duration kBoundMargin = absl::Milliseconds(1500);
 constexpr absl::Duration kRetryAfter = absl::Seconds(1);
+// Calls that come before the term is active wait this long, so many at most.
+constexpr absl::Duration kEarlyPatience = absl::Milliseconds(700);
+constexpr size_t kMostEarlyCalls = 2000;
+constexpr absl::Duration kEarlySweepEvery = absl::Milliseconds(100);
 
 ClientReply Reply(ClientAnswer answer, std::string message = "") {
   ClientReply reply;
@@ -76,6 +80,7 @@
            {{"epoch", absl::StrCat(epoch_)}, {"why", why}});
   tick_timer_.cancel();
   pump_timer_.cancel();
+  DropEarlyCalls(absl::InfiniteFuture());
   const auto waiters = std::move(waiters_);
   waiters_.clear();
   for (const auto& [batch, waiter] : waiters)
@@ -196,6 +201,8 @@
            {{"epoch", absl::StrCat(epoch_)},
             {"workers", absl::StrCat(listed_workers_.size())}});
   last_tick_ = SystemNow().mono;
+  const auto early = std::exchange(early_calls_, {});
+  for (const EarlyCall& waiting : early) Handle(waiting.call, waiting.reply);
   Pump();
   ArmTick();
 }
@@ -388,6 +395,32 @@
   PumpSoon();
 }
 
+void LeaderSession::HandleOnceActive(const ClientCall& call,
+                                     std::function<void(ClientReply)> reply,
+                                     std::function<void()> dropped) {
+  if (active()) return Handle(call, std::move(reply));
+  if (ended() || early_calls_.size() >= kMostEarlyCalls) return dropped();
+  const bool sweeping = !early_calls_.empty();
+  early_calls_.push_back({call, std::move(reply), std::move(dropped),
+                          SystemNow().mono + kEarlyPatience});
+  if (!sweeping) SweepEarlyCalls();
+}
+
+void LeaderSession::SweepEarlyCalls() {
+  DropEarlyCalls(SystemNow().mono);
+  if (early_calls_.empty()) return;
+  After(kEarlySweepEvery,
+        [self = shared_from_this()] { self->SweepEarlyCalls(); });
+}
+
+void LeaderSession::DropEarlyCalls(absl::Time until) {
+  while (!early_calls_.empty() && early_calls_.front().until <= until) {
+    const EarlyCall late = std::move(early_calls_.front());
+    early_calls_.pop_front();
+    late.dropped();
+  }
+}
+
 void LeaderSession::Handle(const ClientCall& call,
                            std::function<void(ClientReply)> reply) {
   const Now now = SystemNow();
--- a/keelbridge/daemon/leader_session.h
+++ b/keelbridge/daemon/leader_session.h
@@ -15,6 +15,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -63,6 +64,11 @@
   bool CanAccept() const;
 
   void Handle(const ClientCall& call, std::function<void(ClientReply)> reply);
+  // The same, once the term is active; `dropped` when that takes too long, when
+  // too many calls wait, or when the term ends first: the call has not run.
+  void HandleOnceActive(const ClientCall& call,
+                        std::function<void(ClientReply)> reply,
+                        std::function<void()> dropped);
   void SetConfiguration(std::shared_ptr<const SiteConfiguration> configuration);
   void SetAdvisers(const std::vector<std::string>& nodes);
   void OnEarlierLeaderStopped(absl::Time since);
@@ -81,6 +87,14 @@
     ClientReply answer;
   };
 
+  // A call that waits for the term to be active.
+  struct EarlyCall {
+    ClientCall call;
+    std::function<void(ClientReply)> reply;
+    std::function<void()> dropped;
+    absl::Time until;
+  };
+
   void Fence();
   void LoadJobs(const std::string& after);
   void LearnWorkers(const std::string& after);
@@ -99,6 +113,8 @@
              std::function<void(ClientReply)> reply);
   void After(absl::Duration delay, std::function<void()> step);
   void PublishFigures();
+  void DropEarlyCalls(absl::Time until);
+  void SweepEarlyCalls();
 
   boost::asio::io_context& loop_;
   const NodePorts ports_;
@@ -122,6 +138,7 @@
   absl::Time failing_since_ = absl::InfiniteFuture();
   int64_t store_returns_ = 0;
   std::multimap<int64_t, Waiter> waiters_;  // By batch.
+  std::deque<EarlyCall> early_calls_;       // In the order of their arrival.
 
   boost::asio::steady_timer tick_timer_;
   boost::asio::steady_timer pump_timer_;
--- a/keelbridge/daemon/node_settings.cc
+++ b/keelbridge/daemon/node_settings.cc
@@ -1,10 +1,15 @@
 #include "keelbridge/daemon/node_settings.h"
 
+#include <algorithm>
+
 #include "keelbridge/base/json_reader.h"
 
 namespace keelbridge {
 namespace {
 
+// What a leader sends and receives for each processor that it uses, Mbit/s.
+constexpr double kLinkOfOneProcessor = 45;
+
 void ReadAddress(JsonReader& reader, const std::string& key, bool required,
                  Address* out) {
   std::string text;
@@ -20,6 +25,11 @@
 
 }  // namespace
 
+double NodeSettings::Capacity() const {
+  return std::min(processor_share * processor_speed,
+                  link_mbps / kLinkOfOneProcessor);
+}
+
 Result<NodeSettings> ParseNodeSettings(const std::string& text,
                                        const std::string& source) {
   JsonDocument document = JsonDocument::Parse(text, source);
@@ -43,6 +53,9 @@
     reader.Choice("log_level", {"debug", "info", "warning", "error"}, &level);
   out.log_level = SeverityFromName(level);
   reader.OptionalInteger("most_connections", 4, 65536, &out.most_connections);
+  reader.OptionalNumber("processor_share", 0.001, 1024, &out.processor_share);
+  reader.OptionalNumber("processor_speed", 0.001, 1024, &out.processor_speed);
+  reader.OptionalNumber("link_mbps", 0.001, 1e7, &out.link_mbps);
   reader.OptionalMillis("lease_ms", 100, 600000, &out.lease);
   reader.OptionalMillis("gang_wait_ms", 1, 600000, &out.gang_wait);
   double seconds = absl::ToDoubleSeconds(out.ended_kept);
--- a/keelbridge/daemon/node_settings.h
+++ b/keelbridge/daemon/node_settings.h
@@ -30,11 +30,20 @@
   std::string trace_file;  // Spans as OTLP/JSON lines; "": none.
   Severity log_level = Severity::kInfo;
   int64_t most_connections = 1500;  // Of clients.
+  // What this machine gives the node: a share of a processor, how fast that
+  // processor is (1: as the measurements were made on), and its network link.
+  double processor_share = 1;
+  double processor_speed = 1;
+  double link_mbps = 1000;
 
   absl::Duration lease = absl::Seconds(6);
   absl::Duration gang_wait = absl::Seconds(3);
   absl::Duration ended_kept = absl::Seconds(120);
   absl::Duration stop_grace = absl::Seconds(6);  // From SIGTERM to SIGKILL.
+
+  // What this node can spend on leading a site, in processors: a leader that
+  // uses a whole processor fills a link of some 45 Mbit/s (docs/CAPACITY.md).
+  double Capacity() const;
 };
 
 // Every fault of `text` at once, or the settings.
--- a/keelbridge/daemon/site_node.cc
+++ b/keelbridge/daemon/site_node.cc
@@ -19,7 +19,6 @@
 constexpr absl::Duration kDrainNotice = absl::Milliseconds(2300);
 // Before the grace ends, so that the process ends by itself.
 constexpr absl::Duration kGraceMargin = absl::Milliseconds(500);
-constexpr absl::Duration kTakeOverTimeout = absl::Milliseconds(800);
 constexpr int kNotFoundStatus = 404;
 constexpr int kUnavailableStatus = 503;
 
@@ -30,7 +29,11 @@
   return options;
 }
 
-SiteElection::Options ElectionOptions() { return SiteElection::Options(); }
+SiteElection::Options ElectionOptions(const NodeSettings& settings) {
+  SiteElection::Options options;
+  options.capacity = settings.Capacity();
+  return options;
+}
 
 }  // namespace
 
@@ -45,7 +48,7 @@
       metrics_("node"),
       peer_server_(loop, settings_.peer_listen),
       election_(settings_.name, boot_, settings_.peer_listen.ToString(),
-                ElectionOptions()) {}
+                ElectionOptions(settings_)) {}
 
 void SiteNode::Every(absl::Duration period, std::function<void()> step) {
   auto timer = std::make_shared<boost::asio::steady_timer>(loop_);
@@ -144,10 +147,7 @@
     if (leads) {
       for (const auto& [name, peer] : peers_) {
         if (!peer.store_ok) continue;
-        Json::Value params(Json::objectValue);
-        params["epoch"] = Json::Int64(session_->epoch());
-        rpc_.Call(peer.address, "take_over", params, kTakeOverTimeout,
-                  [](const RpcOutcome&) {});
+        AskToTakeOver(peer);
         break;
       }
     }
--- a/keelbridge/daemon/site_node.h
+++ b/keelbridge/daemon/site_node.h
@@ -43,6 +43,7 @@
     std::string name;
     std::string address;
     bool store_ok = false;
+    double capacity = 1;  // In processors; see NodeSettings::Capacity.
     absl::Time heard = absl::InfinitePast();
   };
   // A client's call on its way to an answer.
@@ -51,6 +52,7 @@
     absl::Time begun;
     absl::Time deadline;
     bool may_have_run = false;
+    absl::Duration pause;  // Before the next try.
     std::string trace;  // W3C traceparent of this node's span; "": not traced.
     std::function<void(ClientReply)> reply;
   };
@@ -75,7 +77,10 @@
   void OnHeartbeatReply(const RpcOutcome& outcome, const LeaderRecord& to);
   Json::Value AnswerHeartbeat(const Json::Value& params);
   void TakePeer(const Json::Value& in);
+  void TakePeersOf(const Json::Value& answer);
   void UpdatePeers();
+  void UpdatePeerList();
+  Json::Value DescribeSelf() const;
   void FetchConfiguration(const std::string& address);
   void AskAdvice(const AskAdviceAction& action,
                  std::function<void(AdviceReply)> done);
@@ -90,6 +95,8 @@
   void BeginTerm();
   void OnTermEnded(const std::string& why);
   void AskEarlierLeaders();
+  void OfferLeadership();
+  void AskToTakeOver(const Peer& peer);
 
   // site_node_configuration.cc
   void ReadConfiguration();
@@ -117,6 +124,13 @@
   SiteElection election_;
   std::shared_ptr<LeaderSession> session_;
   std::map<std::string, Peer> peers_;  // By name.
+  // What this node tells of its peers when it leads, and which version of that
+  // the others have: an unchanged list is not sent again.
+  Json::Value peer_list_;
+  uint64_t peer_list_version_ = 0;
+  uint64_t leader_list_version_ = 0;
+  std::vector<std::string> leader_list_;          // Names in the leader's list.
+  absl::Time next_offer_ = absl::InfinitePast();  // Of leadership to a peer.
   std::vector<EarlierLeader> earlier_leaders_;
   bool reading_control_ = false;
   bool following_control_ = false;
--- a/keelbridge/daemon/site_node_clients.cc
+++ b/keelbridge/daemon/site_node_clients.cc
@@ -18,7 +18,9 @@
 constexpr absl::Duration kAnswerMargin = absl::Milliseconds(200);
 constexpr absl::Duration kLongestForward = absl::Milliseconds(2600);
 constexpr absl::Duration kTryTimeout = absl::Milliseconds(1000);
+// The first pause before another try; each further one is twice as long.
 constexpr absl::Duration kTryPause = absl::Milliseconds(60);
+constexpr absl::Duration kLongestTryPause = absl::Milliseconds(480);
 // Without anybody who leads, a call is given up after this long.
 constexpr absl::Duration kLeaderlessPatience = absl::Milliseconds(1000);
 constexpr absl::Duration kRetryAfter = absl::Seconds(1);
@@ -155,11 +157,13 @@
   const absl::Time now = SystemNow().mono;
   const bool leaderless =
       !forward->may_have_run && now - forward->begun > kLeaderlessPatience;
+  forward->pause = std::clamp(forward->pause * 2, kTryPause, kLongestTryPause);
   if (leaderless || now + kTryPause >= forward->deadline)
     return GiveUp(forward);
-  RunAfter(loop_, kTryPause, [this, forward] {
-    if (forward->reply) Try(forward);
-  });
+  RunAfter(loop_, std::min(forward->pause, forward->deadline - now),
+           [this, forward] {
+             if (forward->reply) Try(forward);
+           });
 }
 
 void SiteNode::GiveUp(const std::shared_ptr<Forward>& forward) {
--- a/keelbridge/daemon/site_node_leading.cc
+++ b/keelbridge/daemon/site_node_leading.cc
@@ -20,6 +20,9 @@
 // A peer that the leader answered this lately vouches for it.
 constexpr int64_t kVouchMs = 1000;
 constexpr absl::Duration kAskEarlierEvery = absl::Milliseconds(300);
+constexpr absl::Duration kTakeOverTimeout = absl::Milliseconds(800);
+// A peer that was asked to lead in place of a weaker node gets that long.
+constexpr absl::Duration kOfferEvery = absl::Seconds(2);
 
 }  // namespace
 
@@ -36,6 +39,7 @@
   }
   if (election_.Leads() && !serving) return BeginTerm();
   if (serving && session_->store_returns() > reaffirmed_returns_) Reaffirm();
+  if (serving && session_->CanAccept()) OfferLeadership();
   switch (election_.Decide(now)) {
     case ElectionStep::kReadControl:
       return ReadControl();
@@ -160,6 +164,7 @@
 void SiteNode::BeginTerm() {
   if (draining_) return;
   reaffirmed_returns_ = 0;
+  next_offer_ = SystemNow().mono + kOfferEvery;
   LeaderSession::Options options;
   options.node = settings_.name;
   options.scheduler.lease = settings_.lease;
@@ -185,6 +190,28 @@
   ReadControl();
 }
 
+void SiteNode::AskToTakeOver(const Peer& peer) {
+  Json::Value params(Json::objectValue);
+  params["epoch"] = Json::Int64(session_->epoch());
+  rpc_.Call(peer.address, "take_over", params, kTakeOverTimeout,
+            [](const RpcOutcome&) {});
+}
+
+void SiteNode::OfferLeadership() {
+  const absl::Time now = SystemNow().mono;
+  if (draining_ || now < next_offer_) return;
+  const auto better = election_.BetterLeader();
+  const auto peer = better ? peers_.find(*better) : peers_.end();
+  if (peer == peers_.end()) return;
+  next_offer_ = now + kOfferEvery;
+  LogEvent(Severity::kInfo, "leadership_offered",
+           {{"to", peer->second.name},
+            {"its_capacity", absl::StrCat(peer->second.capacity)},
+            {"own_capacity", absl::StrCat(settings_.Capacity())},
+            {"epoch", absl::StrCat(session_->epoch())}});
+  AskToTakeOver(peer->second);
+}
+
 void SiteNode::AskEarlierLeaders() {
   if (session_ == nullptr || session_->ended()) return;
   if (earlier_leaders_.empty()) {
--- a/keelbridge/daemon/site_node_peers.cc
+++ b/keelbridge/daemon/site_node_peers.cc
@@ -31,24 +31,23 @@
                                        const EventRpcServer::Reply& reply) {
     reply(Ok(AnswerHeartbeat(params)));
   });
-  peer_server_.Add(
-      "call", [this](const Json::Value& params, EventRpcServer::Reply reply) {
-        if (session_ == nullptr || !session_->active()) {
-          Json::Value out(Json::objectValue);
-          out["not_leader"] = true;
-          return reply(Ok(out));
-        }
-        std::shared_ptr<Span> span;
-        const TraceContext parent =
-            TraceContext::Parse(params["traceparent"].asString());
-        if (parent.valid())
-          span = std::make_shared<Span>("leader.call", parent);
-        session_->Handle(
-            ClientCallFromJson(params),
-            [span, reply = std::move(reply)](const ClientReply& answer) {
-              reply(Ok(ToJson(answer)));
-            });
-      });
+  peer_server_.Add("call", [this](const Json::Value& params,
+                                  EventRpcServer::Reply reply) {
+    const auto not_leader = [reply] {
+      Json::Value out(Json::objectValue);
+      out["not_leader"] = true;
+      reply(Ok(out));
+    };
+    if (session_ == nullptr || session_->ended()) return not_leader();
+    std::shared_ptr<Span> span;
+    const TraceContext parent =
+        TraceContext::Parse(params["traceparent"].asString());
+    if (parent.valid()) span = std::make_shared<Span>("leader.call", parent);
+    session_->HandleOnceActive(
+        ClientCallFromJson(params),
+        [span, reply](const ClientReply& answer) { reply(Ok(ToJson(answer))); },
+        not_leader);
+  });
   peer_server_.Add("advise", [this](const Json::Value& params,
                                     EventRpcServer::Reply reply) {
     ports_.advice->Ask(AdviceRequestFromJson(params),
@@ -110,12 +109,57 @@
   peer.name = name;
   peer.address = in["address"].asString();
   peer.store_ok = in["store_ok"].asBool();
+  peer.capacity = in.get("capacity", 1.0).asDouble();
   peer.heard = SystemNow().mono;
 }
 
+void SiteNode::TakePeersOf(const Json::Value& answer) {
+  leader_list_version_ = answer["peers_version"].asUInt64();
+  if (!answer.isMember("peers")) {
+    // As it was: all of it was heard again.
+    for (const std::string& name : leader_list_) {
+      const auto peer = peers_.find(name);
+      if (peer != peers_.end()) peer->second.heard = SystemNow().mono;
+    }
+    return;
+  }
+  leader_list_.clear();
+  for (const Json::Value& peer : answer["peers"]) {
+    TakePeer(peer);
+    leader_list_.push_back(peer["node"].asString());
+  }
+}
+
+Json::Value SiteNode::DescribeSelf() const {
+  Json::Value out(Json::objectValue);
+  out["node"] = settings_.name;
+  out["address"] = settings_.peer_listen.ToString();
+  out["store_ok"] = carrier_.direct();
+  out["capacity"] = settings_.Capacity();
+  return out;
+}
+
+void SiteNode::UpdatePeerList() {
+  const absl::Time now = SystemNow().mono;
+  Json::Value list(Json::arrayValue);
+  for (const auto& [name, peer] : peers_) {
+    if (now - peer.heard > kPeerFresh) continue;
+    Json::Value one(Json::objectValue);
+    one["node"] = name;
+    one["address"] = peer.address;
+    one["store_ok"] = peer.store_ok;
+    one["capacity"] = peer.capacity;
+    list.append(std::move(one));
+  }
+  list.append(DescribeSelf());
+  if (list == peer_list_) return;
+  peer_list_ = std::move(list);
+  peer_list_version_ = RandomId();
+}
+
 void SiteNode::UpdatePeers() {
   const absl::Time now = SystemNow().mono;
-  std::vector<std::string> names;
+  std::vector<ElectionPeer> heard;
   std::vector<std::string> fresh = {settings_.name};
   std::vector<std::string> relays;
   for (auto it = peers_.begin(); it != peers_.end();) {
@@ -125,12 +169,12 @@
       continue;
     }
     const bool is_fresh = now - peer.heard < kPeerFresh;
-    if (is_fresh) names.push_back(peer.name);
+    if (is_fresh) heard.push_back({peer.name, peer.capacity, peer.store_ok});
     if (is_fresh) fresh.push_back(peer.name);
     if (peer.store_ok && is_fresh) relays.push_back(peer.address);
     ++it;
   }
-  election_.SetPeers(names);
+  election_.SetPeers(std::move(heard));
   if (relays.empty()) {
     // Before anybody was heard, the seeds may reach the store.
     for (const std::string& seed : settings_.seeds) {
@@ -142,6 +186,7 @@
   }
   carrier_.SetPeers(std::move(relays));
   if (session_ != nullptr && !session_->ended()) session_->SetAdvisers(fresh);
+  UpdatePeerList();
 }
 
 Json::Value SiteNode::AnswerHeartbeat(const Json::Value& params) {
@@ -160,20 +205,9 @@
   out["leader"] = ToJson(election_.leader());
   out["configuration_version"] =
       Json::Int64(configuration_ == nullptr ? 0 : configuration_->version);
-  const absl::Time now = SystemNow().mono;
-  for (const auto& [name, peer] : peers_) {
-    if (now - peer.heard > kPeerFresh) continue;
-    Json::Value one(Json::objectValue);
-    one["node"] = name;
-    one["address"] = peer.address;
-    one["store_ok"] = peer.store_ok;
-    out["peers"].append(one);
-  }
-  Json::Value self(Json::objectValue);
-  self["node"] = settings_.name;
-  self["address"] = settings_.peer_listen.ToString();
-  self["store_ok"] = carrier_.direct();
-  out["peers"].append(self);
+  out["peers_version"] = Json::UInt64(peer_list_version_);
+  if (params["peers_version"].asUInt64() != peer_list_version_)
+    out["peers"] = peer_list_;
   return out;
 }
 
@@ -183,11 +217,9 @@
   const bool self = leader.address == settings_.peer_listen.ToString();
   if (leader.epoch == 0 || self || heartbeat_under_way_) return;
   heartbeat_under_way_ = true;
-  Json::Value params(Json::objectValue);
-  params["node"] = settings_.name;
-  params["address"] = settings_.peer_listen.ToString();
-  params["store_ok"] = carrier_.direct();
+  Json::Value params = DescribeSelf();
   params["leader"] = ToJson(leader);
+  params["peers_version"] = Json::UInt64(leader_list_version_);
   params["configuration_version"] =
       Json::Int64(configuration_ == nullptr ? 0 : configuration_->version);
   rpc_.Call(leader.address, "heartbeat", params, kHeartbeatTimeout,
@@ -219,7 +251,7 @@
   failed_heartbeats_ = 0;
   const Json::Value& in = outcome.result;
   election_.OnLeaderHeard(LeaderFromJson(in["leader"]), now);
-  for (const Json::Value& peer : in["peers"]) TakePeer(peer);
+  TakePeersOf(in);
   const int64_t version = in["configuration_version"].asInt64();
   if (version > (configuration_ == nullptr ? 0 : configuration_->version))
     FetchConfiguration(to.address);
