--- a/keelbridge/coordination/job_scheduler.h
+++ b/keelbridge/coordination/job_scheduler.h
@@ -55,6 +55,8 @@
 struct AskAdviceAction {
   std::string adviser;  // The node that is to ask.
   AdviceRequest request;
+  // Processors that the step hopes to get on each worker that it names.
+  std::vector<int32_t> hoped_milli;
   absl::Duration timeout;
 };
 // A line for the log: what was decided, about what, by which inputs.
@@ -203,6 +205,8 @@
     int failures_in_row = 0;
     const StepState* reserved_by = nullptr;
     bool in_attention = false;  // Stands in `attention_`.
+    // Processors that steps hope to get here, whose advice is under way.
+    int32_t hoped_milli = 0;
   };
   struct Adviser {
     std::string node;
@@ -282,6 +286,7 @@
   void Block(ReadyStep& ready, const char* why);
   // The most that any worker has free, each resource by itself.
   Resources MostFree() const;
+  int64_t FreeCpuMilli() const;
   static bool FollowsWhatEndedHere(const Job& job, const Round& round,
                                    size_t step);
   static bool MayTry(const ReadyStep& ready, const TaskState& task, Now now);
@@ -297,7 +302,18 @@
   bool HasTicket(const Worker& worker, const ReadyStep& ready, Now now) const;
   // The share of workers that may run a step of the queue, as far as learnt.
   double GoodShare(const Queue& queue) const;
-  void AskAdvice(ReadyStep& ready, std::vector<std::string> workers, Now now);
+  // A worker that a call names, and the processors hoped for there.
+  struct NamedWorker {
+    Worker* worker;
+    int32_t hoped_milli;
+  };
+  void AskAdvice(ReadyStep& ready, const std::vector<NamedWorker>& named,
+                 Now now);
+  // Processors of as many tasks of the step as may start at one worker.
+  static int32_t HopedMilli(const ReadyStep& ready, double tasks);
+  void ReturnHopes(const AskAdviceAction& action);
+  // What is free on a worker and not hoped for by others.
+  static Resources Unclaimed(const Worker& worker);
   void EnsureSinglesAdvice(ReadyStep& ready, Now now);
   void EnsureGangAdvice(ReadyStep& ready, Now now);
   Adviser* FreeAdviser(double cost_ms, Now now);
--- a/keelbridge/coordination/job_scheduler_advice.cc
+++ b/keelbridge/coordination/job_scheduler_advice.cc
@@ -13,6 +13,10 @@
 // A ticket counts as that much shorter than told, for the answer's way.
 constexpr absl::Duration kTicketGrace = absl::Milliseconds(20);
 constexpr absl::Duration kAdviceRetry = absl::Milliseconds(150);
+// A step that was answered and still lacks workers asks again after this, and
+// after twice as long each time.
+constexpr absl::Duration kAskAgain = absl::Milliseconds(60);
+constexpr int32_t kMostDoublings = 3;
 constexpr absl::Duration kAvoidAdviser = absl::Seconds(1);
 // Calls that take less are short: they never stand behind long ones.
 constexpr double kShortAdviceMs = 100;
@@ -80,24 +84,45 @@
   return it != tickets.end() && it->second.expires > now.mono + kTicketMargin;
 }
 
-void JobScheduler::AskAdvice(ReadyStep& ready, std::vector<std::string> workers,
-                             Now now) {
-  if (workers.empty()) return;
-  if (workers.size() > kMostNamed) workers.resize(kMostNamed);
+Resources JobScheduler::Unclaimed(const Worker& worker) {
+  Resources room = worker.free;
+  room.cpu_milli -= worker.hoped_milli;
+  return room;
+}
+
+void JobScheduler::ReturnHopes(const AskAdviceAction& action) {
+  for (size_t i = 0; i < action.hoped_milli.size(); ++i) {
+    const auto worker = workers_.find(action.request.workers[i]);
+    if (worker != workers_.end())
+      worker->second->hoped_milli -= action.hoped_milli[i];
+  }
+}
+
+void JobScheduler::AskAdvice(ReadyStep& ready,
+                             const std::vector<NamedWorker>& named, Now now) {
+  if (named.empty()) return;
+  const size_t count = std::min(named.size(), kMostNamed);
   const AdviceTerms& terms = ready.queue->advice;
   const double cost_ms =
-      terms.base_ms + terms.per_worker_ms * static_cast<double>(workers.size());
+      terms.base_ms + terms.per_worker_ms * static_cast<double>(count);
   Adviser* adviser = FreeAdviser(cost_ms, now);
   if (adviser == nullptr) return;
   adviser->busy_until =
       std::max(adviser->busy_until, now.mono) + absl::Milliseconds(cost_ms);
-  ready.state->advice.asked = true;
+  StepAdvice& advice = ready.state->advice;
+  advice.asked = true;
+  ++advice.asks;
   ++figures_.advice_calls;
   AskAdviceAction action;
   action.adviser = adviser->node;
   action.request.step =
       TaskId{ready.job->id, ready.round->number, ready.number, 0};
-  action.request.workers = std::move(workers);
+  for (size_t i = 0; i < count; ++i) {
+    Worker& worker = *named[i].worker;
+    action.request.workers.push_back(worker.record.id);
+    action.hoped_milli.push_back(named[i].hoped_milli);
+    worker.hoped_milli += named[i].hoped_milli;
+  }
   action.timeout =
       (adviser->busy_until - now.mono) * 1.5 + absl::Milliseconds(500);
   Explain("advice_asked",
@@ -109,11 +134,17 @@
   actions_.push_back(std::move(action));
 }
 
+int32_t JobScheduler::HopedMilli(const ReadyStep& ready, double tasks) {
+  if (ready.spec->fills) return 0;
+  const double most = std::min(tasks, static_cast<double>(ready.waiting));
+  return static_cast<int32_t>(most * ready.spec->need.cpu_milli);
+}
+
 void JobScheduler::EnsureSinglesAdvice(ReadyStep& ready, Now now) {
   StepAdvice& advice = ready.state->advice;
   if (advice.asked || advice.next_ask > now.mono) return;
   struct Candidate {
-    const Worker* worker;
+    Worker* worker;
     int32_t fits;
     bool good;
     size_t number;  // In the order of the workers' names.
@@ -122,12 +153,12 @@
   int32_t usable = 0;
   for (auto& [id, worker] : workers_) {
     if (!MayRun(*worker, ready, now)) continue;
-    const int32_t fits = Fits(*worker, ready, worker->free);
-    if (fits < 1) continue;
     if (HasTicket(*worker, ready, now)) {
-      usable += fits;
+      usable += Fits(*worker, ready, worker->free);
       continue;
     }
+    const int32_t fits = Fits(*worker, ready, Unclaimed(*worker));
+    if (fits < 1) continue;
     const auto known = advice.known.find(id);
     if (known != advice.known.end() && !known->second) continue;
     candidates.push_back(
@@ -144,22 +175,23 @@
   candidates.resize(ordered);
   const double share = GoodShare(*ready.queue);
   double expected = usable;
-  std::vector<std::string> named;
+  std::vector<NamedWorker> named;
   for (const Candidate& candidate : candidates) {
     const bool enough = expected >= kAdviceMargin * ready.waiting &&
                         named.size() >= kLeastNamed;
     if (enough) break;
-    expected += candidate.fits * (candidate.good ? 1.0 : share);
-    named.push_back(candidate.worker->record.id);
+    const double hoped = candidate.fits * (candidate.good ? 1.0 : share);
+    expected += hoped;
+    named.push_back({candidate.worker, HopedMilli(ready, hoped)});
   }
-  AskAdvice(ready, std::move(named), now);
+  AskAdvice(ready, named, now);
 }
 
 void JobScheduler::EnsureGangAdvice(ReadyStep& ready, Now now) {
   StepAdvice& advice = ready.state->advice;
   if (advice.asked || advice.next_ask > now.mono) return;
   struct Candidate {
-    const Worker* worker;
+    Worker* worker;
     int32_t fits;   // Now.
     int32_t whole;  // When nothing else runs there.
   };
@@ -203,12 +235,12 @@
   if (!room_now && !ask_unknown) return;
   // Fresh tickets for the good ones that have room, with some to spare: others
   // take room while the answer is on its way.
-  std::vector<std::string> named;
+  std::vector<NamedWorker> named;
   double expected = 0;
   for (const Candidate& candidate : good) {
     if (candidate.fits < 1 || expected >= kGangSpare * count) break;
     expected += candidate.fits;
-    named.push_back(candidate.worker->record.id);
+    named.push_back({candidate.worker, HopedMilli(ready, candidate.fits)});
   }
   for (const Candidate& candidate : unknown) {
     if (!ask_unknown) break;
@@ -216,13 +248,15 @@
         named.size() >= kLeastNamed)
       break;
     expected += share * (candidate.fits > 0 ? candidate.fits : candidate.whole);
-    named.push_back(candidate.worker->record.id);
+    named.push_back(
+        {candidate.worker, HopedMilli(ready, share * candidate.fits)});
   }
-  AskAdvice(ready, std::move(named), now);
+  AskAdvice(ready, named, now);
 }
 
 void JobScheduler::OnAdvice(const AskAdviceAction& action,
                             const AdviceReply& reply, Now now) {
+  ReturnHopes(action);
   const auto found = jobs_.find(action.request.step.job);
   for (Adviser& adviser : advisers_) {
     if (adviser.node != action.adviser) continue;
@@ -234,6 +268,8 @@
   if (step == nullptr) return;
   StepAdvice& advice = step->advice;
   advice.asked = false;
+  advice.next_ask =
+      now.mono + kAskAgain * (1 << std::min(advice.asks - 1, kMostDoublings));
   placement_wanted_ = true;
   Explain("advice_answered",
           {{"job", JobIdText(action.request.step.job)},
--- a/keelbridge/coordination/job_scheduler_placement.cc
+++ b/keelbridge/coordination/job_scheduler_placement.cc
@@ -15,6 +15,9 @@
 // late.
 constexpr absl::Duration kPlacementPause = absl::Milliseconds(4);
 constexpr absl::Duration kPauseOfStep = absl::Microseconds(40);
+// Advice is asked for as much work as fits into this many times the free room:
+// some of the room that it is asked about turns out to be of no use.
+constexpr double kAskedRoom = 2.0;
 // Gangs that may hold workers free at a time.
 constexpr int kMostReservations = 4;
 // Added to the share of a worker that would stay free, which is at most 1.
@@ -121,6 +124,9 @@
   no_placement_before_ = now.mono + kPlacementPause +
                          kPauseOfStep * static_cast<double>(ready.size());
   const Resources most_free = MostFree();
+  // Steps behind those that will fill all free room do not ask for advice:
+  // their answers would be stale before there is room for them.
+  double room_to_ask_for = kAskedRoom * static_cast<double>(FreeCpuMilli());
   for (auto& [id, worker] : workers_) worker->reserved_by = nullptr;
   int reservations = 0;
   for (ReadyStep& step : ready) {
@@ -131,14 +137,18 @@
         Block(step, "no worker has room");
         continue;
       }
-      if (step.queue->advice.needed) EnsureSinglesAdvice(step, now);
+      if (step.queue->advice.needed && room_to_ask_for > 0)
+        EnsureSinglesAdvice(step, now);
       PlaceSingles(step, now);
+      room_to_ask_for -= static_cast<double>(step.waiting) * need.cpu_milli;
       continue;
     }
     if (FinishGang(step, now)) continue;
     PlaceGang(step, now);
     if (step.waiting == 0) continue;
-    if (step.queue->advice.needed) EnsureGangAdvice(step, now);
+    if (step.queue->advice.needed && room_to_ask_for > 0)
+      EnsureGangAdvice(step, now);
+    room_to_ask_for -= static_cast<double>(step.waiting) * need.cpu_milli;
     if (reservations < kMostReservations) {
       ReserveForGang(step, now);
       ++reservations;
@@ -157,6 +167,13 @@
   return most;
 }
 
+int64_t JobScheduler::FreeCpuMilli() const {
+  int64_t free = 0;
+  for (const auto& [id, worker] : workers_)
+    free += std::max(0, worker->free.cpu_milli);
+  return free;
+}
+
 void JobScheduler::Block(ReadyStep& ready, const char* why) {
   if (ready.state->blocked == why) return;
   ready.state->blocked = why;
--- a/keelbridge/coordination/job_scheduler_test.cc
+++ b/keelbridge/coordination/job_scheduler_test.cc
@@ -65,6 +65,12 @@
     scheduler_.SetAdvisers({"n"}, "n");
   }
 
+  void UseAdvisers(int count) {
+    std::vector<std::string> nodes;
+    for (int i = 0; i < count; ++i) nodes.push_back("n" + std::to_string(i));
+    scheduler_.SetAdvisers(nodes, "n0");
+  }
+
   void AnswerHeldAdvice() {
     for (const AskAdviceAction& ask : std::exchange(held_, {}))
       AnswerAdvice(ask);
@@ -96,6 +102,7 @@
   std::map<std::string, ObserveReply> lists;  // Workers in it answer.
   std::set<std::string> good;
   bool hold_advice = false;
+  std::vector<std::vector<std::string>> asks;  // Workers named, call by call.
   std::vector<StartOrder> starts;
   std::vector<std::string> start_workers;
 
@@ -121,6 +128,7 @@
       scheduler_.OnObserveReply(*look, reply, now_ - absl::Milliseconds(1),
                                 now());
     } else if (const auto* ask = std::get_if<AskAdviceAction>(&action)) {
+      asks.push_back(ask->request.workers);
       if (hold_advice)
         held_.push_back(*ask);
       else
@@ -340,6 +348,64 @@
   CHECK(site.starts[1].task.job == 8);
 }
 
+TEST_CASE("job scheduler: advice is asked only for work that has room") {
+  Driver site(1);
+  site.UseAdvice();
+  site.UseAdvisers(40);
+  site.hold_advice = true;
+  for (const char* id : {"a", "b", "c", "d"}) {
+    site.AddWorker(id);
+    site.lists[id];
+  }
+  // Each worker has room for one task at a time: 4 of 40 jobs.
+  for (JobId id = 100; id < 140; ++id) {
+    JobSpec spec;
+    spec.steps.push_back(OneTask(8000));
+    site.scheduler().Submit(id, "restore", spec, site.now());
+  }
+  site.RunUntil(absl::Milliseconds(500));
+  CHECK(site.asks.size() >= 1);
+  CHECK(site.asks.size() <= 8);
+}
+
+TEST_CASE("job scheduler: steps that ask at once ask about different workers") {
+  Driver site(1);
+  site.UseAdvice();
+  site.UseAdvisers(40);
+  site.hold_advice = true;
+  for (char id = 'a'; id < 'm'; ++id) {
+    site.AddWorker(std::string(1, id));
+    site.lists[std::string(1, id)];
+  }
+  for (JobId id = 100; id < 102; ++id) {
+    JobSpec spec;
+    spec.steps.push_back(OneTask(8000));
+    site.scheduler().Submit(id, "restore", spec, site.now());
+  }
+  site.RunUntil(absl::Milliseconds(200));
+  REQUIRE(site.asks.size() == 2);
+  std::set<std::string> both(site.asks[0].begin(), site.asks[0].end());
+  both.insert(site.asks[1].begin(), site.asks[1].end());
+  CHECK(both.size() == site.asks[0].size() + site.asks[1].size());
+}
+
+TEST_CASE(
+    "job scheduler: a step whose workers have no room does not ask on and on") {
+  Driver site(1);
+  site.UseAdvice();
+  site.UseAdvisers(40);
+  for (const char* id : {"a", "b", "c", "d", "e", "f"}) {
+    site.AddWorker(id);
+    site.lists[id];
+  }
+  // No worker may run it: all are asked about once, and not each turn again.
+  JobSpec spec;
+  spec.steps.push_back(OneTask(8000));
+  site.scheduler().Submit(100, "restore", spec, site.now());
+  site.RunUntil(absl::Seconds(2));
+  CHECK(site.asks.size() <= 6);
+}
+
 TEST_CASE("job scheduler: a suspended leader starts nothing") {
   Driver site(1);
   site.AddWorker("a");
--- a/keelbridge/state/job_table.h
+++ b/keelbridge/state/job_table.h
@@ -18,6 +18,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "absl/container/flat_hash_map.h"
@@ -57,6 +58,7 @@
 struct StepAdvice {
   bool asked = false;  // A call is under way.
   absl::Time next_ask = absl::InfinitePast();
+  int32_t asks = 0;                              // Calls so far.
   absl::flat_hash_map<std::string, bool> known;  // Worker -> may run it.
   struct Ticket {
     std::string ticket;
