--- a/keelbridge/base/json_reader.cc
+++ b/keelbridge/base/json_reader.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cmath>
 #include <memory>
+#include <sstream>
 #include <utility>
 
 #include "absl/strings/str_cat.h"
@@ -27,30 +28,38 @@
   return text;
 }
 
+std::unique_ptr<Json::CharReader> MakeReader() {
+  Json::CharReaderBuilder builder;
+  builder["collectComments"] = false;
+  builder["allowComments"] = true;
+  builder["strictRoot"] = true;
+  builder["failIfExtra"] = true;
+  builder["rejectDupKeys"] = true;
+  builder["allowSpecialFloats"] = false;
+  builder["stackLimit"] = kDeepestNesting;
+  return std::unique_ptr<Json::CharReader>(builder.newCharReader());
+}
+
 }  // namespace
 
 std::string ToJsonText(const Json::Value& value) {
-  static const Json::StreamWriterBuilder* writer_builder = [] {
-    auto* writer = new Json::StreamWriterBuilder();
-    (*writer)["indentation"] = "";
-    return writer;
+  // Making a writer costs more than writing a message.
+  thread_local const std::unique_ptr<Json::StreamWriter> writer = [] {
+    Json::StreamWriterBuilder builder;
+    builder["indentation"] = "";
+    return std::unique_ptr<Json::StreamWriter>(builder.newStreamWriter());
   }();
-  return Json::writeString(*writer_builder, value);
+  std::ostringstream out;
+  writer->write(value, &out);
+  return out.str();
 }
 
 JsonDocument JsonDocument::Parse(std::string text, std::string source) {
   JsonDocument document;
   document.text_ = std::move(text);
   document.source_ = std::move(source);
-  Json::CharReaderBuilder builder;
-  builder["collectComments"] = false;
-  builder["allowComments"] = true;
-  builder["strictRoot"] = true;
-  builder["failIfExtra"] = true;
-  builder["rejectDupKeys"] = true;
-  builder["allowSpecialFloats"] = false;
-  builder["stackLimit"] = kDeepestNesting;
-  std::unique_ptr<Json::CharReader> reader(builder.newCharReader());
+  // Making a reader costs more than reading a message.
+  thread_local const std::unique_ptr<Json::CharReader> reader = MakeReader();
   Json::Value root;
   std::string errors;
   bool ok = false;
