Heartbeats have connections of their own, and a leader's peers all find room

The leader's server for peers takes 200 connections, 42 peers open up to 24 each as soon as calls wait (a busy or new leader, an outage of the store), and one over the limit is closed at once. So a leader under load was deposed for it. Ruled out: the leader's turns (its lag stayed small), the network (other calls passed). Change: two lanes to a peer, 8 connections for work and 2 for control; the server takes 1,000. Also: a leader whose loop is late by more than 60 ms starts 4 tasks a turn instead of 60, so that what is under way is answered in time; its longest lag is told with its figures each second.

--- a/keelbridge/coordination/job_scheduler.h
+++ b/keelbridge/coordination/job_scheduler.h
@@ -124,6 +124,9 @@
   // While suspended it starts nothing and extends no lease: this leader may
   // have been replaced without knowing.
   void SetSuspended(bool suspended) { suspended_ = suspended; }
+  // How late its driver's loop is: a leader that cannot keep up starts less at
+  // a time, so that what is under way is still answered in time.
+  void SetLag(absl::Duration lag) { lag_ = lag; }
   // The leader before this one gives no more orders since `since`.
   void OnEarlierLeaderStopped(absl::Time since);
   void OnWorkerRecord(const WorkerRecord& record, Now now);
@@ -339,6 +342,8 @@
   absl::Time earlier_leader_until_;
   bool fenced_ = false;
   bool suspended_ = false;
+  absl::Duration lag_;
+  int32_t starts_left_ = 0;               // In this look for placements.
   std::vector<Worker*> attention_;        // Workers to look at before a sweep.
   std::vector<Worker*> unnoted_workers_;  // With ends that wait to be durable.
   absl::Time next_sweep_ = absl::InfinitePast();
--- a/keelbridge/coordination/job_scheduler_gangs.cc
+++ b/keelbridge/coordination/job_scheduler_gangs.cc
@@ -65,6 +65,11 @@
 
 void JobScheduler::PlaceGang(ReadyStep& ready, Now now) {
   if (ready.waiting < ready.spec->count) return;  // Some may not be tried yet.
+  // A gang starts whole, whatever that takes.
+  if (starts_left_ <= 0) {
+    placement_wanted_ = true;
+    return;
+  }
   struct Room {
     Worker* worker;
     int32_t fits;
--- a/keelbridge/coordination/job_scheduler_placement.cc
+++ b/keelbridge/coordination/job_scheduler_placement.cc
@@ -18,6 +18,11 @@
 // Advice is asked for as much work as fits into this many times the free room:
 // some of the room that it is asked about turns out to be of no use.
 constexpr double kAskedRoom = 2.0;
+// Tasks that one look for placements starts at most, and when the driver's loop
+// is late by more than `kLate`. What is left waits for the next look.
+constexpr int32_t kMostStarts = 60;
+constexpr int32_t kMostStartsWhenLate = 4;
+constexpr absl::Duration kLate = absl::Milliseconds(60);
 // Gangs that may hold workers free at a time.
 constexpr int kMostReservations = 4;
 // Added to the share of a worker that would stay free, which is at most 1.
@@ -123,6 +128,7 @@
   std::vector<ReadyStep> ready = CollectReady(now);
   no_placement_before_ = now.mono + kPlacementPause +
                          kPauseOfStep * static_cast<double>(ready.size());
+  starts_left_ = lag_ > kLate ? kMostStartsWhenLate : kMostStarts;
   const Resources most_free = MostFree();
   // Steps behind those that will fill all free room do not ask for advice:
   // their answers would be stale before there is room for them.
@@ -263,6 +269,7 @@
                              now.mono - ready.state->ready_since))},
            {"free_cpu_milli", absl::StrCat(worker.free.cpu_milli)}});
   ready.state->blocked.clear();
+  --starts_left_;
   --ready.waiting;
   --figures_.ready_tasks;
   actions_.push_back(std::move(action));
@@ -295,6 +302,10 @@
   const std::vector<Worker*> usable = WorkersFor(ready, now);
   for (int32_t index = 0; index < ready.spec->count && ready.waiting > 0;
        ++index) {
+    if (starts_left_ <= 0) {
+      placement_wanted_ = true;
+      return;
+    }
     TaskState& task = ready.state->tasks[static_cast<size_t>(index)];
     if (!MayTry(ready, task, now)) continue;
     Worker* best = nullptr;
--- a/keelbridge/coordination/job_scheduler_test.cc
+++ b/keelbridge/coordination/job_scheduler_test.cc
@@ -406,6 +406,25 @@
   CHECK(site.asks.size() <= 6);
 }
 
+TEST_CASE("job scheduler: a leader that is late starts little at a time") {
+  Driver site(1);
+  for (char id = 'a'; id < 'm'; ++id) {
+    site.AddWorker(std::string(1, id), 64000);
+    site.lists[std::string(1, id)];
+  }
+  JobSpec spec;
+  spec.steps.push_back(OneTask(1000));
+  spec.steps.back().count = 90;
+  site.scheduler().SetLag(absl::Milliseconds(300));
+  site.scheduler().Submit(100, "restore", spec, site.now());
+  site.RunUntil(absl::Milliseconds(100));
+  CHECK(site.starts.size() > 0);
+  CHECK(site.starts.size() <= 20);
+  site.scheduler().SetLag(absl::ZeroDuration());
+  site.RunUntil(absl::Milliseconds(200));
+  CHECK(site.starts.size() == 90);
+}
+
 TEST_CASE("job scheduler: a suspended leader starts nothing") {
   Driver site(1);
   site.AddWorker("a");
--- a/keelbridge/daemon/leader_session.cc
+++ b/keelbridge/daemon/leader_session.cc
@@ -212,6 +212,7 @@
   tick_timer_.async_wait(
       [self = shared_from_this()](boost::system::error_code error) {
         if (error || self->ended()) return;
+        self->TakeLag(self->tick_timer_.expiry());
         self->Pump();
         self->ArmTick();
       });
@@ -224,10 +225,19 @@
   pump_timer_.async_wait(
       [self = shared_from_this()](boost::system::error_code error) {
         self->pump_armed_ = false;
-        if (!error && !self->ended()) self->Pump();
+        if (error || self->ended()) return;
+        self->TakeLag(self->pump_timer_.expiry());
+        self->Pump();
       });
 }
 
+void LeaderSession::TakeLag(std::chrono::steady_clock::time_point due) {
+  const absl::Duration lag =
+      absl::FromChrono(std::chrono::steady_clock::now() - due);
+  scheduler_.SetLag(lag);
+  longest_lag_ = std::max(longest_lag_, lag);
+}
+
 void LeaderSession::Pump() {
   const Now now = SystemNow();
   if (now.mono - last_tick_ > kStandstill) {
@@ -494,6 +504,9 @@
   set("ends_done", f.ends_done);
   set("ends_failed", f.ends_failed);
   set("ends_other", f.ends_other);
+  metrics_.Set("loop_lag_seconds", {}, absl::ToDoubleSeconds(longest_lag_));
+  const auto lag_ms = absl::ToInt64Milliseconds(longest_lag_);
+  longest_lag_ = absl::ZeroDuration();
   LogEvent(Severity::kInfo, "site_figures",
            {{"jobs", absl::StrCat(f.jobs)},
             {"tasks_ready", absl::StrCat(f.ready_tasks)},
@@ -504,7 +517,8 @@
             {"cpu_total", absl::StrCat(f.cpu_milli_total / 1000)},
             {"advice_calls", absl::StrCat(f.advice_calls)},
             {"starts", absl::StrCat(f.starts)},
-            {"refused", absl::StrCat(f.starts_refused)}});
+            {"refused", absl::StrCat(f.starts_refused)},
+            {"longest_lag_ms", absl::StrCat(lag_ms)}});
 }
 
 }  // namespace keelbridge
--- a/keelbridge/daemon/leader_session.h
+++ b/keelbridge/daemon/leader_session.h
@@ -15,6 +15,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <chrono>
 #include <deque>
 #include <functional>
 #include <map>
@@ -101,6 +102,8 @@
   void Activate();
   void ArmTick();
   void Pump();
+  // How late the loop comes to a timer that was due then.
+  void TakeLag(std::chrono::steady_clock::time_point due);
   void PumpSoon();
   void CarryOut(const std::vector<Action>& actions);
   void MaybeFlush();
@@ -146,6 +149,7 @@
   absl::Time last_tick_ = absl::InfinitePast();
   absl::Time next_figures_ = absl::InfinitePast();
   bool stood_still_ = false;
+  absl::Duration longest_lag_;  // Since the last figures.
 };
 
 }  // namespace keelbridge
--- a/keelbridge/daemon/site_node_configuration.cc
+++ b/keelbridge/daemon/site_node_configuration.cc
@@ -52,13 +52,14 @@
 void SiteNode::FetchConfiguration(const std::string& address) {
   if (fetching_configuration_) return;
   fetching_configuration_ = true;
-  rpc_.Call(address, "configuration", Json::Value(Json::objectValue),
-            kReadTimeout, [this, address](const RpcOutcome& outcome) {
-              fetching_configuration_ = false;
-              if (outcome.answered && outcome.result["document"].isString())
-                TakeConfiguration(outcome.result["document"].asString(),
-                                  address);
-            });
+  rpc_.Call(
+      address, "configuration", Json::Value(Json::objectValue), kReadTimeout,
+      [this, address](const RpcOutcome& outcome) {
+        fetching_configuration_ = false;
+        if (outcome.answered && outcome.result["document"].isString())
+          TakeConfiguration(outcome.result["document"].asString(), address);
+      },
+      RpcLane::kControl);
 }
 
 void SiteNode::TakeConfiguration(const std::string& document,
--- a/keelbridge/daemon/site_node_leading.cc
+++ b/keelbridge/daemon/site_node_leading.cc
@@ -112,18 +112,19 @@
   for (const auto& [name, peer] : peers_) {
     if (name == election_.leader().node) continue;
     ++round->open;
-    rpc_.Call(peer.address, "leader_age", params, kAskPeersTimeout,
-              [this, round, finish](const RpcOutcome& outcome) {
-                if (outcome.answered) {
-                  election_.OnLeaderHeard(
-                      LeaderFromJson(outcome.result["newer"]),
-                      SystemNow().mono);
-                  if (outcome.result.isMember("age_ms") &&
-                      outcome.result["age_ms"].asInt64() < kVouchMs)
-                    round->vouched = true;
-                }
-                if (--round->open == 0) finish();
-              });
+    rpc_.Call(
+        peer.address, "leader_age", params, kAskPeersTimeout,
+        [this, round, finish](const RpcOutcome& outcome) {
+          if (outcome.answered) {
+            election_.OnLeaderHeard(LeaderFromJson(outcome.result["newer"]),
+                                    SystemNow().mono);
+            if (outcome.result.isMember("age_ms") &&
+                outcome.result["age_ms"].asInt64() < kVouchMs)
+              round->vouched = true;
+          }
+          if (--round->open == 0) finish();
+        },
+        RpcLane::kControl);
   }
   if (round->open == 0) finish();
 }
@@ -193,8 +194,9 @@
 void SiteNode::AskToTakeOver(const Peer& peer) {
   Json::Value params(Json::objectValue);
   params["epoch"] = Json::Int64(session_->epoch());
-  rpc_.Call(peer.address, "take_over", params, kTakeOverTimeout,
-            [](const RpcOutcome&) {});
+  rpc_.Call(
+      peer.address, "take_over", params, kTakeOverTimeout,
+      [](const RpcOutcome&) {}, RpcLane::kControl);
 }
 
 void SiteNode::OfferLeadership() {
@@ -221,19 +223,20 @@
   Json::Value params(Json::objectValue);
   params["leader"] = ToJson(election_.leader());
   for (const EarlierLeader& earlier : earlier_leaders_) {
-    rpc_.Call(earlier.address, "leader_heard", params, kReadTimeout,
-              [this, address = earlier.address](const RpcOutcome& outcome) {
-                if (!outcome.answered || outcome.result["leads"].asBool())
-                  return;
-                for (auto it = earlier_leaders_.begin();
-                     it != earlier_leaders_.end(); ++it) {
-                  if (it->address != address) continue;
-                  LogEvent(Severity::kInfo, "earlier_leader_stopped",
-                           {{"address", address}});
-                  earlier_leaders_.erase(it);
-                  break;
-                }
-              });
+    rpc_.Call(
+        earlier.address, "leader_heard", params, kReadTimeout,
+        [this, address = earlier.address](const RpcOutcome& outcome) {
+          if (!outcome.answered || outcome.result["leads"].asBool()) return;
+          for (auto it = earlier_leaders_.begin(); it != earlier_leaders_.end();
+               ++it) {
+            if (it->address != address) continue;
+            LogEvent(Severity::kInfo, "earlier_leader_stopped",
+                     {{"address", address}});
+            earlier_leaders_.erase(it);
+            break;
+          }
+        },
+        RpcLane::kControl);
   }
   RunAfter(loop_, kAskEarlierEvery, [this] { AskEarlierLeaders(); });
 }
--- a/keelbridge/daemon/site_node_peers.cc
+++ b/keelbridge/daemon/site_node_peers.cc
@@ -222,11 +222,13 @@
   params["peers_version"] = Json::UInt64(leader_list_version_);
   params["configuration_version"] =
       Json::Int64(configuration_ == nullptr ? 0 : configuration_->version);
-  rpc_.Call(leader.address, "heartbeat", params, kHeartbeatTimeout,
-            [this, leader](const RpcOutcome& outcome) {
-              heartbeat_under_way_ = false;
-              OnHeartbeatReply(outcome, leader);
-            });
+  rpc_.Call(
+      leader.address, "heartbeat", params, kHeartbeatTimeout,
+      [this, leader](const RpcOutcome& outcome) {
+        heartbeat_under_way_ = false;
+        OnHeartbeatReply(outcome, leader);
+      },
+      RpcLane::kControl);
 }
 
 void SiteNode::OnHeartbeatReply(const RpcOutcome& outcome,
--- a/keelbridge/transport/event_rpc.cc
+++ b/keelbridge/transport/event_rpc.cc
@@ -7,9 +7,11 @@
 namespace keelbridge {
 namespace {
 
-constexpr size_t kMostPeerConnections = 200;
+// Enough for a hundred peers that use all they may.
+constexpr size_t kMostPeerConnections = 1000;
 constexpr size_t kMostPeerBodyBytes = 8 << 20;
-constexpr size_t kConnectionsToPeer = 24;
+constexpr size_t kWorkConnectionsToPeer = 8;
+constexpr size_t kControlConnectionsToPeer = 2;
 constexpr int kMethodNotFound = -32601;
 constexpr int kInvalidRequest = -32600;
 
@@ -67,12 +69,14 @@
 
 void EventRpcClient::Call(const std::string& address, const std::string& method,
                           const Json::Value& params, absl::Duration timeout,
-                          std::function<void(RpcOutcome)> done) {
-  auto& peer = peers_[address];
+                          std::function<void(RpcOutcome)> done, RpcLane lane) {
+  auto& peer = peers_[{address, lane}];
   if (peer == nullptr) {
     auto parsed = ParseAddress(address);
     EventHttpClient::Options options;
-    options.most_connections = kConnectionsToPeer;
+    options.most_connections = lane == RpcLane::kWork
+                                   ? kWorkConnectionsToPeer
+                                   : kControlConnectionsToPeer;
     options.idle_expiry = absl::Seconds(30);
     peer = std::make_unique<EventHttpClient>(
         loop_, parsed ? parsed.value() : Address{"0.0.0.0", 0, ""}, options);
--- a/keelbridge/transport/event_rpc.h
+++ b/keelbridge/transport/event_rpc.h
@@ -21,6 +21,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <utility>
 
 #include "absl/time/time.h"
 #include "keelbridge/base/result.h"
@@ -47,6 +48,12 @@
   EventHttpServer server_;
 };
 
+// Calls of one lane never wait for calls of the other.
+enum class RpcLane {
+  kWork,     // Clients' calls, advice, the store through a peer.
+  kControl,  // Who leads and who is there: few, short, and never late.
+};
+
 // What came of a call.
 struct RpcOutcome {
   bool answered = false;  // The method ran and gave `result`.
@@ -62,11 +69,13 @@
   explicit EventRpcClient(boost::asio::io_context& loop) : loop_(loop) {}
   void Call(const std::string& address, const std::string& method,
             const Json::Value& params, absl::Duration timeout,
-            std::function<void(RpcOutcome)> done);
+            std::function<void(RpcOutcome)> done,
+            RpcLane lane = RpcLane::kWork);
 
  private:
   boost::asio::io_context& loop_;
-  std::map<std::string, std::unique_ptr<EventHttpClient>> peers_;
+  std::map<std::pair<std::string, RpcLane>, std::unique_ptr<EventHttpClient>>
+      peers_;
   int64_t next_id_ = 1;
 };
 
