A node that cannot take work ends its clients' connections with its answers, and refuses at once what nobody can lead

Cause: while a zone is cut off or nobody leads, clients stay on the open connections of nodes that are not ready and get refusals there, after a second each; the balancer only leads new connections elsewhere. Change: answers of a node that is not ready close their connection; once the leader was out of reach for 1.5 s, a call waits 0.15 s for one, not 1 s, before it is refused with when to come back.

--- a/keelbridge/daemon/site_node.cc
+++ b/keelbridge/daemon/site_node.cc
@@ -106,6 +106,11 @@
   return leader_accepts_ && SystemNow().mono - leader_answered_ < kLeaderFresh;
 }
 
+bool SiteNode::LeaderOutOfReach() const {
+  if (session_ != nullptr && !session_->ended()) return false;
+  return SystemNow().mono - leader_answered_ >= kLeaderFresh;
+}
+
 void SiteNode::ServeReady(const ServerRequest& request,
                           const EventHttpServer::Reply& reply) {
   (void)request;
--- a/keelbridge/daemon/site_node.h
+++ b/keelbridge/daemon/site_node.h
@@ -64,6 +64,8 @@
   void ServeMetrics(const ServerRequest& request,
                     const EventHttpServer::Reply& reply);
   bool Ready() const;
+  // Nobody leads, as far as this node can tell, and it does not itself.
+  bool LeaderOutOfReach() const;
   void AddPeerMethods();
 
   // site_node_clients.cc
--- a/keelbridge/daemon/site_node_clients.cc
+++ b/keelbridge/daemon/site_node_clients.cc
@@ -23,6 +23,8 @@
 constexpr absl::Duration kLongestTryPause = absl::Milliseconds(480);
 // Without anybody who leads, a call is given up after this long.
 constexpr absl::Duration kLeaderlessPatience = absl::Milliseconds(1000);
+// The same, once the leader is known to be out of reach.
+constexpr absl::Duration kKnownLeaderlessPatience = absl::Milliseconds(150);
 constexpr absl::Duration kRetryAfter = absl::Seconds(1);
 
 ClientAnswer AnswerOf(const Error& error) {
@@ -86,6 +88,8 @@
     metrics_.Observe("call_seconds", {{"kind", KindName(kind)}},
                      absl::ToDoubleSeconds(took));
     ServerResponse response = ports_.dialect->FormatReply(answer);
+    // The balancer then leads the client to a node that can take work.
+    response.close_connection = !Ready();
     if (span != nullptr) span->Set("status", absl::StrCat(response.status));
     // Looks at a state change nothing; only those that fail are told of.
     const bool telling = kind == ClientCallKind::kSubmit ||
@@ -155,8 +159,10 @@
 void SiteNode::TryAgain(const std::shared_ptr<Forward>& forward) {
   if (!forward->reply) return;
   const absl::Time now = SystemNow().mono;
+  const absl::Duration patience =
+      LeaderOutOfReach() ? kKnownLeaderlessPatience : kLeaderlessPatience;
   const bool leaderless =
-      !forward->may_have_run && now - forward->begun > kLeaderlessPatience;
+      !forward->may_have_run && now - forward->begun > patience;
   forward->pause = std::clamp(forward->pause * 2, kTryPause, kLongestTryPause);
   if (leaderless || now + kTryPause >= forward->deadline)
     return GiveUp(forward);
--- a/keelbridge/transport/event_http_server.cc
+++ b/keelbridge/transport/event_http_server.cc
@@ -189,7 +189,7 @@
     response_->set(http::field::content_type, response.content_type);
     for (const auto& [name, value] : response.headers)
       response_->set(name, value);
-    if (server_->draining_) keep_alive_ = false;
+    if (server_->draining_ || response.close_connection) keep_alive_ = false;
     response_->keep_alive(keep_alive_);
     response_->body() = std::move(response.body);
     response_->prepare_payload();
--- a/keelbridge/transport/http_server.h
+++ b/keelbridge/transport/http_server.h
@@ -45,6 +45,8 @@
   // Announce a longer body than is sent, then close. For stand-ins that cut
   // answers off.
   size_t cut_off_bytes = 0;
+  // The connection ends with this answer.
+  bool close_connection = false;
 };
 
 class HttpServer {
