Leadership goes to the ablest peer, leaves a node that lost the store, and is not taken by claims from before a cut's end

Ruled out: the silence bound (no term changed while the leader's loop was late). Changes: the successor is the ablest peer that reaches the store; a leader that lost the store for 1.2 s offers leadership; whether the direct way is back is tried beside the calls; a peer that carried stays until it fails; a leader confirms its record when a peer falls silent, so that older claims fail; a weak node waits before it takes back what it led. Tests in site_election_test.cc.

--- a/keelbridge/coordination/site_election.cc
+++ b/keelbridge/coordination/site_election.cc
@@ -124,17 +124,32 @@
   return capacity < kWeakShare * best;
 }
 
-std::optional<std::string> SiteElection::BetterLeader() const {
-  if (!leads_ || !IsWeak(options_.capacity)) return std::nullopt;
+const ElectionPeer* SiteElection::BestPeer() const {
   const ElectionPeer* best = nullptr;
   for (const ElectionPeer& peer : peers_) {
-    if (!peer.store_ok || IsWeak(peer.capacity)) continue;
+    if (!peer.store_ok) continue;
     if (best == nullptr || peer.capacity > best->capacity) best = &peer;
   }
+  return best;
+}
+
+std::optional<std::string> SiteElection::Successor() const {
+  const ElectionPeer* best = BestPeer();
   if (best == nullptr) return std::nullopt;
   return best->node;
 }
 
+std::optional<std::string> SiteElection::BetterLeader(bool lost_store) const {
+  const ElectionPeer* best = BestPeer();
+  if (!leads_ || best == nullptr || IsWeak(best->capacity)) return std::nullopt;
+  if (!lost_store && !IsWeak(options_.capacity)) return std::nullopt;
+  return best->node;
+}
+
+double SiteElection::Lack() const {
+  return std::max(0.0, 1.0 - options_.capacity / kAmpleProcessors);
+}
+
 absl::Duration SiteElection::Stagger() const {
   const auto hash = [&](const std::string& node) {
     return XXH64(node.data(), node.size(),
@@ -153,9 +168,8 @@
   }
   if (others > 0) return options_.rank_step * static_cast<double>(ahead);
   // Without peers, names alone must spread the tries.
-  const double lack = std::max(0.0, 1.0 - options_.capacity / kAmpleProcessors);
   return options_.rank_step * static_cast<double>(hash(node_) % 4) +
-         kHeadStart * lack;
+         kHeadStart * Lack();
 }
 
 ElectionStep SiteElection::Decide(absl::Time now) {
@@ -170,7 +184,9 @@
     return now - started_ > Stagger() ? ElectionStep::kClaim
                                       : ElectionStep::kNone;
   if (leader_gone_) {
-    if (leader_.node == node_) return ElectionStep::kClaim;
+    // Nobody is nearer to it than this node, unless it is a weak one.
+    if (leader_.node == node_ && now - gone_since_ >= kHeadStart * Lack())
+      return ElectionStep::kClaim;
     return now - gone_since_ > Stagger() ? ElectionStep::kClaim
                                          : ElectionStep::kNone;
   }
--- a/keelbridge/coordination/site_election.h
+++ b/keelbridge/coordination/site_election.h
@@ -87,8 +87,11 @@
   void Retire() { retired_ = true; }
   // The peers that were heard lately.
   void SetPeers(std::vector<ElectionPeer> peers) { peers_ = std::move(peers); }
+  // The peer that is best able to lead, of those that reach the store.
+  std::optional<std::string> Successor() const;
   // Of a node that leads: a peer that is far better able to, if there is one.
-  std::optional<std::string> BetterLeader() const;
+  // `lost_store`: this node itself does not reach the store.
+  std::optional<std::string> BetterLeader(bool lost_store) const;
 
   ElectionStep Decide(absl::Time now);
   // The append that claims the next epoch.
@@ -106,6 +109,9 @@
 
  private:
   absl::Duration Stagger() const;
+  const ElectionPeer* BestPeer() const;
+  // The share of ample processors that this node lacks.
+  double Lack() const;
   // Whether a node of that capacity should leave leading to better ones.
   bool IsWeak(double capacity) const;
   void Follow(const LeaderRecord& leader, absl::Time now);
--- a/keelbridge/coordination/site_election_test.cc
+++ b/keelbridge/coordination/site_election_test.cc
@@ -194,17 +194,50 @@
   weak.OnControlRead({}, 0, kBegin);
   weak.Claim(1000);
   weak.SetPeers({{"able", 0.5, true}});
-  CHECK(!weak.BetterLeader());  // It does not lead yet.
+  CHECK(!weak.BetterLeader(false));  // It does not lead yet.
   weak.OnClaimed(1, kBegin);
-  CHECK(weak.BetterLeader() == "able");
+  CHECK(weak.BetterLeader(false) == "able");
   weak.SetPeers({{"able", 0.5, false}, {"weak2", 0.13, true}});
-  CHECK(!weak.BetterLeader());
+  CHECK(!weak.BetterLeader(false));
   SiteElection able = MakeWithCapacity("able", 0.3);
   able.OnControlRead({}, 0, kBegin);
   able.Claim(1000);
   able.OnClaimed(1, kBegin);
   able.SetPeers({{"abler", 0.5, true}});
-  CHECK(!able.BetterLeader());  // Not worth a change of leader.
+  CHECK(!able.BetterLeader(false));  // Not worth a change of leader.
+}
+
+TEST_CASE("site election: a planned stop hands over to the ablest peer") {
+  SiteElection leader = MakeWithCapacity("b", 0.5);
+  leader.SetPeers({{"a", 0.12, true}, {"c", 0.5, true}, {"d", 0.9, false}});
+  CHECK(leader.Successor() == "c");
+  leader.SetPeers({{"a", 0.12, true}});
+  CHECK(leader.Successor() == "a");
+  leader.SetPeers({{"d", 0.9, false}});
+  CHECK(!leader.Successor());
+}
+
+TEST_CASE("site election: a leader without the store offers leadership") {
+  SiteElection leader = MakeWithCapacity("b", 0.5);
+  leader.OnControlRead({}, 0, kBegin);
+  leader.Claim(1000);
+  leader.OnClaimed(1, kBegin);
+  leader.SetPeers({{"a", 0.12, true}, {"c", 0.5, true}});
+  CHECK(!leader.BetterLeader(false));
+  CHECK(leader.BetterLeader(true) == "c");
+  // A weak node is no better than one that needs a peer to reach the store.
+  leader.SetPeers({{"a", 0.12, true}});
+  CHECK(!leader.BetterLeader(true));
+}
+
+TEST_CASE("site election: a weak node that was restarted lets others lead") {
+  SiteElection weak = MakeWithCapacity("weak", 0.05);
+  weak.OnControlRead({ToRecord(Leader(3, "weak", 7))}, 3, kBegin);
+  CHECK(LookUntil(weak, kBegin, absl::Milliseconds(700)) ==
+        ElectionStep::kNone);
+  SiteElection able = MakeWithCapacity("able", 0.5);
+  able.OnControlRead({ToRecord(Leader(3, "able", 7))}, 3, kBegin);
+  CHECK(able.Decide(kBegin) == ElectionStep::kClaim);
 }
 
 }  // namespace
--- a/keelbridge/daemon/site_node.cc
+++ b/keelbridge/daemon/site_node.cc
@@ -150,11 +150,9 @@
     const absl::Duration since = SystemNow().mono - drain_begun_;
     const bool leads = session_ != nullptr && !session_->ended();
     if (leads) {
-      for (const auto& [name, peer] : peers_) {
-        if (!peer.store_ok) continue;
-        AskToTakeOver(peer);
-        break;
-      }
+      const auto successor = election_.Successor();
+      const auto peer = successor ? peers_.find(*successor) : peers_.end();
+      if (peer != peers_.end()) AskToTakeOver(peer->second);
     }
     const bool idle =
         since > kDrainNotice && clients_->InFlight() == 0 && !leads;
--- a/keelbridge/daemon/site_node.h
+++ b/keelbridge/daemon/site_node.h
@@ -45,6 +45,7 @@
     bool store_ok = false;
     double capacity = 1;  // In processors; see NodeSettings::Capacity.
     absl::Time heard = absl::InfinitePast();
+    bool was_fresh = false;  // At the last look.
   };
   // A client's call on its way to an answer.
   struct Forward {
@@ -138,6 +139,8 @@
   bool following_control_ = false;
   bool claiming_ = false;
   int64_t reaffirmed_returns_ = 0;  // Of the store, in this term.
+  // A peer fell silent: if a cut does that, its claim may land once it heals.
+  bool peers_lost_ = false;
   int64_t control_next_ = -1;
   bool heartbeat_under_way_ = false;
   int failed_heartbeats_ = 0;
--- a/keelbridge/daemon/site_node_leading.cc
+++ b/keelbridge/daemon/site_node_leading.cc
@@ -23,6 +23,9 @@
 constexpr absl::Duration kTakeOverTimeout = absl::Milliseconds(800);
 // A peer that was asked to lead in place of a weaker node gets that long.
 constexpr absl::Duration kOfferEvery = absl::Seconds(2);
+// A leader that reaches the store only through peers for this long offers
+// leadership to one that reaches it itself.
+constexpr absl::Duration kStoreLostTolerated = absl::Milliseconds(1200);
 
 }  // namespace
 
@@ -38,8 +41,11 @@
     return;
   }
   if (election_.Leads() && !serving) return BeginTerm();
-  if (serving && session_->store_returns() > reaffirmed_returns_) Reaffirm();
-  if (serving && session_->CanAccept()) OfferLeadership();
+  const bool claims_may_be_late =
+      peers_lost_ ||
+      (serving && session_->store_returns() > reaffirmed_returns_);
+  if (serving && session_->active() && claims_may_be_late) Reaffirm();
+  if (serving && session_->active()) OfferLeadership();
   switch (election_.Decide(now)) {
     case ElectionStep::kReadControl:
       return ReadControl();
@@ -153,6 +159,7 @@
 
 void SiteNode::Reaffirm() {
   reaffirmed_returns_ = session_->store_returns();
+  peers_lost_ = false;
   ports_.store->Append(election_.Reaffirm(), kReadTimeout,
                        [this](const AppendReply& reply) {
                          if (reply.result == StoreResult::kDone)
@@ -202,7 +209,8 @@
 void SiteNode::OfferLeadership() {
   const absl::Time now = SystemNow().mono;
   if (draining_ || now < next_offer_) return;
-  const auto better = election_.BetterLeader();
+  const bool lost_store = now - carrier_.lost_since() > kStoreLostTolerated;
+  const auto better = election_.BetterLeader(lost_store);
   const auto peer = better ? peers_.find(*better) : peers_.end();
   if (peer == peers_.end()) return;
   next_offer_ = now + kOfferEvery;
@@ -210,6 +218,7 @@
            {{"to", peer->second.name},
             {"its_capacity", absl::StrCat(peer->second.capacity)},
             {"own_capacity", absl::StrCat(settings_.Capacity())},
+            {"lost_store", lost_store ? "yes" : "no"},
             {"epoch", absl::StrCat(session_->epoch())}});
   AskToTakeOver(peer->second);
 }
--- a/keelbridge/daemon/site_node_peers.cc
+++ b/keelbridge/daemon/site_node_peers.cc
@@ -169,6 +169,8 @@
       continue;
     }
     const bool is_fresh = now - peer.heard < kPeerFresh;
+    peers_lost_ = peers_lost_ || (it->second.was_fresh && !is_fresh);
+    it->second.was_fresh = is_fresh;
     if (is_fresh) heard.push_back({peer.name, peer.capacity, peer.store_ok});
     if (is_fresh) fresh.push_back(peer.name);
     if (peer.store_ok && is_fresh) relays.push_back(peer.address);
--- a/keelbridge/daemon/store_failover.cc
+++ b/keelbridge/daemon/store_failover.cc
@@ -11,8 +11,9 @@
 
 constexpr int kTooManyRequests = 429;
 constexpr int kUnavailable = 503;
-// While peers carry, the store is tried directly this often.
+// While a peer carries, the store is tried directly this often.
 constexpr absl::Duration kDirectEvery = absl::Milliseconds(700);
+constexpr absl::Duration kTryTimeout = absl::Milliseconds(500);
 constexpr size_t kStoreConnections = 4;
 constexpr size_t kLongPollConnections = 8;
 
@@ -56,35 +57,62 @@
 
 void StoreFailover::Carry(const HttpRequest& request, absl::Duration timeout,
                           std::function<void(HttpOutcome)> done) {
+  if (request.method == "GET") last_read_ = request;
   const absl::Time now = SystemNow().mono;
-  const bool through_peer =
-      failures_ > 0 && now < next_direct_ && !peers_.empty();
-  if (through_peer) return Relay(request, timeout, std::move(done));
+  const bool can_try_beside = !last_read_.path.empty();
+  const bool through_peer = failures_ > 0 && !peers_.empty() &&
+                            (can_try_beside || now < next_direct_);
+  if (through_peer) {
+    if (can_try_beside) TryDirectAgain();
+    return Relay(request, timeout, std::move(done));
+  }
   next_direct_ = now + kDirectEvery;
   Direct(request, timeout, std::move(done));
 }
 
+void StoreFailover::TryDirectAgain() {
+  const absl::Time now = SystemNow().mono;
+  if (now < next_direct_) return;
+  next_direct_ = now + kDirectEvery;
+  Direct(last_read_, kTryTimeout, [](const HttpOutcome&) {});
+}
+
 void StoreFailover::Direct(const HttpRequest& request, absl::Duration timeout,
                            std::function<void(HttpOutcome)> done) {
   ++calls_;
   store_.Send(request, timeout,
               [this, done = std::move(done)](HttpOutcome outcome) {
-                failures_ = TurnedAway(outcome) ? failures_ + 1 : 0;
+                OnDirect(outcome);
                 done(std::move(outcome));
               });
 }
 
+void StoreFailover::OnDirect(const HttpOutcome& outcome) {
+  if (!TurnedAway(outcome)) {
+    failures_ = 0;
+    lost_since_ = absl::InfiniteFuture();
+    return;
+  }
+  if (++failures_ == 1) lost_since_ = SystemNow().mono;
+}
+
 void StoreFailover::Relay(const HttpRequest& request, absl::Duration timeout,
                           std::function<void(HttpOutcome)> done) {
   ++relayed_;
-  const std::string& peer = peers_[next_peer_++ % peers_.size()];
+  // The peer that carried the last call goes on until it fails.
+  const size_t number = next_peer_;
+  const std::string& peer = peers_[number % peers_.size()];
   Json::Value params = RequestToJson(request);
   params["timeout_ms"] = Json::Int64(absl::ToInt64Milliseconds(timeout));
   rpc_.Call(peer, kMethod, params, timeout + absl::Milliseconds(100),
-            [done = std::move(done)](const RpcOutcome& outcome) {
+            [this, number, done = std::move(done)](const RpcOutcome& outcome) {
               HttpOutcome out;
               const int status =
                   outcome.answered ? outcome.result["status"].asInt() : 0;
+              const bool turned_away = status == 0 ||
+                                       status == kTooManyRequests ||
+                                       status == kUnavailable;
+              if (turned_away && next_peer_ == number) ++next_peer_;
               if (status == 0) {
                 const bool sent = outcome.answered
                                       ? outcome.result["sent"].asBool()
--- a/keelbridge/daemon/store_failover.h
+++ b/keelbridge/daemon/store_failover.h
@@ -1,9 +1,10 @@
 // Carries calls to the record store, directly or through a peer.
 //
 // A node that alone has lost the store is one hop from it. After a call failed
-// without an answer or was turned away, the next tries go through peers that
-// still reach the store, and from time to time directly again. Appends are
-// fenced and numbered, so that a try that lands twice changes nothing.
+// without an answer or was turned away, the next ones go through a peer that
+// still reaches the store; whether the direct way is back is tried beside them,
+// with a read that nobody waits for. Appends are fenced and numbered, so that a
+// try that lands twice changes nothing.
 //
 //   StoreFailover carrier(loop, store_address, rpc);
 //   carrier.SetPeers({"10.0.0.2:7720"});
@@ -38,6 +39,8 @@
 
   // Whether this node itself reached the store at its last try.
   bool direct() const { return failures_ == 0; }
+  // Since when it did not; never: it does.
+  absl::Time lost_since() const { return lost_since_; }
   int64_t calls() const { return calls_; }
   int64_t relayed() const { return relayed_; }
 
@@ -48,13 +51,17 @@
               std::function<void(HttpOutcome)> done);
   void Relay(const HttpRequest& request, absl::Duration timeout,
              std::function<void(HttpOutcome)> done);
+  void TryDirectAgain();
+  void OnDirect(const HttpOutcome& outcome);
 
   EventHttpClient store_;
   EventRpcClient& rpc_;
   std::vector<std::string> peers_;
   size_t next_peer_ = 0;
   int failures_ = 0;  // Direct tries in a row.
+  absl::Time lost_since_ = absl::InfiniteFuture();
   absl::Time next_direct_ = absl::InfinitePast();
+  HttpRequest last_read_;  // What tries whether the direct way is back.
   int64_t calls_ = 0;
   int64_t relayed_ = 0;
 };
