--- a/keelbridge/daemon/node_settings.cc
+++ b/keelbridge/daemon/node_settings.cc
@@ -25,6 +25,10 @@
 
 }  // namespace
 
+std::string NodeSettings::PeerAddress() const {
+  return (peer_announce.port != 0 ? peer_announce : peer_listen).ToString();
+}
+
 double NodeSettings::Capacity() const {
   return std::min(processor_share * processor_speed,
                   link_mbps / kLinkOfOneProcessor);
@@ -41,6 +45,7 @@
   ReadAddress(reader, "client_listen", true, &out.client_listen);
   ReadAddress(reader, "ready_listen", true, &out.ready_listen);
   ReadAddress(reader, "peer_listen", true, &out.peer_listen);
+  ReadAddress(reader, "peer_announce", false, &out.peer_announce);
   ReadAddress(reader, "metrics_listen", false, &out.metrics_listen);
   ReadAddress(reader, "store", true, &out.store);
   ReadAddress(reader, "advice", false, &out.advice);
--- a/keelbridge/daemon/node_settings.h
+++ b/keelbridge/daemon/node_settings.h
@@ -23,6 +23,8 @@
   Address client_listen;  // Clients' requests.
   Address ready_listen;   // The balancer's question whether this node is ready.
   Address peer_listen;    // Other nodes.
+  // Where other nodes reach this one; port 0: where it listens for them.
+  Address peer_announce;
   Address metrics_listen;          // Port 0: no metrics are served.
   std::vector<std::string> seeds;  // "ip:port" of nodes; only the ip is used.
   Address store;
@@ -41,6 +43,7 @@
   absl::Duration ended_kept = absl::Seconds(120);
   absl::Duration stop_grace = absl::Seconds(6);  // From SIGTERM to SIGKILL.
 
+  std::string PeerAddress() const;
   // What this node can spend on leading a site, in processors: a leader that
   // uses a whole processor fills a link of some 45 Mbit/s (docs/CAPACITY.md).
   double Capacity() const;
--- a/keelbridge/daemon/site_node.cc
+++ b/keelbridge/daemon/site_node.cc
@@ -47,7 +47,7 @@
       boot_(RandomId()),
       metrics_("node"),
       peer_server_(loop, settings_.peer_listen),
-      election_(settings_.name, boot_, settings_.peer_listen.ToString(),
+      election_(settings_.name, boot_, settings_.PeerAddress(),
                 ElectionOptions(settings_)) {}
 
 void SiteNode::Every(absl::Duration period, std::function<void()> step) {
--- a/keelbridge/daemon/site_node_clients.cc
+++ b/keelbridge/daemon/site_node_clients.cc
@@ -130,7 +130,7 @@
     return;
   }
   const LeaderRecord& leader = election_.leader();
-  if (leader.epoch == 0 || leader.address == settings_.peer_listen.ToString())
+  if (leader.epoch == 0 || leader.address == settings_.PeerAddress())
     return TryAgain(forward);
   Json::Value params = ToJson(forward->call);
   if (!forward->trace.empty()) params["traceparent"] = forward->trace;
--- a/keelbridge/daemon/site_node_peers.cc
+++ b/keelbridge/daemon/site_node_peers.cc
@@ -133,7 +133,7 @@
 Json::Value SiteNode::DescribeSelf() const {
   Json::Value out(Json::objectValue);
   out["node"] = settings_.name;
-  out["address"] = settings_.peer_listen.ToString();
+  out["address"] = settings_.PeerAddress();
   out["store_ok"] = carrier_.direct();
   out["capacity"] = settings_.Capacity();
   return out;
@@ -216,7 +216,7 @@
 void SiteNode::Heartbeat() {
   UpdatePeers();
   const LeaderRecord leader = election_.leader();
-  const bool self = leader.address == settings_.peer_listen.ToString();
+  const bool self = leader.address == settings_.PeerAddress();
   if (leader.epoch == 0 || self || heartbeat_under_way_) return;
   heartbeat_under_way_ = true;
   Json::Value params = DescribeSelf();
--- a/testing/support/site_cell.cc
+++ b/testing/support/site_cell.cc
@@ -67,6 +67,8 @@
   if (options_.proxies) platform_->UseWorkerProxies();
   thread_ = std::thread([this] { loop_.run(); });
   const int peer_port = FreePort("127.0.0.10");
+  for (int i = 0; options_.proxies && i < options_.nodes; ++i)
+    AddPeerProxy(absl::StrCat("127.0.0.", kFirstHost + i), peer_port);
   for (int i = 0; i < options_.nodes; ++i) {
     const std::string ip = absl::StrCat("127.0.0.", kFirstHost + i);
     Node& node = nodes_[At(i)];
@@ -74,12 +76,24 @@
     node.ready_address = absl::StrCat(ip, ":", FreePort(ip));
     node.metrics_address = absl::StrCat(ip, ":", FreePort(ip));
     node.peer_address = absl::StrCat(ip, ":", peer_port);
+    node.kept_client = std::make_unique<HttpClient>(
+        ParseAddress(node.client_address).value(), HttpClient::Options());
     node.settings_path = absl::StrCat(directory_, "/node-", i, ".json");
     WriteSettings(i);
     StartNode(i);
   }
 }
 
+void SiteCell::AddPeerProxy(const std::string& ip, int port) {
+  std::promise<void> added;
+  boost::asio::post(loop_, [&] {
+    peer_proxies_.push_back(
+        std::make_unique<FaultProxy>(loop_, Address{ip, port, ""}));
+    added.set_value();
+  });
+  added.get_future().wait();
+}
+
 SiteCell::~SiteCell() {
   nodes_.clear();
   for (const int pipe : pipes_) ::close(pipe);
@@ -87,6 +101,7 @@
   loop_.stop();
   thread_.join();
   store_proxies_.clear();
+  peer_proxies_.clear();
   platform_.reset();
 }
 
@@ -94,10 +109,12 @@
   const Node& node = nodes_[At(index)];
   Json::Value settings(Json::objectValue);
   settings["name"] = absl::StrCat("node-", index);
-  settings["zone"] = absl::StrCat("zone-", index % 3);
+  settings["zone"] = absl::StrCat("zone-", ZoneOf(index));
   settings["client_listen"] = node.client_address;
   settings["ready_listen"] = node.ready_address;
   settings["peer_listen"] = node.peer_address;
+  if (options_.proxies)
+    settings["peer_announce"] = peer_proxies_[At(index)]->address().ToString();
   settings["metrics_listen"] = node.metrics_address;
   const Address store = options_.proxies ? store_proxies_[At(index)]->address()
                                          : platform_->store_address();
@@ -166,7 +183,7 @@
 
 HttpOutcome SiteCell::Raw(int index, const HttpRequest& request,
                           absl::Duration timeout) {
-  return CallAddress(nodes_[At(index)].client_address, request, timeout);
+  return nodes_[At(index)].kept_client->Send(request, timeout);
 }
 
 HttpOutcome SiteCell::Call(int index, const std::string& method, uint64_t job,
@@ -219,6 +236,11 @@
   WithPlatform([&](SitePlatform&) { store_proxies_[At(node)]->SetMode(mode); });
 }
 
+void SiteCell::SetPeerProxy(int node, FaultProxy::Mode mode) {
+  boost::asio::post(
+      loop_, [this, node, mode] { peer_proxies_[At(node)]->SetMode(mode); });
+}
+
 void SiteCell::SetWorkerProxy(int worker, FaultProxy::Mode mode) {
   WithPlatform(
       [&](SitePlatform& platform) { platform.SetWorkerProxy(worker, mode); });
--- a/testing/support/site_cell.h
+++ b/testing/support/site_cell.h
@@ -28,7 +28,8 @@
  public:
   struct Options {
     int nodes = 3;
-    bool proxies = false;  // Before the store of each node, and each worker.
+    bool proxies = false;  // Before the store of each node, each worker, and
+                           // each node as its peers reach it.
     bool blocked_logs = false;  // Nobody reads what the nodes write.
     SitePlatform::Options platform;
   };
@@ -64,6 +65,9 @@
   // With `proxies`: harms what passes.
   void SetStoreProxy(int node, FaultProxy::Mode mode);
   void SetWorkerProxy(int worker, FaultProxy::Mode mode);
+  void SetPeerProxy(int node, FaultProxy::Mode mode);
+  int ZoneOf(int node) const { return node % kZones; }
+  static constexpr int kZones = 3;
 
   // Runs `step` on the platform's thread and waits for it.
   void WithPlatform(const std::function<void(SitePlatform&)>& step);
@@ -83,9 +87,12 @@
     std::string peer_address;
     std::string metrics_address;
     std::string settings_path;
+    // Callers keep their connections to a node as long as it does.
+    std::unique_ptr<HttpClient> kept_client;
   };
   size_t At(int index) const { return static_cast<size_t>(index); }
   void WriteSettings(int index);
+  void AddPeerProxy(const std::string& ip, int port);
 
   const Options options_;
   std::string directory_;
@@ -95,6 +102,7 @@
   std::unique_ptr<SitePlatform> platform_;
   std::thread thread_;
   std::vector<std::unique_ptr<FaultProxy>> store_proxies_;  // By node.
+  std::vector<std::unique_ptr<FaultProxy>> peer_proxies_;   // By node.
   std::vector<Node> nodes_;
   std::vector<int> pipes_;  // Held open, never read.
 };
