What an outage gathered is kept in several appends, each of at most half of what the store takes

Change: a batch is cut by bytes; its parts go out in turn under numbers of their own, and it counts as durable after the last. What an append may carry comes from the settings. Test: "what an outage gathered is kept in several appends" (the stand-in refuses more than 4 KB); without the cut even 30 workers cannot be recorded and no node gets ready.

--- a/keelbridge/daemon/leader_session.cc
+++ b/keelbridge/daemon/leader_session.cc
@@ -319,10 +319,17 @@
   }
   flight_ = std::make_unique<Flight>();
   flight_->batch = scheduler_.TakeBatch();
+  last_flush_ = now;
+  BeginAppend();
+}
+
+void LeaderSession::BeginAppend() {
+  flight_->tries = 0;
+  flight_->count = CountForAppend(flight_->batch.records, flight_->begin,
+                                  options_.most_append_bytes);
   // An append without records only shows the epoch: it takes no number.
   flight_->sequence = next_sequence_;
-  if (!flight_->batch.records.empty()) ++next_sequence_;
-  last_flush_ = now;
+  if (flight_->count > 0) ++next_sequence_;
   SendFlight();
 }
 
@@ -337,7 +344,9 @@
   ++flight_->tries;
   AppendOrder order;
   order.stream = Stream::kJobs;
-  order.records = flight_->batch.records;
+  const auto first =
+      flight_->batch.records.begin() + static_cast<ptrdiff_t>(flight_->begin);
+  order.records.assign(first, first + static_cast<ptrdiff_t>(flight_->count));
   order.writer = WriterEpoch{kWriter, epoch_, flight_->sequence};
   const absl::Time sent = SystemNow().mono;
   ports_.store->Append(
@@ -387,6 +396,8 @@
   stood_still_ = false;
   metrics_.Observe("append_seconds", {},
                    absl::ToDoubleSeconds(now.mono - sent));
+  flight_->begin += flight_->count;
+  if (flight_->begin < flight_->batch.records.size()) return BeginAppend();
   const int64_t number = flight_->batch.number;
   flight_.reset();
   scheduler_.OnDurable(number);
--- a/keelbridge/daemon/leader_session.h
+++ b/keelbridge/daemon/leader_session.h
@@ -47,6 +47,8 @@
   struct Options {
     JobScheduler::Options scheduler;
     std::string node;
+    // What one append may carry; a larger batch takes several.
+    size_t most_append_bytes = 1 << 20;
     AskAdvice ask_advice;  // Through the node that the action names.
     std::function<void(const std::string&)> on_ended;  // Why the term ended.
   };
@@ -80,6 +82,9 @@
   enum class Phase { kFencing, kLoading, kLearningWorkers, kActive, kEnded };
   struct Flight {
     JobScheduler::Batch batch;
+    // The part of the batch's records that the append under way carries.
+    size_t begin = 0;
+    size_t count = 0;
     int64_t sequence = 0;
     int tries = 0;
   };
@@ -108,6 +113,8 @@
   void CarryOut(const std::vector<Action>& actions);
   void MaybeFlush();
   absl::Duration AppendTimeout(int tries) const;
+  // The next part of the batch under way, under a number of its own.
+  void BeginAppend();
   void SendFlight();
   void OnAppended(const AppendReply& reply, absl::Time sent);
   void PollWorkers();
--- a/keelbridge/daemon/node_settings.cc
+++ b/keelbridge/daemon/node_settings.cc
@@ -58,6 +58,8 @@
     reader.Choice("log_level", {"debug", "info", "warning", "error"}, &level);
   out.log_level = SeverityFromName(level);
   reader.OptionalInteger("most_connections", 4, 65536, &out.most_connections);
+  reader.OptionalInteger("store_append_bytes", 1024, 1 << 30,
+                         &out.store_append_bytes);
   reader.OptionalNumber("processor_share", 0.001, 1024, &out.processor_share);
   reader.OptionalNumber("processor_speed", 0.001, 1024, &out.processor_speed);
   reader.OptionalNumber("link_mbps", 0.001, 1e7, &out.link_mbps);
--- a/keelbridge/daemon/node_settings.h
+++ b/keelbridge/daemon/node_settings.h
@@ -28,8 +28,9 @@
   Address metrics_listen;          // Port 0: no metrics are served.
   std::vector<std::string> seeds;  // "ip:port" of nodes; only the ip is used.
   Address store;
-  Address advice;          // Port 0: there is none.
-  std::string trace_file;  // Spans as OTLP/JSON lines; "": none.
+  int64_t store_append_bytes = 1 << 20;  // That the store takes in one append.
+  Address advice;                        // Port 0: there is none.
+  std::string trace_file;                // Spans as OTLP/JSON lines; "": none.
   Severity log_level = Severity::kInfo;
   int64_t most_connections = 1500;  // Of clients.
   // What this machine gives the node: a share of a processor, how fast that
--- a/keelbridge/daemon/site_node_leading.cc
+++ b/keelbridge/daemon/site_node_leading.cc
@@ -175,6 +175,9 @@
   next_offer_ = SystemNow().mono + kOfferEvery;
   LeaderSession::Options options;
   options.node = settings_.name;
+  // Half of what the store takes: headers and frames are not counted.
+  options.most_append_bytes =
+      static_cast<size_t>(settings_.store_append_bytes) / 2;
   options.scheduler.lease = settings_.lease;
   options.scheduler.gang_wait = settings_.gang_wait;
   options.scheduler.ended_kept = settings_.ended_kept + absl::Seconds(10);
--- a/keelbridge/protocol/record_store.cc
+++ b/keelbridge/protocol/record_store.cc
@@ -1,6 +1,12 @@
 #include "keelbridge/protocol/record_store.h"
 
 namespace keelbridge {
+namespace {
+
+// The lengths before a key and a value.
+constexpr size_t kLengthBytes = 5;
+
+}  // namespace
 
 const char* StoreResultName(StoreResult result) {
   switch (result) {
@@ -22,4 +28,21 @@
   return "unknown";
 }
 
+size_t SizeOf(const Record& record) {
+  return kLengthBytes + record.key.size() +
+         (record.value ? record.value->size() : 0);
+}
+
+size_t CountForAppend(const std::vector<Record>& records, size_t begin,
+                      size_t most_bytes) {
+  size_t count = 0;
+  size_t bytes = 0;
+  for (size_t i = begin; i < records.size(); ++i) {
+    bytes += SizeOf(records[i]);
+    if (count > 0 && bytes > most_bytes) break;
+    ++count;
+  }
+  return count;
+}
+
 }  // namespace keelbridge
--- a/keelbridge/protocol/record_store.h
+++ b/keelbridge/protocol/record_store.h
@@ -32,6 +32,13 @@
   int64_t offset = -1;
 };
 
+// What a record takes on its way, in bytes: key, value, and their lengths.
+size_t SizeOf(const Record& record);
+// How many of `records` from `begin` on go into one append of at most
+// `most_bytes`; one at least.
+size_t CountForAppend(const std::vector<Record>& records, size_t begin,
+                      size_t most_bytes);
+
 // The fenced writer of an append.
 struct WriterEpoch {
   std::string writer;
--- /dev/null
+++ b/keelbridge/protocol/record_store_test.cc
@@ -0,0 +1,22 @@
+#include "keelbridge/protocol/record_store.h"
+
+#include <doctest/doctest.h>
+
+namespace keelbridge {
+namespace {
+
+TEST_CASE("record store: a batch is cut into appends of bounded size") {
+  std::vector<Record> records;
+  for (int i = 0; i < 10; ++i)
+    records.push_back({"key" + std::to_string(i), std::string(91, 'v'), -1});
+  CHECK(SizeOf(records[0]) == 100);
+  CHECK(CountForAppend(records, 0, 10000) == 10);
+  CHECK(CountForAppend(records, 0, 350) == 3);
+  CHECK(CountForAppend(records, 9, 350) == 1);
+  // One that is too large by itself is left to the store to refuse.
+  CHECK(CountForAppend(records, 2, 50) == 1);
+  CHECK(CountForAppend({}, 0, 350) == 0);
+}
+
+}  // namespace
+}  // namespace keelbridge
--- a/testing/fakes/site_store.cc
+++ b/testing/fakes/site_store.cc
@@ -100,6 +100,8 @@
 
 ServerResponse SiteStore::Append(const ServerRequest& request) {
   ++appends_;
+  if (request.body.size() > kMostAppendBytes)
+    return {400, {}, "{\"reason\":\"too large\"}", "application/json"};
   const std::string name = request.Query("topic");
   Topic& topic = topics_[name];
   Json::Value body(Json::objectValue);
--- a/testing/fakes/site_store.h
+++ b/testing/fakes/site_store.h
@@ -32,6 +32,10 @@
     absl::Duration delay = absl::Milliseconds(2);
   };
 
+  // A larger append is refused, as real stores refuse it; small, so that
+  // batches of an everyday size come near it.
+  static constexpr size_t kMostAppendBytes = 4096;
+
   SiteStore(boost::asio::io_context& loop, uint64_t seed)
       : loop_(loop), random_(seed) {}
 
--- a/testing/site_process_test.cc
+++ b/testing/site_process_test.cc
@@ -184,6 +184,31 @@
   CheckNoFaults(cell);
 }
 
+TEST_CASE(
+    "site processes: what an outage gathered is kept in several appends") {
+  SiteCell::Options options;
+  options.platform.workers = 30;
+  SiteCell cell(options);
+  REQUIRE(cell.AwaitReady(3));
+  constexpr uint64_t kJobs = 80;
+  for (uint64_t job = 1; job <= kJobs; ++job)
+    CHECK(StatusOf(cell.Call(static_cast<int>(job % 3), "POST", job,
+                             SiteCell::OneStep(2, 2500, 1000))) == 200);
+  // All of them end while the store is away: more than it takes at once.
+  SiteStore::Faults down;
+  down.down = true;
+  cell.WithPlatform(
+      [&](SitePlatform& platform) { platform.store().SetFaults(down); });
+  absl::SleepFor(absl::Seconds(4));
+  cell.WithPlatform([](SitePlatform& platform) {
+    platform.store().SetFaults(SiteStore::Faults());
+  });
+  for (uint64_t job = 1; job <= kJobs; ++job)
+    CHECK(cell.AwaitState(job, "completed"));
+  CHECK(cell.RunCount() == 2 * kJobs);
+  CheckNoFaults(cell);
+}
+
 TEST_CASE("site processes: answers of store and workers are lost") {
   SiteCell cell({});
   REQUIRE(cell.AwaitReady(3));
--- a/testing/support/site_cell.cc
+++ b/testing/support/site_cell.cc
@@ -123,6 +123,7 @@
   settings["seeds"].append("127.0.0.10:1");
   settings["trace_file"] = absl::StrCat(directory_, "/node-", index, ".spans");
   settings["stop_grace_s"] = 6;
+  settings["store_append_bytes"] = Json::Int64(SiteStore::kMostAppendBytes);
   std::ofstream(node.settings_path) << ToJsonText(settings);
 }
 
