When the leader falls silent its peers still know who is able; what the store turned away goes through a peer at once

Changes: who can replace a leader is who was heard as late as any peer was; a call that the store certainly did not carry out is carried by a peer within its own time. Tests: "what the store turned away goes through a peer", "what nobody can tell of is not sent twice".

--- a/keelbridge/daemon/site_node_peers.cc
+++ b/keelbridge/daemon/site_node_peers.cc
@@ -159,7 +159,12 @@
 
 void SiteNode::UpdatePeers() {
   const absl::Time now = SystemNow().mono;
-  std::vector<ElectionPeer> heard;
+  // Peers are heard of through the leader: when it falls silent, those that
+  // were there until then are the ones that can replace it.
+  absl::Time last_heard = absl::InfinitePast();
+  for (const auto& [name, peer] : peers_)
+    last_heard = std::max(last_heard, peer.heard);
+  std::vector<ElectionPeer> candidates;
   std::vector<std::string> fresh = {settings_.name};
   std::vector<std::string> relays;
   for (auto it = peers_.begin(); it != peers_.end();) {
@@ -171,12 +176,13 @@
     const bool is_fresh = now - peer.heard < kPeerFresh;
     peers_lost_ = peers_lost_ || (it->second.was_fresh && !is_fresh);
     it->second.was_fresh = is_fresh;
-    if (is_fresh) heard.push_back({peer.name, peer.capacity, peer.store_ok});
+    if (last_heard - peer.heard < kPeerFresh)
+      candidates.push_back({peer.name, peer.capacity, peer.store_ok});
     if (is_fresh) fresh.push_back(peer.name);
     if (peer.store_ok && is_fresh) relays.push_back(peer.address);
     ++it;
   }
-  election_.SetPeers(std::move(heard));
+  election_.SetPeers(std::move(candidates));
   if (relays.empty()) {
     // Before anybody was heard, the seeds may reach the store.
     for (const std::string& seed : settings_.seeds) {
--- a/keelbridge/daemon/store_failover.cc
+++ b/keelbridge/daemon/store_failover.cc
@@ -14,6 +14,8 @@
 // While a peer carries, the store is tried directly this often.
 constexpr absl::Duration kDirectEvery = absl::Milliseconds(700);
 constexpr absl::Duration kTryTimeout = absl::Milliseconds(500);
+// A call with less time left is not carried by a peer.
+constexpr absl::Duration kShortestRelay = absl::Milliseconds(50);
 constexpr size_t kStoreConnections = 4;
 constexpr size_t kLongPollConnections = 8;
 
@@ -31,6 +33,12 @@
          outcome.response->status == kUnavailable;
 }
 
+// The store certainly did nothing: the same call may go another way.
+bool NothingDone(const HttpOutcome& outcome) {
+  if (!outcome.response) return outcome.failure == SendFailure::kNothingSent;
+  return TurnedAway(outcome);
+}
+
 Json::Value RequestToJson(const HttpRequest& request) {
   Json::Value out(Json::objectValue);
   out["method"] = request.method;
@@ -67,7 +75,15 @@
     return Relay(request, timeout, std::move(done));
   }
   next_direct_ = now + kDirectEvery;
-  Direct(request, timeout, std::move(done));
+  Direct(request, timeout,
+         [this, request, deadline = now + timeout,
+          done = std::move(done)](HttpOutcome outcome) {
+           const absl::Duration left = deadline - SystemNow().mono;
+           const bool relay =
+               NothingDone(outcome) && !peers_.empty() && left > kShortestRelay;
+           if (relay) return Relay(request, left, done);
+           done(std::move(outcome));
+         });
 }
 
 void StoreFailover::TryDirectAgain() {
--- /dev/null
+++ b/keelbridge/daemon/store_failover_test.cc
@@ -0,0 +1,110 @@
+#include "keelbridge/daemon/store_failover.h"
+
+#include <doctest/doctest.h>
+
+#include <boost/asio/io_context.hpp>
+#include <optional>
+
+namespace keelbridge {
+namespace {
+
+const Address kPeer{"127.0.0.1", 18778, ""};
+
+HttpOutcome CarryOne(boost::asio::io_context& loop, StoreFailover& carrier) {
+  HttpRequest request;
+  request.method = "POST";
+  request.path = "/append";
+  std::optional<HttpOutcome> result;
+  carrier.Carry(request, absl::Seconds(2),
+                [&](HttpOutcome outcome) { result = std::move(outcome); });
+  for (int i = 0; i < 100 && !result; ++i) {
+    loop.run_for(std::chrono::milliseconds(20));
+    loop.restart();
+  }
+  REQUIRE(result);
+  return *result;
+}
+
+// A peer that carries every call and says that it was done.
+class Peer {
+ public:
+  explicit Peer(boost::asio::io_context& loop) : server_(loop, kPeer) {
+    server_.Add(StoreFailover::kMethod,
+                [this](const Json::Value&, const EventRpcServer::Reply& reply) {
+                  ++carried;
+                  Json::Value out(Json::objectValue);
+                  out["status"] = 200;
+                  reply({out, 0, ""});
+                });
+    REQUIRE(server_.Start());
+  }
+  int carried = 0;
+
+ private:
+  EventRpcServer server_;
+};
+
+TEST_CASE("store failover: what the store turned away goes through a peer") {
+  boost::asio::io_context loop;
+  EventHttpServer::Options options;
+  options.listen = {"127.0.0.1", 0, ""};
+  int status = 503;
+  int asked = 0;
+  EventHttpServer store(
+      loop, options,
+      [&](const ServerRequest&, const EventHttpServer::Reply& reply) {
+        ++asked;
+        ServerResponse response;
+        response.status = status;
+        reply(std::move(response));
+      });
+  const auto port = store.Start();
+  REQUIRE(port);
+  Peer peer(loop);
+  EventRpcClient rpc(loop);
+  StoreFailover carrier(loop, {"127.0.0.1", port.value(), ""}, rpc);
+  carrier.SetPeers({kPeer.ToString()});
+  const HttpOutcome outcome = CarryOne(loop, carrier);
+  REQUIRE(outcome.response);
+  CHECK(outcome.response->status == 200);
+  CHECK(peer.carried == 1);
+  CHECK(asked == 1);
+  CHECK(!carrier.direct());
+  // Another answer is the store's own, whatever it says.
+  status = 409;
+  StoreFailover second(loop, {"127.0.0.1", port.value(), ""}, rpc);
+  second.SetPeers({kPeer.ToString()});
+  CHECK(CarryOne(loop, second).response->status == 409);
+  CHECK(peer.carried == 1);
+}
+
+TEST_CASE("store failover: what nobody can tell of is not sent twice") {
+  boost::asio::io_context loop;
+  EventHttpServer::Options options;
+  options.listen = {"127.0.0.1", 0, ""};
+  std::vector<EventHttpServer::Reply> unanswered;
+  EventHttpServer store(
+      loop, options, [&](const ServerRequest&, EventHttpServer::Reply reply) {
+        unanswered.push_back(std::move(reply));
+      });
+  const auto port = store.Start();
+  REQUIRE(port);
+  Peer peer(loop);
+  EventRpcClient rpc(loop);
+  StoreFailover carrier(loop, {"127.0.0.1", port.value(), ""}, rpc);
+  carrier.SetPeers({kPeer.ToString()});
+  HttpRequest request;
+  request.method = "POST";
+  request.path = "/append";
+  std::optional<HttpOutcome> result;
+  carrier.Carry(request, absl::Milliseconds(300),
+                [&](HttpOutcome outcome) { result = std::move(outcome); });
+  loop.run_for(std::chrono::seconds(1));
+  REQUIRE(result);
+  CHECK(!result->response);
+  CHECK(result->failure == SendFailure::kMayHaveSent);
+  CHECK(peer.carried == 0);
+}
+
+}  // namespace
+}  // namespace keelbridge
