--- a/keelbridge/coordination/job_scheduler.h
+++ b/keelbridge/coordination/job_scheduler.h
@@ -250,12 +250,6 @@
   // The run is over without a success: its task waits again.
   void Requeue(const TaskId& task, int32_t run, const std::string& worker,
                absl::Time retry_at);
-  void OnEnd(Worker& worker, const EndedTask& end, Now now);
-  void OnTaskDone(Job& job, const EndedTask& end, Now now);
-  void OnTaskFailed(Worker& worker, Job& job, const EndedTask& end, Now now);
-  void OnRunning(Worker& worker, const RunningTask& running, Now now);
-  void OnMissing(Worker& worker, const ObserveReply& reply, absl::Time sent,
-                 Now now);
   void LoseAll(Worker& worker, const std::string& why, Now now);
   void NoteDurableEnds(Worker& worker);
   // The worker is looked at by the next `Tick`, not only by the next sweep.
@@ -270,6 +264,14 @@
   // No worker may run something that is not known of.
   bool AllAccountedFor(Now now) const;
 
+  // job_scheduler_runs.cc
+  void OnEnd(Worker& worker, const EndedTask& end, Now now);
+  void OnTaskDone(Job& job, const EndedTask& end, Now now);
+  void OnTaskFailed(Worker& worker, Job& job, const EndedTask& end, Now now);
+  void OnRunning(Worker& worker, const RunningTask& running, Now now);
+  void OnMissing(Worker& worker, const ObserveReply& reply, absl::Time sent,
+                 Now now);
+
   // job_scheduler_placement.cc
   void PlaceAll(Now now);
   std::vector<ReadyStep> CollectReady(Now now);
--- /dev/null
+++ b/keelbridge/coordination/job_scheduler_runs.cc
@@ -0,0 +1,216 @@
+// What becomes of runs: how they ended, which are found running, which are
+// missing.
+
+#include <algorithm>
+#include <set>
+
+#include "absl/strings/str_cat.h"
+#include "keelbridge/coordination/job_scheduler.h"
+
+namespace keelbridge {
+namespace {
+
+// A worker that fails this many first tries in a row gets nothing for a while.
+constexpr int kFailuresInRowToSuspect = 2;
+constexpr absl::Duration kSuspectAfterFailures = absl::Seconds(5);
+
+}  // namespace
+
+void JobScheduler::OnTaskDone(Job& job, const EndedTask& end, Now now) {
+  StepState* step = job.FindStep(end.task);
+  TaskState* task = job.FindTask(end.task);
+  if (step == nullptr || task == nullptr) return;
+  const StepSpec& spec = job.spec.steps[static_cast<size_t>(end.task.step)];
+  const auto finish = [&](int32_t index) {
+    TaskState& one = step->tasks[static_cast<size_t>(index)];
+    if (one.phase == TaskPhase::kDone) return;
+    if (!one.worker.empty()) {
+      const auto worker = workers_.find(one.worker);
+      const RunKey key{{job.id, end.task.round, end.task.step, index}, one.run};
+      if (worker != workers_.end() &&
+          (index != end.task.index || one.run != end.run)) {
+        // Another copy, or a member of the gang whose end will be listed too.
+        if (!spec.gang) WantStop(*worker->second, key);
+      }
+    }
+    one.phase = TaskPhase::kDone;
+    one.worker.clear();
+    one.checkpoint.clear();
+    ++step->done;
+  };
+  if (spec.gang) {
+    for (int32_t i = 0; i < spec.count; ++i) finish(i);
+  } else {
+    finish(end.task.index);
+  }
+  MarkDirty(job);
+  placement_wanted_ = true;
+  Round* round = job.FindRound(end.task.round);
+  if (round == nullptr || !job.RoundDone(*round)) return;
+  if (job.spec.rounds == 0) {
+    EndJob(job, JobState::kCompleted, "all tasks are done", now);
+    return;
+  }
+  while (!job.rounds.empty() && job.RoundDone(job.rounds.front())) {
+    job.rounds.pop_front();
+    ++job.rounds_done;
+  }
+  if (job.rounds_done >= job.spec.rounds)
+    EndJob(job, JobState::kCompleted, "all rounds are done", now);
+}
+
+void JobScheduler::OnTaskFailed(Worker& worker, Job& job, const EndedTask& end,
+                                Now now) {
+  StepState* step = job.FindStep(end.task);
+  TaskState* task = job.FindTask(end.task);
+  if (step == nullptr || task == nullptr) return;
+  const StepSpec& spec = job.spec.steps[static_cast<size_t>(end.task.step)];
+  TaskState& account = spec.gang ? step->tasks.front() : *task;
+  std::vector<int32_t>& failed = account.failed_runs;
+  if (std::find(failed.begin(), failed.end(), end.run) != failed.end()) return;
+  task->failed_on = worker.record.id;
+  if (!spec.lasting) failed.push_back(end.run);
+  if (failed.size() <= 1 &&
+      ++worker.failures_in_row >= kFailuresInRowToSuspect) {
+    worker.suspect_until = now.mono + kSuspectAfterFailures;
+    Explain("worker_suspected",
+            {{"worker", worker.record.id},
+             {"failures_in_row", absl::StrCat(worker.failures_in_row)}},
+            Severity::kWarning);
+  }
+  const auto failures = static_cast<int32_t>(failed.size());
+  MarkDirty(job);
+  if (spec.lasting || job.Ended()) return;
+  const Queue* queue = configuration_ != nullptr
+                           ? configuration_->FindQueueByName(job.queue)
+                           : nullptr;
+  if (queue == nullptr || failures < queue->most_attempts) return;
+  EndJob(job, JobState::kFailed,
+         absl::StrCat("task ", TaskIdText(end.task), " failed ", failures,
+                      " times, last on ", worker.record.id),
+         now);
+}
+
+void JobScheduler::OnEnd(Worker& worker, const EndedTask& end, Now now) {
+  const RunKey key{end.task, end.run};
+  const auto found = jobs_.find(end.task.job);
+  Job* job = found != jobs_.end() ? found->second.get() : nullptr;
+  TaskState* task = job != nullptr ? job->FindTask(end.task) : nullptr;
+  Explain("run_ended", {{"task", TaskIdText(end.task)},
+                        {"run", absl::StrCat(end.run)},
+                        {"worker", worker.record.id},
+                        {"how", RunEndName(end.end)}});
+  const bool current = task != nullptr && task->run == end.run &&
+                       task->worker == worker.record.id;
+  if (task != nullptr && end.run > task->run) task->run = end.run;
+  if (job != nullptr) job->begun = true;
+  if (end.end == RunEnd::kDone) {
+    ++figures_.ends_done;
+    worker.failures_in_row = 0;
+    if (task != nullptr && task->phase != TaskPhase::kDone && !job->Ended()) {
+      if (current && task->seen) job->FindStep(end.task)->ended_here = true;
+      OnTaskDone(*job, end, now);
+    }
+  } else if (end.end == RunEnd::kFailed) {
+    ++figures_.ends_failed;
+    if (task != nullptr && task->phase != TaskPhase::kDone && !job->Ended())
+      OnTaskFailed(worker, *job, end, now);
+  } else {
+    ++figures_.ends_other;
+  }
+  if (task != nullptr && !end.checkpoint.empty() &&
+      task->phase != TaskPhase::kDone)
+    task->checkpoint = end.checkpoint;
+  if (current && task->phase != TaskPhase::kDone)
+    Requeue(end.task, end.run, worker.record.id, now.mono);
+  Release(worker, key);
+}
+
+void JobScheduler::OnRunning(Worker& worker, const RunningTask& running,
+                             Now now) {
+  const RunKey key{running.task, running.run};
+  const auto found = jobs_.find(running.task.job);
+  Job* job = found != jobs_.end() ? found->second.get() : nullptr;
+  TaskState* task = job != nullptr ? job->FindTask(running.task) : nullptr;
+  const auto occupant = worker.occupants.find(key);
+  if (occupant != worker.occupants.end()) {
+    Occupant& known = occupant->second;
+    if (known.percent != running.percent) {
+      known.percent = running.percent;
+      known.percent_changed = now.mono;
+    }
+    known.start_answered = std::min(known.start_answered, now.mono);
+    known.uncertain = false;
+    if (job != nullptr) job->begun = true;
+    if (task != nullptr && task->run == running.run &&
+        task->worker == worker.record.id) {
+      if (!running.checkpoint.empty()) task->checkpoint = running.checkpoint;
+      const bool was_starting = task->phase == TaskPhase::kStarting ||
+                                task->phase == TaskPhase::kUncertain;
+      if (was_starting) task->phase = TaskPhase::kRunning;
+    }
+    return;
+  }
+  // What a run takes whose job's description is gone is not known.
+  const bool described =
+      job != nullptr &&
+      static_cast<size_t>(running.task.step) < job->spec.steps.size();
+  const Resources need =
+      described ? job->spec.steps[static_cast<size_t>(running.task.step)].need
+                : Resources();
+  Occupant& added = Occupy(worker, running.task, running.run, need, now);
+  added.unknown_size = !described;
+  if (!described) ++worker.unknown_sizes;
+  added.start_answered = now.mono;
+  added.percent = running.percent;
+  const bool wanted = task != nullptr && !job->Ended() &&
+                      task->phase == TaskPhase::kWaiting &&
+                      running.run >= task->run;
+  if (wanted) {
+    task->phase = TaskPhase::kRunning;
+    task->worker = worker.record.id;
+    task->run = running.run;
+    task->seen = true;
+    if (!running.checkpoint.empty()) task->checkpoint = running.checkpoint;
+    job->begun = true;
+    StepState* step = job->FindStep(running.task);
+    if (step->gang_started == absl::InfinitePast())
+      step->gang_started = now.mono;
+    Explain("run_adopted", {{"task", TaskIdText(running.task)},
+                            {"run", absl::StrCat(running.run)},
+                            {"worker", worker.record.id}});
+    return;
+  }
+  added.foreign = true;
+  added.stop_wanted = true;
+  Attend(worker);
+  Explain("run_unwanted", {{"task", TaskIdText(running.task)},
+                           {"run", absl::StrCat(running.run)},
+                           {"worker", worker.record.id},
+                           {"job_known", job != nullptr ? "yes" : "no"}});
+}
+
+void JobScheduler::OnMissing(Worker& worker, const ObserveReply& reply,
+                             absl::Time sent, Now now) {
+  std::set<RunKey> listed;
+  for (const RunningTask& running : reply.running)
+    listed.insert({running.task, running.run});
+  std::vector<RunKey> missing;
+  for (const auto& [key, occupant] : worker.occupants) {
+    if (listed.count(key) > 0) continue;
+    // Only a listing asked for after the start was answered, or after a stop
+    // that keeps it from starting late, tells that the run is not there.
+    const bool told =
+        occupant.start_answered < sent || occupant.stop_answered < sent;
+    if (told) missing.push_back(key);
+  }
+  for (const RunKey& key : missing) {
+    Explain("run_missing", {{"task", TaskIdText(key.first)},
+                            {"run", absl::StrCat(key.second)},
+                            {"worker", worker.record.id}});
+    Release(worker, key);
+    Requeue(key.first, key.second, worker.record.id, now.mono);
+  }
+}
+
+}  // namespace keelbridge
