How long an ended job is kept, and how old a job is, go by the steady clock

A jump forward drops jobs that ended seconds ago: asked for they are unknown, and handed in again, as clients do after a lost answer, they run a second time. Change: within a term both are measured by the steady clock; the time of day counts once, when a term loads the jobs, and for rounds that fall due by it.

--- a/keelbridge/coordination/job_scheduler.cc
+++ b/keelbridge/coordination/job_scheduler.cc
@@ -24,7 +24,13 @@
                         Now now) {
   jobs_ = std::move(jobs);
   for (const auto& [id, job] : jobs_) {
-    if (!job->Ended()) active_.emplace(id, job.get());
+    job->accepted_at =
+        now.mono - (now.wall - absl::FromUnixMillis(job->accepted_ms));
+    if (!job->Ended()) {
+      active_.emplace(id, job.get());
+      continue;
+    }
+    job->ended_at = now.mono - (now.wall - absl::FromUnixMillis(job->ended_ms));
   }
   for (const WorkerRecord& record : workers) {
     OnWorkerRecord(record, now);
@@ -104,6 +110,7 @@
   }
   auto job =
       std::make_unique<Job>(id, queue, std::move(spec), ToMillis(now.wall));
+  job->accepted_at = now.mono;
   job->durable_at_batch = next_batch_;
   if (job->spec.rounds == 0) job->AddRound(0);
   undescribed_.insert(id);
@@ -148,6 +155,7 @@
 void JobScheduler::EndJob(Job& job, JobState end, std::string why, Now now) {
   job.end = end;
   job.ended_ms = ToMillis(now.wall);
+  job.ended_at = now.mono;
   job.end_batch = next_batch_;
   job.failure = std::move(why);
   active_.erase(job.id);
@@ -193,12 +201,12 @@
 }
 
 void JobScheduler::DropEnded(Now now) {
-  const int64_t before =
-      ToMillis(now.wall) - absl::ToInt64Milliseconds(options_.ended_kept);
+  // By the steady clock: the time of day may jump.
+  const absl::Time before = now.mono - options_.ended_kept;
   for (auto it = jobs_.begin(); it != jobs_.end();) {
     const Job& job = *it->second;
     const bool drop =
-        job.Ended() && job.ended_ms < before && job.end_batch <= durable_batch_;
+        job.Ended() && job.ended_at < before && job.end_batch <= durable_batch_;
     if (!drop) {
       ++it;
       continue;
--- a/keelbridge/coordination/job_scheduler_placement.cc
+++ b/keelbridge/coordination/job_scheduler_placement.cc
@@ -92,12 +92,11 @@
         if (waiting == 0) continue;
         figures_.ready_tasks += waiting;
         const absl::Duration objective = Objective(*job, *queue);
-        const int64_t due_ms =
+        const absl::Duration age =
             job->spec.rounds > 0
-                ? job->spec.first_round_ms +
-                      round.number * job->spec.round_interval_ms
-                : job->accepted_ms;
-        const absl::Duration age = absl::Milliseconds(wall_ms - due_ms);
+                ? absl::Milliseconds(wall_ms - job->spec.first_round_ms -
+                                     round.number * job->spec.round_interval_ms)
+                : now.mono - job->accepted_at;
         const absl::Duration left =
             objective - age - absl::Milliseconds(spec.estimated_ms);
         const int tier =
--- a/keelbridge/coordination/job_scheduler_test.cc
+++ b/keelbridge/coordination/job_scheduler_test.cc
@@ -34,7 +34,7 @@
   }
 
   JobScheduler& scheduler() { return scheduler_; }
-  Now now() const { return {now_, now_}; }
+  Now now() const { return {now_, now_ + time_of_day_is_ahead}; }
 
   // A job of an earlier leader.
   void Recover(const StepSpec& step) {
@@ -103,6 +103,7 @@
   std::set<std::string> good;
   std::set<std::string> other_lives;  // Answer that another life is there.
   bool hold_advice = false;
+  absl::Duration time_of_day_is_ahead;
   std::vector<std::vector<std::string>> asks;  // Workers named, call by call.
   std::vector<StartOrder> starts;
   std::vector<std::string> start_workers;
@@ -461,6 +462,32 @@
   CHECK(site.starts.empty());
 }
 
+TEST_CASE(
+    "job scheduler: an ended job stays known when the time of day jumps") {
+  Driver site(1);
+  site.AddWorker("a");
+  site.lists["a"];
+  JobSpec spec;
+  spec.steps.push_back(OneTask());
+  site.scheduler().Submit(kJob, "restore", spec, site.now());
+  site.RunUntil(absl::Milliseconds(300));
+  REQUIRE(site.starts.size() == 1);
+  site.lists["a"].running.clear();
+  site.lists["a"].ended = {{1, kTask, 1, RunEnd::kDone, ""}};
+  site.RunUntil(absl::Seconds(1));
+  CHECK(site.scheduler().Status(kJob) == JobState::kCompleted);
+  site.time_of_day_is_ahead = absl::Minutes(10);
+  site.RunUntil(absl::Seconds(4));
+  // Handed in again, seconds after its acceptance: it is the same job.
+  CHECK(site.scheduler().Status(kJob) == JobState::kCompleted);
+  site.scheduler().Submit(kJob, "restore", spec, site.now());
+  site.RunUntil(absl::Seconds(5));
+  CHECK(site.starts.size() == 1);
+  site.time_of_day_is_ahead = -absl::Minutes(10);
+  site.RunUntil(absl::Seconds(140));
+  CHECK(!site.scheduler().Status(kJob));
+}
+
 TEST_CASE("job scheduler: a suspended leader starts nothing") {
   Driver site(1);
   site.AddWorker("a");
--- a/keelbridge/state/job_table.h
+++ b/keelbridge/state/job_table.h
@@ -92,15 +92,17 @@
   std::string queue;
   JobSpec spec;
   int64_t accepted_ms;       // Wall clock.
+  absl::Time accepted_at;    // Of this process's steady clock.
   std::deque<Round> rounds;  // Those that have fallen due.
   int32_t rounds_done = 0;   // All before this one are done and dropped.
   bool begun = false;        // A task of it has run.
   bool recovered = false;    // Was accepted under an earlier leader.
   JobState end = JobState::kQueued;  // kQueued: has not ended.
-  int64_t ended_ms = 0;
-  std::string failure;           // Why it failed, for explanations.
-  int64_t durable_at_batch = 0;  // The batch that holds the description.
-  int64_t end_batch = 0;         // The batch that holds the end.
+  int64_t ended_ms = 0;              // Wall clock.
+  absl::Time ended_at;               // Of this process's steady clock.
+  std::string failure;               // Why it failed, for explanations.
+  int64_t durable_at_batch = 0;      // The batch that holds the description.
+  int64_t end_batch = 0;             // The batch that holds the end.
 
   bool Ended() const { return end != JobState::kQueued; }
   // Adds the round `number`, with all tasks waiting.
