--- a/keelbridge/coordination/site_election.cc
+++ b/keelbridge/coordination/site_election.cc
@@ -76,7 +76,14 @@
 void SiteElection::OnControlRead(const std::vector<Record>& records,
                                  int64_t end, absl::Time now) {
   for (const Record& record : records) {
-    if (const auto leader = LeaderFromRecord(record)) Follow(*leader, now);
+    const auto leader = LeaderFromRecord(record);
+    if (!leader) continue;
+    // A leader that confirmed its record was there after this node last read.
+    const bool confirmed = control_end_ > 0 && end > control_end_ &&
+                           leader->boot == leader_.boot &&
+                           leader->epoch == leader_.epoch;
+    if (confirmed) last_heard_ = std::max(last_heard_, now);
+    Follow(*leader, now);
   }
   control_known_ = true;
   control_end_ = std::max(control_end_, end);
--- a/keelbridge/coordination/site_election_test.cc
+++ b/keelbridge/coordination/site_election_test.cc
@@ -240,5 +240,40 @@
   CHECK(able.Decide(kBegin) == ElectionStep::kClaim);
 }
 
+TEST_CASE(
+    "site election: a leader that confirmed its record meanwhile is not "
+    "replaced when a cut ends") {
+  SiteElection cut = Make("a", 1);
+  cut.OnControlRead({ToRecord(Leader(3, "b", 7))}, 3, kBegin);
+  cut.OnHeartbeatAnswered(kBegin);
+  // Cut off: it claims in vain, and cannot read.
+  absl::Time now = kBegin;
+  const auto look = [&] {
+    now += absl::Milliseconds(100);
+    return cut.Decide(now);
+  };
+  const auto look_for = [&](absl::Duration time) {
+    const absl::Time until = now + time;
+    while (now < until) {
+      const ElectionStep step = look();
+      if (step != ElectionStep::kNone) return step;
+    }
+    return ElectionStep::kNone;
+  };
+  CHECK(look_for(absl::Seconds(3)) == ElectionStep::kClaim);
+  cut.OnClaimFailed();
+  for (int i = 0; i < 30; ++i) CHECK(look() == ElectionStep::kReadControl);
+  // The cut ends: the stream has moved on, by the leader's own hand.
+  cut.OnControlRead({ToRecord(Leader(3, "b", 7))}, 4, now);
+  CHECK(look_for(absl::Seconds(1)) == ElectionStep::kNone);
+  // Unless nothing is heard of it from then on.
+  CHECK(look_for(absl::Seconds(3)) == ElectionStep::kClaim);
+  // Reading the same again is no news of it.
+  cut.OnClaimFailed();
+  CHECK(look() == ElectionStep::kReadControl);
+  cut.OnControlRead({ToRecord(Leader(3, "b", 7))}, 4, now);
+  CHECK(look_for(absl::Milliseconds(200)) == ElectionStep::kClaim);
+}
+
 }  // namespace
 }  // namespace keelbridge
