The soak's harness takes a port that is free on all hosts; linter findings

Ruled out: the node (it said what was wrong and ended with 1). Change: the port is tried on every host. Linter: four reserved vectors in tests, one parameter by reference in the node.

--- a/keelbridge/coordination/job_scheduler_test.cc
+++ b/keelbridge/coordination/job_scheduler_test.cc
@@ -67,6 +67,7 @@
 
   void UseAdvisers(int count) {
     std::vector<std::string> nodes;
+    nodes.reserve(static_cast<size_t>(count));
     for (int i = 0; i < count; ++i) nodes.push_back("n" + std::to_string(i));
     scheduler_.SetAdvisers(nodes, "n0");
   }
--- a/keelbridge/coordination/site_election_test.cc
+++ b/keelbridge/coordination/site_election_test.cc
@@ -155,6 +155,7 @@
 
 TEST_CASE("site election: weak nodes claim after all that are able") {
   std::vector<ElectionPeer> able;
+  able.reserve(6);
   for (int i = 0; i < 6; ++i) able.push_back({"able" + std::to_string(i), 0.5});
   for (int i = 0; i < 30; ++i) {
     SiteElection weak =
@@ -170,6 +171,7 @@
   }
   SiteElection one = MakeWithCapacity("able0", 0.5);
   std::vector<ElectionPeer> peers;
+  peers.reserve(30);
   for (int i = 0; i < 30; ++i)
     peers.push_back({"weak" + std::to_string(i), 0.12});
   one.OnControlRead({ToRecord(Leader(3, "gone", 7))}, 3, kBegin);
--- a/keelbridge/daemon/site_node_peers.cc
+++ b/keelbridge/daemon/site_node_peers.cc
@@ -32,7 +32,7 @@
     reply(Ok(AnswerHeartbeat(params)));
   });
   peer_server_.Add("call", [this](const Json::Value& params,
-                                  EventRpcServer::Reply reply) {
+                                  const EventRpcServer::Reply& reply) {
     const auto not_leader = [reply] {
       Json::Value out(Json::objectValue);
       out["not_leader"] = true;
--- a/keelbridge/protocol/record_store_test.cc
+++ b/keelbridge/protocol/record_store_test.cc
@@ -7,6 +7,7 @@
 
 TEST_CASE("record store: a batch is cut into appends of bounded size") {
   std::vector<Record> records;
+  records.reserve(10);
   for (int i = 0; i < 10; ++i)
     records.push_back({"key" + std::to_string(i), std::string(91, 'v'), -1});
   CHECK(SizeOf(records[0]) == 100);
--- a/testing/support/site_cell.cc
+++ b/testing/support/site_cell.cc
@@ -29,11 +29,12 @@
 constexpr absl::Duration kPause = absl::Milliseconds(50);
 constexpr int kFirstHost = 10;  // Nodes listen on 127.0.0.10 and on.
 
-// A port that is free on `ip` now.
-int FreePort(const std::string& ip) {
+// Binds `port` of `ip`, any if 0, and lets it go: the port; 0: it is taken.
+int TryPort(const std::string& ip, int port) {
   const int fd = ::socket(AF_INET, SOCK_STREAM, 0);
   sockaddr_in address{};
   address.sin_family = AF_INET;
+  address.sin_port = htons(static_cast<uint16_t>(port));
   inet_pton(AF_INET, ip.c_str(), &address.sin_addr);
   if (::bind(fd, reinterpret_cast<sockaddr*>(&address), sizeof(address)) != 0) {
     ::close(fd);
@@ -45,6 +46,25 @@
   return ntohs(address.sin_port);
 }
 
+// A port that is free on `ip` now.
+int FreePort(const std::string& ip) { return TryPort(ip, 0); }
+
+std::string HostOf(int node) {
+  return absl::StrCat("127.0.0.", kFirstHost + node);
+}
+
+// A port that is free now on the hosts of all nodes; other cells may run.
+int PortFreeOnAll(int nodes) {
+  constexpr int kTries = 100;
+  for (int i = 0; i < kTries; ++i) {
+    const int port = FreePort(HostOf(0));
+    int free = 1;
+    while (free < nodes && TryPort(HostOf(free), port) == port) ++free;
+    if (free >= nodes) return port;
+  }
+  return 0;
+}
+
 HttpOutcome CallAddress(const std::string& address, const HttpRequest& request,
                         absl::Duration timeout) {
   HttpClient client(ParseAddress(address).value(), {});
@@ -66,11 +86,11 @@
         std::make_unique<FaultProxy>(loop_, platform_->store_address()));
   if (options_.proxies) platform_->UseWorkerProxies();
   thread_ = std::thread([this] { loop_.run(); });
-  const int peer_port = FreePort("127.0.0.10");
+  const int peer_port = PortFreeOnAll(options_.nodes);
   for (int i = 0; options_.proxies && i < options_.nodes; ++i)
-    AddPeerProxy(absl::StrCat("127.0.0.", kFirstHost + i), peer_port);
+    AddPeerProxy(HostOf(i), peer_port);
   for (int i = 0; i < options_.nodes; ++i) {
-    const std::string ip = absl::StrCat("127.0.0.", kFirstHost + i);
+    const std::string ip = HostOf(i);
     Node& node = nodes_[At(i)];
     node.client_address = absl::StrCat(ip, ":", FreePort(ip));
     node.ready_address = absl::StrCat(ip, ":", FreePort(ip));
