Logs tell since when a configuration is unconfirmed, failed reads of it, and denied calls

A configuration read that failed was passed over without a line, a call that names no queue was answered 404 without a line, and nothing said how old the knowledge behind it was. No change of logic. Ruled out: a line for each failed try (an outage of the store would fill the log).

--- a/keelbridge/daemon/site_node.cc
+++ b/keelbridge/daemon/site_node.cc
@@ -132,9 +132,9 @@
   metrics_.Set("ready", {}, Ready() ? 1 : 0);
   metrics_.Set("leads", {}, session_ != nullptr && session_->active() ? 1 : 0);
   metrics_.Set("configuration_version", {},
-               configuration_ == nullptr
-                   ? 0
-                   : static_cast<double>(configuration_->version));
+               static_cast<double>(configuration_version()));
+  metrics_.Set("configuration_unconfirmed_seconds", {},
+               absl::ToDoubleSeconds(ConfigurationAge()));
   reply({200, {}, metrics_.Text(), "text/plain"});
 }
 
--- a/keelbridge/daemon/site_node.h
+++ b/keelbridge/daemon/site_node.h
@@ -106,6 +106,15 @@
   void FollowConfiguration();
   void TakeConfiguration(const std::string& document,
                          const std::string& source);
+  // Nothing newer than the version in force was written before `at`.
+  void OnConfigurationConfirmed(absl::Time at);
+  void OnConfigurationReadFailed(const char* read, StoreResult result,
+                                 const std::string& detail);
+  // How long ago the version in force was confirmed to be the newest.
+  absl::Duration ConfigurationAge() const;
+  // The same in milliseconds for log lines; "never" before the first time.
+  std::string UnconfirmedText() const;
+  int64_t configuration_version() const;  // 0: none yet.
 
   boost::asio::io_context& loop_;
   const NodeSettings settings_;
@@ -123,6 +132,8 @@
   std::shared_ptr<const SiteConfiguration> configuration_;
   int64_t configuration_next_ = -1;  // Offset to follow from; -1: read anew.
   bool fetching_configuration_ = false;
+  absl::Time configuration_confirmed_ = absl::InfinitePast();
+  bool configuration_lost_ = false;  // The last read of the store failed.
 
   SiteElection election_;
   std::shared_ptr<LeaderSession> session_;
--- a/keelbridge/daemon/site_node_clients.cc
+++ b/keelbridge/daemon/site_node_clients.cc
@@ -26,6 +26,8 @@
 // The same, once the leader is known to be out of reach.
 constexpr absl::Duration kKnownLeaderlessPatience = absl::Milliseconds(150);
 constexpr absl::Duration kRetryAfter = absl::Seconds(1);
+// Bytes of a path in a log line: enough for a prefix and a job's id.
+constexpr size_t kMostLoggedPath = 128;
 
 ClientAnswer AnswerOf(const Error& error) {
   return error.code == ErrorCode::kNotFound ? ClientAnswer::kNoSuchQueue
@@ -61,6 +63,13 @@
   if (!call) {
     refused.answer = AnswerOf(call.error());
     refused.message = call.error().message;
+    LogEvent(Severity::kInfo, "call_denied",
+             {{"method", request.method},
+              {"host", FindHeader(request.headers, "Host")},
+              {"path", request.path.substr(0, kMostLoggedPath)},
+              {"why", refused.message},
+              {"configuration_version", absl::StrCat(configuration_version())},
+              {"unconfirmed_ms", UnconfirmedText()}});
     return reply(ports_.dialect->FormatReply(refused));
   }
   auto forward = std::make_shared<Forward>();
--- a/keelbridge/daemon/site_node_peers.cc
+++ b/keelbridge/daemon/site_node_peers.cc
@@ -203,7 +203,7 @@
   if (theirs.epoch > election_.leader().epoch)
     election_.OnLeaderHeard(theirs, SystemNow().mono);
   const int64_t version = params["configuration_version"].asInt64();
-  if (version > (configuration_ == nullptr ? 0 : configuration_->version))
+  if (version > configuration_version())
     FetchConfiguration(params["address"].asString());
   Json::Value out(Json::objectValue);
   out["boot"] = Json::UInt64(boot_);
@@ -211,8 +211,7 @@
   out["accepts"] = session_ != nullptr && session_->CanAccept();
   out["draining"] = draining_;
   out["leader"] = ToJson(election_.leader());
-  out["configuration_version"] =
-      Json::Int64(configuration_ == nullptr ? 0 : configuration_->version);
+  out["configuration_version"] = Json::Int64(configuration_version());
   out["peers_version"] = Json::UInt64(peer_list_version_);
   if (params["peers_version"].asUInt64() != peer_list_version_)
     out["peers"] = peer_list_;
@@ -228,8 +227,7 @@
   Json::Value params = DescribeSelf();
   params["leader"] = ToJson(leader);
   params["peers_version"] = Json::UInt64(leader_list_version_);
-  params["configuration_version"] =
-      Json::Int64(configuration_ == nullptr ? 0 : configuration_->version);
+  params["configuration_version"] = Json::Int64(configuration_version());
   rpc_.Call(
       leader.address, "heartbeat", params, kHeartbeatTimeout,
       [this, leader](const RpcOutcome& outcome) {
@@ -263,8 +261,7 @@
   election_.OnLeaderHeard(LeaderFromJson(in["leader"]), now);
   TakePeersOf(in);
   const int64_t version = in["configuration_version"].asInt64();
-  if (version > (configuration_ == nullptr ? 0 : configuration_->version))
-    FetchConfiguration(to.address);
+  if (version > configuration_version()) FetchConfiguration(to.address);
   // What the answer tells is about the process that was asked, which may have
   // been replaced by the leader that it names.
   if (election_.leader().epoch != to.epoch) return;
