--- a/testing/fakes/fault_proxy.cc
+++ b/testing/fakes/fault_proxy.cc
@@ -128,10 +128,9 @@
 void FaultProxy::SetMode(Mode mode, absl::Duration delay) {
   mode_ = mode;
   delay_ = delay;
-  if (mode != Mode::kReset && mode != Mode::kPass) return;
-  // Connections on which something was dropped say nothing further: end them.
+  if (mode != Mode::kReset) return;
   const auto open = open_;
-  for (const auto& connection : open) connection->Close(mode == Mode::kReset);
+  for (const auto& connection : open) connection->Close(true);
 }
 
 }  // namespace keelbridge::testing
--- a/testing/fakes/fault_proxy.h
+++ b/testing/fakes/fault_proxy.h
@@ -37,6 +37,9 @@
   FaultProxy& operator=(const FaultProxy&) = delete;
 
   const Address& address() const { return address_; }
+  // Harms what passes from now on. A connection on which something was dropped
+  // stays open and says nothing further, also after `kPass`: whoever waits on
+  // it must find out by itself. Connections that were quiet go on.
   void SetMode(Mode mode, absl::Duration delay = absl::Milliseconds(200));
 
  private:
--- a/testing/support/site_cell.cc
+++ b/testing/support/site_cell.cc
@@ -189,19 +189,27 @@
   return -1;
 }
 
-int64_t SiteCell::DroppedLogLines(int index) {
+int64_t SiteCell::Gauge(int index, const std::string& name) {
   const HttpOutcome outcome =
       CallAddress(nodes_[At(index)].metrics_address,
                   {"GET", "/metrics", {}, "", ""}, absl::Milliseconds(500));
   if (!outcome.response) return -1;
-  const std::string name = "keelbridge_node_log_lines_dropped ";
-  const size_t at = outcome.response->body.find("\n" + name);
+  const std::string line = absl::StrCat("\n", name, " ");
+  const size_t at = outcome.response->body.find(line);
   int64_t value = -1;
   if (at == std::string::npos) return value;
-  const std::string rest = outcome.response->body.substr(at + 1 + name.size());
+  const std::string rest = outcome.response->body.substr(at + line.size());
   return absl::SimpleAtoi(rest.substr(0, rest.find('\n')), &value) ? value : -1;
 }
 
+int64_t SiteCell::DroppedLogLines(int index) {
+  return Gauge(index, "keelbridge_node_log_lines_dropped");
+}
+
+int64_t SiteCell::ConfigurationVersion(int index) {
+  return Gauge(index, "keelbridge_node_configuration_version");
+}
+
 HttpOutcome SiteCell::Raw(int index, const HttpRequest& request,
                           absl::Duration timeout) {
   return nodes_[At(index)].kept_client->Send(request, timeout);
--- a/testing/support/site_cell.h
+++ b/testing/support/site_cell.h
@@ -46,6 +46,8 @@
   // The node that leads, by its metrics; -1: none says so.
   int Leader();
   int64_t DroppedLogLines(int index);
+  // The version that a node says is in force; -1: it does not answer.
+  int64_t ConfigurationVersion(int index);
 
   bool Ready(int index);
   bool AwaitReady(int count);
@@ -91,6 +93,8 @@
     std::unique_ptr<HttpClient> kept_client;
   };
   size_t At(int index) const { return static_cast<size_t>(index); }
+  // A gauge of a node's metrics, by its whole name; -1: none.
+  int64_t Gauge(int index, const std::string& name);
   void WriteSettings(int index);
   void AddPeerProxy(const std::string& ip, int port);
 
