A node confirms its configuration by itself: silence no longer counts as no news

Cause: a node heard of a new configuration by one read that waits 20 s at the store, with a time-out of 22 s. A poll whose answer was swallowed looked like one with nothing to tell; other calls, on other connections, worked again meanwhile. Heartbeats carried versions, but when all polls were swallowed at once nobody knew more. A route that was added in between was denied with 404. Class: the absence of a message was taken for knowledge. Change: what is known of the configuration has an age (Freshness, pure): since when it was last confirmed to be the newest. The leader reads without waiting when that is 0.8 s and tells its age with each heartbeat; others ask for themselves after 1.5 s. A read that finds what the poll did not bring replaces the poll. What is older than 2 s denies no queue: 503 with when to come back. These reads take the way of short calls, through a peer if need be. Ruled out: a shorter poll on every node (43 nodes would read 43 times a second for good; now one does, and all while nobody leads).

--- /dev/null
+++ b/keelbridge/coordination/freshness.h
@@ -0,0 +1,64 @@
+// How old the knowledge of something is that changes elsewhere, and when to ask
+// again.
+//
+// A reader that waits to be told takes silence for "nothing changed", and
+// silence is also what a lost answer, a cut or a dead connection sounds like.
+// So knowledge has an age: since when it was last confirmed to be the newest.
+// Past a bound the reader asks, and what is too old denies nothing.
+//
+// Pure: the time comes in. Times are of the steady clock.
+//
+//   Freshness freshness({});
+//   freshness.OnConfirmed(sent);        // An answer to what was sent then.
+//   if (freshness.AskDue(role, now)) Ask();  // Counts as asked from now on.
+//   if (!freshness.MayDeny(now)) return kTryLater;
+
+#ifndef KEELBRIDGE_COORDINATION_FRESHNESS_H_
+#define KEELBRIDGE_COORDINATION_FRESHNESS_H_
+
+#include "absl/time/time.h"
+
+namespace keelbridge {
+
+class Freshness {
+ public:
+  // Who asks the source itself.
+  enum class Role {
+    kSource,    // Others rely on this reader: it asks early.
+    kFollower,  // Is told by such a reader, and asks when that falls silent.
+  };
+  struct Options {
+    // Unconfirmed for this long: ask. The users want a configuration in force
+    // within 2 s; a source that asks after 0.8 s and tells its followers every
+    // 0.4 s keeps theirs under 1.5 s.
+    absl::Duration source_asks_after = absl::Milliseconds(800);
+    absl::Duration follower_asks_after = absl::Milliseconds(1500);
+    // Between two tries without an answer: an outage is not hammered.
+    absl::Duration ask_again = absl::Milliseconds(500);
+    // Unconfirmed for longer: nothing is denied on this knowledge. The users
+    // bear a configuration that is 2 s old.
+    absl::Duration deny_within = absl::Milliseconds(2000);
+  };
+
+  explicit Freshness(Options options) : options_(options) {}
+
+  // The knowledge was the newest at `at`. An answer confirms for the moment at
+  // which its request was sent, since it may have been under way for long.
+  void OnConfirmed(absl::Time at);
+
+  // Whether to ask now. True at most once every `ask_again`.
+  bool AskDue(Role role, absl::Time now);
+  // Whether it is fresh enough to say that something does not exist.
+  bool MayDeny(absl::Time now) const;
+  // How long ago it was confirmed; infinite before the first time.
+  absl::Duration Age(absl::Time now) const { return now - confirmed_; }
+
+ private:
+  const Options options_;
+  absl::Time confirmed_ = absl::InfinitePast();
+  absl::Time asked_ = absl::InfinitePast();
+};
+
+}  // namespace keelbridge
+
+#endif  // KEELBRIDGE_COORDINATION_FRESHNESS_H_
--- a/keelbridge/daemon/site_node.cc
+++ b/keelbridge/daemon/site_node.cc
@@ -11,6 +11,8 @@
 namespace {
 
 constexpr absl::Duration kElectEvery = absl::Milliseconds(100);
+// Looks whether the configuration has to be confirmed; see `Freshness`.
+constexpr absl::Duration kCheckEvery = absl::Milliseconds(100);
 constexpr absl::Duration kHeartbeatEvery = absl::Milliseconds(400);
 // A node is ready while a leader that takes jobs answered this lately.
 constexpr absl::Duration kLeaderFresh = absl::Milliseconds(1500);
@@ -96,6 +98,7 @@
             {"peers", settings_.peer_listen.ToString()}});
   ReadConfiguration();
   Every(kElectEvery, [this] { Elect(); });
+  Every(kCheckEvery, [this] { CheckConfiguration(); });
   Every(kHeartbeatEvery, [this] { Heartbeat(); });
   return Success();
 }
--- a/keelbridge/daemon/site_node.h
+++ b/keelbridge/daemon/site_node.h
@@ -16,6 +16,7 @@
 #include <string>
 #include <vector>
 
+#include "keelbridge/coordination/freshness.h"
 #include "keelbridge/coordination/site_election.h"
 #include "keelbridge/daemon/leader_session.h"
 #include "keelbridge/daemon/metrics.h"
@@ -77,7 +78,9 @@
 
   // site_node_peers.cc
   void Heartbeat();
-  void OnHeartbeatReply(const RpcOutcome& outcome, const LeaderRecord& to);
+  // `sent`: when the heartbeat was.
+  void OnHeartbeatReply(const RpcOutcome& outcome, const LeaderRecord& to,
+                        absl::Time sent);
   Json::Value AnswerHeartbeat(const Json::Value& params);
   void TakePeer(const Json::Value& in);
   void TakePeersOf(const Json::Value& answer);
@@ -106,12 +109,24 @@
   void FollowConfiguration();
   void TakeConfiguration(const std::string& document,
                          const std::string& source);
+  // Asks the store whether the version in force is still the newest, when
+  // nothing has told so for a while.
+  void CheckConfiguration();
+  void OnConfigurationChecked(const ReadReply& reply, int64_t from,
+                              absl::Time sent);
+  void TakeConfigurationRecords(const std::vector<Record>& records);
+  // A peer said which version it has, and how long ago that was confirmed;
+  // `sent`: when it was asked.
+  void OnConfigurationOfPeer(const std::string& address, const Json::Value& in,
+                             absl::Time sent);
   // Nothing newer than the version in force was written before `at`.
   void OnConfigurationConfirmed(absl::Time at);
   void OnConfigurationReadFailed(const char* read, StoreResult result,
                                  const std::string& detail);
   // How long ago the version in force was confirmed to be the newest.
   absl::Duration ConfigurationAge() const;
+  // Adds to `out` what `OnConfigurationOfPeer` reads.
+  void DescribeConfiguration(Json::Value* out) const;
   // The same in milliseconds for log lines; "never" before the first time.
   std::string UnconfirmedText() const;
   int64_t configuration_version() const;  // 0: none yet.
@@ -132,7 +147,10 @@
   std::shared_ptr<const SiteConfiguration> configuration_;
   int64_t configuration_next_ = -1;  // Offset to follow from; -1: read anew.
   bool fetching_configuration_ = false;
-  absl::Time configuration_confirmed_ = absl::InfinitePast();
+  Freshness configuration_freshness_{Freshness::Options()};
+  bool reading_configuration_ = false;  // Anew, now or after a pause.
+  // The long poll under way: an answer to an earlier one is passed over.
+  int64_t configuration_poll_ = 0;
   bool configuration_lost_ = false;  // The last read of the store failed.
 
   SiteElection election_;
--- a/keelbridge/daemon/site_node_clients.cc
+++ b/keelbridge/daemon/site_node_clients.cc
@@ -63,6 +63,13 @@
   if (!call) {
     refused.answer = AnswerOf(call.error());
     refused.message = call.error().message;
+    // The queue may have been added since: what is too old denies nothing.
+    if (refused.answer == ClientAnswer::kNoSuchQueue &&
+        !configuration_freshness_.MayDeny(SystemNow().mono)) {
+      refused.answer = ClientAnswer::kNotTaken;
+      refused.message = "no such queue in a configuration that may be old";
+      refused.retry_after = kRetryAfter;
+    }
     LogEvent(Severity::kInfo, "call_denied",
              {{"method", request.method},
               {"host", FindHeader(request.headers, "Host")},
--- a/keelbridge/daemon/site_node_peers.cc
+++ b/keelbridge/daemon/site_node_peers.cc
@@ -202,8 +202,7 @@
   const LeaderRecord theirs = LeaderFromJson(params["leader"]);
   if (theirs.epoch > election_.leader().epoch)
     election_.OnLeaderHeard(theirs, SystemNow().mono);
-  const int64_t version = params["configuration_version"].asInt64();
-  if (version > configuration_version())
+  if (params["configuration_version"].asInt64() > configuration_version())
     FetchConfiguration(params["address"].asString());
   Json::Value out(Json::objectValue);
   out["boot"] = Json::UInt64(boot_);
@@ -211,7 +210,7 @@
   out["accepts"] = session_ != nullptr && session_->CanAccept();
   out["draining"] = draining_;
   out["leader"] = ToJson(election_.leader());
-  out["configuration_version"] = Json::Int64(configuration_version());
+  DescribeConfiguration(&out);
   out["peers_version"] = Json::UInt64(peer_list_version_);
   if (params["peers_version"].asUInt64() != peer_list_version_)
     out["peers"] = peer_list_;
@@ -230,15 +229,15 @@
   params["configuration_version"] = Json::Int64(configuration_version());
   rpc_.Call(
       leader.address, "heartbeat", params, kHeartbeatTimeout,
-      [this, leader](const RpcOutcome& outcome) {
+      [this, leader, sent = SystemNow().mono](const RpcOutcome& outcome) {
         heartbeat_under_way_ = false;
-        OnHeartbeatReply(outcome, leader);
+        OnHeartbeatReply(outcome, leader, sent);
       },
       RpcLane::kControl);
 }
 
 void SiteNode::OnHeartbeatReply(const RpcOutcome& outcome,
-                                const LeaderRecord& to) {
+                                const LeaderRecord& to, absl::Time sent) {
   const absl::Time now = SystemNow().mono;
   if (!outcome.answered) {
     // A closed port tells that the process is gone; a connection that broke is
@@ -260,8 +259,7 @@
   const Json::Value& in = outcome.result;
   election_.OnLeaderHeard(LeaderFromJson(in["leader"]), now);
   TakePeersOf(in);
-  const int64_t version = in["configuration_version"].asInt64();
-  if (version > configuration_version()) FetchConfiguration(to.address);
+  OnConfigurationOfPeer(to.address, in, sent);
   // What the answer tells is about the process that was asked, which may have
   // been replaced by the leader that it names.
   if (election_.leader().epoch != to.epoch) return;
