Logs tell why a job is denied, and what a new leader has loaded

A job that was accepted and is not known later can have several causes that the logs could not tell apart: a leader that was replaced and does not know it yet, a load that ended early or passed over records, an append that the store called done without adding anything, an ended job that was forgotten, a node without the queue in its configuration.

job_unknown: the leader denies a job; how long ago the store confirmed it. call_answered: also for looks that were denied, with leader and epoch. call_not_understood: 404 and 400 of a node, with its configuration. jobs_loaded: epoch, pages, records, retries, ends of the stream. jobs_page_not_read: a page that has to be read again. job_forgotten: an ended job that is no longer kept. append_without_effect: an append that is done and whose end does not lie behind all that was kept before.

--- a/keelbridge/cli/job_story.cc
+++ b/keelbridge/cli/job_story.cc
@@ -72,6 +72,8 @@
       {"run_unwanted", "a run nobody wants is stopped"},
       {"stop_sent", "stop ordered"},
       {"job_ended", "the job ended"},
+      {"job_forgotten", "the ended job is no longer kept"},
+      {"job_unknown", "the leader does not know the job"},
       {"store_lost", "the leader lost the store"},
       {"store_back", "the store is back"},
       {"term_begins", "a leader begins its term"},
--- a/keelbridge/coordination/job_scheduler.cc
+++ b/keelbridge/coordination/job_scheduler.cc
@@ -212,6 +212,12 @@
       continue;
     }
     dropped_keys_.push_back(ProgressKey(job.id));
+    Explain(
+        "job_forgotten",
+        {{"job", JobIdText(job.id)},
+         {"end", JobStateName(job.end)},
+         {"ended_ms_ago",
+          absl::StrCat(absl::ToInt64Milliseconds(now.mono - job.ended_at))}});
     it = jobs_.erase(it);
   }
 }
--- a/keelbridge/daemon/leader_session.cc
+++ b/keelbridge/daemon/leader_session.cc
@@ -99,6 +99,8 @@
         if (self->ended()) return;
         if (reply.result == StoreResult::kDone) {
           self->last_append_sent_ = sent;
+          self->stream_end_ = reply.end;
+          self->load_begun_ = SystemNow().mono;
           self->phase_ = Phase::kLoading;
           return self->LoadJobs("");
         }
@@ -113,9 +115,18 @@
       Stream::kJobs, after, kReadTimeout,
       [self = shared_from_this(), after](const NewestReply& reply) {
         if (self->ended()) return;
-        if (reply.result != StoreResult::kDone)
+        if (reply.result != StoreResult::kDone) {
+          ++self->load_retries_;
+          LogEvent(Severity::kInfo, "jobs_page_not_read",
+                   {{"epoch", absl::StrCat(self->epoch_)},
+                    {"after", after},
+                    {"result", StoreResultName(reply.result)},
+                    {"detail", reply.message}});
           return self->After(kRetryDelay,
                              [self, after] { self->LoadJobs(after); });
+        }
+        ++self->pages_loaded_;
+        self->records_loaded_ += static_cast<int64_t>(reply.records.size());
         for (const Record& record : reply.records) {
           if (auto worker = KnownWorkerFrom(record))
             self->known_workers_.push_back(*worker);
@@ -125,9 +136,22 @@
         if (reply.more && !reply.records.empty())
           return self->LoadJobs(reply.records.back().key);
         JobTable jobs = self->records_.Build();
+        const auto ended = std::count_if(
+            jobs.begin(), jobs.end(),
+            [](const auto& entry) { return entry.second->Ended(); });
+        const absl::Duration took = SystemNow().mono - self->load_begun_;
         LogEvent(Severity::kInfo, "jobs_loaded",
-                 {{"jobs", absl::StrCat(jobs.size())},
-                  {"unreadable", absl::StrCat(self->records_.unreadable())}});
+                 {{"epoch", absl::StrCat(self->epoch_)},
+                  {"jobs", absl::StrCat(jobs.size())},
+                  {"ended", absl::StrCat(ended)},
+                  {"unreadable", absl::StrCat(self->records_.unreadable())},
+                  {"records", absl::StrCat(self->records_loaded_)},
+                  {"pages", absl::StrCat(self->pages_loaded_)},
+                  {"retries", absl::StrCat(self->load_retries_)},
+                  {"more", reply.more ? "yes" : "no"},
+                  {"fence_end", absl::StrCat(self->stream_end_)},
+                  {"stream_end", absl::StrCat(reply.end)},
+                  {"took_ms", absl::StrCat(absl::ToInt64Milliseconds(took))}});
         self->records_ = JobRecords();
         self->scheduler_.Load(std::move(jobs), self->known_workers_,
                               SystemNow());
@@ -391,6 +415,7 @@
     failing_since_ = absl::InfiniteFuture();
     ++store_returns_;
   }
+  CheckEnd(reply);
   append_latency_ += kLatencyWeight * (now.mono - sent - append_latency_);
   last_append_sent_ = sent;
   stood_still_ = false;
@@ -409,6 +434,35 @@
   PumpSoon();
 }
 
+void LeaderSession::CheckEnd(const AppendReply& reply) {
+  const auto added = static_cast<int64_t>(flight_->count);
+  const bool missing =
+      added > 0 && stream_end_ >= 0 && reply.end < stream_end_ + added;
+  if (missing) {
+    LogEvent(Severity::kError, "append_without_effect",
+             {{"epoch", absl::StrCat(epoch_)},
+              {"sequence", absl::StrCat(flight_->sequence)},
+              {"records", absl::StrCat(added)},
+              {"tries", absl::StrCat(flight_->tries)},
+              {"end_before", absl::StrCat(stream_end_)},
+              {"end", absl::StrCat(reply.end)}});
+  }
+  stream_end_ = std::max(stream_end_, reply.end);
+}
+
+void LeaderSession::TellUnknownJob(const ClientCall& call) const {
+  const absl::Duration confirmed = SystemNow().mono - last_append_sent_;
+  LogEvent(
+      Severity::kInfo, "job_unknown",
+      {{"job", JobIdText(call.job)},
+       {"kind", call.kind == ClientCallKind::kCancel ? "cancel" : "status"},
+       {"epoch", absl::StrCat(epoch_)},
+       {"confirmed_ms_ago", absl::StrCat(absl::ToInt64Milliseconds(confirmed))},
+       {"store_lost", failing_since_ == absl::InfiniteFuture() ? "no" : "yes"},
+       {"stood_still", stood_still_ ? "yes" : "no"},
+       {"jobs", absl::StrCat(scheduler_.figures().jobs)}});
+}
+
 void LeaderSession::Await(int64_t batch, ClientReply answer,
                           std::function<void(ClientReply)> reply) {
   if (batch == 0) return reply(std::move(answer));
@@ -462,12 +516,18 @@
     }
     case ClientCallKind::kCancel: {
       const auto batch = scheduler_.Cancel(call.job, now);
-      if (!batch) return reply(Reply(ClientAnswer::kNoSuchJob));
+      if (!batch) {
+        TellUnknownJob(call);
+        return reply(Reply(ClientAnswer::kNoSuchJob));
+      }
       return Await(*batch, Reply(ClientAnswer::kAccepted), std::move(reply));
     }
     case ClientCallKind::kStatus: {
       const auto state = scheduler_.Status(call.job);
-      if (!state) return reply(Reply(ClientAnswer::kNoSuchJob));
+      if (!state) {
+        TellUnknownJob(call);
+        return reply(Reply(ClientAnswer::kNoSuchJob));
+      }
       ClientReply answer = Reply(ClientAnswer::kState);
       answer.state = JobStateName(*state);
       return reply(std::move(answer));
--- a/keelbridge/daemon/leader_session.h
+++ b/keelbridge/daemon/leader_session.h
@@ -125,6 +125,10 @@
   void PublishFigures();
   void DropEarlyCalls(absl::Time until);
   void SweepEarlyCalls();
+  // Writes down that a job is denied, with what that rests on.
+  void TellUnknownJob(const ClientCall& call) const;
+  // Writes down when the store counts records as kept that it did not add.
+  void CheckEnd(const AppendReply& reply);
 
   boost::asio::io_context& loop_;
   const NodePorts ports_;
@@ -134,6 +138,10 @@
   JobScheduler scheduler_;
   Phase phase_ = Phase::kFencing;
   JobRecords records_;
+  absl::Time load_begun_ = absl::InfinitePast();
+  int64_t pages_loaded_ = 0;
+  int64_t records_loaded_ = 0;
+  int64_t load_retries_ = 0;
   std::vector<WorkerRecord> known_workers_;
   std::set<std::string> listed_workers_;
   int64_t workers_next_ = -1;  // Offset to read on from; -1: list them anew.
@@ -146,6 +154,7 @@
   absl::Time last_append_sent_ = absl::InfinitePast();  // Of a successful one.
   absl::Duration append_latency_ = absl::Milliseconds(10);  // Smoothed.
   absl::Time failing_since_ = absl::InfiniteFuture();
+  int64_t stream_end_ = -1;  // After the last append that was done.
   int64_t store_returns_ = 0;
   std::multimap<int64_t, Waiter> waiters_;  // By batch.
   std::deque<EarlyCall> early_calls_;       // In the order of their arrival.
--- a/keelbridge/daemon/site_node_clients.cc
+++ b/keelbridge/daemon/site_node_clients.cc
@@ -59,6 +59,11 @@
   }
   auto call = ports_.dialect->ParseClientCall(request, *configuration_);
   if (!call) {
+    LogEvent(Severity::kInfo, "call_not_understood",
+             {{"method", request.method},
+              {"path", request.path},
+              {"why", call.error().message},
+              {"configuration", absl::StrCat(configuration_->version)}});
     refused.answer = AnswerOf(call.error());
     refused.message = call.error().message;
     return reply(ports_.dialect->FormatReply(refused));
@@ -91,16 +96,19 @@
     // The balancer then leads the client to a node that can take work.
     response.close_connection = !Ready();
     if (span != nullptr) span->Set("status", absl::StrCat(response.status));
-    // Looks at a state change nothing; only those that fail are told of.
+    // Looks at a state change nothing; only those that fail or deny a job are
+    // told of.
     const bool telling = kind == ClientCallKind::kSubmit ||
                          kind == ClientCallKind::kCancel ||
-                         response.status >= 500;
+                         response.status >= 400;
     if (telling)
       LogEvent(Severity::kInfo, "call_answered",
                {{"kind", KindName(kind)},
                 {"job", JobIdText(job)},
                 {"status", absl::StrCat(response.status)},
                 {"took_ms", absl::StrCat(absl::ToInt64Milliseconds(took))},
+                {"leader", election_.leader().node},
+                {"epoch", absl::StrCat(election_.leader().epoch)},
                 {"why", answer.message}});
     metrics_.Count("calls_total", {{"kind", KindName(kind)},
                                    {"status", absl::StrCat(response.status)}});
--- a/keelbridge/protocol/record_store.h
+++ b/keelbridge/protocol/record_store.h
@@ -67,7 +67,7 @@
 
 struct AppendReply {
   StoreResult result = StoreResult::kUnknown;
-  int64_t end = -1;
+  int64_t end = -1;  // Of the stream, once the records were in it.
   std::string message;
 };
 
