The ticket test waits until the restarted gateway has a configuration

The test sent before the restarted gateway had read one; that answer is true, since nothing of that call ran. The test was wrong, not the gateway. Change: it waits for readiness first, and says the answer's text when it fails. The check itself is the same; a gateway that is never ready fails it now, too.

--- a/testing/process_test.cc
+++ b/testing/process_test.cc
@@ -242,7 +242,11 @@
   cell.gateway(0).Wait();
   CHECK(VerdictOf(send(1, second, "b")) == "MayHaveRun");
   cell.StartGateway(0);
-  CHECK(VerdictOf(send(0, second, "b")) == "MayHaveRun");
+  // Before it has a configuration it refuses everything, whatever the ticket.
+  REQUIRE(Eventually([&] { return cell.Ready(0); }));
+  const HttpOutcome again = send(0, second, "b");
+  CAPTURE(again.response ? again.response->body : again.message);
+  CHECK(VerdictOf(again) == "MayHaveRun");
   CHECK(cell.Runs("path", "thumbnail/b") == 0);
   // Without ticket or key the caller is told what to send.
   const HttpOutcome bare =
