A stream that does not end where the leader's records put it is logged

append_end_unexpected takes the place of append_without_effect: it also tells when another writer appended after this leader's fence, which would leave records out of what this leader loaded.

--- a/keelbridge/daemon/leader_session.cc
+++ b/keelbridge/daemon/leader_session.cc
@@ -436,10 +436,9 @@
 
 void LeaderSession::CheckEnd(const AppendReply& reply) {
   const auto added = static_cast<int64_t>(flight_->count);
-  const bool missing =
-      added > 0 && stream_end_ >= 0 && reply.end < stream_end_ + added;
-  if (missing) {
-    LogEvent(Severity::kError, "append_without_effect",
+  // Nobody else writes here after this leader's fence.
+  if (stream_end_ >= 0 && reply.end != stream_end_ + added) {
+    LogEvent(Severity::kError, "append_end_unexpected",
              {{"epoch", absl::StrCat(epoch_)},
               {"sequence", absl::StrCat(flight_->sequence)},
               {"records", absl::StrCat(added)},
--- a/keelbridge/daemon/leader_session.h
+++ b/keelbridge/daemon/leader_session.h
@@ -127,7 +127,8 @@
   void SweepEarlyCalls();
   // Writes down that a job is denied, with what that rests on.
   void TellUnknownJob(const ClientCall& call) const;
-  // Writes down when the store counts records as kept that it did not add.
+  // Writes down when the stream does not end where this leader's records put
+  // its end: some are missing, or another wrote after the fence.
   void CheckEnd(const AppendReply& reply);
 
   boost::asio::io_context& loop_;
