--- a/keelbridge/coordination/job_scheduler_test.cc
+++ b/keelbridge/coordination/job_scheduler_test.cc
@@ -504,5 +504,27 @@
   CHECK(site.starts.size() == 1);
 }
 
+// A batch that was cut into several appends may leave the description of an
+// ended job behind: without its end it would be a job that has to run.
+TEST_CASE("job scheduler: of a forgotten job no record stays") {
+  JobSpec spec;
+  spec.steps.push_back(OneTask());
+  Job ended(kJob, "restore", spec, absl::ToUnixMillis(kBegin));
+  ended.end = JobState::kCompleted;
+  ended.ended_ms = absl::ToUnixMillis(kBegin);
+  JobRecords records;
+  records.Add(DescriptionRecord(ended));
+  records.Add(ProgressRecord(ended));
+  JobScheduler scheduler(JobScheduler::Options(), 1, kBegin);
+  scheduler.Load(records.Build(), {}, {kBegin, kBegin});
+  REQUIRE(scheduler.Status(kJob) == JobState::kCompleted);
+  const absl::Time later = kBegin + absl::Minutes(5);
+  scheduler.Tick({later, later});
+  REQUIRE(!scheduler.Status(kJob));
+  for (const Record& record : scheduler.TakeBatch().records)
+    records.Add(record);
+  CHECK(records.Build().empty());
+}
+
 }  // namespace
 }  // namespace keelbridge
--- /dev/null
+++ b/keelbridge/daemon/leader_session_load_test.cc
@@ -0,0 +1,128 @@
+// What a new leader loads: the jobs of all pages.
+
+#include <doctest/doctest.h>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+#include <optional>
+#include <utility>
+#include <vector>
+
+#include "keelbridge/daemon/leader_session.h"
+
+namespace keelbridge {
+namespace {
+
+// A store that keeps nothing; it hands out the pages of the test.
+class PagedStore : public RecordStore {
+ public:
+  explicit PagedStore(boost::asio::io_context& loop) : loop_(loop) {}
+
+  void Append(const AppendOrder& order, absl::Duration,
+              std::function<void(AppendReply)> done) override {
+    AppendReply reply;
+    reply.result = StoreResult::kDone;
+    end_ += static_cast<int64_t>(order.records.size());
+    reply.end = end_;
+    boost::asio::post(loop_, [done = std::move(done), reply] { done(reply); });
+  }
+  void Read(Stream, int64_t, absl::Duration, absl::Duration,
+            std::function<void(ReadReply)> done) override {
+    ReadReply reply;
+    reply.result = StoreResult::kDone;
+    boost::asio::post(loop_, [done = std::move(done), reply] { done(reply); });
+  }
+  void Newest(Stream stream, const std::string&, absl::Duration,
+              std::function<void(NewestReply)> done) override {
+    NewestReply reply;
+    reply.result = StoreResult::kDone;
+    if (stream == Stream::kJobs && !pages.empty()) {
+      reply = pages.front();
+      pages.erase(pages.begin());
+    }
+    boost::asio::post(loop_, [done = std::move(done), reply] { done(reply); });
+  }
+
+  std::vector<NewestReply> pages;  // Of the jobs; then empty ones.
+
+ private:
+  boost::asio::io_context& loop_;
+  int64_t end_ = 0;
+};
+
+Record Described(JobId id) {
+  JobSpec spec;
+  spec.steps.resize(1);
+  spec.steps[0].count = 1;
+  return DescriptionRecord(Job(id, "queue", spec, 1));
+}
+
+NewestReply Page(std::vector<Record> records, bool more) {
+  NewestReply reply;
+  reply.result = StoreResult::kDone;
+  reply.records = std::move(records);
+  reply.more = more;
+  return reply;
+}
+
+class Term {
+ public:
+  Term() {
+    NodePorts ports;
+    ports.store = &store;
+    LeaderSession::Options options;
+    options.node = "node-1";
+    options.on_ended = [](const std::string&) {};
+    session = std::make_shared<LeaderSession>(loop, ports, std::move(options),
+                                              7, metrics_);
+  }
+  void Run(absl::Duration time) {
+    loop.run_for(absl::ToChronoMilliseconds(time));
+    loop.restart();
+  }
+  void Begin() {
+    session->Start();
+    Run(absl::Milliseconds(300));
+    REQUIRE(session->active());
+  }
+  // The answer to a look at `job`; nothing: none within a second.
+  std::optional<ClientAnswer> Look(JobId job) {
+    std::optional<ClientAnswer> answer;
+    ClientCall call;
+    call.kind = ClientCallKind::kStatus;
+    call.job = job;
+    session->Handle(
+        call, [&answer](const ClientReply& reply) { answer = reply.answer; });
+    Run(absl::Seconds(1));
+    return answer;
+  }
+
+  boost::asio::io_context loop;
+  PagedStore store{loop};
+  std::shared_ptr<LeaderSession> session;
+
+ private:
+  Metrics metrics_{"test"};
+};
+
+TEST_CASE("leader session: jobs of all pages are known, others are denied") {
+  Term term;
+  term.store.pages = {Page({Described(1)}, true), Page({Described(2)}, false)};
+  term.Begin();
+  CHECK(term.Look(1) == ClientAnswer::kState);
+  CHECK(term.Look(2) == ClientAnswer::kState);
+  CHECK(term.Look(3) == ClientAnswer::kNoSuchJob);
+  term.session->End("the test ends");
+}
+
+TEST_CASE("leader session: a page without records is not the end of the jobs") {
+  Term term;
+  term.store.pages = {Page({Described(1)}, true), Page({}, true),
+                      Page({Described(2)}, false)};
+  term.Begin();
+  CHECK(term.Look(2) == ClientAnswer::kState);
+  term.session->End("the test ends");
+}
+
+}  // namespace
+}  // namespace keelbridge
