An answer that is no page is not the end of the jobs, and of a forgotten job no record stays

A third, the other way round: of a forgotten job only the progress was dropped; a description that a cut batch had left would have run again.

--- a/keelbridge/coordination/job_scheduler.cc
+++ b/keelbridge/coordination/job_scheduler.cc
@@ -216,6 +216,8 @@
       ++it;
       continue;
     }
+    // The description first: a job without its progress would run again.
+    dropped_keys_.push_back(DescriptionKey(job.id));
     dropped_keys_.push_back(ProgressKey(job.id));
     Explain(
         "job_forgotten",
--- a/keelbridge/daemon/leader_session.cc
+++ b/keelbridge/daemon/leader_session.cc
@@ -136,8 +136,7 @@
           else
             self->records_.Add(record);
         }
-        if (reply.more && !reply.records.empty())
-          return self->LoadJobs(reply.records.back().key);
+        if (reply.more) return self->LoadJobsAfter(reply, after);
         JobTable jobs = self->records_.Build();
         const auto ended = std::count_if(
             jobs.begin(), jobs.end(),
@@ -151,7 +150,6 @@
                   {"records", absl::StrCat(self->records_loaded_)},
                   {"pages", absl::StrCat(self->pages_loaded_)},
                   {"retries", absl::StrCat(self->load_retries_)},
-                  {"more", reply.more ? "yes" : "no"},
                   {"fence_end", absl::StrCat(self->stream_end_)},
                   {"stream_end", absl::StrCat(reply.end)},
                   {"took_ms", absl::StrCat(absl::ToInt64Milliseconds(took))}});
@@ -163,6 +161,15 @@
       });
 }
 
+void LeaderSession::LoadJobsAfter(const NewestReply& page,
+                                  const std::string& after) {
+  if (!page.records.empty()) return LoadJobs(page.records.back().key);
+  // More is to follow, and this page does not say after which key.
+  ++load_retries_;
+  After(kRetryDelay,
+        [self = shared_from_this(), after] { self->LoadJobs(after); });
+}
+
 void LeaderSession::LearnWorkers(const std::string& after) {
   if (after.empty()) listed_workers_.clear();
   polling_workers_ = true;
@@ -177,8 +184,13 @@
           self->TakeWorkerRecord(record);
         // Reading goes on from where the first page was taken.
         if (after.empty()) self->workers_next_ = reply.end;
-        if (reply.more && !reply.records.empty())
-          return self->LearnWorkers(reply.records.back().key);
+        // A page without records is no end either: it is asked for again.
+        if (reply.more) {
+          if (!reply.records.empty())
+            return self->LearnWorkers(reply.records.back().key);
+          return self->After(kRetryDelay,
+                             [self, after] { self->LearnWorkers(after); });
+        }
         self->polling_workers_ = false;
         self->next_worker_poll_ = SystemNow().mono + kWorkerPollEvery;
         if (self->phase_ == Phase::kLearningWorkers) self->Activate();
--- a/keelbridge/daemon/leader_session.h
+++ b/keelbridge/daemon/leader_session.h
@@ -103,6 +103,8 @@
 
   void Fence();
   void LoadJobs(const std::string& after);
+  // Goes on after `page`, which was read after the key `after`.
+  void LoadJobsAfter(const NewestReply& page, const std::string& after);
   void LearnWorkers(const std::string& after);
   void Activate();
   void ArmTick();
--- a/keelbridge/daemon/store_failover.cc
+++ b/keelbridge/daemon/store_failover.cc
@@ -140,8 +140,12 @@
               }
               out.response.emplace();
               out.response->status = status;
-              absl::Base64Unescape(outcome.result["body"].asString(),
-                                   &out.response->body);
+              if (!absl::Base64Unescape(outcome.result["body"].asString(),
+                                        &out.response->body)) {
+                out.response.reset();
+                out.failure = SendFailure::kMayHaveSent;
+                out.message = "a peer's answer cannot be read";
+              }
               done(std::move(out));
             });
 }
