--- a/testing/site_stale_knowledge_test.cc
+++ b/testing/site_stale_knowledge_test.cc
@@ -3,6 +3,9 @@
 
 #include <doctest/doctest.h>
 
+#include <csignal>
+#include <string>
+
 #include "absl/time/clock.h"
 #include "testing/support/site_cell.h"
 
@@ -54,5 +57,77 @@
   CHECK(AwaitAllUse(cell, 2));
 }
 
+constexpr char kTwoRoutes[] =
+    R"({"version":2,"routes":[
+      {"name":"r-restore","host":"desk.example","pathPrefix":"/restore/",
+       "service":"desk","priority":0,"maxAttempts":3,"stretch":2.0,
+       "targetLatencyMs":500},
+      {"name":"r-deep","host":"desk.example","pathPrefix":"/restore/deep/",
+       "service":"desk","priority":0,"maxAttempts":3,"stretch":2.0,
+       "targetLatencyMs":500},
+      {"name":"r-other","host":"desk.example","pathPrefix":"/other/",
+       "service":"desk","priority":0,"maxAttempts":3,"stretch":2.0,
+       "targetLatencyMs":500}],
+     "services":[{"name":"desk","admissionCheck":false}]})";
+
+int Get(SiteCell& cell, int node, const std::string& path) {
+  const HttpOutcome outcome =
+      cell.Raw(node, {"GET", path, {{"Host", kSiteHost}}, "", ""});
+  return outcome.response ? outcome.response->status : 0;
+}
+
+TEST_CASE(
+    "stale knowledge: a node that cannot confirm its configuration denies no "
+    "route") {
+  SiteCell cell(WithProxies());
+  REQUIRE(cell.AwaitReady(kNodes));
+  CHECK(Get(cell, 0, "/other/") == 404);
+  for (int i = 0; i < kNodes; ++i)
+    cell.SetStoreProxy(i, FaultProxy::Mode::kSilent);
+  absl::SleepFor(absl::Milliseconds(300));
+  cell.WithPlatform([](SitePlatform& platform) {
+    platform.store().Put("keyed.op", "config", kTwoRoutes);
+  });
+  absl::SleepFor(absl::Seconds(3));
+  for (int i = 0; i < kNodes; ++i) {
+    REQUIRE(cell.ConfigurationVersion(i) == 1);
+    CHECK(Get(cell, i, "/other/") == 503);
+    // A route below one that the node knows: not a bad id either.
+    CHECK(Get(cell, i, "/restore/deep/") == 503);
+    CHECK(Get(cell, i, "/restore/deep/0000000000000001") == 503);
+  }
+}
+
+// An answer from before a standstill of this process tells nothing of now.
+TEST_CASE(
+    "stale knowledge: a heartbeat's answer that lay there while the process "
+    "stood still makes it not ready") {
+  SiteCell cell(WithProxies());
+  REQUIRE(cell.AwaitReady(kNodes));
+  const int leader = cell.Leader();
+  REQUIRE(leader >= 0);
+  const int frozen = (leader + 1) % kNodes;
+  int ready_after = 0;
+  // Heartbeats are under way most of the time.
+  cell.SetPeerProxy(leader, FaultProxy::Mode::kDelay);
+  absl::SleepFor(absl::Seconds(2));
+  REQUIRE(cell.Ready(frozen));
+  cell.node(frozen).Signal(SIGSTOP);
+  absl::SleepFor(absl::Seconds(1));
+  for (int i = 0; i < kNodes; ++i) {
+    if (i == frozen) continue;
+    cell.node(i).Signal(SIGKILL);
+    cell.node(i).Wait();
+    cell.ForgetNode(i);
+  }
+  absl::SleepFor(absl::Seconds(3));
+  cell.node(frozen).Signal(SIGCONT);
+  for (int i = 0; i < 10; ++i) {
+    absl::SleepFor(absl::Milliseconds(30));
+    if (cell.Ready(frozen)) ++ready_after;
+  }
+  CHECK(ready_after == 0);
+}
+
 }  // namespace
 }  // namespace keelbridge::testing
