--- a/keelbridge/coordination/site_election.cc
+++ b/keelbridge/coordination/site_election.cc
@@ -94,13 +94,13 @@
   Follow(leader, now);
 }
 
-void SiteElection::OnHeartbeatAnswered(absl::Time now) {
-  last_heard_ = now;
+void SiteElection::OnHeartbeatAnswered(absl::Time sent) {
+  last_heard_ = std::max(last_heard_, sent);
   leader_gone_ = false;
 }
 
-void SiteElection::OnLeaderVouched(absl::Time now) {
-  last_heard_ = now;
+void SiteElection::OnLeaderVouched(absl::Time asked) {
+  last_heard_ = std::max(last_heard_, asked);
   leader_gone_ = false;
 }
 
--- a/keelbridge/coordination/site_election.h
+++ b/keelbridge/coordination/site_election.h
@@ -74,11 +74,13 @@
                      absl::Time now);
   // A peer named a leader.
   void OnLeaderHeard(const LeaderRecord& leader, absl::Time now);
-  void OnHeartbeatAnswered(absl::Time now);
+  // The leader answered a heartbeat that was sent then: the answer may have
+  // lain in a socket for long.
+  void OnHeartbeatAnswered(absl::Time sent);
   // The process that leads is not there: its port refused, or another answered.
   void OnLeaderGone(absl::Time now);
-  // Peers that still hear the leader: not suspect for a while.
-  void OnLeaderVouched(absl::Time now);
+  // Peers that were asked then still hear the leader: not suspect for a while.
+  void OnLeaderVouched(absl::Time asked);
   // The append of `Claim` was done; the stream now ends at `end`.
   void OnClaimed(int64_t end, absl::Time now);
   // The claim failed; the control stream must be read again.
--- a/keelbridge/daemon/leader_session.cc
+++ b/keelbridge/daemon/leader_session.cc
@@ -430,7 +430,8 @@
     failing_since_ = absl::InfiniteFuture();
     ++store_returns_;
   }
-  CheckEnd(reply);
+  if (!EndsAsExpected(reply))
+    return End("the store does not hold what this leader appended");
   append_latency_ += kLatencyWeight * (now.mono - sent - append_latency_);
   last_append_sent_ = sent;
   stood_still_ = false;
@@ -449,19 +450,22 @@
   PumpSoon();
 }
 
-void LeaderSession::CheckEnd(const AppendReply& reply) {
+bool LeaderSession::EndsAsExpected(const AppendReply& reply) {
   const auto added = static_cast<int64_t>(flight_->count);
   // Nobody else writes here after this leader's fence.
-  if (stream_end_ >= 0 && reply.end != stream_end_ + added) {
-    LogEvent(Severity::kError, "append_end_unexpected",
-             {{"epoch", absl::StrCat(epoch_)},
-              {"sequence", absl::StrCat(flight_->sequence)},
-              {"records", absl::StrCat(added)},
-              {"tries", absl::StrCat(flight_->tries)},
-              {"end_before", absl::StrCat(stream_end_)},
-              {"end", absl::StrCat(reply.end)}});
+  const int64_t expected = stream_end_ + added;
+  if (reply.end == expected) {
+    stream_end_ = reply.end;
+    return true;
   }
-  stream_end_ = std::max(stream_end_, reply.end);
+  LogEvent(Severity::kError, "append_end_unexpected",
+           {{"epoch", absl::StrCat(epoch_)},
+            {"sequence", absl::StrCat(flight_->sequence)},
+            {"records", absl::StrCat(added)},
+            {"tries", absl::StrCat(flight_->tries)},
+            {"end_before", absl::StrCat(stream_end_)},
+            {"end", absl::StrCat(reply.end)}});
+  return false;
 }
 
 void LeaderSession::DenyOnceConfirmed(const ClientCall& call,
--- a/keelbridge/daemon/leader_session.h
+++ b/keelbridge/daemon/leader_session.h
@@ -131,9 +131,9 @@
   // call, that this node still leads.
   void DenyOnceConfirmed(const ClientCall& call,
                          std::function<void(ClientReply)> reply);
-  // Writes down when the stream does not end where this leader's records put
-  // its end: some are missing, or another wrote after the fence.
-  void CheckEnd(const AppendReply& reply);
+  // Whether the stream ends where this leader's records put its end; if not,
+  // some are missing, or another wrote after the fence.
+  bool EndsAsExpected(const AppendReply& reply);
 
   boost::asio::io_context& loop_;
   const NodePorts ports_;
--- a/keelbridge/daemon/site_node_clients.cc
+++ b/keelbridge/daemon/site_node_clients.cc
@@ -63,11 +63,12 @@
   if (!call) {
     refused.answer = AnswerOf(call.error());
     refused.message = call.error().message;
-    // The queue may have been added since: what is too old denies nothing.
-    if (refused.answer == ClientAnswer::kNoSuchQueue &&
-        !configuration_freshness_.MayDeny(SystemNow().mono)) {
+    // The queue may have been added since, also below a prefix that is known
+    // here: what is too old denies nothing.
+    if (!configuration_freshness_.MayDeny(SystemNow().mono)) {
       refused.answer = ClientAnswer::kNotTaken;
-      refused.message = "no such queue in a configuration that may be old";
+      refused.message = absl::StrCat("the configuration here may be old, and ",
+                                     call.error().message);
       refused.retry_after = kRetryAfter;
     }
     LogEvent(Severity::kInfo, "call_denied",
--- a/keelbridge/daemon/site_node_leading.cc
+++ b/keelbridge/daemon/site_node_leading.cc
@@ -61,10 +61,11 @@
   if (reading_control_) return;
   reading_control_ = true;
   ports_.store->Newest(
-      Stream::kControl, "", kReadTimeout, [this](const NewestReply& reply) {
+      Stream::kControl, "", kReadTimeout,
+      [this, sent = SystemNow().mono](const NewestReply& reply) {
         reading_control_ = false;
         if (reply.result != StoreResult::kDone) return;
-        election_.OnControlRead(reply.records, reply.end, SystemNow().mono);
+        election_.OnControlRead(reply.records, reply.end, sent);
         control_next_ = reply.end;
         if (!following_control_) FollowControl();
         Elect();
@@ -101,11 +102,13 @@
   struct Round {
     size_t open = 0;
     bool vouched = false;
+    absl::Time begun;
   };
   auto round = std::make_shared<Round>();
+  round->begun = SystemNow().mono;
   const auto finish = [this, round] {
     if (round->vouched) {
-      election_.OnLeaderVouched(SystemNow().mono);
+      election_.OnLeaderVouched(round->begun);
       claiming_ = false;
       return;
     }
--- a/keelbridge/daemon/site_node_peers.cc
+++ b/keelbridge/daemon/site_node_peers.cc
@@ -268,9 +268,9 @@
     return;
   }
   if (!in["leads"].asBool()) return;  // It stepped down; silence follows.
-  election_.OnHeartbeatAnswered(now);
+  election_.OnHeartbeatAnswered(sent);
   leader_accepts_ = in["accepts"].asBool();
-  leader_answered_ = now;
+  leader_answered_ = sent;
 }
 
 void SiteNode::AskAdvice(const AskAdviceAction& action,
