Nodes tell how each read of the configuration ended

A poll that hangs left no line: the log now has configuration_read and configuration_read_failed with the call, the offset and the time taken, configuration_behind when a peer names a newer version, and configuration_fetch_failed.

--- a/keelbridge/daemon/site_node_configuration.cc
+++ b/keelbridge/daemon/site_node_configuration.cc
@@ -13,11 +13,33 @@
 constexpr absl::Duration kFollowTimeout = absl::Seconds(22);
 constexpr absl::Duration kRetry = absl::Milliseconds(300);
 
+// Tells how a read of the configuration ended and how long it took: a poll that
+// fails after all its time says that nothing was heard since it began.
+void LogRead(const char* call, StoreResult result, absl::Time begun,
+             int64_t from, int64_t end, size_t records,
+             const std::string& message) {
+  const bool done = result == StoreResult::kDone;
+  LogEvent(done ? Severity::kInfo : Severity::kWarning,
+           done ? "configuration_read" : "configuration_read_failed",
+           {{"call", call},
+            {"result", StoreResultName(result)},
+            {"from", absl::StrCat(from)},
+            {"end", absl::StrCat(end)},
+            {"records", absl::StrCat(records)},
+            {"took_ms",
+             absl::StrCat(absl::ToInt64Milliseconds(SystemNow().mono - begun))},
+            {"detail", done ? "" : message}});
+}
+
 }  // namespace
 
 void SiteNode::ReadConfiguration() {
+  const absl::Time begun = SystemNow().mono;
   ports_.store->Newest(
-      Stream::kConfiguration, "", kReadTimeout, [this](const NewestReply& r) {
+      Stream::kConfiguration, "", kReadTimeout,
+      [this, begun](const NewestReply& r) {
+        LogRead("newest", r.result, begun, 0, r.end, r.records.size(),
+                r.message);
         if (r.result != StoreResult::kDone) {
           RunAfter(loop_, kRetry, [this] { ReadConfiguration(); });
           return;
@@ -33,9 +55,12 @@
 
 void SiteNode::FollowConfiguration() {
   const int64_t from = configuration_next_;
+  const absl::Time begun = SystemNow().mono;
   ports_.store->Read(
       Stream::kConfiguration, from, kFollowWait, kFollowTimeout,
-      [this, from](const ReadReply& reply) {
+      [this, from, begun](const ReadReply& reply) {
+        LogRead("poll", reply.result, begun, from, reply.end,
+                reply.records.size(), reply.message);
         if (reply.result != StoreResult::kDone) {
           RunAfter(loop_, kRetry, [this] { ReadConfiguration(); });
           return;
@@ -52,10 +77,14 @@
 void SiteNode::FetchConfiguration(const std::string& address) {
   if (fetching_configuration_) return;
   fetching_configuration_ = true;
+  LogEvent(Severity::kInfo, "configuration_behind", {{"peer", address}});
   rpc_.Call(
       address, "configuration", Json::Value(Json::objectValue), kReadTimeout,
       [this, address](const RpcOutcome& outcome) {
         fetching_configuration_ = false;
+        if (!outcome.answered)
+          LogEvent(Severity::kWarning, "configuration_fetch_failed",
+                   {{"peer", address}, {"detail", outcome.error}});
         if (outcome.answered && outcome.result["document"].isString())
           TakeConfiguration(outcome.result["document"].asString(), address);
       },
