--- a/keelbridge/daemon/site_node_leading.cc
+++ b/keelbridge/daemon/site_node_leading.cc
@@ -27,6 +27,22 @@
 // leadership to one that reaches it itself.
 constexpr absl::Duration kStoreLostTolerated = absl::Milliseconds(1200);
 
+// Tells how a poll of the control stream ended: one that fails after all its
+// time says that nothing was heard since it began.
+void LogPoll(const ReadReply& reply, int64_t from, absl::Time begun) {
+  const bool done = reply.result == StoreResult::kDone;
+  LogEvent(done ? Severity::kInfo : Severity::kWarning,
+           done ? "control_read" : "control_read_failed",
+           {{"call", "poll"},
+            {"result", StoreResultName(reply.result)},
+            {"from", absl::StrCat(from)},
+            {"end", absl::StrCat(reply.end)},
+            {"records", absl::StrCat(reply.records.size())},
+            {"took_ms",
+             absl::StrCat(absl::ToInt64Milliseconds(SystemNow().mono - begun))},
+            {"detail", done ? "" : reply.message}});
+}
+
 }  // namespace
 
 void SiteNode::Elect() {
@@ -63,7 +79,13 @@
   ports_.store->Newest(
       Stream::kControl, "", kReadTimeout, [this](const NewestReply& reply) {
         reading_control_ = false;
-        if (reply.result != StoreResult::kDone) return;
+        if (reply.result != StoreResult::kDone) {
+          LogEvent(Severity::kWarning, "control_read_failed",
+                   {{"call", "newest"},
+                    {"result", StoreResultName(reply.result)},
+                    {"detail", reply.message}});
+          return;
+        }
         election_.OnControlRead(reply.records, reply.end, SystemNow().mono);
         control_next_ = reply.end;
         if (!following_control_) FollowControl();
@@ -74,8 +96,10 @@
 void SiteNode::FollowControl() {
   following_control_ = true;
   const int64_t from = control_next_;
+  const absl::Time begun = SystemNow().mono;
   ports_.store->Read(Stream::kControl, from, kFollowWait, kFollowTimeout,
-                     [this, from](const ReadReply& reply) {
+                     [this, from, begun](const ReadReply& reply) {
+                       LogPoll(reply, from, begun);
                        if (reply.result == StoreResult::kDone) {
                          const int64_t next =
                              from + static_cast<int64_t>(reply.records.size());
