--- a/keelbridge/daemon/site_node.h
+++ b/keelbridge/daemon/site_node.h
@@ -95,6 +95,8 @@
   void Elect();
   void ReadControl();
   void FollowControl();
+  void OnControlReadFailed(const char* read, StoreResult result,
+                           const std::string& detail);
   void AskPeersThenClaim();
   void Claim();
   void Reaffirm();
@@ -166,6 +168,7 @@
   std::vector<EarlierLeader> earlier_leaders_;
   bool reading_control_ = false;
   bool following_control_ = false;
+  bool control_lost_ = false;  // The last read of the control stream failed.
   bool claiming_ = false;
   int64_t reaffirmed_returns_ = 0;  // Of the store, in this term.
   // A peer fell silent: if a cut does that, its claim may land once it heals.
--- a/keelbridge/daemon/site_node_leading.cc
+++ b/keelbridge/daemon/site_node_leading.cc
@@ -64,7 +64,9 @@
       Stream::kControl, "", kReadTimeout,
       [this, sent = SystemNow().mono](const NewestReply& reply) {
         reading_control_ = false;
-        if (reply.result != StoreResult::kDone) return;
+        if (reply.result != StoreResult::kDone)
+          return OnControlReadFailed("newest", reply.result, reply.message);
+        control_lost_ = false;
         election_.OnControlRead(reply.records, reply.end, sent);
         control_next_ = reply.end;
         if (!following_control_) FollowControl();
@@ -88,6 +90,7 @@
                          }
                          return FollowControl();
                        }
+                       OnControlReadFailed("poll", reply.result, reply.message);
                        RunAfter(loop_, kFollowRetry, [this] {
                          following_control_ = false;
                          ReadControl();
@@ -97,6 +100,17 @@
                      });
 }
 
+void SiteNode::OnControlReadFailed(const char* read, StoreResult result,
+                                   const std::string& detail) {
+  // One line for an outage, not one for each try.
+  if (control_lost_) return;
+  control_lost_ = true;
+  LogEvent(Severity::kWarning, "control_source_lost",
+           {{"read", read},
+            {"result", StoreResultName(result)},
+            {"detail", detail}});
+}
+
 void SiteNode::AskPeersThenClaim() {
   claiming_ = true;
   struct Round {
