Denials cost few appends, and a configuration counts as confirmed only when all of it was read

Change: an append that only confirms waits 100 ms after the last one; without the store a denial is refused at once with when to come back; a check confirms only when it reached the end; all pages are read; eight connections.

--- a/keelbridge/coordination/job_scheduler.cc
+++ b/keelbridge/coordination/job_scheduler.cc
@@ -142,11 +142,6 @@
   return JobState::kQueued;
 }
 
-int64_t JobScheduler::ConfirmLeadership() {
-  batch_wanted_ = true;
-  return next_batch_;
-}
-
 std::map<std::string, int64_t> JobScheduler::Waiting() const {
   std::map<std::string, int64_t> waiting;
   for (const auto& [id, job] : active_) {
--- a/keelbridge/coordination/job_scheduler.h
+++ b/keelbridge/coordination/job_scheduler.h
@@ -102,6 +102,8 @@
   // given work to. Call once, before anything else.
   void Load(JobTable jobs, const std::vector<WorkerRecord>& workers, Now now);
   bool HasBatch() const;
+  // The number of the batch that is taken next.
+  int64_t NextBatch() const { return next_batch_; }
   Batch TakeBatch();
   // The batch, and all before it, are kept for good.
   void OnDurable(int64_t batch);
@@ -113,9 +115,6 @@
   std::optional<int64_t> Cancel(JobId id, Now now);
   // None: no such job.
   std::optional<JobState> Status(JobId id) const;
-  // The batch whose durability shows that nobody else led until now: another
-  // leader would have fenced this one.
-  int64_t ConfirmLeadership();
   // Accepted jobs of a queue none of whose tasks has begun.
   std::map<std::string, int64_t> Waiting() const;
 
--- a/keelbridge/daemon/leader_session.cc
+++ b/keelbridge/daemon/leader_session.cc
@@ -18,6 +18,9 @@
 constexpr absl::Duration kFlushEvery = absl::Milliseconds(15);
 // With nothing to write, an empty append shows that this leader still leads.
 constexpr absl::Duration kRenewEvery = absl::Milliseconds(1500);
+// The same while a caller waits to be told that there is no such job: each
+// append is priced, and such callers can wait a little.
+constexpr absl::Duration kConfirmEvery = absl::Milliseconds(100);
 // A count of waiting jobs is told while the store confirmed this leader so
 // lately; the users bear one that is 2 s old.
 constexpr absl::Duration kWaitingMayBeOld = absl::Seconds(2);
@@ -52,6 +55,12 @@
   return reply;
 }
 
+ClientReply NotTaken(std::string message) {
+  ClientReply reply = Reply(ClientAnswer::kNotTaken, std::move(message));
+  reply.retry_after = kRetryAfter;
+  return reply;
+}
+
 }  // namespace
 
 LeaderSession::LeaderSession(boost::asio::io_context& loop, NodePorts ports,
@@ -351,13 +360,15 @@
 void LeaderSession::MaybeFlush() {
   if (flight_) return;
   const absl::Time now = SystemNow().mono;
-  const bool renew = now - last_flush_ > kRenewEvery;
+  const absl::Duration pause = confirm_wanted_ ? kConfirmEvery : kRenewEvery;
+  const bool renew = now - last_flush_ > pause;
   if (!renew && !(scheduler_.HasBatch() && now - last_flush_ >= kFlushEvery)) {
     if (scheduler_.HasBatch() && !pump_armed_) PumpSoon();
     return;
   }
   flight_ = std::make_unique<Flight>();
   flight_->batch = scheduler_.TakeBatch();
+  confirm_wanted_ = false;
   last_flush_ = now;
   BeginAppend();
 }
@@ -480,9 +491,11 @@
        {"store_lost", failing_since_ == absl::InfiniteFuture() ? "no" : "yes"},
        {"stood_still", stood_still_ ? "yes" : "no"},
        {"jobs", absl::StrCat(scheduler_.figures().jobs)}});
+  if (!CanAccept()) return reply(NotTaken("the store confirms no leader now"));
   // A successor that this leader has not heard of may know the job. The store
   // tells: it takes an append of this term only while nobody else leads.
-  Await(scheduler_.ConfirmLeadership(), Reply(ClientAnswer::kNoSuchJob),
+  confirm_wanted_ = true;
+  Await(scheduler_.NextBatch(), Reply(ClientAnswer::kNoSuchJob),
         std::move(reply));
 }
 
@@ -526,9 +539,7 @@
     case ClientCallKind::kSubmit: {
       const bool known = scheduler_.Status(call.job).has_value();
       if (!known && !CanAccept()) {
-        ClientReply refused =
-            Reply(ClientAnswer::kNotTaken, "the store does not take records");
-        refused.retry_after = kRetryAfter;
+        ClientReply refused = NotTaken("the store does not take records");
         LogEvent(Severity::kInfo, "job_refused",
                  {{"job", JobIdText(call.job)}, {"why", refused.message}});
         return reply(std::move(refused));
@@ -551,7 +562,7 @@
     }
     case ClientCallKind::kWaiting: {
       if (now.mono - last_append_sent_ > kWaitingMayBeOld)
-        return reply(Reply(ClientAnswer::kNotTaken, "the count may be old"));
+        return reply(NotTaken("the count may be old"));
       ClientReply answer = Reply(ClientAnswer::kWaiting);
       const auto waiting = scheduler_.Waiting();
       const auto found = waiting.find(call.queue);
--- a/keelbridge/daemon/leader_session.h
+++ b/keelbridge/daemon/leader_session.h
@@ -155,6 +155,7 @@
 
   std::unique_ptr<Flight> flight_;
   int64_t next_sequence_ = 1;
+  bool confirm_wanted_ = false;  // A caller waits for the next append.
   absl::Time last_flush_ = absl::InfinitePast();
   absl::Time last_append_sent_ = absl::InfinitePast();  // Of a successful one.
   absl::Duration append_latency_ = absl::Milliseconds(10);  // Smoothed.
--- a/keelbridge/daemon/site_node.h
+++ b/keelbridge/daemon/site_node.h
@@ -108,6 +108,10 @@
 
   // site_node_configuration.cc
   void ReadConfiguration();
+  // One page of that, after `key`. `begun`: when the first page was asked for;
+  // `end`: where the stream ended then.
+  void ReadConfigurationAfter(const std::string& key, absl::Time begun,
+                              int64_t end);
   void FollowConfiguration();
   void TakeConfiguration(const std::string& document,
                          const std::string& source);
@@ -150,7 +154,9 @@
   int64_t configuration_next_ = -1;  // Offset to follow from; -1: read anew.
   bool fetching_configuration_ = false;
   Freshness configuration_freshness_{Freshness::Options()};
-  bool reading_configuration_ = false;  // Anew, now or after a pause.
+  // It is read anew, now or after a pause. Nothing else starts a poll then, so
+  // that there is one loop.
+  bool reading_configuration_ = false;
   // The long poll under way: an answer to an earlier one is passed over.
   int64_t configuration_poll_ = 0;
   bool configuration_lost_ = false;  // The last read of the store failed.
--- a/keelbridge/daemon/site_node_configuration.cc
+++ b/keelbridge/daemon/site_node_configuration.cc
@@ -26,19 +26,27 @@
 
 void SiteNode::ReadConfiguration() {
   reading_configuration_ = true;
-  const absl::Time sent = SystemNow().mono;
+  ReadConfigurationAfter("", SystemNow().mono, -1);
+}
+
+void SiteNode::ReadConfigurationAfter(const std::string& key, absl::Time begun,
+                                      int64_t end) {
   ports_.store->Newest(
-      Stream::kConfiguration, "", kReadTimeout,
-      [this, sent](const NewestReply& r) {
-        if (r.result != StoreResult::kDone) {
+      Stream::kConfiguration, key, kReadTimeout,
+      [this, key, begun, end](const NewestReply& r) {
+        if (r.result != StoreResult::kDone || (r.more && r.records.empty())) {
           OnConfigurationReadFailed("newest", r.result, r.message);
           RunAfter(loop_, kRetry, [this] { ReadConfiguration(); });
           return;
         }
-        reading_configuration_ = false;
         TakeConfigurationRecords(r.records);
-        OnConfigurationConfirmed(sent);
-        configuration_next_ = r.end;
+        // Reading goes on from where the first page was taken.
+        const int64_t next = key.empty() ? r.end : end;
+        if (r.more)
+          return ReadConfigurationAfter(r.records.back().key, begun, next);
+        reading_configuration_ = false;
+        OnConfigurationConfirmed(begun);
+        configuration_next_ = next;
         FollowConfiguration();
       });
 }
@@ -87,13 +95,15 @@
   if (reply.result != StoreResult::kDone)
     return OnConfigurationReadFailed("check", reply.result, reply.message);
   TakeConfigurationRecords(reply.records);
-  OnConfigurationConfirmed(sent);
+  const int64_t next = from + static_cast<int64_t>(reply.records.size());
+  // An answer may carry less than there is.
+  if (next >= reply.end) OnConfigurationConfirmed(sent);
   // The poll has moved on meanwhile, or there was nothing to bring.
   if (from != configuration_next_ || reply.records.empty()) return;
   LogEvent(Severity::kWarning, "configuration_poll_missed",
            {{"from", absl::StrCat(from)},
             {"records", absl::StrCat(reply.records.size())}});
-  configuration_next_ = from + static_cast<int64_t>(reply.records.size());
+  configuration_next_ = next;
   FollowConfiguration();
 }
 
--- a/keelbridge/daemon/store_failover.cc
+++ b/keelbridge/daemon/store_failover.cc
@@ -16,7 +16,9 @@
 constexpr absl::Duration kTryTimeout = absl::Milliseconds(500);
 // A call with less time left is not carried by a peer.
 constexpr absl::Duration kShortestRelay = absl::Milliseconds(50);
-constexpr size_t kStoreConnections = 4;
+// Appends one at a time, and reads that may hang until they time out beside
+// them: two of the configuration, one of who leads, of workers, of a try.
+constexpr size_t kStoreConnections = 8;
 constexpr size_t kLongPollConnections = 8;
 
 EventHttpClient::Options ClientOptions(size_t connections) {
