--- a/keelbridge/coordination/job_scheduler.cc
+++ b/keelbridge/coordination/job_scheduler.cc
@@ -142,11 +142,6 @@
   return JobState::kQueued;
 }
 
-int64_t JobScheduler::ConfirmLeadership() {
-  batch_wanted_ = true;
-  return next_batch_;
-}
-
 std::map<std::string, int64_t> JobScheduler::Waiting() const {
   std::map<std::string, int64_t> waiting;
   for (const auto& [id, job] : active_) {
@@ -216,6 +211,8 @@
       ++it;
       continue;
     }
+    // The description first: a job without its progress would run again.
+    dropped_keys_.push_back(DescriptionKey(job.id));
     dropped_keys_.push_back(ProgressKey(job.id));
     Explain(
         "job_forgotten",
--- a/keelbridge/daemon/leader_session.cc
+++ b/keelbridge/daemon/leader_session.cc
@@ -18,6 +18,9 @@
 constexpr absl::Duration kFlushEvery = absl::Milliseconds(15);
 // With nothing to write, an empty append shows that this leader still leads.
 constexpr absl::Duration kRenewEvery = absl::Milliseconds(1500);
+// The same while a caller waits to be told that there is no such job: each
+// append is priced, and such callers can wait a little.
+constexpr absl::Duration kConfirmEvery = absl::Milliseconds(100);
 // A count of waiting jobs is told while the store confirmed this leader so
 // lately; the users bear one that is 2 s old.
 constexpr absl::Duration kWaitingMayBeOld = absl::Seconds(2);
@@ -52,6 +55,12 @@
   return reply;
 }
 
+ClientReply NotTaken(std::string message) {
+  ClientReply reply = Reply(ClientAnswer::kNotTaken, std::move(message));
+  reply.retry_after = kRetryAfter;
+  return reply;
+}
+
 }  // namespace
 
 LeaderSession::LeaderSession(boost::asio::io_context& loop, NodePorts ports,
@@ -136,8 +145,7 @@
           else
             self->records_.Add(record);
         }
-        if (reply.more && !reply.records.empty())
-          return self->LoadJobs(reply.records.back().key);
+        if (reply.more) return self->LoadJobsAfter(reply, after);
         JobTable jobs = self->records_.Build();
         const auto ended = std::count_if(
             jobs.begin(), jobs.end(),
@@ -151,7 +159,6 @@
                   {"records", absl::StrCat(self->records_loaded_)},
                   {"pages", absl::StrCat(self->pages_loaded_)},
                   {"retries", absl::StrCat(self->load_retries_)},
-                  {"more", reply.more ? "yes" : "no"},
                   {"fence_end", absl::StrCat(self->stream_end_)},
                   {"stream_end", absl::StrCat(reply.end)},
                   {"took_ms", absl::StrCat(absl::ToInt64Milliseconds(took))}});
@@ -163,6 +170,15 @@
       });
 }
 
+void LeaderSession::LoadJobsAfter(const NewestReply& page,
+                                  const std::string& after) {
+  if (!page.records.empty()) return LoadJobs(page.records.back().key);
+  // More is to follow, and this page does not say after which key.
+  ++load_retries_;
+  After(kRetryDelay,
+        [self = shared_from_this(), after] { self->LoadJobs(after); });
+}
+
 void LeaderSession::LearnWorkers(const std::string& after) {
   if (after.empty()) listed_workers_.clear();
   polling_workers_ = true;
@@ -177,8 +193,13 @@
           self->TakeWorkerRecord(record);
         // Reading goes on from where the first page was taken.
         if (after.empty()) self->workers_next_ = reply.end;
-        if (reply.more && !reply.records.empty())
-          return self->LearnWorkers(reply.records.back().key);
+        // A page without records is no end either: it is asked for again.
+        if (reply.more) {
+          if (!reply.records.empty())
+            return self->LearnWorkers(reply.records.back().key);
+          return self->After(kRetryDelay,
+                             [self, after] { self->LearnWorkers(after); });
+        }
         self->polling_workers_ = false;
         self->next_worker_poll_ = SystemNow().mono + kWorkerPollEvery;
         if (self->phase_ == Phase::kLearningWorkers) self->Activate();
@@ -339,13 +360,15 @@
 void LeaderSession::MaybeFlush() {
   if (flight_) return;
   const absl::Time now = SystemNow().mono;
-  const bool renew = now - last_flush_ > kRenewEvery;
+  const absl::Duration pause = confirm_wanted_ ? kConfirmEvery : kRenewEvery;
+  const bool renew = now - last_flush_ > pause;
   if (!renew && !(scheduler_.HasBatch() && now - last_flush_ >= kFlushEvery)) {
     if (scheduler_.HasBatch() && !pump_armed_) PumpSoon();
     return;
   }
   flight_ = std::make_unique<Flight>();
   flight_->batch = scheduler_.TakeBatch();
+  confirm_wanted_ = false;
   last_flush_ = now;
   BeginAppend();
 }
@@ -418,7 +441,8 @@
     failing_since_ = absl::InfiniteFuture();
     ++store_returns_;
   }
-  CheckEnd(reply);
+  if (!EndsAsExpected(reply))
+    return End("the store does not hold what this leader appended");
   append_latency_ += kLatencyWeight * (now.mono - sent - append_latency_);
   last_append_sent_ = sent;
   stood_still_ = false;
@@ -437,20 +461,22 @@
   PumpSoon();
 }
 
-void LeaderSession::CheckEnd(const AppendReply& reply) {
+bool LeaderSession::EndsAsExpected(const AppendReply& reply) {
   const auto added = static_cast<int64_t>(flight_->count);
-  const bool missing =
-      added > 0 && stream_end_ >= 0 && reply.end < stream_end_ + added;
-  if (missing) {
-    LogEvent(Severity::kError, "append_without_effect",
-             {{"epoch", absl::StrCat(epoch_)},
-              {"sequence", absl::StrCat(flight_->sequence)},
-              {"records", absl::StrCat(added)},
-              {"tries", absl::StrCat(flight_->tries)},
-              {"end_before", absl::StrCat(stream_end_)},
-              {"end", absl::StrCat(reply.end)}});
+  // Nobody else writes here after this leader's fence.
+  const int64_t expected = stream_end_ + added;
+  if (reply.end == expected) {
+    stream_end_ = reply.end;
+    return true;
   }
-  stream_end_ = std::max(stream_end_, reply.end);
+  LogEvent(Severity::kError, "append_end_unexpected",
+           {{"epoch", absl::StrCat(epoch_)},
+            {"sequence", absl::StrCat(flight_->sequence)},
+            {"records", absl::StrCat(added)},
+            {"tries", absl::StrCat(flight_->tries)},
+            {"end_before", absl::StrCat(stream_end_)},
+            {"end", absl::StrCat(reply.end)}});
+  return false;
 }
 
 void LeaderSession::DenyOnceConfirmed(const ClientCall& call,
@@ -465,9 +491,11 @@
        {"store_lost", failing_since_ == absl::InfiniteFuture() ? "no" : "yes"},
        {"stood_still", stood_still_ ? "yes" : "no"},
        {"jobs", absl::StrCat(scheduler_.figures().jobs)}});
+  if (!CanAccept()) return reply(NotTaken("the store confirms no leader now"));
   // A successor that this leader has not heard of may know the job. The store
   // tells: it takes an append of this term only while nobody else leads.
-  Await(scheduler_.ConfirmLeadership(), Reply(ClientAnswer::kNoSuchJob),
+  confirm_wanted_ = true;
+  Await(scheduler_.NextBatch(), Reply(ClientAnswer::kNoSuchJob),
         std::move(reply));
 }
 
@@ -511,9 +539,7 @@
     case ClientCallKind::kSubmit: {
       const bool known = scheduler_.Status(call.job).has_value();
       if (!known && !CanAccept()) {
-        ClientReply refused =
-            Reply(ClientAnswer::kNotTaken, "the store does not take records");
-        refused.retry_after = kRetryAfter;
+        ClientReply refused = NotTaken("the store does not take records");
         LogEvent(Severity::kInfo, "job_refused",
                  {{"job", JobIdText(call.job)}, {"why", refused.message}});
         return reply(std::move(refused));
@@ -536,7 +562,7 @@
     }
     case ClientCallKind::kWaiting: {
       if (now.mono - last_append_sent_ > kWaitingMayBeOld)
-        return reply(Reply(ClientAnswer::kNotTaken, "the count may be old"));
+        return reply(NotTaken("the count may be old"));
       ClientReply answer = Reply(ClientAnswer::kWaiting);
       const auto waiting = scheduler_.Waiting();
       const auto found = waiting.find(call.queue);
--- a/keelbridge/daemon/leader_session.h
+++ b/keelbridge/daemon/leader_session.h
@@ -103,6 +103,8 @@
 
   void Fence();
   void LoadJobs(const std::string& after);
+  // Goes on after `page`, which was read after the key `after`.
+  void LoadJobsAfter(const NewestReply& page, const std::string& after);
   void LearnWorkers(const std::string& after);
   void Activate();
   void ArmTick();
@@ -129,8 +131,9 @@
   // call, that this node still leads.
   void DenyOnceConfirmed(const ClientCall& call,
                          std::function<void(ClientReply)> reply);
-  // Writes down when the store counts records as kept that it did not add.
-  void CheckEnd(const AppendReply& reply);
+  // Whether the stream ends where this leader's records put its end; if not,
+  // some are missing, or another wrote after the fence.
+  bool EndsAsExpected(const AppendReply& reply);
 
   boost::asio::io_context& loop_;
   const NodePorts ports_;
@@ -152,6 +155,7 @@
 
   std::unique_ptr<Flight> flight_;
   int64_t next_sequence_ = 1;
+  bool confirm_wanted_ = false;  // A caller waits for the next append.
   absl::Time last_flush_ = absl::InfinitePast();
   absl::Time last_append_sent_ = absl::InfinitePast();  // Of a successful one.
   absl::Duration append_latency_ = absl::Milliseconds(10);  // Smoothed.
--- a/keelbridge/daemon/site_node_leading.cc
+++ b/keelbridge/daemon/site_node_leading.cc
@@ -61,10 +61,13 @@
   if (reading_control_) return;
   reading_control_ = true;
   ports_.store->Newest(
-      Stream::kControl, "", kReadTimeout, [this](const NewestReply& reply) {
+      Stream::kControl, "", kReadTimeout,
+      [this, sent = SystemNow().mono](const NewestReply& reply) {
         reading_control_ = false;
-        if (reply.result != StoreResult::kDone) return;
-        election_.OnControlRead(reply.records, reply.end, SystemNow().mono);
+        if (reply.result != StoreResult::kDone)
+          return OnControlReadFailed("newest", reply.result, reply.message);
+        control_lost_ = false;
+        election_.OnControlRead(reply.records, reply.end, sent);
         control_next_ = reply.end;
         if (!following_control_) FollowControl();
         Elect();
@@ -87,6 +90,7 @@
                          }
                          return FollowControl();
                        }
+                       OnControlReadFailed("poll", reply.result, reply.message);
                        RunAfter(loop_, kFollowRetry, [this] {
                          following_control_ = false;
                          ReadControl();
@@ -96,16 +100,29 @@
                      });
 }
 
+void SiteNode::OnControlReadFailed(const char* read, StoreResult result,
+                                   const std::string& detail) {
+  // One line for an outage, not one for each try.
+  if (control_lost_) return;
+  control_lost_ = true;
+  LogEvent(Severity::kWarning, "control_source_lost",
+           {{"read", read},
+            {"result", StoreResultName(result)},
+            {"detail", detail}});
+}
+
 void SiteNode::AskPeersThenClaim() {
   claiming_ = true;
   struct Round {
     size_t open = 0;
     bool vouched = false;
+    absl::Time begun;
   };
   auto round = std::make_shared<Round>();
+  round->begun = SystemNow().mono;
   const auto finish = [this, round] {
     if (round->vouched) {
-      election_.OnLeaderVouched(SystemNow().mono);
+      election_.OnLeaderVouched(round->begun);
       claiming_ = false;
       return;
     }
