The stand-ins can lose polls, do appends late, and heal without a word

Cause: the platform stand-in could not bring about what the reported faults are believed to lean on. Ruled out: harming polls in the proxies; they do not tell polls from other calls.

Change: the store has silent polls, late appends, polls that are cut, and forgets all its history on demand; a proxy can pass again without ending connections, so that those on which something was dropped stay silent; a configuration has a queue of its own version.

--- a/testing/fakes/fault_proxy.h
+++ b/testing/fakes/fault_proxy.h
@@ -37,7 +37,12 @@
   FaultProxy& operator=(const FaultProxy&) = delete;
 
   const Address& address() const { return address_; }
+  // Passing again ends the connections that are open, so that both sides learn
+  // at once that something went wrong on them.
   void SetMode(Mode mode, absl::Duration delay = absl::Milliseconds(200));
+  // Passes again and tells nobody: a connection on which something was dropped
+  // stays open and says nothing more, one on which nothing was goes on.
+  void HealQuietly() { mode_ = Mode::kPass; }
 
  private:
   friend class ProxiedConnection;
--- a/testing/fakes/site_platform.cc
+++ b/testing/fakes/site_platform.cc
@@ -122,6 +122,10 @@
       SystemNow().mono);
 }
 
+std::string VersionPrefix(int64_t version) {
+  return absl::StrCat("/version-", version, "/");
+}
+
 void SitePlatform::PublishConfiguration(int64_t version) {
   Json::Value route(Json::objectValue);
   route["name"] = "r-restore";
@@ -143,6 +147,9 @@
   Json::Value out(Json::objectValue);
   out["version"] = Json::Int64(version);
   out["routes"].append(route);
+  route["name"] = absl::StrCat("r-version-", version);
+  route["pathPrefix"] = VersionPrefix(version);
+  out["routes"].append(route);
   out["services"].append(service);
   store_.Put("keyed.op", "config", ToJsonText(out));
 }
--- a/testing/fakes/site_platform.h
+++ b/testing/fakes/site_platform.h
@@ -28,9 +28,12 @@
 
 namespace keelbridge::testing {
 
-// The queue that `PublishConfiguration` makes.
+// The queue that `PublishConfiguration` makes in every version.
 inline constexpr char kSiteHost[] = "desk.example";
 inline constexpr char kSitePrefix[] = "/restore/";
+// The prefix of a queue that only this version has: a node that serves by
+// another one answers calls to it with 404.
+std::string VersionPrefix(int64_t version);
 
 // All on the loop's thread.
 class SitePlatform {
--- a/testing/fakes/site_store.cc
+++ b/testing/fakes/site_store.cc
@@ -88,13 +88,32 @@
     if (request.path == "/log-newest") return reply(Newest(request));
     if (request.path != "/log-append")
       return reply(Answer(404, Json::Value(Json::objectValue)));
-    const ServerResponse answer = Append(request);
-    const bool lost =
-        std::uniform_real_distribution<>(0, 1)(random_) < faults_.lost_answers;
-    if (lost)
-      unanswered_.push_back(reply);
-    else
-      reply(answer);
+    HandleAppend(request, reply);
+  });
+}
+
+bool SiteStore::Draw(double share) {
+  return std::uniform_real_distribution<>(0, 1)(random_) < share;
+}
+
+void SiteStore::HandleAppend(const ServerRequest& request,
+                             const EventHttpServer::Reply& reply) {
+  if (faults_.late_appends > 0 && Draw(faults_.late_appends)) {
+    unanswered_.push_back(reply);
+    return AppendLater(request);
+  }
+  const ServerResponse answer = Append(request);
+  if (Draw(faults_.lost_answers))
+    unanswered_.push_back(reply);
+  else
+    reply(answer);
+}
+
+void SiteStore::AppendLater(const ServerRequest& request) {
+  auto timer = std::make_shared<boost::asio::steady_timer>(
+      loop_, absl::ToChronoNanoseconds(faults_.late_by));
+  timer->async_wait([this, timer, request](boost::system::error_code error) {
+    if (!error) Append(request);
   });
 }
 
@@ -168,6 +187,16 @@
   topic.first = topic.end;
 }
 
+void SiteStore::ForgetAll() {
+  for (const auto& [name, topic] : topics_) Forget(name);
+}
+
+void SiteStore::CutPolls() {
+  // A connection lives as long as the reply that it waits for.
+  waiters_.clear();
+  silent_polls_.clear();
+}
+
 ServerResponse SiteStore::ReadNow(Topic& topic, int64_t from) const {
   std::string body;
   AppendBig64(&body, topic.end);
@@ -193,6 +222,10 @@
     return reply(Answer(410, body));
   }
   const int64_t wait_ms = Number(request, "waitMs", 0);
+  if (wait_ms > 0 && faults_.silent_polls) {
+    silent_polls_.push_back(std::move(reply));
+    return;
+  }
   if (from < topic.end || wait_ms <= 0) return reply(ReadNow(topic, from));
   waiters_.push_back({name, from,
                       SystemNow().mono + absl::Milliseconds(wait_ms),
@@ -222,6 +255,13 @@
   return Answer(200, body);
 }
 
+void SiteStore::AnswerPoll(Waiter waiter) {
+  if (faults_.silent_polls)
+    silent_polls_.push_back(std::move(waiter.reply));
+  else
+    waiter.reply(ReadNow(topics_[waiter.topic], waiter.from));
+}
+
 void SiteStore::Wake(const std::string& name) {
   for (auto it = waiters_.begin(); it != waiters_.end();) {
     Topic& topic = topics_[it->topic];
@@ -229,9 +269,8 @@
       ++it;
       continue;
     }
-    const Waiter waiter = std::move(*it);
+    AnswerPoll(std::exchange(*it, Waiter()));
     it = waiters_.erase(it);
-    waiter.reply(ReadNow(topic, waiter.from));
   }
 }
 
@@ -249,9 +288,8 @@
         ++it;
         continue;
       }
-      const Waiter waiter = std::move(*it);
+      AnswerPoll(std::exchange(*it, Waiter()));
       it = waiters_.erase(it);
-      waiter.reply(ReadNow(topics_[waiter.topic], waiter.from));
     }
     if (!waiters_.empty()) ArmExpiry();
   });
--- a/testing/fakes/site_store.h
+++ b/testing/fakes/site_store.h
@@ -29,6 +29,11 @@
     bool down = false;        // 503 at once.
     bool silent = false;      // Never answers.
     double lost_answers = 0;  // Of appends: done, not answered.
+    // Long polls get no answer, at a change or at their end, and not when the
+    // fault is over either. All other calls are answered.
+    bool silent_polls = false;
+    double late_appends = 0;  // Not answered, and done after `late_by`.
+    absl::Duration late_by = absl::Seconds(3);
     absl::Duration delay = absl::Milliseconds(2);
   };
 
@@ -47,6 +52,9 @@
   void SetFaults(Faults faults) { faults_ = faults; }
   // Drops the history of a topic; the newest record of each key stays.
   void Forget(const std::string& topic);
+  void ForgetAll();
+  // Ends the connections of all long polls that wait, unanswered.
+  void CutPolls();
   int64_t appends() const { return appends_; }
 
  private:
@@ -74,6 +82,11 @@
     EventHttpServer::Reply reply;
   };
 
+  // Does what was asked, unless faults of appends prevent or delay it.
+  void HandleAppend(const ServerRequest& request,
+                    const EventHttpServer::Reply& reply);
+  bool Draw(double share);
+  void AppendLater(const ServerRequest& request);
   ServerResponse Append(const ServerRequest& request);
   void Read(const ServerRequest& request, EventHttpServer::Reply reply);
   ServerResponse ReadNow(Topic& topic, int64_t from) const;
@@ -81,6 +94,7 @@
   void Add(const std::string& name, const std::string& key,
            const std::string& value);
   void Wake(const std::string& topic);
+  void AnswerPoll(Waiter waiter);
   void ArmExpiry();
 
   boost::asio::io_context& loop_;
@@ -91,6 +105,8 @@
   // Calls that get no answer: their connections stay open and say nothing.
   std::vector<EventHttpServer::Reply> unanswered_;
   std::list<Waiter> waiters_;
+  // Long polls that get no answer.
+  std::vector<EventHttpServer::Reply> silent_polls_;
   bool expiry_armed_ = false;
   int64_t appends_ = 0;
 };
--- /dev/null
+++ b/testing/fakes/site_store_test.cc
@@ -0,0 +1,143 @@
+#include "testing/fakes/site_store.h"
+
+#include <doctest/doctest.h>
+
+#include "absl/strings/str_cat.h"
+
+namespace keelbridge::testing {
+namespace {
+
+constexpr char kTopic[] = "keyed.test";
+constexpr int kNoAnswer = 0;
+constexpr int kCut = -1;  // The connection ended without an answer.
+
+// What became of one call.
+struct Outcome {
+  int status = kNoAnswer;
+};
+
+struct Site {
+  boost::asio::io_context loop;
+  SiteStore store{loop, 1};
+
+  std::shared_ptr<Outcome> Send(const ServerRequest& request) {
+    auto outcome = std::make_shared<Outcome>();
+    // Destroyed with the last copy of the reply, as a connection is.
+    const std::shared_ptr<void> connection(nullptr, [outcome](void*) {
+      if (outcome->status == kNoAnswer) outcome->status = kCut;
+    });
+    store.Handle(request, [outcome, connection](const ServerResponse& answer) {
+      outcome->status = answer.status;
+    });
+    return outcome;
+  }
+  std::shared_ptr<Outcome> Poll(int64_t from, int wait_ms) {
+    ServerRequest request;
+    request.path = "/log-read";
+    request.query = {{"topic", kTopic},
+                     {"from", absl::StrCat(from)},
+                     {"waitMs", absl::StrCat(wait_ms)}};
+    return Send(request);
+  }
+  std::shared_ptr<Outcome> Append(int64_t at) {
+    ServerRequest request;
+    request.path = "/log-append";
+    request.query = {{"topic", kTopic}, {"at", absl::StrCat(at)}};
+    request.body = std::string("\0\0\0\3\1kv", 7);
+    return Send(request);
+  }
+  std::shared_ptr<Outcome> Newest() {
+    ServerRequest request;
+    request.path = "/log-newest";
+    request.query = {{"topic", kTopic}};
+    return Send(request);
+  }
+  void Run(int ms) {
+    loop.restart();
+    loop.run_for(std::chrono::milliseconds(ms));
+  }
+};
+
+TEST_CASE("site store: silent polls get no answer while other calls do") {
+  Site site;
+  const auto early = site.Poll(0, 10000);
+  site.Run(20);
+  SiteStore::Faults faults;
+  faults.silent_polls = true;
+  site.store.SetFaults(faults);
+  site.store.Put(kTopic, "k", "v");
+  const auto late = site.Poll(0, 10000);
+  const auto read = site.Poll(0, 0);
+  const auto newest = site.Newest();
+  site.Run(50);
+  CHECK(early->status == kNoAnswer);
+  CHECK(late->status == kNoAnswer);
+  CHECK(read->status == 200);
+  CHECK(newest->status == 200);
+  // Nor do they when the fault is over and something else changes.
+  site.store.SetFaults({});
+  site.store.Put(kTopic, "k", "w");
+  site.Run(50);
+  CHECK(early->status == kNoAnswer);
+  CHECK(late->status == kNoAnswer);
+}
+
+TEST_CASE("site store: a silent poll's own time brings no answer either") {
+  Site site;
+  SiteStore::Faults faults;
+  faults.silent_polls = true;
+  const auto poll = site.Poll(0, 60);
+  site.Run(20);
+  site.store.SetFaults(faults);
+  site.Run(200);
+  CHECK(poll->status == kNoAnswer);
+}
+
+TEST_CASE("site store: polls that are cut end without an answer") {
+  Site site;
+  const auto waits = site.Poll(0, 10000);
+  site.Run(20);
+  SiteStore::Faults faults;
+  faults.silent_polls = true;
+  site.store.SetFaults(faults);
+  const auto silent = site.Poll(0, 10000);
+  site.Run(20);
+  site.store.CutPolls();
+  CHECK(waits->status == kCut);
+  CHECK(silent->status == kCut);
+}
+
+TEST_CASE("site store: a late append is done, and never answered") {
+  Site site;
+  SiteStore::Faults faults;
+  faults.late_appends = 1;
+  faults.late_by = absl::Milliseconds(200);
+  site.store.SetFaults(faults);
+  const auto append = site.Append(0);
+  site.Run(50);
+  CHECK(site.store.appends() == 0);
+  site.store.SetFaults({});
+  site.Run(300);
+  CHECK(site.store.appends() == 1);
+  CHECK(append->status == kNoAnswer);
+  // Its condition counts when it is done: the next one comes too late.
+  const auto next = site.Append(0);
+  site.Run(50);
+  CHECK(next->status == 412);
+}
+
+TEST_CASE("site store: forgotten history is gone, the newest records stay") {
+  Site site;
+  site.store.Put(kTopic, "k", "v");
+  site.store.ForgetAll();
+  const auto read = site.Poll(0, 0);
+  const auto after = site.Poll(1, 0);
+  const auto newest = site.Newest();
+  site.Run(50);
+  CHECK(read->status == 410);
+  CHECK(after->status == 200);
+  CHECK(newest->status == 200);
+}
+
+}  // namespace
+}  // namespace keelbridge::testing
