Checks for the soak: the configuration of each node, and accepted jobs at every node

Cause: the soak never looked at which configuration a node serves by, and asked for accepted jobs rarely and anywhere.

Change: ConfigurationCheck judges sights of a node by a stated bound (3 s in touch, 2 s to apply) and that no life goes back; NodeTouch knows since when a node is undisturbed; SoakWatch looks at every node all the while, by threads of its own for each, most often for jobs that were accepted lately.

--- /dev/null
+++ b/testing/support/configuration_check.h
@@ -0,0 +1,64 @@
+// Judges whether nodes serve by the configurations that were written, from what
+// callers saw of them. Thread-safe.
+//
+//   ConfigurationCheck check(4);
+//   check.Written(2);
+//   std::string fault = check.Seen({.node = 0, .version = 1, ...});
+
+#ifndef KEELBRIDGE_TESTING_SUPPORT_CONFIGURATION_CHECK_H_
+#define KEELBRIDGE_TESTING_SUPPORT_CONFIGURATION_CHECK_H_
+
+#include <cstdint>
+#include <map>
+#include <mutex>
+#include <string>
+#include <vector>
+
+#include "absl/time/time.h"
+#include "testing/support/node_touch.h"
+
+namespace keelbridge::testing {
+
+class ConfigurationCheck {
+ public:
+  // A node that is in touch for so long after a change has heard of it.
+  static constexpr absl::Duration kInTouch = absl::Seconds(3);
+  // And serves by it so much later.
+  static constexpr absl::Duration kApply = absl::Seconds(2);
+
+  struct Sight {
+    int node = 0;
+    int64_t version = 0;      // By which it served; 0: by none.
+    absl::Time asked;         // Before the call was sent.
+    NodeTouch::State before;  // The node's state then,
+    NodeTouch::State after;   // and when the answer was there.
+  };
+
+  explicit ConfigurationCheck(int nodes) : best_(static_cast<size_t>(nodes)) {}
+
+  // A version was written to the store, at `now`.
+  void Written(int64_t version, absl::Time now);
+  int64_t newest() const;
+  // What is wrong with what was seen, in words; empty: nothing.
+  std::string Seen(const Sight& sight);
+  // From a change, or from when a node was in touch again, to the first sight
+  // of the node that serves by it: the longest so far.
+  absl::Duration slowest() const;
+
+ private:
+  struct Best {
+    int life = -1;
+    int64_t version = 0;
+  };
+  std::string CheckBack(const Sight& sight);
+  std::string CheckLate(const Sight& sight) const;
+
+  mutable std::mutex mutex_;
+  std::map<int64_t, absl::Time> written_;  // By version.
+  std::vector<Best> best_;                 // By node.
+  absl::Duration slowest_;
+};
+
+}  // namespace keelbridge::testing
+
+#endif  // KEELBRIDGE_TESTING_SUPPORT_CONFIGURATION_CHECK_H_
--- /dev/null
+++ b/testing/support/node_touch.h
@@ -0,0 +1,48 @@
+// Since when each node of a soak has been undisturbed: its process runs, its
+// proxies pass, the store answers. Thread-safe.
+//
+//   NodeTouch touch(4);
+//   touch.Disturb(2);
+//   touch.Restore(2);  // In touch from now on.
+
+#ifndef KEELBRIDGE_TESTING_SUPPORT_NODE_TOUCH_H_
+#define KEELBRIDGE_TESTING_SUPPORT_NODE_TOUCH_H_
+
+#include <cstdint>
+#include <mutex>
+#include <vector>
+
+#include "absl/time/time.h"
+
+namespace keelbridge::testing {
+
+class NodeTouch {
+ public:
+  struct State {
+    absl::Time since;  // InfiniteFuture: it is disturbed now.
+    int life = 0;      // Counts the processes that were started.
+  };
+
+  explicit NodeTouch(int nodes);
+
+  // Disturbances of a node may overlap: each needs its own `Restore`.
+  void Disturb(int node);
+  void Restore(int node);
+  void DisturbAll();
+  void RestoreAll();
+  // The process has ended; the one that replaces it is another life.
+  void NextLife(int node);
+  State Get(int node) const;
+
+ private:
+  struct Node {
+    int disturbances = 0;
+    State state;
+  };
+  mutable std::mutex mutex_;
+  std::vector<Node> nodes_;
+};
+
+}  // namespace keelbridge::testing
+
+#endif  // KEELBRIDGE_TESTING_SUPPORT_NODE_TOUCH_H_
--- /dev/null
+++ b/testing/support/soak_jobs.cc
@@ -0,0 +1,77 @@
+#include "testing/support/soak_jobs.h"
+
+#include <algorithm>
+
+#include "absl/time/clock.h"
+
+namespace keelbridge::testing {
+namespace {
+
+// This many of the jobs that were accepted last count as accepted lately.
+constexpr size_t kLately = 12;
+// One draw in this many is among all jobs.
+constexpr uint64_t kAnyOneIn = 3;
+// Nodes keep a job for 120 s after its end; none is asked for that long.
+constexpr absl::Duration kKept = absl::Seconds(110);
+
+}  // namespace
+
+void SoakJobs::Accepted(uint64_t job) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  SoakJob& known = jobs_[job];
+  if (known.accepted) return;
+  known.accepted = true;
+  known.accepted_at = absl::Now();
+  accepted_.push_back(job);
+}
+
+void SoakJobs::Refused(uint64_t job) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  jobs_[job].refused = true;
+}
+
+void SoakJobs::Unknown(uint64_t job) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  jobs_[job].unknown = true;
+}
+
+bool SoakJobs::BeginCancel(uint64_t job) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  const auto found = jobs_.find(job);
+  if (found == jobs_.end() || !found->second.accepted) return false;
+  found->second.cancel_sent = true;
+  return true;
+}
+
+std::optional<uint64_t> SoakJobs::Draw(std::mt19937_64& random) const {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  if (accepted_.empty()) return std::nullopt;
+  const size_t among = random() % kAnyOneIn == 0
+                           ? accepted_.size()
+                           : std::min(accepted_.size(), kLately);
+  const uint64_t job = accepted_[accepted_.size() - 1 - random() % among];
+  if (jobs_.at(job).cancel_sent) return std::nullopt;
+  return job;
+}
+
+bool SoakJobs::MustBeKnown(uint64_t job) const {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  const auto found = jobs_.find(job);
+  if (found == jobs_.end()) return false;
+  const SoakJob& known = found->second;
+  return known.accepted && !known.cancel_sent &&
+         absl::Now() - known.accepted_at < kKept;
+}
+
+SoakJob SoakJobs::Get(uint64_t job) const {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  const auto found = jobs_.find(job);
+  return found == jobs_.end() ? SoakJob() : found->second;
+}
+
+std::map<uint64_t, SoakJob> SoakJobs::All() const {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  return jobs_;
+}
+
+}  // namespace keelbridge::testing
--- /dev/null
+++ b/testing/support/soak_watch.h
@@ -0,0 +1,63 @@
+// Callers that look at every node of a soak all the while, each node by threads
+// of its own, so that one that does not answer hides no other:
+//
+// - by which configuration it serves: see ConfigurationCheck;
+// - that it never answers 410 or 404 for an accepted job that nobody cancelled.
+//
+//   SoakWatch watch(cell, touch, configurations, jobs, record, seed);
+//   ...
+//   watch.Stop();
+
+#ifndef KEELBRIDGE_TESTING_SUPPORT_SOAK_WATCH_H_
+#define KEELBRIDGE_TESTING_SUPPORT_SOAK_WATCH_H_
+
+#include <atomic>
+#include <cstdint>
+#include <optional>
+#include <random>
+#include <thread>
+#include <vector>
+
+#include "testing/support/configuration_check.h"
+#include "testing/support/node_touch.h"
+#include "testing/support/site_cell.h"
+#include "testing/support/soak_jobs.h"
+#include "testing/support/soak_record.h"
+
+namespace keelbridge::testing {
+
+class SoakWatch {
+ public:
+  // What is passed must outlive this.
+  SoakWatch(SiteCell& cell, NodeTouch& touch,
+            ConfigurationCheck& configurations, SoakJobs& jobs,
+            SoakRecord& record, int nodes, uint64_t seed);
+  ~SoakWatch() { Stop(); }
+  SoakWatch(const SoakWatch&) = delete;
+  SoakWatch& operator=(const SoakWatch&) = delete;
+
+  void Stop();
+  // Asks `node` for `job`; one that is called unknown is a fault.
+  void LookAtJob(int node, uint64_t job);
+  size_t looks() const { return looks_; }
+
+ private:
+  void WatchJobs(int node, uint64_t seed);
+  void WatchConfiguration(int node);
+  void LookAtConfiguration(int node);
+  // 0: by none; nullopt: no answer tells.
+  std::optional<int64_t> VersionServed(int node, int64_t newest);
+
+  SiteCell& cell_;
+  NodeTouch& touch_;
+  ConfigurationCheck& configurations_;
+  SoakJobs& jobs_;
+  SoakRecord& record_;
+  std::atomic<bool> stopped_{false};
+  std::atomic<size_t> looks_{0};
+  std::vector<std::thread> threads_;
+};
+
+}  // namespace keelbridge::testing
+
+#endif  // KEELBRIDGE_TESTING_SUPPORT_SOAK_WATCH_H_
