The soak judges configurations and accepted jobs all the while, and draws nine further troubles

Change: the soak is the run only; troubles are in soak_troubles. New: silent polls, polls cut after a change, changes behind a silence, the same with the history forgotten, losses of the store that heal quietly, late appends, and a leader paused, cut or alone. Three callers instead of one, so that jobs are accepted while one of them waits. The earlier regression seeds draw among the first 18 kinds, as they did; their jobs are handed in by three callers now, so that they are not the same runs.

Ruled out: counting silent polls as a disturbance; the store answers every other call.

--- a/testing/soak_main.cc
+++ b/testing/soak_main.cc
@@ -14,6 +14,7 @@
 ABSL_FLAG(int, nodes, 4, "nodes");
 ABSL_FLAG(int, workers, 6, "workers");
 ABSL_FLAG(int, faults, 6, "faults at most");
+ABSL_FLAG(bool, first_kinds, false, "only the first 18 kinds of trouble");
 
 int main(int argc, char** argv) {
   absl::ParseCommandLine(argc, argv);
@@ -27,11 +28,15 @@
     options.nodes = absl::GetFlag(FLAGS_nodes);
     options.workers = absl::GetFlag(FLAGS_workers);
     options.faults_at_most = absl::GetFlag(FLAGS_faults);
+    options.first_kinds_only = absl::GetFlag(FLAGS_first_kinds);
     const auto report = keelbridge::testing::RunSiteSoak(options);
     std::cout << "seed " << seed << ": " << report.faults.size() << " faults, "
               << report.accepted << " accepted, " << report.refused
               << " refused, " << report.unknown << " unknown, " << report.runs
-              << " runs, " << report.happened.size() << " troubles\n";
+              << " runs, " << report.happened.size() << " notes, "
+              << report.looks << " looks, slowest change "
+              << absl::ToInt64Milliseconds(report.slowest_change) << " ms"
+              << std::endl;
     if (report.faults.empty()) continue;
     ++failed;
     std::cout << "  logs: " << report.logs << "\n";
--- a/testing/support/site_cell.cc
+++ b/testing/support/site_cell.cc
@@ -262,6 +262,14 @@
       loop_, [this, node, mode] { peer_proxies_[At(node)]->SetMode(mode); });
 }
 
+void SiteCell::HealStoreProxyQuietly(int node) {
+  WithPlatform([&](SitePlatform&) { store_proxies_[At(node)]->HealQuietly(); });
+}
+
+void SiteCell::HealPeerProxyQuietly(int node) {
+  WithPlatform([&](SitePlatform&) { peer_proxies_[At(node)]->HealQuietly(); });
+}
+
 void SiteCell::SetWorkerProxy(int worker, FaultProxy::Mode mode) {
   WithPlatform(
       [&](SitePlatform& platform) { platform.SetWorkerProxy(worker, mode); });
--- a/testing/support/site_cell.h
+++ b/testing/support/site_cell.h
@@ -66,6 +66,8 @@
   void SetStoreProxy(int node, FaultProxy::Mode mode);
   void SetWorkerProxy(int worker, FaultProxy::Mode mode);
   void SetPeerProxy(int node, FaultProxy::Mode mode);
+  void HealStoreProxyQuietly(int node);
+  void HealPeerProxyQuietly(int node);
   int ZoneOf(int node) const { return node % kZones; }
   static constexpr int kZones = 3;
 
--- a/testing/support/site_soak.h
+++ b/testing/support/site_soak.h
@@ -1,7 +1,7 @@
 // A soak of a site of real processes under faults drawn from a seed: signals to
 // nodes, proxies before the store and the workers, outages of the store,
-// crashes of workers, in series that overlap. Judged while it runs from what
-// callers and workers see.
+// crashes of workers, in series that overlap (soak_troubles.h). Judged while it
+// runs from what callers and workers see (soak_watch.h).
 //
 //   SoakReport report = RunSiteSoak({.seed = 7, .length = absl::Seconds(20)});
 //   CHECK(report.faults.empty());
@@ -24,6 +24,8 @@
   absl::Duration length = absl::Seconds(15);  // Faults are drawn for so long.
   absl::Duration settle = absl::Seconds(60);  // Then everything must end.
   int faults_at_most = 6;
+  // Draws among the first 18 kinds of trouble, as when some seeds failed.
+  bool first_kinds_only = false;
 };
 
 struct SoakReport {
@@ -33,7 +35,9 @@
   size_t refused = 0;
   size_t unknown = 0;  // Calls without a certain answer.
   size_t runs = 0;
-  std::string logs;  // The folder with the nodes' logs.
+  size_t looks = 0;               // Calls that only looked.
+  absl::Duration slowest_change;  // See ConfigurationCheck.
+  std::string logs;               // The folder with the nodes' logs.
 };
 
 SoakReport RunSiteSoak(const SoakOptions& options);
