--- a/testing/site_soak_test.cc
+++ b/testing/site_soak_test.cc
@@ -37,7 +37,7 @@
   options.length = absl::Seconds(12);
   options.nodes = 6;
   options.faults_at_most = 12;
-  options.first_kinds_only = true;
+  options.kinds = SoakKinds::kFirst;
   // TWICE, both: a leader took a worker's life that was there for one that is
   // over, since the platform still listed the life before it.
   CheckSeed(1005, options);
--- a/testing/soak_main.cc
+++ b/testing/soak_main.cc
@@ -14,7 +14,19 @@
 ABSL_FLAG(int, nodes, 4, "nodes");
 ABSL_FLAG(int, workers, 6, "workers");
 ABSL_FLAG(int, faults, 6, "faults at most");
-ABSL_FLAG(bool, first_kinds, false, "only the first 18 kinds of trouble");
+ABSL_FLAG(std::string, kinds, "all", "kinds of trouble: all, first, later");
+ABSL_FLAG(bool, notes, false, "tells of all seeds what was done");
+
+namespace {
+
+using keelbridge::testing::SoakKinds;
+
+SoakKinds Kinds(const std::string& name) {
+  if (name == "first") return SoakKinds::kFirst;
+  return name == "later" ? SoakKinds::kLater : SoakKinds::kAll;
+}
+
+}  // namespace
 
 int main(int argc, char** argv) {
   absl::ParseCommandLine(argc, argv);
@@ -28,7 +40,7 @@
     options.nodes = absl::GetFlag(FLAGS_nodes);
     options.workers = absl::GetFlag(FLAGS_workers);
     options.faults_at_most = absl::GetFlag(FLAGS_faults);
-    options.first_kinds_only = absl::GetFlag(FLAGS_first_kinds);
+    options.kinds = Kinds(absl::GetFlag(FLAGS_kinds));
     const auto report = keelbridge::testing::RunSiteSoak(options);
     std::cout << "seed " << seed << ": " << report.faults.size() << " faults, "
               << report.accepted << " accepted, " << report.refused
@@ -37,8 +49,8 @@
               << report.looks << " looks, slowest change "
               << absl::ToInt64Milliseconds(report.slowest_change) << " ms"
               << std::endl;
-    if (report.faults.empty()) continue;
-    ++failed;
+    if (!report.faults.empty()) ++failed;
+    if (report.faults.empty() && !absl::GetFlag(FLAGS_notes)) continue;
     std::cout << "  logs: " << report.logs << "\n";
     for (const std::string& what : report.happened)
       std::cout << "  " << what << "\n";
--- a/testing/support/configuration_check.cc
+++ b/testing/support/configuration_check.cc
@@ -16,6 +16,13 @@
   return written_.empty() ? 0 : written_.rbegin()->first;
 }
 
+bool ConfigurationCheck::ServesNewest(int node, int life) const {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  const Best& best = best_[static_cast<size_t>(node)];
+  return best.life == life && !written_.empty() &&
+         best.version == written_.rbegin()->first;
+}
+
 absl::Duration ConfigurationCheck::slowest() const {
   const std::lock_guard<std::mutex> lock(mutex_);
   return slowest_;
--- a/testing/support/configuration_check.h
+++ b/testing/support/configuration_check.h
@@ -41,6 +41,8 @@
   int64_t newest() const;
   // What is wrong with what was seen, in words; empty: nothing.
   std::string Seen(const Sight& sight);
+  // This life of the node was seen to serve by the newest version.
+  bool ServesNewest(int node, int life) const;
   // From a change, or from when a node was in touch again, to the first sight
   // of the node that serves by it: the longest so far.
   absl::Duration slowest() const;
--- a/testing/support/configuration_check_test.cc
+++ b/testing/support/configuration_check_test.cc
@@ -85,6 +85,10 @@
   CHECK(check.Seen(Sight(2, 12)).empty());
   CHECK(check.Seen(Sight(2, 14)).empty());
   CHECK(check.slowest() == absl::Seconds(2));
+  CHECK(check.ServesNewest(0, 0));
+  CHECK_FALSE(check.ServesNewest(0, 1));
+  check.Written(3, At(20));
+  CHECK_FALSE(check.ServesNewest(0, 0));
 }
 
 }  // namespace
--- a/testing/support/site_soak.cc
+++ b/testing/support/site_soak.cc
@@ -25,6 +25,8 @@
 // After the last trouble, so that a change that is never heard of is seen.
 constexpr absl::Duration kWatchMargin = absl::Seconds(1);
 
+constexpr absl::Duration kLookPause = absl::Milliseconds(50);
+
 class Soak {
  public:
   explicit Soak(const SoakOptions& options)
@@ -52,7 +54,7 @@
                                      ConfigurationCheck::kInTouch +
                                      ConfigurationCheck::kApply + kWatchMargin;
     Settle();
-    absl::SleepFor(watched_until - absl::Now());
+    AwaitNewestConfiguration(watched_until);
     watch.Stop();
     AskEveryNode(watch);
     report_.looks = watch.looks();
@@ -123,7 +125,7 @@
       while (absl::Now() < until) {
         state = cell_.State(job);
         if (EndedRightly(known, state) || state == "gone") break;
-        absl::SleepFor(absl::Milliseconds(50));
+        absl::SleepFor(kLookPause);
       }
       if (!EndedRightly(known, state))
         record_.Fault(absl::StrCat("LOST: job ", JobIdText(job), " is \"",
@@ -131,10 +133,19 @@
     }
   }
 
+  void AwaitNewestConfiguration(absl::Time until) {
+    const auto serves = [this](int node) {
+      return configurations_.ServesNewest(node, touch_.Get(node).life);
+    };
+    for (int node = 0; node < options_.nodes; ++node) {
+      while (!serves(node) && absl::Now() < until) absl::SleepFor(kLookPause);
+    }
+  }
+
   void AskEveryNode(SoakWatch& watch) {
     for (const auto& [job, known] : jobs_.All()) {
       for (int node = 0; node < options_.nodes; ++node) {
-        if (jobs_.MustBeKnown(job)) watch.LookAtJob(node, job);
+        if (jobs_.MustBeKnown(job)) watch.LookAtJobAtLast(node, job);
       }
     }
   }
--- a/testing/support/site_soak.h
+++ b/testing/support/site_soak.h
@@ -17,6 +17,13 @@
 
 namespace keelbridge::testing {
 
+// Among which kinds of trouble a soak draws.
+enum class SoakKinds {
+  kAll,
+  kFirst,  // The first 18: there were no others when some seeds failed.
+  kLater,  // All but those.
+};
+
 struct SoakOptions {
   uint64_t seed = 1;
   int nodes = 4;
@@ -24,8 +31,7 @@
   absl::Duration length = absl::Seconds(15);  // Faults are drawn for so long.
   absl::Duration settle = absl::Seconds(60);  // Then everything must end.
   int faults_at_most = 6;
-  // Draws among the first 18 kinds of trouble, as when some seeds failed.
-  bool first_kinds_only = false;
+  SoakKinds kinds = SoakKinds::kAll;
 };
 
 struct SoakReport {
--- a/testing/support/soak_troubles.cc
+++ b/testing/support/soak_troubles.cc
@@ -38,14 +38,12 @@
 void SoakTroubles::Play() {
   const int count =
       2 + static_cast<int>(random_() % (options_.faults_at_most - 1));
-  const Trouble kinds =
-      options_.first_kinds_only ? Trouble::kFirstKinds : Trouble::kCount;
   std::vector<std::pair<absl::Duration, Trouble>> plan;
   plan.reserve(static_cast<size_t>(count));
   for (int i = 0; i < count; ++i) {
     plan.emplace_back(
         options_.length * (static_cast<double>(random_() % 100) / 100.0),
-        static_cast<Trouble>(random_() % static_cast<uint64_t>(kinds)));
+        DrawTrouble());
   }
   std::sort(plan.begin(), plan.end());
   Open open;
@@ -158,6 +156,16 @@
   });
 }
 
+Trouble SoakTroubles::DrawTrouble() {
+  const auto first = options_.kinds == SoakKinds::kLater
+                         ? static_cast<uint64_t>(Trouble::kFirstKinds)
+                         : 0;
+  const auto end = static_cast<uint64_t>(options_.kinds == SoakKinds::kFirst
+                                             ? Trouble::kFirstKinds
+                                             : Trouble::kCount);
+  return static_cast<Trouble>(first + random_() % (end - first));
+}
+
 absl::Duration SoakTroubles::DrawTime() {
   const double share = static_cast<double>(random_() % 100) / 100.0;
   return kShortestTime + (kLongestTime - kShortestTime) * share;
--- a/testing/support/soak_troubles.h
+++ b/testing/support/soak_troubles.h
@@ -99,6 +99,7 @@
   std::vector<int> Others(int node) const;
   // The node that leads; `otherwise` when none says so.
   int LeaderOr(int otherwise);
+  Trouble DrawTrouble();
   absl::Duration DrawTime();
   static size_t At(int node) { return static_cast<size_t>(node); }
 
--- a/testing/support/soak_watch.cc
+++ b/testing/support/soak_watch.cc
@@ -1,5 +1,7 @@
 #include "testing/support/soak_watch.h"
 
+#include <array>
+
 #include "absl/strings/str_cat.h"
 #include "absl/time/clock.h"
 #include "keelbridge/protocol/job.h"
@@ -7,12 +9,13 @@
 namespace keelbridge::testing {
 namespace {
 
-// Calls for jobs to one node at a time: while one waits for a node that stands
-// still, the others ask for jobs that were accepted since.
-constexpr int kJobCallers = 3;
+// How long each of the callers that ask one node for jobs waits for an answer.
+// A patient one hears what a node answers when it goes on after a pause; an
+// impatient one has asked for a job that was accepted during the pause.
+constexpr std::array<absl::Duration, 3> kJobPatience = {
+    absl::Milliseconds(500), absl::Milliseconds(1300), absl::Seconds(4)};
 constexpr absl::Duration kLookEvery = absl::Milliseconds(40);
-// Longer than most troubles: what a node answers when it goes on counts.
-constexpr absl::Duration kJobPatience = absl::Seconds(4);
+constexpr absl::Duration kLastPatience = absl::Seconds(4);
 constexpr absl::Duration kVersionPatience = absl::Milliseconds(800);
 
 constexpr int kBadRequest = 400;
@@ -32,9 +35,11 @@
       record_(record) {
   for (int node = 0; node < nodes; ++node) {
     threads_.emplace_back([this, node] { WatchConfiguration(node); });
-    for (int i = 0; i < kJobCallers; ++i) {
-      const uint64_t own = seed * 1000 + static_cast<uint64_t>(node * 10 + i);
-      threads_.emplace_back([this, node, own] { WatchJobs(node, own); });
+    uint64_t own = seed * 1000 + static_cast<uint64_t>(node) * 10;
+    for (const absl::Duration patience : kJobPatience) {
+      ++own;
+      threads_.emplace_back(
+          [this, node, own, patience] { WatchJobs(node, own, patience); });
     }
   }
 }
@@ -45,16 +50,20 @@
   threads_.clear();
 }
 
-void SoakWatch::WatchJobs(int node, uint64_t seed) {
+void SoakWatch::WatchJobs(int node, uint64_t seed, absl::Duration patience) {
   std::mt19937_64 random(seed);
   while (!stopped_) {
     const std::optional<uint64_t> job = jobs_.Draw(random);
-    if (job) LookAtJob(node, *job);
+    if (job) LookAtJob(node, *job, patience);
     absl::SleepFor(kLookEvery);
   }
 }
 
-void SoakWatch::LookAtJob(int node, uint64_t job) {
+void SoakWatch::LookAtJobAtLast(int node, uint64_t job) {
+  LookAtJob(node, job, kLastPatience);
+}
+
+void SoakWatch::LookAtJob(int node, uint64_t job, absl::Duration patience) {
   const absl::Time asked = absl::Now();
   const HttpOutcome outcome =
       cell_.Raw(node,
@@ -63,7 +72,7 @@
                  {{"Host", kSiteHost}},
                  "",
                  ""},
-                kJobPatience);
+                patience);
   ++looks_;
   const int status = outcome.response ? outcome.response->status : 0;
   if (status != kGone && status != kNotFound) return;
--- a/testing/support/soak_watch.h
+++ b/testing/support/soak_watch.h
@@ -37,12 +37,14 @@
   SoakWatch& operator=(const SoakWatch&) = delete;
 
   void Stop();
-  // Asks `node` for `job`; one that is called unknown is a fault.
-  void LookAtJob(int node, uint64_t job);
+  // Asks `node` for `job`, with patience; one that is called unknown is a
+  // fault.
+  void LookAtJobAtLast(int node, uint64_t job);
   size_t looks() const { return looks_; }
 
  private:
-  void WatchJobs(int node, uint64_t seed);
+  void WatchJobs(int node, uint64_t seed, absl::Duration patience);
+  void LookAtJob(int node, uint64_t job, absl::Duration patience);
   void WatchConfiguration(int node);
   void LookAtConfiguration(int node);
   // 0: by none; nullopt: no answer tells.
