Direct tests of cut nodes; the seeds of a proxied site go through a proxy

Change: in a site with proxies the seeds name a proxy before the first node's own. site_cut_test.cc: changes that are written while polls get no answer, behind a silence that heals quietly, and before polls are cut; a leader that is cut off.

--- a/testing/fakes/fault_proxy.cc
+++ b/testing/fakes/fault_proxy.cc
@@ -92,12 +92,13 @@
   Piece down_;
 };
 
-FaultProxy::FaultProxy(boost::asio::io_context& loop, Address target)
+FaultProxy::FaultProxy(boost::asio::io_context& loop, Address target,
+                       const Address& listen)
     : loop_(loop),
       target_(std::move(target)),
-      acceptor_(loop,
-                Tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"), 0)),
-      address_{"127.0.0.1", acceptor_.local_endpoint().port(), ""} {
+      acceptor_(loop, Tcp::endpoint(boost::asio::ip::make_address(listen.ip),
+                                    static_cast<unsigned short>(listen.port))),
+      address_{listen.ip, acceptor_.local_endpoint().port(), ""} {
   Accept();
 }
 
--- a/testing/fakes/fault_proxy.h
+++ b/testing/fakes/fault_proxy.h
@@ -31,7 +31,9 @@
     kOneWay,  // Requests pass, answers do not.
   };
 
-  FaultProxy(boost::asio::io_context& loop, Address target);
+  // Listens on `listen`; port 0: any that is free.
+  FaultProxy(boost::asio::io_context& loop, Address target,
+             const Address& listen = {"127.0.0.1", 0, ""});
   ~FaultProxy();
   FaultProxy(const FaultProxy&) = delete;
   FaultProxy& operator=(const FaultProxy&) = delete;
--- /dev/null
+++ b/testing/site_cut_test.cc
@@ -0,0 +1,135 @@
+// Nodes that are cut off from what they must know, as real processes: what they
+// tell callers meanwhile and soon after.
+
+#include <doctest/doctest.h>
+
+#include "absl/strings/str_cat.h"
+#include "absl/time/clock.h"
+#include "testing/support/configuration_check.h"
+#include "testing/support/site_cell.h"
+
+namespace keelbridge::testing {
+namespace {
+
+using Mode = FaultProxy::Mode;
+
+constexpr int kNodes = 3;
+constexpr absl::Duration kPause = absl::Milliseconds(30);
+
+SiteCell::Options Proxied() {
+  SiteCell::Options options;
+  options.nodes = kNodes;
+  options.proxies = true;
+  return options;
+}
+
+int StatusOf(const HttpOutcome& outcome) {
+  return outcome.response ? outcome.response->status : 0;
+}
+
+// A node that knows the version's queue refuses the id, others the queue.
+bool ServesBy(SiteCell& cell, int node, int64_t version) {
+  const HttpRequest request{
+      "GET", VersionPrefix(version) + "none", {{"Host", kSiteHost}}, "", ""};
+  return StatusOf(cell.Raw(node, request)) == 400;
+}
+
+void Publish(SiteCell& cell, int64_t version) {
+  cell.WithPlatform([version](SitePlatform& platform) {
+    platform.PublishConfiguration(version);
+  });
+}
+
+// Every node serves by `version` within the bound of ConfigurationCheck.
+void CheckAllServeBy(SiteCell& cell, int64_t version) {
+  const absl::Time until =
+      absl::Now() + ConfigurationCheck::kInTouch + ConfigurationCheck::kApply;
+  for (int node = 0; node < kNodes; ++node) {
+    bool serves = ServesBy(cell, node, version);
+    while (!serves && absl::Now() < until) {
+      absl::SleepFor(kPause);
+      serves = ServesBy(cell, node, version);
+    }
+    CAPTURE(node);
+    CHECK(serves);
+  }
+}
+
+TEST_CASE("site cut: a change is heard of though polls get no answer") {
+  SiteCell cell(Proxied());
+  REQUIRE(cell.AwaitReady(kNodes));
+  SiteStore::Faults faults;
+  faults.silent_polls = true;
+  cell.WithPlatform(
+      [&](SitePlatform& platform) { platform.store().SetFaults(faults); });
+  Publish(cell, 2);
+  CheckAllServeBy(cell, 2);
+}
+
+TEST_CASE(
+    "site cut: a change behind a silence that heals quietly is heard of") {
+  SiteCell cell(Proxied());
+  REQUIRE(cell.AwaitReady(kNodes));
+  for (int node = 0; node < kNodes; ++node)
+    cell.SetStoreProxy(node, Mode::kSilent);
+  Publish(cell, 2);
+  absl::SleepFor(absl::Seconds(1));
+  for (int node = 0; node < kNodes; ++node) cell.HealStoreProxyQuietly(node);
+  CheckAllServeBy(cell, 2);
+}
+
+TEST_CASE("site cut: polls that are cut after a change cost nothing") {
+  SiteCell cell(Proxied());
+  REQUIRE(cell.AwaitReady(kNodes));
+  SiteStore::Faults faults;
+  faults.silent_polls = true;
+  cell.WithPlatform(
+      [&](SitePlatform& platform) { platform.store().SetFaults(faults); });
+  Publish(cell, 2);
+  absl::SleepFor(absl::Seconds(1));
+  cell.WithPlatform([](SitePlatform& platform) {
+    platform.store().SetFaults({});
+    platform.store().CutPolls();
+  });
+  CheckAllServeBy(cell, 2);
+}
+
+// Nothing that the node could hear of another leader by reaches it any more.
+void CutOff(SiteCell& cell, int node) {
+  cell.SetStoreProxy(node, Mode::kSilent);
+  for (int i = 0; i < kNodes; ++i) cell.SetPeerProxy(i, Mode::kSilent);
+  for (int i = 0; i < SitePlatform::Options().workers; ++i)
+    cell.SetWorkerProxy(i, Mode::kSilent);
+}
+
+// Hands `job` in at the nodes but `leader`; false: none accepted it in time.
+bool AcceptedElsewhere(SiteCell& cell, int leader, uint64_t job) {
+  const absl::Time until = absl::Now() + absl::Seconds(20);
+  for (int turn = 0; absl::Now() < until; ++turn) {
+    const int node = turn % kNodes;
+    if (node == leader) continue;
+    const std::string body = SiteCell::OneStep(1, 100);
+    if (StatusOf(cell.Call(node, "POST", job, body)) == 200) return true;
+    absl::SleepFor(kPause);
+  }
+  return false;
+}
+
+TEST_CASE("site cut: a leader that is cut off calls no accepted job unknown") {
+  SiteCell cell(Proxied());
+  REQUIRE(cell.AwaitReady(kNodes));
+  const int leader = cell.Leader();
+  REQUIRE(leader >= 0);
+  CutOff(cell, leader);
+  REQUIRE(AcceptedElsewhere(cell, leader, 1));
+  constexpr int kLooks = 5;
+  for (int i = 0; i < kLooks; ++i) {
+    const int status = StatusOf(cell.Call(leader, "GET", 1));
+    CHECK(status != 410);
+    CHECK(status != 404);
+    absl::SleepFor(kPause);
+  }
+}
+
+}  // namespace
+}  // namespace keelbridge::testing
--- a/testing/support/site_cell.cc
+++ b/testing/support/site_cell.cc
@@ -49,6 +49,10 @@
 // A port that is free on `ip` now.
 int FreePort(const std::string& ip) { return TryPort(ip, 0); }
 
+// Where nodes reach the first one before they have heard of any. By a proxy, so
+// that a node that cannot be reached is not reached this way either.
+constexpr char kSeedHost[] = "127.0.0.9";
+
 std::string HostOf(int node) {
   return absl::StrCat("127.0.0.", kFirstHost + node);
 }
@@ -58,6 +62,7 @@
   constexpr int kTries = 100;
   for (int i = 0; i < kTries; ++i) {
     const int port = FreePort(HostOf(0));
+    if (TryPort(kSeedHost, port) != port) continue;
     int free = 1;
     while (free < nodes && TryPort(HostOf(free), port) == port) ++free;
     if (free >= nodes) return port;
@@ -89,6 +94,7 @@
   const int peer_port = PortFreeOnAll(options_.nodes);
   for (int i = 0; options_.proxies && i < options_.nodes; ++i)
     AddPeerProxy(HostOf(i), peer_port);
+  if (options_.proxies) AddSeedProxy(peer_port);
   for (int i = 0; i < options_.nodes; ++i) {
     const std::string ip = HostOf(i);
     Node& node = nodes_[At(i)];
@@ -114,6 +120,13 @@
   added.get_future().wait();
 }
 
+void SiteCell::AddSeedProxy(int port) {
+  WithPlatform([&](SitePlatform&) {
+    seed_proxy_ = std::make_unique<FaultProxy>(
+        loop_, peer_proxies_[0]->address(), Address{kSeedHost, port, ""});
+  });
+}
+
 SiteCell::~SiteCell() {
   nodes_.clear();
   for (const int pipe : pipes_) ::close(pipe);
@@ -121,6 +134,7 @@
   loop_.stop();
   thread_.join();
   store_proxies_.clear();
+  seed_proxy_.reset();
   peer_proxies_.clear();
   platform_.reset();
 }
@@ -140,7 +154,10 @@
                                          : platform_->store_address();
   settings["store"] = store.ToString();
   settings["advice"] = platform_->advice_address().ToString();
-  settings["seeds"].append("127.0.0.10:1");
+  // The first node needs no other way to itself.
+  const std::string seed =
+      options_.proxies && index > 0 ? kSeedHost : HostOf(0);
+  settings["seeds"].append(seed + ":1");
   settings["trace_file"] = absl::StrCat(directory_, "/node-", index, ".spans");
   settings["stop_grace_s"] = 6;
   settings["store_append_bytes"] = Json::Int64(SiteStore::kMostAppendBytes);
--- a/testing/support/site_cell.h
+++ b/testing/support/site_cell.h
@@ -95,6 +95,7 @@
   size_t At(int index) const { return static_cast<size_t>(index); }
   void WriteSettings(int index);
   void AddPeerProxy(const std::string& ip, int port);
+  void AddSeedProxy(int port);
 
   const Options options_;
   std::string directory_;
@@ -105,6 +106,7 @@
   std::thread thread_;
   std::vector<std::unique_ptr<FaultProxy>> store_proxies_;  // By node.
   std::vector<std::unique_ptr<FaultProxy>> peer_proxies_;   // By node.
+  std::unique_ptr<FaultProxy> seed_proxy_;
   std::vector<Node> nodes_;
   std::vector<int> pipes_;  // Held open, never read.
 };
