A direct test of a leader that stood still

Change: site_cut_test.cc queues calls for such a job, on open connections, at a leader that stands still, and lets it go on.

--- a/testing/site_cut_test.cc
+++ b/testing/site_cut_test.cc
@@ -3,8 +3,14 @@
 
 #include <doctest/doctest.h>
 
+#include <atomic>
+#include <csignal>
+#include <thread>
+#include <vector>
+
 #include "absl/strings/str_cat.h"
 #include "absl/time/clock.h"
+#include "keelbridge/protocol/job.h"
 #include "testing/support/configuration_check.h"
 #include "testing/support/site_cell.h"
 
@@ -131,5 +137,62 @@
   }
 }
 
+// Callers that ask `node` for `job`, on connections that are open already, and
+// wait for what it answers once it goes on.
+class PatientCallers {
+ public:
+  PatientCallers(SiteCell& cell, int node) : cell_(cell), node_(node) {}
+
+  void Ask(uint64_t job, int callers) {
+    for (int i = 0; i < callers; ++i) {
+      threads_.emplace_back([this, job] {
+        const HttpOutcome outcome = cell_.Raw(node_,
+                                              {"GET",
+                                               kSitePrefix + JobIdText(job),
+                                               {{"Host", kSiteHost}},
+                                               "",
+                                               ""},
+                                              absl::Seconds(6));
+        if (StatusOf(outcome) == 410 || StatusOf(outcome) == 404) ++unknown_;
+      });
+    }
+  }
+  // How many of those that asked were told that nobody knows the job.
+  int Unknown() {
+    for (std::thread& thread : threads_) thread.join();
+    threads_.clear();
+    return unknown_;
+  }
+
+ private:
+  SiteCell& cell_;
+  const int node_;
+  std::atomic<int> unknown_{0};
+  std::vector<std::thread> threads_;
+};
+
+TEST_CASE("site cut: a leader that stood still calls no accepted job unknown") {
+  SiteCell cell(Proxied());
+  REQUIRE(cell.AwaitReady(kNodes));
+  constexpr int kRounds = 3;
+  constexpr int kCallers = 8;
+  for (uint64_t job = 1; job <= kRounds; ++job) {
+    CAPTURE(job);
+    const int leader = cell.Leader();
+    REQUIRE(leader >= 0);
+    PatientCallers callers(cell, leader);
+    callers.Ask(job + 100, kCallers);  // Nobody handed it in.
+    CHECK(callers.Unknown() == kCallers);
+    cell.node(leader).Signal(SIGSTOP);
+    const bool accepted = AcceptedElsewhere(cell, leader, job);
+    callers.Ask(job, kCallers);
+    absl::SleepFor(kPause);
+    cell.node(leader).Signal(SIGCONT);
+    CHECK(accepted);
+    CHECK(callers.Unknown() == 0);
+    REQUIRE(cell.AwaitState(job, "completed"));
+  }
+}
+
 }  // namespace
 }  // namespace keelbridge::testing
