--- a/testing/site_stale_knowledge_test.cc
+++ b/testing/site_stale_knowledge_test.cc
@@ -52,8 +52,7 @@
   cell.WithPlatform(
       [](SitePlatform& platform) { platform.PublishConfiguration(2); });
   absl::SleepFor(absl::Seconds(2));
-  for (int i = 0; i < kNodes; ++i)
-    cell.SetStoreProxy(i, FaultProxy::Mode::kPass);
+  for (int i = 0; i < kNodes; ++i) cell.HealStoreProxyQuietly(i);
   CHECK(AwaitAllUse(cell, 2));
 }
 
--- a/testing/support/site_cell.h
+++ b/testing/support/site_cell.h
@@ -61,6 +61,8 @@
   std::string State(uint64_t job);
   bool AwaitState(uint64_t job, const std::string& state,
                   absl::Duration patience = absl::Seconds(20));
+  // A further client of a node, whose connections stay open while it is idle.
+  std::unique_ptr<HttpClient> NewClient(int index) const;
   HttpOutcome Raw(int index, const HttpRequest& request,
                   absl::Duration timeout = absl::Seconds(3));
 
@@ -68,6 +70,8 @@
   void SetStoreProxy(int node, FaultProxy::Mode mode);
   void SetWorkerProxy(int worker, FaultProxy::Mode mode);
   void SetPeerProxy(int node, FaultProxy::Mode mode);
+  void HealStoreProxyQuietly(int node);
+  void HealPeerProxyQuietly(int node);
   int ZoneOf(int node) const { return node % kZones; }
   static constexpr int kZones = 3;
 
@@ -97,6 +101,7 @@
   int64_t Gauge(int index, const std::string& name);
   void WriteSettings(int index);
   void AddPeerProxy(const std::string& ip, int port);
+  void AddSeedProxy(int port);
 
   const Options options_;
   std::string directory_;
@@ -107,6 +112,7 @@
   std::thread thread_;
   std::vector<std::unique_ptr<FaultProxy>> store_proxies_;  // By node.
   std::vector<std::unique_ptr<FaultProxy>> peer_proxies_;   // By node.
+  std::unique_ptr<FaultProxy> seed_proxy_;
   std::vector<Node> nodes_;
   std::vector<int> pipes_;  // Held open, never read.
 };
