--- a/keelbridge/daemon/leader_session.cc
+++ b/keelbridge/daemon/leader_session.cc
@@ -18,6 +18,9 @@
 constexpr absl::Duration kFlushEvery = absl::Milliseconds(15);
 // With nothing to write, an empty append shows that this leader still leads.
 constexpr absl::Duration kRenewEvery = absl::Milliseconds(1500);
+// A count of waiting jobs is told while the store confirmed this leader so
+// lately; the users bear one that is 2 s old.
+constexpr absl::Duration kWaitingMayBeOld = absl::Seconds(2);
 constexpr absl::Duration kAppendTimeout = absl::Milliseconds(700);
 // An answer that takes this many times as long as answers lately did is taken
 // for lost; each further try of the same append waits twice as long. A try that
@@ -133,8 +136,7 @@
           else
             self->records_.Add(record);
         }
-        if (reply.more && !reply.records.empty())
-          return self->LoadJobs(reply.records.back().key);
+        if (reply.more) return self->LoadJobsAfter(reply, after);
         JobTable jobs = self->records_.Build();
         const auto ended = std::count_if(
             jobs.begin(), jobs.end(),
@@ -148,7 +150,6 @@
                   {"records", absl::StrCat(self->records_loaded_)},
                   {"pages", absl::StrCat(self->pages_loaded_)},
                   {"retries", absl::StrCat(self->load_retries_)},
-                  {"more", reply.more ? "yes" : "no"},
                   {"fence_end", absl::StrCat(self->stream_end_)},
                   {"stream_end", absl::StrCat(reply.end)},
                   {"took_ms", absl::StrCat(absl::ToInt64Milliseconds(took))}});
@@ -160,6 +161,15 @@
       });
 }
 
+void LeaderSession::LoadJobsAfter(const NewestReply& page,
+                                  const std::string& after) {
+  if (!page.records.empty()) return LoadJobs(page.records.back().key);
+  // More is to follow, and this page does not say after which key.
+  ++load_retries_;
+  After(kRetryDelay,
+        [self = shared_from_this(), after] { self->LoadJobs(after); });
+}
+
 void LeaderSession::LearnWorkers(const std::string& after) {
   if (after.empty()) listed_workers_.clear();
   polling_workers_ = true;
@@ -174,8 +184,13 @@
           self->TakeWorkerRecord(record);
         // Reading goes on from where the first page was taken.
         if (after.empty()) self->workers_next_ = reply.end;
-        if (reply.more && !reply.records.empty())
-          return self->LearnWorkers(reply.records.back().key);
+        // A page without records is no end either: it is asked for again.
+        if (reply.more) {
+          if (!reply.records.empty())
+            return self->LearnWorkers(reply.records.back().key);
+          return self->After(kRetryDelay,
+                             [self, after] { self->LearnWorkers(after); });
+        }
         self->polling_workers_ = false;
         self->next_worker_poll_ = SystemNow().mono + kWorkerPollEvery;
         if (self->phase_ == Phase::kLearningWorkers) self->Activate();
@@ -449,7 +464,8 @@
   stream_end_ = std::max(stream_end_, reply.end);
 }
 
-void LeaderSession::TellUnknownJob(const ClientCall& call) const {
+void LeaderSession::DenyOnceConfirmed(const ClientCall& call,
+                                      std::function<void(ClientReply)> reply) {
   const absl::Duration confirmed = SystemNow().mono - last_append_sent_;
   LogEvent(
       Severity::kInfo, "job_unknown",
@@ -460,6 +476,10 @@
        {"store_lost", failing_since_ == absl::InfiniteFuture() ? "no" : "yes"},
        {"stood_still", stood_still_ ? "yes" : "no"},
        {"jobs", absl::StrCat(scheduler_.figures().jobs)}});
+  // A successor that this leader has not heard of may know the job. The store
+  // tells: it takes an append of this term only while nobody else leads.
+  Await(scheduler_.ConfirmLeadership(), Reply(ClientAnswer::kNoSuchJob),
+        std::move(reply));
 }
 
 void LeaderSession::Await(int64_t batch, ClientReply answer,
@@ -515,23 +535,19 @@
     }
     case ClientCallKind::kCancel: {
       const auto batch = scheduler_.Cancel(call.job, now);
-      if (!batch) {
-        TellUnknownJob(call);
-        return reply(Reply(ClientAnswer::kNoSuchJob));
-      }
+      if (!batch) return DenyOnceConfirmed(call, std::move(reply));
       return Await(*batch, Reply(ClientAnswer::kAccepted), std::move(reply));
     }
     case ClientCallKind::kStatus: {
       const auto state = scheduler_.Status(call.job);
-      if (!state) {
-        TellUnknownJob(call);
-        return reply(Reply(ClientAnswer::kNoSuchJob));
-      }
+      if (!state) return DenyOnceConfirmed(call, std::move(reply));
       ClientReply answer = Reply(ClientAnswer::kState);
       answer.state = JobStateName(*state);
       return reply(std::move(answer));
     }
     case ClientCallKind::kWaiting: {
+      if (now.mono - last_append_sent_ > kWaitingMayBeOld)
+        return reply(Reply(ClientAnswer::kNotTaken, "the count may be old"));
       ClientReply answer = Reply(ClientAnswer::kWaiting);
       const auto waiting = scheduler_.Waiting();
       const auto found = waiting.find(call.queue);
--- a/keelbridge/daemon/leader_session.h
+++ b/keelbridge/daemon/leader_session.h
@@ -103,6 +103,8 @@
 
   void Fence();
   void LoadJobs(const std::string& after);
+  // Goes on after `page`, which was read after the key `after`.
+  void LoadJobsAfter(const NewestReply& page, const std::string& after);
   void LearnWorkers(const std::string& after);
   void Activate();
   void ArmTick();
@@ -125,8 +127,10 @@
   void PublishFigures();
   void DropEarlyCalls(absl::Time until);
   void SweepEarlyCalls();
-  // Writes down that a job is denied, with what that rests on.
-  void TellUnknownJob(const ClientCall& call) const;
+  // Says that there is no such job once the store has confirmed, after the
+  // call, that this node still leads.
+  void DenyOnceConfirmed(const ClientCall& call,
+                         std::function<void(ClientReply)> reply);
   // Writes down when the stream does not end where this leader's records put
   // its end: some are missing, or another wrote after the fence.
   void CheckEnd(const AppendReply& reply);
--- a/keelbridge/daemon/site_node_clients.cc
+++ b/keelbridge/daemon/site_node_clients.cc
@@ -26,6 +26,8 @@
 // The same, once the leader is known to be out of reach.
 constexpr absl::Duration kKnownLeaderlessPatience = absl::Milliseconds(150);
 constexpr absl::Duration kRetryAfter = absl::Seconds(1);
+// Bytes of a path in a log line: enough for a prefix and a job's id.
+constexpr size_t kMostLoggedPath = 128;
 
 ClientAnswer AnswerOf(const Error& error) {
   return error.code == ErrorCode::kNotFound ? ClientAnswer::kNoSuchQueue
@@ -59,13 +61,22 @@
   }
   auto call = ports_.dialect->ParseClientCall(request, *configuration_);
   if (!call) {
-    LogEvent(Severity::kInfo, "call_not_understood",
-             {{"method", request.method},
-              {"path", request.path},
-              {"why", call.error().message},
-              {"configuration", absl::StrCat(configuration_->version)}});
     refused.answer = AnswerOf(call.error());
     refused.message = call.error().message;
+    // The queue may have been added since: what is too old denies nothing.
+    if (refused.answer == ClientAnswer::kNoSuchQueue &&
+        !configuration_freshness_.MayDeny(SystemNow().mono)) {
+      refused.answer = ClientAnswer::kNotTaken;
+      refused.message = "no such queue in a configuration that may be old";
+      refused.retry_after = kRetryAfter;
+    }
+    LogEvent(Severity::kInfo, "call_denied",
+             {{"method", request.method},
+              {"host", FindHeader(request.headers, "Host")},
+              {"path", request.path.substr(0, kMostLoggedPath)},
+              {"why", refused.message},
+              {"configuration_version", absl::StrCat(configuration_version())},
+              {"unconfirmed_ms", UnconfirmedText()}});
     return reply(ports_.dialect->FormatReply(refused));
   }
   auto forward = std::make_shared<Forward>();
