--- a/testing/site_stale_knowledge_test.cc
+++ b/testing/site_stale_knowledge_test.cc
@@ -6,6 +6,7 @@
 #include <csignal>
 #include <string>
 
+#include "absl/strings/str_cat.h"
 #include "absl/time/clock.h"
 #include "testing/support/site_cell.h"
 
@@ -56,6 +57,40 @@
   CHECK(AwaitAllUse(cell, 2));
 }
 
+// About 100 KB: seven pieces through a proxy that holds each for 0.2 s.
+std::string LargeConfiguration(int64_t version) {
+  std::string out =
+      absl::StrCat(R"({"version":)", version,
+                   R"(,"services":[{"name":"desk"}],"routes":[)"
+                   R"({"name":"r-restore","host":"desk.example",)"
+                   R"("pathPrefix":"/restore/","service":"desk"})");
+  for (int i = 0; i < 1200; ++i) {
+    absl::StrAppend(&out, R"(,{"name":"r-)", i,
+                    R"(","host":"desk.example","pathPrefix":"/more/)", i,
+                    R"(/","service":"desk"})");
+  }
+  return out + "]}";
+}
+
+TEST_CASE(
+    "stale knowledge: a large configuration that was missed comes over slow "
+    "links") {
+  SiteCell cell(WithProxies());
+  REQUIRE(cell.AwaitReady(kNodes));
+  for (int i = 0; i < kNodes; ++i)
+    cell.SetStoreProxy(i, FaultProxy::Mode::kSilent);
+  absl::SleepFor(absl::Milliseconds(300));
+  cell.WithPlatform([](SitePlatform& platform) {
+    platform.store().Put("keyed.op", "config", LargeConfiguration(2));
+  });
+  absl::SleepFor(absl::Seconds(2));
+  for (int i = 0; i < kNodes; ++i) {
+    cell.HealStoreProxyQuietly(i);
+    cell.SetStoreProxy(i, FaultProxy::Mode::kDelay);
+  }
+  CHECK(AwaitAllUse(cell, 2));
+}
+
 constexpr char kTwoRoutes[] =
     R"({"version":2,"routes":[
       {"name":"r-restore","host":"desk.example","pathPrefix":"/restore/",
