Large configurations come over slow links, from the store rather than from the leader, and are looked up by index

Cause: reads of the configuration had 0.6 to 1 s, less than 700 KB take over 10 Mbit/s beside other traffic; such a read failed again and again, and several at a time shared the link. Nodes that were behind all fetched the document from the leader. Each look-up of a queue went through all of them, for every call and every waiting step. Ruled out: more reads at a time, sooner (they would slow each other down). The cost of look-ups was not measured apart.

--- a/keelbridge/daemon/site_node.h
+++ b/keelbridge/daemon/site_node.h
@@ -118,6 +118,9 @@
   // Asks the store whether the version in force is still the newest, when
   // nothing has told so for a while.
   void CheckConfiguration();
+  void AskForConfiguration();
+  // A peer has a newer one: from the store, or from the peer without it.
+  void CatchUpWithConfiguration(const std::string& peer);
   void OnConfigurationChecked(const ReadReply& reply, int64_t from,
                               absl::Time sent);
   void TakeConfigurationRecords(const std::vector<Record>& records);
@@ -153,6 +156,7 @@
   std::shared_ptr<const SiteConfiguration> configuration_;
   int64_t configuration_next_ = -1;  // Offset to follow from; -1: read anew.
   bool fetching_configuration_ = false;
+  bool checking_configuration_ = false;
   Freshness configuration_freshness_{Freshness::Options()};
   // It is read anew, now or after a pause. Nothing else starts a poll then, so
   // that there is one loop.
--- a/keelbridge/daemon/site_node_configuration.cc
+++ b/keelbridge/daemon/site_node_configuration.cc
@@ -11,13 +11,14 @@
 namespace keelbridge {
 namespace {
 
-constexpr absl::Duration kReadTimeout = absl::Milliseconds(1000);
+// Of what may carry a whole configuration. One of 700 KB (2,800 queues) takes
+// 0.6 s on a link of 10 Mbit/s that carries nothing else, the slowest that
+// nodes have. Its loss must still be found well within the 5 s that the users
+// bear after an outage (3 s until a node counts as in touch, 2 s to apply).
+constexpr absl::Duration kTransferTimeout = absl::Milliseconds(2500);
 constexpr absl::Duration kFollowWait = absl::Seconds(20);
 constexpr absl::Duration kFollowTimeout = absl::Seconds(22);
 constexpr absl::Duration kRetry = absl::Milliseconds(300);
-// Of a read that does not wait. Several tries fit into the 2 s within which a
-// configuration is to be in force.
-constexpr absl::Duration kCheckTimeout = absl::Milliseconds(600);
 // Ages are told to peers in whole milliseconds, rounded up, and bounded.
 constexpr absl::Duration kAgeUnit = absl::Milliseconds(1);
 constexpr absl::Duration kOldestTold = absl::Hours(1);
@@ -32,7 +33,7 @@
 void SiteNode::ReadConfigurationAfter(const std::string& key, absl::Time begun,
                                       int64_t end) {
   ports_.store->Newest(
-      Stream::kConfiguration, key, kReadTimeout,
+      Stream::kConfiguration, key, kTransferTimeout,
       [this, key, begun, end](const NewestReply& r) {
         if (r.result != StoreResult::kDone || (r.more && r.records.empty())) {
           OnConfigurationReadFailed("newest", r.result, r.message);
@@ -71,15 +72,24 @@
 }
 
 void SiteNode::CheckConfiguration() {
-  if (reading_configuration_) return;
-  const absl::Time sent = SystemNow().mono;
+  const absl::Time now = SystemNow().mono;
   const bool leads = session_ != nullptr && !session_->ended();
   const auto role =
       leads ? Freshness::Role::kSource : Freshness::Role::kFollower;
-  if (!configuration_freshness_.AskDue(role, sent)) return;
+  // One at a time: several would share the link and all be too late.
+  if (reading_configuration_ || checking_configuration_) return;
+  if (configuration_freshness_.AskDue(role, now)) AskForConfiguration();
+}
+
+void SiteNode::AskForConfiguration() {
+  if (reading_configuration_ || checking_configuration_) return;
+  checking_configuration_ = true;
+  const absl::Time sent = SystemNow().mono;
   const int64_t from = configuration_next_;
   ports_.store->Read(Stream::kConfiguration, from, absl::ZeroDuration(),
-                     kCheckTimeout, [this, from, sent](const ReadReply& reply) {
+                     kTransferTimeout,
+                     [this, from, sent](const ReadReply& reply) {
+                       checking_configuration_ = false;
                        OnConfigurationChecked(reply, from, sent);
                      });
 }
@@ -124,7 +134,8 @@
 void SiteNode::OnConfigurationOfPeer(const std::string& address,
                                      const Json::Value& in, absl::Time sent) {
   const int64_t version = in["configuration_version"].asInt64();
-  if (version > configuration_version()) return FetchConfiguration(address);
+  if (version > configuration_version())
+    return CatchUpWithConfiguration(address);
   if (version < configuration_version()) return;
   if (!in["configuration_age_ms"].isIntegral()) return;
   // Its age is told after `sent`, so that this is no later than the truth.
@@ -132,6 +143,13 @@
       sent - absl::Milliseconds(in["configuration_age_ms"].asInt64()));
 }
 
+void SiteNode::CatchUpWithConfiguration(const std::string& peer) {
+  // A large one in force everywhere at once would fill the leader's link.
+  const bool ask_store = carrier_.direct() && !configuration_lost_;
+  if (ask_store) return AskForConfiguration();
+  FetchConfiguration(peer);
+}
+
 void SiteNode::OnConfigurationConfirmed(absl::Time at) {
   configuration_freshness_.OnConfirmed(at);
   if (!configuration_lost_) return;
@@ -172,7 +190,8 @@
   if (fetching_configuration_) return;
   fetching_configuration_ = true;
   rpc_.Call(
-      address, "configuration", Json::Value(Json::objectValue), kReadTimeout,
+      address, "configuration", Json::Value(Json::objectValue),
+      kTransferTimeout,
       [this, address](const RpcOutcome& outcome) {
         fetching_configuration_ = false;
         if (outcome.answered && outcome.result["document"].isString())
--- a/keelbridge/daemon/site_node_peers.cc
+++ b/keelbridge/daemon/site_node_peers.cc
@@ -203,7 +203,7 @@
   if (theirs.epoch > election_.leader().epoch)
     election_.OnLeaderHeard(theirs, SystemNow().mono);
   if (params["configuration_version"].asInt64() > configuration_version())
-    FetchConfiguration(params["address"].asString());
+    CatchUpWithConfiguration(params["address"].asString());
   Json::Value out(Json::objectValue);
   out["boot"] = Json::UInt64(boot_);
   out["leads"] = session_ != nullptr && !session_->ended();
--- a/keelbridge/protocol/site_configuration.cc
+++ b/keelbridge/protocol/site_configuration.cc
@@ -1,22 +1,52 @@
 #include "keelbridge/protocol/site_configuration.h"
 
+#include "absl/strings/ascii.h"
 #include "absl/strings/match.h"
 
 namespace keelbridge {
+namespace {
+
+// The better match for `path` of `best`, which may be null, and `queue`.
+const Queue* Longer(const Queue* best, const Queue& queue,
+                    const std::string& path) {
+  if (!absl::StartsWith(path, queue.path_prefix)) return best;
+  const bool longer =
+      best == nullptr || queue.path_prefix.size() > best->path_prefix.size();
+  return longer ? &queue : best;
+}
+
+}  // namespace
+
+void SiteConfiguration::BuildIndex() {
+  by_name_.clear();
+  by_host_.clear();
+  for (size_t i = 0; i < queues.size(); ++i) {
+    by_name_.emplace(queues[i].name, i);  // The first of a name counts.
+    by_host_[absl::AsciiStrToLower(queues[i].host)].push_back(i);
+  }
+}
 
 const Queue* SiteConfiguration::FindQueue(const std::string& host,
                                           const std::string& path) const {
   const Queue* best = nullptr;
-  for (const Queue& queue : queues) {
-    if (!absl::EqualsIgnoreCase(queue.host, host)) continue;
-    if (!absl::StartsWith(path, queue.path_prefix)) continue;
-    if (best == nullptr || queue.path_prefix.size() > best->path_prefix.size())
-      best = &queue;
+  if (by_host_.empty()) {
+    for (const Queue& queue : queues) {
+      if (absl::EqualsIgnoreCase(queue.host, host))
+        best = Longer(best, queue, path);
+    }
+    return best;
   }
+  const auto found = by_host_.find(absl::AsciiStrToLower(host));
+  if (found == by_host_.end()) return nullptr;
+  for (const size_t i : found->second) best = Longer(best, queues[i], path);
   return best;
 }
 
 const Queue* SiteConfiguration::FindQueueByName(const std::string& name) const {
+  if (!by_name_.empty()) {
+    const auto found = by_name_.find(name);
+    return found == by_name_.end() ? nullptr : &queues[found->second];
+  }
   for (const Queue& queue : queues) {
     if (queue.name == name) return &queue;
   }
--- a/keelbridge/protocol/site_configuration.h
+++ b/keelbridge/protocol/site_configuration.h
@@ -10,6 +10,8 @@
 #include <string>
 #include <vector>
 
+#include "absl/container/flat_hash_map.h"
+
 namespace keelbridge {
 
 // The cost and the life of advice on which workers may run a step.
@@ -51,11 +53,20 @@
   RequestLimits limits;
   std::string document;  // As the operator wrote it, to hand on to peers.
 
+  // Makes the look-ups below fast, whatever the number of queues. Call again
+  // after `queues` changed; without it they look at all queues in turn.
+  void BuildIndex();
   // The queue for a request, or null.
   const Queue* FindQueue(const std::string& host,
                          const std::string& path) const;
   const Queue* FindQueueByName(const std::string& name) const;
   const Pool* FindPool(const std::string& name) const;
+
+ private:
+  // Positions in `queues`.
+  absl::flat_hash_map<std::string, size_t> by_name_;
+  absl::flat_hash_map<std::string, std::vector<size_t>> by_host_;  // In lower
+                                                                   // case.
 };
 
 }  // namespace keelbridge
