--- a/testing/fakes/fault_proxy.h
+++ b/testing/fakes/fault_proxy.h
@@ -31,16 +31,20 @@
     kOneWay,  // Requests pass, answers do not.
   };
 
-  FaultProxy(boost::asio::io_context& loop, Address target);
+  // Listens on `listen`; port 0: any that is free.
+  FaultProxy(boost::asio::io_context& loop, Address target,
+             const Address& listen = {"127.0.0.1", 0, ""});
   ~FaultProxy();
   FaultProxy(const FaultProxy&) = delete;
   FaultProxy& operator=(const FaultProxy&) = delete;
 
   const Address& address() const { return address_; }
-  // Harms what passes from now on. A connection on which something was dropped
-  // stays open and says nothing further, also after `kPass`: whoever waits on
-  // it must find out by itself. Connections that were quiet go on.
+  // Passing again ends the connections that are open, so that both sides learn
+  // at once that something went wrong on them.
   void SetMode(Mode mode, absl::Duration delay = absl::Milliseconds(200));
+  // Passes again and tells nobody: a connection on which something was dropped
+  // stays open and says nothing more, one on which nothing was goes on.
+  void HealQuietly() { mode_ = Mode::kPass; }
 
  private:
   friend class ProxiedConnection;
