The soak takes a refusal by a node that may be behind for what it is: not an older version, but late if it lasts

Change: a refusal of everything is no step back; that an undisturbed node refuses for longer than 5 s is late, as before. A unit test says both. Ruled out: passing over 503 as no sight; a node that refuses for good would never be found.

--- a/testing/support/configuration_check.cc
+++ b/testing/support/configuration_check.cc
@@ -39,6 +39,9 @@
 std::string ConfigurationCheck::CheckBack(const Sight& sight) {
   Best& best = best_[static_cast<size_t>(sight.node)];
   if (best.life != sight.before.life) best = {sight.before.life, 0};
+  // Refusing because it may be behind is not serving by an older version; it
+  // may not last, which `CheckLate` sees to.
+  if (sight.version == 0) return "";
   if (sight.version < best.version) {
     return absl::StrCat("CONFIG: node ", sight.node, " went back from version ",
                         best.version, " to ", sight.version);
--- a/testing/support/configuration_check.h
+++ b/testing/support/configuration_check.h
@@ -28,7 +28,7 @@
 
   struct Sight {
     int node = 0;
-    int64_t version = 0;      // By which it served; 0: by none.
+    int64_t version = 0;      // By which it served; 0: it refused everything.
     absl::Time asked;         // Before the call was sent.
     NodeTouch::State before;  // The node's state then,
     NodeTouch::State after;   // and when the answer was there.
--- a/testing/support/configuration_check_test.cc
+++ b/testing/support/configuration_check_test.cc
@@ -79,6 +79,21 @@
   CHECK(check.Seen(back).empty());
 }
 
+TEST_CASE(
+    "configuration check: refusing everything is not going back, but late in "
+    "time") {
+  ConfigurationCheck check(1);
+  check.Written(1, At(0));
+  CHECK(check.Seen(Sight(1, 1)).empty());
+  CHECK(check.Seen(Sight(0, 4.9)).empty());
+  CHECK(absl::StrContains(check.Seen(Sight(0, 5.1)), "after version 1"));
+  // It still counts what this life served by before.
+  check.Written(2, At(6));
+  CHECK(check.Seen(Sight(2, 6.1)).empty());
+  CHECK(check.Seen(Sight(0, 6.2, 6)).empty());
+  CHECK(absl::StrContains(check.Seen(Sight(1, 6.3, 6)), "went back"));
+}
+
 TEST_CASE("configuration check: the slowest sight of a change") {
   ConfigurationCheck check(1);
   check.Written(2, At(10));
--- a/testing/support/soak_watch.cc
+++ b/testing/support/soak_watch.cc
@@ -143,6 +143,7 @@
         kVersionPatience);
     const int status = outcome.response ? outcome.response->status : 0;
     if (status == kBadRequest) return version;
+    // It has no configuration, or one that may be old.
     if (status == kUnavailable) return 0;
     if (status != kNotFound) return std::nullopt;
   }
