Failing test: a call late in a planned stop is broken off instead of answered

The node counted itself out of time 0.5 s before its grace ended and left, with calls in flight that were passed on for up to 2.6 s each.

--- a/testing/site_cut_test.cc
+++ b/testing/site_cut_test.cc
@@ -195,5 +195,25 @@
   }
 }
 
+TEST_CASE(
+    "site cut: a call that comes late in a planned stop is answered before the "
+    "process ends") {
+  SiteCell cell(Proxied());
+  REQUIRE(cell.AwaitReady(kNodes));
+  const int node = (cell.Leader() + 1) % kNodes;
+  // Whatever it passes on gets no answer.
+  cell.SetStoreProxy(node, Mode::kSilent);
+  for (int i = 0; i < kNodes; ++i) cell.SetPeerProxy(i, Mode::kSilent);
+  cell.node(node).Signal(SIGTERM);
+  // The grace is 6 s, a call is passed on for up to 2.6 s, and the process ends
+  // 0.5 s before its grace.
+  absl::SleepFor(absl::Milliseconds(3200));
+  const HttpOutcome outcome =
+      cell.Call(node, "POST", 1, SiteCell::OneStep(1, 100));
+  CAPTURE(outcome.message);
+  CHECK(StatusOf(outcome) >= 500);
+  CHECK(cell.node(node).Wait() == 0);
+}
+
 }  // namespace
 }  // namespace keelbridge::testing
