All calls that wait are answered before a planned stop runs out of time; a slow leader is not taken for a silent one

Change: 0.5 s before it leaves, all calls that wait are answered (unknown where they may have run, else not taken, with when to come back), and what comes later is refused at once. Cause (2): counted a heartbeat from when it was sent, which took up to 0.7 s of patience from leaders that answer slowly; what that costs was not measured. Change: only an answer that comes later than its time-out could let it (this process stood still) is passed over.

--- a/keelbridge/coordination/site_election.cc
+++ b/keelbridge/coordination/site_election.cc
@@ -94,8 +94,8 @@
   Follow(leader, now);
 }
 
-void SiteElection::OnHeartbeatAnswered(absl::Time sent) {
-  last_heard_ = std::max(last_heard_, sent);
+void SiteElection::OnHeartbeatAnswered(absl::Time now) {
+  last_heard_ = now;
   leader_gone_ = false;
 }
 
--- a/keelbridge/coordination/site_election.h
+++ b/keelbridge/coordination/site_election.h
@@ -74,9 +74,8 @@
                      absl::Time now);
   // A peer named a leader.
   void OnLeaderHeard(const LeaderRecord& leader, absl::Time now);
-  // The leader answered a heartbeat that was sent then: the answer may have
-  // lain in a socket for long.
-  void OnHeartbeatAnswered(absl::Time sent);
+  // The leader answered a heartbeat in time.
+  void OnHeartbeatAnswered(absl::Time now);
   // The process that leads is not there: its port refused, or another answered.
   void OnLeaderGone(absl::Time now);
   // Peers that were asked then still hear the leader: not suspect for a while.
--- a/keelbridge/daemon/site_node.cc
+++ b/keelbridge/daemon/site_node.cc
@@ -21,6 +21,9 @@
 constexpr absl::Duration kDrainNotice = absl::Milliseconds(2300);
 // Before the grace ends, so that the process ends by itself.
 constexpr absl::Duration kGraceMargin = absl::Milliseconds(500);
+// Before that, all calls that wait are answered: what was read of a client must
+// not end without an answer.
+constexpr absl::Duration kLastAnswersBefore = absl::Milliseconds(500);
 constexpr int kNotFoundStatus = 404;
 constexpr int kUnavailableStatus = 503;
 
@@ -159,7 +162,12 @@
     }
     const bool idle =
         since > kDrainNotice && clients_->InFlight() == 0 && !leads;
-    const bool out_of_time = since > settings_.stop_grace - kGraceMargin;
+    const absl::Duration longest = settings_.stop_grace - kGraceMargin;
+    const bool out_of_time = since > longest;
+    if (since > longest - kLastAnswersBefore && !last_answers_given_) {
+      last_answers_given_ = true;
+      GiveUpAll();
+    }
     if (!idle && !out_of_time) return;
     if (!drained_) return;
     LogEvent(Severity::kInfo, "node_stopped",
--- a/keelbridge/daemon/site_node.h
+++ b/keelbridge/daemon/site_node.h
@@ -13,6 +13,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -73,6 +74,11 @@
   // site_node_clients.cc
   void ServeClient(const ServerRequest& request, EventHttpServer::Reply reply);
   void Try(const std::shared_ptr<Forward>& forward);
+  // Answers the call, unless it was answered before.
+  void Finish(const std::shared_ptr<Forward>& forward,
+              const ClientReply& reply);
+  // Answers all calls that wait: the process is about to end.
+  void GiveUpAll();
   void TryAgain(const std::shared_ptr<Forward>& forward);
   void GiveUp(const std::shared_ptr<Forward>& forward);
 
@@ -189,7 +195,10 @@
   bool leader_accepts_ = false;
   absl::Time leader_answered_ = absl::InfinitePast();
 
+  std::set<std::shared_ptr<Forward>> open_calls_;  // Not answered yet.
+
   bool draining_ = false;
+  bool last_answers_given_ = false;  // Nothing is passed on any more.
   absl::Time drain_begun_ = absl::InfiniteFuture();
   std::function<void()> drained_;
 };
--- a/keelbridge/daemon/site_node_clients.cc
+++ b/keelbridge/daemon/site_node_clients.cc
@@ -59,6 +59,12 @@
     refused.retry_after = kRetryAfter;
     return reply(ports_.dialect->FormatReply(refused));
   }
+  if (last_answers_given_) {
+    refused.answer = ClientAnswer::kNotTaken;
+    refused.message = "this node stops";
+    refused.retry_after = kRetryAfter;
+    return reply(ports_.dialect->FormatReply(refused));
+  }
   auto call = ports_.dialect->ParseClientCall(request, *configuration_);
   if (!call) {
     refused.answer = AnswerOf(call.error());
@@ -126,14 +132,26 @@
                                    {"status", absl::StrCat(response.status)}});
     reply(std::move(response));
   };
+  open_calls_.insert(forward);
   Try(forward);
 }
 
+void SiteNode::Finish(const std::shared_ptr<Forward>& forward,
+                      const ClientReply& reply) {
+  open_calls_.erase(forward);
+  if (forward->reply) std::exchange(forward->reply, nullptr)(reply);
+}
+
+void SiteNode::GiveUpAll() {
+  const auto open = open_calls_;
+  for (const auto& forward : open) GiveUp(forward);
+}
+
 void SiteNode::Try(const std::shared_ptr<Forward>& forward) {
   const absl::Time now = SystemNow().mono;
   if (now >= forward->deadline) return GiveUp(forward);
-  const auto answered = [forward](const ClientReply& reply) {
-    if (forward->reply) std::exchange(forward->reply, nullptr)(reply);
+  const auto answered = [this, forward](const ClientReply& reply) {
+    Finish(forward, reply);
   };
   if (session_ != nullptr && !session_->ended()) {
     if (!session_->active()) return TryAgain(forward);
@@ -208,7 +226,7 @@
             {"leader", election_.leader().node},
             {"epoch", absl::StrCat(election_.leader().epoch)},
             {"answer", unknown ? "unknown" : "not_taken"}});
-  std::exchange(forward->reply, nullptr)(reply);
+  Finish(forward, reply);
 }
 
 }  // namespace keelbridge
--- a/keelbridge/daemon/site_node_peers.cc
+++ b/keelbridge/daemon/site_node_peers.cc
@@ -16,6 +16,8 @@
 namespace {
 
 constexpr absl::Duration kHeartbeatTimeout = absl::Milliseconds(700);
+// A timer may fire this much late on a loaded machine.
+constexpr absl::Duration kLateTimers = absl::Milliseconds(300);
 constexpr absl::Duration kHeartbeatAgain = absl::Milliseconds(40);
 constexpr absl::Duration kPeerFresh = absl::Milliseconds(1500);
 // A peer that nobody heard for this long is forgotten.
@@ -239,7 +241,11 @@
 void SiteNode::OnHeartbeatReply(const RpcOutcome& outcome,
                                 const LeaderRecord& to, absl::Time sent) {
   const absl::Time now = SystemNow().mono;
-  if (!outcome.answered) {
+  // An answer that lay in the socket while this process stood still tells
+  // nothing of now; one that came in time counts from its arrival, so that a
+  // slow leader is not taken for a silent one.
+  const bool in_time = now - sent <= kHeartbeatTimeout + kLateTimers;
+  if (!outcome.answered || !in_time) {
     // A closed port tells that the process is gone; a connection that broke is
     // looked into at once.
     if (outcome.refused && to.epoch == election_.leader().epoch)
@@ -249,7 +255,8 @@
       LogEvent(Severity::kWarning, "leader_silent",
                {{"leader", to.node},
                 {"epoch", absl::StrCat(to.epoch)},
-                {"detail", outcome.error}});
+                {"detail", outcome.answered ? "the answer came too late"
+                                            : outcome.error}});
     }
     return;
   }
@@ -268,9 +275,9 @@
     return;
   }
   if (!in["leads"].asBool()) return;  // It stepped down; silence follows.
-  election_.OnHeartbeatAnswered(sent);
+  election_.OnHeartbeatAnswered(now);
   leader_accepts_ = in["accepts"].asBool();
-  leader_answered_ = sent;
+  leader_answered_ = now;
 }
 
 void SiteNode::AskAdvice(const AskAdviceAction& action,
