A check of the configuration gives up a way that hangs after 0.6 s and takes longer only with each further try

Change: 0.6 s for the first try, twice as long for each further one, up to the 2.5 s that a large configuration may take.

--- a/keelbridge/daemon/site_node.h
+++ b/keelbridge/daemon/site_node.h
@@ -163,6 +163,7 @@
   int64_t configuration_next_ = -1;  // Offset to follow from; -1: read anew.
   bool fetching_configuration_ = false;
   bool checking_configuration_ = false;
+  int failed_checks_ = 0;  // In a row.
   Freshness configuration_freshness_{Freshness::Options()};
   // It is read anew, now or after a pause. Nothing else starts a poll then, so
   // that there is one loop.
--- a/keelbridge/daemon/site_node_configuration.cc
+++ b/keelbridge/daemon/site_node_configuration.cc
@@ -16,6 +16,10 @@
 // nodes have. Its loss must still be found well within the 5 s that the users
 // bear after an outage (3 s until a node counts as in touch, 2 s to apply).
 constexpr absl::Duration kTransferTimeout = absl::Milliseconds(2500);
+// Of the first try of a check: a way that hangs is given up soon. Each further
+// try gets twice as long, up to `kTransferTimeout`, since what it asks for may
+// be large.
+constexpr absl::Duration kFirstCheckTimeout = absl::Milliseconds(600);
 constexpr absl::Duration kFollowWait = absl::Seconds(20);
 constexpr absl::Duration kFollowTimeout = absl::Seconds(22);
 constexpr absl::Duration kRetry = absl::Milliseconds(300);
@@ -86,10 +90,16 @@
   checking_configuration_ = true;
   const absl::Time sent = SystemNow().mono;
   const int64_t from = configuration_next_;
+  const absl::Duration timeout =
+      std::min(kFirstCheckTimeout * (1 << std::min(failed_checks_, 3)),
+               kTransferTimeout);
   ports_.store->Read(Stream::kConfiguration, from, absl::ZeroDuration(),
-                     kTransferTimeout,
-                     [this, from, sent](const ReadReply& reply) {
+                     timeout, [this, from, sent](const ReadReply& reply) {
                        checking_configuration_ = false;
+                       const bool answered =
+                           reply.result == StoreResult::kDone ||
+                           reply.result == StoreResult::kGone;
+                       failed_checks_ = answered ? 0 : failed_checks_ + 1;
                        OnConfigurationChecked(reply, from, sent);
                      });
 }
