--- a/keelbridge/daemon/site_node.h
+++ b/keelbridge/daemon/site_node.h
@@ -124,6 +124,7 @@
   // Asks the store whether the version in force is still the newest, when
   // nothing has told so for a while.
   void CheckConfiguration();
+  // One read that does not wait, unless one is under way.
   void AskForConfiguration();
   // A peer has a newer one: from the store, or from the peer without it.
   void CatchUpWithConfiguration(const std::string& peer);
@@ -140,10 +141,10 @@
                                  const std::string& detail);
   // How long ago the version in force was confirmed to be the newest.
   absl::Duration ConfigurationAge() const;
-  // Adds to `out` what `OnConfigurationOfPeer` reads.
-  void DescribeConfiguration(Json::Value* out) const;
   // The same in milliseconds for log lines; "never" before the first time.
   std::string UnconfirmedText() const;
+  // Adds to `out` what `OnConfigurationOfPeer` reads.
+  void DescribeConfiguration(Json::Value* out) const;
   int64_t configuration_version() const;  // 0: none yet.
 
   boost::asio::io_context& loop_;
