--- a/testing/site_cut_test.cc
+++ b/testing/site_cut_test.cc
@@ -195,5 +195,37 @@
   }
 }
 
+TEST_CASE(
+    "site cut: a call that comes late in a planned stop is answered before the "
+    "process ends") {
+  SiteCell cell(Proxied());
+  REQUIRE(cell.AwaitReady(kNodes));
+  const int node = (cell.Leader() + 1) % kNodes;
+  // Whatever it passes on gets no answer.
+  cell.SetStoreProxy(node, Mode::kSilent);
+  for (int i = 0; i < kNodes; ++i) cell.SetPeerProxy(i, Mode::kSilent);
+  cell.node(node).Signal(SIGTERM);
+  // The grace is 6 s, a call is passed on for up to 2.6 s, and the process ends
+  // 0.5 s before its grace. The first call keeps it until the second comes.
+  std::vector<std::thread> callers;
+  std::vector<int> statuses(2);
+  for (size_t i = 0; i < statuses.size(); ++i) {
+    callers.emplace_back([&cell, &statuses, node, i] {
+      absl::SleepFor(absl::Milliseconds(2000 + 1300 * static_cast<int>(i)));
+      const HttpRequest request{"POST",
+                                kSitePrefix + JobIdText(i + 1),
+                                {{"Host", kSiteHost}},
+                                SiteCell::OneStep(1, 100),
+                                "application/json"};
+      statuses[i] =
+          StatusOf(cell.NewClient(node)->Send(request, absl::Seconds(4)));
+    });
+  }
+  for (std::thread& caller : callers) caller.join();
+  CHECK(statuses[0] >= 500);
+  CHECK(statuses[1] >= 500);
+  CHECK(cell.node(node).Wait() == 0);
+}
+
 }  // namespace
 }  // namespace keelbridge::testing
