--- /dev/null
+++ b/keelbridge/cli/configuration_commands.cc
@@ -0,0 +1,173 @@
+// The commands `check` and `publish`.
+
+#include <algorithm>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "absl/strings/str_cat.h"
+#include "absl/time/clock.h"
+#include "keelbridge/base/clock.h"
+#include "keelbridge/base/json_reader.h"
+#include "keelbridge/cli/command_list.h"
+#include "keelbridge/daemon/node_settings.h"
+#include "keelbridge/daemon/settings.h"
+#include "keelbridge/protocol/configuration.h"
+#include "keelbridge/protocol/intent.h"
+#include "keelbridge/protocol/platform_clients.h"
+#include "keelbridge/state/configuration_state.h"
+
+namespace keelbridge::cli {
+namespace {
+
+// Reads the whole stream; false when the log does not answer.
+bool ReadConfiguration(LogClient& log, absl::Duration timeout,
+                       ConfigurationState& state) {
+  while (true) {
+    Result<LogBatch> batch =
+        log.Read(kConfigurationStream, state.next(), timeout);
+    if (!batch) return false;
+    const bool end = batch.value().records.empty();
+    state.OnBatch(batch.value());
+    if (state.CaughtUp() || end) return true;
+  }
+}
+
+// The slowest of the configuration's entry hosts to have `version` in force, or
+// nothing when time ran out.
+std::optional<absl::Duration> WaitInForce(const Context& context,
+                                          const Configuration& configuration,
+                                          int64_t version) {
+  const absl::Time start = SystemNow().mono;
+  const Json::Value none(Json::objectValue);
+  for (const EntryHostConfig& host : configuration.entry_hosts) {
+    for (const std::string& address : {host.gateway, host.scheduler}) {
+      while (true) {
+        Result<Json::Value> status =
+            CallOne(address, "status", none, absl::Seconds(1));
+        if (status &&
+            status.value()["configuration_version"].asInt64() >= version)
+          break;
+        if (SystemNow().mono - start > context.options.timeout)
+          return std::nullopt;
+        absl::SleepFor(absl::Milliseconds(50));
+      }
+    }
+  }
+  return SystemNow().mono - start;
+}
+
+}  // namespace
+
+int Check(const Context& context, const Words& files) {
+  if (files.empty())
+    return UsageFault(context,
+                      "check FILE...: settings, configurations and intents");
+  int exit_code = kExitOk;
+  for (const std::string& file : files) {
+    Result<std::string> text = ReadFile(file);
+    if (!text) {
+      exit_code = Fail(context, text.error());
+      continue;
+    }
+    const JsonDocument document = JsonDocument::Parse(text.value(), file);
+    std::optional<Error> error;
+    std::string kind;
+    if (document.root().isMember("intents")) {
+      kind = "intents";
+      if (auto read = ParseIntents(text.value(), file); !read)
+        error = read.error();
+    } else if (document.root().isMember("deployment")) {
+      kind = "configuration";
+      if (auto read = ParseConfiguration(text.value(), file); !read)
+        error = read.error();
+    } else if (document.root().isMember("client_listen")) {
+      kind = "node settings";
+      if (auto read = ParseNodeSettings(text.value(), file); !read)
+        error = read.error();
+    } else {
+      kind = "settings";
+      if (auto read = ParseSettings(text.value(), file); !read)
+        error = read.error();
+    }
+    if (error) {
+      exit_code = Fail(context, *error);
+    } else {
+      context.out << file << ": good " << kind << "\n";
+    }
+  }
+  return exit_code;
+}
+
+int Publish(const Context& context, const Words& files) {
+  if (files.size() != 1) return UsageFault(context, "publish FILE");
+  Result<std::string> text = ReadFile(files[0]);
+  if (!text) return Fail(context, text.error());
+  Result<Configuration> configuration =
+      ParseConfiguration(text.value(), files[0]);
+  if (!configuration) return Fail(context, configuration.error());
+  Result<Address> address = ParseAddress(context.options.log);
+  if (!address) return Fail(context, address.error());
+  LogClient log(address.value());
+  ConfigurationState state;
+  if (!ReadConfiguration(log, context.options.timeout, state)) {
+    return Fail(context,
+                MakeError(ErrorCode::kUnavailable,
+                          "the log does not answer; nothing was published",
+                          absl::Seconds(5)));
+  }
+  std::string why;
+  if (state.current().version >= 0 &&
+      !MajoritiesOverlap(state.current(), configuration.value(), &why)) {
+    return Fail(context, MakeError(ErrorCode::kInvalid, why));
+  }
+  const Envelope envelope{
+      {RandomId() >> 1, 1},
+      {ConfigurationEntry{state.current().version, -1, text.value()}}};
+  const std::string record = EnvelopeToText(envelope);
+  // The same envelope again after a lost answer: readers take the first.
+  Result<int64_t> offset =
+      log.Append(kConfigurationStream, record, context.options.timeout);
+  for (int i = 0; !offset && i < 3; ++i)
+    offset = log.Append(kConfigurationStream, record, context.options.timeout);
+  if (!offset) {
+    return Fail(
+        context,
+        MakeError(
+            ErrorCode::kUnknown,
+            "the log's answers were lost; it may be published; publish again, "
+            "which is refused if the first took effect",
+            absl::Seconds(5)));
+  }
+  if (!ReadConfiguration(log, context.options.timeout, state)) {
+    return Fail(
+        context,
+        MakeError(
+            ErrorCode::kUnknown,
+            "appended, but the log does not answer a read; ask with status"));
+  }
+  if (state.current().text != text.value()) {
+    return Fail(
+        context,
+        MakeError(ErrorCode::kStale,
+                  absl::StrCat("another operator published first: version ",
+                               state.current().version,
+                               " is in force; look at it, "
+                               "then publish again")));
+  }
+  const int64_t version = state.current().version;
+  context.out << "accepted as version " << version << "\n";
+  const std::optional<absl::Duration> wait =
+      WaitInForce(context, configuration.value(), version);
+  if (!wait) {
+    context.out << "not yet in force on every entry host; see status\n";
+    return kExitUnavailable;
+  }
+  context.out << "in force on " << configuration.value().entry_hosts.size()
+              << " entry hosts after "
+              << absl::FormatDuration(absl::Floor(*wait, absl::Milliseconds(1)))
+              << "\n";
+  return kExitOk;
+}
+
+}  // namespace keelbridge::cli
--- /dev/null
+++ b/keelbridge/cli/request_command.cc
@@ -0,0 +1,78 @@
+// The command `request`: sends a request as a caller would.
+
+#include <string>
+#include <vector>
+
+#include "keelbridge/base/json_reader.h"
+#include "keelbridge/cli/command_list.h"
+#include "keelbridge/protocol/verdict.h"
+#include "keelbridge/transport/http_client.h"
+#include "keelbridge/transport/trace.h"
+
+namespace keelbridge::cli {
+namespace {
+
+Result<std::string> NewTicket(HttpClient& gateway, absl::Duration timeout) {
+  const HttpOutcome outcome = gateway.Send(
+      {"POST", "/keelbridge/ticket", {}, "", "application/json"}, timeout);
+  if (!outcome.response || outcome.response->status != 201) {
+    return MakeError(ErrorCode::kUnavailable,
+                     "the gateway gave no ticket; nothing was sent");
+  }
+  return JsonDocument::Parse(outcome.response->body, "ticket")
+      .root()["ticket"]
+      .asString();
+}
+
+}  // namespace
+
+int Request(const Context& context, const Words& words) {
+  if (words.size() != 1 || words[0][0] != '/')
+    return UsageFault(context, "request /SERVICE/PATH --gateway=IP:PORT");
+  Result<Address> address = ParseAddress(context.options.gateway);
+  if (!address) return Fail(context, address.error());
+  HttpClient gateway(address.value(), HttpClient::Options());
+  const Span span("cli.request", TraceContext());
+  HttpRequest request{
+      context.options.method, words[0], {}, context.options.body, "text/plain"};
+  request.headers.emplace_back("traceparent", span.context().ToHeader());
+  if (!context.options.key.empty())
+    request.headers.emplace_back(kIdempotencyKeyHeader, context.options.key);
+  std::string ticket = context.options.ticket;
+  if (ticket == "new") {
+    Result<std::string> fresh = NewTicket(gateway, context.options.timeout);
+    if (!fresh) return Fail(context, fresh.error());
+    ticket = fresh.value();
+  }
+  if (!ticket.empty()) request.headers.emplace_back(kTicketHeader, ticket);
+  const HttpOutcome outcome = gateway.Send(request, context.options.timeout);
+  if (!outcome.response) {
+    const Verdict verdict = VerdictOfFailure(outcome.failure);
+    context.out << "no answer: " << VerdictName(verdict) << " ("
+                << outcome.message << ")\n";
+    return verdict == Verdict::kDidNotRun ? kExitUnavailable : kExitMayHaveRun;
+  }
+  const std::string verdict =
+      FindHeader(outcome.response->headers, kVerdictHeader);
+  if (context.options.json) {
+    Json::Value line;
+    line["status"] = outcome.response->status;
+    line["verdict"] = verdict;
+    line["body"] = outcome.response->body;
+    if (!ticket.empty()) line["ticket"] = ticket;
+    PrintJson(context, line);
+  } else {
+    context.out << outcome.response->status << " " << verdict << ": "
+                << outcome.response->body;
+    if (outcome.response->body.empty() || outcome.response->body.back() != '\n')
+      context.out << "\n";
+    const std::string retry =
+        FindHeader(outcome.response->headers, "Retry-After");
+    if (!retry.empty()) context.out << "come back in " << retry << " s\n";
+  }
+  if (verdict == VerdictName(Verdict::kRan)) return kExitOk;
+  return verdict == VerdictName(Verdict::kMayHaveRun) ? kExitMayHaveRun
+                                                      : kExitUnavailable;
+}
+
+}  // namespace keelbridge::cli
