--- a/keelbridge/coordination/job_scheduler_test.cc
+++ b/keelbridge/coordination/job_scheduler_test.cc
@@ -22,6 +22,12 @@
  public:
   explicit Driver(int64_t epoch, int most_attempts = 2)
       : scheduler_(JobScheduler::Options(), epoch, kBegin) {
+    UseQueue(most_attempts);
+    scheduler_.OnEarlierLeaderStopped(kBegin);
+  }
+
+  // A configuration with one queue, "restore".
+  void UseQueue(int most_attempts) {
     auto configuration = std::make_shared<SiteConfiguration>();
     configuration->version = 1;
     Queue queue;
@@ -30,7 +36,6 @@
     queue.most_attempts = most_attempts;
     configuration->queues.push_back(queue);
     scheduler_.SetConfiguration(configuration);
-    scheduler_.OnEarlierLeaderStopped(kBegin);
   }
 
   JobScheduler& scheduler() { return scheduler_; }
@@ -526,5 +531,51 @@
   CHECK(records.Build().empty());
 }
 
+// The limit of attempts is the configuration's. A leader may hear of ends
+// before it has one that names the queue.
+TEST_CASE(
+    "job scheduler: a job whose attempts are used up does not start when its "
+    "queue becomes known") {
+  Driver site(2);
+  site.Recover(OneTask());
+  site.AddWorker("a");
+  site.AddWorker("b");
+  auto without = std::make_shared<SiteConfiguration>();
+  without->version = 0;
+  site.scheduler().SetConfiguration(without);
+  site.lists["a"].ended = {{1, kTask, 1, RunEnd::kFailed, ""}};
+  site.lists["b"].ended = {{1, kTask, 2, RunEnd::kFailed, ""}};
+  site.RunUntil(absl::Milliseconds(200));
+  CHECK(site.scheduler().Status(kJob) == JobState::kRunning);
+  site.UseQueue(/*most_attempts=*/2);
+  site.RunUntil(absl::Milliseconds(600));
+  CHECK(site.starts.empty());
+  CHECK(site.scheduler().Status(kJob) == JobState::kFailed);
+}
+
+TEST_CASE(
+    "job scheduler: a run that a long list of ends has no room for is not "
+    "missing") {
+  Driver site(1);
+  site.AddWorker("a");
+  site.lists["a"];
+  site.RunUntil(absl::Milliseconds(100));
+  JobSpec spec;
+  spec.steps.push_back(OneTask());
+  site.scheduler().Submit(kJob, "restore", spec, site.now());
+  site.RunUntil(absl::Milliseconds(300));
+  REQUIRE(site.starts.size() == 1);
+  // It has ended, and its end stands behind those that the answer lists.
+  site.lists["a"].running.clear();
+  site.lists["a"].more_ends = true;
+  site.RunUntil(absl::Milliseconds(600));
+  CHECK(site.starts.size() == 1);
+  site.lists["a"].more_ends = false;
+  site.lists["a"].ended = {{1, kTask, 1, RunEnd::kDone, ""}};
+  site.RunUntil(absl::Seconds(1));
+  CHECK(site.scheduler().Status(kJob) == JobState::kCompleted);
+  CHECK(site.starts.size() == 1);
+}
+
 }  // namespace
 }  // namespace keelbridge
--- a/keelbridge/protocol/site_worker.h
+++ b/keelbridge/protocol/site_worker.h
@@ -102,6 +102,8 @@
   OrderReply order;
   std::vector<RunningTask> running;
   std::vector<EndedTask> ended;
+  // The worker may hold more ends than this answer had room for.
+  bool more_ends = false;
 };
 
 // Carries orders to workers. All calls and callbacks on the loop's thread.
