Attempts are counted again when a queue becomes known, and a full list of ends denies nothing

Cause: an unknown queue was taken for one without a limit of attempts, and a run that neither list of a worker names for one that is not there, also when the list of ends was full. Change: the scheduler checks the attempts of all jobs whenever its configuration changes; an answer says whether the worker may hold more ends, and then no run counts as missing. The decoding of a full list in the adapter has no test.

--- a/keelbridge/coordination/job_scheduler.cc
+++ b/keelbridge/coordination/job_scheduler.cc
@@ -227,6 +227,7 @@
 void JobScheduler::SetConfiguration(
     std::shared_ptr<const SiteConfiguration> configuration) {
   configuration_ = std::move(configuration);
+  attempts_unchecked_ = true;
   placement_wanted_ = true;
 }
 
--- a/keelbridge/coordination/job_scheduler.h
+++ b/keelbridge/coordination/job_scheduler.h
@@ -270,6 +270,10 @@
   void OnEnd(Worker& worker, const EndedTask& end, Now now);
   void OnTaskDone(Job& job, const EndedTask& end, Now now);
   void OnTaskFailed(Worker& worker, Job& job, const EndedTask& end, Now now);
+  // Ends jobs that have used up their attempts by the configuration as it is
+  // now: an end may have been heard before the queue was known.
+  void FailUsedUp(Now now);
+  const Queue* QueueOf(const Job& job) const;  // Null: not known.
   void OnRunning(Worker& worker, const RunningTask& running, Now now);
   void OnMissing(Worker& worker, const ObserveReply& reply, absl::Time sent,
                  Now now);
@@ -352,6 +356,8 @@
   std::vector<Worker*> unnoted_workers_;  // With ends that wait to be durable.
   absl::Time next_sweep_ = absl::InfinitePast();
   bool placement_wanted_ = false;
+  // A queue may have become known, or its limit of attempts another.
+  bool attempts_unchecked_ = true;
   absl::Time no_placement_before_ = absl::InfinitePast();
   absl::Time next_placement_ = absl::InfinitePast();
   absl::Time next_housekeeping_ = absl::InfinitePast();
--- a/keelbridge/coordination/job_scheduler_placement.cc
+++ b/keelbridge/coordination/job_scheduler_placement.cc
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <limits>
+#include <utility>
 
 #include "absl/strings/str_cat.h"
 #include "keelbridge/coordination/job_scheduler.h"
@@ -75,7 +76,7 @@
   const int64_t wall_ms = ToMillis(now.wall);
   for (auto& [id, job] : active_) {
     if (job->durable_at_batch > durable_batch_) continue;
-    const Queue* queue = configuration_->FindQueueByName(job->queue);
+    const Queue* queue = QueueOf(*job);
     if (queue == nullptr) continue;
     for (Round& round : job->rounds) {
       for (size_t s = 0; s < round.steps.size(); ++s) {
@@ -124,6 +125,7 @@
 
 void JobScheduler::PlaceAll(Now now) {
   if (configuration_ == nullptr || suspended_) return;
+  if (std::exchange(attempts_unchecked_, false)) FailUsedUp(now);
   std::vector<ReadyStep> ready = CollectReady(now);
   no_placement_before_ = now.mono + kPlacementPause +
                          kPauseOfStep * static_cast<double>(ready.size());
--- a/keelbridge/coordination/job_scheduler_runs.cc
+++ b/keelbridge/coordination/job_scheduler_runs.cc
@@ -81,9 +81,7 @@
   const auto failures = static_cast<int32_t>(failed.size());
   MarkDirty(job);
   if (spec.lasting || job.Ended()) return;
-  const Queue* queue = configuration_ != nullptr
-                           ? configuration_->FindQueueByName(job.queue)
-                           : nullptr;
+  const Queue* queue = QueueOf(job);
   if (queue == nullptr || failures < queue->most_attempts) return;
   EndJob(job, JobState::kFailed,
          absl::StrCat("task ", TaskIdText(end.task), " failed ", failures,
@@ -91,6 +89,39 @@
          now);
 }
 
+const Queue* JobScheduler::QueueOf(const Job& job) const {
+  return configuration_ != nullptr ? configuration_->FindQueueByName(job.queue)
+                                   : nullptr;
+}
+
+void JobScheduler::FailUsedUp(Now now) {
+  const auto used_up = [this](const Job& job) {
+    const Queue* queue = QueueOf(job);
+    if (queue == nullptr) return false;
+    const auto most = static_cast<size_t>(queue->most_attempts);
+    for (const Round& round : job.rounds) {
+      for (const StepState& step : round.steps) {
+        for (const TaskState& task : step.tasks) {
+          const bool open = task.phase != TaskPhase::kDone;
+          // Tasks that last keep no failed runs: they have no limit.
+          if (open && !task.failed_runs.empty() &&
+              task.failed_runs.size() >= most)
+            return true;
+        }
+      }
+    }
+    return false;
+  };
+  std::vector<Job*> failed;
+  for (const auto& [id, job] : active_) {
+    if (used_up(*job)) failed.push_back(job);
+  }
+  for (Job* job : failed) {
+    EndJob(*job, JobState::kFailed,
+           "all attempts of a task had failed before its queue was known", now);
+  }
+}
+
 void JobScheduler::OnEnd(Worker& worker, const EndedTask& end, Now now) {
   const RunKey key{end.task, end.run};
   const auto found = jobs_.find(end.task.job);
@@ -202,7 +233,8 @@
     // that keeps it from starting late, tells that the run is not there.
     const bool told =
         occupant.start_answered < sent || occupant.stop_answered < sent;
-    if (told) missing.push_back(key);
+    // Its end may be one that the answer had no room for.
+    if (told && !reply.more_ends) missing.push_back(key);
   }
   for (const RunKey& key : missing) {
     Explain("run_missing", {{"task", TaskIdText(key.first)},
