--- a/keelbridge/daemon/leader_session_test.cc
+++ b/keelbridge/daemon/leader_session_test.cc
@@ -2,8 +2,15 @@
 
 #include <doctest/doctest.h>
 
+#include <boost/asio/post.hpp>
+#include <map>
 #include <optional>
+#include <set>
+#include <vector>
 
+#include "absl/time/clock.h"
+#include "keelbridge/base/clock.h"
+#include "keelbridge/state/known_workers.h"
 #include "keelbridge/transport/event_timer.h"
 #include "platform/dialect.h"
 #include "testing/fakes/memory_store.h"
@@ -17,15 +24,90 @@
 constexpr JobId kJob = 0x5c0e7a21d94b36f8;
 constexpr char kQueue[] = "r-restore";
 
-// A leader with a connection to the store and nothing else.
+WorkerRecord WorkerWithRoom(const std::string& id) {
+  WorkerRecord record;
+  record.id = id;
+  record.machine = "machine-of-" + id;
+  record.pool = "pool";
+  record.capacity = {8000, 8192, 0};
+  return record;
+}
+
+// Workers that answer at once, or never.
+class FewWorkers : public WorkerOrders {
+ public:
+  explicit FewWorkers(boost::asio::io_context& loop) : loop_(loop) {}
+
+  void Start(const WorkerRecord& worker, const StartOrder& order,
+             std::function<void(OrderReply)> done) override {
+    starts.push_back(order.task);
+    running_[worker.id].push_back({order.task, order.run, "", 0});
+    Answer([done] { done(Done()); });
+  }
+  void Stop(const WorkerRecord&, const StopOrder&,
+            std::function<void(OrderReply)> done) override {
+    Answer([done] { done(Done()); });
+  }
+  void Observe(const WorkerRecord& worker, const ObserveOrder& order,
+               std::function<void(ObserveReply)> done) override {
+    if (order.lease_until_ms > 0) ++leases;
+    if (silent.count(worker.id) > 0) return;
+    ObserveReply reply;
+    reply.order = Done();
+    reply.running = running_[worker.id];
+    RunAfter(loop_, kLook, [reply, done] { done(reply); });
+  }
+  void Forget(const std::string&) override {}
+
+  std::set<std::string> silent;
+  std::vector<TaskId> starts;
+  int leases = 0;  // Looks that extended one.
+
+ private:
+  static constexpr absl::Duration kLook = absl::Milliseconds(20);
+
+  static OrderReply Done() {
+    OrderReply reply;
+    reply.result = OrderResult::kDone;
+    reply.clock_ms = ToMillis(SystemNow().wall);
+    return reply;
+  }
+  void Answer(std::function<void()> answer) {
+    boost::asio::post(loop_, std::move(answer));
+  }
+
+  boost::asio::io_context& loop_;
+  std::map<std::string, std::vector<RunningTask>> running_;  // By worker.
+};
+
+// Reads the record of any worker as one with room in the pool of `OneQueue`.
+class AnyWorkerDialect : public platform::Dialect {
+ public:
+  Result<WorkerRecord> ParseWorkerRecord(const std::string& id,
+                                         const std::string&) const override {
+    return WorkerWithRoom(id);
+  }
+};
+
+// A leader with a connection to the store and, if given, workers.
 class Leader {
  public:
+  struct Parts {
+    RecordStore* store = nullptr;  // Instead of its connection.
+    WorkerOrders* workers = nullptr;
+    JobScheduler::Options scheduler;
+  };
+
   Leader(MemoryStore& store, int64_t epoch, RecordStore* instead = nullptr)
+      : Leader(store, epoch, Parts{instead, nullptr, {}}) {}
+  Leader(MemoryStore& store, int64_t epoch, const Parts& parts)
       : connection_(store), metrics_("test") {
     NodePorts ports;
-    ports.store = instead == nullptr ? &connection_ : instead;
+    ports.store = parts.store == nullptr ? &connection_ : parts.store;
+    ports.workers = parts.workers;
     ports.dialect = &dialect_;
     LeaderSession::Options options;
+    options.scheduler = parts.scheduler;
     options.on_ended = [](const std::string&) {};
     session_ = std::make_shared<LeaderSession>(
         store.loop(), ports, std::move(options), epoch, metrics_);
@@ -50,7 +132,7 @@
 
  private:
   MemoryStoreConnection connection_;
-  platform::Dialect dialect_;
+  AnyWorkerDialect dialect_;
   Metrics metrics_;
   std::shared_ptr<LeaderSession> session_;
 };
@@ -142,12 +224,19 @@
               std::function<void(AppendReply)> done) override {
     (void)timeout;
     const AppendReply reply = store_.Append(order);
-    RunAfter(store_.loop(), late_, [reply, done] { done(reply); });
+    ++open_;
+    RunAfter(store_.loop(), late_, [this, reply, done] {
+      --open_;
+      done(reply);
+    });
   }
+  // Appends that are not answered yet.
+  int open() const { return open_; }
 
  private:
   MemoryStore& store_;
   const absl::Duration late_;
+  int open_ = 0;
 };
 
 TEST_CASE(
@@ -174,5 +263,124 @@
   CHECK(state == ClientAnswer::kUnknown);
 }
 
+// What a leader before this one kept: a job of one task, and a worker that it
+// may run on.
+void KeepJobAndWorker(MemoryStore& store, const std::string& worker) {
+  JobSpec spec;
+  spec.steps.emplace_back();
+  spec.steps[0].need = {1000, 1024, 0};
+  AppendOrder order;
+  order.stream = Stream::kJobs;
+  order.records = {DescriptionRecord(Job(kJob, kQueue, spec, 0)),
+                   KnownWorkerRecord(WorkerWithRoom(worker))};
+  store.Append(order);
+}
+
+std::shared_ptr<const SiteConfiguration> OneQueue() {
+  auto configuration = std::make_shared<SiteConfiguration>();
+  configuration->version = 1;
+  Queue queue;
+  queue.name = kQueue;
+  queue.pool = "pool";
+  queue.most_attempts = 2;
+  configuration->queues.push_back(queue);
+  return configuration;
+}
+
+// The platform lists a worker.
+void List(MemoryStore& store, const std::string& worker) {
+  AppendOrder order;
+  order.stream = Stream::kWorkers;
+  order.records = {{worker, "any"}};
+  store.Append(order);
+}
+
+// A leader before this one gives leases until it is fenced, however long that
+// takes: what may run on a worker that nobody reaches counts from there.
+TEST_CASE(
+    "leader session: the last lease of an earlier leader counts from when it "
+    "was fenced") {
+  boost::asio::io_context loop;
+  MemoryStore store(loop);
+  KeepJobAndWorker(store, "gone");
+  List(store, "there");
+  FewWorkers workers(loop);
+  workers.silent = {"gone"};
+  MemoryStoreConnection connection(store);
+  connection.SetSilent(true);
+  Leader::Parts parts;
+  parts.store = &connection;
+  parts.workers = &workers;
+  parts.scheduler.lease = absl::Milliseconds(500);
+  parts.scheduler.earlier_leader_bound = absl::Milliseconds(2600);
+  Leader leader(store, 2, parts);
+  leader.session().SetConfiguration(OneQueue());
+  RunFor(store, absl::Milliseconds(1500));
+  connection.SetSilent(false);
+  const absl::Time reachable = absl::Now();
+  while (!leader.session().active() &&
+         absl::Now() - reachable < absl::Seconds(2))
+    RunFor(store, absl::Milliseconds(20));
+  REQUIRE(leader.session().active());
+  // The fence came after `reachable`.
+  while (absl::Now() - reachable < absl::Milliseconds(3000))
+    RunFor(store, absl::Milliseconds(20));
+  CHECK(workers.starts.empty());
+  RunFor(store, absl::Seconds(3));
+  CHECK(workers.starts.size() == 1);
+}
+
+// An answer that lay in the socket while this process stood still tells of the
+// time before: meanwhile another may have begun to lead.
+TEST_CASE(
+    "leader session: after a standstill an append from before it confirms "
+    "nothing") {
+  boost::asio::io_context loop;
+  MemoryStore store(loop);
+  List(store, "there");
+  FewWorkers workers(loop);
+  LateAnswers late(store, absl::Milliseconds(400));
+  Leader::Parts parts;
+  parts.store = &late;
+  parts.workers = &workers;
+  Leader former(store, 1, parts);
+  former.session().SetConfiguration(OneQueue());
+  RunFor(store, absl::Milliseconds(600));
+  REQUIRE(former.session().active());
+  while (late.open() == 0) RunFor(store, absl::Milliseconds(10));
+  absl::SleepFor(absl::Milliseconds(1800));  // Its process stands still,
+  AppendOrder fence;                         // another leads meanwhile,
+  fence.stream = Stream::kJobs;
+  fence.writer = WriterEpoch{"leader", 2, 0};
+  store.Append(fence);
+  const int leases = workers.leases;
+  RunFor(store, absl::Milliseconds(300));  // and it goes on.
+  CHECK(workers.leases == leases);
+}
+
+// A record that cannot be read still tells that there is such a job.
+TEST_CASE("leader session: a job whose record cannot be read is not denied") {
+  boost::asio::io_context loop;
+  MemoryStore store(loop);
+  AppendOrder order;
+  order.stream = Stream::kJobs;
+  order.records = {{DescriptionKey(kJob), "not a description"}};
+  store.Append(order);
+  Leader leader(store, 1);
+  RunFor(store, absl::Milliseconds(100));
+  REQUIRE(leader.session().active());
+  std::optional<ClientAnswer> state;
+  std::optional<ClientAnswer> cancelled;
+  std::optional<ClientAnswer> taken;
+  leader.Ask(ClientCallKind::kStatus, &state);
+  leader.Ask(ClientCallKind::kCancel, &cancelled);
+  leader.Ask(ClientCallKind::kSubmit, &taken);
+  RunFor(store, absl::Milliseconds(300));
+  CHECK(state == ClientAnswer::kNotTaken);
+  CHECK(cancelled == ClientAnswer::kNotTaken);
+  // It was accepted once, so that it may have run.
+  CHECK(taken == ClientAnswer::kUnknown);
+}
+
 }  // namespace
 }  // namespace keelbridge
