Leases of earlier leaders count from the fence, a standstill ends with a new append, an unreadable record denies nothing

Change: the scheduler is told when the fence was answered; an append confirms after a standstill only when it was sent after it; jobs with a record that cannot be read are known by their ids: their state gets 503, a submission of them is answered as unknown, and they are neither run nor taken anew. Beside it: periodic duties (election, heartbeats, checks, the leader's tick) are due again also when a turn throws; before, one exception ended the duty while the process served on (no test: nothing is known that throws).

--- a/keelbridge/coordination/job_scheduler.cc
+++ b/keelbridge/coordination/job_scheduler.cc
@@ -231,7 +231,13 @@
   placement_wanted_ = true;
 }
 
+void JobScheduler::OnFenced(absl::Time now) {
+  if (earlier_leader_stopped_) return;
+  earlier_leader_until_ = now + options_.earlier_leader_bound;
+}
+
 void JobScheduler::OnEarlierLeaderStopped(absl::Time since) {
+  earlier_leader_stopped_ = true;
   if (since >= earlier_leader_until_) return;
   earlier_leader_until_ = since;
   placement_wanted_ = true;
--- a/keelbridge/coordination/job_scheduler.h
+++ b/keelbridge/coordination/job_scheduler.h
@@ -129,6 +129,9 @@
   // How late its driver's loop is: a leader that cannot keep up starts less at
   // a time, so that what is under way is still answered in time.
   void SetLag(absl::Duration lag) { lag_ = lag; }
+  // Earlier leaders were fenced in the store: how long one that cannot be
+  // reached may go on giving leases counts from here, not from the claim.
+  void OnFenced(absl::Time now);
   // The leader before this one gives no more orders since `since`.
   void OnEarlierLeaderStopped(absl::Time since);
   void OnWorkerRecord(const WorkerRecord& record, Now now);
@@ -348,6 +351,7 @@
   std::vector<std::string> dropped_keys_;
 
   absl::Time earlier_leader_until_;
+  bool earlier_leader_stopped_ = false;  // It, or somebody who knows, said so.
   bool fenced_ = false;
   bool suspended_ = false;
   absl::Duration lag_;
--- a/keelbridge/daemon/leader_session.cc
+++ b/keelbridge/daemon/leader_session.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "absl/cleanup/cleanup.h"
 #include "absl/strings/str_cat.h"
 #include "keelbridge/base/logging.h"
 #include "keelbridge/state/known_workers.h"
@@ -113,6 +114,7 @@
           self->last_append_sent_ = sent;
           self->stream_end_ = reply.end;
           self->load_begun_ = SystemNow().mono;
+          self->scheduler_.OnFenced(self->load_begun_);
           self->phase_ = Phase::kLoading;
           return self->LoadJobs("");
         }
@@ -162,6 +164,7 @@
                   {"fence_end", absl::StrCat(self->stream_end_)},
                   {"stream_end", absl::StrCat(reply.end)},
                   {"took_ms", absl::StrCat(absl::ToInt64Milliseconds(took))}});
+        self->unreadable_jobs_ = self->records_.unreadable_jobs();
         self->records_ = JobRecords();
         self->scheduler_.Load(std::move(jobs), self->known_workers_,
                               SystemNow());
@@ -261,8 +264,11 @@
       [self = shared_from_this()](boost::system::error_code error) {
         if (error || self->ended()) return;
         self->TakeLag(self->tick_timer_.expiry());
+        // Also when this turn throws: the next one is due all the same.
+        const auto next_tick = absl::MakeCleanup([&self] {
+          if (!self->ended()) self->ArmTick();
+        });
         self->Pump();
-        self->ArmTick();
       });
 }
 
@@ -292,7 +298,9 @@
     LogEvent(Severity::kWarning, "stood_still",
              {{"ms", absl::StrCat(
                          absl::ToInt64Milliseconds(now.mono - last_tick_))}});
-    stood_still_ = true;  // Until the store confirms this leader.
+    // Until the store confirms this leader by an append that is sent now.
+    stood_still_ = true;
+    stood_still_until_ = now.mono;
   }
   last_tick_ = now.mono;
   const bool bound_passed =
@@ -445,7 +453,7 @@
     return End("the store does not hold what this leader appended");
   append_latency_ += kLatencyWeight * (now.mono - sent - append_latency_);
   last_append_sent_ = sent;
-  stood_still_ = false;
+  if (sent >= stood_still_until_) stood_still_ = false;
   metrics_.Observe("append_seconds", {},
                    absl::ToDoubleSeconds(now.mono - sent));
   flight_->begin += flight_->count;
@@ -532,9 +540,22 @@
   }
 }
 
+ClientReply LeaderSession::AnswerOfUnreadable(const ClientCall& call) const {
+  LogEvent(Severity::kError, "job_unreadable",
+           {{"job", JobIdText(call.job)}, {"epoch", absl::StrCat(epoch_)}});
+  const char* why = "the records of this job cannot be read";
+  // It was accepted once, so that it may have run.
+  return call.kind == ClientCallKind::kSubmit
+             ? Reply(ClientAnswer::kUnknown, why)
+             : NotTaken(why);
+}
+
 void LeaderSession::Handle(const ClientCall& call,
                            std::function<void(ClientReply)> reply) {
   const Now now = SystemNow();
+  const bool names_job = call.kind != ClientCallKind::kWaiting;
+  if (names_job && unreadable_jobs_.count(call.job) > 0)
+    return reply(AnswerOfUnreadable(call));
   switch (call.kind) {
     case ClientCallKind::kSubmit: {
       const bool known = scheduler_.Status(call.job).has_value();
--- a/keelbridge/daemon/leader_session.h
+++ b/keelbridge/daemon/leader_session.h
@@ -131,6 +131,9 @@
   // call, that this node still leads.
   void DenyOnceConfirmed(const ClientCall& call,
                          std::function<void(ClientReply)> reply);
+  // What is said of a job some record of which cannot be read: neither that
+  // there is none, nor how far it is.
+  ClientReply AnswerOfUnreadable(const ClientCall& call) const;
   // Whether the stream ends where this leader's records put its end; if not,
   // some are missing, or another wrote after the fence.
   bool EndsAsExpected(const AppendReply& reply);
@@ -143,6 +146,7 @@
   JobScheduler scheduler_;
   Phase phase_ = Phase::kFencing;
   JobRecords records_;
+  std::set<JobId> unreadable_jobs_;
   absl::Time load_begun_ = absl::InfinitePast();
   int64_t pages_loaded_ = 0;
   int64_t records_loaded_ = 0;
@@ -171,6 +175,7 @@
   absl::Time last_tick_ = absl::InfinitePast();
   absl::Time next_figures_ = absl::InfinitePast();
   bool stood_still_ = false;
+  absl::Time stood_still_until_ = absl::InfinitePast();  // The last time.
   absl::Duration longest_lag_;  // Since the last figures.
 };
 
--- a/keelbridge/daemon/site_node.cc
+++ b/keelbridge/daemon/site_node.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "absl/cleanup/cleanup.h"
 #include "absl/strings/str_cat.h"
 #include "keelbridge/base/logging.h"
 #include "keelbridge/transport/trace.h"
@@ -59,11 +60,14 @@
   auto timer = std::make_shared<boost::asio::steady_timer>(loop_);
   auto run = std::make_shared<std::function<void()>>();
   *run = [timer, period, step = std::move(step), run] {
-    step();
-    timer->expires_after(absl::ToChronoNanoseconds(period));
-    timer->async_wait([run](boost::system::error_code error) {
-      if (!error) (*run)();
+    // Also when the step throws: the duty goes on with its next turn.
+    const auto next_turn = absl::MakeCleanup([&timer, &period, &run] {
+      timer->expires_after(absl::ToChronoNanoseconds(period));
+      timer->async_wait([run](boost::system::error_code error) {
+        if (!error) (*run)();
+      });
     });
+    step();
   };
   (*run)();
 }
--- a/keelbridge/state/job_table.cc
+++ b/keelbridge/state/job_table.cc
@@ -231,6 +231,7 @@
   const JsonDocument document = JsonDocument::Parse(*record.value, record.key);
   if (!document.faults().empty()) {
     ++unreadable_;
+    unreadable_jobs_.insert(id);
     return;
   }
   map[id] = document.root();
@@ -239,6 +240,7 @@
 JobTable JobRecords::Build() const {
   JobTable jobs;
   for (const auto& [id, value] : descriptions_) {
+    if (unreadable_jobs_.count(id) > 0) continue;
     auto job = std::make_unique<Job>(id, value["queue"].asString(),
                                      JobSpecFromJson(value),
                                      value["accepted_ms"].asInt64());
@@ -251,7 +253,7 @@
   }
   // Jobs that have ended keep only their progress.
   for (const auto& [id, value] : progress_) {
-    if (jobs.count(id) > 0 ||
+    if (jobs.count(id) > 0 || unreadable_jobs_.count(id) > 0 ||
         StateFrom(value["end"].asString()) == JobState::kQueued)
       continue;
     auto job = std::make_unique<Job>(id, value["queue"].asString(), JobSpec(),
--- a/keelbridge/state/job_table.h
+++ b/keelbridge/state/job_table.h
@@ -17,6 +17,7 @@
 #include <deque>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -128,16 +129,19 @@
 // Records in any order, before `BuildJobs`.
 class JobRecords {
  public:
-  // Takes one record; one that cannot be read is counted and passed over.
+  // Takes one record; one that cannot be read is counted, and its job is known
+  // by its id only.
   void Add(const Record& record);
-  // The jobs that the records describe.
+  // The jobs that the records describe, but for those in `unreadable_jobs`.
   JobTable Build() const;
   int64_t unreadable() const { return unreadable_; }
+  const std::set<JobId>& unreadable_jobs() const { return unreadable_jobs_; }
 
  private:
   std::map<JobId, Json::Value> descriptions_;
   std::map<JobId, Json::Value> progress_;
   int64_t unreadable_ = 0;
+  std::set<JobId> unreadable_jobs_;
 };
 
 }  // namespace keelbridge
