--- a/testing/fakes/fault_proxy.cc
+++ b/testing/fakes/fault_proxy.cc
@@ -30,7 +30,7 @@
                            static_cast<unsigned short>(proxy_->target_.port));
     server_.async_connect(
         to, [self = shared_from_this()](boost::system::error_code e) {
-          if (e) return self->Close(false);
+          if (e && !self->silenced_) return self->Close(false);
           self->Pump(self->client_, self->server_, &self->up_, false);
           self->Pump(self->server_, self->client_, &self->down_, true);
         });
@@ -46,6 +46,8 @@
   }
 
   void Orphan() { proxy_ = nullptr; }
+  void Silence() { silenced_ = true; }
+  bool silenced() const { return silenced_; }
 
  private:
   using Piece = std::array<char, kPieceBytes>;
@@ -55,11 +57,23 @@
         boost::asio::buffer(*piece),
         [self = shared_from_this(), &from, &to, piece, answers](
             boost::system::error_code error, size_t bytes) {
+          if (self->silenced_)
+            return self->Discard(from, to, piece, answers, error);
           if (error) return self->Close(false);
           self->Pass(from, to, piece, bytes, answers);
         });
   }
 
+  // Takes what a side of a silenced connection sends, and its end, and tells
+  // the other side nothing.
+  void Discard(Tcp::socket& from, Tcp::socket& to, Piece* piece, bool answers,
+               boost::system::error_code error) {
+    if (!error && proxy_ != nullptr) return Pump(from, to, piece, answers);
+    boost::system::error_code ignored;
+    from.close(ignored);
+    if (!to.is_open() || proxy_ == nullptr) Close(false);
+  }
+
   void Pass(Tcp::socket& from, Tcp::socket& to, Piece* piece, size_t bytes,
             bool answers) {
     if (proxy_ == nullptr) return Close(false);
@@ -76,10 +90,12 @@
         proxy_->loop_, absl::ToChronoNanoseconds(delay));
     timer->async_wait([self = shared_from_this(), timer, &from, &to, piece,
                        bytes, answers](boost::system::error_code) {
+      if (self->silenced_) return self->Pump(from, to, piece, answers);
       boost::asio::async_write(to, boost::asio::buffer(piece->data(), bytes),
                                [self, &from, &to, piece, answers](
                                    boost::system::error_code error, size_t) {
-                                 if (error) return self->Close(false);
+                                 if (error && !self->silenced_)
+                                   return self->Close(false);
                                  self->Pump(from, to, piece, answers);
                                });
     });
@@ -90,6 +106,7 @@
   Tcp::socket server_;
   Piece up_;
   Piece down_;
+  bool silenced_ = false;
 };
 
 FaultProxy::FaultProxy(boost::asio::io_context& loop, Address target,
@@ -131,7 +148,13 @@
   delay_ = delay;
   if (mode != Mode::kReset && mode != Mode::kPass) return;
   const auto open = open_;
-  for (const auto& connection : open) connection->Close(mode == Mode::kReset);
+  for (const auto& connection : open) {
+    if (!connection->silenced()) connection->Close(mode == Mode::kReset);
+  }
+}
+
+void FaultProxy::SilenceOpen() {
+  for (const auto& connection : open_) connection->Silence();
 }
 
 }  // namespace keelbridge::testing
--- a/testing/fakes/fault_proxy.h
+++ b/testing/fakes/fault_proxy.h
@@ -45,6 +45,10 @@
   // Passes again and tells nobody: a connection on which something was dropped
   // stays open and says nothing more, one on which nothing was goes on.
   void HealQuietly() { mode_ = Mode::kPass; }
+  // All connections that are open now stay open and say nothing more, in either
+  // direction, for good: neither a mode nor the end of one side ends the other.
+  // New ones pass as the mode says.
+  void SilenceOpen();
 
  private:
   friend class ProxiedConnection;
--- a/testing/fakes/fault_proxy_test.cc
+++ b/testing/fakes/fault_proxy_test.cc
@@ -79,6 +79,33 @@
   CHECK(site.status == 200);
 }
 
+TEST_CASE("fault proxy: what is open goes silent for good, new ones pass") {
+  Site site;
+  site.Send();
+  site.proxy.SilenceOpen();
+  site.waiting({});
+  site.Run();
+  CHECK_FALSE(site.over);
+  CHECK(site.server.Connections() == 1);
+  EventHttpClient other(site.loop, site.proxy.address(),
+                        EventHttpClient::Options());
+  int status = 0;
+  other.Send({"GET", "/", {}, "", ""}, absl::Seconds(5),
+             [&](const HttpOutcome& outcome) {
+               if (outcome.response) status = outcome.response->status;
+             });
+  site.Run();
+  site.waiting({});
+  site.Run();
+  CHECK(status == 200);
+  // No mode ends the silence.
+  site.waiting = nullptr;
+  site.proxy.SetMode(FaultProxy::Mode::kReset);
+  site.Run();
+  CHECK_FALSE(site.over);
+  CHECK(site.server.Connections() == 1);
+}
+
 TEST_CASE("fault proxy: passing again ends what is open") {
   Site site;
   site.Send();
