A request without an answer in time clears the pool of silent connections

Cause: the pool took a kept connection for usable unless it was closed. When all open connections go silent at one moment, each idle one costs one call its whole time-out, one after the other.

Change: after a time-out no connection is used again that has not carried an answer since that request left; idle ones are closed at once. Requests under way on others are not ended: what they carry may have run. Nothing is sent twice. A log line says the address, the idle time and how many were dropped, at most five in ten seconds for a process; the ones left out are counted.

Ruled out: a second, earlier try of a request on another connection. It is safe for reads only, which can name a shorter time themselves.

--- a/keelbridge/transport/event_http_client.cc
+++ b/keelbridge/transport/event_http_client.cc
@@ -2,6 +2,7 @@
 
 #include <netinet/tcp.h>
 
+#include <algorithm>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -12,8 +13,10 @@
 #include <set>
 #include <utility>
 
-#include "absl/time/clock.h"
+#include "absl/strings/str_cat.h"
+#include "absl/synchronization/mutex.h"
 #include "keelbridge/base/clock.h"
+#include "keelbridge/base/logging.h"
 
 namespace keelbridge {
 namespace {
@@ -30,6 +33,52 @@
   return outcome;
 }
 
+// At most so many lines about silent connections in a period: all connections
+// of a process may go silent at one moment.
+constexpr int kMostSilenceLines = 5;
+constexpr absl::Duration kSilenceLinesPeriod = absl::Seconds(10);
+
+// Lines of a period, and those that were left out since the last one.
+struct SilenceLines {
+  absl::Mutex mutex;
+  absl::Time begun = absl::InfinitePast();
+  int written = 0;
+  int64_t left_out = 0;
+};
+
+// The lines that were left out since the last one; none: this one is, too.
+std::optional<int64_t> TakeSilenceLine(absl::Time now) {
+  static SilenceLines& lines = *new SilenceLines();
+  const absl::MutexLock lock(&lines.mutex);
+  if (now - lines.begun >= kSilenceLinesPeriod) {
+    lines.begun = now;
+    lines.written = 0;
+  }
+  if (lines.written >= kMostSilenceLines) {
+    ++lines.left_out;
+    return std::nullopt;
+  }
+  ++lines.written;
+  return std::exchange(lines.left_out, 0);
+}
+
+void LogSilence(const Address& address, absl::Duration waited,
+                std::optional<absl::Duration> idle, size_t dropped) {
+  // An answer that is late on a new connection is its caller's to tell.
+  if (!idle && dropped == 0) return;
+  const auto left_out = TakeSilenceLine(SystemNow().mono);
+  if (!left_out) return;
+  const auto milliseconds = [](absl::Duration time) {
+    return absl::StrCat(absl::ToInt64Milliseconds(time));
+  };
+  LogEvent(Severity::kWarning, "connection_silent",
+           {{"address", address.ToString()},
+            {"waited_ms", milliseconds(waited)},
+            {"idle_before_ms", idle ? milliseconds(*idle) : "new"},
+            {"others_dropped", absl::StrCat(dropped)},
+            {"lines_left_out", absl::StrCat(*left_out)}});
+}
+
 // One request on its way. Its callback is called exactly once.
 struct PendingRequest {
   HttpRequest request;
@@ -50,6 +99,13 @@
   void Send(HttpRequest request, absl::Duration timeout, Callback callback);
   void Release(const std::shared_ptr<EventHttpClientConnection>& connection,
                bool reusable);
+  // A connection gave no byte since `since`, after it had been idle for `idle`
+  // (none: it was new). What has not carried an answer since then may have gone
+  // silent with it, and is not used again.
+  void OnSilent(absl::Time since, std::optional<absl::Duration> idle);
+  bool Doubted(absl::Time last_answer) const {
+    return last_answer < doubted_before_;
+  }
   void Close();
 
   asio::io_context& loop_;
@@ -64,6 +120,7 @@
   std::deque<std::shared_ptr<PendingRequest>> waiting_;
   std::set<std::shared_ptr<EventHttpClientConnection>> busy_;
   std::deque<std::shared_ptr<EventHttpClientConnection>> idle_;
+  absl::Time doubted_before_ = absl::InfinitePast();
 };
 
 // One kept connection.
@@ -77,6 +134,7 @@
   // Whether it can carry another request: open, quiet, and not idle for long.
   bool Usable() {
     if (!stream_.socket().is_open()) return false;
+    if (pool_->Doubted(last_answer_)) return false;
     if (SystemNow().mono - last_used_ > pool_->options_.idle_expiry)
       return false;
     char byte = 0;
@@ -88,7 +146,13 @@
   void Carry(std::shared_ptr<PendingRequest> pending) {
     pending_ = std::move(pending);
     pending_->timer.reset();
-    if (stream_.socket().is_open()) return Write();
+    // Doubt may have come up since it was chosen.
+    if (stream_.socket().is_open() && pool_->Doubted(last_answer_)) Drop();
+    idle_.reset();
+    if (stream_.socket().is_open()) {
+      idle_ = SystemNow().mono - last_used_;
+      return Write();
+    }
     boost::system::error_code error;
     const auto ip = asio::ip::make_address(pool_->address_.ip, error);
     if (error) return Finish(Failure(SendFailure::kNothingSent, "bad address"));
@@ -108,6 +172,13 @@
         });
   }
 
+  void Drop() {
+    stream_.close();
+    buffer_.clear();
+  }
+
+  absl::Time last_answer() const { return last_answer_; }
+
   void Abort() {
     stream_.close();
     if (pending_) Finish(Failure(SendFailure::kMayHaveSent, "client closed"));
@@ -141,12 +212,11 @@
     for (const auto& [name, value] : from.headers) request_.set(name, value);
     request_.body() = from.body;
     request_.prepare_payload();
+    heard_ = SystemNow().mono;
     stream_.expires_after(absl::ToChronoNanoseconds(Remaining()));
     http::async_write(stream_, request_,
                       [self = shared_from_this()](beast::error_code e, size_t) {
-                        if (e)
-                          return self->Finish(Failure(SendFailure::kMayHaveSent,
-                                                      "write: " + e.message()));
+                        if (e) return self->Fail("write: ", e);
                         self->Read();
                       });
   }
@@ -156,13 +226,18 @@
     parser_->body_limit(pool_->options_.most_body_bytes);
     http::async_read(stream_, buffer_, *parser_,
                      [self = shared_from_this()](beast::error_code e, size_t) {
-                       if (e)
-                         return self->Finish(Failure(SendFailure::kMayHaveSent,
-                                                     "read: " + e.message()));
+                       if (e) return self->Fail("read: ", e);
                        self->OnResponse();
                      });
   }
 
+  void Fail(const char* step, beast::error_code error) {
+    const bool silent = error == beast::error::timeout ||
+                        error == boost::asio::error::timed_out;
+    if (silent) pool_->OnSilent(heard_, idle_);
+    Finish(Failure(SendFailure::kMayHaveSent, step + error.message()));
+  }
+
   void OnResponse() {
     auto& message = parser_->get();
     HttpOutcome outcome;
@@ -181,13 +256,13 @@
     const auto pending = std::move(pending_);
     pending_ = nullptr;
     const bool reusable = outcome.response.has_value() && reusable_;
+    last_used_ = SystemNow().mono;
     if (reusable) {
       stream_.expires_never();
+      last_answer_ = last_used_;
     } else {
-      stream_.close();
-      buffer_.clear();
+      Drop();
     }
-    last_used_ = SystemNow().mono;
     pool_->Release(shared_from_this(), reusable);
     pending->callback(std::move(outcome));
   }
@@ -199,6 +274,9 @@
   std::optional<http::response_parser<http::string_body>> parser_;
   std::shared_ptr<PendingRequest> pending_;
   absl::Time last_used_;
+  absl::Time last_answer_ = absl::InfinitePast();
+  absl::Time heard_;                    // When the request left.
+  std::optional<absl::Duration> idle_;  // Before the request; none: it is new.
   bool reusable_ = true;
 };
 
@@ -263,6 +341,17 @@
   Dispatch();
 }
 
+void EventHttpClient::Impl::OnSilent(absl::Time since,
+                                     std::optional<absl::Duration> idle) {
+  doubted_before_ = std::max(doubted_before_, since);
+  const size_t before = idle_.size();
+  const auto doubted = std::remove_if(
+      idle_.begin(), idle_.end(),
+      [this](const auto& kept) { return Doubted(kept->last_answer()); });
+  idle_.erase(doubted, idle_.end());
+  LogSilence(address_, SystemNow().mono - since, idle, before - idle_.size());
+}
+
 void EventHttpClient::Impl::Close() {
   closed_ = true;
   idle_.clear();
--- a/keelbridge/transport/event_http_client.h
+++ b/keelbridge/transport/event_http_client.h
@@ -3,7 +3,9 @@
 // One request at a time on each connection. A request that finds all
 // connections busy waits, within its own time. A connection on which anything
 // went wrong is closed, so a late answer cannot reach another request. The
-// outcome says whether a byte of the request may have left.
+// outcome says whether a byte of the request may have left. Connections may go
+// silent for good, without an end: after a request that got no answer in time
+// no connection is used again that has not carried an answer since it left.
 //
 //   auto client = std::make_shared<EventHttpClient>(loop, address, options);
 //   client->Send(request, absl::Seconds(1), [](HttpOutcome outcome) {
