Failing tests: an answer that makes no progress is given up early

An HTTP request may name a silence beside its time; a read of the store takes both as its patience, and a plain duration is still the whole time. Neither acts yet. The tests beside them pass: an answer that goes on may take its whole time, and ends with it.

--- a/keelbridge/daemon/leader_session_load_test.cc
+++ b/keelbridge/daemon/leader_session_load_test.cc
@@ -26,13 +26,13 @@
     reply.end = end_;
     boost::asio::post(loop_, [done = std::move(done), reply] { done(reply); });
   }
-  void Read(Stream, int64_t, absl::Duration, absl::Duration,
+  void Read(Stream, int64_t, absl::Duration, Patience,
             std::function<void(ReadReply)> done) override {
     ReadReply reply;
     reply.result = StoreResult::kDone;
     boost::asio::post(loop_, [done = std::move(done), reply] { done(reply); });
   }
-  void Newest(Stream stream, const std::string&, absl::Duration,
+  void Newest(Stream stream, const std::string&, Patience,
               std::function<void(NewestReply)> done) override {
     NewestReply reply;
     reply.result = StoreResult::kDone;
--- a/keelbridge/protocol/record_store.h
+++ b/keelbridge/protocol/record_store.h
@@ -87,6 +87,20 @@
   std::string message;
 };
 
+// How long a reader waits for an answer. A plain duration is the whole time.
+struct Patience {
+  // NOLINTNEXTLINE(google-explicit-constructor): most calls name one duration.
+  Patience(absl::Duration total,
+           absl::Duration silence = absl::InfiniteDuration())
+      : total(total), silence(silence) {}
+
+  absl::Duration total;
+  // Without a byte for this long the read is given up; one that goes on
+  // arriving may take all of `total`. Counted beside the time in which the
+  // store itself waits for a record.
+  absl::Duration silence;
+};
+
 // All calls and callbacks on the loop's thread.
 class RecordStore {
  public:
@@ -95,11 +109,10 @@
                       std::function<void(AppendReply)> done) = 0;
   // Records from `from` on; waits up to `wait` for the first one.
   virtual void Read(Stream stream, int64_t from, absl::Duration wait,
-                    absl::Duration timeout,
-                    std::function<void(ReadReply)> done) = 0;
+                    Patience patience, std::function<void(ReadReply)> done) = 0;
   // The newest record of each key after `after_key`, a page at a time.
   virtual void Newest(Stream stream, const std::string& after_key,
-                      absl::Duration timeout,
+                      Patience patience,
                       std::function<void(NewestReply)> done) = 0;
 };
 
--- a/keelbridge/transport/event_http_client_test.cc
+++ b/keelbridge/transport/event_http_client_test.cc
@@ -3,9 +3,15 @@
 #include <doctest/doctest.h>
 
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/streambuf.hpp>
+#include <boost/asio/write.hpp>
 #include <optional>
 #include <vector>
 
+#include "absl/strings/str_cat.h"
 #include "keelbridge/base/clock.h"
 #include "keelbridge/transport/event_http_server.h"
 #include "testing/fakes/fault_proxy.h"
@@ -130,5 +136,123 @@
   CHECK(site.server.Connections() == 1);
 }
 
+// A server that sends an answer piece by piece, by hand.
+class Pieces {
+ public:
+  using Tcp = boost::asio::ip::tcp;
+
+  Pieces(std::vector<absl::Duration> pauses, std::string piece)
+      : pauses_(std::move(pauses)),
+        piece_(std::move(piece)),
+        acceptor_(loop_,
+                  Tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"), 0)),
+        socket_(loop_),
+        timer_(loop_),
+        client_(loop_, {"127.0.0.1", acceptor_.local_endpoint().port(), ""},
+                EventHttpClient::Options()) {
+    acceptor_.async_accept(socket_, [this](boost::system::error_code error) {
+      REQUIRE_FALSE(error);
+      boost::asio::async_read_until(
+          socket_, request_, "\r\n\r\n",
+          [this](boost::system::error_code e, size_t) {
+            if (!e) Next(0);
+          });
+    });
+  }
+
+  HttpOutcome Ask(absl::Duration timeout, absl::Duration silence) {
+    HttpRequest request = Get("/");
+    request.silence = silence;
+    std::optional<HttpOutcome> result;
+    const absl::Time begun = SystemNow().mono;
+    client_.Send(request, timeout,
+                 [&](HttpOutcome outcome) { result = std::move(outcome); });
+    while (!result && SystemNow().mono < begun + absl::Seconds(10)) {
+      loop_.restart();
+      loop_.run_for(std::chrono::milliseconds(2));
+    }
+    took = SystemNow().mono - begun;
+    REQUIRE(result);
+    return *result;
+  }
+
+  absl::Duration took;
+
+ private:
+  // Sends piece `number` after its pause.
+  void Next(size_t number) {
+    if (number == pauses_.size()) return;
+    timer_.expires_after(absl::ToChronoNanoseconds(pauses_[number]));
+    timer_.async_wait([this, number](boost::system::error_code error) {
+      if (error) return;
+      out_ = number == 0 ? absl::StrCat("HTTP/1.1 200 OK\r\nContent-Length: ",
+                                        piece_.size() * (pauses_.size() - 1),
+                                        "\r\n\r\n")
+                         : piece_;
+      boost::asio::async_write(
+          socket_, boost::asio::buffer(out_),
+          [this, number](boost::system::error_code e, size_t) {
+            if (!e) Next(number + 1);
+          });
+    });
+  }
+
+  const std::vector<absl::Duration> pauses_;
+  const std::string piece_;
+  std::string out_;
+  boost::asio::streambuf request_;
+  boost::asio::io_context loop_;
+  Tcp::acceptor acceptor_;
+  Tcp::socket socket_;
+  boost::asio::steady_timer timer_;
+  EventHttpClient client_;
+};
+
+constexpr absl::Duration kSilence = absl::Milliseconds(150);
+constexpr absl::Duration kLong = absl::Seconds(3);
+
+TEST_CASE("event http client: an answer without a byte is given up early") {
+  Pieces server({absl::Seconds(8), absl::Milliseconds(1)}, "body");
+  const HttpOutcome outcome = server.Ask(kLong, kSilence);
+  CHECK_FALSE(outcome.response);
+  CHECK(outcome.failure == SendFailure::kMayHaveSent);
+  CHECK(server.took >= kSilence);
+  CHECK(server.took < 3 * kSilence);
+}
+
+TEST_CASE("event http client: an answer that stops midway is given up early") {
+  const absl::Duration soon = absl::Milliseconds(20);
+  Pieces server({soon, soon, soon, absl::Seconds(8), soon},
+                std::string(2000, 'x'));
+  const HttpOutcome outcome = server.Ask(kLong, kSilence);
+  CHECK_FALSE(outcome.response);
+  CHECK(server.took >= kSilence);
+  CHECK(server.took < 4 * kSilence);
+}
+
+TEST_CASE("event http client: an answer that goes on may take its whole time") {
+  const std::vector<absl::Duration> pauses(20, kSilence / 3);
+  Pieces server(pauses, std::string(2000, 'x'));
+  const HttpOutcome outcome = server.Ask(kLong, kSilence);
+  REQUIRE(outcome.response);
+  CHECK(outcome.response->body == std::string(19 * 2000, 'x'));
+  CHECK(server.took > 5 * kSilence);
+}
+
+TEST_CASE("event http client: a slow answer ends with its time") {
+  const std::vector<absl::Duration> pauses(200, kSilence / 10);
+  Pieces server(pauses, std::string(20, 'x'));
+  const HttpOutcome outcome = server.Ask(2 * kSilence, kSilence);
+  CHECK_FALSE(outcome.response);
+  CHECK(server.took < 4 * kSilence);
+}
+
+TEST_CASE("event http client: without a silence an answer may take its time") {
+  Pieces server({3 * kSilence, kSilence, kSilence}, "body");
+  const HttpOutcome outcome = server.Ask(kLong, absl::InfiniteDuration());
+  REQUIRE(outcome.response);
+  CHECK(outcome.response->body == "bodybody");
+}
+
 }  // namespace
 }  // namespace keelbridge
--- a/keelbridge/transport/http_client.h
+++ b/keelbridge/transport/http_client.h
@@ -35,6 +35,10 @@
   HttpHeaders headers;
   std::string body;
   std::string content_type = "application/json";
+  // `EventHttpClient` gives a request up once its answer has made no progress
+  // for this long, however much of its time is left: no byte since the request
+  // was written, or since the last one came.
+  absl::Duration silence = absl::InfiniteDuration();
 };
 
 struct HttpResponse {
--- a/testing/fakes/memory_store.cc
+++ b/testing/fakes/memory_store.cc
@@ -93,18 +93,19 @@
 }
 
 void MemoryStoreConnection::Read(Stream stream, int64_t from,
-                                 absl::Duration wait, absl::Duration timeout,
+                                 absl::Duration wait, Patience patience,
                                  std::function<void(ReadReply)> done) {
   (void)wait;
   Answer<ReadReply>(
-      timeout, [&] { return store_.Read(stream, from); }, std::move(done));
+      patience.total, [&] { return store_.Read(stream, from); },
+      std::move(done));
 }
 
 void MemoryStoreConnection::Newest(Stream stream, const std::string& after_key,
-                                   absl::Duration timeout,
+                                   Patience patience,
                                    std::function<void(NewestReply)> done) {
   Answer<NewestReply>(
-      timeout, [&] { return store_.Newest(stream, after_key); },
+      patience.total, [&] { return store_.Newest(stream, after_key); },
       std::move(done));
 }
 
--- a/testing/fakes/memory_store.h
+++ b/testing/fakes/memory_store.h
@@ -55,11 +55,9 @@
 
   void Append(const AppendOrder& order, absl::Duration timeout,
               std::function<void(AppendReply)> done) override;
-  void Read(Stream stream, int64_t from, absl::Duration wait,
-            absl::Duration timeout,
+  void Read(Stream stream, int64_t from, absl::Duration wait, Patience patience,
             std::function<void(ReadReply)> done) override;
-  void Newest(Stream stream, const std::string& after_key,
-              absl::Duration timeout,
+  void Newest(Stream stream, const std::string& after_key, Patience patience,
               std::function<void(NewestReply)> done) override;
 
  private:
