An answer that makes no progress is given up after its silence

Cause: a request had one time-out for the whole answer. A time that lets a large answer arrive over a slow link is also the time that a silent connection costs.

Change: the client reads an answer piece by piece; each piece has the rest of the whole time, or the silence that the request names. Without a silence the bound is what it was. Nothing is sent twice, and the outcome still says that the request may have been seen.

--- a/keelbridge/transport/event_http_client.cc
+++ b/keelbridge/transport/event_http_client.cc
@@ -224,11 +224,25 @@
   void Read() {
     parser_.emplace();
     parser_->body_limit(pool_->options_.most_body_bytes);
-    http::async_read(stream_, buffer_, *parser_,
-                     [self = shared_from_this()](beast::error_code e, size_t) {
-                       if (e) return self->Fail("read: ", e);
-                       self->OnResponse();
-                     });
+    parser_->eager(true);  // Header and body as they come.
+    ReadSome();
+  }
+
+  // A time for each piece, so that a silence shows: what is left of the whole,
+  // or the silence that the request bears.
+  void ReadSome() {
+    if (SystemNow().mono >= pending_->deadline)
+      return Fail("read: ", beast::error::timeout);
+    stream_.expires_after(absl::ToChronoNanoseconds(
+        std::min(Remaining(), pending_->request.silence)));
+    http::async_read_some(
+        stream_, buffer_, *parser_,
+        [self = shared_from_this()](beast::error_code e, size_t) {
+          if (e) return self->Fail("read: ", e);
+          self->heard_ = SystemNow().mono;
+          if (!self->parser_->is_done()) return self->ReadSome();
+          self->OnResponse();
+        });
   }
 
   void Fail(const char* step, beast::error_code error) {
