Test on real processes: all that is open goes silent, and nothing is lost

Three nodes, their ways to the store, to peers and to workers. At one moment all open connections go silent for good; new ones pass. Each node must accept a job within 3 s and further ones within 0.8 s each; no accepted job is denied or lost, no lease lapses, and there is at most one claim.

--- a/testing/fakes/site_platform.cc
+++ b/testing/fakes/site_platform.cc
@@ -378,6 +378,10 @@
   slots_[static_cast<size_t>(index)].proxy->SetMode(mode);
 }
 
+void SitePlatform::SilenceOpenToWorkers() {
+  for (Slot& slot : slots_) slot.proxy->SilenceOpen();
+}
+
 void SitePlatform::CrashWorker(int index, absl::Duration down) {
   Slot& slot = slots_[static_cast<size_t>(index)];
   if (!slot.life->alive()) return;
--- a/testing/fakes/site_platform.h
+++ b/testing/fakes/site_platform.h
@@ -57,6 +57,8 @@
   // Puts a proxy before each worker. Call before the first record is read.
   void UseWorkerProxies();
   void SetWorkerProxy(int index, FaultProxy::Mode mode);
+  // The connections that are open to workers go silent for good.
+  void SilenceOpenToWorkers();
   void CrashWorker(int index, absl::Duration down);
   // Lost: the worker carries orders out and does not answer.
   void SetLostOrders(double share) { lost_orders_ = share; }
--- /dev/null
+++ b/testing/site_silence_test.cc
@@ -0,0 +1,137 @@
+// All connections of a site go silent for good at one moment, without an end,
+// while new ones pass: what real processes do then.
+
+#include <doctest/doctest.h>
+
+#include <atomic>
+#include <fstream>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "absl/strings/match.h"
+#include "absl/strings/str_cat.h"
+#include "absl/time/clock.h"
+#include "testing/support/site_cell.h"
+
+namespace keelbridge::testing {
+namespace {
+
+constexpr int kNodes = 3;
+// After a silence every node must accept jobs within this time: a lost try of
+// 1 s, and a leader that is heard of again.
+constexpr absl::Duration kAcceptsWithin = absl::Seconds(3);
+// Then each further one: a call that finds no silent connection takes some
+// 20 ms.
+constexpr absl::Duration kThenWithin = absl::Milliseconds(800);
+constexpr absl::Duration kPause = absl::Milliseconds(30);
+// As many calls at a time as a node keeps connections to a peer.
+constexpr int kCallers = 10;
+constexpr int kFurtherCalls = 12;
+constexpr int kLongMs = 9000;  // Longer than a lease of 6 s.
+constexpr int kShortMs = 100;
+
+SiteCell::Options WithProxies() {
+  SiteCell::Options options;
+  options.nodes = kNodes;
+  options.proxies = true;
+  return options;
+}
+
+int StatusOf(const HttpOutcome& outcome) {
+  return outcome.response ? outcome.response->status : 0;
+}
+
+// Jobs that were handed in at a site, each of one task.
+class Jobs {
+ public:
+  explicit Jobs(SiteCell& cell) : cell_(cell) {}
+
+  // Hands a new job in at `node` until it is accepted; how long it took.
+  absl::Duration Submit(int node, int work_ms) {
+    const uint64_t job = ++last_;
+    const absl::Time begun = absl::Now();
+    const std::string body = SiteCell::OneStep(1, work_ms, /*cpu=*/500);
+    while (absl::Now() - begun < absl::Seconds(20)) {
+      if (StatusOf(cell_.Call(node, "POST", job, body)) == 200) break;
+      absl::SleepFor(kPause);
+    }
+    return absl::Now() - begun;
+  }
+  // From `callers` threads at each node, one job each.
+  void SubmitAtAll(int callers, int work_ms) {
+    std::vector<std::thread> threads;
+    for (int i = 0; i < callers * kNodes; ++i) {
+      threads.emplace_back([this, i, work_ms] { Submit(i % kNodes, work_ms); });
+    }
+    for (std::thread& thread : threads) thread.join();
+  }
+  uint64_t count() const { return last_; }
+
+  // None is denied by any node, and all complete.
+  void CheckNoneLost() {
+    for (uint64_t job = 1; job <= last_; ++job) {
+      CAPTURE(job);
+      CHECK(cell_.AwaitState(job, "completed", absl::Seconds(30)));
+    }
+  }
+
+ private:
+  SiteCell& cell_;
+  std::atomic<uint64_t> last_{0};
+};
+
+int ClaimsSoFar(const SiteCell& cell) {
+  int claims = 0;
+  for (int node = 0; node < kNodes; ++node) {
+    std::ifstream log(absl::StrCat(cell.directory(), "/node-", node, ".log"));
+    std::string line;
+    while (std::getline(log, line))
+      claims += absl::StrContains(line, "\"event\":\"claiming\"") ? 1 : 0;
+  }
+  return claims;
+}
+
+// Each node accepts jobs soon, and goes on to.
+void CheckAllAccept(Jobs& jobs) {
+  std::vector<absl::Duration> first(kNodes);
+  std::vector<absl::Duration> slowest(kNodes);
+  std::vector<std::thread> threads;
+  for (size_t node = 0; node < kNodes; ++node) {
+    threads.emplace_back([&, node] {
+      const int at = static_cast<int>(node);
+      first[node] = jobs.Submit(at, kShortMs);
+      for (int i = 0; i < kFurtherCalls; ++i)
+        slowest[node] = std::max(slowest[node], jobs.Submit(at, kShortMs));
+    });
+  }
+  for (std::thread& thread : threads) thread.join();
+  for (size_t node = 0; node < kNodes; ++node) {
+    CAPTURE(node);
+    CHECK(first[node] <= kAcceptsWithin);
+    CHECK(slowest[node] <= kThenWithin);
+  }
+}
+
+TEST_CASE("site silence: all that is open goes silent, and nothing is lost") {
+  SiteCell cell(WithProxies());
+  REQUIRE(cell.AwaitReady(kNodes));
+  Jobs jobs(cell);
+  // Connections to the leader, as many as a node keeps; tasks that go on.
+  jobs.SubmitAtAll(kCallers, kShortMs);
+  jobs.SubmitAtAll(2, kLongMs);
+  jobs.SubmitAtAll(kCallers, kShortMs);
+  absl::SleepFor(absl::Seconds(1));
+  const int claims = ClaimsSoFar(cell);
+  cell.SilenceAllOpen();
+  CheckAllAccept(jobs);
+  jobs.CheckNoneLost();
+  // One leader may have lost the others' word; that is no series.
+  CHECK(ClaimsSoFar(cell) - claims <= 1);
+  // No lease lapsed: each task ran once.
+  CHECK(cell.RunCount() == jobs.count());
+  CHECK(cell.Faults().empty());
+}
+
+}  // namespace
+}  // namespace keelbridge::testing
--- a/testing/support/site_cell.cc
+++ b/testing/support/site_cell.cc
@@ -304,6 +304,22 @@
   WithPlatform([&](SitePlatform&) { peer_proxies_[At(node)]->HealQuietly(); });
 }
 
+void SiteCell::SilenceOpenOf(int node) {
+  WithPlatform([&](SitePlatform&) {
+    store_proxies_[At(node)]->SilenceOpen();
+    peer_proxies_[At(node)]->SilenceOpen();
+  });
+}
+
+void SiteCell::SilenceAllOpen() {
+  WithPlatform([&](SitePlatform& platform) {
+    for (const auto& proxy : store_proxies_) proxy->SilenceOpen();
+    for (const auto& proxy : peer_proxies_) proxy->SilenceOpen();
+    seed_proxy_->SilenceOpen();
+    platform.SilenceOpenToWorkers();
+  });
+}
+
 void SiteCell::SetWorkerProxy(int worker, FaultProxy::Mode mode) {
   WithPlatform(
       [&](SitePlatform& platform) { platform.SetWorkerProxy(worker, mode); });
--- a/testing/support/site_cell.h
+++ b/testing/support/site_cell.h
@@ -72,6 +72,10 @@
   void SetPeerProxy(int node, FaultProxy::Mode mode);
   void HealStoreProxyQuietly(int node);
   void HealPeerProxyQuietly(int node);
+  // The connections that are open now go silent for good, new ones pass: those
+  // of `node` to the store and of its peers to it; all, also those to workers.
+  void SilenceOpenOf(int node);
+  void SilenceAllOpen();
   int ZoneOf(int node) const { return node % kZones; }
   static constexpr int kZones = 3;
 
