Failing test: a full server closes what idles longest

After a silence the connections that went silent count against the most that a server has. Seen to fail: a new caller is turned away while others idle. The test beside it, that a server without the option turns away as it did, passes.

--- a/keelbridge/transport/event_http_server.h
+++ b/keelbridge/transport/event_http_server.h
@@ -37,6 +37,9 @@
     absl::Duration read_timeout = absl::Seconds(3);   // Of one whole request.
     absl::Duration idle_timeout = absl::Seconds(15);  // Between requests.
     absl::Duration write_timeout = absl::Seconds(3);
+    // A server that is full closes the connection that idles longest for a new
+    // one, if it has idled for this long. Infinite: the new one is turned away.
+    absl::Duration spare_after = absl::InfiniteDuration();
   };
   // Must be called exactly once for each request; later calls do nothing.
   using Reply = std::function<void(ServerResponse)>;
--- a/keelbridge/transport/event_http_server_test.cc
+++ b/keelbridge/transport/event_http_server_test.cc
@@ -3,6 +3,9 @@
 #include <doctest/doctest.h>
 
 #include <boost/asio/io_context.hpp>
+#include <memory>
+#include <optional>
+#include <vector>
 
 #include "keelbridge/transport/event_http_client.h"
 
@@ -48,5 +51,84 @@
   CHECK(server.Connections() == 0);
 }
 
+// A server that is full of connections of several callers. /held waits.
+struct FullServer {
+  using Result = std::shared_ptr<std::optional<HttpOutcome>>;
+
+  explicit FullServer(absl::Duration spare_after)
+      : server(
+            loop, Full(spare_after),
+            [this](const ServerRequest& request, EventHttpServer::Reply reply) {
+              if (request.path == "/held")
+                held.push_back(std::move(reply));
+              else
+                reply({});
+            }),
+        address{"127.0.0.1", server.Start().value(), ""} {}
+
+  static EventHttpServer::Options Full(absl::Duration spare_after) {
+    EventHttpServer::Options options;
+    options.listen = {"127.0.0.1", 0, ""};
+    options.most_connections = 3;
+    options.spare_after = spare_after;
+    return options;
+  }
+  // From a caller of its own, whose connection stays open.
+  Result Send(const std::string& path) {
+    callers.push_back(std::make_unique<EventHttpClient>(
+        loop, address, EventHttpClient::Options()));
+    auto result = std::make_shared<std::optional<HttpOutcome>>();
+    HttpRequest request;
+    request.path = path;
+    callers.back()->Send(
+        request, absl::Seconds(5),
+        [result](HttpOutcome outcome) { *result = std::move(outcome); });
+    loop.restart();
+    loop.run_for(std::chrono::milliseconds(50));
+    return result;
+  }
+  static bool Answered(const Result& result) {
+    return result->has_value() && (*result)->response.has_value();
+  }
+
+  boost::asio::io_context loop;
+  std::vector<EventHttpServer::Reply> held;
+  EventHttpServer server;
+  Address address;
+  std::vector<std::unique_ptr<EventHttpClient>> callers;
+};
+
+TEST_CASE("event http server: a full one closes what idles longest") {
+  FullServer site(/*spare_after=*/absl::Milliseconds(20));
+  const auto oldest = site.Send("/held");
+  CHECK(FullServer::Answered(site.Send("/")));
+  CHECK(FullServer::Answered(site.Send("/")));
+  CHECK(site.server.Connections() == 3);
+  const auto fourth = site.Send("/held");
+  CHECK(site.held.size() == 2);
+  CHECK(site.server.Connections() == 3);
+  const auto fifth = site.Send("/held");
+  CHECK(site.held.size() == 3);
+  // All have a request under way: the next one is turned away.
+  CHECK_FALSE(FullServer::Answered(site.Send("/")));
+  for (const auto& reply : site.held) reply({});
+  site.loop.restart();
+  site.loop.run_for(std::chrono::milliseconds(50));
+  CHECK(FullServer::Answered(oldest));
+  CHECK(FullServer::Answered(fourth));
+  CHECK(FullServer::Answered(fifth));
+}
+
+TEST_CASE("event http server: a full one turns new ones away otherwise") {
+  FullServer site(absl::InfiniteDuration());
+  for (int i = 0; i < 3; ++i) CHECK(FullServer::Answered(site.Send("/")));
+  CHECK_FALSE(FullServer::Answered(site.Send("/")));
+  CHECK(site.server.Connections() == 3);
+  // Nor does one that was just used make room.
+  FullServer other(absl::Seconds(2));
+  for (int i = 0; i < 3; ++i) CHECK(FullServer::Answered(other.Send("/")));
+  CHECK_FALSE(FullServer::Answered(other.Send("/")));
+}
+
 }  // namespace
 }  // namespace keelbridge
