A full peer server makes room by what idles longest

Cause: connections that went silent for good count against the most that a peer server has (1000) until they have idled for 60 s; a full one turned new callers away.

Change: a server may close, when it is full, the connection that has waited longest for a request, if it has waited for a second and no byte of a request has arrived; never one with a request under way. The peer server does; servers of clients, of the balancer and of metrics turn away as they did. A peer's idle connections end after 35 s, 5 s after their callers let go of them.

Ruled out: keep-alive probes of the kernel. Nothing here drops packets, so no test would show them at work, and with the two changes dead connections are bounded without them.

--- a/keelbridge/transport/event_http_server.cc
+++ b/keelbridge/transport/event_http_server.cc
@@ -6,11 +6,13 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
+#include <list>
 #include <optional>
 #include <utility>
 
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_split.h"
+#include "keelbridge/base/clock.h"
 
 namespace keelbridge {
 namespace {
@@ -48,6 +50,8 @@
 
 }  // namespace
 
+class EventHttpConnection;
+
 class EventHttpServer::Impl
     : public std::enable_shared_from_this<EventHttpServer::Impl> {
  public:
@@ -89,9 +93,12 @@
   bool draining_ = false;
   size_t in_flight_ = 0;
   size_t connections_ = 0;
+  // Those that wait for a request, the one that waits longest first.
+  std::list<EventHttpConnection*> idle_;
 
  private:
   void Accept();
+  bool MakeRoom();
 
   Tcp::acceptor acceptor_;
   asio::steady_timer accept_timer_;
@@ -108,7 +115,10 @@
     ++server_->connections_;
     SetSocketOptions(stream_.socket(), server_->options_.write_timeout);
   }
-  ~EventHttpConnection() { --server_->connections_; }
+  ~EventHttpConnection() {
+    EndIdle();
+    --server_->connections_;
+  }
   EventHttpConnection(const EventHttpConnection&) = delete;
   EventHttpConnection& operator=(const EventHttpConnection&) = delete;
 
@@ -119,14 +129,36 @@
     parser_->body_limit(server_->options_.most_body_bytes);
     stream_.expires_after(
         absl::ToChronoNanoseconds(server_->options_.idle_timeout));
+    idle_since_ = SystemNow().mono;
+    idle_at_ = server_->idle_.insert(server_->idle_.end(), this);
     http::async_read_header(
         stream_, buffer_, *parser_,
         [self = shared_from_this()](beast::error_code error, size_t) {
+          self->EndIdle();
           self->OnHeader(error);
         });
   }
 
+  // Idle for `spare_after`, and no byte of a request has arrived.
+  bool Spare(absl::Time now) {
+    boost::system::error_code ignored;
+    return now - idle_since_ >= server_->options_.spare_after &&
+           buffer_.size() == 0 && stream_.socket().available(ignored) == 0;
+  }
+
+  void Close() {
+    EndIdle();
+    boost::system::error_code ignored;
+    stream_.socket().shutdown(Tcp::socket::shutdown_send, ignored);
+    stream_.close();
+  }
+
  private:
+  void EndIdle() {
+    if (idle_at_) server_->idle_.erase(*idle_at_);
+    idle_at_.reset();
+  }
+
   void OnHeader(beast::error_code error) {
     if (error) return OnBadRequest(error);
     stream_.expires_after(
@@ -204,17 +236,13 @@
         });
   }
 
-  void Close() {
-    boost::system::error_code ignored;
-    stream_.socket().shutdown(Tcp::socket::shutdown_send, ignored);
-    stream_.close();
-  }
-
   std::shared_ptr<EventHttpServer::Impl> server_;
   beast::tcp_stream stream_;
   beast::flat_buffer buffer_;
   std::optional<http::request_parser<http::string_body>> parser_;
   std::optional<http::response<http::string_body>> response_;
+  std::optional<std::list<EventHttpConnection*>::iterator> idle_at_;
+  absl::Time idle_since_;
   uint64_t request_number_ = 0;
   bool keep_alive_ = true;
   bool answered_ = false;
@@ -234,12 +262,25 @@
     }
     // Over the limit the connection is closed at once: its caller tries
     // another machine.
-    if (self->connections_ < self->options_.most_connections)
+    if (self->connections_ < self->options_.most_connections ||
+        self->MakeRoom())
       std::make_shared<EventHttpConnection>(self, std::move(socket))->Read();
     self->Accept();
   });
 }
 
+// What idles may have gone silent for good, without an end: it makes room for
+// a connection that works.
+bool EventHttpServer::Impl::MakeRoom() {
+  const absl::Time now = SystemNow().mono;
+  for (EventHttpConnection* connection : idle_) {
+    if (!connection->Spare(now)) continue;
+    connection->Close();
+    return true;
+  }
+  return false;
+}
+
 EventHttpServer::EventHttpServer(asio::io_context& loop, Options options,
                                  Handler handler)
     : impl_(std::make_shared<Impl>(loop, std::move(options),
--- a/keelbridge/transport/event_rpc.cc
+++ b/keelbridge/transport/event_rpc.cc
@@ -12,6 +12,13 @@
 constexpr size_t kMostPeerBodyBytes = 8 << 20;
 constexpr size_t kWorkConnectionsToPeer = 8;
 constexpr size_t kControlConnectionsToPeer = 2;
+// A caller drops what idles for longer. The server waits a little more, so
+// that no call meets its end; what went silent for good counts no longer.
+constexpr absl::Duration kPeerClientIdle = absl::Seconds(30);
+constexpr absl::Duration kPeerServerIdle = absl::Seconds(35);
+// Heartbeats come every 0.4 s: what idles for longer than two is a caller's
+// further connection, or dead.
+constexpr absl::Duration kSpareAfter = absl::Seconds(1);
 constexpr int kMethodNotFound = -32601;
 constexpr int kInvalidRequest = -32600;
 
@@ -20,7 +27,8 @@
   options.listen = listen;
   options.most_connections = kMostPeerConnections;
   options.most_body_bytes = kMostPeerBodyBytes;
-  options.idle_timeout = absl::Seconds(60);
+  options.idle_timeout = kPeerServerIdle;
+  options.spare_after = kSpareAfter;
   return options;
 }
 
@@ -77,7 +85,7 @@
     options.most_connections = lane == RpcLane::kWork
                                    ? kWorkConnectionsToPeer
                                    : kControlConnectionsToPeer;
-    options.idle_expiry = absl::Seconds(30);
+    options.idle_expiry = kPeerClientIdle;
     peer = std::make_unique<EventHttpClient>(
         loop_, parsed ? parsed.value() : Address{"0.0.0.0", 0, ""}, options);
   }
