Failing test: a silent connection to the store does not lead to a peer

Seen to fail: after one call on a connection that went silent the next append goes through a peer, though a new connection to the store works.

--- a/keelbridge/daemon/store_failover_test.cc
+++ b/keelbridge/daemon/store_failover_test.cc
@@ -5,6 +5,8 @@
 #include <boost/asio/io_context.hpp>
 #include <optional>
 
+#include "testing/fakes/fault_proxy.h"
+
 namespace keelbridge {
 namespace {
 
@@ -106,5 +108,55 @@
   CHECK(peer.carried == 0);
 }
 
+// A peer may have lost its connections at the same moment.
+TEST_CASE("store failover: a silent connection does not lead to a peer") {
+  boost::asio::io_context loop;
+  EventHttpServer::Options options;
+  options.listen = {"127.0.0.1", 0, ""};
+  int appends = 0;
+  EventHttpServer store(
+      loop, options,
+      [&](const ServerRequest& request, const EventHttpServer::Reply& reply) {
+        appends += request.method == "POST" ? 1 : 0;
+        reply({});
+      });
+  const auto port = store.Start();
+  REQUIRE(port);
+  testing::FaultProxy proxy(loop, {"127.0.0.1", port.value(), ""});
+  Peer peer(loop);
+  EventRpcClient rpc(loop);
+  StoreFailover carrier(loop, proxy.address(), rpc);
+  carrier.SetPeers({kPeer.ToString()});
+  const auto carry = [&](const std::string& method) {
+    HttpRequest request;
+    request.method = method;
+    request.path = "/log";
+    std::optional<HttpOutcome> result;
+    carrier.Carry(request, absl::Milliseconds(300),
+                  [&](HttpOutcome outcome) { result = std::move(outcome); });
+    for (int i = 0; i < 100 && !result; ++i) {
+      loop.run_for(std::chrono::milliseconds(10));
+      loop.restart();
+    }
+    REQUIRE(result);
+    return result->response.has_value();
+  };
+  CHECK(carry("GET"));
+  proxy.SilenceOpen();
+  CHECK_FALSE(carry("POST"));
+  // The pause of a writer before it tries again.
+  loop.run_for(std::chrono::milliseconds(60));
+  loop.restart();
+  CHECK(carrier.direct());
+  CHECK(carry("POST"));
+  CHECK(peer.carried == 0);
+  CHECK(appends == 1);
+  // A store that does not answer new ones either is reached through a peer.
+  proxy.SetMode(testing::FaultProxy::Mode::kSilent);
+  CHECK_FALSE(carry("POST"));
+  CHECK(carry("POST"));
+  CHECK(peer.carried == 1);
+}
+
 }  // namespace
 }  // namespace keelbridge
