After a silent connection to the store a new one is tried at once

Cause: one call without an answer sent the next ones through a peer, and the direct way was tried beside the first of them only. When all connections of a site go silent together, the peer's have, too.

Change: after the first call that got no answer the direct way is tried at once, with a read that nobody waits for, on a new connection. A store that is out of reach costs one read more and is reached through a peer as before.

--- a/keelbridge/daemon/store_failover.cc
+++ b/keelbridge/daemon/store_failover.cc
@@ -111,7 +111,13 @@
     lost_since_ = absl::InfiniteFuture();
     return;
   }
-  if (++failures_ == 1) lost_since_ = SystemNow().mono;
+  if (++failures_ > 1) return;
+  lost_since_ = SystemNow().mono;
+  if (outcome.response || last_read_.path.empty()) return;
+  // Perhaps only a kept connection went silent: a new one tells before the
+  // caller tries again.
+  next_direct_ = lost_since_;
+  TryDirectAgain();
 }
 
 void StoreFailover::Relay(const HttpRequest& request, absl::Duration timeout,
--- a/keelbridge/daemon/store_failover.h
+++ b/keelbridge/daemon/store_failover.h
@@ -3,8 +3,9 @@
 // A node that alone has lost the store is one hop from it. After a call failed
 // without an answer or was turned away, the next ones go through a peer that
 // still reaches the store; whether the direct way is back is tried beside them,
-// with a read that nobody waits for. Appends are fenced and numbered, so that a
-// try that lands twice changes nothing.
+// with a read that nobody waits for, and at once after the first failure, since
+// a kept connection may have gone silent while new ones work. Appends are
+// fenced and numbered, so that a try that lands twice changes nothing.
 //
 //   StoreFailover carrier(loop, store_address, rpc);
 //   carrier.SetPeers({"10.0.0.2:7720"});
