What a call's tries say about whether it ran is judged apart from the event loop

Change: CallFate in coordination/ keeps it, pure. Nodes answer as before: a try under way, one without an answer and one whose term ended may have run; one that left nothing, or was told "not the leader", has not. Test: a client's attempts at several nodes through drawn claims, fences, early calls, late calls, lost answers and late appends (200,000 seeds): if all attempts were rejected, the job never becomes durable.

--- /dev/null
+++ b/keelbridge/coordination/call_fate.h
@@ -0,0 +1,48 @@
+// Whether a client's call may have run, by what came of its tries.
+//
+// A node carries a call to the leader in one or more tries, and may tell the
+// client "not taken, will never run" only if no copy of the call is left
+// anywhere that could still run: not with a leader that is out of reach, not on
+// a connection that hangs, not in a term that has just ended.
+//
+// Pure: no time, no I/O.
+//
+//   CallFate fate;
+//   fate.BeginTry();
+//   ... the leader's answer is lost ...
+//   fate.EndTry(CallFate::TryEnd::kNoAnswer);  // False: try again.
+//   if (!fate.MayHaveRun()) AnswerNotTaken();
+
+#ifndef KEELBRIDGE_COORDINATION_CALL_FATE_H_
+#define KEELBRIDGE_COORDINATION_CALL_FATE_H_
+
+namespace keelbridge {
+
+class CallFate {
+ public:
+  enum class TryEnd {
+    kNothingSent,   // No byte of it left.
+    kNotLed,        // Who was asked does not lead, and has not run it.
+    kNoAnswer,      // It was sent, and nothing came back.
+    kTermEnded,     // The leader had it when its term ended.
+    kNotTaken,      // The leader says that it does not take it.
+    kNotTakenHere,  // The same, of a term of this node.
+    kAnswered,      // Any other answer of the leader's.
+  };
+
+  // A try is with the leader, or on its way there.
+  void BeginTry() { under_way_ = true; }
+  // Whether the leader's answer is the client's; if not, the call is to be
+  // tried again.
+  bool EndTry(TryEnd end);
+  // Whether a try may have run or may still do so.
+  bool MayHaveRun() const { return under_way_ || uncertain_; }
+
+ private:
+  bool under_way_ = false;
+  bool uncertain_ = false;  // An ended try may have run, or may still.
+};
+
+}  // namespace keelbridge
+
+#endif  // KEELBRIDGE_COORDINATION_CALL_FATE_H_
--- /dev/null
+++ b/keelbridge/coordination/call_fate_test.cc
@@ -0,0 +1,306 @@
+#include "keelbridge/coordination/call_fate.h"
+
+#include <doctest/doctest.h>
+
+#include <optional>
+#include <random>
+#include <utility>
+#include <vector>
+
+namespace keelbridge {
+namespace {
+
+using TryEnd = CallFate::TryEnd;
+
+TEST_CASE("call fate: what reached no leader has not run") {
+  CallFate fate;
+  CHECK(!fate.MayHaveRun());
+  for (const TryEnd end : {TryEnd::kNothingSent, TryEnd::kNotLed}) {
+    fate.BeginTry();
+    CHECK(!fate.EndTry(end));
+    CHECK(!fate.MayHaveRun());
+  }
+  fate.BeginTry();
+  CHECK(fate.EndTry(TryEnd::kNotTaken));
+}
+
+TEST_CASE("call fate: a try that is under way may run") {
+  CallFate fate;
+  fate.BeginTry();
+  CHECK(fate.MayHaveRun());
+}
+
+TEST_CASE("call fate: a refusal does not undo an earlier try") {
+  for (const TryEnd earlier : {TryEnd::kNoAnswer, TryEnd::kTermEnded}) {
+    CallFate fate;
+    fate.BeginTry();
+    CHECK(!fate.EndTry(earlier));
+    for (const TryEnd later :
+         {TryEnd::kNothingSent, TryEnd::kNotLed, TryEnd::kNotTaken}) {
+      fate.BeginTry();
+      CHECK(!fate.EndTry(later));
+      CHECK(fate.MayHaveRun());
+    }
+    fate.BeginTry();
+    CHECK(fate.EndTry(TryEnd::kAnswered));
+  }
+}
+
+// A site that one client hands one job to, one attempt after the other, each at
+// a node of its own. All that is lost, late, refused or replaced is drawn.
+// Whom a node takes for the leader is drawn as well, so that every belief that
+// a real node could hold is met, and more.
+class Site {
+ public:
+  static constexpr int kNodes = 3;
+  static constexpr int kMostAttempts = 3;
+
+  explicit Site(uint64_t seed) : random_(seed) {
+    most_attempts_ = 1 + Draw(kMostAttempts);
+    nodes_[0].claimed = ++last_epoch_;
+    TakeOffice(0);
+    BeginAttempt();
+  }
+
+  void Step() {
+    const int node = Draw(kNodes);
+    // By how often: what replaces leaders is rarer than what they do.
+    switch (std::discrete_distribution<>({2, 4, 4, 1, 4, 3, 8, 6, 8, 2, 1})(
+        random_)) {
+      case 0:
+        nodes_[At(node)].claimed = ++last_epoch_;
+        return;
+      case 1:
+        return TakeOffice(node);
+      case 2:
+        return Advance(node);
+      case 3:
+        return EndTerm(node);
+      case 4:
+        store_takes_ = !store_takes_;
+        return;
+      case 5:
+        return LandAppend();
+      case 6:
+        return Try();
+      case 7:
+        return DeliverCall();
+      case 8:
+        return DeliverReply();
+      case 9:
+        // The node stops waiting for an answer; the call may still arrive.
+        if (remote_) OnTryEnd(try_, TryEnd::kNoAnswer);
+        return;
+      default:
+        return GiveUp();
+    }
+  }
+
+  // Everything that is still on its way arrives; the store is back.
+  void Settle() {
+    while (attempt_) GiveUp();
+    store_takes_ = true;
+    for (int round = 0; round < 3; ++round) {
+      for (int node = 0; node < kNodes; ++node) {
+        TakeOffice(node);
+        Advance(node);
+        Advance(node);
+      }
+      while (!calls_.empty()) DeliverCall();
+      while (!appends_.empty()) LandAppend();
+    }
+  }
+
+  bool durable() const { return durable_; }
+  int rejected() const { return rejected_; }
+  int attempts() const { return attempts_; }
+
+ private:
+  struct Session {
+    int64_t epoch = 0;
+    bool fenced = false;  // Those before it, in the store.
+    bool active = false;
+    bool knows_job = false;
+    std::vector<int> early;    // Tries that wait for the term to be active.
+    std::vector<int> waiting;  // Tries that wait for the job to be durable.
+  };
+  struct Node {
+    int64_t claimed = 0;  // An epoch whose claim it has not heard of yet.
+    std::optional<Session> session;
+  };
+  struct Call {
+    int node;
+    int number;
+  };
+  struct Reply {
+    int number;
+    TryEnd end;
+  };
+
+  size_t At(int node) const { return static_cast<size_t>(node); }
+  int Draw(int below) {
+    return std::uniform_int_distribution<>(0, below - 1)(random_);
+  }
+  template <typename T>
+  T TakeOne(std::vector<T>& from) {
+    const auto at = from.begin() + Draw(static_cast<int>(from.size()));
+    const T one = *at;
+    from.erase(at);
+    return one;
+  }
+
+  // --- Leaders ---
+  void TakeOffice(int node) {
+    Node& it = nodes_[At(node)];
+    if (it.claimed == 0 || it.session) return;
+    it.session.emplace();
+    it.session->epoch = it.claimed;
+    it.claimed = 0;
+  }
+  void Advance(int node) {
+    Node& it = nodes_[At(node)];
+    if (!it.session || it.session->active) return;
+    Session& session = *it.session;
+    if (!session.fenced) {
+      if (session.epoch < fence_) return EndTerm(node);
+      fence_ = session.epoch;
+      session.fenced = true;
+      return;
+    }
+    session.knows_job = durable_;
+    session.active = true;
+    for (const int number : std::exchange(session.early, {}))
+      Handle(node, number);
+  }
+  void EndTerm(int node) {
+    if (!nodes_[At(node)].session) return;
+    const Session ended = *nodes_[At(node)].session;
+    nodes_[At(node)].session.reset();
+    for (const int number : ended.early) Answer(node, number, TryEnd::kNotLed);
+    for (const int number : ended.waiting)
+      Answer(node, number, TryEnd::kTermEnded);
+  }
+  void Handle(int node, int number) {
+    Session& session = *nodes_[At(node)].session;
+    if (!session.knows_job && !store_takes_)
+      return Answer(node, number, Refusal(node, number));
+    if (!session.knows_job) appends_.push_back(session.epoch);
+    session.knows_job = true;
+    session.waiting.push_back(number);
+  }
+  void LandAppend() {
+    if (appends_.empty()) return;
+    const int64_t epoch = TakeOne(appends_);
+    const bool fenced = epoch < fence_;
+    durable_ = durable_ || !fenced;
+    for (int node = 0; node < kNodes; ++node) {
+      auto& session = nodes_[At(node)].session;
+      if (!session || session->epoch != epoch) continue;
+      if (fenced) return EndTerm(node);
+      for (const int number : std::exchange(session->waiting, {}))
+        Answer(node, number, TryEnd::kAnswered);
+      return;
+    }
+  }
+
+  // --- The node that carries the attempt ---
+  TryEnd Refusal(int node, int number) const {
+    const bool here = number == try_ && !remote_ && node == at_;
+    return here ? TryEnd::kNotTakenHere : TryEnd::kNotTaken;
+  }
+  void Answer(int node, int number, TryEnd end) {
+    // At once when the leader is the node itself.
+    if (number == try_ && !remote_ && node == at_) return OnTryEnd(number, end);
+    replies_.push_back({number, end});
+  }
+  void BeginAttempt() {
+    ++attempts_;
+    at_ = Draw(kNodes);
+    attempt_.emplace();
+  }
+  void Try() {
+    if (!attempt_ || try_ != 0) return;
+    const auto& session = nodes_[At(at_)].session;
+    if (session && !session->active) return;
+    attempt_->BeginTry();
+    try_ = ++last_try_;
+    remote_ = !session;
+    if (!remote_) return Handle(at_, try_);
+    if (Draw(2) == 0) return OnTryEnd(try_, TryEnd::kNothingSent);
+    const int other = (at_ + 1 + Draw(kNodes - 1)) % kNodes;
+    calls_.push_back({other, try_});
+  }
+  void DeliverCall() {
+    if (calls_.empty()) return;
+    const Call call = TakeOne(calls_);
+    auto& session = nodes_[At(call.node)].session;
+    if (!session) return Answer(call.node, call.number, TryEnd::kNotLed);
+    if (session->active) return Handle(call.node, call.number);
+    session->early.push_back(call.number);
+  }
+  void DeliverReply() {
+    if (replies_.empty()) return;
+    const Reply reply = TakeOne(replies_);
+    if (Draw(8) != 0) OnTryEnd(reply.number, reply.end);
+  }
+  void OnTryEnd(int number, TryEnd end) {
+    if (!attempt_ || number != try_) return;
+    try_ = 0;
+    remote_ = false;
+    if (!attempt_->EndTry(end)) return;
+    EndAttempt(end != TryEnd::kAnswered);
+  }
+  void GiveUp() {
+    if (attempt_) EndAttempt(!attempt_->MayHaveRun());
+  }
+  void EndAttempt(bool rejected) {
+    if (rejected) ++rejected_;
+    try_ = 0;
+    remote_ = false;
+    attempt_.reset();
+    if (rejected && attempts_ < most_attempts_) BeginAttempt();
+  }
+
+  std::mt19937_64 random_;
+  std::vector<Node> nodes_ = std::vector<Node>(kNodes);
+  int64_t last_epoch_ = 0;
+  int64_t fence_ = 0;
+  bool store_takes_ = true;
+  bool durable_ = false;
+  std::vector<int64_t> appends_;  // By the epoch of who sent them.
+  std::vector<Call> calls_;
+  std::vector<Reply> replies_;
+
+  std::optional<CallFate> attempt_;
+  int at_ = 0;           // The node of the attempt.
+  int try_ = 0;          // The number of the try under way; 0: none.
+  bool remote_ = false;  // It is with another node.
+  int last_try_ = 0;
+  int most_attempts_ = 1;
+  int attempts_ = 0;
+  int rejected_ = 0;
+};
+
+TEST_CASE("call fate: no job runs all of whose attempts were rejected") {
+  constexpr uint64_t kSeeds = 200000;
+  constexpr int kSteps = 60;
+  int all_rejected = 0;
+  int ran = 0;
+  for (uint64_t seed = 1; seed <= kSeeds; ++seed) {
+    Site site(seed);
+    for (int i = 0; i < kSteps; ++i) site.Step();
+    site.Settle();
+    const bool rejected = site.rejected() == site.attempts();
+    if (rejected) ++all_rejected;
+    if (site.durable()) ++ran;
+    CAPTURE(seed);
+    const bool broken = rejected && site.durable();
+    REQUIRE(!broken);
+  }
+  // Both ends are met often, so that the check above means something.
+  CHECK(all_rejected > static_cast<int>(kSeeds) / 10);
+  CHECK(ran > static_cast<int>(kSeeds) / 10);
+}
+
+}  // namespace
+}  // namespace keelbridge
--- a/keelbridge/daemon/site_node.h
+++ b/keelbridge/daemon/site_node.h
@@ -17,6 +17,7 @@
 #include <string>
 #include <vector>
 
+#include "keelbridge/coordination/call_fate.h"
 #include "keelbridge/coordination/freshness.h"
 #include "keelbridge/coordination/site_election.h"
 #include "keelbridge/daemon/leader_session.h"
@@ -54,9 +55,8 @@
     ClientCall call;
     absl::Time begun;
     absl::Time deadline;
-    bool may_have_run = false;  // By an earlier try.
-    bool under_way = false;     // A try is with the leader now.
-    absl::Duration pause;       // Before the next try.
+    CallFate fate;
+    absl::Duration pause;  // Before the next try.
     std::string trace;  // W3C traceparent of this node's span; "": not traced.
     std::function<void(ClientReply)> reply;
   };
@@ -75,6 +75,9 @@
   // site_node_clients.cc
   void ServeClient(const ServerRequest& request, EventHttpServer::Reply reply);
   void Try(const std::shared_ptr<Forward>& forward);
+  void TryHere(const std::shared_ptr<Forward>& forward);
+  void TryAt(const std::string& address,
+             const std::shared_ptr<Forward>& forward);
   // Answers the call, unless it was answered before.
   void Finish(const std::shared_ptr<Forward>& forward,
               const ClientReply& reply);
--- a/keelbridge/daemon/site_node_clients.cc
+++ b/keelbridge/daemon/site_node_clients.cc
@@ -48,6 +48,27 @@
   return "status";
 }
 
+CallFate::TryEnd EndOf(const ClientReply& reply, CallFate::TryEnd not_taken) {
+  if (reply.answer == ClientAnswer::kUnknown)
+    return CallFate::TryEnd::kTermEnded;
+  return reply.answer == ClientAnswer::kNotTaken ? not_taken
+                                                 : CallFate::TryEnd::kAnswered;
+}
+
+CallFate::TryEnd EndOfTryHere(const ClientReply& reply) {
+  return EndOf(reply, CallFate::TryEnd::kNotTakenHere);
+}
+
+CallFate::TryEnd EndOfTry(const RpcOutcome& outcome) {
+  if (!outcome.answered) {
+    return outcome.sent ? CallFate::TryEnd::kNoAnswer
+                        : CallFate::TryEnd::kNothingSent;
+  }
+  if (outcome.result["not_leader"].asBool()) return CallFate::TryEnd::kNotLed;
+  return EndOf(ClientReplyFromJson(outcome.result),
+               CallFate::TryEnd::kNotTaken);
+}
+
 }  // namespace
 
 void SiteNode::ServeClient(const ServerRequest& request,
@@ -148,51 +169,36 @@
 }
 
 void SiteNode::Try(const std::shared_ptr<Forward>& forward) {
-  const absl::Time now = SystemNow().mono;
-  if (now >= forward->deadline) return GiveUp(forward);
-  const auto answered = [this, forward](const ClientReply& reply) {
-    Finish(forward, reply);
-  };
-  if (session_ != nullptr && !session_->ended()) {
-    if (!session_->active()) return TryAgain(forward);
-    forward->may_have_run = true;
-    // The term may end before the answer: then the next leader is asked.
-    session_->Handle(forward->call,
-                     [this, forward, answered](const ClientReply& reply) {
-                       if (reply.answer == ClientAnswer::kUnknown)
-                         return TryAgain(forward);
-                       answered(reply);
-                     });
-    RunAfter(loop_, forward->deadline - now,
-             [this, forward] { GiveUp(forward); });
-    return;
-  }
+  if (SystemNow().mono >= forward->deadline) return GiveUp(forward);
+  if (session_ != nullptr && !session_->ended())
+    return session_->active() ? TryHere(forward) : TryAgain(forward);
   const LeaderRecord& leader = election_.leader();
   if (leader.epoch == 0 || leader.address == settings_.PeerAddress())
     return TryAgain(forward);
+  TryAt(leader.address, forward);
+}
+
+void SiteNode::TryHere(const std::shared_ptr<Forward>& forward) {
+  forward->fate.BeginTry();
+  session_->Handle(forward->call, [this, forward](const ClientReply& reply) {
+    if (!forward->fate.EndTry(EndOfTryHere(reply))) return TryAgain(forward);
+    Finish(forward, reply);
+  });
+  RunAfter(loop_, forward->deadline - SystemNow().mono,
+           [this, forward] { GiveUp(forward); });
+}
+
+void SiteNode::TryAt(const std::string& address,
+                     const std::shared_ptr<Forward>& forward) {
   Json::Value params = ToJson(forward->call);
   if (!forward->trace.empty()) params["traceparent"] = forward->trace;
-  forward->under_way = true;
-  rpc_.Call(leader.address, "call", params,
-            std::min(kTryTimeout, forward->deadline - now),
-            [this, forward, answered](const RpcOutcome& outcome) {
-              forward->under_way = false;
-              if (!forward->reply) return;
-              if (!outcome.answered || outcome.result["not_leader"].asBool()) {
-                forward->may_have_run = forward->may_have_run ||
-                                        (outcome.sent && !outcome.answered);
-                return TryAgain(forward);
-              }
-              const ClientReply reply = ClientReplyFromJson(outcome.result);
-              if (reply.answer == ClientAnswer::kUnknown) {
-                forward->may_have_run = true;
+  forward->fate.BeginTry();
+  rpc_.Call(address, "call", params,
+            std::min(kTryTimeout, forward->deadline - SystemNow().mono),
+            [this, forward](const RpcOutcome& outcome) {
+              if (!forward->fate.EndTry(EndOfTry(outcome)))
                 return TryAgain(forward);
-              }
-              // What an earlier try may have brought about is not denied.
-              const bool denied = reply.answer == ClientAnswer::kNotTaken &&
-                                  forward->may_have_run;
-              if (denied) return TryAgain(forward);
-              answered(reply);
+              Finish(forward, ClientReplyFromJson(outcome.result));
             });
 }
 
@@ -202,7 +208,7 @@
   const absl::Duration patience =
       LeaderOutOfReach() ? kKnownLeaderlessPatience : kLeaderlessPatience;
   const bool leaderless =
-      !forward->may_have_run && now - forward->begun > patience;
+      !forward->fate.MayHaveRun() && now - forward->begun > patience;
   forward->pause = std::clamp(forward->pause * 2, kTryPause, kLongestTryPause);
   if (leaderless || now + kTryPause >= forward->deadline)
     return GiveUp(forward);
@@ -215,9 +221,8 @@
 void SiteNode::GiveUp(const std::shared_ptr<Forward>& forward) {
   if (!forward->reply) return;
   ClientReply reply;
-  const bool may_have_run = forward->may_have_run || forward->under_way;
-  const bool unknown =
-      forward->call.kind == ClientCallKind::kSubmit && may_have_run;
+  const bool unknown = forward->call.kind == ClientCallKind::kSubmit &&
+                       forward->fate.MayHaveRun();
   reply.answer = unknown ? ClientAnswer::kUnknown : ClientAnswer::kNotTaken;
   reply.message = unknown ? "nobody could confirm the job in time"
                           : "no leader answered; come back later";
