A refusal by a node's own term does not undo an earlier try

Cause: when a node led by itself, "the store does not take records" went to the client at once, also after an earlier try of the same call that had gone to another leader without an answer. That leader may be the newer one: this node may have learnt late that its own claim was done, and lead for a moment below it; the call then runs there after the client was told that it never will. Ruled out: a term of this node that is the newer one: it fenced and loaded after that try, so the job is known or can no longer be kept. Change: the rule for another node's refusal holds for the own one, too: such a call is tried again, and ends as "unknown". That holds for all kinds of calls, as it does for a refusal from elsewhere.

--- a/keelbridge/coordination/call_fate.cc
+++ b/keelbridge/coordination/call_fate.cc
@@ -15,7 +15,6 @@
     case TryEnd::kNotTaken:
       // It is this try that was not taken; an earlier one may have been.
       return !uncertain_;
-    case TryEnd::kNotTakenHere:
     case TryEnd::kAnswered:
       return true;
   }
--- a/keelbridge/coordination/call_fate.h
+++ b/keelbridge/coordination/call_fate.h
@@ -21,13 +21,12 @@
 class CallFate {
  public:
   enum class TryEnd {
-    kNothingSent,   // No byte of it left.
-    kNotLed,        // Who was asked does not lead, and has not run it.
-    kNoAnswer,      // It was sent, and nothing came back.
-    kTermEnded,     // The leader had it when its term ended.
-    kNotTaken,      // The leader says that it does not take it.
-    kNotTakenHere,  // The same, of a term of this node.
-    kAnswered,      // Any other answer of the leader's.
+    kNothingSent,  // No byte of it left.
+    kNotLed,       // Who was asked does not lead, and has not run it.
+    kNoAnswer,     // It was sent, and nothing came back.
+    kTermEnded,    // The leader had it when its term ended.
+    kNotTaken,     // The leader says that it does not take it.
+    kAnswered,     // Any other answer of the leader's.
   };
 
   // A try is with the leader, or on its way there.
--- a/keelbridge/coordination/call_fate_test.cc
+++ b/keelbridge/coordination/call_fate_test.cc
@@ -183,7 +183,7 @@
   void Handle(int node, int number) {
     Session& session = *nodes_[At(node)].session;
     if (!session.knows_job && !store_takes_)
-      return Answer(node, number, Refusal(node, number));
+      return Answer(node, number, TryEnd::kNotTaken);
     if (!session.knows_job) appends_.push_back(session.epoch);
     session.knows_job = true;
     session.waiting.push_back(number);
@@ -204,10 +204,6 @@
   }
 
   // --- The node that carries the attempt ---
-  TryEnd Refusal(int node, int number) const {
-    const bool here = number == try_ && !remote_ && node == at_;
-    return here ? TryEnd::kNotTakenHere : TryEnd::kNotTaken;
-  }
   void Answer(int node, int number, TryEnd end) {
     // At once when the leader is the node itself.
     if (number == try_ && !remote_ && node == at_) return OnTryEnd(number, end);
--- a/keelbridge/daemon/site_node_clients.cc
+++ b/keelbridge/daemon/site_node_clients.cc
@@ -48,15 +48,15 @@
   return "status";
 }
 
-CallFate::TryEnd EndOf(const ClientReply& reply, CallFate::TryEnd not_taken) {
-  if (reply.answer == ClientAnswer::kUnknown)
-    return CallFate::TryEnd::kTermEnded;
-  return reply.answer == ClientAnswer::kNotTaken ? not_taken
-                                                 : CallFate::TryEnd::kAnswered;
-}
-
-CallFate::TryEnd EndOfTryHere(const ClientReply& reply) {
-  return EndOf(reply, CallFate::TryEnd::kNotTakenHere);
+CallFate::TryEnd EndOfTry(const ClientReply& reply) {
+  switch (reply.answer) {
+    case ClientAnswer::kUnknown:
+      return CallFate::TryEnd::kTermEnded;
+    case ClientAnswer::kNotTaken:
+      return CallFate::TryEnd::kNotTaken;
+    default:
+      return CallFate::TryEnd::kAnswered;
+  }
 }
 
 CallFate::TryEnd EndOfTry(const RpcOutcome& outcome) {
@@ -65,8 +65,7 @@
                         : CallFate::TryEnd::kNothingSent;
   }
   if (outcome.result["not_leader"].asBool()) return CallFate::TryEnd::kNotLed;
-  return EndOf(ClientReplyFromJson(outcome.result),
-               CallFate::TryEnd::kNotTaken);
+  return EndOfTry(ClientReplyFromJson(outcome.result));
 }
 
 }  // namespace
@@ -181,7 +180,7 @@
 void SiteNode::TryHere(const std::shared_ptr<Forward>& forward) {
   forward->fate.BeginTry();
   session_->Handle(forward->call, [this, forward](const ClientReply& reply) {
-    if (!forward->fate.EndTry(EndOfTryHere(reply))) return TryAgain(forward);
+    if (!forward->fate.EndTry(EndOfTry(reply))) return TryAgain(forward);
     Finish(forward, reply);
   });
   RunAfter(loop_, forward->deadline - SystemNow().mono,
