Test: a claim that is answered late does not take leadership back

Found by reading the ways to REFUSED: OnClaimed makes this node the leader of its claim even when a newer leader was heard of while the answer was on its way (a slow store). Its term ends once the store or a peer tells, but until then it may refuse or be taken for the leader.

--- a/keelbridge/coordination/site_election_test.cc
+++ b/keelbridge/coordination/site_election_test.cc
@@ -44,6 +44,19 @@
   CHECK(a.leader().epoch == 1);
 }
 
+TEST_CASE(
+    "site election: a claim whose answer comes after a successor was heard of "
+    "does not lead") {
+  SiteElection a = Make("a", 1);
+  a.OnControlRead({ToRecord(Leader(3, "b", 7))}, 3, kBegin);
+  a.Claim(5000);  // Epoch 4; it is done, and its answer is slow.
+  a.OnLeaderHeard(Leader(5, "c", 9), kBegin);
+  a.OnClaimed(4, kBegin);
+  CHECK(!a.Leads());
+  CHECK(a.leader().epoch == 5);
+  CHECK(a.leader().node == "c");
+}
+
 TEST_CASE("site election: a silent leader is replaced, a heard one is not") {
   SiteElection a = Make("a", 1);
   a.OnControlRead({ToRecord(Leader(3, "b", 7))}, 3, kBegin);
