A claim that is answered after a successor was heard of does not lead

Change: OnClaimed passes over a claim below the leader that is known; the end of the stream never goes back.

--- a/keelbridge/coordination/site_election.cc
+++ b/keelbridge/coordination/site_election.cc
@@ -110,9 +110,11 @@
 }
 
 void SiteElection::OnClaimed(int64_t end, absl::Time now) {
+  control_end_ = std::max(control_end_, end);
+  // The answer was slow, and a successor was heard of meanwhile.
+  if (claim_.epoch < leader_.epoch) return;
   leader_ = claim_;
   leads_ = true;
-  control_end_ = end;
   last_heard_ = now;
   leader_gone_ = false;
 }
