Test: a call that a node gave up on does not run later

The kernel goes on sending what was written before the connection was closed, and a leader runs what it reads without a look whether the caller is still there.

--- a/keelbridge/transport/event_rpc_test.cc
+++ b/keelbridge/transport/event_rpc_test.cc
@@ -3,6 +3,9 @@
 #include <doctest/doctest.h>
 
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <optional>
+#include <string>
 #include <vector>
 
 #include "keelbridge/base/clock.h"
@@ -47,5 +50,60 @@
   CHECK(answered == kPeers);
 }
 
+// Calls `address` and waits until the call is given up.
+RpcOutcome GiveUpOn(const Address& address, const Json::Value& params) {
+  boost::asio::io_context loop;
+  EventRpcClient client(loop);
+  std::optional<RpcOutcome> result;
+  client.Call(address.ToString(), "work", params, absl::Milliseconds(200),
+              [&](const RpcOutcome& outcome) { result = outcome; });
+  loop.run_for(std::chrono::seconds(2));
+  REQUIRE(result);
+  return *result;
+}
+
+TEST_CASE("event rpc: a peer that stood still runs no call that was given up") {
+  boost::asio::io_context loop;
+  const Address listen{"127.0.0.1", 18779, ""};
+  EventRpcServer server(loop, listen);
+  int ran = 0;
+  server.Add("work",
+             [&](const Json::Value&, const EventRpcServer::Reply& reply) {
+               ++ran;
+               reply({Json::Value(true), 0, ""});
+             });
+  REQUIRE(server.Start());
+  // Nobody runs the server's loop meanwhile.
+  const RpcOutcome outcome = GiveUpOn(listen, Json::Value());
+  CHECK(!outcome.answered);
+  CHECK(outcome.sent);
+  loop.run_for(std::chrono::milliseconds(300));
+  CHECK(ran == 0);
+}
+
+TEST_CASE("event rpc: what was given up is not sent later") {
+  using Tcp = boost::asio::ip::tcp;
+  boost::asio::io_context loop;
+  Tcp::acceptor acceptor(loop, Tcp::v4());
+  // Little room, so that most of the call stays with the caller's kernel.
+  acceptor.set_option(boost::asio::socket_base::receive_buffer_size(16 << 10));
+  acceptor.bind({boost::asio::ip::address_v4::loopback(), 0});
+  acceptor.listen();
+  const Address address{"127.0.0.1", acceptor.local_endpoint().port(), ""};
+  constexpr size_t kCallBytes = 1 << 20;
+  const RpcOutcome outcome =
+      GiveUpOn(address, Json::Value(std::string(kCallBytes, 'x')));
+  CHECK(!outcome.answered);
+  CHECK(outcome.sent);
+  Tcp::socket socket = acceptor.accept();
+  std::string received(4 * kCallBytes, ' ');
+  size_t total = 0;
+  boost::system::error_code error;
+  while (!error)
+    total += socket.read_some(
+        boost::asio::buffer(&received[total], received.size() - total), error);
+  CHECK(total < kCallBytes);
+}
+
 }  // namespace
 }  // namespace keelbridge
