A call that a node gave up on does not run later

Ruled out for the answers themselves: a try without an answer counts as one that may have run (CallFate). Change: closing a connection to a peer drops what the kernel still holds of the call (SO_LINGER of 0), so that it is not sent again once a cut link heals; and a node passes over a peer's call whose caller has closed the connection, with a log line. Both hold for calls between nodes only. What is left: a call that had reached the leader's kernel, and is read before the close arrives.

--- a/keelbridge/transport/event_http_client.cc
+++ b/keelbridge/transport/event_http_client.cc
@@ -196,6 +196,8 @@
     const int milliseconds = 3000;
     setsockopt(stream_.socket().native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT,
                &milliseconds, sizeof(milliseconds));
+    if (pool_->options_.drop_unsent)
+      stream_.socket().set_option(asio::socket_base::linger(true, 0), ignored);
     Write();
   }
 
--- a/keelbridge/transport/event_http_client.h
+++ b/keelbridge/transport/event_http_client.h
@@ -38,6 +38,9 @@
     absl::Duration connect_timeout = absl::Milliseconds(500);
     // A connection idle for longer is not used again.
     absl::Duration idle_expiry = absl::Seconds(10);
+    // Closing a connection drops what the kernel has not delivered yet, so that
+    // a request that was given up does not arrive once a cut link heals.
+    bool drop_unsent = false;
   };
   using Callback = std::function<void(HttpOutcome)>;
 
--- a/keelbridge/transport/event_http_server.cc
+++ b/keelbridge/transport/event_http_server.cc
@@ -13,6 +13,7 @@
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_split.h"
 #include "keelbridge/base/clock.h"
+#include "keelbridge/base/logging.h"
 
 namespace keelbridge {
 namespace {
@@ -195,6 +196,12 @@
     if (error) return OnBadRequest(error);
     stream_.expires_never();
     auto& message = parser_->get();
+    if (server_->options_.skip_abandoned && Abandoned()) {
+      LogEvent(Severity::kInfo, "abandoned_request_skipped",
+               {{"path", std::string(message.target())},
+                {"bytes", absl::StrCat(message.body().size())}});
+      return Close();
+    }
     ServerRequest request;
     request.method = std::string(message.method_string());
     SplitTarget(std::string(message.target()), &request);
@@ -212,6 +219,14 @@
         });
   }
 
+  // Whether the caller is gone: it closed the connection, or that was reset.
+  bool Abandoned() {
+    char byte = 0;
+    const ssize_t n = ::recv(stream_.socket().native_handle(), &byte, 1,
+                             MSG_PEEK | MSG_DONTWAIT);
+    return n == 0 || (n < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
+  }
+
   void Write(ServerResponse response) {
     if (answered_) return;
     answered_ = true;
--- a/keelbridge/transport/event_http_server.h
+++ b/keelbridge/transport/event_http_server.h
@@ -40,6 +40,9 @@
     // A server that is full closes the connection that idles longest for a new
     // one, if it has idled for this long. Infinite: the new one is turned away.
     absl::Duration spare_after = absl::InfiniteDuration();
+    // A request whose caller has closed the connection meanwhile is not passed
+    // to the handler. Only for callers that never close one direction alone.
+    bool skip_abandoned = false;
   };
   // Must be called exactly once for each request; later calls do nothing.
   using Reply = std::function<void(ServerResponse)>;
--- a/keelbridge/transport/event_rpc.cc
+++ b/keelbridge/transport/event_rpc.cc
@@ -29,6 +29,7 @@
   options.most_body_bytes = kMostPeerBodyBytes;
   options.idle_timeout = kPeerServerIdle;
   options.spare_after = kSpareAfter;
+  options.skip_abandoned = true;
   return options;
 }
 
@@ -86,6 +87,7 @@
                                    ? kWorkConnectionsToPeer
                                    : kControlConnectionsToPeer;
     options.idle_expiry = kPeerClientIdle;
+    options.drop_unsent = true;
     peer = std::make_unique<EventHttpClient>(
         loop_, parsed ? parsed.value() : Address{"0.0.0.0", 0, ""}, options);
   }
