Test of a call's fate: its parts stand outside the class, for the linter's compiler

clang refuses an optional of a nested class with initializers inside its own outer class; gcc takes it. Nothing else changes.

--- a/keelbridge/coordination/call_fate_test.cc
+++ b/keelbridge/coordination/call_fate_test.cc
@@ -46,6 +46,27 @@
   }
 }
 
+struct Session {
+  int64_t epoch = 0;
+  bool fenced = false;  // Those before it, in the store.
+  bool active = false;
+  bool knows_job = false;
+  std::vector<int> early;    // Tries that wait for the term to be active.
+  std::vector<int> waiting;  // Tries that wait for the job to be durable.
+};
+struct Node {
+  int64_t claimed = 0;  // An epoch whose claim it has not heard of yet.
+  std::optional<Session> session;
+};
+struct Call {
+  int node;
+  int number;
+};
+struct Reply {
+  int number;
+  TryEnd end;
+};
+
 // A site that one client hands one job to, one attempt after the other, each at
 // a node of its own. All that is lost, late, refused or replaced is drawn.
 // Whom a node takes for the leader is drawn as well, so that every belief that
@@ -116,27 +137,6 @@
   int attempts() const { return attempts_; }
 
  private:
-  struct Session {
-    int64_t epoch = 0;
-    bool fenced = false;  // Those before it, in the store.
-    bool active = false;
-    bool knows_job = false;
-    std::vector<int> early;    // Tries that wait for the term to be active.
-    std::vector<int> waiting;  // Tries that wait for the job to be durable.
-  };
-  struct Node {
-    int64_t claimed = 0;  // An epoch whose claim it has not heard of yet.
-    std::optional<Session> session;
-  };
-  struct Call {
-    int node;
-    int number;
-  };
-  struct Reply {
-    int number;
-    TryEnd end;
-  };
-
   size_t At(int node) const { return static_cast<size_t>(node); }
   int Draw(int below) {
     return std::uniform_int_distribution<>(0, below - 1)(random_);
