--- a/testing/site_silence_test.cc
+++ b/testing/site_silence_test.cc
@@ -28,6 +28,8 @@
 // As many calls at a time as a node keeps connections to a peer.
 constexpr int kCallers = 10;
 constexpr int kFurtherCalls = 12;
+// At most 5 in 10 s, and the test is over within two such periods.
+constexpr int kMostLines = 10;
 constexpr int kLongMs = 9000;  // Longer than a lease of 6 s.
 constexpr int kShortMs = 100;
 
@@ -81,14 +83,20 @@
   std::atomic<uint64_t> last_{0};
 };
 
+// Lines of `event` that `node` has logged.
+int LinesOf(const SiteCell& cell, int node, const std::string& event) {
+  std::ifstream log(absl::StrCat(cell.directory(), "/node-", node, ".log"));
+  const std::string field = absl::StrCat("\"event\":\"", event, "\"");
+  int lines = 0;
+  std::string line;
+  while (std::getline(log, line)) lines += absl::StrContains(line, field);
+  return lines;
+}
+
 int ClaimsSoFar(const SiteCell& cell) {
   int claims = 0;
-  for (int node = 0; node < kNodes; ++node) {
-    std::ifstream log(absl::StrCat(cell.directory(), "/node-", node, ".log"));
-    std::string line;
-    while (std::getline(log, line))
-      claims += absl::StrContains(line, "\"event\":\"claiming\"") ? 1 : 0;
-  }
+  for (int node = 0; node < kNodes; ++node)
+    claims += LinesOf(cell, node, "claiming");
   return claims;
 }
 
@@ -131,6 +139,12 @@
   // No lease lapsed: each task ran once.
   CHECK(cell.RunCount() == jobs.count());
   CHECK(cell.Faults().empty());
+  // Each node tells of it, in few lines.
+  for (int node = 0; node < kNodes; ++node) {
+    const int lines = LinesOf(cell, node, "connection_silent");
+    CHECK(lines > 0);
+    CHECK(lines <= kMostLines);
+  }
 }
 
 }  // namespace
