--- a/keelbridge/transport/event_http_client_test.cc
+++ b/keelbridge/transport/event_http_client_test.cc
@@ -55,6 +55,7 @@
   // Leaves `count` connections idle, all opened.
   void KeepIdle(int count) {
     std::vector<std::shared_ptr<std::optional<HttpOutcome>>> calls;
+    calls.reserve(static_cast<size_t>(count));
     for (int i = 0; i < count; ++i) calls.push_back(Send(Get("/held")));
     while (held.size() < static_cast<size_t>(count)) Run(absl::Milliseconds(1));
     ReplyToAll();
@@ -235,7 +236,7 @@
   Pieces server(pauses, std::string(2000, 'x'));
   const HttpOutcome outcome = server.Ask(kLong, kSilence);
   REQUIRE(outcome.response);
-  CHECK(outcome.response->body == std::string(19 * 2000, 'x'));
+  CHECK(outcome.response->body == std::string(size_t{19} * 2000, 'x'));
   CHECK(server.took > 5 * kSilence);
 }
 
--- a/testing/site_silence_test.cc
+++ b/testing/site_silence_test.cc
@@ -63,6 +63,7 @@
   // From `callers` threads at each node, one job each.
   void SubmitAtAll(int callers, int work_ms) {
     std::vector<std::thread> threads;
+    threads.reserve(static_cast<size_t>(callers) * kNodes);
     for (int i = 0; i < callers * kNodes; ++i) {
       threads.emplace_back([this, i, work_ms] { Submit(i % kNodes, work_ms); });
     }
