Soak: what is open goes silent for good, for one node or for all

Three kinds of trouble at the end of the list: one node's ways, all ways of all nodes, and the same with a change of the configuration soon after. Like a reset they are over at once: a node counts as in touch again from that moment.

--- a/testing/site_soak_test.cc
+++ b/testing/site_soak_test.cc
@@ -67,6 +67,7 @@
   SoakOptions options;
   options.nodes = 5;
   options.faults_at_most = 10;
+  options.kinds = SoakKinds::kFirstAndLater;
   // LOST, in 2 of 4 runs: a leader that was paused answered from its old table
   // when it went on, before it heard of the next one: its poll was lost.
   CheckSeed(9206, options);
--- a/testing/soak_main.cc
+++ b/testing/soak_main.cc
@@ -14,7 +14,8 @@
 ABSL_FLAG(int, nodes, 4, "nodes");
 ABSL_FLAG(int, workers, 6, "workers");
 ABSL_FLAG(int, faults, 6, "faults at most");
-ABSL_FLAG(std::string, kinds, "all", "kinds of trouble: all, first, later");
+ABSL_FLAG(std::string, kinds, "all",
+          "kinds of trouble: all, first, later, first-and-later, silences");
 ABSL_FLAG(bool, notes, false, "tells of all seeds what was done");
 
 namespace {
@@ -23,7 +24,9 @@
 
 SoakKinds Kinds(const std::string& name) {
   if (name == "first") return SoakKinds::kFirst;
-  return name == "later" ? SoakKinds::kLater : SoakKinds::kAll;
+  if (name == "later") return SoakKinds::kLater;
+  if (name == "first-and-later") return SoakKinds::kFirstAndLater;
+  return name == "silences" ? SoakKinds::kSilences : SoakKinds::kAll;
 }
 
 }  // namespace
--- a/testing/support/site_soak.h
+++ b/testing/support/site_soak.h
@@ -21,7 +21,9 @@
 enum class SoakKinds {
   kAll,
   kFirst,  // The first 18: there were no others when some seeds failed.
-  kLater,  // All but those.
+  kLater,  // The 9 that came next.
+  kFirstAndLater,
+  kSilences,  // Those after them: what is open goes silent for good.
 };
 
 struct SoakOptions {
--- a/testing/support/soak_troubles.cc
+++ b/testing/support/soak_troubles.cc
@@ -22,6 +22,27 @@
 constexpr double kLostShare = 0.4;
 constexpr double kLostOrdersShare = 0.3;
 
+struct KindRange {
+  Trouble first;
+  Trouble end;  // Not one of them.
+};
+
+KindRange RangeOf(SoakKinds kinds) {
+  switch (kinds) {
+    case SoakKinds::kFirst:
+      return {Trouble::kKillNode, Trouble::kFirstKinds};
+    case SoakKinds::kLater:
+      return {Trouble::kFirstKinds, Trouble::kSecondKinds};
+    case SoakKinds::kFirstAndLater:
+      return {Trouble::kKillNode, Trouble::kSecondKinds};
+    case SoakKinds::kSilences:
+      return {Trouble::kSecondKinds, Trouble::kCount};
+    case SoakKinds::kAll:
+      break;
+  }
+  return {Trouble::kKillNode, Trouble::kCount};
+}
+
 }  // namespace
 
 SoakTroubles::SoakTroubles(SiteCell& cell, NodeTouch& touch,
@@ -143,6 +164,13 @@
         SilencePeersQuietly(i, time, open);
       return;
     }
+    case Trouble::kNodeGoesSilent:
+      return NodeGoesSilent(node);
+    case Trouble::kAllGoSilent:
+      return AllGoSilent();
+    case Trouble::kChangeAfterAllGoSilent:
+      AllGoSilent();
+      return Later(open, kBeforeChange, [this] { NewConfiguration(); });
     default:
       return;
   }
@@ -157,12 +185,9 @@
 }
 
 Trouble SoakTroubles::DrawTrouble() {
-  const auto first = options_.kinds == SoakKinds::kLater
-                         ? static_cast<uint64_t>(Trouble::kFirstKinds)
-                         : 0;
-  const auto end = static_cast<uint64_t>(options_.kinds == SoakKinds::kFirst
-                                             ? Trouble::kFirstKinds
-                                             : Trouble::kCount);
+  const KindRange range = RangeOf(options_.kinds);
+  const auto first = static_cast<uint64_t>(range.first);
+  const auto end = static_cast<uint64_t>(range.end);
   return static_cast<Trouble>(first + random_() % (end - first));
 }
 
@@ -353,6 +378,22 @@
   });
 }
 
+// Like a reset: in touch again from this moment on.
+void SoakTroubles::NodeGoesSilent(int node) {
+  record_.Note(absl::StrCat("what is open to the store and of peers goes ",
+                            "silent for good: node ", node));
+  touch_.Disturb(node);
+  cell_.SilenceOpenOf(node);
+  touch_.Restore(node);
+}
+
+void SoakTroubles::AllGoSilent() {
+  record_.Note("what is open goes silent for good: all ways of all nodes");
+  touch_.DisturbAll();
+  cell_.SilenceAllOpen();
+  touch_.RestoreAll();
+}
+
 void SoakTroubles::NewConfiguration() {
   const std::lock_guard<std::mutex> lock(configuration_mutex_);
   const int64_t version = ++configuration_;
--- a/testing/support/soak_troubles.h
+++ b/testing/support/soak_troubles.h
@@ -55,6 +55,13 @@
   kLeaderPaused,
   kLeaderCut,    // No store for the leader, and no peer reaches it.
   kLeaderAlone,  // The same, and it reaches no peer: no peer reaches another.
+  kSecondKinds,  // So many were there when the next failing seeds were drawn.
+
+  // What is open goes silent for good, without an end; new connections pass.
+  // Like a reset, it is over at once.
+  kNodeGoesSilent = kSecondKinds,  // One node's ways to the store and of peers.
+  kAllGoSilent,                    // All ways of all nodes, to workers too.
+  kChangeAfterAllGoSilent,         // The same, and soon a change is written.
   kCount,
 };
 
@@ -94,6 +101,8 @@
   void LateAppends(absl::Duration time, Open* open);
   void ChangeBehindSilence(int node, bool forget, absl::Duration time,
                            Open* open);
+  void NodeGoesSilent(int node);
+  void AllGoSilent();
   void NewConfiguration();
 
   std::vector<int> Others(int node) const;
