--- a/keelbridge/daemon/store_failover_test.cc
+++ b/keelbridge/daemon/store_failover_test.cc
@@ -4,6 +4,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <optional>
+#include <vector>
 
 #include "testing/fakes/fault_proxy.h"
 
@@ -31,16 +32,19 @@
 class Peer {
  public:
   explicit Peer(boost::asio::io_context& loop) : server_(loop, kPeer) {
-    server_.Add(StoreFailover::kMethod,
-                [this](const Json::Value&, const EventRpcServer::Reply& reply) {
-                  ++carried;
-                  Json::Value out(Json::objectValue);
-                  out["status"] = 200;
-                  reply({out, 0, ""});
-                });
+    server_.Add(
+        StoreFailover::kMethod,
+        [this](const Json::Value& params, const EventRpcServer::Reply& reply) {
+          ++carried;
+          last = params;
+          Json::Value out(Json::objectValue);
+          out["status"] = 200;
+          reply({out, 0, ""});
+        });
     REQUIRE(server_.Start());
   }
   int carried = 0;
+  Json::Value last;
 
  private:
   EventRpcServer server_;
@@ -158,5 +162,45 @@
   CHECK(peer.carried == 1);
 }
 
+TEST_CASE(
+    "store failover: a peer gives a silent store up as its caller would") {
+  boost::asio::io_context loop;
+  EventHttpServer::Options options;
+  options.listen = {"127.0.0.1", 0, ""};
+  std::vector<EventHttpServer::Reply> unanswered;
+  EventHttpServer store(
+      loop, options, [&](const ServerRequest&, EventHttpServer::Reply reply) {
+        unanswered.push_back(std::move(reply));
+      });
+  const auto port = store.Start();
+  REQUIRE(port);
+  Peer peer(loop);
+  EventRpcClient rpc(loop);
+  StoreFailover carrier(loop, {"127.0.0.1", port.value(), ""}, rpc);
+  carrier.SetPeers({kPeer.ToString()});
+  HttpRequest request;
+  request.path = "/log";
+  request.silence = absl::Milliseconds(100);
+  // The first goes to the store, the second to the peer.
+  for (int i = 0; i < 2; ++i) {
+    carrier.Carry(request, absl::Seconds(2), [](const HttpOutcome&) {});
+    loop.run_for(std::chrono::milliseconds(300));
+    loop.restart();
+  }
+  REQUIRE(peer.carried == 1);
+  CHECK(peer.last["silence_ms"].asInt64() == 100);
+  StoreFailover other(loop, {"127.0.0.1", port.value(), ""}, rpc);
+  bool answered = false;
+  other.ServePeer(peer.last, [&](const JsonRpcReply&) { answered = true; });
+  loop.run_for(std::chrono::milliseconds(500));
+  CHECK(answered);
+  // None is told of when there is none.
+  request.silence = absl::InfiniteDuration();
+  carrier.Carry(request, absl::Seconds(1), [](const HttpOutcome&) {});
+  loop.restart();
+  loop.run_for(std::chrono::milliseconds(100));
+  CHECK_FALSE(peer.last.isMember("silence_ms"));
+}
+
 }  // namespace
 }  // namespace keelbridge
