--- a/keelbridge/daemon/store_failover.cc
+++ b/keelbridge/daemon/store_failover.cc
@@ -47,6 +47,8 @@
   out["path"] = request.path;
   out["body"] = absl::Base64Escape(request.body);
   out["content_type"] = request.content_type;
+  if (request.silence < absl::InfiniteDuration())
+    out["silence_ms"] = Json::Int64(absl::ToInt64Milliseconds(request.silence));
   return out;
 }
 
@@ -56,6 +58,8 @@
   request.path = in["path"].asString();
   absl::Base64Unescape(in["body"].asString(), &request.body);
   request.content_type = in["content_type"].asString();
+  if (in["silence_ms"].isIntegral())
+    request.silence = absl::Milliseconds(in["silence_ms"].asInt64());
   return request;
 }
 
