Check of CONFIG: two spans that are not added, and a refusal is called one

The users: "the two spans don't add up; `contactMs` after the end of trouble in the platform's store, calm machines are in touch." The soak called a node late 3 s + 2 s after a change or after its trouble. It is now late once asked after max(written + 2 s, undisturbed since + 3 s). site_cut_test waits for the one span that applies (5 s before; 2 s, 3 s and, a second after the change, 1 s), site_stale_knowledge_test 3 s (5 s before).

The old check also said something untrue: a node that answered 503 ("the configuration here may be old") was said to serve by version 0, and to be late with version 1 since the soak began ("14178 ms after version 1 was written"). One refusal is still a fault, from when the node is in touch (3 s after its trouble, 5 s before), and is told in words of its own. The unit test "a node without any version is late too" and "refusing everything is not going back, but late in time" are replaced by "a node in touch does not refuse" and "a node may refuse until it is in touch" with the narrower bounds, and "refusing is not going back".

New: answers through a fault proxy can share a link's rate; 700 KB on 10 Mbit/s after silences of 2.4 to 6 s, heard of and read anew.

--- a/testing/fakes/fault_proxy.cc
+++ b/testing/fakes/fault_proxy.cc
@@ -1,5 +1,6 @@
 #include "testing/fakes/fault_proxy.h"
 
+#include <algorithm>
 #include <array>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/read.hpp>
@@ -8,6 +9,8 @@
 #include <string>
 #include <utility>
 
+#include "keelbridge/base/clock.h"
+
 namespace keelbridge::testing {
 namespace {
 
@@ -83,9 +86,10 @@
     // What was dropped makes the rest of the connection meaningless: it stays
     // open and says nothing more.
     if (dropped) return;
-    const absl::Duration delay = mode == FaultProxy::Mode::kDelay
-                                     ? proxy_->delay_
-                                     : absl::ZeroDuration();
+    absl::Duration delay = mode == FaultProxy::Mode::kDelay
+                               ? proxy_->delay_
+                               : absl::ZeroDuration();
+    if (answers) delay += proxy_->TakeLink(bytes);
     auto timer = std::make_shared<boost::asio::steady_timer>(
         proxy_->loop_, absl::ToChronoNanoseconds(delay));
     timer->async_wait([self = shared_from_this(), timer, &from, &to, piece,
@@ -143,6 +147,14 @@
       });
 }
 
+absl::Duration FaultProxy::TakeLink(size_t bytes) {
+  if (answer_rate_ <= 0) return absl::ZeroDuration();
+  const absl::Time now = SystemNow().mono;
+  link_free_ = std::max(link_free_, now) +
+               absl::Seconds(static_cast<double>(bytes) / answer_rate_);
+  return link_free_ - now;
+}
+
 void FaultProxy::SetMode(Mode mode, absl::Duration delay) {
   mode_ = mode;
   delay_ = delay;
--- a/testing/fakes/fault_proxy.h
+++ b/testing/fakes/fault_proxy.h
@@ -49,10 +49,16 @@
   // direction, for good: neither a mode nor the end of one side ends the other.
   // New ones pass as the mode says.
   void SilenceOpen();
+  // Answers of all connections share a link of this rate; 0: it has no bound.
+  void SetAnswerRate(double bytes_per_second) {
+    answer_rate_ = bytes_per_second;
+  }
 
  private:
   friend class ProxiedConnection;
   void Accept();
+  // How long a piece of an answer is on the link, behind those before it.
+  absl::Duration TakeLink(size_t bytes);
 
   boost::asio::io_context& loop_;
   const Address target_;
@@ -60,6 +66,8 @@
   Address address_;
   Mode mode_ = Mode::kPass;
   absl::Duration delay_;
+  double answer_rate_ = 0;
+  absl::Time link_free_ = absl::InfinitePast();
   std::set<std::shared_ptr<ProxiedConnection>> open_;
 };
 
--- a/testing/fakes/fault_proxy_test.cc
+++ b/testing/fakes/fault_proxy_test.cc
@@ -68,6 +68,32 @@
   CHECK_FALSE(site.over);
 }
 
+TEST_CASE("fault proxy: answers share the link's rate") {
+  Site site;
+  site.proxy.SetAnswerRate(100e3);
+  site.Send();
+  EventHttpServer::Reply first = std::move(site.waiting);
+  EventHttpClient other(site.loop, site.proxy.address(),
+                        EventHttpClient::Options());
+  bool other_over = false;
+  other.Send({"GET", "/", {}, "", ""}, absl::Seconds(5),
+             [&](const HttpOutcome& outcome) {
+               other_over = outcome.response.has_value();
+             });
+  site.Run();
+  const std::string body(20'000, 'x');  // 0.2 s.
+  first({200, {}, body, "text/plain"});
+  site.waiting({200, {}, body, "text/plain"});
+  site.Run();
+  CHECK_FALSE(site.over);
+  CHECK_FALSE(other_over);
+  site.Run();
+  CHECK_FALSE((site.over && other_over));  // Both at once take 0.4 s.
+  for (int i = 0; i < 4; ++i) site.Run();
+  CHECK(site.status == 200);
+  CHECK(other_over);
+}
+
 TEST_CASE("fault proxy: a call on which nothing was dropped goes on") {
   Site site;
   site.Send();
--- a/testing/site_cut_test.cc
+++ b/testing/site_cut_test.cc
@@ -46,10 +46,11 @@
   });
 }
 
-// Every node serves by `version` within the bound of ConfigurationCheck.
-void CheckAllServeBy(SiteCell& cell, int64_t version) {
-  const absl::Time until =
-      absl::Now() + ConfigurationCheck::kInTouch + ConfigurationCheck::kApply;
+// Every node serves by `version` within the bound of ConfigurationCheck:
+// `kApply` from now on while nothing disturbs the nodes, `kInTouch` once their
+// trouble has just ended.
+void CheckAllServeBy(SiteCell& cell, int64_t version, absl::Duration bound) {
+  const absl::Time until = absl::Now() + bound;
   for (int node = 0; node < kNodes; ++node) {
     bool serves = ServesBy(cell, node, version);
     while (!serves && absl::Now() < until) {
@@ -69,7 +70,7 @@
   cell.WithPlatform(
       [&](SitePlatform& platform) { platform.store().SetFaults(faults); });
   Publish(cell, 2);
-  CheckAllServeBy(cell, 2);
+  CheckAllServeBy(cell, 2, ConfigurationCheck::kApply);
 }
 
 TEST_CASE(
@@ -81,7 +82,7 @@
   Publish(cell, 2);
   absl::SleepFor(absl::Seconds(1));
   for (int node = 0; node < kNodes; ++node) cell.HealStoreProxyQuietly(node);
-  CheckAllServeBy(cell, 2);
+  CheckAllServeBy(cell, 2, ConfigurationCheck::kInTouch);
 }
 
 TEST_CASE("site cut: polls that are cut after a change cost nothing") {
@@ -97,7 +98,8 @@
     platform.store().SetFaults({});
     platform.store().CutPolls();
   });
-  CheckAllServeBy(cell, 2);
+  // A second of the two is over.
+  CheckAllServeBy(cell, 2, ConfigurationCheck::kApply - absl::Seconds(1));
 }
 
 // Nothing that the node could hear of another leader by reaches it any more.
--- a/testing/site_stale_knowledge_test.cc
+++ b/testing/site_stale_knowledge_test.cc
@@ -8,15 +8,19 @@
 
 #include "absl/strings/str_cat.h"
 #include "absl/time/clock.h"
+#include "testing/support/configuration_check.h"
 #include "testing/support/site_cell.h"
 
 namespace keelbridge::testing {
 namespace {
 
 constexpr int kNodes = 3;
-// From the end of an outage until all nodes must use the newest configuration:
-// 3 s until a node counts as in touch, and 2 s to apply (the users' bounds).
-constexpr absl::Duration kInForceWithin = absl::Seconds(5);
+// From the end of an outage until all nodes must use the newest configuration,
+// when that was written 2 s before at least: nodes are in touch then.
+constexpr absl::Duration kInForceWithin = ConfigurationCheck::kInTouch;
+constexpr int kQueuesOfGrownSites = 2800;
+// 10 Mbit/s, the slowest link that nodes have.
+constexpr double kSlowestLink = 10e6 / 8;
 
 SiteCell::Options WithProxies() {
   SiteCell::Options options;
@@ -57,15 +61,16 @@
   CHECK(AwaitAllUse(cell, 2));
 }
 
-// About 100 KB: seven pieces through a proxy that holds each for 0.2 s.
-std::string LargeConfiguration(int64_t version) {
+// Of `queues` queues, each in a route of some 80 bytes and `more_bytes`.
+std::string LargeConfiguration(int64_t version, int queues, size_t more_bytes) {
   std::string out =
       absl::StrCat(R"({"version":)", version,
                    R"(,"services":[{"name":"desk"}],"routes":[)"
                    R"({"name":"r-restore","host":"desk.example",)"
                    R"("pathPrefix":"/restore/","service":"desk"})");
-  for (int i = 0; i < 1200; ++i) {
-    absl::StrAppend(&out, R"(,{"name":"r-)", i,
+  const std::string more(more_bytes, 'x');
+  for (int i = 0; i < queues; ++i) {
+    absl::StrAppend(&out, R"(,{"name":"r-)", i, more,
                     R"(","host":"desk.example","pathPrefix":"/more/)", i,
                     R"(/","service":"desk"})");
   }
@@ -81,7 +86,8 @@
     cell.SetStoreProxy(i, FaultProxy::Mode::kSilent);
   absl::SleepFor(absl::Milliseconds(300));
   cell.WithPlatform([](SitePlatform& platform) {
-    platform.store().Put("keyed.op", "config", LargeConfiguration(2));
+    // About 100 KB: seven pieces through a proxy that holds each for 0.2 s.
+    platform.store().Put("keyed.op", "config", LargeConfiguration(2, 1200, 0));
   });
   absl::SleepFor(absl::Seconds(2));
   for (int i = 0; i < kNodes; ++i) {
@@ -91,6 +97,59 @@
   CHECK(AwaitAllUse(cell, 2));
 }
 
+void WriteLarge(SiteCell& cell, int64_t version) {
+  const std::string document =
+      LargeConfiguration(version, kQueuesOfGrownSites, 170);
+  CHECK(document.size() > 680'000);
+  cell.WithPlatform([&document](SitePlatform& platform) {
+    platform.store().Put("keyed.op", "config", document);
+  });
+}
+
+// No node reaches the store for `silence`, during which a large configuration
+// is written; then it is as if nothing had been, but for calls that hang.
+void CheckLargeAfterSilence(SiteCell& cell, int64_t version,
+                            absl::Duration silence, bool forget) {
+  for (int i = 0; i < kNodes; ++i)
+    cell.SetStoreProxy(i, FaultProxy::Mode::kSilent);
+  absl::SleepFor(absl::Milliseconds(300));
+  WriteLarge(cell, version);
+  if (forget)
+    cell.WithPlatform(
+        [](SitePlatform& platform) { platform.store().ForgetAll(); });
+  absl::SleepFor(silence - absl::Milliseconds(300));
+  for (int i = 0; i < kNodes; ++i) cell.HealStoreProxyQuietly(i);
+  const absl::Time healed = absl::Now();
+  CAPTURE(absl::FormatDuration(silence));
+  CHECK(AwaitAllUse(cell, version));
+  MESSAGE("in force ", absl::ToInt64Milliseconds(absl::Now() - healed),
+          " ms after a silence of ", absl::ToInt64Milliseconds(silence), " ms");
+}
+
+void CheckLargeAfterSilences(bool forget) {
+  SiteCell cell(WithProxies());
+  REQUIRE(cell.AwaitReady(kNodes));
+  for (int i = 0; i < kNodes; ++i) cell.SetStoreLink(i, kSlowestLink);
+  int64_t version = 1;
+  // A read that hangs is at another point of its time at the end of each.
+  for (const int ms : {2400, 3300, 4200, 5100, 6000}) {
+    CheckLargeAfterSilence(cell, ++version, absl::Milliseconds(ms), forget);
+    absl::SleepFor(absl::Seconds(1));
+  }
+}
+
+TEST_CASE(
+    "stale knowledge: 700 KB on the slowest link are in force 3 s after a "
+    "silence of any length") {
+  CheckLargeAfterSilences(false);
+}
+
+TEST_CASE(
+    "stale knowledge: 700 KB on the slowest link are in force 3 s after a "
+    "silence in which the store forgot its history") {
+  CheckLargeAfterSilences(true);
+}
+
 constexpr char kTwoRoutes[] =
     R"({"version":2,"routes":[
       {"name":"r-restore","host":"desk.example","pathPrefix":"/restore/",
--- a/testing/support/configuration_check.cc
+++ b/testing/support/configuration_check.cc
@@ -5,6 +5,25 @@
 #include "absl/strings/str_cat.h"
 
 namespace keelbridge::testing {
+namespace {
+
+int64_t Milliseconds(absl::Duration time) {
+  return absl::ToInt64Milliseconds(time);
+}
+
+// The node was in trouble for a part of the call at least.
+bool Disturbed(const ConfigurationCheck::Sight& sight) {
+  return sight.before.since == absl::InfiniteFuture() ||
+         sight.before.since != sight.after.since;
+}
+
+// From when on the node must serve by what was written at `written`.
+absl::Time DueAt(absl::Time written, const ConfigurationCheck::Sight& sight) {
+  return std::max(written + ConfigurationCheck::kApply,
+                  sight.before.since + ConfigurationCheck::kInTouch);
+}
+
+}  // namespace
 
 void ConfigurationCheck::Written(int64_t version, absl::Time now) {
   const std::lock_guard<std::mutex> lock(mutex_);
@@ -33,14 +52,15 @@
   if (sight.before.life != sight.after.life) return "";
   std::string fault = CheckBack(sight);
   if (fault.empty()) fault = CheckLate(sight);
+  if (fault.empty()) fault = CheckRefusal(sight);
   return fault;
 }
 
 std::string ConfigurationCheck::CheckBack(const Sight& sight) {
   Best& best = best_[static_cast<size_t>(sight.node)];
   if (best.life != sight.before.life) best = {sight.before.life, 0};
-  // Refusing because it may be behind is not serving by an older version; it
-  // may not last, which `CheckLate` sees to.
+  // Refusing because it may be behind is not serving by an older version; see
+  // `CheckRefusal`.
   if (sight.version == 0) return "";
   if (sight.version < best.version) {
     return absl::StrCat("CONFIG: node ", sight.node, " went back from version ",
@@ -56,21 +76,26 @@
 }
 
 std::string ConfigurationCheck::CheckLate(const Sight& sight) const {
-  const bool disturbed = sight.before.since == absl::InfiniteFuture() ||
-                         sight.before.since != sight.after.since;
-  if (disturbed) return "";
+  if (sight.version == 0 || Disturbed(sight)) return "";
   for (auto it = written_.upper_bound(sight.version); it != written_.end();
        ++it) {
-    const absl::Time from = std::max(it->second, sight.before.since);
-    const absl::Duration late = sight.asked - from;
-    if (late <= kInTouch + kApply) continue;
+    if (sight.asked <= DueAt(it->second, sight)) continue;
     return absl::StrCat(
         "CONFIG: node ", sight.node, " serves by version ", sight.version, ", ",
-        absl::ToInt64Milliseconds(sight.asked - it->second),
-        " ms after version ", it->first, " was written, in touch for ",
-        absl::ToInt64Milliseconds(sight.asked - sight.before.since), " ms");
+        Milliseconds(sight.asked - it->second), " ms after version ", it->first,
+        " was written, undisturbed for ",
+        Milliseconds(sight.asked - sight.before.since), " ms");
   }
   return "";
 }
 
+std::string ConfigurationCheck::CheckRefusal(const Sight& sight) const {
+  if (sight.version != 0 || Disturbed(sight) || written_.empty()) return "";
+  if (sight.asked <= DueAt(written_.begin()->second, sight)) return "";
+  return absl::StrCat(
+      "CONFIG: node ", sight.node,
+      " refuses a call since its configuration may be old, undisturbed for ",
+      Milliseconds(sight.asked - sight.before.since), " ms");
+}
+
 }  // namespace keelbridge::testing
--- a/testing/support/configuration_check.h
+++ b/testing/support/configuration_check.h
@@ -1,6 +1,11 @@
 // Judges whether nodes serve by the configurations that were written, from what
 // callers saw of them. Thread-safe.
 //
+// A node must serve by a version once both are over: `kApply` since it was
+// written, and `kInTouch` since trouble of the node, or of the store, ended.
+// The two are not added to each other. From the same moment on a node does not
+// refuse calls because its configuration may be old.
+//
 //   ConfigurationCheck check(4);
 //   check.Written(2);
 //   std::string fault = check.Seen({.node = 0, .version = 1, ...});
@@ -21,14 +26,16 @@
 
 class ConfigurationCheck {
  public:
-  // A node that is in touch for so long after a change has heard of it.
+  // A node is in touch when nothing has disturbed it for so long (the users'
+  // bound).
   static constexpr absl::Duration kInTouch = absl::Seconds(3);
-  // And serves by it so much later.
+  // A node in touch serves by a version so long after it was written (the
+  // users' bound).
   static constexpr absl::Duration kApply = absl::Seconds(2);
 
   struct Sight {
     int node = 0;
-    int64_t version = 0;      // By which it served; 0: it refused everything.
+    int64_t version = 0;      // By which it served; 0: it refused the call.
     absl::Time asked;         // Before the call was sent.
     NodeTouch::State before;  // The node's state then,
     NodeTouch::State after;   // and when the answer was there.
@@ -54,6 +61,7 @@
   };
   std::string CheckBack(const Sight& sight);
   std::string CheckLate(const Sight& sight) const;
+  std::string CheckRefusal(const Sight& sight) const;
 
   mutable std::mutex mutex_;
   std::map<int64_t, absl::Time> written_;  // By version.
--- a/testing/support/configuration_check_test.cc
+++ b/testing/support/configuration_check_test.cc
@@ -22,36 +22,71 @@
   return sight;
 }
 
-TEST_CASE("configuration check: a change is due 5 s after it was written") {
+TEST_CASE("configuration check: a change is due 2 s after it was written") {
   ConfigurationCheck check(1);
   check.Written(1, At(0));
   check.Written(2, At(10));
-  CHECK(check.Seen(Sight(1, 14.9)).empty());
-  CHECK(absl::StrContains(check.Seen(Sight(1, 15.1)), "after version 2"));
-  CHECK(check.Seen(Sight(2, 15.2)).empty());
+  CHECK(check.Seen(Sight(1, 11.9)).empty());
+  CHECK(absl::StrContains(check.Seen(Sight(1, 12.1)), "after version 2"));
+  CHECK(check.Seen(Sight(2, 12.2)).empty());
 }
 
 TEST_CASE("configuration check: a newer change does not excuse an older one") {
   ConfigurationCheck check(1);
   check.Written(2, At(10));
-  check.Written(3, At(14));
-  CHECK(absl::StrContains(check.Seen(Sight(1, 15.1)), "after version 2"));
-  CHECK(check.Seen(Sight(2, 15.2)).empty());
-  CHECK(absl::StrContains(check.Seen(Sight(2, 19.1)), "after version 3"));
+  check.Written(3, At(11.5));
+  CHECK(absl::StrContains(check.Seen(Sight(1, 12.1)), "after version 2"));
+  CHECK(check.Seen(Sight(2, 12.2)).empty());
+  CHECK(absl::StrContains(check.Seen(Sight(2, 13.6)), "after version 3"));
 }
 
-TEST_CASE("configuration check: a node without any version is late too") {
+TEST_CASE("configuration check: a node in touch does not refuse") {
+  ConfigurationCheck check(1);
+  CHECK(check.Seen(Sight(0, 9)).empty());  // There is nothing to serve by.
+  check.Written(1, At(10));
+  CHECK(check.Seen(Sight(0, 11.9)).empty());
+  CHECK(absl::StrContains(check.Seen(Sight(0, 12.1)), "refuses"));
+  // Once is enough, also for one that served before, and long after a change.
+  CHECK(check.Seen(Sight(1, 13)).empty());
+  const std::string fault = check.Seen(Sight(0, 24.2));
+  CHECK(absl::StrContains(fault, "refuses"));
+  CHECK(absl::StrContains(fault, "undisturbed for 24200 ms"));
+  // It serves by no version then: it is not called late with one.
+  CHECK_FALSE(absl::StrContains(fault, "version 1"));
+  // A newer version is no excuse.
+  check.Written(2, At(24));
+  CHECK(absl::StrContains(check.Seen(Sight(0, 24.3)), "refuses"));
+}
+
+TEST_CASE("configuration check: a node may refuse until it is in touch") {
   ConfigurationCheck check(1);
   check.Written(1, At(0));
-  CHECK(check.Seen(Sight(0, 4)).empty());
-  CHECK_FALSE(check.Seen(Sight(0, 6)).empty());
+  CHECK(check.Seen(Sight(0, 22.9, 20)).empty());
+  CHECK(absl::StrContains(check.Seen(Sight(0, 23.1, 20)), "refuses"));
+  ConfigurationCheck::Sight sight = Sight(0, 23.1, 20);
+  sight.after.since = absl::InfiniteFuture();
+  CHECK(check.Seen(sight).empty());
 }
 
-TEST_CASE("configuration check: time counts from when a node is in touch") {
+TEST_CASE(
+    "configuration check: an old change is due 3 s after trouble ended, and 2 "
+    "s are not added") {
   ConfigurationCheck check(1);
   check.Written(2, At(10));
-  CHECK(check.Seen(Sight(1, 24.9, 20)).empty());
-  CHECK_FALSE(check.Seen(Sight(1, 25.1, 20)).empty());
+  CHECK(check.Seen(Sight(1, 22.9, 20)).empty());
+  CHECK(absl::StrContains(check.Seen(Sight(1, 23.1, 20)), "after version 2"));
+}
+
+TEST_CASE(
+    "configuration check: a change soon after trouble is due at the later "
+    "moment") {
+  ConfigurationCheck check(1);
+  check.Written(2, At(20.5));
+  CHECK(check.Seen(Sight(1, 22.9, 20)).empty());
+  CHECK_FALSE(check.Seen(Sight(1, 23.1, 20)).empty());
+  check.Written(3, At(22));
+  CHECK(check.Seen(Sight(2, 23.9, 20)).empty());
+  CHECK_FALSE(check.Seen(Sight(2, 24.1, 20)).empty());
 }
 
 TEST_CASE("configuration check: a node disturbed meanwhile is not late") {
@@ -79,18 +114,14 @@
   CHECK(check.Seen(back).empty());
 }
 
-TEST_CASE(
-    "configuration check: refusing everything is not going back, but late in "
-    "time") {
+TEST_CASE("configuration check: refusing is not going back") {
   ConfigurationCheck check(1);
   check.Written(1, At(0));
   CHECK(check.Seen(Sight(1, 1)).empty());
-  CHECK(check.Seen(Sight(0, 4.9)).empty());
-  CHECK(absl::StrContains(check.Seen(Sight(0, 5.1)), "after version 1"));
-  // It still counts what this life served by before.
   check.Written(2, At(6));
   CHECK(check.Seen(Sight(2, 6.1)).empty());
   CHECK(check.Seen(Sight(0, 6.2, 6)).empty());
+  // It still counts what this life served by before.
   CHECK(absl::StrContains(check.Seen(Sight(1, 6.3, 6)), "went back"));
 }
 
--- a/testing/support/site_cell.cc
+++ b/testing/support/site_cell.cc
@@ -320,6 +320,12 @@
   });
 }
 
+void SiteCell::SetStoreLink(int node, double bytes_per_second) {
+  WithPlatform([&](SitePlatform&) {
+    store_proxies_[At(node)]->SetAnswerRate(bytes_per_second);
+  });
+}
+
 void SiteCell::SetWorkerProxy(int worker, FaultProxy::Mode mode) {
   WithPlatform(
       [&](SitePlatform& platform) { platform.SetWorkerProxy(worker, mode); });
--- a/testing/support/site_cell.h
+++ b/testing/support/site_cell.h
@@ -76,6 +76,8 @@
   // of `node` to the store and of its peers to it; all, also those to workers.
   void SilenceOpenOf(int node);
   void SilenceAllOpen();
+  // Of all that the store answers a node; see `FaultProxy`.
+  void SetStoreLink(int node, double bytes_per_second);
   int ZoneOf(int node) const { return node % kZones; }
   static constexpr int kZones = 3;
 
