Test of a read that hangs at a peer while the store would answer

Its next check of the configuration (at an age of 1.5 s, since the leader could not confirm: its own read hung) goes through another peer, and that one has lost the store: the call hangs for 0.6 s, and past 2.0 s calls are refused. The same read was tried directly beside it, was answered at once, and the answer was thrown away. Ruled out by the logs: a lost heartbeat, a late timer, AskDue's 0.5 s (the check began at 1.5 s), a connection to the store that hung. Fails on the code before (2 checks): build/keelbridge_tests -tc="store failover*".

--- a/keelbridge/daemon/store_failover_test.cc
+++ b/keelbridge/daemon/store_failover_test.cc
@@ -202,5 +202,59 @@
   CHECK_FALSE(peer.last.isMember("silence_ms"));
 }
 
+TEST_CASE(
+    "store failover: a read is answered by the store itself though its appends "
+    "are not and the peer hangs") {
+  boost::asio::io_context loop;
+  EventHttpServer::Options options;
+  options.listen = {"127.0.0.1", 0, ""};
+  std::vector<EventHttpServer::Reply> unanswered;
+  EventHttpServer store(
+      loop, options,
+      [&](const ServerRequest& request, EventHttpServer::Reply reply) {
+        if (request.method == "POST")
+          unanswered.push_back(std::move(reply));
+        else
+          reply({200, {}, "of the store", "text/plain"});
+      });
+  const auto port = store.Start();
+  REQUIRE(port);
+  std::vector<EventRpcServer::Reply> hanging;
+  EventRpcServer peer(loop, kPeer);
+  peer.Add(StoreFailover::kMethod,
+           [&](const Json::Value&, EventRpcServer::Reply reply) {
+             hanging.push_back(std::move(reply));
+           });
+  REQUIRE(peer.Start());
+  EventRpcClient rpc(loop);
+  StoreFailover carrier(loop, {"127.0.0.1", port.value(), ""}, rpc);
+  carrier.SetPeers({kPeer.ToString()});
+  HttpRequest append;
+  append.method = "POST";
+  append.path = "/append";
+  bool over = false;
+  carrier.Carry(append, absl::Milliseconds(200),
+                [&](const HttpOutcome&) { over = true; });
+  loop.run_for(std::chrono::milliseconds(500));
+  REQUIRE(over);
+  REQUIRE_FALSE(carrier.direct());
+  HttpRequest read;
+  read.path = "/read";
+  std::string body;
+  int answers = 0;
+  carrier.Carry(read, absl::Milliseconds(600), [&](const HttpOutcome& outcome) {
+    ++answers;
+    if (outcome.response) body = outcome.response->body;
+  });
+  loop.restart();
+  loop.run_for(std::chrono::milliseconds(300));
+  CHECK(body == "of the store");
+  CHECK(carrier.direct());
+  // What the peer says later changes nothing.
+  loop.restart();
+  loop.run_for(std::chrono::milliseconds(700));
+  CHECK(answers == 1);
+}
+
 }  // namespace
 }  // namespace keelbridge
