A read in doubt goes to the store and through a peer, and the first answer counts

That a call failed says little of the way to the store: answers of appends alone may be lost, and the peer that is asked instead may have lost the store meanwhile. A read that is also a try of the direct way now takes its answer; while the last direct read was answered each read goes both ways. Appends go one way as before.

--- a/keelbridge/daemon/store_failover.cc
+++ b/keelbridge/daemon/store_failover.cc
@@ -1,6 +1,7 @@
 #include "keelbridge/daemon/store_failover.h"
 
 #include <algorithm>
+#include <memory>
 #include <utility>
 
 #include "absl/strings/escaping.h"
@@ -12,7 +13,7 @@
 constexpr int kTooManyRequests = 429;
 constexpr int kUnavailable = 503;
 // While a peer carries, the store is tried directly this often.
-constexpr absl::Duration kDirectEvery = absl::Milliseconds(700);
+constexpr absl::Duration kDirectEvery = absl::Milliseconds(400);
 constexpr absl::Duration kTryTimeout = absl::Milliseconds(500);
 // A call with less time left is not carried by a peer.
 constexpr absl::Duration kShortestRelay = absl::Milliseconds(50);
@@ -71,12 +72,18 @@
 
 void StoreFailover::Carry(const HttpRequest& request, absl::Duration timeout,
                           std::function<void(HttpOutcome)> done) {
-  if (request.method == "GET") last_read_ = request;
+  // A read that its caller gives up as soon as a try is takes little of the
+  // link; one that may carry much could not come through within a try.
+  const bool small = timeout <= kTryTimeout || last_read_.path.empty();
+  if (request.method == "GET" && small) last_read_ = request;
   const absl::Time now = SystemNow().mono;
   const bool can_try_beside = !last_read_.path.empty();
   const bool through_peer = failures_ > 0 && !peers_.empty() &&
                             (can_try_beside || now < next_direct_);
   if (through_peer) {
+    const bool try_read = now >= next_direct_ || !read_failed_;
+    if (request.method == "GET" && try_read)
+      return BothWays(request, timeout, std::move(done));
     if (can_try_beside) TryDirectAgain();
     return Relay(request, timeout, std::move(done));
   }
@@ -92,6 +99,21 @@
          });
 }
 
+void StoreFailover::BothWays(const HttpRequest& request, absl::Duration timeout,
+                             std::function<void(HttpOutcome)> done) {
+  next_direct_ = SystemNow().mono + kDirectEvery;
+  auto waiting =
+      std::make_shared<std::function<void(HttpOutcome)>>(std::move(done));
+  auto open = std::make_shared<int>(2);
+  const auto ended = [waiting, open](HttpOutcome outcome) {
+    const bool last = --*open == 0;
+    if (*waiting && (last || !TurnedAway(outcome)))
+      std::exchange(*waiting, nullptr)(std::move(outcome));
+  };
+  Direct(request, timeout, ended);
+  Relay(request, timeout, ended);
+}
+
 void StoreFailover::TryDirectAgain() {
   const absl::Time now = SystemNow().mono;
   if (now < next_direct_) return;
@@ -103,7 +125,9 @@
                            std::function<void(HttpOutcome)> done) {
   ++calls_;
   store_.Send(request, timeout,
-              [this, done = std::move(done)](HttpOutcome outcome) {
+              [this, read = request.method == "GET",
+               done = std::move(done)](HttpOutcome outcome) {
+                if (read) read_failed_ = TurnedAway(outcome);
                 OnDirect(outcome);
                 done(std::move(outcome));
               });
--- a/keelbridge/daemon/store_failover.h
+++ b/keelbridge/daemon/store_failover.h
@@ -3,9 +3,12 @@
 // A node that alone has lost the store is one hop from it. After a call failed
 // without an answer or was turned away, the next ones go through a peer that
 // still reaches the store; whether the direct way is back is tried beside them,
-// with a read that nobody waits for, and at once after the first failure, since
-// a kept connection may have gone silent while new ones work. Appends are
-// fenced and numbered, so that a try that lands twice changes nothing.
+// and at once after the first failure, since a kept connection may have gone
+// silent while new ones work. That a call failed says little of the way:
+// answers of appends alone may be lost, and the peer may have lost the store
+// meanwhile. So a read that is such a try goes both ways, and the first answer
+// counts. Appends are fenced and numbered, so that a try that lands twice
+// changes nothing.
 //
 //   StoreFailover carrier(loop, store_address, rpc);
 //   carrier.SetPeers({"10.0.0.2:7720"});
@@ -52,6 +55,10 @@
               std::function<void(HttpOutcome)> done);
   void Relay(const HttpRequest& request, absl::Duration timeout,
              std::function<void(HttpOutcome)> done);
+  // A read that goes both ways at once.
+  void BothWays(const HttpRequest& request, absl::Duration timeout,
+                std::function<void(HttpOutcome)> done);
+  // With a read that nobody waits for.
   void TryDirectAgain();
   void OnDirect(const HttpOutcome& outcome);
 
@@ -59,7 +66,8 @@
   EventRpcClient& rpc_;
   std::vector<std::string> peers_;
   size_t next_peer_ = 0;
-  int failures_ = 0;  // Direct tries in a row.
+  int failures_ = 0;          // Direct tries in a row.
+  bool read_failed_ = false;  // The last direct read did.
   absl::Time lost_since_ = absl::InfiniteFuture();
   absl::Time next_direct_ = absl::InfinitePast();
   HttpRequest last_read_;  // What tries whether the direct way is back.
