The configuration is read again while an earlier read hangs

Cause: one read at a time, with time-outs that double up to 2.5 s. A read that hung when a silence ended was waited for, then the transfer came on top (0.6 s for 700 KB at 10 Mbit/s): 3029 and 3014 ms and more after the end, where 3 s are allowed. Ruled out: a shorter time-out (700 KB never come through), further reads begun blindly (five that share a thin link are all too late). Change: `SourceReads`, pure. Once a read is late by 0.5 s, or has failed, something small is asked every 0.5 s (who leads; 0.5 s to answer), and an answer begins a further read at once, three at most; one begun so is not doubted for 1 s. Checks and reads anew go by it, so that none excludes the other. `Freshness::AskDue` no longer says how often: that bound (0.5 s) and its test are in `SourceReads` now. A version that a peer told of is asked for until it is in force, not once a heartbeat. A lost source is told of in one line although heartbeats confirm the version meanwhile. A node has 12 connections to the store, 8 before.

--- a/keelbridge/coordination/freshness.h
+++ b/keelbridge/coordination/freshness.h
@@ -10,7 +10,7 @@
 //
 //   Freshness freshness({});
 //   freshness.OnConfirmed(sent);        // An answer to what was sent then.
-//   if (freshness.AskDue(role, now)) Ask();  // Counts as asked from now on.
+//   if (freshness.AskDue(role, now)) Ask();
 //   if (!freshness.MayDeny(now)) return kTryLater;
 
 #ifndef KEELBRIDGE_COORDINATION_FRESHNESS_H_
@@ -33,8 +33,6 @@
     // 0.4 s keeps theirs under 1.5 s.
     absl::Duration source_asks_after = absl::Milliseconds(800);
     absl::Duration follower_asks_after = absl::Milliseconds(1500);
-    // Between two tries without an answer: an outage is not hammered.
-    absl::Duration ask_again = absl::Milliseconds(500);
     // Unconfirmed for longer: nothing is denied on this knowledge. The users
     // bear a configuration that is 2 s old.
     absl::Duration deny_within = absl::Milliseconds(2000);
@@ -46,8 +44,8 @@
   // which its request was sent, since it may have been under way for long.
   void OnConfirmed(absl::Time at);
 
-  // Whether to ask now. True at most once every `ask_again`.
-  bool AskDue(Role role, absl::Time now);
+  // Whether it is old enough to ask; how often is for `SourceReads` to say.
+  bool AskDue(Role role, absl::Time now) const;
   // Whether it is fresh enough to say that something does not exist.
   bool MayDeny(absl::Time now) const;
   // How long ago it was confirmed; infinite before the first time.
@@ -56,7 +54,6 @@
  private:
   const Options options_;
   absl::Time confirmed_ = absl::InfinitePast();
-  absl::Time asked_ = absl::InfinitePast();
 };
 
 }  // namespace keelbridge
--- /dev/null
+++ b/keelbridge/coordination/source_reads_test.cc
@@ -0,0 +1,100 @@
+#include "keelbridge/coordination/source_reads.h"
+
+#include <doctest/doctest.h>
+
+namespace keelbridge {
+namespace {
+
+using Step = SourceReads::Step;
+
+absl::Time At(int64_t ms) {
+  return absl::UnixEpoch() + absl::Hours(1) + absl::Milliseconds(ms);
+}
+
+TEST_CASE("source reads: one at a time, and not at once again") {
+  SourceReads reads({});
+  CHECK(reads.Next(At(0)) == Step::kRead);
+  CHECK(reads.Next(At(100)) == Step::kNone);
+  reads.OnReadEnded(At(0), true);
+  CHECK(reads.Next(At(200)) == Step::kNone);
+  CHECK(reads.Next(At(500)) == Step::kRead);
+  reads.OnReadEnded(At(500), true);
+  reads.Hurry();
+  CHECK(reads.Next(At(510)) == Step::kRead);
+  reads.OnReadEnded(At(510), true);
+  CHECK(reads.Next(At(520)) == Step::kNone);
+}
+
+TEST_CASE(
+    "source reads: beside one that hangs the source is probed, and read again "
+    "when it answers") {
+  SourceReads reads({});
+  CHECK(reads.Next(At(0)) == Step::kRead);
+  CHECK(reads.Next(At(499)) == Step::kNone);
+  CHECK_FALSE(reads.doubtful());
+  CHECK(reads.Next(At(500)) == Step::kProbe);
+  CHECK(reads.doubtful());
+  CHECK(reads.Next(At(900)) == Step::kNone);
+  reads.OnProbeEnded(false);
+  CHECK(reads.Next(At(990)) == Step::kNone);
+  CHECK(reads.Next(At(1000)) == Step::kProbe);
+  reads.OnProbeEnded(true);
+  CHECK(reads.Next(At(1010)) == Step::kRead);
+  CHECK(reads.Next(At(1020)) == Step::kNone);
+  reads.OnReadEnded(At(1010), true);
+  CHECK_FALSE(reads.doubtful());
+  // The one that hangs is in nobody's way, and when it is given up, that tells
+  // nothing of now.
+  CHECK(reads.Next(At(1600)) == Step::kRead);
+  reads.OnReadEnded(At(0), false);
+  CHECK_FALSE(reads.doubtful());
+  reads.OnReadEnded(At(1600), true);
+  CHECK(reads.Next(At(2500)) == Step::kRead);
+}
+
+TEST_CASE("source reads: after a failure nothing large is asked blindly") {
+  SourceReads reads({});
+  CHECK(reads.Next(At(0)) == Step::kRead);
+  reads.OnReadEnded(At(0), false);
+  CHECK(reads.doubtful());
+  CHECK(reads.Next(At(100)) == Step::kProbe);
+  reads.OnProbeEnded(false);
+  CHECK(reads.Next(At(600)) == Step::kProbe);
+  reads.OnProbeEnded(true);
+  CHECK(reads.Next(At(620)) == Step::kRead);
+  // It is late, since much arrives: it has more time, and no company.
+  CHECK(reads.Next(At(1610)) == Step::kNone);
+  CHECK(reads.Next(At(1620)) == Step::kProbe);
+}
+
+TEST_CASE("source reads: one that is given up tells nothing of a later one") {
+  SourceReads reads({});
+  CHECK(reads.Next(At(0)) == Step::kRead);
+  CHECK(reads.Next(At(500)) == Step::kProbe);
+  reads.OnProbeEnded(true);
+  CHECK(reads.Next(At(510)) == Step::kRead);
+  reads.OnReadEnded(At(0), false);
+  CHECK_FALSE(reads.doubtful());
+  CHECK(reads.Next(At(1100)) == Step::kNone);
+  reads.OnReadEnded(At(510), false);
+  CHECK(reads.doubtful());
+}
+
+TEST_CASE("source reads: those under way are bounded") {
+  SourceReads reads({});
+  CHECK(reads.Next(At(0)) == Step::kRead);
+  for (const int64_t now : {int64_t{500}, int64_t{1510}}) {
+    CHECK(reads.Next(At(now)) == Step::kProbe);
+    reads.OnProbeEnded(true);
+    CHECK(reads.Next(At(now + 10)) == Step::kRead);
+  }
+  CHECK(reads.Next(At(2520)) == Step::kProbe);
+  reads.OnProbeEnded(true);
+  CHECK(reads.Next(At(2530)) == Step::kNone);
+  // One is given up: its place goes to the next.
+  reads.OnReadEnded(At(0), false);
+  CHECK(reads.Next(At(2540)) == Step::kRead);
+}
+
+}  // namespace
+}  // namespace keelbridge
--- a/keelbridge/daemon/site_node.h
+++ b/keelbridge/daemon/site_node.h
@@ -20,6 +20,7 @@
 #include "keelbridge/coordination/call_fate.h"
 #include "keelbridge/coordination/freshness.h"
 #include "keelbridge/coordination/site_election.h"
+#include "keelbridge/coordination/source_reads.h"
 #include "keelbridge/daemon/leader_session.h"
 #include "keelbridge/daemon/metrics.h"
 #include "keelbridge/daemon/node_settings.h"
@@ -117,21 +118,27 @@
   void AskToTakeOver(const Peer& peer);
 
   // site_node_configuration.cc
+  // Reads it anew: where to follow it from is not known.
   void ReadConfiguration();
   // One page of that, after `key`. `begun`: when the first page was asked for;
   // `end`: where the stream ended then.
   void ReadConfigurationAfter(const std::string& key, absl::Time begun,
                               int64_t end);
   void FollowConfiguration();
+  void FollowConfigurationFrom(int64_t next);
   void TakeConfiguration(const std::string& document,
                          const std::string& source);
-  // Asks the store whether the version in force is still the newest, when
-  // nothing has told so for a while.
+  // Nothing has told for a while that the version in force is the newest, or
+  // something tells that it is not.
+  bool WantsConfiguration(absl::Time now) const;
+  // Asks the store when that is so, as `SourceReads` lets it.
   void CheckConfiguration();
-  // One read that does not wait, unless one is under way.
-  void AskForConfiguration();
+  // One read that does not wait.
+  void AskForConfiguration(absl::Time now);
+  // Asks something small, to learn whether the store answers.
+  void ProbeStore();
   // A peer has a newer one: from the store, or from the peer without it.
-  void CatchUpWithConfiguration(const std::string& peer);
+  void CatchUpWithConfiguration(const std::string& peer, int64_t version);
   void OnConfigurationChecked(const ReadReply& reply, int64_t from,
                               absl::Time sent);
   void TakeConfigurationRecords(const std::vector<Record>& records);
@@ -141,6 +148,8 @@
                              absl::Time sent);
   // Nothing newer than the version in force was written before `at`.
   void OnConfigurationConfirmed(absl::Time at);
+  // The store answered a read of it.
+  void OnConfigurationSourceAnswers();
   void OnConfigurationReadFailed(const char* read, StoreResult result,
                                  const std::string& detail);
   // How long ago the version in force was confirmed to be the newest.
@@ -167,15 +176,19 @@
   std::shared_ptr<const SiteConfiguration> configuration_;
   int64_t configuration_next_ = -1;  // Offset to follow from; -1: read anew.
   bool fetching_configuration_ = false;
-  bool checking_configuration_ = false;
-  int failed_checks_ = 0;  // In a row.
+  int64_t newest_heard_ = 0;  // The highest version that a peer told of.
   Freshness configuration_freshness_{Freshness::Options()};
-  // It is read anew, now or after a pause. Nothing else starts a poll then, so
-  // that there is one loop.
-  bool reading_configuration_ = false;
+  SourceReads configuration_reads_{SourceReads::Options()};
+  // Only a read anew tells from where to follow it. No poll is under way then,
+  // so that there is one loop.
+  bool configuration_anew_ = true;
   // The long poll under way: an answer to an earlier one is passed over.
   int64_t configuration_poll_ = 0;
-  bool configuration_lost_ = false;  // The last read of the store failed.
+  // The last read of the store failed, and no peer has told since that the
+  // version in force is the newest.
+  bool configuration_lost_ = false;
+  // A log line told so, and no read was answered since.
+  bool configuration_loss_told_ = false;
 
   SiteElection election_;
   std::shared_ptr<LeaderSession> session_;
--- a/keelbridge/daemon/site_node_configuration.cc
+++ b/keelbridge/daemon/site_node_configuration.cc
@@ -13,16 +13,14 @@
 
 // Of what may carry a whole configuration. One of 700 KB (2,800 queues) takes
 // 0.6 s on a link of 10 Mbit/s that carries nothing else, the slowest that
-// nodes have. Its loss must still be found well within the 5 s that the users
-// bear after an outage (3 s until a node counts as in touch, 2 s to apply).
+// nodes have; up to three may share it (see `SourceReads`). Nothing waits for a
+// read that hangs.
 constexpr absl::Duration kTransferTimeout = absl::Milliseconds(2500);
-// Of the first try of a check: a way that hangs is given up soon. Each further
-// try gets twice as long, up to `kTransferTimeout`, since what it asks for may
-// be large.
-constexpr absl::Duration kFirstCheckTimeout = absl::Milliseconds(600);
+// Of a question whose answer is small: what takes longer is as good as lost,
+// since it is asked again this soon (see `SourceReads`).
+constexpr absl::Duration kProbeTimeout = absl::Milliseconds(500);
 constexpr absl::Duration kFollowWait = absl::Seconds(20);
 constexpr absl::Duration kFollowTimeout = absl::Seconds(22);
-constexpr absl::Duration kRetry = absl::Milliseconds(300);
 // Ages are told to peers in whole milliseconds, rounded up, and bounded.
 constexpr absl::Duration kAgeUnit = absl::Milliseconds(1);
 constexpr absl::Duration kOldestTold = absl::Hours(1);
@@ -30,8 +28,8 @@
 }  // namespace
 
 void SiteNode::ReadConfiguration() {
-  reading_configuration_ = true;
-  ReadConfigurationAfter("", SystemNow().mono, -1);
+  configuration_anew_ = true;
+  CheckConfiguration();
 }
 
 void SiteNode::ReadConfigurationAfter(const std::string& key, absl::Time begun,
@@ -40,22 +38,27 @@
       Stream::kConfiguration, key, kTransferTimeout,
       [this, key, begun, end](const NewestReply& r) {
         if (r.result != StoreResult::kDone || (r.more && r.records.empty())) {
-          OnConfigurationReadFailed("newest", r.result, r.message);
-          RunAfter(loop_, kRetry, [this] { ReadConfiguration(); });
-          return;
+          configuration_reads_.OnReadEnded(begun, false);
+          return OnConfigurationReadFailed("newest", r.result, r.message);
         }
         TakeConfigurationRecords(r.records);
         // Reading goes on from where the first page was taken.
         const int64_t next = key.empty() ? r.end : end;
         if (r.more)
           return ReadConfigurationAfter(r.records.back().key, begun, next);
-        reading_configuration_ = false;
+        configuration_reads_.OnReadEnded(begun, true);
+        OnConfigurationSourceAnswers();
         OnConfigurationConfirmed(begun);
-        configuration_next_ = next;
-        FollowConfiguration();
+        if (configuration_anew_) FollowConfigurationFrom(next);
       });
 }
 
+void SiteNode::FollowConfigurationFrom(int64_t next) {
+  configuration_anew_ = false;
+  configuration_next_ = next;
+  FollowConfiguration();
+}
+
 void SiteNode::FollowConfiguration() {
   const int64_t from = configuration_next_;
   const int64_t poll = ++configuration_poll_;
@@ -65,9 +68,7 @@
         if (poll != configuration_poll_) return;  // Another took its place.
         if (reply.result != StoreResult::kDone) {
           OnConfigurationReadFailed("follow", reply.result, reply.message);
-          reading_configuration_ = true;
-          RunAfter(loop_, kRetry, [this] { ReadConfiguration(); });
-          return;
+          return ReadConfiguration();
         }
         TakeConfigurationRecords(reply.records);
         configuration_next_ = from + static_cast<int64_t>(reply.records.size());
@@ -75,56 +76,82 @@
       });
 }
 
-void SiteNode::CheckConfiguration() {
-  const absl::Time now = SystemNow().mono;
+bool SiteNode::WantsConfiguration(absl::Time now) const {
   const bool leads = session_ != nullptr && !session_->ended();
   const auto role =
       leads ? Freshness::Role::kSource : Freshness::Role::kFollower;
-  // One at a time: several would share the link and all be too late.
-  if (reading_configuration_ || checking_configuration_) return;
-  if (configuration_freshness_.AskDue(role, now)) AskForConfiguration();
+  const bool behind = newest_heard_ > configuration_version();
+  return configuration_anew_ || behind ||
+         configuration_freshness_.AskDue(role, now);
 }
 
-void SiteNode::AskForConfiguration() {
-  if (reading_configuration_ || checking_configuration_) return;
-  checking_configuration_ = true;
-  const absl::Time sent = SystemNow().mono;
+void SiteNode::CheckConfiguration() {
+  const absl::Time now = SystemNow().mono;
+  if (!WantsConfiguration(now)) return;
+  switch (configuration_reads_.Next(now)) {
+    case SourceReads::Step::kRead:
+      return AskForConfiguration(now);
+    case SourceReads::Step::kProbe:
+      return ProbeStore();
+    case SourceReads::Step::kNone:
+      return;
+  }
+}
+
+void SiteNode::AskForConfiguration(absl::Time now) {
+  if (configuration_anew_) return ReadConfigurationAfter("", now, -1);
   const int64_t from = configuration_next_;
-  const absl::Duration timeout =
-      std::min(kFirstCheckTimeout * (1 << std::min(failed_checks_, 3)),
-               kTransferTimeout);
-  ports_.store->Read(Stream::kConfiguration, from, absl::ZeroDuration(),
-                     timeout, [this, from, sent](const ReadReply& reply) {
-                       checking_configuration_ = false;
-                       const bool answered =
-                           reply.result == StoreResult::kDone ||
-                           reply.result == StoreResult::kGone;
-                       failed_checks_ = answered ? 0 : failed_checks_ + 1;
-                       OnConfigurationChecked(reply, from, sent);
-                     });
+  ports_.store->Read(
+      Stream::kConfiguration, from, absl::ZeroDuration(), kTransferTimeout,
+      [this, from, now](const ReadReply& reply) {
+        const bool answered = reply.result == StoreResult::kDone ||
+                              reply.result == StoreResult::kGone;
+        configuration_reads_.OnReadEnded(now, answered);
+        OnConfigurationChecked(reply, from, now);
+      });
+}
+
+void SiteNode::ProbeStore() {
+  // Who leads is told by one short record.
+  ports_.store->Newest(
+      Stream::kControl, "", kProbeTimeout, [this](const NewestReply& reply) {
+        const bool answered = reply.result == StoreResult::kDone;
+        configuration_reads_.OnProbeEnded(answered);
+        if (!answered)
+          return OnConfigurationReadFailed("probe", reply.result,
+                                           reply.message);
+        // Through a peer: the store itself may be there soon, and carries more.
+        if (carrier_.direct()) CheckConfiguration();
+      });
 }
 
 void SiteNode::OnConfigurationChecked(const ReadReply& reply, int64_t from,
                                       absl::Time sent) {
-  if (reading_configuration_) return;
   if (reply.result == StoreResult::kGone) {
+    // Another read was quicker.
+    if (configuration_anew_ || from != configuration_next_) return;
     // What followed was dropped: only a read anew tells what is newest.
     ++configuration_poll_;
+    configuration_reads_.Hurry();
     return ReadConfiguration();
   }
   if (reply.result != StoreResult::kDone)
     return OnConfigurationReadFailed("check", reply.result, reply.message);
+  OnConfigurationSourceAnswers();
   TakeConfigurationRecords(reply.records);
   const int64_t next = from + static_cast<int64_t>(reply.records.size());
   // An answer may carry less than there is.
   if (next >= reply.end) OnConfigurationConfirmed(sent);
+  // What it was asked for was lost meanwhile: it tells all that a read anew
+  // would.
+  if (configuration_anew_ && next >= reply.end)
+    return FollowConfigurationFrom(next);
   // The poll has moved on meanwhile, or there was nothing to bring.
   if (from != configuration_next_ || reply.records.empty()) return;
   LogEvent(Severity::kWarning, "configuration_poll_missed",
            {{"from", absl::StrCat(from)},
             {"records", absl::StrCat(reply.records.size())}});
-  configuration_next_ = next;
-  FollowConfiguration();
+  FollowConfigurationFrom(next);
 }
 
 void SiteNode::TakeConfigurationRecords(const std::vector<Record>& records) {
@@ -145,7 +172,7 @@
                                      const Json::Value& in, absl::Time sent) {
   const int64_t version = in["configuration_version"].asInt64();
   if (version > configuration_version())
-    return CatchUpWithConfiguration(address);
+    return CatchUpWithConfiguration(address, version);
   if (version < configuration_version()) return;
   if (!in["configuration_age_ms"].isIntegral()) return;
   // Its age is told after `sent`, so that this is no later than the truth.
@@ -153,17 +180,24 @@
       sent - absl::Milliseconds(in["configuration_age_ms"].asInt64()));
 }
 
-void SiteNode::CatchUpWithConfiguration(const std::string& peer) {
+void SiteNode::CatchUpWithConfiguration(const std::string& peer,
+                                        int64_t version) {
+  newest_heard_ = std::max(newest_heard_, version);
+  CheckConfiguration();
   // A large one in force everywhere at once would fill the leader's link.
   const bool ask_store = carrier_.direct() && !configuration_lost_;
-  if (ask_store) return AskForConfiguration();
-  FetchConfiguration(peer);
+  if (!ask_store) FetchConfiguration(peer);
 }
 
 void SiteNode::OnConfigurationConfirmed(absl::Time at) {
   configuration_freshness_.OnConfirmed(at);
-  if (!configuration_lost_) return;
   configuration_lost_ = false;
+}
+
+void SiteNode::OnConfigurationSourceAnswers() {
+  configuration_lost_ = false;
+  if (!configuration_loss_told_) return;
+  configuration_loss_told_ = false;
   LogEvent(Severity::kInfo, "configuration_source_back",
            {{"version", absl::StrCat(configuration_version())}});
 }
@@ -172,9 +206,10 @@
                                          const std::string& detail) {
   metrics_.Count("configuration_reads_failed_total",
                  {{"result", StoreResultName(result)}});
-  // One line for an outage, not one for each try.
-  if (configuration_lost_) return;
   configuration_lost_ = true;
+  // One line for an outage, not one for each try.
+  if (configuration_loss_told_) return;
+  configuration_loss_told_ = true;
   LogEvent(Severity::kWarning, "configuration_source_lost",
            {{"read", read},
             {"result", StoreResultName(result)},
--- a/keelbridge/daemon/site_node_peers.cc
+++ b/keelbridge/daemon/site_node_peers.cc
@@ -204,8 +204,9 @@
   const LeaderRecord theirs = LeaderFromJson(params["leader"]);
   if (theirs.epoch > election_.leader().epoch)
     election_.OnLeaderHeard(theirs, SystemNow().mono);
-  if (params["configuration_version"].asInt64() > configuration_version())
-    CatchUpWithConfiguration(params["address"].asString());
+  const int64_t version = params["configuration_version"].asInt64();
+  if (version > configuration_version())
+    CatchUpWithConfiguration(params["address"].asString(), version);
   Json::Value out(Json::objectValue);
   out["boot"] = Json::UInt64(boot_);
   out["leads"] = session_ != nullptr && !session_->ended();
--- a/keelbridge/daemon/store_failover.cc
+++ b/keelbridge/daemon/store_failover.cc
@@ -18,8 +18,9 @@
 // A call with less time left is not carried by a peer.
 constexpr absl::Duration kShortestRelay = absl::Milliseconds(50);
 // Appends one at a time, and reads that may hang until they time out beside
-// them: two of the configuration, one of who leads, of workers, of a try.
-constexpr size_t kStoreConnections = 8;
+// them: three of the configuration and a probe, one of who leads, of workers,
+// two tries; the rest for what peers ask to be carried.
+constexpr size_t kStoreConnections = 12;
 constexpr size_t kLongPollConnections = 8;
 
 EventHttpClient::Options ClientOptions(size_t connections) {
