--- a/keelbridge/coordination/job_scheduler_test.cc
+++ b/keelbridge/coordination/job_scheduler_test.cc
@@ -494,6 +494,24 @@
   CHECK(!site.scheduler().Status(kJob));
 }
 
+TEST_CASE(
+    "job scheduler: a later leader whose time of day is ahead knows ended "
+    "jobs") {
+  Job ended(kJob, "restore", JobSpec(), 0);
+  ended.end = JobState::kCompleted;
+  ended.ended_ms = absl::ToUnixMillis(kBegin);
+  JobRecords records;
+  records.Add(ProgressRecord(ended));
+  Driver site(2);
+  site.time_of_day_is_ahead = absl::Minutes(10);
+  site.scheduler().Load(records.Build(), {}, site.now());
+  site.RunUntil(absl::Seconds(100));
+  CHECK(site.scheduler().Status(kJob) == JobState::kCompleted);
+  site.time_of_day_is_ahead = -absl::Minutes(10);
+  site.RunUntil(absl::Seconds(150));
+  CHECK(!site.scheduler().Status(kJob));
+}
+
 TEST_CASE("job scheduler: a suspended leader starts nothing") {
   Driver site(1);
   site.AddWorker("a");
