--- a/keelbridge/coordination/job_scheduler.cc
+++ b/keelbridge/coordination/job_scheduler.cc
@@ -30,7 +30,10 @@
       active_.emplace(id, job.get());
       continue;
     }
-    job->ended_at = now.mono - (now.wall - absl::FromUnixMillis(job->ended_ms));
+    // Not by the time of day at which it ended: that is another machine's, and
+    // either may have jumped. Its time to be kept begins anew, so that leaders
+    // that change more often than jobs are kept for forget none.
+    job->ended_at = now.mono;
   }
   for (const WorkerRecord& record : workers) {
     OnWorkerRecord(record, now);
