--- a/keelbridge/coordination/job_scheduler_test.cc
+++ b/keelbridge/coordination/job_scheduler_test.cc
@@ -512,6 +512,29 @@
   CHECK(!site.scheduler().Status(kJob));
 }
 
+TEST_CASE(
+    "job scheduler: a job that is handed in again as it is forgotten is kept") {
+  Job ended(kJob, "restore", JobSpec(), 0);
+  ended.end = JobState::kCompleted;
+  JobRecords before;
+  before.Add(ProgressRecord(ended));
+  JobScheduler scheduler(JobScheduler::Options(), 2, kBegin);
+  scheduler.Load(before.Build(), {}, {kBegin, kBegin});
+  const absl::Time later = kBegin + absl::Minutes(10);
+  scheduler.Tick({later, later});
+  REQUIRE(!scheduler.Status(kJob));
+  JobSpec spec;
+  spec.steps.push_back(OneTask());
+  scheduler.Submit(kJob, "restore", spec, {later, later});
+  // Both go into one batch; what a later leader loads after it.
+  JobRecords after;
+  after.Add(ProgressRecord(ended));
+  for (const Record& record : scheduler.TakeBatch().records) after.Add(record);
+  const JobTable jobs = after.Build();
+  REQUIRE(jobs.count(kJob) == 1);
+  CHECK(!jobs.at(kJob)->Ended());
+}
+
 TEST_CASE("job scheduler: a suspended leader starts nothing") {
   Driver site(1);
   site.AddWorker("a");
