--- a/keelbridge/coordination/job_scheduler.cc
+++ b/keelbridge/coordination/job_scheduler.cc
@@ -64,6 +64,9 @@
 JobScheduler::Batch JobScheduler::TakeBatch() {
   Batch batch;
   batch.number = next_batch_++;
+  // First: a forgotten job may have been handed in again since.
+  for (std::string& key : dropped_keys_)
+    batch.records.push_back(DropRecord(std::move(key)));
   for (const std::string& id : untold_workers_) {
     const auto found = workers_.find(id);
     if (found != workers_.end())
@@ -82,8 +85,6 @@
     if (found->second->Ended())
       batch.records.push_back(DropRecord(DescriptionKey(id)));
   }
-  for (std::string& key : dropped_keys_)
-    batch.records.push_back(DropRecord(std::move(key)));
   undescribed_.clear();
   dirty_.clear();
   dropped_keys_.clear();
