--- a/keelbridge/coordination/job_scheduler_test.cc
+++ b/keelbridge/coordination/job_scheduler_test.cc
@@ -535,6 +535,32 @@
   CHECK(!jobs.at(kJob)->Ended());
 }
 
+TEST_CASE(
+    "job scheduler: a job whose queue is removed stays known, and runs once "
+    "the queue is back") {
+  Driver site(1);
+  site.AddWorker("a");
+  site.lists["a"];
+  auto without = std::make_shared<SiteConfiguration>();
+  without->version = 2;
+  auto with = std::make_shared<SiteConfiguration>();
+  with->version = 3;
+  Queue queue;
+  queue.name = "restore";
+  queue.pool = "pool";
+  with->queues.push_back(queue);
+  JobSpec spec;
+  spec.steps.push_back(OneTask());
+  site.scheduler().Submit(kJob, "restore", spec, site.now());
+  site.scheduler().SetConfiguration(without);
+  site.RunUntil(absl::Seconds(300));
+  CHECK(site.starts.empty());
+  CHECK(site.scheduler().Status(kJob) == JobState::kQueued);
+  site.scheduler().SetConfiguration(with);
+  site.RunUntil(absl::Seconds(301));
+  CHECK(site.starts.size() == 1);
+}
+
 TEST_CASE("job scheduler: a suspended leader starts nothing") {
   Driver site(1);
   site.AddWorker("a");
--- a/keelbridge/daemon/leader_session_test.cc
+++ b/keelbridge/daemon/leader_session_test.cc
@@ -10,6 +10,7 @@
 
 #include "absl/time/clock.h"
 #include "keelbridge/base/clock.h"
+#include "keelbridge/state/job_table.h"
 #include "keelbridge/state/known_workers.h"
 #include "keelbridge/transport/event_timer.h"
 #include "platform/dialect.h"
@@ -382,5 +383,78 @@
   CHECK(taken == ClientAnswer::kUnknown);
 }
 
+TEST_CASE(
+    "leader session: a record of an earlier leader that lands after the fence "
+    "is not denied, and the next term knows it") {
+  boost::asio::io_context loop;
+  MemoryStore store(loop);
+  Leader successor(store, 2);
+  RunFor(store, absl::Milliseconds(100));
+  REQUIRE(successor.session().active());
+  // The store had taken this append before the fence and carries it out now:
+  // the earlier leader tells its client that the job is kept.
+  JobSpec spec;
+  spec.steps.emplace_back();
+  AppendOrder late;
+  late.stream = Stream::kJobs;
+  late.records.push_back(DescriptionRecord(Job(kJob, kQueue, spec, 1)));
+  REQUIRE(store.Append(late).result == StoreResult::kDone);
+
+  std::optional<ClientAnswer> state;
+  successor.Ask(ClientCallKind::kStatus, &state);
+  RunFor(store, absl::Milliseconds(300));
+  CHECK(state == ClientAnswer::kUnknown);
+  CHECK(successor.session().ended());
+  Leader next(store, 3);
+  RunFor(store, absl::Milliseconds(100));
+  REQUIRE(next.session().active());
+  std::optional<ClientAnswer> known;
+  next.Ask(ClientCallKind::kStatus, &known);
+  RunFor(store, absl::Milliseconds(100));
+  CHECK(known == ClientAnswer::kState);
+}
+
+// Gives an append without records a number like any other, so that the next
+// append, under the same number, gets its first answer again and adds nothing.
+class NumbersEmptyAppends : public MemoryStoreConnection {
+ public:
+  using MemoryStoreConnection::MemoryStoreConnection;
+  void Append(const AppendOrder& order, absl::Duration timeout,
+              std::function<void(AppendReply)> done) override {
+    const bool numbered = order.writer && order.writer->sequence > 0;
+    if (!numbered)
+      return MemoryStoreConnection::Append(order, timeout, std::move(done));
+    const auto known = answers_.find(order.writer->sequence);
+    if (known != answers_.end()) return done(known->second);
+    MemoryStoreConnection::Append(
+        order, timeout,
+        [this, sequence = order.writer->sequence,
+         done = std::move(done)](const AppendReply& reply) {
+          answers_[sequence] = reply;
+          done(reply);
+        });
+  }
+
+ private:
+  std::map<int64_t, AppendReply> answers_;
+};
+
+TEST_CASE(
+    "leader session: a job that got the answer of an earlier append is not "
+    "told to be accepted") {
+  boost::asio::io_context loop;
+  MemoryStore store(loop);
+  NumbersEmptyAppends connection(store);
+  Leader leader(store, 1, &connection);
+  // Past a renewal, which carries no records.
+  RunFor(store, absl::Milliseconds(1800));
+  REQUIRE(leader.session().active());
+  std::optional<ClientAnswer> accepted;
+  leader.Ask(ClientCallKind::kSubmit, &accepted);
+  RunFor(store, absl::Milliseconds(300));
+  CHECK(accepted == ClientAnswer::kUnknown);
+  CHECK(leader.session().ended());
+}
+
 }  // namespace
 }  // namespace keelbridge
