--- a/keelbridge/daemon/store_failover_test.cc
+++ b/keelbridge/daemon/store_failover_test.cc
@@ -256,5 +256,40 @@
   CHECK(answers == 1);
 }
 
+// A node that does not lead asks the store seldom: what was kept open since may
+// have gone silent, and to find that out costs a time-out.
+TEST_CASE(
+    "store failover: a call after a pause goes by a connection of its own") {
+  boost::asio::io_context loop;
+  EventHttpServer::Options options;
+  options.listen = {"127.0.0.1", 0, ""};
+  EventHttpServer store(loop, options,
+                        [](const ServerRequest&,
+                           const EventHttpServer::Reply& reply) { reply({}); });
+  const auto port = store.Start();
+  REQUIRE(port);
+  testing::FaultProxy proxy(loop, {"127.0.0.1", port.value(), ""});
+  EventRpcClient rpc(loop);
+  StoreFailover carrier(loop, proxy.address(), rpc);
+  HttpRequest read;
+  read.path = "/read";
+  int answered = 0;
+  const auto carry = [&] {
+    carrier.Carry(read, absl::Milliseconds(400),
+                  [&](const HttpOutcome& outcome) {
+                    answered += outcome.response.has_value() ? 1 : 0;
+                  });
+    loop.restart();
+    loop.run_for(std::chrono::milliseconds(200));
+  };
+  carry();
+  REQUIRE(answered == 1);
+  loop.restart();
+  loop.run_for(std::chrono::milliseconds(2200));
+  proxy.SilenceOpen();
+  carry();
+  CHECK(answered == 2);
+}
+
 }  // namespace
 }  // namespace keelbridge
--- a/testing/site_stale_knowledge_test.cc
+++ b/testing/site_stale_knowledge_test.cc
@@ -191,6 +191,29 @@
   }
 }
 
+// A record that cannot be read is not one that was never written.
+TEST_CASE(
+    "stale knowledge: what a configuration that cannot be read may hold is not "
+    "denied") {
+  SiteCell cell(WithProxies());
+  REQUIRE(cell.AwaitReady(kNodes));
+  const auto write = [&cell](const char* document) {
+    cell.WithPlatform([document](SitePlatform& platform) {
+      platform.store().Put("keyed.op", "config", document);
+    });
+  };
+  write(R"({"version":2,"routes":)");
+  absl::SleepFor(absl::Milliseconds(2500));
+  for (int i = 0; i < kNodes; ++i) {
+    CHECK(cell.ConfigurationVersion(i) == 1);
+    CHECK(Get(cell, i, "/other/") == 503);
+  }
+  write(kTwoRoutes);
+  REQUIRE(AwaitAllUse(cell, 2));
+  absl::SleepFor(absl::Seconds(1));
+  for (int i = 0; i < kNodes; ++i) CHECK(Get(cell, i, "/none/") == 404);
+}
+
 // An answer from before a standstill of this process tells nothing of now.
 TEST_CASE(
     "stale knowledge: a heartbeat's answer that lay there while the process "
