Checks go by fresh connections, and a configuration that cannot be read is not passed over as news

Change: a connection to the store that idled for 2 s is not used again (30 s before), so that a seldom reader does not meet one that went silent; while a record that was heard of cannot be read, the version in force is not confirmed, and denies nothing, until a readable one comes. Role::kSource of Freshness is named kLeader. Ruled out for the check: a short silence for each read of the configuration; a slow store (answers 50 times as late) would never be heard.

--- a/keelbridge/coordination/freshness.cc
+++ b/keelbridge/coordination/freshness.cc
@@ -9,7 +9,7 @@
 }
 
 bool Freshness::AskDue(Role role, absl::Time now) const {
-  return Age(now) >= (role == Role::kSource ? options_.source_asks_after
+  return Age(now) >= (role == Role::kLeader ? options_.leader_asks_after
                                             : options_.follower_asks_after);
 }
 
--- a/keelbridge/coordination/freshness.h
+++ b/keelbridge/coordination/freshness.h
@@ -22,16 +22,16 @@
 
 class Freshness {
  public:
-  // Who asks the source itself.
+  // How soon a reader asks the store itself.
   enum class Role {
-    kSource,    // Others rely on this reader: it asks early.
+    kLeader,    // Others rely on this reader: it asks early.
     kFollower,  // Is told by such a reader, and asks when that falls silent.
   };
   struct Options {
     // Unconfirmed for this long: ask. The users want a configuration in force
-    // within 2 s; a source that asks after 0.8 s and tells its followers every
+    // within 2 s; a leader that asks after 0.8 s and tells its followers every
     // 0.4 s keeps theirs under 1.5 s.
-    absl::Duration source_asks_after = absl::Milliseconds(800);
+    absl::Duration leader_asks_after = absl::Milliseconds(800);
     absl::Duration follower_asks_after = absl::Milliseconds(1500);
     // Unconfirmed for longer: nothing is denied on this knowledge. The users
     // bear a configuration that is 2 s old.
--- a/keelbridge/coordination/freshness_test.cc
+++ b/keelbridge/coordination/freshness_test.cc
@@ -36,9 +36,9 @@
 TEST_CASE("freshness: a source asks before its followers do") {
   Freshness freshness({});
   freshness.OnConfirmed(At(0));
-  CHECK_FALSE(freshness.AskDue(Role::kSource, At(799)));
+  CHECK_FALSE(freshness.AskDue(Role::kLeader, At(799)));
   CHECK_FALSE(freshness.AskDue(Role::kFollower, At(800)));
-  CHECK(freshness.AskDue(Role::kSource, At(800)));
+  CHECK(freshness.AskDue(Role::kLeader, At(800)));
 }
 
 TEST_CASE("freshness: an answer that comes late confirms no later time") {
--- a/keelbridge/daemon/site_node.h
+++ b/keelbridge/daemon/site_node.h
@@ -176,6 +176,9 @@
   std::shared_ptr<const SiteConfiguration> configuration_;
   int64_t configuration_next_ = -1;  // Offset to follow from; -1: read anew.
   bool fetching_configuration_ = false;
+  // A record that was heard of after the version in force cannot be read: that
+  // version is not the newest, and denies nothing.
+  bool configuration_unreadable_ = false;
   int64_t newest_heard_ = 0;  // The highest version that a peer told of.
   Freshness configuration_freshness_{Freshness::Options()};
   SourceReads configuration_reads_{SourceReads::Options()};
--- a/keelbridge/daemon/site_node_configuration.cc
+++ b/keelbridge/daemon/site_node_configuration.cc
@@ -79,7 +79,7 @@
 bool SiteNode::WantsConfiguration(absl::Time now) const {
   const bool leads = session_ != nullptr && !session_->ended();
   const auto role =
-      leads ? Freshness::Role::kSource : Freshness::Role::kFollower;
+      leads ? Freshness::Role::kLeader : Freshness::Role::kFollower;
   const bool behind = newest_heard_ > configuration_version();
   return configuration_anew_ || behind ||
          configuration_freshness_.AskDue(role, now);
@@ -190,6 +190,8 @@
 }
 
 void SiteNode::OnConfigurationConfirmed(absl::Time at) {
+  // There is a newer one, of which only its record is known.
+  if (configuration_unreadable_) return;
   configuration_freshness_.OnConfirmed(at);
   configuration_lost_ = false;
 }
@@ -249,6 +251,7 @@
                                  const std::string& source) {
   auto parsed = ports_.dialect->ParseConfiguration(document);
   if (!parsed) {
+    configuration_unreadable_ = true;
     LogEvent(Severity::kError, "configuration_unreadable",
              {{"source", source}, {"what", parsed.error().message}});
     return;
@@ -256,6 +259,7 @@
   const int64_t version = parsed.value().version;
   const int64_t before = configuration_version();
   if (version <= before) return;
+  configuration_unreadable_ = false;
   configuration_ =
       std::make_shared<SiteConfiguration>(std::move(parsed.value()));
   LogEvent(Severity::kInfo, "configuration_in_force",
--- a/keelbridge/daemon/store_failover.cc
+++ b/keelbridge/daemon/store_failover.cc
@@ -22,11 +22,15 @@
 // two tries; the rest for what peers ask to be carried.
 constexpr size_t kStoreConnections = 12;
 constexpr size_t kLongPollConnections = 8;
+// A connection to the store that idled for longer may have gone silent
+// meanwhile: a new one costs a round trip (some milliseconds), a silent one the
+// time-out of a call. A leader calls more often and keeps its own.
+constexpr absl::Duration kStoreIdle = absl::Seconds(2);
 
 EventHttpClient::Options ClientOptions(size_t connections) {
   EventHttpClient::Options options;
   options.most_connections = connections;
-  options.idle_expiry = absl::Seconds(30);
+  options.idle_expiry = kStoreIdle;
   return options;
 }
 
