--- a/keelbridge/daemon/store_failover_test.cc
+++ b/keelbridge/daemon/store_failover_test.cc
@@ -37,6 +37,7 @@
         [this](const Json::Value& params, const EventRpcServer::Reply& reply) {
           ++carried;
           last = params;
+          if (silent) return held.push_back(reply);
           Json::Value out(Json::objectValue);
           out["status"] = 200;
           reply({out, 0, ""});
@@ -45,6 +46,8 @@
   }
   int carried = 0;
   Json::Value last;
+  bool silent = false;  // It keeps what it would answer.
+  std::vector<EventRpcServer::Reply> held;
 
  private:
   EventRpcServer server_;
@@ -291,5 +294,49 @@
   CHECK(answered == 2);
 }
 
+TEST_CASE("store failover: a read takes the direct way that is back") {
+  boost::asio::io_context loop;
+  EventHttpServer::Options options;
+  options.listen = {"127.0.0.1", 0, ""};
+  EventHttpServer store(
+      loop, options,
+      [&](const ServerRequest&, const EventHttpServer::Reply& reply) {
+        reply({});
+      });
+  const auto port = store.Start();
+  REQUIRE(port);
+  testing::FaultProxy proxy(loop, {"127.0.0.1", port.value(), ""});
+  proxy.SetMode(testing::FaultProxy::Mode::kSilent);
+  Peer peer(loop);
+  peer.silent = true;
+  EventRpcClient rpc(loop);
+  StoreFailover carrier(loop, proxy.address(), rpc);
+  carrier.SetPeers({kPeer.ToString()});
+  HttpRequest request;
+  request.path = "/log";
+  int answers = 0;
+  const auto read = [&](absl::Duration timeout) {
+    carrier.Carry(request, timeout, [&](const HttpOutcome& outcome) {
+      answers += outcome.response ? 1 : 0;
+    });
+  };
+  const auto run = [&](int milliseconds) {
+    loop.run_for(std::chrono::milliseconds(milliseconds));
+    loop.restart();
+  };
+  read(absl::Milliseconds(200));
+  run(1000);
+  CHECK(answers == 0);
+  CHECK(!carrier.direct());
+  proxy.HealQuietly();
+  read(absl::Seconds(2));
+  run(300);
+  CHECK(peer.carried == 1);
+  CHECK(answers == 1);
+  // What the peer says later is heard by nobody.
+  run(2200);
+  CHECK(answers == 1);
+}
+
 }  // namespace
 }  // namespace keelbridge
