--- a/keelbridge/daemon/site_node.h
+++ b/keelbridge/daemon/site_node.h
@@ -75,6 +75,12 @@
 
   // site_node_clients.cc
   void ServeClient(const ServerRequest& request, EventHttpServer::Reply reply);
+  // The answer to a call that this node cannot pass on: what it asks for does
+  // not exist, or perhaps does by a newer configuration.
+  ClientReply Deny(const ServerRequest& request, const Error& error) const;
+  // Counts and logs how a call was answered.
+  void TellAnswer(ClientCallKind kind, JobId job, const ClientReply& answer,
+                  int status, absl::Duration took);
   void Try(const std::shared_ptr<Forward>& forward);
   void TryHere(const std::shared_ptr<Forward>& forward);
   void TryAt(const std::string& address,
--- a/keelbridge/daemon/site_node_clients.cc
+++ b/keelbridge/daemon/site_node_clients.cc
@@ -28,6 +28,7 @@
 constexpr absl::Duration kRetryAfter = absl::Seconds(1);
 // Bytes of a path in a log line: enough for a prefix and a job's id.
 constexpr size_t kMostLoggedPath = 128;
+constexpr int kFirstErrorStatus = 400;
 
 ClientAnswer AnswerOf(const Error& error) {
   return error.code == ErrorCode::kNotFound ? ClientAnswer::kNoSuchQueue
@@ -48,6 +49,28 @@
   return "status";
 }
 
+// Not taken here and now, and not to be run.
+ClientReply ComeBack(std::string message) {
+  ClientReply reply;
+  reply.answer = ClientAnswer::kNotTaken;
+  reply.message = std::move(message);
+  reply.retry_after = kRetryAfter;
+  return reply;
+}
+
+// Callers choose which of their calls are traced: a span a hop. Null: not this
+// one.
+std::shared_ptr<Span> BeginSpan(const ServerRequest& request,
+                                const ClientCall& call) {
+  const TraceContext parent =
+      TraceContext::Parse(FindHeader(request.headers, "traceparent"));
+  if (!parent.valid()) return nullptr;
+  auto span = std::make_shared<Span>("node.call", parent);
+  span->Set("kind", KindName(call.kind));
+  span->Set("job", JobIdText(call.job));
+  return span;
+}
+
 CallFate::TryEnd EndOfTry(const ClientReply& reply) {
   switch (reply.answer) {
     case ClientAnswer::kUnknown:
@@ -72,40 +95,15 @@
 
 void SiteNode::ServeClient(const ServerRequest& request,
                            EventHttpServer::Reply reply) {
-  ClientReply refused;
   if (configuration_ == nullptr) {
-    refused.answer = ClientAnswer::kNotTaken;
-    refused.message = "this node has no configuration yet";
-    refused.retry_after = kRetryAfter;
-    return reply(ports_.dialect->FormatReply(refused));
-  }
-  if (last_answers_given_) {
-    refused.answer = ClientAnswer::kNotTaken;
-    refused.message = "this node stops";
-    refused.retry_after = kRetryAfter;
-    return reply(ports_.dialect->FormatReply(refused));
+    return reply(ports_.dialect->FormatReply(
+        ComeBack("this node has no configuration yet")));
   }
+  if (last_answers_given_)
+    return reply(ports_.dialect->FormatReply(ComeBack("this node stops")));
   auto call = ports_.dialect->ParseClientCall(request, *configuration_);
-  if (!call) {
-    refused.answer = AnswerOf(call.error());
-    refused.message = call.error().message;
-    // The queue may have been added since, also below a prefix that is known
-    // here: what is too old denies nothing.
-    if (!configuration_freshness_.MayDeny(SystemNow().mono)) {
-      refused.answer = ClientAnswer::kNotTaken;
-      refused.message = absl::StrCat("the configuration here may be old, and ",
-                                     call.error().message);
-      refused.retry_after = kRetryAfter;
-    }
-    LogEvent(Severity::kInfo, "call_denied",
-             {{"method", request.method},
-              {"host", FindHeader(request.headers, "Host")},
-              {"path", request.path.substr(0, kMostLoggedPath)},
-              {"why", refused.message},
-              {"configuration_version", absl::StrCat(configuration_version())},
-              {"unconfirmed_ms", UnconfirmedText()}});
-    return reply(ports_.dialect->FormatReply(refused));
-  }
+  if (!call)
+    return reply(ports_.dialect->FormatReply(Deny(request, call.error())));
   auto forward = std::make_shared<Forward>();
   forward->call = std::move(call.value());
   forward->begun = SystemNow().mono;
@@ -113,49 +111,66 @@
       forward->begun +
       std::min(kLongestForward,
                std::max(forward->call.remaining - kAnswerMargin, kTryPause));
-  const ClientCallKind kind = forward->call.kind;
-  // Callers choose which of their calls are traced: a span a hop.
-  std::shared_ptr<Span> span;
-  const TraceContext parent =
-      TraceContext::Parse(FindHeader(request.headers, "traceparent"));
-  if (parent.valid()) {
-    span = std::make_shared<Span>("node.call", parent);
-    span->Set("kind", KindName(kind));
-    span->Set("job", JobIdText(forward->call.job));
-    forward->trace = span->context().ToHeader();
-  }
-  forward->reply = [this, kind, span, job = forward->call.job,
-                    begun = forward->begun,
+  std::shared_ptr<Span> span = BeginSpan(request, forward->call);
+  if (span != nullptr) forward->trace = span->context().ToHeader();
+  forward->reply = [this, kind = forward->call.kind, job = forward->call.job,
+                    begun = forward->begun, span = std::move(span),
                     reply = std::move(reply)](const ClientReply& answer) {
-    const absl::Duration took = SystemNow().mono - begun;
-    metrics_.Observe("call_seconds", {{"kind", KindName(kind)}},
-                     absl::ToDoubleSeconds(took));
     ServerResponse response = ports_.dialect->FormatReply(answer);
     // The balancer then leads the client to a node that can take work.
     response.close_connection = !Ready();
     if (span != nullptr) span->Set("status", absl::StrCat(response.status));
-    // Looks at a state change nothing; only those that fail or deny a job are
-    // told of.
-    const bool telling = kind == ClientCallKind::kSubmit ||
-                         kind == ClientCallKind::kCancel ||
-                         response.status >= 400;
-    if (telling)
-      LogEvent(Severity::kInfo, "call_answered",
-               {{"kind", KindName(kind)},
-                {"job", JobIdText(job)},
-                {"status", absl::StrCat(response.status)},
-                {"took_ms", absl::StrCat(absl::ToInt64Milliseconds(took))},
-                {"leader", election_.leader().node},
-                {"epoch", absl::StrCat(election_.leader().epoch)},
-                {"why", answer.message}});
-    metrics_.Count("calls_total", {{"kind", KindName(kind)},
-                                   {"status", absl::StrCat(response.status)}});
+    TellAnswer(kind, job, answer, response.status, SystemNow().mono - begun);
     reply(std::move(response));
   };
   open_calls_.insert(forward);
   Try(forward);
 }
 
+ClientReply SiteNode::Deny(const ServerRequest& request,
+                           const Error& error) const {
+  ClientReply refused;
+  refused.answer = AnswerOf(error);
+  refused.message = error.message;
+  // The queue may have been added since, also below a prefix that is known
+  // here: what is too old denies nothing.
+  if (!configuration_freshness_.MayDeny(SystemNow().mono)) {
+    refused = ComeBack(
+        absl::StrCat("the configuration here may be old, and ", error.message));
+  }
+  LogEvent(Severity::kInfo, "call_denied",
+           {{"method", request.method},
+            {"host", FindHeader(request.headers, "Host")},
+            {"path", request.path.substr(0, kMostLoggedPath)},
+            {"why", refused.message},
+            {"configuration_version", absl::StrCat(configuration_version())},
+            {"unconfirmed_ms", UnconfirmedText()}});
+  return refused;
+}
+
+void SiteNode::TellAnswer(ClientCallKind kind, JobId job,
+                          const ClientReply& answer, int status,
+                          absl::Duration took) {
+  metrics_.Observe("call_seconds", {{"kind", KindName(kind)}},
+                   absl::ToDoubleSeconds(took));
+  metrics_.Count("calls_total",
+                 {{"kind", KindName(kind)}, {"status", absl::StrCat(status)}});
+  // Looks at a state change nothing; only those that fail or deny a job are
+  // told of.
+  const bool telling = kind == ClientCallKind::kSubmit ||
+                       kind == ClientCallKind::kCancel ||
+                       status >= kFirstErrorStatus;
+  if (!telling) return;
+  LogEvent(Severity::kInfo, "call_answered",
+           {{"kind", KindName(kind)},
+            {"job", JobIdText(job)},
+            {"status", absl::StrCat(status)},
+            {"took_ms", absl::StrCat(absl::ToInt64Milliseconds(took))},
+            {"leader", election_.leader().node},
+            {"epoch", absl::StrCat(election_.leader().epoch)},
+            {"why", answer.message}});
+}
+
 void SiteNode::Finish(const std::shared_ptr<Forward>& forward,
                       const ClientReply& reply) {
   open_calls_.erase(forward);
