--- a/keelbridge/coordination/job_scheduler_test.cc
+++ b/keelbridge/coordination/job_scheduler_test.cc
@@ -644,5 +644,41 @@
   CHECK(site.starts.size() == 1);
 }
 
+TEST_CASE(
+    "job scheduler: a worker with more ends than it listed is not accounted "
+    "for") {
+  Driver site(2);
+  site.Recover(OneTask());
+  site.AddWorker("a");
+  site.AddWorker("b");
+  site.lists["b"];
+  // The end of the recovered task stands behind those that were listed.
+  site.lists["a"].ended = {{1, {99, 0, 0, 0}, 1, RunEnd::kDone, ""}};
+  site.lists["a"].more_ends = true;
+  site.RunUntil(absl::Milliseconds(300));
+  CHECK(site.starts.empty());
+  site.lists["a"].ended = {{2, kTask, 1, RunEnd::kDone, ""}};
+  site.lists["a"].more_ends = false;
+  site.RunUntil(absl::Seconds(1));
+  CHECK(site.scheduler().Status(kJob) == JobState::kCompleted);
+  CHECK(site.starts.empty());
+}
+
+// Those that were asked may be fewer than those that led.
+TEST_CASE(
+    "job scheduler: whoever has stopped, what was given before the fence "
+    "counts from the fence") {
+  Driver site(2);
+  site.Recover(OneTask());
+  site.AddWorker("a");
+  site.AddWorker("gone");  // Never answers.
+  site.lists["a"];
+  site.scheduler().OnFenced(kBegin + absl::Seconds(4));
+  site.RunUntil(absl::Milliseconds(9900));
+  CHECK(site.starts.empty());
+  site.RunUntil(absl::Seconds(12));
+  CHECK(site.starts.size() == 1);
+}
+
 }  // namespace
 }  // namespace keelbridge
--- a/keelbridge/coordination/source_reads_test.cc
+++ b/keelbridge/coordination/source_reads_test.cc
@@ -17,6 +17,7 @@
   CHECK(reads.Next(At(100)) == Step::kNone);
   reads.OnReadEnded(At(0), true);
   CHECK(reads.Next(At(200)) == Step::kNone);
+  CHECK(reads.Next(At(499)) == Step::kNone);
   CHECK(reads.Next(At(500)) == Step::kRead);
   reads.OnReadEnded(At(500), true);
   reads.Hurry();
--- a/keelbridge/daemon/store_failover_test.cc
+++ b/keelbridge/daemon/store_failover_test.cc
@@ -315,8 +315,10 @@
   HttpRequest request;
   request.path = "/log";
   int answers = 0;
+  int calls = 0;
   const auto read = [&](absl::Duration timeout) {
     carrier.Carry(request, timeout, [&](const HttpOutcome& outcome) {
+      ++calls;
       answers += outcome.response ? 1 : 0;
     });
   };
@@ -333,9 +335,50 @@
   run(300);
   CHECK(peer.carried == 1);
   CHECK(answers == 1);
-  // What the peer says later is heard by nobody.
+  // What becomes of the call to the peer is heard by nobody.
   run(2200);
   CHECK(answers == 1);
+  CHECK(calls == 2);  // The first read, and the second once.
+}
+
+// The first read of a node brings the whole configuration, which a thin link
+// does not carry within a try.
+TEST_CASE(
+    "store failover: the direct way is not tried with a read that may bring "
+    "much") {
+  boost::asio::io_context loop;
+  EventHttpServer::Options options;
+  options.listen = {"127.0.0.1", 0, ""};
+  std::vector<EventHttpServer::Reply> unanswered;
+  std::vector<std::string> reads;
+  EventHttpServer store(
+      loop, options,
+      [&](const ServerRequest& request, EventHttpServer::Reply reply) {
+        if (request.method == "POST")
+          return unanswered.push_back(std::move(reply));
+        reads.push_back(request.path);
+        reply({});
+      });
+  const auto port = store.Start();
+  REQUIRE(port);
+  Peer peer(loop);
+  EventRpcClient rpc(loop);
+  StoreFailover carrier(loop, {"127.0.0.1", port.value(), ""}, rpc);
+  carrier.SetPeers({kPeer.ToString()});
+  const auto carry = [&](const std::string& method, const std::string& path,
+                         absl::Duration timeout) {
+    HttpRequest request;
+    request.method = method;
+    request.path = path;
+    carrier.Carry(request, timeout, [](const HttpOutcome&) {});
+    loop.restart();
+    loop.run_for(std::chrono::milliseconds(300));
+  };
+  carry("GET", "/configuration", absl::Milliseconds(2500));
+  carry("GET", "/leader", absl::Milliseconds(800));
+  reads.clear();
+  carry("POST", "/append", absl::Milliseconds(200));
+  CHECK(reads == std::vector<std::string>{"/leader"});
 }
 
 }  // namespace
--- a/keelbridge/transport/event_http_client_test.cc
+++ b/keelbridge/transport/event_http_client_test.cc
@@ -8,6 +8,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/streambuf.hpp>
 #include <boost/asio/write.hpp>
+#include <memory>
 #include <optional>
 #include <vector>
 
@@ -255,5 +256,31 @@
   CHECK(outcome.response->body == "bodybody");
 }
 
+// A worker that is gone is forgotten with a look at it on its way.
+TEST_CASE("event http client: one that is destroyed in a call ends it once") {
+  boost::asio::io_context loop;
+  EventHttpServer::Options options;
+  options.listen = {"127.0.0.1", 0, ""};
+  EventHttpServer server(
+      loop, options,
+      [](const ServerRequest&, const EventHttpServer::Reply& reply) {
+        reply({});
+      });
+  const auto port = server.Start();
+  REQUIRE(port);
+  auto client = std::make_unique<EventHttpClient>(
+      loop, Address{"127.0.0.1", port.value(), ""}, EventHttpClient::Options());
+  int ends = 0;
+  const auto count = [&ends](const HttpOutcome&) { ++ends; };
+  client->Send(Get("/"), kTimeout, count);
+  loop.run_for(absl::ToChronoNanoseconds(kAtOnce));
+  REQUIRE(ends == 1);
+  client->Send(Get("/"), kTimeout, count);  // On the kept connection.
+  client.reset();
+  loop.restart();
+  loop.run_for(absl::ToChronoNanoseconds(kAtOnce));
+  CHECK(ends == 2);
+}
+
 }  // namespace
 }  // namespace keelbridge
