--- a/keelbridge/coordination/job_scheduler_runs.cc
+++ b/keelbridge/coordination/job_scheduler_runs.cc
@@ -234,7 +234,7 @@
     // that keeps it from starting late, tells that the run is not there.
     const bool told =
         occupant.start_answered < sent || occupant.stop_answered < sent;
-    // Its end may be one that the answer had no room for.
+    // Its end may be among those that did not fit into the answer.
     if (told && !reply.more_ends) missing.push_back(key);
   }
   for (const RunKey& key : missing) {
--- a/keelbridge/coordination/source_reads.cc
+++ b/keelbridge/coordination/source_reads.cc
@@ -18,7 +18,7 @@
                         (hurry_ || since_read >= options_.again);
   if (wanted && may_read) {
     read_probed_ = answers_again_;
-    // While it is on its way, nothing is known of it.
+    // Until the new read hangs or fails there is no reason for doubt.
     doubtful_ = false;
     answers_again_ = false;
     hurry_ = false;
@@ -37,7 +37,7 @@
 void SourceReads::OnReadEnded(absl::Time begun, bool answered) {
   under_way_.erase(begun);
   if (!answered) {
-    // A later one that is on its way, or was answered, tells more.
+    // Only the latest read tells about the source now.
     doubtful_ = doubtful_ || (begun == read_begun_ && begun > answered_);
     return;
   }
--- a/keelbridge/coordination/source_reads.h
+++ b/keelbridge/coordination/source_reads.h
@@ -29,8 +29,8 @@
  public:
   enum class Step { kNone, kRead, kProbe };
   struct Options {
-    // Between the beginnings of two reads, and of two probes: an outage is not
-    // hammered, and its end is noticed this soon at the latest.
+    // Between the beginnings of two reads, and of two probes: an outage costs
+    // few calls, and its end is noticed this soon at the latest.
     absl::Duration again = absl::Milliseconds(500);
     // A read without an answer for so long may hang. A store without faults
     // answers within 50 ms; a link whose packets wait for over 0.5 s counts as
--- a/keelbridge/daemon/leader_session.cc
+++ b/keelbridge/daemon/leader_session.cc
@@ -434,7 +434,7 @@
               {"tries", absl::StrCat(flight_->tries)},
               {"took_ms",
                absl::StrCat(absl::ToInt64Milliseconds(now.mono - sent))}});
-    // Each call is priced, refused ones included: an outage is not hammered.
+    // Each call is priced, refused ones included: few are made in an outage.
     const absl::Duration pause =
         std::min(kRetryDelay * flight_->tries, kLongestRetryDelay);
     return After(pause, [self = shared_from_this()] {
--- a/keelbridge/daemon/site_node_configuration.cc
+++ b/keelbridge/daemon/site_node_configuration.cc
@@ -20,8 +20,8 @@
 // A store that takes 1.2 s to answer (300 times its usual 4 ms, by the sites'
 // files) is still heard.
 constexpr absl::Duration kTransferSilence = absl::Milliseconds(1500);
-// Of a question whose answer is small: what takes longer is as good as lost,
-// since it is asked again this soon (see `SourceReads`).
+// Of a probe, whose answer is small. A longer time-out would gain nothing: the
+// next probe may begin this soon (see `SourceReads`).
 constexpr absl::Duration kProbeTimeout = absl::Milliseconds(500);
 constexpr absl::Duration kFollowWait = absl::Seconds(20);
 constexpr absl::Duration kFollowTimeout = absl::Seconds(22);
@@ -134,7 +134,7 @@
 void SiteNode::OnConfigurationChecked(const ReadReply& reply, int64_t from,
                                       absl::Time sent) {
   if (reply.result == StoreResult::kGone) {
-    // Another read was quicker.
+    // Another read has found this out, and has begun anew or moved on.
     if (configuration_anew_ || from != configuration_next_) return;
     // What followed was dropped: only a read anew tells what is newest.
     ++configuration_poll_;
@@ -148,8 +148,8 @@
   const int64_t next = from + static_cast<int64_t>(reply.records.size());
   // An answer may carry less than there is.
   if (next >= reply.end) OnConfigurationConfirmed(sent);
-  // What it was asked for was lost meanwhile: it tells all that a read anew
-  // would.
+  // The poll failed while this check was under way. The check has read up to
+  // the end of the stream, so that no read from the beginning is needed.
   if (configuration_anew_ && next >= reply.end)
     return FollowConfigurationFrom(next);
   // The poll has moved on meanwhile, or there was nothing to bring.
@@ -164,7 +164,7 @@
   for (const Record& record : records) {
     const bool wanted =
         record.key == ports_.dialect->ConfigurationKey() && record.value;
-    // A read that was slow may bring what was passed long ago.
+    // The answer to a slow read may bring records older than those taken.
     if (!wanted || record.offset < configuration_offset_) continue;
     configuration_offset_ = record.offset;
     configuration_unreadable_ = !TakeConfiguration(*record.value, "store");
@@ -200,7 +200,7 @@
 }
 
 void SiteNode::OnConfigurationConfirmed(absl::Time at) {
-  // There is a newer one, of which only its record is known.
+  // A newer version was written, but its record cannot be read.
   if (configuration_unreadable_) return;
   configuration_freshness_.OnConfirmed(at);
   configuration_lost_ = false;
--- a/keelbridge/daemon/store_failover.cc
+++ b/keelbridge/daemon/store_failover.cc
@@ -89,7 +89,8 @@
   const bool through_peer = failures_ > 0 && !peers_.empty() &&
                             (can_try_beside || now < next_direct_);
   if (through_peer) {
-    // Only appends fail: a large read twice would share the link with itself.
+    // Reads are answered and only appends fail. A large read that went both
+    // ways would come twice over one link.
     const bool only_direct = read && !small && !read_failed_;
     if (!only_direct) {
       const bool try_read = now >= next_direct_ || !read_failed_;
@@ -153,8 +154,8 @@
   if (++failures_ > 1) return;
   lost_since_ = SystemNow().mono;
   if (outcome.response || last_read_.path.empty()) return;
-  // Perhaps only a kept connection went silent: a new one tells before the
-  // caller tries again.
+  // Perhaps only a kept connection went silent. A read on a new connection
+  // shows whether the store is there before the caller tries again.
   next_direct_ = lost_since_;
   TryDirectAgain();
 }
