--- a/keelbridge/daemon/leader_session.h
+++ b/keelbridge/daemon/leader_session.h
@@ -79,6 +79,13 @@
   int64_t store_returns() const { return store_returns_; }
 
  private:
+  // By which the store knows the writer of the jobs stream; its epochs rise
+  // from leader to leader.
+  static constexpr char kLeaderWriter[] = "leader";
+  static constexpr absl::Duration kAppendTimeout = absl::Milliseconds(700);
+  // Before a call of the store that failed is made again.
+  static constexpr absl::Duration kRetryDelay = absl::Milliseconds(60);
+
   enum class Phase { kFencing, kLoading, kLearningWorkers, kActive, kEnded };
   struct Flight {
     JobScheduler::Batch batch;
@@ -101,11 +108,16 @@
     absl::Time until;
   };
 
+  // leader_session_loading.cc
   void Fence();
   void LoadJobs(const std::string& after);
   // Goes on after `page`, which was read after the key `after`.
   void LoadJobsAfter(const NewestReply& page, const std::string& after);
   void LearnWorkers(const std::string& after);
+  void PollWorkers();
+  void TakeWorkerRecord(const Record& record);
+
+  // leader_session.cc
   void Activate();
   void ArmTick();
   void Pump();
@@ -119,8 +131,6 @@
   void BeginAppend();
   void SendFlight();
   void OnAppended(const AppendReply& reply, absl::Time sent);
-  void PollWorkers();
-  void TakeWorkerRecord(const Record& record);
   void Await(int64_t batch, ClientReply answer,
              std::function<void(ClientReply)> reply);
   void After(absl::Duration delay, std::function<void()> step);
