--- a/keelbridge/daemon/store_failover_test.cc
+++ b/keelbridge/daemon/store_failover_test.cc
@@ -11,7 +11,8 @@
 namespace keelbridge {
 namespace {
 
-const Address kPeer{"127.0.0.1", 18778, ""};
+// The kernel picks the port: several runs of the tests may share a machine.
+const Address kAnyPort{"127.0.0.1", 0, ""};
 
 HttpOutcome CarryOne(boost::asio::io_context& loop, StoreFailover& carrier) {
   HttpRequest request;
@@ -31,7 +32,7 @@
 // A peer that carries every call and says that it was done.
 class Peer {
  public:
-  explicit Peer(boost::asio::io_context& loop) : server_(loop, kPeer) {
+  explicit Peer(boost::asio::io_context& loop) : server_(loop, kAnyPort) {
     server_.Add(
         StoreFailover::kMethod,
         [this](const Json::Value& params, const EventRpcServer::Reply& reply) {
@@ -42,8 +43,11 @@
           out["status"] = 200;
           reply({out, 0, ""});
         });
-    REQUIRE(server_.Start());
+    const auto port = server_.Start();
+    REQUIRE(port);
+    address = Address{"127.0.0.1", port.value(), ""}.ToString();
   }
+  std::string address;
   int carried = 0;
   Json::Value last;
   bool silent = false;  // It keeps what it would answer.
@@ -72,7 +76,7 @@
   Peer peer(loop);
   EventRpcClient rpc(loop);
   StoreFailover carrier(loop, {"127.0.0.1", port.value(), ""}, rpc);
-  carrier.SetPeers({kPeer.ToString()});
+  carrier.SetPeers({peer.address});
   const HttpOutcome outcome = CarryOne(loop, carrier);
   REQUIRE(outcome.response);
   CHECK(outcome.response->status == 200);
@@ -82,7 +86,7 @@
   // Another answer is the store's own, whatever it says.
   status = 409;
   StoreFailover second(loop, {"127.0.0.1", port.value(), ""}, rpc);
-  second.SetPeers({kPeer.ToString()});
+  second.SetPeers({peer.address});
   CHECK(CarryOne(loop, second).response->status == 409);
   CHECK(peer.carried == 1);
 }
@@ -101,7 +105,7 @@
   Peer peer(loop);
   EventRpcClient rpc(loop);
   StoreFailover carrier(loop, {"127.0.0.1", port.value(), ""}, rpc);
-  carrier.SetPeers({kPeer.ToString()});
+  carrier.SetPeers({peer.address});
   HttpRequest request;
   request.method = "POST";
   request.path = "/append";
@@ -133,7 +137,7 @@
   Peer peer(loop);
   EventRpcClient rpc(loop);
   StoreFailover carrier(loop, proxy.address(), rpc);
-  carrier.SetPeers({kPeer.ToString()});
+  carrier.SetPeers({peer.address});
   const auto carry = [&](const std::string& method) {
     HttpRequest request;
     request.method = method;
@@ -180,7 +184,7 @@
   Peer peer(loop);
   EventRpcClient rpc(loop);
   StoreFailover carrier(loop, {"127.0.0.1", port.value(), ""}, rpc);
-  carrier.SetPeers({kPeer.ToString()});
+  carrier.SetPeers({peer.address});
   HttpRequest request;
   request.path = "/log";
   request.silence = absl::Milliseconds(100);
@@ -223,15 +227,16 @@
   const auto port = store.Start();
   REQUIRE(port);
   std::vector<EventRpcServer::Reply> hanging;
-  EventRpcServer peer(loop, kPeer);
+  EventRpcServer peer(loop, kAnyPort);
   peer.Add(StoreFailover::kMethod,
            [&](const Json::Value&, EventRpcServer::Reply reply) {
              hanging.push_back(std::move(reply));
            });
-  REQUIRE(peer.Start());
+  const auto peer_port = peer.Start();
+  REQUIRE(peer_port);
   EventRpcClient rpc(loop);
   StoreFailover carrier(loop, {"127.0.0.1", port.value(), ""}, rpc);
-  carrier.SetPeers({kPeer.ToString()});
+  carrier.SetPeers({Address{"127.0.0.1", peer_port.value(), ""}.ToString()});
   HttpRequest append;
   append.method = "POST";
   append.path = "/append";
@@ -311,7 +316,7 @@
   peer.silent = true;
   EventRpcClient rpc(loop);
   StoreFailover carrier(loop, proxy.address(), rpc);
-  carrier.SetPeers({kPeer.ToString()});
+  carrier.SetPeers({peer.address});
   HttpRequest request;
   request.path = "/log";
   int answers = 0;
@@ -364,7 +369,7 @@
   Peer peer(loop);
   EventRpcClient rpc(loop);
   StoreFailover carrier(loop, {"127.0.0.1", port.value(), ""}, rpc);
-  carrier.SetPeers({kPeer.ToString()});
+  carrier.SetPeers({peer.address});
   const auto carry = [&](const std::string& method, const std::string& path,
                          absl::Duration timeout) {
     HttpRequest request;
--- a/keelbridge/transport/event_rpc_test.cc
+++ b/keelbridge/transport/event_rpc_test.cc
@@ -15,8 +15,7 @@
 
 TEST_CASE("event rpc: a control call does not wait for work that is stuck") {
   boost::asio::io_context loop;
-  const Address listen{"127.0.0.1", 18777, ""};
-  EventRpcServer server(loop, listen);
+  EventRpcServer server(loop, {"127.0.0.1", 0, ""});
   std::vector<EventRpcServer::Reply> held;
   server.Add("work", [&](const Json::Value&, EventRpcServer::Reply reply) {
     held.push_back(std::move(reply));
@@ -25,7 +24,9 @@
              [](const Json::Value&, const EventRpcServer::Reply& reply) {
                reply({Json::Value(true), 0, ""});
              });
-  REQUIRE(server.Start());
+  const auto port = server.Start();
+  REQUIRE(port);
+  const Address listen{"127.0.0.1", port.value(), ""};
   // Many peers, each with more work under way than it may have connections.
   std::vector<std::unique_ptr<EventRpcClient>> peers;
   int answered = 0;
