--- /dev/null
+++ b/keelbridge/coordination/job_objective.cc
@@ -0,0 +1,47 @@
+#include "keelbridge/coordination/job_objective.h"
+
+#include <algorithm>
+#include <vector>
+
+namespace keelbridge {
+namespace {
+
+// The workers that one call for advice is reckoned to name in an objective.
+constexpr double kReckonedWorkers = 30;
+
+absl::Duration AdviceTime(const AdviceTerms& advice) {
+  if (!advice.needed) return absl::ZeroDuration();
+  return absl::Milliseconds(advice.base_ms +
+                            kReckonedWorkers * advice.per_worker_ms);
+}
+
+// The longest chain from each step on. Steps depend on earlier ones only.
+std::vector<absl::Duration> ChainsFrom(const JobSpec& spec,
+                                       const AdviceTerms& advice) {
+  std::vector<absl::Duration> chains(spec.steps.size());
+  std::vector<absl::Duration> after(spec.steps.size());
+  for (size_t s = spec.steps.size(); s-- > 0;) {
+    chains[s] = absl::Milliseconds(spec.steps[s].estimated_ms) +
+                AdviceTime(advice) + after[s];
+    for (const int32_t earlier : spec.steps[s].after) {
+      absl::Duration& longest = after[static_cast<size_t>(earlier)];
+      longest = std::max(longest, chains[s]);
+    }
+  }
+  return chains;
+}
+
+}  // namespace
+
+JobTimes TimesOf(const JobSpec& spec, const Queue& queue) {
+  JobTimes times;
+  times.work_from = ChainsFrom(spec, queue.advice);
+  absl::Duration longest;
+  for (const absl::Duration chain : times.work_from)
+    longest = std::max(longest, chain);
+  times.objective =
+      queue.stretch * longest + absl::Milliseconds(queue.target_latency_ms);
+  return times;
+}
+
+}  // namespace keelbridge
--- a/keelbridge/coordination/job_scheduler.cc
+++ b/keelbridge/coordination/job_scheduler.cc
@@ -163,6 +163,7 @@
   job.end_batch = next_batch_;
   job.failure = std::move(why);
   active_.erase(job.id);
+  job_times_.erase(job.id);
   MarkDirty(job);
   StopRunsOf(job);
   Explain("job_ended",
@@ -231,6 +232,7 @@
 void JobScheduler::SetConfiguration(
     std::shared_ptr<const SiteConfiguration> configuration) {
   configuration_ = std::move(configuration);
+  job_times_.clear();
   attempts_unchecked_ = true;
   placement_wanted_ = true;
 }
--- a/keelbridge/coordination/job_scheduler.h
+++ b/keelbridge/coordination/job_scheduler.h
@@ -32,6 +32,9 @@
 #include "absl/time/time.h"
 #include "keelbridge/base/clock.h"
 #include "keelbridge/base/logging.h"
+#include "keelbridge/coordination/answer_times.h"
+#include "keelbridge/coordination/job_objective.h"
+#include "keelbridge/coordination/scheduler_policy.h"
 #include "keelbridge/protocol/job.h"
 #include "keelbridge/protocol/record_store.h"
 #include "keelbridge/protocol/site_configuration.h"
@@ -88,6 +91,7 @@
     // How long an earlier leader that cannot be reached may go on giving leases
     // after it was fenced in the store.
     absl::Duration earlier_leader_bound = absl::Seconds(6);
+    SchedulerPolicy policy;
   };
 
   // `epoch` is this leader's: unique, above all earlier ones.
@@ -169,6 +173,7 @@
     int64_t cpu_milli_used = 0;
     int64_t starts = 0;
     int64_t starts_refused = 0;
+    int64_t yields = 0;  // Runs stopped for more urgent work.
     int64_t advice_calls = 0;
     int64_t ends_done = 0;
     int64_t ends_failed = 0;
@@ -189,8 +194,15 @@
     bool stop_wanted = false;
     bool stop_in_flight = false;
     bool uncertain = false;  // The start had no answer.
+    absl::Time uncertain_since;
+    // When its end is overdue by the estimate: a look is worth its price then.
+    absl::Time check_at = absl::InfiniteFuture();
     int32_t percent = 0;
     absl::Time percent_changed;
+    // A run that saves its progress yields to steps of a lower number, until
+    // its job could no longer be in time. 0: it does not yield.
+    int32_t yields_below = 0;
+    absl::Time yields_until = absl::InfinitePast();
   };
   using RunKey = std::pair<TaskId, int32_t>;
   struct Worker {
@@ -198,12 +210,21 @@
     int64_t known_at_batch = 0;  // The batch that tells later leaders of it.
     Resources free;
     std::map<RunKey, Occupant> occupants;
+    Resources stopping;  // What occupants take that are to stop.
+    absl::Time next_check = absl::InfiniteFuture();  // Of the occupants.
     int unknown_sizes = 0;  // Occupants of unknown size: nothing else starts.
     bool listed = false;    // Its lists were taken under this leader's fence.
     bool record_removed = false;
-    bool observing = false;
+    int looks_open = 0;        // Under way.
+    bool look_wanted = false;  // At once, beside one that waits for an end.
+    absl::Time look_sent = absl::InfinitePast();  // The last one.
+    // The last listing that was taken: when it was asked for, and the worker's
+    // clock on it. Listings may overtake each other.
+    absl::Time listing_sent = absl::InfinitePast();
+    int64_t listing_clock_ms = -1;
     absl::Time next_observe = absl::InfinitePast();
     absl::Time last_answer = absl::InfinitePast();
+    absl::Time unanswered_since = absl::InfiniteFuture();  // Nothing since.
     int failed_observations = 0;
     int64_t ends_noted = 0;  // Told to the worker.
     int64_t ends_processed = 0;
@@ -213,7 +234,9 @@
     absl::Time lapse_at = absl::InfinitePast();  // All has ended by then.
     absl::Time suspect_until = absl::InfinitePast();
     int failures_in_row = 0;
-    const StepState* reserved_by = nullptr;
+    // What steps that were looked at before in this look for placements keep
+    // free here.
+    Resources held;
     bool in_attention = false;  // Stands in `attention_`.
     // Processors that steps hope to get here, whose advice is under way.
     int32_t hoped_milli = 0;
@@ -235,7 +258,10 @@
     int32_t waiting;
     bool only_seen;  // Tasks that this leader has not seen may run elsewhere.
     int tier;        // 0: its objective can still be met.
-    absl::Time deadline;  // Of the objective.
+    absl::Time latest_start;  // To meet the objective.
+    // Of the time that the job could spend waiting, the share that is left.
+    double slack_left;
+    bool holds = false;  // It may keep room free in this look.
   };
 
   // job_scheduler.cc
@@ -263,6 +289,17 @@
   void Attend(Worker& worker);
   void TickWorkers(Now now);
   void TickWorker(Worker& worker, Now now);
+  bool LookIsDue(const Worker& worker, Now now) const;
+  void SendLook(Worker& worker, Now now);
+  void OnLookFailed(Worker& worker, const OrderReply& reply, absl::Time sent,
+                    Now now);
+  // Something that was sent to the worker got no answer, or an answer.
+  void NoteUnanswered(Worker& worker, Now now);
+  void NoteAnswered(Worker& worker, Now now);
+  // Wants a look where a task should have ended by its estimate.
+  void CheckOverdue(Worker& worker, Now now);
+  // When to check on a run that begins now.
+  absl::Time CheckTime(const TaskId& task, absl::Time now) const;
   void WantStop(Worker& worker, const RunKey& key);
   void SendStops(Worker& worker, Now now);
   bool Reachable(const Worker& worker, Now now) const;
@@ -284,6 +321,8 @@
                  Now now);
 
   // job_scheduler_placement.cc
+  // By the configuration in force; kept until that changes or the job ends.
+  const JobTimes& TimesOfJob(const Job& job, const Queue& queue);
   void PlaceAll(Now now);
   std::vector<ReadyStep> CollectReady(Now now);
   void PlaceSingles(ReadyStep& ready, Now now);
@@ -298,7 +337,6 @@
   int32_t Fits(const Worker& worker, const ReadyStep& ready,
                const Resources& room) const;
   int32_t PlacedOf(const Worker& worker, const ReadyStep& ready) const;
-  absl::Duration Objective(const Job& job, const Queue& queue) const;
   void Block(ReadyStep& ready, const char* why);
   // The most that any worker has free, each resource by itself.
   Resources MostFree() const;
@@ -312,10 +350,40 @@
   // Of a gang some of whose members are placed: places or stops the rest. False
   // when none is placed.
   bool FinishGang(ReadyStep& ready, Now now);
-  void ReserveForGang(ReadyStep& ready, Now now);
+
+  // job_scheduler_room.cc
+  struct Holder;
+  // Keeps room for a blocked step from all that is ordered behind it, where it
+  // gets room soonest, and stops less urgent runs for it.
+  void HoldRoom(ReadyStep& ready, Now now);
+  // Workers that may run the step once they have room.
+  std::vector<Worker*> WorkersToHold(const ReadyStep& ready, Now now);
+  std::vector<Holder> FindHolders(const ReadyStep& ready, Now now);
+  void AddYielders(const ReadyStep& ready, Holder& holder, Now now);
+  // Notes whether and for how long the run may yield.
+  void NoteYield(Occupant& occupant, const TaskId& task, Now now);
+  // What stopping the run for `ready` costs; none: it does not yield.
+  std::optional<double> YieldCost(const Worker& worker,
+                                  const Occupant& occupant,
+                                  const ReadyStep& ready, Now now) const;
+  void MarkStopping(Worker& worker, Occupant& occupant);
+  void Yield(Worker& worker, const RunKey& key, const ReadyStep& ready);
+  void HoldAt(Worker& worker, int32_t tasks, ReadyStep& ready);
+  // Keeps what was kept at the last search.
+  void HoldAgain(ReadyStep& ready);
 
   // job_scheduler_advice.cc
   bool HasTicket(const Worker& worker, const ReadyStep& ready, Now now) const;
+  // The same when one that is asked for now may come.
+  bool HasLastingTicket(const Worker& worker, const ReadyStep& ready,
+                        Now now) const;
+  // A worker for which a step lacks a ticket.
+  struct AdviceCandidate;
+  // Workers that a call for advice on the queue names although fewer would do;
+  // 0: none.
+  size_t MostNamed(const Queue& queue) const;
+  // Whether the step keeps room at a worker for which its ticket runs out.
+  bool HeldTicketRunsOut(const ReadyStep& ready, Now now) const;
   // The share of workers that may run a step of the queue, as far as learnt.
   double GoodShare(const Queue& queue) const;
   // A worker that a call names, and the processors hoped for there.
@@ -328,7 +396,11 @@
   // Processors of as many tasks of the step as may start at one worker.
   static int32_t HopedMilli(const ReadyStep& ready, double tasks);
   void ReturnHopes(const AskAdviceAction& action);
-  // What is free on a worker and not hoped for by others.
+  // What is free on a worker and not kept for others.
+  static Resources RoomOn(const Worker& worker) {
+    return worker.free - worker.held;
+  }
+  // The same, without what is hoped for by others.
   static Resources Unclaimed(const Worker& worker);
   void EnsureSinglesAdvice(ReadyStep& ready, Now now);
   void EnsureGangAdvice(ReadyStep& ready, Now now);
@@ -340,6 +412,7 @@
   std::map<JobId, Job*> active_;  // Those that have not ended.
   std::map<std::string, std::unique_ptr<Worker>> workers_;
   std::shared_ptr<const SiteConfiguration> configuration_;
+  absl::flat_hash_map<JobId, JobTimes> job_times_;
   std::vector<Adviser> advisers_;
   absl::flat_hash_map<std::string, double> good_share_;  // Queue -> learnt.
   std::vector<Action> actions_;
@@ -352,12 +425,14 @@
   std::set<JobId> dirty_;
   std::vector<std::string> dropped_keys_;
 
+  AnswerTimes answer_times_{AnswerTimes::Options()};
   absl::Time earlier_leader_until_;
   bool earlier_leader_stopped_ = false;  // OnEarlierLeaderStopped was called.
   bool fenced_ = false;
   bool suspended_ = false;
   absl::Duration lag_;
   int32_t starts_left_ = 0;               // In this look for placements.
+  size_t ready_steps_ = 0;                // The same.
   std::vector<Worker*> attention_;        // Workers to look at before a sweep.
   std::vector<Worker*> unnoted_workers_;  // With ends that wait to be durable.
   absl::Time next_sweep_ = absl::InfinitePast();
--- a/keelbridge/coordination/job_scheduler_advice.cc
+++ b/keelbridge/coordination/job_scheduler_advice.cc
@@ -17,6 +17,8 @@
 // after twice as long each time.
 constexpr absl::Duration kAskAgain = absl::Milliseconds(60);
 constexpr int32_t kMostDoublings = 3;
+// Between two looks at whom to ask, for a step that has no reason to ask.
+constexpr absl::Duration kLookAgain = absl::Milliseconds(20);
 constexpr absl::Duration kAvoidAdviser = absl::Seconds(1);
 // Calls that take less are short: they never stand behind long ones.
 constexpr double kShortAdviceMs = 100;
@@ -33,6 +35,14 @@
 constexpr double kGangSpare = 2.0;
 constexpr size_t kMostNamed = 100;  // The advice service takes no more.
 constexpr size_t kLeastNamed = 4;
+// A call may name so many workers that naming them takes this share of what it
+// takes to be called at all: a call that names too few is made again, and that
+// costs all of it.
+constexpr double kNamingShare = 0.5;
+// Short calls name more than they need only while so few steps wait: there are
+// many of them, and naming 35 workers where 4 do took a tenth off the work that
+// a leader of 880 starts a second served in time.
+constexpr size_t kFewSteps = 20;
 
 }  // namespace
 
@@ -84,8 +94,37 @@
   return it != tickets.end() && it->second.expires > now.mono + kTicketMargin;
 }
 
+bool JobScheduler::HasLastingTicket(const Worker& worker,
+                                    const ReadyStep& ready, Now now) const {
+  const AdviceTerms& terms = ready.queue->advice;
+  if (!terms.needed) return true;
+  const auto& tickets = ready.state->advice.tickets;
+  const auto it = tickets.find(worker.record.id);
+  const absl::Duration call = absl::Milliseconds(
+      terms.base_ms + terms.per_worker_ms * static_cast<double>(kLeastNamed));
+  return it != tickets.end() &&
+         it->second.expires > now.mono + kTicketMargin + call;
+}
+
+bool JobScheduler::HeldTicketRunsOut(const ReadyStep& ready, Now now) const {
+  const auto& held = ready.state->held;
+  return std::any_of(held.begin(), held.end(), [&](const auto& one) {
+    const auto worker = workers_.find(one.first);
+    return worker != workers_.end() &&
+           !HasLastingTicket(*worker->second, ready, now);
+  });
+}
+
+size_t JobScheduler::MostNamed(const Queue& queue) const {
+  const AdviceTerms& terms = queue.advice;
+  if (terms.base_ms < kShortAdviceMs && ready_steps_ > kFewSteps) return 0;
+  if (terms.per_worker_ms <= 0) return kMostNamed;
+  const double most = kNamingShare * terms.base_ms / terms.per_worker_ms;
+  return std::clamp(static_cast<size_t>(most), kLeastNamed, kMostNamed);
+}
+
 Resources JobScheduler::Unclaimed(const Worker& worker) {
-  Resources room = worker.free;
+  Resources room = RoomOn(worker);
   room.cpu_milli -= worker.hoped_milli;
   return room;
 }
@@ -140,49 +179,68 @@
   return static_cast<int32_t>(most * ready.spec->need.cpu_milli);
 }
 
+struct JobScheduler::AdviceCandidate {
+  Worker* worker;
+  int32_t fits;   // Tasks, now.
+  int32_t whole;  // Tasks, when nothing else runs there.
+  bool good;      // Known to be allowed to run the step.
+  size_t number;  // In the order of the workers' names.
+};
+
 void JobScheduler::EnsureSinglesAdvice(ReadyStep& ready, Now now) {
   StepAdvice& advice = ready.state->advice;
   if (advice.asked || advice.next_ask > now.mono) return;
-  struct Candidate {
-    Worker* worker;
-    int32_t fits;
-    bool good;
-    size_t number;  // In the order of the workers' names.
-  };
-  std::vector<Candidate> candidates;
+  const bool by_cost =
+      options_.policy.name_by_cost && MostNamed(*ready.queue) > 0;
+  std::vector<AdviceCandidate> candidates;
   int32_t usable = 0;
+  bool any_fits = false;
+  bool any_unknown = false;
   for (auto& [id, worker] : workers_) {
     if (!MayRun(*worker, ready, now)) continue;
     if (HasTicket(*worker, ready, now)) {
-      usable += Fits(*worker, ready, worker->free);
-      continue;
+      usable += Fits(*worker, ready, RoomOn(*worker));
+      if (HasLastingTicket(*worker, ready, now)) continue;
     }
-    const int32_t fits = Fits(*worker, ready, Unclaimed(*worker));
-    if (fits < 1) continue;
     const auto known = advice.known.find(id);
     if (known != advice.known.end() && !known->second) continue;
-    candidates.push_back(
-        {worker.get(), fits, known != advice.known.end(), candidates.size()});
+    const int32_t fits = Fits(*worker, ready, Unclaimed(*worker));
+    const int32_t whole = Fits(*worker, ready, worker->record.capacity);
+    if (whole < 1 || (fits < 1 && !by_cost)) continue;
+    const bool good = known != advice.known.end();
+    any_fits = any_fits || fits > 0;
+    any_unknown = any_unknown || !good;
+    candidates.push_back({worker.get(), fits, whole, good, candidates.size()});
+  }
+  // A blocked step learns who may run it before there is room, and keeps the
+  // tickets fresh where room is kept for it.
+  const bool prepares = by_cost && options_.policy.hold_room && ready.holds &&
+                        ((any_unknown && ready.state->held.empty()) ||
+                         HeldTicketRunsOut(ready, now));
+  const bool lacks = usable < ready.waiting && any_fits;
+  if (candidates.empty() || !(lacks || prepares)) {
+    advice.next_ask = now.mono + kLookAgain;
+    return;
   }
-  if (usable >= ready.waiting || candidates.empty()) return;
+  const size_t cheap = by_cost ? MostNamed(*ready.queue) : 0;
   const size_t ordered = std::min(candidates.size(), kMostNamed);
-  std::partial_sort(candidates.begin(), candidates.begin() + ordered,
-                    candidates.end(),
-                    [](const Candidate& a, const Candidate& b) {
-                      return std::make_tuple(!a.good, -a.fits, a.number) <
-                             std::make_tuple(!b.good, -b.fits, b.number);
-                    });
+  std::partial_sort(
+      candidates.begin(), candidates.begin() + ordered, candidates.end(),
+      [](const AdviceCandidate& a, const AdviceCandidate& b) {
+        return std::make_tuple(!a.good, -a.fits, -a.whole, a.number) <
+               std::make_tuple(!b.good, -b.fits, -b.whole, b.number);
+      });
   candidates.resize(ordered);
   const double share = GoodShare(*ready.queue);
   double expected = usable;
   std::vector<NamedWorker> named;
-  for (const Candidate& candidate : candidates) {
+  for (const AdviceCandidate& candidate : candidates) {
     const bool enough = expected >= kAdviceMargin * ready.waiting &&
                         named.size() >= kLeastNamed;
-    if (enough) break;
+    if (enough && named.size() >= cheap) break;
     const double hoped = candidate.fits * (candidate.good ? 1.0 : share);
     expected += hoped;
-    named.push_back({candidate.worker, HopedMilli(ready, hoped)});
+    named.push_back({candidate.worker, enough ? 0 : HopedMilli(ready, hoped)});
   }
   AskAdvice(ready, named, now);
 }
@@ -190,22 +248,22 @@
 void JobScheduler::EnsureGangAdvice(ReadyStep& ready, Now now) {
   StepAdvice& advice = ready.state->advice;
   if (advice.asked || advice.next_ask > now.mono) return;
-  struct Candidate {
-    Worker* worker;
-    int32_t fits;   // Now.
-    int32_t whole;  // When nothing else runs there.
-  };
-  std::vector<Candidate> good;
-  std::vector<Candidate> unknown;
+  const bool by_cost =
+      options_.policy.name_by_cost && MostNamed(*ready.queue) > 0;
+  std::vector<AdviceCandidate> good;
+  std::vector<AdviceCandidate> unknown;
   int32_t good_now = 0;
   int32_t good_whole = 0;
   for (auto& [id, worker] : workers_) {
     if (!MayRun(*worker, ready, now)) continue;
-    const Candidate candidate{worker.get(), Fits(*worker, ready, worker->free),
-                              Fits(*worker, ready, worker->record.capacity)};
-    if (candidate.whole < 1) continue;
     const auto known = advice.known.find(id);
-    if (known == advice.known.end()) {
+    const bool is_known = known != advice.known.end();
+    const AdviceCandidate candidate{
+        worker.get(), Fits(*worker, ready, RoomOn(*worker)),
+        Fits(*worker, ready, worker->record.capacity), is_known,
+        good.size() + unknown.size()};
+    if (candidate.whole < 1) continue;
+    if (!is_known) {
       unknown.push_back(candidate);
     } else if (known->second) {
       good.push_back(candidate);
@@ -213,18 +271,16 @@
       good_whole += candidate.whole;
     }
   }
-  const auto by_room = [](const Candidate& a, const Candidate& b) {
-    return std::make_tuple(-a.fits, -a.worker->free.cpu_milli,
-                           a.worker->record.id) <
-           std::make_tuple(-b.fits, -b.worker->free.cpu_milli,
-                           b.worker->record.id);
+  const auto by_room = [](const AdviceCandidate& a, const AdviceCandidate& b) {
+    return std::make_tuple(-a.fits, -a.worker->free.cpu_milli, a.number) <
+           std::make_tuple(-b.fits, -b.worker->free.cpu_milli, b.number);
   };
   std::sort(good.begin(), good.end(), by_room);
   std::sort(unknown.begin(), unknown.end(), by_room);
   const double share = GoodShare(*ready.queue);
   const double count = ready.spec->count;
   double hoped_now = good_now;
-  for (const Candidate& candidate : unknown)
+  for (const AdviceCandidate& candidate : unknown)
     hoped_now += candidate.fits * share;
   const bool room_now = good_now >= ready.spec->count;
   // Others are asked about when those known to be good have no room now and
@@ -232,24 +288,31 @@
   const bool ask_unknown =
       !room_now && !unknown.empty() &&
       (hoped_now >= count || good_whole < count * kAdviceMargin);
-  if (!room_now && !ask_unknown) return;
+  const bool prepares = by_cost && ready.holds && HeldTicketRunsOut(ready, now);
+  if (!room_now && !ask_unknown && !prepares) {
+    advice.next_ask = now.mono + kLookAgain;
+    return;
+  }
+  const size_t cheap = by_cost ? MostNamed(*ready.queue) : 0;
   // Fresh tickets for the good ones that have room, with some to spare: others
   // take room while the answer is on its way.
   std::vector<NamedWorker> named;
   double expected = 0;
-  for (const Candidate& candidate : good) {
-    if (candidate.fits < 1 || expected >= kGangSpare * count) break;
+  for (const AdviceCandidate& candidate : good) {
+    const bool enough = candidate.fits < 1 || expected >= kGangSpare * count;
+    if (enough && named.size() >= cheap) break;
     expected += candidate.fits;
-    named.push_back({candidate.worker, HopedMilli(ready, candidate.fits)});
+    named.push_back(
+        {candidate.worker, enough ? 0 : HopedMilli(ready, candidate.fits)});
   }
-  for (const Candidate& candidate : unknown) {
+  for (const AdviceCandidate& candidate : unknown) {
     if (!ask_unknown) break;
-    if (expected >= kGangSpare * kAdviceMargin * count &&
-        named.size() >= kLeastNamed)
-      break;
+    const bool enough = expected >= kGangSpare * kAdviceMargin * count &&
+                        named.size() >= kLeastNamed;
+    if (enough && named.size() >= cheap) break;
     expected += share * (candidate.fits > 0 ? candidate.fits : candidate.whole);
-    named.push_back(
-        {candidate.worker, HopedMilli(ready, share * candidate.fits)});
+    named.push_back({candidate.worker,
+                     enough ? 0 : HopedMilli(ready, share * candidate.fits)});
   }
   AskAdvice(ready, named, now);
 }
--- a/keelbridge/coordination/job_scheduler_gangs.cc
+++ b/keelbridge/coordination/job_scheduler_gangs.cc
@@ -1,4 +1,4 @@
-// Gangs: all members start together, or none; blocked ones hold workers free.
+// Gangs: all members start together, or none.
 
 #include <algorithm>
 #include <map>
@@ -43,7 +43,7 @@
       if (task.run >= run || task.retry_at > now.mono) continue;
       for (auto& [id, worker] : workers_) {
         if (!MayRun(*worker, ready, now) || !HasTicket(*worker, ready, now) ||
-            Fits(*worker, ready, worker->free) < 1)
+            Fits(*worker, ready, RoomOn(*worker)) < 1)
           continue;
         StartTask(ready, index, run, *worker, now);
         break;
@@ -79,7 +79,7 @@
   for (auto& [id, worker] : workers_) {
     if (!MayRun(*worker, ready, now) || !HasTicket(*worker, ready, now))
       continue;
-    const int32_t fits = Fits(*worker, ready, worker->free);
+    const int32_t fits = Fits(*worker, ready, RoomOn(*worker));
     if (fits < 1) continue;
     rooms.push_back({worker.get(), fits});
     total += fits;
@@ -111,7 +111,7 @@
     if (task.checkpoint > checkpoint) checkpoint = task.checkpoint;
   }
   ready.state->gang_started = now.mono;
-  ready.state->reserved.clear();
+  ready.state->held.clear();
   int32_t index = 0;
   for (const Room& room : rooms) {
     for (int32_t i = 0; i < room.fits && index < ready.spec->count; ++i) {
@@ -122,45 +122,4 @@
   }
 }
 
-void JobScheduler::ReserveForGang(ReadyStep& ready, Now now) {
-  const StepAdvice& advice = ready.state->advice;
-  struct Candidate {
-    Worker* worker;
-    int32_t whole;  // Tasks that fit when nothing else runs there.
-    bool held;      // Held free by this gang at the last look.
-  };
-  std::vector<Candidate> candidates;
-  for (auto& [id, worker] : workers_) {
-    if (!MayRun(*worker, ready, now)) continue;
-    if (ready.queue->advice.needed) {
-      const auto known = advice.known.find(id);
-      if (known == advice.known.end() || !known->second) continue;
-    }
-    const int32_t whole = Fits(*worker, ready, worker->record.capacity);
-    if (whole < 1) continue;
-    const auto& reserved = ready.state->reserved;
-    const bool held =
-        std::find(reserved.begin(), reserved.end(), id) != reserved.end();
-    candidates.push_back({worker.get(), whole, held});
-  }
-  std::sort(candidates.begin(), candidates.end(),
-            [](const Candidate& a, const Candidate& b) {
-              return std::make_tuple(!a.held, -a.worker->free.cpu_milli,
-                                     a.worker->record.id) <
-                     std::make_tuple(!b.held, -b.worker->free.cpu_milli,
-                                     b.worker->record.id);
-            });
-  int32_t covered = 0;
-  size_t taken = 0;
-  while (taken < candidates.size() && covered < ready.spec->count)
-    covered += candidates[taken++].whole;
-  ready.state->reserved.clear();
-  // Workers are not held for a gang that they could not carry.
-  if (covered < ready.spec->count) return;
-  for (size_t i = 0; i < taken; ++i) {
-    candidates[i].worker->reserved_by = ready.state;
-    ready.state->reserved.push_back(candidates[i].worker->record.id);
-  }
-}
-
 }  // namespace keelbridge
--- a/keelbridge/coordination/job_scheduler_placement.cc
+++ b/keelbridge/coordination/job_scheduler_placement.cc
@@ -7,6 +7,7 @@
 
 #include "absl/strings/str_cat.h"
 #include "keelbridge/coordination/job_scheduler.h"
+#include "keelbridge/coordination/room_search.h"
 
 namespace keelbridge {
 namespace {
@@ -24,37 +25,17 @@
 constexpr int32_t kMostStarts = 60;
 constexpr int32_t kMostStartsWhenLate = 4;
 constexpr absl::Duration kLate = absl::Milliseconds(60);
-// Gangs that may hold workers free at a time.
-constexpr int kMostReservations = 4;
+// Blocked gangs, and blocked steps of other tasks, that may keep room free at a
+// time.
+constexpr int kMostGangsHolding = 4;
+constexpr int kMostOthersHolding = 8;
 // Added to the share of a worker that would stay free, which is at most 1.
 constexpr double kElsewherePenalty = 10;  // Away from the task's data.
 constexpr double kFailedTherePenalty = 20;
 constexpr double kFailingPenalty = 5;
-// Up to this many objectives a job earns a little.
-constexpr int kLateFactor = 3;
 
 }  // namespace
 
-absl::Duration JobScheduler::Objective(const Job& job,
-                                       const Queue& queue) const {
-  std::vector<int64_t> chain(job.spec.steps.size(), 0);
-  int64_t longest = 0;
-  for (size_t s = 0; s < chain.size(); ++s) {
-    int64_t before = 0;
-    for (const int32_t earlier : job.spec.steps[s].after)
-      before = std::max(before, chain[static_cast<size_t>(earlier)]);
-    const double advice =
-        queue.advice.needed
-            ? queue.advice.base_ms + 30 * queue.advice.per_worker_ms
-            : 0;
-    chain[s] =
-        before + job.spec.steps[s].estimated_ms + static_cast<int64_t>(advice);
-    longest = std::max(longest, chain[s]);
-  }
-  return absl::Milliseconds(queue.stretch * static_cast<double>(longest)) +
-         absl::Milliseconds(queue.target_latency_ms);
-}
-
 bool JobScheduler::FollowsWhatEndedHere(const Job& job, const Round& round,
                                         size_t step) {
   const std::vector<int32_t>& after = job.spec.steps[step].after;
@@ -92,14 +73,14 @@
         const int32_t waiting = ready.waiting;
         if (waiting == 0) continue;
         figures_.ready_tasks += waiting;
-        const absl::Duration objective = Objective(*job, *queue);
+        const JobTimes& times = TimesOfJob(*job, *queue);
+        const absl::Duration objective = times.objective;
         const absl::Duration age =
             job->spec.rounds > 0
                 ? absl::Milliseconds(wall_ms - job->spec.first_round_ms -
                                      round.number * job->spec.round_interval_ms)
                 : now.mono - job->accepted_at;
-        const absl::Duration left =
-            objective - age - absl::Milliseconds(spec.estimated_ms);
+        const absl::Duration left = objective - age - times.work_from[s];
         const int tier =
             left > absl::ZeroDuration()                                   ? 0
             : left + objective * (kLateFactor - 1) > absl::ZeroDuration() ? 1
@@ -111,22 +92,33 @@
         ready.queue = queue;
         ready.number = static_cast<int32_t>(s);
         ready.tier = tier;
-        ready.deadline = now.mono + objective - age;
+        ready.latest_start = now.mono + left;
+        ready.slack_left = left / std::max(objective - times.work_from[0],
+                                           absl::Milliseconds(1));
         out.push_back(ready);
       }
     }
   }
   std::sort(out.begin(), out.end(), [](const ReadyStep& a, const ReadyStep& b) {
-    return std::make_tuple(a.tier, a.queue->priority, a.deadline, a.job->id) <
-           std::make_tuple(b.tier, b.queue->priority, b.deadline, b.job->id);
+    return std::make_tuple(a.tier, a.queue->priority, a.latest_start,
+                           a.job->id) <
+           std::make_tuple(b.tier, b.queue->priority, b.latest_start,
+                           b.job->id);
   });
   return out;
 }
 
+const JobTimes& JobScheduler::TimesOfJob(const Job& job, const Queue& queue) {
+  const auto known = job_times_.find(job.id);
+  if (known != job_times_.end()) return known->second;
+  return job_times_.emplace(job.id, TimesOf(job.spec, queue)).first->second;
+}
+
 void JobScheduler::PlaceAll(Now now) {
   if (configuration_ == nullptr || suspended_) return;
   if (std::exchange(attempts_unchecked_, false)) FailUsedUp(now);
   std::vector<ReadyStep> ready = CollectReady(now);
+  ready_steps_ = ready.size();
   no_placement_before_ = now.mono + kPlacementPause +
                          kPauseOfStep * static_cast<double>(ready.size());
   starts_left_ = lag_ > kLate ? kMostStartsWhenLate : kMostStarts;
@@ -134,32 +126,37 @@
   // Steps behind those that will fill all free room do not ask for advice:
   // their answers would be stale before there is room for them.
   double room_to_ask_for = kAskedRoom * static_cast<double>(FreeCpuMilli());
-  for (auto& [id, worker] : workers_) worker->reserved_by = nullptr;
-  int reservations = 0;
+  for (auto& [id, worker] : workers_) worker->held = Resources();
+  int gangs_holding = 0;
+  int others_holding = 0;
   for (ReadyStep& step : ready) {
     Resources need = step.spec->need;
     if (step.spec->fills) need.cpu_milli = 0;
-    if (!step.spec->gang) {
-      if (!need.FitsIn(most_free)) {
-        Block(step, "no worker has room");
-        continue;
-      }
-      if (step.queue->advice.needed && room_to_ask_for > 0)
-        EnsureSinglesAdvice(step, now);
+    if (step.spec->gang) {
+      if (FinishGang(step, now)) continue;
+      PlaceGang(step, now);
+    } else if (need.FitsIn(most_free)) {
       PlaceSingles(step, now);
-      room_to_ask_for -= static_cast<double>(step.waiting) * need.cpu_milli;
-      continue;
+    } else {
+      Block(step, "no worker has room");
     }
-    if (FinishGang(step, now)) continue;
-    PlaceGang(step, now);
     if (step.waiting == 0) continue;
-    if (step.queue->advice.needed && room_to_ask_for > 0)
-      EnsureGangAdvice(step, now);
-    room_to_ask_for -= static_cast<double>(step.waiting) * need.cpu_milli;
-    if (reservations < kMostReservations) {
-      ReserveForGang(step, now);
-      ++reservations;
+    int& holding = step.spec->gang ? gangs_holding : others_holding;
+    const int most = step.spec->gang             ? kMostGangsHolding
+                     : options_.policy.hold_room ? kMostOthersHolding
+                                                 : 0;
+    step.holds = holding < most;
+    if (step.holds) {
+      HoldRoom(step, now);
+      ++holding;
     }
+    if (step.queue->advice.needed && (step.holds || room_to_ask_for > 0)) {
+      if (step.spec->gang)
+        EnsureGangAdvice(step, now);
+      else
+        EnsureSinglesAdvice(step, now);
+    }
+    room_to_ask_for -= static_cast<double>(step.waiting) * need.cpu_milli;
   }
 }
 
@@ -198,9 +195,11 @@
       worker.known_at_batch > durable_batch_)
     return false;
   if (worker.unknown_sizes > 0) return false;
-  if (worker.suspect_until > now.mono || !Reachable(worker, now)) return false;
-  if (worker.reserved_by != nullptr && worker.reserved_by != ready.state)
+  // It may just have been cut off: what is started there now is not heard of
+  // until its lease has passed.
+  if (options_.policy.settle_soon && worker.unanswered_since <= now.mono)
     return false;
+  if (worker.suspect_until > now.mono || !Reachable(worker, now)) return false;
   const auto& labels = worker.record.labels;
   return spec.label.empty() ||
          std::find(labels.begin(), labels.end(), spec.label) != labels.end();
@@ -224,15 +223,10 @@
 
 int32_t JobScheduler::Fits(const Worker& worker, const ReadyStep& ready,
                            const Resources& room) const {
-  const Resources& need = ready.spec->need;
-  int32_t fits = ready.spec->count;
+  Resources need = ready.spec->need;
   // What fills takes no processors from a worker's room.
-  if (need.cpu_milli > 0 && !ready.spec->fills)
-    fits = std::min(fits, std::max(0, room.cpu_milli) / need.cpu_milli);
-  if (need.memory_mib > 0)
-    fits = std::min(fits, std::max(0, room.memory_mib) / need.memory_mib);
-  if (need.accelerators > 0)
-    fits = std::min(fits, std::max(0, room.accelerators) / need.accelerators);
+  if (ready.spec->fills) need.cpu_milli = 0;
+  int32_t fits = TimesFits(need, room, ready.spec->count);
   if (ready.spec->most_per_worker > 0)
     fits = std::min(fits, std::max(0, ready.spec->most_per_worker -
                                           PlacedOf(worker, ready)));
@@ -258,6 +252,8 @@
   action.order.checkpoint = task.checkpoint;
   action.order.fence = epoch_;
   action.order.lease_until_ms = LeaseUntil(worker, now.mono);
+  if (options_.policy.settle_soon)
+    action.order.timeout = answer_times_.Patience();
   const auto ticket = ready.state->advice.tickets.find(worker.record.id);
   if (ready.queue->advice.needed && ticket != ready.state->advice.tickets.end())
     action.order.ticket = ticket->second.ticket;
@@ -312,7 +308,7 @@
     Worker* best = nullptr;
     double best_score = 0;
     for (Worker* worker : usable) {
-      if (Fits(*worker, ready, worker->free) < 1) continue;
+      if (Fits(*worker, ready, RoomOn(*worker)) < 1) continue;
       const double score = PlacementScore(*worker, ready, task);
       if (best != nullptr && score >= best_score) continue;
       best = worker;
--- a/keelbridge/coordination/job_scheduler_runs.cc
+++ b/keelbridge/coordination/job_scheduler_runs.cc
@@ -214,7 +214,7 @@
     return;
   }
   added.foreign = true;
-  added.stop_wanted = true;
+  MarkStopping(worker, added);
   Attend(worker);
   Explain("run_unwanted", {{"task", TaskIdText(running.task)},
                            {"run", absl::StrCat(running.run)},
--- a/keelbridge/coordination/job_scheduler_test.cc
+++ b/keelbridge/coordination/job_scheduler_test.cc
@@ -20,8 +20,9 @@
 // A site of workers "a", "b", ... that answer when the test says so.
 class Driver {
  public:
-  explicit Driver(int64_t epoch, int most_attempts = 2)
-      : scheduler_(JobScheduler::Options(), epoch, kBegin) {
+  explicit Driver(int64_t epoch, int most_attempts = 2,
+                  SchedulerPolicy policy = SchedulerPolicy())
+      : scheduler_(OptionsWith(policy), epoch, kBegin) {
     UseQueue(most_attempts);
     scheduler_.OnEarlierLeaderStopped(kBegin);
   }
@@ -111,10 +112,16 @@
   bool hold_advice = false;
   absl::Duration time_of_day_is_ahead;
   std::vector<std::vector<std::string>> asks;  // Workers named, call by call.
+  std::vector<std::vector<int32_t>> hopes;     // Of each of them.
   std::vector<StartOrder> starts;
   std::vector<std::string> start_workers;
 
  private:
+  static JobScheduler::Options OptionsWith(SchedulerPolicy policy) {
+    JobScheduler::Options options;
+    options.policy = policy;
+    return options;
+  }
   void AnswerAdvice(const AskAdviceAction& ask) {
     AdviceReply reply;
     reply.answered = true;
@@ -139,6 +146,7 @@
                                 now());
     } else if (const auto* ask = std::get_if<AskAdviceAction>(&action)) {
       asks.push_back(ask->request.workers);
+      hopes.push_back(ask->hoped_milli);
       if (hold_advice)
         held_.push_back(*ask);
       else
@@ -378,7 +386,7 @@
   CHECK(site.asks.size() <= 8);
 }
 
-TEST_CASE("job scheduler: steps that ask at once ask about different workers") {
+TEST_CASE("job scheduler: steps that ask at once hope for different workers") {
   Driver site(1);
   site.UseAdvice();
   site.UseAdvisers(40);
@@ -394,6 +402,38 @@
   }
   site.RunUntil(absl::Milliseconds(200));
   REQUIRE(site.asks.size() == 2);
+  std::set<std::string> hoped_for;
+  size_t hopes = 0;
+  for (size_t ask = 0; ask < 2; ++ask) {
+    for (size_t i = 0; i < site.asks[ask].size(); ++i) {
+      if (site.hopes[ask][i] == 0) continue;
+      hoped_for.insert(site.asks[ask][i]);
+      ++hopes;
+    }
+  }
+  CHECK(hopes >= 2);
+  CHECK(hoped_for.size() == hopes);
+}
+
+TEST_CASE("job scheduler: steps that ask at once ask about different workers") {
+  // Where all workers are named by each call, only their hopes differ.
+  SchedulerPolicy few_named;
+  few_named.name_by_cost = false;
+  Driver site(1, 2, few_named);
+  site.UseAdvice();
+  site.UseAdvisers(40);
+  site.hold_advice = true;
+  for (char id = 'a'; id < 'm'; ++id) {
+    site.AddWorker(std::string(1, id));
+    site.lists[std::string(1, id)];
+  }
+  for (JobId id = 100; id < 102; ++id) {
+    JobSpec spec;
+    spec.steps.push_back(OneTask(8000));
+    site.scheduler().Submit(id, "restore", spec, site.now());
+  }
+  site.RunUntil(absl::Milliseconds(200));
+  REQUIRE(site.asks.size() == 2);
   std::set<std::string> both(site.asks[0].begin(), site.asks[0].end());
   both.insert(site.asks[1].begin(), site.asks[1].end());
   CHECK(both.size() == site.asks[0].size() + site.asks[1].size());
--- a/keelbridge/coordination/job_scheduler_workers.cc
+++ b/keelbridge/coordination/job_scheduler_workers.cc
@@ -15,6 +15,20 @@
 constexpr absl::Duration kSweepEvery = absl::Milliseconds(50);
 constexpr absl::Duration kObserveRetry = absl::Milliseconds(300);
 constexpr absl::Duration kStopRetry = absl::Milliseconds(400);
+// The same for both where answers get lost: what was lost is asked again.
+constexpr absl::Duration kLossyRetry = absl::Milliseconds(30);
+// How long the answer to a look waits for an end where answers get lost: a lost
+// one leaves the worker's ends unheard for that long.
+constexpr absl::Duration kLossyObserveWait = absl::Milliseconds(150);
+// An unanswered order was lost if the worker answers another this soon after.
+constexpr absl::Duration kLossSettled = absl::Seconds(1);
+// Looks at one worker that may be under way at a time.
+constexpr int kMostLooks = 3;
+// A task of at most this estimate is checked on once its end is overdue, after
+// so many times the estimate, and again after each pause.
+constexpr int64_t kCheckedEstimateMs = 2000;
+constexpr double kOverdueFactor = 1.3;
+constexpr absl::Duration kCheckAgain = absl::Milliseconds(250);
 // How long after a start without an answer a listing may still explain it.
 constexpr absl::Duration kUncertainPatience = absl::Milliseconds(300);
 constexpr absl::Duration kRetryAfterRefusal = absl::Milliseconds(100);
@@ -101,6 +115,9 @@
     it->second.need = need;
     it->second.placed = now.mono;
     it->second.percent_changed = now.mono;
+    it->second.check_at = CheckTime(task, now.mono);
+    worker.next_check = std::min(worker.next_check, it->second.check_at);
+    NoteYield(it->second, task, now);
     worker.free -= need;
   }
   return it->second;
@@ -110,6 +127,7 @@
   const auto it = worker.occupants.find(key);
   if (it == worker.occupants.end()) return;
   worker.free += it->second.need;
+  if (it->second.stop_wanted) worker.stopping -= it->second.need;
   if (it->second.unknown_size) --worker.unknown_sizes;
   worker.occupants.erase(it);
   placement_wanted_ = true;
@@ -138,6 +156,7 @@
   const auto occupants = std::move(worker.occupants);
   worker.occupants.clear();
   worker.unknown_sizes = 0;
+  worker.stopping = Resources();
   for (const auto& [key, occupant] : occupants) {
     worker.free += occupant.need;
     Requeue(key.first, key.second, worker.record.id, now.mono);
@@ -168,6 +187,8 @@
                        task->worker == action.worker.id;
   switch (reply.result) {
     case OrderResult::kDone:
+      answer_times_.OnAnswer(now.mono - occupant->second.placed);
+      NoteAnswered(worker, now);
       occupant->second.start_answered = now.mono;
       worker.last_answer = now.mono;
       if (current && task->phase == TaskPhase::kStarting)
@@ -175,9 +196,13 @@
       if (job != nullptr) job->begun = true;
       return;
     case OrderResult::kUnknown:
+      NoteUnanswered(worker, now);
+      if (occupant->second.start_answered <= now.mono) return;  // It was seen.
       occupant->second.uncertain = true;
+      occupant->second.uncertain_since = now.mono;
       if (current) task->phase = TaskPhase::kUncertain;
       worker.next_observe = now.mono;
+      worker.look_wanted = options_.policy.settle_soon;
       Attend(worker);
       return;
     case OrderResult::kOtherLife:
@@ -213,10 +238,16 @@
               : now.mono + kRetryAfterRefusal);
 }
 
+void JobScheduler::MarkStopping(Worker& worker, Occupant& occupant) {
+  if (occupant.stop_wanted) return;
+  occupant.stop_wanted = true;
+  worker.stopping += occupant.need;
+}
+
 void JobScheduler::WantStop(Worker& worker, const RunKey& key) {
   const auto it = worker.occupants.find(key);
   if (it == worker.occupants.end()) return;
-  it->second.stop_wanted = true;
+  MarkStopping(worker, it->second);
   Attend(worker);
   const auto job = jobs_.find(key.first.job);
   if (job == jobs_.end()) return;
@@ -228,18 +259,26 @@
 }
 
 void JobScheduler::SendStops(Worker& worker, Now now) {
+  const absl::Duration retry =
+      answer_times_.AnswersGetLost(now.mono) ? kLossyRetry : kStopRetry;
   for (auto& [key, occupant] : worker.occupants) {
-    const bool overdue = occupant.uncertain && !occupant.stop_wanted &&
-                         now.mono - occupant.placed > kUncertainPatience;
-    if (overdue && worker.last_answer > occupant.placed + kUncertainPatience)
-      occupant.stop_wanted = true;
+    const bool unsettled = occupant.uncertain && !occupant.stop_wanted;
+    // A listing from after it was given up does not show it: it may still come.
+    const bool not_listed = options_.policy.settle_soon &&
+                            worker.listing_sent >= occupant.uncertain_since;
+    const bool overdue =
+        now.mono - occupant.placed > kUncertainPatience &&
+        worker.last_answer > occupant.placed + kUncertainPatience;
+    if (unsettled && (not_listed || overdue)) MarkStopping(worker, occupant);
     const bool due = occupant.stop_wanted && !occupant.stop_in_flight &&
-                     now.mono - occupant.stop_sent > kStopRetry;
+                     now.mono - occupant.stop_sent > retry;
     if (!due) continue;
     occupant.stop_sent = now.mono;
     occupant.stop_in_flight = true;
-    actions_.push_back(
-        StopAction{worker.record, {key.first, key.second, epoch_}});
+    StopAction action{worker.record, {key.first, key.second, epoch_}};
+    if (options_.policy.settle_soon)
+      action.order.timeout = answer_times_.Patience();
+    actions_.push_back(std::move(action));
     Explain("stop_sent", {{"task", TaskIdText(key.first)},
                           {"run", absl::StrCat(key.second)},
                           {"worker", worker.record.id}});
@@ -263,9 +302,13 @@
   const auto it = worker.occupants.find({action.order.task, action.order.run});
   if (it == worker.occupants.end()) return;
   it->second.stop_in_flight = false;
+  if (reply.result == OrderResult::kUnknown) NoteUnanswered(worker, now);
   if (reply.result == OrderResult::kDone) {
     it->second.stop_answered = std::min(it->second.stop_answered, now.mono);
+    NoteAnswered(worker, now);
     worker.next_observe = now.mono;
+    // A run that is there ends soon, and a look that waits hears of that.
+    worker.look_wanted = options_.policy.settle_soon && it->second.uncertain;
     Attend(worker);
   }
 }
@@ -276,7 +319,7 @@
   const auto found = workers_.find(action.worker.id);
   if (found == workers_.end()) return;
   Worker& worker = *found->second;
-  worker.observing = false;
+  --worker.looks_open;
   if (reply.order.result == OrderResult::kOtherLife) {
     LoseAll(worker, "another life answered", now);
     worker.record_removed = true;
@@ -285,24 +328,20 @@
     worker.next_observe = now.mono + kObserveRetry;
     return;
   }
-  if (reply.order.result != OrderResult::kDone) {
-    if (reply.order.result == OrderResult::kFenced) fenced_ = true;
-    if (++worker.failed_observations == 1) {
-      Explain("worker_silent",
-              {{"worker", worker.record.id},
-               {"result", OrderResultName(reply.order.result)},
-               {"detail", reply.order.message}},
-              Severity::kWarning);
-    }
-    worker.next_observe = now.mono + kObserveRetry;
-    return;
-  }
+  if (reply.order.result != OrderResult::kDone)
+    return OnLookFailed(worker, reply.order, sent, now);
   if (worker.failed_observations > 0) {
     worker.failed_observations = 0;
     Explain("worker_back", {{"worker", worker.record.id}});
   }
   TakeClock(worker, reply.order.clock_ms, now.mono);
   worker.last_answer = now.mono;
+  NoteAnswered(worker, now);
+  // A later listing was taken already: what this one shows as running may have
+  // ended.
+  if (reply.order.clock_ms < worker.listing_clock_ms) return;
+  worker.listing_clock_ms = reply.order.clock_ms;
+  worker.listing_sent = std::max(worker.listing_sent, sent);
   for (const EndedTask& end : reply.ended) {
     if (end.number <= worker.ends_processed) continue;
     OnEnd(worker, end, now);
@@ -328,6 +367,36 @@
   Attend(worker);
 }
 
+void JobScheduler::NoteUnanswered(Worker& worker, Now now) {
+  worker.unanswered_since = std::min(worker.unanswered_since, now.mono);
+}
+
+void JobScheduler::NoteAnswered(Worker& worker, Now now) {
+  const absl::Time since =
+      std::exchange(worker.unanswered_since, absl::InfiniteFuture());
+  // A worker that was out of reach for longer lost no single answers.
+  if (since <= now.mono && now.mono - since < kLossSettled)
+    answer_times_.OnLost(worker.record.id, now.mono);
+}
+
+void JobScheduler::OnLookFailed(Worker& worker, const OrderReply& reply,
+                                absl::Time sent, Now now) {
+  if (reply.result == OrderResult::kFenced) fenced_ = true;
+  if (reply.result == OrderResult::kUnknown) NoteUnanswered(worker, now);
+  // Another look was answered meanwhile: it is not silent.
+  if (worker.last_answer > sent) return;
+  if (++worker.failed_observations == 1) {
+    Explain("worker_silent",
+            {{"worker", worker.record.id},
+             {"result", OrderResultName(reply.result)},
+             {"detail", reply.message}},
+            Severity::kWarning);
+  }
+  const bool at_once =
+      worker.failed_observations == 1 && answer_times_.AnswersGetLost(now.mono);
+  worker.next_observe = now.mono + (at_once ? kLossyRetry : kObserveRetry);
+}
+
 void JobScheduler::NoteDurableEnds(Worker& worker) {
   bool noted = false;
   while (!worker.unnoted.empty() &&
@@ -395,9 +464,57 @@
   if (!worker.occupants.empty() && worker.listed && !Reachable(worker, now) &&
       now.mono > worker.lapse_at)
     LoseAll(worker, "its lease has passed without an answer", now);
+  if (options_.policy.settle_soon) CheckOverdue(worker, now);
   SendStops(worker, now);
-  if (worker.observing || now.mono < worker.next_observe) return;
-  worker.observing = true;
+  if (LookIsDue(worker, now)) SendLook(worker, now);
+}
+
+bool JobScheduler::LookIsDue(const Worker& worker, Now now) const {
+  if (worker.look_wanted) return worker.looks_open < kMostLooks;
+  if (worker.looks_open == 0) return now.mono >= worker.next_observe;
+  // The answer to the one under way may be lost.
+  return options_.policy.settle_soon && worker.looks_open == 1 &&
+         worker.failed_observations == 0 &&
+         answer_times_.AnswersGetLost(now.mono) &&
+         now.mono - worker.look_sent >
+             kLossyObserveWait + answer_times_.Patience();
+}
+
+absl::Time JobScheduler::CheckTime(const TaskId& task, absl::Time now) const {
+  const auto job = jobs_.find(task.job);
+  if (job == jobs_.end()) return absl::InfiniteFuture();
+  const std::vector<StepSpec>& steps = job->second->spec.steps;
+  if (static_cast<size_t>(task.step) >= steps.size())
+    return absl::InfiniteFuture();
+  const StepSpec& step = steps[static_cast<size_t>(task.step)];
+  if (step.lasting || step.estimated_ms > kCheckedEstimateMs)
+    return absl::InfiniteFuture();
+  return now + absl::Milliseconds(step.estimated_ms) * kOverdueFactor;
+}
+
+void JobScheduler::CheckOverdue(Worker& worker, Now now) {
+  if (worker.next_check > now.mono || !answer_times_.AnswersGetLost(now.mono))
+    return;
+  worker.next_check = absl::InfiniteFuture();
+  bool overdue = false;
+  for (auto& [key, occupant] : worker.occupants) {
+    if (occupant.check_at <= now.mono) {
+      overdue = true;
+      occupant.check_at = now.mono + kCheckAgain;
+    }
+    worker.next_check = std::min(worker.next_check, occupant.check_at);
+  }
+  // A busy worker's listings come all the time.
+  const bool listed_lately = now.mono - worker.listing_sent < kCheckAgain;
+  if (overdue && !listed_lately && worker.failed_observations == 0)
+    worker.look_wanted = true;
+}
+
+void JobScheduler::SendLook(Worker& worker, Now now) {
+  const bool lossy =
+      options_.policy.settle_soon && answer_times_.AnswersGetLost(now.mono);
+  ++worker.looks_open;
+  worker.look_sent = now.mono;
   ObserveAction action;
   action.worker = worker.record;
   action.order.fence = epoch_;
@@ -407,9 +524,12 @@
   const bool extend = !suspended_ && worker.failed_observations == 0;
   action.order.lease_until_ms = extend ? LeaseUntil(worker, now.mono) : 0;
   const bool wait = worker.listed && worker.unnoted.empty() &&
-                    worker.failed_observations == 0;
-  action.order.wait_ms =
-      wait ? absl::ToInt64Milliseconds(options_.observe_wait) : 0;
+                    worker.failed_observations == 0 && !worker.look_wanted;
+  worker.look_wanted = false;
+  const absl::Duration longest =
+      lossy ? kLossyObserveWait : options_.observe_wait;
+  action.order.wait_ms = wait ? absl::ToInt64Milliseconds(longest) : 0;
+  if (lossy) action.order.timeout = 2 * answer_times_.Patience();
   actions_.push_back(std::move(action));
 }
 
--- a/keelbridge/daemon/leader_session.cc
+++ b/keelbridge/daemon/leader_session.cc
@@ -495,6 +495,7 @@
   set("cpu_milli_used", f.cpu_milli_used);
   set("starts", f.starts);
   set("starts_refused", f.starts_refused);
+  set("runs_yielded", f.yields);
   set("advice_calls", f.advice_calls);
   set("ends_done", f.ends_done);
   set("ends_failed", f.ends_failed);
--- a/keelbridge/daemon/node_settings.cc
+++ b/keelbridge/daemon/node_settings.cc
@@ -23,6 +23,22 @@
   *out = address.value();
 }
 
+void ReadPolicy(JsonReader& reader, SchedulerPolicy* policy) {
+  if (!reader.Has("switched_off")) return;
+  std::vector<std::string> names;
+  reader.Texts("switched_off", &names);
+  for (const std::string& name : names) {
+    bool known = false;
+    for (const PolicySwitch& one : PolicySwitches()) {
+      if (name != one.name) continue;
+      policy->*one.on = false;
+      known = true;
+    }
+    if (!known)
+      reader.Fault("switched_off", "names no mechanism: \"" + name + "\"");
+  }
+}
+
 }  // namespace
 
 std::string NodeSettings::PeerAddress() const {
@@ -71,6 +87,7 @@
   seconds = absl::ToDoubleSeconds(out.stop_grace);
   reader.OptionalNumber("stop_grace_s", 1, 1e6, &seconds);
   out.stop_grace = absl::Seconds(seconds);
+  ReadPolicy(reader, &out.policy);
   if (!document.faults().empty()) return document.FaultError();
   return out;
 }
--- a/keelbridge/daemon/node_settings.h
+++ b/keelbridge/daemon/node_settings.h
@@ -13,6 +13,7 @@
 #include "absl/time/time.h"
 #include "keelbridge/base/logging.h"
 #include "keelbridge/base/result.h"
+#include "keelbridge/coordination/scheduler_policy.h"
 #include "keelbridge/transport/address.h"
 
 namespace keelbridge {
@@ -44,6 +45,9 @@
   absl::Duration ended_kept = absl::Seconds(120);
   absl::Duration stop_grace = absl::Seconds(6);  // From SIGTERM to SIGKILL.
 
+  // All on, but for what the member "switched_off" names.
+  SchedulerPolicy policy;
+
   std::string PeerAddress() const;
   // What this node can spend on leading a site, in processors: a leader that
   // uses a whole processor fills a link of some 45 Mbit/s (docs/CAPACITY.md).
--- a/keelbridge/daemon/site_node_leading.cc
+++ b/keelbridge/daemon/site_node_leading.cc
@@ -196,6 +196,7 @@
   options.most_append_bytes =
       static_cast<size_t>(settings_.store_append_bytes) / 2;
   options.scheduler.lease = settings_.lease;
+  options.scheduler.policy = settings_.policy;
   options.scheduler.gang_wait = settings_.gang_wait;
   options.scheduler.ended_kept = settings_.ended_kept + absl::Seconds(10);
   options.ask_advice = [this](const AskAdviceAction& action,
--- a/keelbridge/protocol/site_worker.h
+++ b/keelbridge/protocol/site_worker.h
@@ -33,6 +33,10 @@
       -1;  // While it drains: the least time left; -1: unsaid.
 };
 
+// How long the answer to an order is waited for where nothing is known of how
+// long answers take.
+constexpr absl::Duration kOrderTimeout = absl::Milliseconds(300);
+
 struct StartOrder {
   TaskId task;
   int32_t run = 0;
@@ -41,12 +45,14 @@
   std::string ticket;      // Of the advice; "": none needed.
   int64_t lease_until_ms = 0;
   int64_t fence = 0;
+  absl::Duration timeout = kOrderTimeout;  // Then it counts as unanswered.
 };
 
 struct StopOrder {
   TaskId task;
   int32_t run = 0;
   int64_t fence = 0;
+  absl::Duration timeout = kOrderTimeout;
 };
 
 // How an order was answered.
@@ -96,6 +102,8 @@
   int64_t ends_noted = 0;      // Ends up to here may be forgotten.
   int64_t lease_until_ms = 0;  // 0: do not touch the lease.
   int64_t wait_ms = 0;         // How long the answer may wait for an end.
+  // How long to wait for the answer beyond that.
+  absl::Duration timeout = absl::Milliseconds(400);
 };
 
 struct ObserveReply {
--- a/keelbridge/state/job_table.h
+++ b/keelbridge/state/job_table.h
@@ -53,6 +53,7 @@
   std::string failed_on;  // The worker of the last failure.
   std::string checkpoint;
   absl::Time retry_at = absl::InfinitePast();
+  int32_t yields = 0;  // How often it made room for others.
 };
 
 // Which workers may run a step, as far as the advice service has told.
@@ -74,7 +75,10 @@
   StepAdvice advice;
   absl::Time ready_since = absl::InfiniteFuture();
   absl::Time gang_started = absl::InfinitePast();
-  std::vector<std::string> reserved;  // Workers held free for this gang.
+  // Workers where room is kept for so many tasks of it, and when that is looked
+  // into again.
+  std::vector<std::pair<std::string, int32_t>> held;
+  absl::Time next_hold = absl::InfinitePast();
   // A task of it was seen by this leader before it was done: no earlier leader
   // can have started what depends on it.
   bool ended_here = false;
--- a/testing/fakes/site_worker.cc
+++ b/testing/fakes/site_worker.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
 
 namespace keelbridge::testing {
@@ -30,17 +31,43 @@
   lease_until_ms_ = std::max(lease_until_ms_, std::min(until_ms, most));
 }
 
+absl::Duration SavedWork(const std::string& checkpoint) {
+  int64_t ms = 0;
+  if (!absl::SimpleAtoi(checkpoint, &ms)) return absl::ZeroDuration();
+  return absl::Milliseconds(ms);
+}
+
+absl::Duration SiteWorker::WorkDone(const Timing& timing,
+                                    absl::Time now) const {
+  const absl::Duration left = timing.done_at - now;
+  const absl::Duration work = timing.plan.work - timing.plan.before;
+  return timing.plan.done + std::max(absl::ZeroDuration(), work - left);
+}
+
+std::string SiteWorker::Checkpoint(const Timing& timing, absl::Time now) const {
+  if (!timing.plan.saves) return "";
+  return absl::StrCat(absl::ToInt64Milliseconds(WorkDone(timing, now)));
+}
+
+int32_t SiteWorker::Percent(const Timing& timing, absl::Time now) const {
+  const absl::Duration whole =
+      timing.plan.done + timing.plan.work - timing.plan.before;
+  if (whole <= absl::ZeroDuration()) return 0;
+  return static_cast<int32_t>(100 * (WorkDone(timing, now) / whole));
+}
+
 void SiteWorker::End(const RunKey& key, RunEnd end, absl::Time now) {
   const auto it = running_.find(key);
   if (it == running_.end()) return;
   SiteRun run = it->second;
+  const std::string checkpoint = Checkpoint(timing_[key], now);
   running_.erase(it);
   timing_.erase(key);
   run.ended = now;
   run.end = end;
   int32_t& highest = highest_run_[key.first];
   highest = std::max(highest, key.second);
-  ended_.push_back({next_end_++, key.first, key.second, end, ""});
+  ended_.push_back({next_end_++, key.first, key.second, end, checkpoint});
   journal_(run, false);
 }
 
@@ -124,8 +151,8 @@
   run.began = now;
   run.late = late;
   running_[key] = run;
-  timing_[key] =
-      Timing{now + plan.work, absl::InfiniteFuture(), plan.fails, plan.gang};
+  timing_[key] = Timing{now + plan.work, plan, absl::InfiniteFuture(),
+                        plan.fails, plan.gang};
   journal_(run, true);
   reply.result = OrderResult::kDone;
   return reply;
@@ -164,7 +191,9 @@
                               }),
                ended_.end());
   for (const auto& [key, run] : running_)
-    reply.running.push_back({key.first, key.second, "", 0});
+    reply.running.push_back({key.first, key.second,
+                             Checkpoint(timing_[key], now),
+                             Percent(timing_[key], now)});
   reply.ended = ended_;
   return reply;
 }
--- a/testing/fakes/site_worker.h
+++ b/testing/fakes/site_worker.h
@@ -36,11 +36,17 @@
 // which knows the jobs.
 struct SiteRunPlan {
   Resources need;
-  absl::Duration work;
+  absl::Duration work;    // Until it ends, with what comes before the work.
+  absl::Duration before;  // Of that, what is no work: a restore.
+  absl::Duration done;    // Work that earlier runs did.
+  bool saves = false;     // Its progress can be carried on; see SavedWork.
   bool fails = false;
   int32_t gang = 0;  // Members that must be present; 0: none.
 };
 
+// The work that a checkpoint of the stand-in tells to be done.
+absl::Duration SavedWork(const std::string& checkpoint);
+
 class SiteWorker {
  public:
   struct Options {
@@ -85,6 +91,7 @@
  private:
   struct Timing {
     absl::Time done_at;
+    SiteRunPlan plan;
     absl::Time stop_at = absl::InfiniteFuture();
     bool fails = false;
     int32_t gang = 0;
@@ -93,6 +100,10 @@
   void End(const RunKey& key, RunEnd end, absl::Time now);
   bool TakeFence(int64_t fence);
   void ExtendLease(int64_t until_ms, absl::Time now);
+  // Work done by then, earlier runs included.
+  absl::Duration WorkDone(const Timing& timing, absl::Time now) const;
+  std::string Checkpoint(const Timing& timing, absl::Time now) const;
+  int32_t Percent(const Timing& timing, absl::Time now) const;
 
   Options options_;
   const Plan plan_;
--- a/testing/support/site_simulation.cc
+++ b/testing/support/site_simulation.cc
@@ -8,30 +8,31 @@
 namespace keelbridge::testing {
 namespace {
 
-constexpr char kQueue[] = "restore";
-constexpr char kPool[] = "pool";
-constexpr char kNode[] = "node-a";
+// Before a run from a checkpoint goes on.
+constexpr absl::Duration kRestore = absl::Milliseconds(600);
 constexpr absl::Duration kStep = absl::Milliseconds(5);
 constexpr absl::Duration kOrderTimeout = absl::Milliseconds(500);
 constexpr absl::Duration kAppendRetry = absl::Milliseconds(60);
 constexpr absl::Duration kGangPatience = absl::Seconds(3);
 
-std::shared_ptr<SiteConfiguration> MakeConfiguration(bool advice,
-                                                     int most_attempts) {
+std::shared_ptr<SiteConfiguration> MakeConfiguration(
+    const SiteSimulation::Options& options) {
   auto out = std::make_shared<SiteConfiguration>();
   out->version = 1;
+  out->pools.push_back({SiteSimulation::kPool, false, false});
+  out->queues = options.queues;
+  if (!out->queues.empty()) return out;
   Queue queue;
-  queue.name = kQueue;
-  queue.pool = kPool;
-  queue.most_attempts = most_attempts;
+  queue.name = SiteSimulation::kQueue;
+  queue.pool = SiteSimulation::kPool;
+  queue.most_attempts = options.most_attempts;
   queue.stretch = 2;
   queue.target_latency_ms = 1000;
-  queue.advice.needed = advice;
+  queue.advice.needed = options.advice;
   queue.advice.base_ms = 10;
   queue.advice.per_worker_ms = 1;
   queue.advice.validity_ms = 1500;
   out->queues.push_back(queue);
-  out->pools.push_back({kPool, false, false});
   return out;
 }
 
@@ -41,7 +42,7 @@
     : options_(options),
       random_(options.seed),
       workers_(static_cast<size_t>(options.workers)),
-      configuration_(MakeConfiguration(options.advice, options.most_attempts)) {
+      configuration_(MakeConfiguration(options)) {
   for (int i = 0; i < options_.workers; ++i) StartLife(i);
   StartLeader();
 }
@@ -72,23 +73,29 @@
   options.stop_time = absl::Milliseconds(200);
   options.clock_rate = 0.98 + 0.02 * Draw();
   slot.life = std::make_unique<SiteWorker>(
-      options,
-      [this](const StartOrder& order) {
-        const StepSpec& step =
-            jobs_[order.task.job]
-                .spec.steps[static_cast<size_t>(order.task.step)];
-        SiteRunPlan plan;
-        plan.need = step.need;
-        plan.work = absl::Milliseconds(step.estimated_ms) * (0.5 + Draw());
-        plan.fails = Draw() < options_.failing_runs;
-        plan.gang = step.gang ? step.count : 0;
-        return plan;
-      },
+      options, [this](const StartOrder& order) { return PlanOf(order); },
       [this](const SiteRun& run, bool begins) { Journal(run, begins); }, now_);
   if (current_ != nullptr)
     current_->scheduler->OnWorkerRecord(slot.life->record(), At());
 }
 
+SiteRunPlan SiteSimulation::PlanOf(const StartOrder& order) {
+  const StepSpec& step =
+      jobs_[order.task.job].spec.steps[static_cast<size_t>(order.task.step)];
+  const double off = options_.estimate_error;
+  SiteRunPlan plan;
+  plan.need = step.need;
+  plan.work =
+      absl::Milliseconds(step.estimated_ms) * (1 - off + 2 * off * Draw());
+  plan.fails = Draw() < options_.failing_runs;
+  plan.gang = step.gang ? step.count : 0;
+  plan.saves = step.checkpoints;
+  plan.done = std::min(SavedWork(order.checkpoint), plan.work);
+  if (!order.checkpoint.empty()) plan.before = kRestore;
+  plan.work += plan.before - plan.done;
+  return plan;
+}
+
 SiteWorker* SiteSimulation::Find(const std::string& worker_id, bool* cut) {
   for (WorkerSlot& slot : workers_) {
     if (slot.life->record().id != worker_id) continue;
@@ -211,8 +218,10 @@
   }
   auto leader = std::make_shared<Leader>();
   leader->epoch = ++store_epoch_;
-  leader->scheduler = std::make_unique<JobScheduler>(JobScheduler::Options(),
-                                                     leader->epoch, now_);
+  JobScheduler::Options options;
+  options.policy = options_.policy;
+  leader->scheduler =
+      std::make_unique<JobScheduler>(options, leader->epoch, now_);
   JobRecords records;
   std::vector<WorkerRecord> known;
   for (const auto& [key, value] : store_) {
@@ -224,7 +233,10 @@
   }
   leader->scheduler->Load(records.Build(), known, At());
   leader->scheduler->SetConfiguration(configuration_);
-  leader->scheduler->SetAdvisers({kNode}, kNode);
+  std::vector<std::string> nodes;
+  for (int i = 0; i < options_.nodes; ++i)
+    nodes.push_back(absl::StrCat("node-", i));
+  leader->scheduler->SetAdvisers(nodes, nodes.front());
   for (WorkerSlot& slot : workers_) {
     const WorkerRecord record = slot.life->record();
     if (Draw() >= options_.unlisted_workers) {
@@ -368,16 +380,23 @@
             worker, ".", ask->request.step.job, ask->request.step.step));
         if (draw % 2 == 0) reply.good.push_back({worker, "ticket"});
       }
-      After(absl::Milliseconds(20), [this, leader, ask = *ask, reply] {
+      const Queue* queue =
+          configuration_->FindQueueByName(jobs_[ask->request.step.job].queue);
+      const double named = static_cast<double>(ask->request.workers.size());
+      const absl::Duration took = absl::Milliseconds(
+          10 + queue->advice.base_ms + queue->advice.per_worker_ms * named);
+      After(took, [this, leader, ask = *ask, reply] {
         if (!leader->dead) leader->scheduler->OnAdvice(ask, reply, At());
       });
     }
   }
 }
 
-JobId SiteSimulation::Submit(JobSpec spec) {
+JobId SiteSimulation::Submit(JobSpec spec, const std::string& queue) {
   const JobId id = next_job_++;
   jobs_[id].spec = std::move(spec);
+  jobs_[id].queue = queue;
+  jobs_[id].submitted = now_;
   const auto attempt = std::make_shared<std::function<void()>>();
   *attempt = [this, id, attempt] {
     const auto leader = current_;
@@ -387,7 +406,7 @@
       return;
     }
     const int64_t batch =
-        leader->scheduler->Submit(id, kQueue, jobs_[id].spec, At());
+        leader->scheduler->Submit(id, jobs_[id].queue, jobs_[id].spec, At());
     if (batch == 0) {
       accepted_.insert(id);
       return;
@@ -449,9 +468,26 @@
     }
     now_ = next;
     AdvanceWorkers();
+    NoteEndedJobs();
+  }
+}
+
+void SiteSimulation::NoteEndedJobs() {
+  for (auto& [id, facts] : jobs_) {
+    if (facts.ended <= now_) continue;
+    const auto state = StatusOf(id);
+    const bool ended =
+        state && *state != JobState::kQueued && *state != JobState::kRunning;
+    if (ended) facts.ended = now_;
   }
 }
 
+std::optional<absl::Duration> SiteSimulation::TimeOf(JobId id) const {
+  const JobFacts& facts = jobs_.at(id);
+  if (facts.ended == absl::InfiniteFuture()) return std::nullopt;
+  return facts.ended - facts.submitted;
+}
+
 std::optional<JobState> SiteSimulation::StatusOf(JobId id) const {
   return current_ == nullptr ? std::nullopt : current_->scheduler->Status(id);
 }
--- a/testing/support/site_simulation.h
+++ b/testing/support/site_simulation.h
@@ -37,11 +37,19 @@
     bool advice = false;  // Half of the workers may run a step.
     int most_attempts = 3;
     absl::Duration store_delay = absl::Milliseconds(5);
+    // Queues instead of the one that jobs otherwise go to.
+    std::vector<Queue> queues;
+    int nodes = 1;  // That can ask for advice.
+    // Work takes its estimate, give or take up to this share of it.
+    double estimate_error = 0.5;
+    SchedulerPolicy policy;
   };
+  static constexpr char kQueue[] = "restore";
+  static constexpr char kPool[] = "pool";
 
   explicit SiteSimulation(Options options);
 
-  JobId Submit(JobSpec spec);
+  JobId Submit(JobSpec spec, const std::string& queue = kQueue);
   void Cancel(JobId id);
   // The leader's process is gone; another takes over after `pause`. Batches on
   // their way land or do not, as the seed draws.
@@ -60,6 +68,8 @@
   const std::vector<std::string>& faults() const { return faults_; }
   const std::vector<SiteRun>& runs() const { return runs_; }
   size_t RunningOf(JobId id) const;
+  // From the job's submission to its end; none: it has not ended.
+  std::optional<absl::Duration> TimeOf(JobId id) const;
   // Tasks of which as many runs failed as a job bears.
   std::vector<TaskId> FailedOut() const;
   bool LeaderActive() const { return current_ != nullptr; }
@@ -83,7 +93,10 @@
   };
   struct JobFacts {
     JobSpec spec;
+    std::string queue;
     bool cancelled = false;
+    absl::Time submitted;
+    absl::Time ended = absl::InfiniteFuture();
   };
 
   Now At() const;
@@ -99,6 +112,8 @@
   void JudgeStart(const SiteRun& run);
   TaskId AccountOf(const TaskId& task);
   void AdvanceWorkers();
+  void NoteEndedJobs();
+  SiteRunPlan PlanOf(const StartOrder& order);
   void Fault(const std::string& text);
   template <typename Order, typename Reply>
   void Send(const std::shared_ptr<Leader>& leader, const std::string& worker,
