Formatter and linter are clean again

Ruled out: easing a check. Change: formatted; options by reference, capacity reserved. Measured: formatter clean; the linter's two findings mended.

--- a/keelbridge/coordination/site_election.cc
+++ b/keelbridge/coordination/site_election.cc
@@ -200,9 +200,8 @@
     return now - gone_since_ > Stagger() ? ElectionStep::kClaim
                                          : ElectionStep::kNone;
   }
-  return now - last_heard_ > suspect_after_ + Stagger()
-             ? ElectionStep::kClaim
-             : ElectionStep::kNone;
+  return now - last_heard_ > suspect_after_ + Stagger() ? ElectionStep::kClaim
+                                                        : ElectionStep::kNone;
 }
 
 AppendOrder SiteElection::Claim(int64_t wall_ms) {
--- a/keelbridge/daemon/site_node.h
+++ b/keelbridge/daemon/site_node.h
@@ -227,9 +227,9 @@
   absl::Time next_heartbeat_ = absl::InfinitePast();
   // How long the leader takes to answer. Nothing is taken for lost within
   // 250 ms: loops of loaded leaders were up to 200 ms late.
-  AnswerTimes heartbeat_times_{AnswerTimes::Options{
-      absl::Milliseconds(250), absl::Milliseconds(700), absl::ZeroDuration(),
-      absl::ZeroDuration()}};
+  AnswerTimes heartbeat_times_{
+      AnswerTimes::Options{absl::Milliseconds(250), absl::Milliseconds(700),
+                           absl::ZeroDuration(), absl::ZeroDuration()}};
   int failed_heartbeats_ = 0;
   bool leader_accepts_ = false;
   absl::Time leader_answered_ = absl::InfinitePast();
--- a/testing/support/site_simulation.cc
+++ b/testing/support/site_simulation.cc
@@ -38,7 +38,7 @@
 
 }  // namespace
 
-SiteSimulation::SiteSimulation(Options options)
+SiteSimulation::SiteSimulation(const Options& options)
     : options_(options),
       random_(options.seed),
       workers_(static_cast<size_t>(options.workers)),
@@ -234,6 +234,7 @@
   leader->scheduler->Load(records.Build(), known, At());
   leader->scheduler->SetConfiguration(configuration_);
   std::vector<std::string> nodes;
+  nodes.reserve(static_cast<size_t>(options_.nodes));
   for (int i = 0; i < options_.nodes; ++i)
     nodes.push_back(absl::StrCat("node-", i));
   leader->scheduler->SetAdvisers(nodes, nodes.front());
--- a/testing/support/site_simulation.h
+++ b/testing/support/site_simulation.h
@@ -47,7 +47,7 @@
   static constexpr char kQueue[] = "restore";
   static constexpr char kPool[] = "pool";
 
-  explicit SiteSimulation(Options options);
+  explicit SiteSimulation(const Options& options);
 
   JobId Submit(JobSpec spec, const std::string& queue = kQueue);
   void Cancel(JobId id);
