--- a/keelbridge/coordination/job_scheduler.h
+++ b/keelbridge/coordination/job_scheduler.h
@@ -226,9 +226,7 @@
     absl::Time last_answer = absl::InfinitePast();
     absl::Time unanswered_since = absl::InfiniteFuture();  // Nothing since.
     int failed_observations = 0;
-    int refused_looks = 0;     // In a row: nothing listens at its address.
-    absl::Time refused_since;  // The first of them.
-    int64_t ends_noted = 0;    // Told to the worker.
+    int64_t ends_noted = 0;  // Told to the worker.
     int64_t ends_processed = 0;
     std::deque<std::pair<int64_t, int64_t>> unnoted;  // End number, its batch.
     int64_t clock_ms = -1;
@@ -288,12 +286,6 @@
   void Requeue(const TaskId& task, int32_t run, const std::string& worker,
                absl::Time retry_at);
   void LoseAll(Worker& worker, const std::string& why, Now now);
-  // This life of the worker has ended: nothing that it ran runs on.
-  void OnLifeOver(Worker& worker, const std::string& why, Now now);
-  void OnOtherLife(Worker& worker, Now now);
-  // A look found that nothing listens at the worker's address.
-  void OnRefused(Worker& worker, Now now);
-
   void NoteDurableEnds(Worker& worker);
   // The worker is looked at by the next `Tick`, not only by the next sweep.
   void Attend(Worker& worker);
--- a/keelbridge/coordination/job_scheduler_placement.cc
+++ b/keelbridge/coordination/job_scheduler_placement.cc
@@ -230,7 +230,7 @@
   if (!worker.listed || worker.record.draining || worker.record_removed ||
       worker.known_at_batch > durable_batch_)
     return false;
-  if (worker.unknown_sizes > 0 || worker.refused_looks > 0) return false;
+  if (worker.unknown_sizes > 0) return false;
   // It may just have been cut off: what is started there now is not heard of
   // until its lease has passed.
   if (options_.policy.settle_soon && worker.unanswered_since <= now.mono)
--- a/keelbridge/coordination/job_scheduler_test.cc
+++ b/keelbridge/coordination/job_scheduler_test.cc
@@ -42,9 +42,8 @@
   JobScheduler& scheduler() { return scheduler_; }
   Now now() const { return {now_, now_ + time_of_day_is_ahead}; }
 
-  // A job of an earlier leader, and the workers that it may have given work.
-  void Recover(const StepSpec& step,
-               const std::vector<WorkerRecord>& known_workers = {}) {
+  // A job of an earlier leader.
+  void Recover(const StepSpec& step) {
     JobSpec spec;
     spec.steps.push_back(step);
     JobTable jobs;
@@ -52,7 +51,7 @@
     job->AddRound(0);
     job->recovered = true;
     jobs.emplace(kJob, std::move(job));
-    scheduler_.Load(std::move(jobs), known_workers, now());
+    scheduler_.Load(std::move(jobs), {}, now());
   }
 
   // Tasks need a ticket; the workers in `good` get one.
@@ -84,17 +83,13 @@
       AnswerAdvice(ask);
   }
 
-  static WorkerRecord RecordOf(const std::string& id, int32_t cpu_milli) {
+  void AddWorker(const std::string& id, int32_t cpu_milli = 8000) {
     WorkerRecord record;
     record.id = id;
     record.machine = "m-" + id;
     record.pool = "pool";
     record.capacity = {cpu_milli, 8192, 0};
-    return record;
-  }
-
-  void AddWorker(const std::string& id, int32_t cpu_milli = 8000) {
-    scheduler_.OnWorkerRecord(RecordOf(id, cpu_milli), now());
+    scheduler_.OnWorkerRecord(record, now());
   }
 
   // Ticks until `until` after the beginning; every observation of a worker in
@@ -114,7 +109,6 @@
   std::map<std::string, ObserveReply> lists;  // Workers in it answer.
   std::set<std::string> good;
   std::set<std::string> other_lives;  // Answer that another life is there.
-  std::set<std::string> refusing;     // Nothing listens at their addresses.
   bool hold_advice = false;
   absl::Duration time_of_day_is_ahead;
   std::vector<std::vector<std::string>> asks;  // Workers named, call by call.
@@ -148,10 +142,6 @@
       }
       if (other_lives.count(look->worker.id) > 0)
         reply.order.result = OrderResult::kOtherLife;
-      if (refusing.count(look->worker.id) > 0) {
-        reply.order.result = OrderResult::kNotSent;
-        reply.order.nobody_listens = true;
-      }
       scheduler_.OnObserveReply(*look, reply, now_ - absl::Milliseconds(1),
                                 now());
     } else if (const auto* ask = std::get_if<AskAdviceAction>(&action)) {
@@ -761,83 +751,5 @@
   CHECK(site.starts.size() == 1);
 }
 
-// Leaders that come one after the other learn nothing from each other of a
-// worker that ended long ago. Each of them must learn it by itself at once: if
-// each waits for the longest lease anew, tasks that last stay away for as long
-// as leaders change.
-TEST_CASE(
-    "job scheduler: a worker that ended keeps its tasks away for no lease, "
-    "however often leaders change") {
-  const std::vector<WorkerRecord> known = {Driver::RecordOf("ended", 8000)};
-  StepSpec lasting = OneTask();
-  lasting.lasting = true;
-  for (const int64_t epoch : {2, 3, 4}) {
-    Driver site(epoch);
-    site.Recover(lasting, known);
-    site.scheduler().OnFenced(kBegin);
-    site.AddWorker("a");
-    site.lists["a"];
-    site.refusing.insert("ended");
-    site.RunUntil(absl::Seconds(1));
-    REQUIRE(site.starts.size() == 1);
-    CHECK(site.start_workers[0] == "a");
-  }
-}
-
-TEST_CASE("job scheduler: runs of a worker that ended start again at once") {
-  Driver site(1);
-  site.AddWorker("a");
-  site.lists["a"];
-  site.RunUntil(absl::Milliseconds(100));
-  JobSpec spec;
-  spec.steps.push_back(OneTask());
-  site.scheduler().Submit(kJob, "restore", spec, site.now());
-  site.RunUntil(absl::Milliseconds(200));
-  REQUIRE(site.start_workers == std::vector<std::string>{"a"});
-  site.AddWorker("b");
-  site.lists["b"];
-  site.refusing.insert("a");
-  site.RunUntil(absl::Seconds(1));
-  CHECK(site.start_workers == std::vector<std::string>{"a", "b"});
-}
-
-// One that stands still, or is cut off, gives no answer: its runs go on.
-TEST_CASE("job scheduler: a worker that gives no answer keeps its lease") {
-  Driver site(1);
-  site.AddWorker("a");
-  site.lists["a"];
-  site.RunUntil(absl::Milliseconds(100));
-  JobSpec spec;
-  spec.steps.push_back(OneTask());
-  site.scheduler().Submit(kJob, "restore", spec, site.now());
-  site.RunUntil(absl::Milliseconds(200));
-  site.AddWorker("b");
-  site.lists["b"];
-  site.lists.erase("a");
-  site.RunUntil(absl::Seconds(6));
-  CHECK(site.start_workers == std::vector<std::string>{"a"});
-  site.RunUntil(absl::Seconds(8));
-  CHECK(site.start_workers == std::vector<std::string>{"a", "b"});
-}
-
-// A refusal and a silence in turn: it may be replacing its listener.
-TEST_CASE("job scheduler: a single refusal ends no run") {
-  Driver site(1);
-  site.AddWorker("a");
-  site.lists["a"];
-  site.RunUntil(absl::Milliseconds(100));
-  JobSpec spec;
-  spec.steps.push_back(OneTask());
-  site.scheduler().Submit(kJob, "restore", spec, site.now());
-  site.RunUntil(absl::Milliseconds(200));
-  site.AddWorker("b");
-  site.lists["b"];
-  site.refusing.insert("a");
-  site.RunUntil(absl::Milliseconds(240));
-  site.refusing.clear();
-  site.RunUntil(absl::Seconds(3));
-  CHECK(site.start_workers == std::vector<std::string>{"a"});
-}
-
 }  // namespace
 }  // namespace keelbridge
--- a/keelbridge/coordination/job_scheduler_workers.cc
+++ b/keelbridge/coordination/job_scheduler_workers.cc
@@ -33,15 +33,6 @@
 constexpr absl::Duration kUncertainPatience = absl::Milliseconds(300);
 constexpr absl::Duration kRetryAfterRefusal = absl::Milliseconds(100);
 constexpr absl::Duration kLapseMargin = absl::Milliseconds(100);
-// A worker is one process that listens from its start to its end, so that a
-// closed port means that it has ended, with all that it ran. (Whoever is cut
-// off, stands still or is overloaded gives no answer instead.) A second refusal
-// this much later guards against one that is just replacing its listener. Tasks
-// of a worker that ended start again after 0.3 to 0.6 s instead of after the
-// 6.2 s of its lease, and after a change of leader instead of the 12.2 s in
-// which an earlier leader's lease may end.
-constexpr int kRefusalsOfGone = 2;
-constexpr absl::Duration kGoneAfterRefusing = absl::Milliseconds(250);
 constexpr absl::Duration kSuspectAfterRefusal = absl::Seconds(2);
 // A worker that answered nothing for this long gets no new work.
 constexpr absl::Duration kSilentAfter = absl::Milliseconds(2500);
@@ -172,26 +163,6 @@
   }
 }
 
-void JobScheduler::OnLifeOver(Worker& worker, const std::string& why, Now now) {
-  LoseAll(worker, why, now);
-  worker.listed = true;
-  worker.lapse_at = absl::InfinitePast();
-  placement_wanted_ = true;
-}
-
-void JobScheduler::OnOtherLife(Worker& worker, Now now) {
-  OnLifeOver(worker, "another life answered", now);
-  worker.record_removed = true;
-}
-
-void JobScheduler::OnRefused(Worker& worker, Now now) {
-  if (worker.refused_looks++ == 0) worker.refused_since = now.mono;
-  const bool gone = worker.refused_looks >= kRefusalsOfGone &&
-                    now.mono - worker.refused_since >= kGoneAfterRefusing;
-  if (gone && (!worker.listed || !worker.occupants.empty()))
-    OnLifeOver(worker, "nothing listens at its address", now);
-}
-
 void JobScheduler::OnStartReply(const StartAction& action,
                                 const OrderReply& reply, Now now) {
   const auto found = workers_.find(action.worker.id);
@@ -235,7 +206,10 @@
       Attend(worker);
       return;
     case OrderResult::kOtherLife:
-      OnOtherLife(worker, now);
+      LoseAll(worker, "another life answered", now);
+      worker.record_removed = true;
+      worker.listed = true;
+      worker.lapse_at = absl::InfinitePast();
       return;
     case OrderResult::kFenced:
       fenced_ = true;
@@ -319,7 +293,10 @@
   TakeClock(worker, reply.clock_ms, now.mono);
   if (reply.result == OrderResult::kFenced) fenced_ = true;
   if (reply.result == OrderResult::kOtherLife) {
-    OnOtherLife(worker, now);
+    LoseAll(worker, "another life answered", now);
+    worker.record_removed = true;
+    worker.listed = true;
+    worker.lapse_at = absl::InfinitePast();
     return;
   }
   const auto it = worker.occupants.find({action.order.task, action.order.run});
@@ -344,7 +321,10 @@
   Worker& worker = *found->second;
   --worker.looks_open;
   if (reply.order.result == OrderResult::kOtherLife) {
-    OnOtherLife(worker, now);
+    LoseAll(worker, "another life answered", now);
+    worker.record_removed = true;
+    worker.listed = true;
+    worker.lapse_at = absl::InfinitePast();
     worker.next_observe = now.mono + kObserveRetry;
     return;
   }
@@ -356,7 +336,6 @@
   }
   TakeClock(worker, reply.order.clock_ms, now.mono);
   worker.last_answer = now.mono;
-  worker.refused_looks = 0;
   NoteAnswered(worker, now);
   // A later listing was taken already: what this one shows as running may have
   // ended.
@@ -406,10 +385,6 @@
   if (reply.result == OrderResult::kUnknown) NoteUnanswered(worker, now);
   // Another look was answered meanwhile: it is not silent.
   if (worker.last_answer > sent) return;
-  if (reply.nobody_listens)
-    OnRefused(worker, now);
-  else
-    worker.refused_looks = 0;
   if (++worker.failed_observations == 1) {
     Explain("worker_silent",
             {{"worker", worker.record.id},
--- a/keelbridge/protocol/site_worker.h
+++ b/keelbridge/protocol/site_worker.h
@@ -76,8 +76,6 @@
   OrderResult result = OrderResult::kUnknown;
   int64_t clock_ms = -1;  // The worker's clock; -1: not told.
   std::string message;    // Why there was no answer, for logs.
-  // The connection was refused: no process has the worker's address now.
-  bool nobody_listens = false;
 };
 
 struct RunningTask {
--- a/keelbridge/transport/event_http_client.cc
+++ b/keelbridge/transport/event_http_client.cc
@@ -164,8 +164,8 @@
           if (e) {
             HttpOutcome outcome =
                 Failure(SendFailure::kNothingSent, "connect: " + e.message());
-            outcome.refused = e == boost::asio::error::connection_refused;
-            outcome.connect_reset = e == boost::asio::error::connection_reset;
+            outcome.refused = e == boost::asio::error::connection_refused ||
+                              e == boost::asio::error::connection_reset;
             return self->Finish(std::move(outcome));
           }
           self->OnConnected();
--- a/keelbridge/transport/event_rpc.cc
+++ b/keelbridge/transport/event_rpc.cc
@@ -106,7 +106,7 @@
                if (!outcome.response) {
                  out.sent = outcome.failure == SendFailure::kMayHaveSent;
                  out.error = outcome.message;
-                 out.refused = outcome.refused || outcome.connect_reset;
+                 out.refused = outcome.refused;
                  return done(std::move(out));
                }
                out.sent = true;
--- a/keelbridge/transport/http_client.h
+++ b/keelbridge/transport/http_client.h
@@ -60,8 +60,6 @@
   SendFailure failure = SendFailure::kNone;
   std::string message;   // Why there is no answer.
   bool refused = false;  // The port is closed: nobody listens there.
-  // The connection was reset while it was made, by whomever.
-  bool connect_reset = false;
 };
 
 // Thread-safe: each call takes a connection of its own from the pool.
