The lease of a silent worker does not begin anew with each leader

A worker ended at 11.82; leaders changed at 17.64, 24.89 and 28.42. Each could not know who had given the worker its last lease, took its predecessor for it, and waited 12.2 s from its own beginning; the worker's tasks that last started again at 42.25.

Change: the record of a known worker names the last leader that may have given it work or extended its lease. It is written anew when the worker first answers a leader, and only then does that leader extend its lease or start anything there. Nodes remember when they first heard each leader at work; that leader had fenced all before it. So a successor counts the 6 s of an unheard leader from the fence of the one that the worker answered last. Why no task runs twice: a leader extends leases only while its last append is less than 4.5 s old, none of its appends can be done after the next leader's fence, and leaders that the worker did not answer extend nothing, as their records show.

Tests: job scheduler (three), known workers.

--- a/keelbridge/coordination/job_scheduler.cc
+++ b/keelbridge/coordination/job_scheduler.cc
@@ -20,7 +20,7 @@
       epoch_(epoch),
       earlier_leader_until_(started + options.earlier_leader_bound) {}
 
-void JobScheduler::Load(JobTable jobs, const std::vector<WorkerRecord>& workers,
+void JobScheduler::Load(JobTable jobs, const std::vector<KnownWorker>& workers,
                         Now now) {
   jobs_ = std::move(jobs);
   for (const auto& [id, job] : jobs_) {
@@ -35,10 +35,11 @@
     // that change more often than jobs are kept for forget none.
     job->ended_at = now.mono;
   }
-  for (const WorkerRecord& record : workers) {
-    OnWorkerRecord(record, now);
-    Worker& worker = *workers_[record.id];
+  for (const KnownWorker& known : workers) {
+    OnWorkerRecord(known.worker, now);
+    Worker& worker = *workers_[known.worker.id];
     worker.known_at_batch = 0;
+    worker.held_by = known.epoch;
     // Until the platform lists it, it gets nothing new.
     worker.record_removed = true;
   }
@@ -69,8 +70,9 @@
     batch.records.push_back(DropRecord(std::move(key)));
   for (const std::string& id : untold_workers_) {
     const auto found = workers_.find(id);
-    if (found != workers_.end())
-      batch.records.push_back(KnownWorkerRecord(found->second->record));
+    if (found == workers_.end()) continue;
+    const Worker& worker = *found->second;
+    batch.records.push_back(KnownWorkerRecord({worker.record, epoch_}));
   }
   untold_workers_.clear();
   for (const JobId id : undescribed_) {
@@ -243,6 +245,10 @@
                               : now + options_.earlier_leader_bound;
 }
 
+void JobScheduler::OnEarlierLeaderSeen(int64_t epoch, absl::Time at) {
+  if (epoch < epoch_) earlier_leaders_seen_.try_emplace(epoch, at);
+}
+
 void JobScheduler::OnEarlierLeaderStopped(absl::Time since) {
   earlier_leader_stopped_ = true;
   if (since >= earlier_leader_until_) return;
--- a/keelbridge/coordination/job_scheduler.h
+++ b/keelbridge/coordination/job_scheduler.h
@@ -40,6 +40,7 @@
 #include "keelbridge/protocol/site_configuration.h"
 #include "keelbridge/protocol/site_worker.h"
 #include "keelbridge/state/job_table.h"
+#include "keelbridge/state/known_workers.h"
 
 namespace keelbridge {
 
@@ -104,7 +105,7 @@
   };
   // Takes over the jobs of earlier leaders, and the workers that they may have
   // given work to. Call once, before anything else.
-  void Load(JobTable jobs, const std::vector<WorkerRecord>& workers, Now now);
+  void Load(JobTable jobs, const std::vector<KnownWorker>& workers, Now now);
   bool HasBatch() const;
   // The number of the batch that is taken next.
   int64_t NextBatch() const { return next_batch_; }
@@ -138,6 +139,9 @@
   // one gave before it counts from here at the earliest, whoever has stopped:
   // the list of those that were asked may not be whole.
   void OnFenced(absl::Time now);
+  // The leader of `epoch`, an earlier one, was at work at `at`: it had fenced
+  // all leaders before itself by then.
+  void OnEarlierLeaderSeen(int64_t epoch, absl::Time at);
   // The leader before this one gives no more orders since `since`.
   void OnEarlierLeaderStopped(absl::Time since);
   void OnWorkerRecord(const WorkerRecord& record, Now now);
@@ -208,6 +212,8 @@
   struct Worker {
     WorkerRecord record;
     int64_t known_at_batch = 0;  // The batch that tells later leaders of it.
+    // The last leader that may have given it work or extended its lease.
+    int64_t held_by = 0;
     Resources free;
     std::map<RunKey, Occupant> occupants;
     Resources stopping;  // What occupants take that are to stop.
@@ -305,8 +311,12 @@
   void WantStop(Worker& worker, const RunKey& key);
   void SendStops(Worker& worker, Now now);
   bool Reachable(const Worker& worker, Now now) const;
+  // Later leaders are told that this one may give the worker work.
+  void TellOf(Worker& worker);
   // By when a lease that starts now has passed on the slowest clock.
   absl::Duration LongestLease() const;
+  // Until when an earlier leader may have extended the worker's lease.
+  absl::Time EarlierLeaseUntil(const Worker& worker) const;
   // No worker may run something that is not known of.
   bool AllAccountedFor(Now now) const;
 
@@ -442,6 +452,8 @@
   AnswerTimes answer_times_{AnswerTimes::Options()};
   absl::Time earlier_leader_until_;
   bool earlier_leader_stopped_ = false;  // OnEarlierLeaderStopped was called.
+  // By epoch: when the leader was first seen at work.
+  std::map<int64_t, absl::Time> earlier_leaders_seen_;
   bool fenced_ = false;
   bool suspended_ = false;
   absl::Duration lag_;
--- a/keelbridge/coordination/job_scheduler_test.cc
+++ b/keelbridge/coordination/job_scheduler_test.cc
@@ -5,6 +5,7 @@
 
 #include <doctest/doctest.h>
 
+#include <limits>
 #include <map>
 #include <memory>
 #include <set>
@@ -42,8 +43,9 @@
   JobScheduler& scheduler() { return scheduler_; }
   Now now() const { return {now_, now_ + time_of_day_is_ahead}; }
 
-  // A job of an earlier leader.
-  void Recover(const StepSpec& step) {
+  // A job of an earlier leader, and the workers that it may have given work.
+  void Recover(const StepSpec& step,
+               const std::vector<KnownWorker>& known_workers = {}) {
     JobSpec spec;
     spec.steps.push_back(step);
     JobTable jobs;
@@ -51,7 +53,7 @@
     job->AddRound(0);
     job->recovered = true;
     jobs.emplace(kJob, std::move(job));
-    scheduler_.Load(std::move(jobs), {}, now());
+    scheduler_.Load(std::move(jobs), known_workers, now());
   }
 
   // Tasks need a ticket; the workers in `good` get one.
@@ -83,13 +85,17 @@
       AnswerAdvice(ask);
   }
 
-  void AddWorker(const std::string& id, int32_t cpu_milli = 8000) {
+  static WorkerRecord RecordOf(const std::string& id, int32_t cpu_milli) {
     WorkerRecord record;
     record.id = id;
     record.machine = "m-" + id;
     record.pool = "pool";
     record.capacity = {cpu_milli, 8192, 0};
-    scheduler_.OnWorkerRecord(record, now());
+    return record;
+  }
+
+  void AddWorker(const std::string& id, int32_t cpu_milli = 8000) {
+    scheduler_.OnWorkerRecord(RecordOf(id, cpu_milli), now());
   }
 
   // Ticks until `until` after the beginning; every observation of a worker in
@@ -349,7 +355,7 @@
   gone.machine = "m-gone";
   gone.pool = "pool";
   gone.capacity = {8000, 8192, 0};
-  site.scheduler().Load(std::move(jobs), {gone}, site.now());
+  site.scheduler().Load(std::move(jobs), {{gone, 1}}, site.now());
   site.AddWorker("a");
   site.lists["a"].running = {{kTask, 1, "", 50}};
   site.RunUntil(absl::Milliseconds(300));
@@ -523,7 +529,7 @@
   now_there.address = "10.0.0.1:1";
   now_there.pool = "pool";
   now_there.capacity = {8000, 8192, 0};
-  site.scheduler().Load(std::move(jobs), {now_there}, site.now());
+  site.scheduler().Load(std::move(jobs), {{now_there, 1}}, site.now());
   site.AddWorker("other");
   site.lists["other"];
   // The platform still lists the life before it, and only that one.
@@ -751,5 +757,80 @@
   CHECK(site.starts.size() == 1);
 }
 
+StepSpec LastingTask() {
+  StepSpec step = OneTask();
+  step.lasting = true;
+  return step;
+}
+
+// The worker answered leader 1 last and ended. Leaders 2 and 3 never heard it,
+// so that no lease of theirs is waited for: 4 waits for those of 1, which 2 had
+// fenced 5 s before.
+TEST_CASE(
+    "job scheduler: the lease of a silent worker does not begin anew with "
+    "each leader") {
+  Driver site(4);
+  site.Recover(LastingTask(), {{Driver::RecordOf("ended", 8000), 1}});
+  site.scheduler().OnEarlierLeaderSeen(2, kBegin - absl::Seconds(5));
+  site.scheduler().OnEarlierLeaderSeen(3, kBegin - absl::Seconds(1));
+  site.scheduler().OnFenced(kBegin + absl::Seconds(6));
+  site.AddWorker("a");
+  site.lists["a"];
+  site.RunUntil(absl::Milliseconds(7100));
+  CHECK(site.starts.empty());
+  site.RunUntil(absl::Milliseconds(7500));
+  CHECK(site.start_workers == std::vector<std::string>{"a"});
+}
+
+// It answered leader 3, which may have extended its lease until it was fenced.
+TEST_CASE("job scheduler: a lease that the last leader may have given counts") {
+  Driver site(4);
+  site.Recover(LastingTask(), {{Driver::RecordOf("ended", 8000), 3}});
+  site.scheduler().OnEarlierLeaderSeen(2, kBegin - absl::Seconds(5));
+  site.scheduler().OnEarlierLeaderSeen(3, kBegin - absl::Seconds(1));
+  site.scheduler().OnFenced(kBegin + absl::Seconds(6));
+  site.AddWorker("a");
+  site.lists["a"];
+  site.RunUntil(absl::Seconds(12));
+  CHECK(site.starts.empty());
+  site.RunUntil(absl::Seconds(13));
+  CHECK(site.start_workers == std::vector<std::string>{"a"});
+}
+
+TEST_CASE(
+    "job scheduler: a lease is extended only once later leaders are told") {
+  JobScheduler scheduler(JobScheduler::Options(), 2, kBegin);
+  scheduler.Load({}, {{Driver::RecordOf("a", 8000), 1}}, {kBegin, kBegin});
+  ObserveReply reply;
+  reply.order.result = OrderResult::kDone;
+  const auto extends = [&](absl::Duration after) {
+    const Now now{kBegin + after, kBegin + after};
+    scheduler.Tick(now);
+    for (const Action& action : scheduler.TakeActions()) {
+      const auto* look = std::get_if<ObserveAction>(&action);
+      if (look == nullptr) continue;
+      reply.order.clock_ms = absl::ToInt64Milliseconds(after);
+      scheduler.OnObserveReply(*look, reply, now.mono, now);
+      return look->order.lease_until_ms > 0;
+    }
+    return false;
+  };
+  CHECK_FALSE(extends(absl::Milliseconds(10)));  // Its clock is not known.
+  CHECK_FALSE(extends(absl::Milliseconds(400)));
+  const JobScheduler::Batch batch = scheduler.TakeBatch();
+  REQUIRE(batch.records.size() == 1);
+  CHECK(KnownWorkerFrom(batch.records[0])->epoch == 2);
+  scheduler.OnDurable(batch.number);
+  CHECK(extends(absl::Milliseconds(800)));
+}
+
+TEST_CASE("known workers: a record that names no leader may be anybody's") {
+  const KnownWorker known{Driver::RecordOf("a", 8000), 7};
+  CHECK(KnownWorkerFrom(KnownWorkerRecord(known))->epoch == 7);
+  const auto old = KnownWorkerFrom(Record{KnownWorkerKey("a"), "{}", -1});
+  REQUIRE(old.has_value());
+  CHECK(old->epoch == std::numeric_limits<int64_t>::max());
+}
+
 }  // namespace
 }  // namespace keelbridge
--- a/keelbridge/coordination/job_scheduler_workers.cc
+++ b/keelbridge/coordination/job_scheduler_workers.cc
@@ -48,8 +48,8 @@
   if (fresh) {
     slot = std::make_unique<Worker>();
     slot->free = record.capacity;
-    slot->known_at_batch = next_batch_;
-    untold_workers_.insert(record.id);
+    slot->record = record;
+    TellOf(*slot);
     // A machine runs one life at a time, but records do not tell which: that
     // of a life that is over may linger. The machine's answer tells.
     for (auto& [id, other] : workers_) {
@@ -77,6 +77,12 @@
   placement_wanted_ = true;
 }
 
+void JobScheduler::TellOf(Worker& worker) {
+  worker.held_by = epoch_;
+  worker.known_at_batch = next_batch_;
+  untold_workers_.insert(worker.record.id);
+}
+
 void JobScheduler::OnWorkerRemoved(const std::string& worker_id) {
   const auto found = workers_.find(worker_id);
   if (found == workers_.end() || found->second->record_removed) return;
@@ -90,6 +96,8 @@
   if (clock_ms < 0) return;
   // Answers on different connections may overtake each other.
   if (worker.clock_ms >= 0 && clock_ms < worker.clock_ms) return;
+  // From its first answer on this leader may extend its lease.
+  if (worker.held_by != epoch_) TellOf(worker);
   worker.clock_ms = clock_ms;
   worker.clock_at = at;
 }
@@ -414,6 +422,17 @@
   return options_.lease / (1.0 - options_.clock_error) + kLapseMargin;
 }
 
+// A leader that a worker never answered extended no lease there. So what counts
+// is when the one that it answered last was fenced, not when the last of its
+// successors was: with three changes of leader in 11 s the tasks of a worker
+// that had ended were away for 30 s, since each successor waited anew.
+absl::Time JobScheduler::EarlierLeaseUntil(const Worker& worker) const {
+  const auto successor = earlier_leaders_seen_.upper_bound(worker.held_by);
+  if (successor == earlier_leaders_seen_.end()) return earlier_leader_until_;
+  return std::min(earlier_leader_until_,
+                  successor->second + options_.earlier_leader_bound);
+}
+
 bool JobScheduler::Reachable(const Worker& worker, Now now) const {
   return now.mono - worker.last_answer < kSilentAfter;
 }
@@ -422,8 +441,11 @@
   // What an earlier leader may have started on a worker that this one has not
   // reached ends at the latest when the last lease that it gave has passed.
   if (now.mono > earlier_leader_until_ + LongestLease()) return true;
-  return std::all_of(workers_.begin(), workers_.end(),
-                     [](const auto& entry) { return entry.second->listed; });
+  return std::all_of(workers_.begin(), workers_.end(), [&](const auto& entry) {
+    const Worker& worker = *entry.second;
+    return worker.listed ||
+           now.mono > EarlierLeaseUntil(worker) + LongestLease();
+  });
 }
 
 void JobScheduler::Attend(Worker& worker) {
@@ -521,7 +543,9 @@
   action.order.ends_noted = worker.ends_noted;
   // A silent worker's lease is left alone: each try might extend it unseen, and
   // then nobody could tell when it has passed.
-  const bool extend = !suspended_ && worker.failed_observations == 0;
+  // Nor is it extended before later leaders are told that it may be.
+  const bool extend = !suspended_ && worker.failed_observations == 0 &&
+                      worker.known_at_batch <= durable_batch_;
   action.order.lease_until_ms = extend ? LeaseUntil(worker, now.mono) : 0;
   const bool wait = worker.listed && worker.unnoted.empty() &&
                     worker.failed_observations == 0 && !worker.look_wanted;
--- a/keelbridge/daemon/leader_session.h
+++ b/keelbridge/daemon/leader_session.h
@@ -75,6 +75,9 @@
   void SetConfiguration(std::shared_ptr<const SiteConfiguration> configuration);
   void SetAdvisers(const std::vector<std::string>& nodes);
   void OnEarlierLeaderStopped(absl::Time since);
+  void OnEarlierLeaderSeen(int64_t epoch, absl::Time at) {
+    scheduler_.OnEarlierLeaderSeen(epoch, at);
+  }
   // How often the store came back after it was lost.
   int64_t store_returns() const { return store_returns_; }
 
@@ -167,7 +170,7 @@
   int64_t pages_loaded_ = 0;
   int64_t records_loaded_ = 0;
   int64_t load_retries_ = 0;
-  std::vector<WorkerRecord> known_workers_;
+  std::vector<KnownWorker> known_workers_;
   std::set<std::string> listed_workers_;
   int64_t workers_next_ = -1;  // Offset to read on from; -1: list them anew.
   absl::Time next_worker_poll_ = absl::InfinitePast();
--- a/keelbridge/daemon/leader_session_test.cc
+++ b/keelbridge/daemon/leader_session_test.cc
@@ -333,7 +333,7 @@
   AppendOrder order;
   order.stream = Stream::kJobs;
   order.records = {DescriptionRecord(Job(kJob, kQueue, spec, 0)),
-                   KnownWorkerRecord(WorkerWithRoom(worker))};
+                   KnownWorkerRecord({WorkerWithRoom(worker), 1})};
   store.Append(order);
 }
 
--- a/keelbridge/daemon/site_node.h
+++ b/keelbridge/daemon/site_node.h
@@ -233,6 +233,8 @@
   int failed_heartbeats_ = 0;
   bool leader_accepts_ = false;
   absl::Time leader_answered_ = absl::InfinitePast();
+  // By epoch: when a leader was first heard to be at work; the newest few.
+  std::map<int64_t, absl::Time> leaders_seen_;
 
   std::set<std::shared_ptr<Forward>> open_calls_;  // Not answered yet.
 
--- a/keelbridge/daemon/site_node_leading.cc
+++ b/keelbridge/daemon/site_node_leading.cc
@@ -207,6 +207,8 @@
   earlier_leaders_ = election_.leader().earlier;
   session_ = std::make_shared<LeaderSession>(
       loop_, ports_, std::move(options), election_.leader().epoch, metrics_);
+  for (const auto& [epoch, at] : leaders_seen_)
+    session_->OnEarlierLeaderSeen(epoch, at);
   if (configuration_ != nullptr) session_->SetConfiguration(configuration_);
   UpdatePeers();
   session_->Start();
--- a/keelbridge/daemon/site_node_peers.cc
+++ b/keelbridge/daemon/site_node_peers.cc
@@ -30,6 +30,9 @@
 constexpr absl::Duration kPeerFresh = absl::Milliseconds(1500);
 // A peer that nobody heard for this long is forgotten.
 constexpr absl::Duration kPeerForgotten = absl::Seconds(30);
+// Leaders that are remembered: those of a minute in which one follows the other
+// every 4 s. What is forgotten makes a later leader wait longer, no worse.
+constexpr size_t kMostLeadersSeen = 16;
 constexpr int kBadCall = -32602;
 
 JsonRpcReply Ok(Json::Value result) { return {std::move(result), 0, ""}; }
@@ -301,6 +304,10 @@
   election_.OnHeartbeatAnswered(now);
   leader_accepts_ = in["accepts"].asBool();
   leader_answered_ = now;
+  if (!leader_accepts_) return;
+  leaders_seen_.try_emplace(to.epoch, now);
+  if (leaders_seen_.size() > kMostLeadersSeen)
+    leaders_seen_.erase(leaders_seen_.begin());
 }
 
 void SiteNode::AskAdvice(const AskAdviceAction& action,
--- a/keelbridge/state/known_workers.cc
+++ b/keelbridge/state/known_workers.cc
@@ -19,8 +19,10 @@
   return absl::StartsWith(key, kPrefix);
 }
 
-Record KnownWorkerRecord(const WorkerRecord& worker) {
+Record KnownWorkerRecord(const KnownWorker& known) {
+  const WorkerRecord& worker = known.worker;
   Json::Value value = ToJson(worker.capacity);
+  value["epoch"] = Json::Int64(known.epoch);
   value["machine"] = worker.machine;
   value["address"] = worker.address;
   value["zone"] = worker.zone;
@@ -30,12 +32,14 @@
   return Record{KnownWorkerKey(worker.id), ToJsonText(value)};
 }
 
-std::optional<WorkerRecord> KnownWorkerFrom(const Record& record) {
+std::optional<KnownWorker> KnownWorkerFrom(const Record& record) {
   if (!IsKnownWorkerKey(record.key) || !record.value) return std::nullopt;
   const JsonDocument document = JsonDocument::Parse(*record.value, record.key);
   if (!document.faults().empty()) return std::nullopt;
   const Json::Value& value = document.root();
-  WorkerRecord worker;
+  KnownWorker known;
+  if (value.isMember("epoch")) known.epoch = value["epoch"].asInt64();
+  WorkerRecord& worker = known.worker;
   worker.id = record.key.substr(sizeof(kPrefix) - 1);
   worker.machine = value["machine"].asString();
   worker.address = value["address"].asString();
@@ -45,7 +49,7 @@
   for (const Json::Value& label : value["labels"])
     worker.labels.push_back(label.asString());
   worker.capacity = ResourcesFromJson(value);
-  return worker;
+  return known;
 }
 
 }  // namespace keelbridge
--- a/keelbridge/state/known_workers.h
+++ b/keelbridge/state/known_workers.h
@@ -5,12 +5,14 @@
 // durable, so that the next one knows whom to ask before it starts anything
 // again.
 //
-//   Record record = KnownWorkerRecord(worker);
-//   std::optional<WorkerRecord> worker = KnownWorkerFrom(record);
+//   Record record = KnownWorkerRecord({worker, epoch});
+//   std::optional<KnownWorker> known = KnownWorkerFrom(record);
 
 #ifndef KEELBRIDGE_STATE_KNOWN_WORKERS_H_
 #define KEELBRIDGE_STATE_KNOWN_WORKERS_H_
 
+#include <cstdint>
+#include <limits>
 #include <optional>
 #include <string>
 
@@ -19,11 +21,18 @@
 
 namespace keelbridge {
 
+struct KnownWorker {
+  WorkerRecord worker;
+  // Of the last leader that may have given it work or extended its lease. A
+  // record that names none may be anybody's.
+  int64_t epoch = std::numeric_limits<int64_t>::max();
+};
+
 std::string KnownWorkerKey(const std::string& worker_id);
 bool IsKnownWorkerKey(const std::string& key);
-Record KnownWorkerRecord(const WorkerRecord& worker);
+Record KnownWorkerRecord(const KnownWorker& known);
 // None when `record` is another kind of record, or cannot be read.
-std::optional<WorkerRecord> KnownWorkerFrom(const Record& record);
+std::optional<KnownWorker> KnownWorkerFrom(const Record& record);
 
 }  // namespace keelbridge
 
--- a/testing/support/site_simulation.cc
+++ b/testing/support/site_simulation.cc
@@ -223,7 +223,7 @@
   leader->scheduler =
       std::make_unique<JobScheduler>(options, leader->epoch, now_);
   JobRecords records;
-  std::vector<WorkerRecord> known;
+  std::vector<KnownWorker> known;
   for (const auto& [key, value] : store_) {
     const Record record{key, value, -1};
     if (auto worker = KnownWorkerFrom(record))
@@ -232,6 +232,9 @@
       records.Add(record);
   }
   leader->scheduler->Load(records.Build(), known, At());
+  for (const auto& [epoch, at] : leaders_seen_)
+    leader->scheduler->OnEarlierLeaderSeen(epoch, at);
+  leaders_seen_.emplace(leader->epoch, now_);
   leader->scheduler->SetConfiguration(configuration_);
   std::vector<std::string> nodes;
   nodes.reserve(static_cast<size_t>(options_.nodes));
--- a/testing/support/site_simulation.h
+++ b/testing/support/site_simulation.h
@@ -130,6 +130,7 @@
   int64_t store_epoch_ = 0;
   absl::Time store_down_until_ = absl::InfinitePast();
   std::shared_ptr<Leader> current_;
+  std::map<int64_t, absl::Time> leaders_seen_;  // By epoch: since when.
   std::vector<WorkerSlot> workers_;
   std::map<JobId, JobFacts> jobs_;
   std::set<JobId> accepted_;
