Tasks that last move before their worker leaves

A worker said at 28.60 that it leaves in 9 s and was gone at 37.21; its task that lasts ran there to the end and started again at 46.91, when the lease of 9 s had passed.

Change: a running task of a lasting step whose worker leaves is stopped once a worker that may run it has room now, and starts there; advice is asked ahead. One at a time for each look; gangs stay.

Test: job scheduler: a lasting task moves before its worker leaves (without the change nothing is stopped).

--- a/keelbridge/coordination/job_scheduler.h
+++ b/keelbridge/coordination/job_scheduler.h
@@ -268,7 +268,8 @@
     // Of the time that the job could spend waiting, the share that is left.
     double slack_left;
     bool holds = false;  // It may keep room free in this look.
-    // Its tasks are to be started again soon: advice is asked ahead.
+    // Its tasks are to be started again soon, and it has no others to place:
+    // advice is asked ahead.
     bool prepares = false;
   };
 
@@ -359,6 +360,11 @@
   // Tasks of a lasting step that are to start again once the lease of their
   // silent worker has passed, which is soon.
   int32_t SoonLost(const StepSpec& spec, const StepState& step, Now now) const;
+  // Tasks of a lasting step at work on workers that are about to leave.
+  std::vector<int32_t> OnLeavingWorkers(const StepSpec& spec,
+                                        const StepState& step) const;
+  // Stops one of them for which there is room elsewhere now.
+  void MoveFromLeavingWorker(ReadyStep& ready, Now now);
 
   // job_scheduler_gangs.cc
   void PlaceGang(ReadyStep& ready, Now now);
--- a/keelbridge/coordination/job_scheduler_placement.cc
+++ b/keelbridge/coordination/job_scheduler_placement.cc
@@ -81,8 +81,11 @@
                           !FollowsWhatEndedHere(*job, round, s);
         for (const TaskState& task : step.tasks)
           ready.waiting += MayTry(ready, task, now) ? 1 : 0;
-        if (ready.waiting == 0 && queue->advice.needed) {
-          ready.waiting = SoonLost(spec, step, now);
+        if (ready.waiting == 0 && spec.lasting && !spec.gang) {
+          ready.waiting =
+              static_cast<int32_t>(OnLeavingWorkers(spec, step).size());
+          if (queue->advice.needed)
+            ready.waiting += SoonLost(spec, step, now);
           ready.prepares = ready.waiting > 0;
         }
         const int32_t waiting = ready.waiting;
@@ -137,6 +140,44 @@
   return soon;
 }
 
+std::vector<int32_t> JobScheduler::OnLeavingWorkers(
+    const StepSpec& spec, const StepState& step) const {
+  std::vector<int32_t> out;
+  if (!spec.lasting || spec.gang) return out;
+  for (size_t i = 0; i < step.tasks.size(); ++i) {
+    const TaskState& task = step.tasks[i];
+    if (task.phase != TaskPhase::kRunning) continue;
+    const auto worker = workers_.find(task.worker);
+    if (worker != workers_.end() && worker->second->record.draining)
+      out.push_back(static_cast<int32_t>(i));
+  }
+  return out;
+}
+
+// A task that lasts would run on until its worker is gone, and then be away for
+// the worker's lease (9.7 s, seen where leases are of 9 s): the leader cannot
+// tell a worker that has left from one that is cut off. Stopped while the
+// worker still answers, it is away for the stop and a start.
+void JobScheduler::MoveFromLeavingWorker(ReadyStep& ready, Now now) {
+  const std::vector<int32_t> leaving =
+      OnLeavingWorkers(*ready.spec, *ready.state);
+  if (leaving.empty()) return;
+  for (Worker* to : WorkersFor(ready, now)) {
+    if (Fits(*to, ready, RoomOn(*to)) < 1) continue;
+    const TaskState& task =
+        ready.state->tasks[static_cast<size_t>(leaving.front())];
+    const TaskId id{ready.job->id, ready.round->number, ready.number,
+                    leaving.front()};
+    Explain("task_moves", {{"task", TaskIdText(id)},
+                           {"run", absl::StrCat(task.run)},
+                           {"worker", task.worker},
+                           {"why", "its worker leaves"}});
+    WantStop(*workers_.at(task.worker), {id, task.run});
+    to->held += RoomNeeded(*ready.spec);
+    return;
+  }
+}
+
 const JobTimes& JobScheduler::TimesOfJob(const Job& job, const Queue& queue) {
   const auto known = job_times_.find(job.id);
   if (known != job_times_.end()) return known->second;
@@ -165,7 +206,8 @@
   for (ReadyStep& step : ready) {
     const Resources need = RoomNeeded(*step.spec);
     if (step.prepares) {
-      EnsureSinglesAdvice(step, now);
+      if (step.queue->advice.needed) EnsureSinglesAdvice(step, now);
+      MoveFromLeavingWorker(step, now);
       continue;
     }
     if (step.spec->gang) {
--- a/keelbridge/coordination/job_scheduler_test.cc
+++ b/keelbridge/coordination/job_scheduler_test.cc
@@ -121,6 +121,7 @@
   std::vector<std::vector<int32_t>> hopes;     // Of each of them.
   std::vector<StartOrder> starts;
   std::vector<std::string> start_workers;
+  std::vector<StopOrder> stops;
 
  private:
   static JobScheduler::Options OptionsWith(SchedulerPolicy policy) {
@@ -165,6 +166,11 @@
       scheduler_.OnStartReply(*start, reply, now());
       lists[start->worker.id].running.push_back(
           {start->order.task, start->order.run, "", 0});
+    } else if (const auto* stop = std::get_if<StopAction>(&action)) {
+      stops.push_back(stop->order);
+      OrderReply reply;
+      reply.result = OrderResult::kDone;
+      scheduler_.OnStopReply(*stop, reply, now());
     }
   }
 
@@ -832,5 +838,37 @@
   CHECK(old->epoch == std::numeric_limits<int64_t>::max());
 }
 
+TEST_CASE("job scheduler: a lasting task moves before its worker leaves") {
+  Driver site(1);
+  site.AddWorker("a");
+  site.lists["a"];
+  site.RunUntil(absl::Milliseconds(100));
+  JobSpec spec;
+  spec.steps.push_back(LastingTask());
+  spec.steps.push_back(OneTask());  // Runs on to its end there.
+  site.scheduler().Submit(kJob, "restore", spec, site.now());
+  site.RunUntil(absl::Milliseconds(200));
+  REQUIRE(site.start_workers == std::vector<std::string>{"a", "a"});
+  WorkerRecord leaving = Driver::RecordOf("a", 8000);
+  leaving.draining = true;
+  leaving.leaves_in_ms = 9000;
+  site.scheduler().OnWorkerRecord(leaving, site.now());
+  // Without room elsewhere it stays at work.
+  site.RunUntil(absl::Milliseconds(400));
+  CHECK(site.stops.empty());
+  site.AddWorker("b");
+  site.lists["b"];
+  site.RunUntil(absl::Milliseconds(600));
+  REQUIRE(site.stops.size() == 1);
+  CHECK(site.stops[0].task == kTask);
+  CHECK(site.starts.size() == 2);
+  site.lists["a"].running.erase(site.lists["a"].running.begin());
+  site.lists["a"].ended = {{1, kTask, site.stops[0].run, RunEnd::kStopped, ""}};
+  site.RunUntil(absl::Milliseconds(900));
+  REQUIRE(site.starts.size() == 3);
+  CHECK(site.starts[2].task == kTask);
+  CHECK(site.start_workers[2] == "b");
+}
+
 }  // namespace
 }  // namespace keelbridge
