Other nodes carry a leader's orders where there are many workers

Cause: a leader of 0.5 processors does not carry 1,100 workers and 1,600 starts a second. Each order was a request of its own, on a connection of its own: 2,800 exchanges a second. On the small twin (a link of 2 Mbit/s) orders that failed filled the link and were sent again.

What was weighed: cells (a leader for each part of the fleet: it needs a rule for which job belongs where, and loses room at the seams), against one leader that decides and other nodes that carry. The second keeps one view of the room and changes no promise: relays decide nothing, the fence goes with each order.

Change: beyond 900 workers a processor the ablest nodes of each zone carry the orders of its workers; orders and answers are gathered for 15 ms. A message that got no answer counts as orders without an answer, which the scheduler settles as before; what was never sent is told as that. Two messages at most are under way to a relay, so that a slow one gets less, not a queue.

--- /dev/null
+++ b/keelbridge/coordination/order_routing_test.cc
@@ -0,0 +1,86 @@
+#include "keelbridge/coordination/order_routing.h"
+
+#include <doctest/doctest.h>
+
+#include <string>
+
+namespace keelbridge {
+namespace {
+
+const absl::Time kBegin = absl::UnixEpoch() + absl::Hours(1);
+
+OrderRouting::Options SmallOptions() {
+  OrderRouting::Options options;
+  options.direct_workers_per_processor = 20;
+  options.workers_per_relay = 6;
+  return options;
+}
+
+// Two zones of ten workers each, for a leader that carries ten itself.
+OrderRouting TwoZones() {
+  OrderRouting routing(SmallOptions());
+  routing.SetNodes({{"weak", "1", "west", 0.1},
+                    {"able", "2", "west", 0.5},
+                    {"middle", "3", "west", 0.3},
+                    {"east", "4", "east", 0.2}},
+                   0.5);
+  for (int i = 0; i < 10; ++i) {
+    routing.AddWorker("w" + std::to_string(i), "west");
+    routing.AddWorker("e" + std::to_string(i), "east");
+  }
+  return routing;
+}
+
+std::string RelayOf(const OrderRouting& routing, const std::string& worker,
+                    const std::string& zone, absl::Time now = kBegin) {
+  const OrderRouting::Node* relay = routing.RouteOf(worker, zone, now);
+  return relay == nullptr ? "" : relay->name;
+}
+
+TEST_CASE("order routing: a leader of few workers carries its orders itself") {
+  OrderRouting routing = TwoZones();
+  CHECK(routing.relays());
+  for (int i = 0; i < 10; ++i) routing.RemoveWorker("e" + std::to_string(i));
+  CHECK_FALSE(routing.relays());
+  CHECK(RelayOf(routing, "w1", "west").empty());
+}
+
+TEST_CASE("order routing: the ablest nodes of a worker's zone carry orders") {
+  const OrderRouting routing = TwoZones();
+  std::map<std::string, int> carried;
+  for (int i = 0; i < 10; ++i) {
+    ++carried[RelayOf(routing, "w" + std::to_string(i), "west")];
+    CHECK(RelayOf(routing, "e" + std::to_string(i), "east") == "east");
+  }
+  CHECK(carried.size() == 2);
+  CHECK(carried["able"] > 0);
+  CHECK(carried["middle"] > 0);
+}
+
+TEST_CASE("order routing: one that did not answer is avoided for a while") {
+  OrderRouting routing = TwoZones();
+  routing.OnUnanswered("east", kBegin);
+  routing.OnUnanswered("able", kBegin);
+  for (int i = 0; i < 10; ++i)
+    CHECK(RelayOf(routing, "w" + std::to_string(i), "west") != "able");
+  bool again = false;
+  for (int i = 0; i < 10; ++i)
+    again = again || RelayOf(routing, "w" + std::to_string(i), "west",
+                             kBegin + absl::Seconds(2)) == "able";
+  CHECK(again);
+}
+
+// A leader that overloads its link must not take all orders back.
+TEST_CASE("order routing: the last relay of a zone is never passed over") {
+  OrderRouting routing = TwoZones();
+  routing.OnUnanswered("east", kBegin);
+  CHECK(RelayOf(routing, "e1", "east") == "east");
+}
+
+TEST_CASE("order routing: a zone without other nodes is served directly") {
+  const OrderRouting routing = TwoZones();
+  CHECK(RelayOf(routing, "n1", "north").empty());
+}
+
+}  // namespace
+}  // namespace keelbridge
--- a/keelbridge/daemon/node_settings.cc
+++ b/keelbridge/daemon/node_settings.cc
@@ -78,6 +78,8 @@
                          &out.store_append_bytes);
   reader.OptionalNumber("processor_share", 0.001, 1024, &out.processor_share);
   reader.OptionalNumber("processor_speed", 0.001, 1024, &out.processor_speed);
+  reader.OptionalNumber("direct_workers_per_processor", 0, 1e9,
+                        &out.direct_workers_per_processor);
   reader.OptionalNumber("link_mbps", 0.001, 1e7, &out.link_mbps);
   reader.OptionalMillis("lease_ms", 100, 600000, &out.lease);
   reader.OptionalMillis("gang_wait_ms", 1, 600000, &out.gang_wait);
--- a/keelbridge/daemon/node_settings.h
+++ b/keelbridge/daemon/node_settings.h
@@ -38,6 +38,9 @@
   // processor is (1: as the measurements were made on), and its network link.
   double processor_share = 1;
   double processor_speed = 1;
+  // Workers whose orders a leader carries itself, for each processor that it
+  // has; see OrderRouting.
+  double direct_workers_per_processor = 900;
   double link_mbps = 1000;
 
   absl::Duration lease = absl::Seconds(6);
--- /dev/null
+++ b/keelbridge/daemon/order_relay.cc
@@ -0,0 +1,120 @@
+#include "keelbridge/daemon/order_relay.h"
+
+#include <utility>
+#include <vector>
+
+#include "absl/strings/str_cat.h"
+#include "keelbridge/base/clock.h"
+#include "keelbridge/base/json_reader.h"
+#include "keelbridge/base/logging.h"
+#include "keelbridge/daemon/relayed_orders.h"
+#include "keelbridge/transport/event_timer.h"
+
+namespace keelbridge {
+namespace {
+
+// Answers are gathered for so long; see the same in `relayed_orders.cc`.
+constexpr absl::Duration kGather = absl::Milliseconds(15);
+// A leader takes the answers at once: this is its loop's lag and the network's.
+constexpr absl::Duration kTakenWithin = absl::Milliseconds(700);
+// Answers that were not taken are sent again: they count once. A leader gives
+// an order up after at most 1.8 s.
+constexpr int kMostTries = 3;
+constexpr absl::Duration kTryAgain = absl::Milliseconds(50);
+// Connections to a worker that gets no orders are closed after this. A leader
+// looks at each worker every second.
+constexpr absl::Duration kForgetAfter = absl::Seconds(20);
+constexpr absl::Duration kForgetEvery = absl::Seconds(5);
+
+}  // namespace
+
+OrderRelay::OrderRelay(boost::asio::io_context& loop, WorkerOrders& workers,
+                       EventRpcClient& rpc)
+    : loop_(loop), workers_(workers), rpc_(rpc) {}
+
+void OrderRelay::Carry(const Json::Value& params) {
+  const std::string reply_to = params["reply_to"].asString();
+  for (const Json::Value& row : params["rows"]) {
+    const auto order = OrderFromRow(row);
+    if (order) {
+      CarryOne(*order, reply_to);
+      continue;
+    }
+    LogEvent(Severity::kError, "order_unreadable",
+             {{"leader", reply_to}, {"row", ToJsonText(row).substr(0, 200)}});
+  }
+  ForgetIdle();
+}
+
+void OrderRelay::CarryOne(const RelayedOrder& order,
+                          const std::string& reply_to) {
+  ++carried_;
+  last_order_[order.worker.id] = SystemNow().mono;
+  const auto answer = [this, reply_to,
+                       number = order.number](OrderReply reply) {
+    ObserveReply out;
+    out.order = std::move(reply);
+    Answer(reply_to, number, std::move(out));
+  };
+  if (const auto* start = std::get_if<StartOrder>(&order.order))
+    return workers_.Start(order.worker, *start, answer);
+  if (const auto* stop = std::get_if<StopOrder>(&order.order))
+    return workers_.Stop(order.worker, *stop, answer);
+  workers_.Observe(order.worker, std::get<ObserveOrder>(order.order),
+                   [this, reply_to, number = order.number](ObserveReply reply) {
+                     Answer(reply_to, number, std::move(reply));
+                   });
+}
+
+void OrderRelay::Answer(const std::string& reply_to, int64_t number,
+                        ObserveReply reply) {
+  Json::Value& rows = gathered_[reply_to];
+  const bool first = rows.empty();
+  rows.append(ToRow(RelayedReply{number, std::move(reply)}));
+  if (!first) return;
+  RunAfter(loop_, kGather, [this, reply_to] { Flush(reply_to); });
+}
+
+void OrderRelay::Flush(const std::string& reply_to) {
+  const auto found = gathered_.find(reply_to);
+  if (found == gathered_.end()) return;
+  Json::Value params(Json::objectValue);
+  params["rows"] = std::move(found->second);
+  gathered_.erase(found);
+  Send(reply_to, params, 1);
+}
+
+void OrderRelay::Send(const std::string& reply_to, const Json::Value& params,
+                      int tries) {
+  rpc_.Call(
+      reply_to, RelayedOrders::kRepliesMethod, params, kTakenWithin,
+      [this, reply_to, params, tries](const RpcOutcome& outcome) {
+        if (outcome.answered) return;
+        LogEvent(Severity::kWarning, "order_replies_not_taken",
+                 {{"leader", reply_to},
+                  {"answers", absl::StrCat(params["rows"].size())},
+                  {"tries", absl::StrCat(tries)},
+                  {"detail", outcome.error}});
+        if (tries >= kMostTries) return;
+        RunAfter(loop_, kTryAgain, [this, reply_to, params, tries] {
+          Send(reply_to, params, tries + 1);
+        });
+      },
+      RpcLane::kOrders);
+}
+
+void OrderRelay::ForgetIdle() {
+  const absl::Time now = SystemNow().mono;
+  if (now < next_forget_) return;
+  next_forget_ = now + kForgetEvery;
+  std::vector<std::string> idle;
+  for (const auto& [worker, last] : last_order_) {
+    if (now - last > kForgetAfter) idle.push_back(worker);
+  }
+  for (const std::string& worker : idle) {
+    workers_.Forget(worker);
+    last_order_.erase(worker);
+  }
+}
+
+}  // namespace keelbridge
--- /dev/null
+++ b/keelbridge/daemon/order_relay.h
@@ -0,0 +1,58 @@
+// Carries a leader's orders to workers on its behalf; see `relayed_orders.h`.
+//
+// A relay decides nothing: each order is sent once, under the fence that the
+// leader gave it, and its answer goes back as it came.
+//
+//   OrderRelay relay(loop, workers, rpc);
+//   relay.Carry(params);  // Of the method "orders".
+
+#ifndef KEELBRIDGE_DAEMON_ORDER_RELAY_H_
+#define KEELBRIDGE_DAEMON_ORDER_RELAY_H_
+
+#include <json/json.h>
+
+#include <boost/asio/io_context.hpp>
+#include <cstdint>
+#include <map>
+#include <string>
+
+#include "absl/container/flat_hash_map.h"
+#include "absl/time/time.h"
+#include "keelbridge/daemon/order_messages.h"
+#include "keelbridge/protocol/site_worker.h"
+#include "keelbridge/transport/event_rpc.h"
+
+namespace keelbridge {
+
+// All on the loop's thread. Must outlive what the loop runs.
+class OrderRelay {
+ public:
+  OrderRelay(boost::asio::io_context& loop, WorkerOrders& workers,
+             EventRpcClient& rpc);
+
+  // Takes the orders of a message.
+  void Carry(const Json::Value& params);
+  int64_t carried() const { return carried_; }
+
+ private:
+  void CarryOne(const RelayedOrder& order, const std::string& reply_to);
+  void Answer(const std::string& reply_to, int64_t number, ObserveReply reply);
+  // Sends what was gathered for one leader.
+  void Flush(const std::string& reply_to);
+  void Send(const std::string& reply_to, const Json::Value& params, int tries);
+  // Closes the connections to workers that got no order for long.
+  void ForgetIdle();
+
+  boost::asio::io_context& loop_;
+  WorkerOrders& workers_;
+  EventRpcClient& rpc_;
+  // Rows of answers, by the leader that they go to.
+  std::map<std::string, Json::Value> gathered_;
+  absl::flat_hash_map<std::string, absl::Time> last_order_;  // By worker.
+  absl::Time next_forget_ = absl::InfinitePast();
+  int64_t carried_ = 0;
+};
+
+}  // namespace keelbridge
+
+#endif  // KEELBRIDGE_DAEMON_ORDER_RELAY_H_
--- /dev/null
+++ b/keelbridge/daemon/relayed_orders.cc
@@ -0,0 +1,211 @@
+#include "keelbridge/daemon/relayed_orders.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "absl/strings/str_cat.h"
+#include "keelbridge/base/clock.h"
+#include "keelbridge/base/json_reader.h"
+#include "keelbridge/base/logging.h"
+#include "keelbridge/transport/trace.h"
+
+namespace keelbridge {
+namespace {
+
+// Orders are gathered for so long, and answers at the relay. With five relays
+// that makes 660 messages a second in both directions at most, whatever the
+// number of orders, for 15 ms more until a task starts.
+constexpr absl::Duration kGather = absl::Milliseconds(15);
+// A relay takes a message at once, so that this is the lag of two loops and the
+// network's. Orders in it are waited for by their own times.
+constexpr absl::Duration kTakenWithin = absl::Seconds(1);
+// Messages to one relay that it has not taken yet. With a second one a round
+// trip costs no time; more would only wait on a link that is slow.
+constexpr int kMostUnderWay = 2;
+// What the way through a relay adds to an order's own patience: gathering
+// twice, four hops, and the lag of two loops.
+constexpr absl::Duration kRelayAllowance = absl::Milliseconds(150);
+constexpr absl::Duration kSweepEvery = absl::Milliseconds(50);
+
+ObserveReply Unanswered(OrderResult result, std::string why) {
+  ObserveReply reply;
+  reply.order.result = result;
+  reply.order.message = std::move(why);
+  return reply;
+}
+
+}  // namespace
+
+RelayedOrders::RelayedOrders(boost::asio::io_context& loop,
+                             WorkerOrders& direct, EventRpcClient& rpc,
+                             Options options)
+    : loop_(loop),
+      direct_(direct),
+      rpc_(rpc),
+      options_(std::move(options)),
+      routing_(options_.routing),
+      next_number_(static_cast<int64_t>(RandomId() >> 2)),
+      flush_timer_(loop),
+      sweep_timer_(loop) {}
+
+void RelayedOrders::SetNodes(std::vector<OrderRouting::Node> nodes,
+                             double own_capacity) {
+  routing_.SetNodes(std::move(nodes), own_capacity);
+}
+
+const OrderRouting::Node* RelayedOrders::RelayOf(const WorkerRecord& worker) {
+  routing_.AddWorker(worker.id, worker.zone);
+  return routing_.RouteOf(worker.id, worker.zone, SystemNow().mono);
+}
+
+void RelayedOrders::Start(const WorkerRecord& worker, const StartOrder& order,
+                          std::function<void(OrderReply)> done) {
+  const OrderRouting::Node* relay = RelayOf(worker);
+  if (relay == nullptr) return direct_.Start(worker, order, std::move(done));
+  Gather(*relay, {0, worker, order}, order.timeout,
+         [done = std::move(done)](const ObserveReply& reply) {
+           done(reply.order);
+         });
+}
+
+void RelayedOrders::Stop(const WorkerRecord& worker, const StopOrder& order,
+                         std::function<void(OrderReply)> done) {
+  const OrderRouting::Node* relay = RelayOf(worker);
+  if (relay == nullptr) return direct_.Stop(worker, order, std::move(done));
+  Gather(*relay, {0, worker, order}, order.timeout,
+         [done = std::move(done)](const ObserveReply& reply) {
+           done(reply.order);
+         });
+}
+
+void RelayedOrders::Observe(const WorkerRecord& worker,
+                            const ObserveOrder& order,
+                            std::function<void(ObserveReply)> done) {
+  const OrderRouting::Node* relay = RelayOf(worker);
+  if (relay == nullptr) return direct_.Observe(worker, order, std::move(done));
+  Gather(*relay, {0, worker, order},
+         order.timeout + absl::Milliseconds(order.wait_ms), std::move(done));
+}
+
+void RelayedOrders::Forget(const std::string& worker_id) {
+  routing_.RemoveWorker(worker_id);
+  direct_.Forget(worker_id);
+}
+
+void RelayedOrders::Gather(const OrderRouting::Node& node, RelayedOrder order,
+                           absl::Duration patience, Done done) {
+  order.number = next_number_++;
+  ++relayed_;
+  Relay& relay = relays_[node.name];
+  relay.node = node;
+  relay.gathered.rows.push_back(ToRow(order));
+  relay.gathered.numbers.push_back(order.number);
+  pending_.emplace(
+      order.number,
+      Pending{std::move(done), waited_ + kGather + patience + kRelayAllowance});
+  FlushSoon();
+  SweepSoon();
+}
+
+void RelayedOrders::FlushSoon() {
+  if (std::exchange(flush_armed_, true)) return;
+  flush_timer_.expires_after(absl::ToChronoNanoseconds(kGather));
+  flush_timer_.async_wait([this](boost::system::error_code error) {
+    flush_armed_ = false;
+    if (!error) FlushAll();
+  });
+}
+
+void RelayedOrders::FlushAll() {
+  for (auto& [name, relay] : relays_) Flush(relay);
+}
+
+void RelayedOrders::Flush(Relay& relay) {
+  if (relay.gathered.rows.empty() || relay.under_way >= kMostUnderWay) return;
+  Batch batch = std::exchange(relay.gathered, {});
+  Json::Value params(Json::objectValue);
+  params["reply_to"] = options_.own_address;
+  Json::Value& rows = params["rows"] = Json::Value(Json::arrayValue);
+  for (size_t i = 0; i < batch.rows.size(); ++i) {
+    const auto pending = pending_.find(batch.numbers[i]);
+    if (pending == pending_.end()) continue;  // It waited for too long.
+    pending->second.sent = true;
+    rows.append(std::move(batch.rows[i]));
+  }
+  if (rows.empty()) return;
+  ++relay.under_way;
+  rpc_.Call(
+      relay.node.address, kOrdersMethod, std::move(params), kTakenWithin,
+      [this, name = relay.node.name, numbers = std::move(batch.numbers)](
+          const RpcOutcome& outcome) { OnTaken(name, numbers, outcome); },
+      RpcLane::kOrders);
+}
+
+void RelayedOrders::OnTaken(const std::string& name,
+                            const std::vector<int64_t>& numbers,
+                            const RpcOutcome& outcome) {
+  Relay& relay = relays_[name];
+  --relay.under_way;
+  FlushSoon();
+  if (outcome.answered) return;
+  if (routing_.OnUnanswered(name, SystemNow().mono)) {
+    LogEvent(Severity::kWarning, "relay_silent",
+             {{"relay", name},
+              {"orders", absl::StrCat(numbers.size())},
+              {"detail", outcome.error}});
+  }
+  const OrderResult result =
+      outcome.sent ? OrderResult::kUnknown : OrderResult::kNotSent;
+  for (const int64_t number : numbers)
+    Finish(number, Unanswered(result, outcome.error));
+}
+
+void RelayedOrders::TakeReplies(const Json::Value& params) {
+  for (const Json::Value& row : params["rows"]) {
+    auto reply = ReplyFromRow(row);
+    if (reply) {
+      Finish(reply->number, std::move(reply->reply));
+      continue;
+    }
+    LogEvent(Severity::kError, "order_reply_unreadable",
+             {{"row", ToJsonText(row).substr(0, 200)}});
+  }
+}
+
+void RelayedOrders::Finish(int64_t number, ObserveReply reply) {
+  const auto found = pending_.find(number);
+  if (found == pending_.end()) return;  // It was answered, or given up.
+  const Done done = std::move(found->second.done);
+  pending_.erase(found);
+  done(std::move(reply));
+}
+
+void RelayedOrders::SweepSoon() {
+  if (std::exchange(sweep_armed_, true)) return;
+  sweep_timer_.expires_after(absl::ToChronoNanoseconds(kSweepEvery));
+  sweep_timer_.async_wait([this](boost::system::error_code error) {
+    sweep_armed_ = false;
+    if (!error) Sweep();
+  });
+}
+
+void RelayedOrders::Sweep() {
+  waited_ += kSweepEvery;
+  std::vector<int64_t> late;
+  for (const auto& [number, pending] : pending_) {
+    if (pending.deadline < waited_) late.push_back(number);
+  }
+  for (const int64_t number : late) {
+    const auto found = pending_.find(number);
+    if (found == pending_.end()) continue;
+    ++unanswered_;
+    const bool sent = found->second.sent;
+    Finish(
+        number,
+        sent ? Unanswered(OrderResult::kUnknown, "no answer through the relay")
+             : Unanswered(OrderResult::kNotSent, "the relay takes no orders"));
+  }
+  if (!pending_.empty()) SweepSoon();
+}
+
+}  // namespace keelbridge
--- /dev/null
+++ b/keelbridge/daemon/relayed_orders_test.cc
@@ -0,0 +1,250 @@
+// Orders through a relay, over real connections on loopback.
+
+#include "keelbridge/daemon/relayed_orders.h"
+
+#include <doctest/doctest.h>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "absl/strings/str_cat.h"
+#include "keelbridge/daemon/order_relay.h"
+
+namespace keelbridge {
+namespace {
+
+constexpr char kZone[] = "zone-1";
+
+// Workers that answer what the test says, or nothing.
+class FakeWorkers : public WorkerOrders {
+ public:
+  void Start(const WorkerRecord& worker, const StartOrder& order,
+             std::function<void(OrderReply)> done) override {
+    starts.push_back({worker, order});
+    if (!silent) done(reply.order);
+  }
+  void Stop(const WorkerRecord&, const StopOrder& order,
+            std::function<void(OrderReply)> done) override {
+    stops.push_back(order);
+    if (!silent) done(reply.order);
+  }
+  void Observe(const WorkerRecord&, const ObserveOrder& order,
+               std::function<void(ObserveReply)> done) override {
+    looks.push_back(order);
+    if (!silent) done(reply);
+  }
+  void Forget(const std::string&) override {}
+
+  bool silent = false;
+  ObserveReply reply;
+  std::vector<std::pair<WorkerRecord, StartOrder>> starts;
+  std::vector<StopOrder> stops;
+  std::vector<ObserveOrder> looks;
+};
+
+// A leader and one relay, each with a server of its own.
+class Pair {
+ public:
+  Pair()
+      : client_(loop),
+        leader_server_(loop, {"127.0.0.1", 0, ""}),
+        relay_server_(loop, {"127.0.0.1", 0, ""}),
+        relay_(loop, workers, client_) {
+    const auto leader_port = leader_server_.Start();
+    relay_port_ = relay_server_.Start().value();
+    RelayedOrders::Options options;
+    options.routing.direct_workers_per_processor = 0;
+    options.own_address = absl::StrCat("127.0.0.1:", leader_port.value());
+    orders = std::make_unique<RelayedOrders>(loop, direct, client_, options);
+    leader_server_.Add(
+        RelayedOrders::kRepliesMethod,
+        [this](const Json::Value& params, const EventRpcServer::Reply& done) {
+          done({Json::Value(Json::objectValue), 0, ""});
+          orders->TakeReplies(params);
+        });
+    relay_server_.Add(
+        RelayedOrders::kOrdersMethod,
+        [this](const Json::Value& params, const EventRpcServer::Reply& done) {
+          ++messages;
+          done({Json::Value(Json::objectValue), 0, ""});
+          relay_.Carry(params);
+        });
+    UseRelay(absl::StrCat("127.0.0.1:", relay_port_));
+  }
+
+  void UseRelay(const std::string& address) {
+    orders->SetNodes({{"relay", address, kZone, 1.0}}, 1.0);
+  }
+
+  WorkerRecord Worker(const std::string& zone = kZone) const {
+    WorkerRecord worker;
+    worker.id = "w";
+    worker.address = "10.0.0.1:80";
+    worker.zone = zone;
+    return worker;
+  }
+
+  std::optional<OrderResult> Start(const WorkerRecord& worker,
+                                   absl::Duration time) {
+    std::optional<OrderResult> result;
+    StartOrder order;
+    order.task = {7, 0, 1, 2};
+    order.run = 3;
+    order.payload = "payload";
+    order.checkpoint = "saved";
+    order.ticket = "ticket";
+    order.lease_until_ms = 9000;
+    order.fence = 5;
+    orders->Start(worker, order, [&result](const OrderReply& reply) {
+      result = reply.result;
+    });
+    Run(time);
+    return result;
+  }
+
+  void Run(absl::Duration time) {
+    loop.run_for(absl::ToChronoMilliseconds(time));
+  }
+
+  boost::asio::io_context loop;
+  FakeWorkers workers;  // As the relay reaches them.
+  FakeWorkers direct;   // As the leader does.
+  std::unique_ptr<RelayedOrders> orders;
+  int messages = 0;
+
+ private:
+  EventRpcClient client_;
+  EventRpcServer leader_server_;
+  EventRpcServer relay_server_;
+  OrderRelay relay_;
+  int relay_port_ = 0;
+};
+
+TEST_CASE("relayed orders: a start arrives whole, and its answer comes back") {
+  Pair pair;
+  pair.workers.reply.order.result = OrderResult::kNoRoom;
+  CHECK(pair.Start(pair.Worker(), absl::Milliseconds(200)) ==
+        OrderResult::kNoRoom);
+  REQUIRE(pair.workers.starts.size() == 1);
+  const auto& [worker, order] = pair.workers.starts[0];
+  CHECK(worker.id == "w");
+  CHECK(worker.address == "10.0.0.1:80");
+  CHECK(order.task == TaskId{7, 0, 1, 2});
+  CHECK(order.run == 3);
+  CHECK(order.payload == "payload");
+  CHECK(order.checkpoint == "saved");
+  CHECK(order.ticket == "ticket");
+  CHECK(order.lease_until_ms == 9000);
+  CHECK(order.fence == 5);
+  CHECK(pair.direct.starts.empty());
+}
+
+TEST_CASE("relayed orders: a look brings both lists") {
+  Pair pair;
+  pair.workers.reply.order.result = OrderResult::kDone;
+  pair.workers.reply.order.clock_ms = 1234;
+  pair.workers.reply.running = {{{7, 0, 0, 1}, 2, "saved", 40}};
+  pair.workers.reply.ended = {{9, {7, 0, 0, 2}, 1, RunEnd::kStopped, "kept"}};
+  pair.workers.reply.more_ends = true;
+  std::optional<ObserveReply> seen;
+  ObserveOrder look;
+  look.ends_noted = 8;
+  look.lease_until_ms = 4000;
+  look.wait_ms = 100;
+  pair.orders->Observe(pair.Worker(), look,
+                       [&](ObserveReply reply) { seen = std::move(reply); });
+  pair.Run(absl::Milliseconds(200));
+  REQUIRE(seen.has_value());
+  REQUIRE(pair.workers.looks.size() == 1);
+  CHECK(pair.workers.looks[0].ends_noted == 8);
+  CHECK(pair.workers.looks[0].lease_until_ms == 4000);
+  CHECK(pair.workers.looks[0].wait_ms == 100);
+  CHECK(seen->order.result == OrderResult::kDone);
+  CHECK(seen->order.clock_ms == 1234);
+  REQUIRE(seen->running.size() == 1);
+  CHECK(seen->running[0].task == TaskId{7, 0, 0, 1});
+  CHECK(seen->running[0].percent == 40);
+  REQUIRE(seen->ended.size() == 1);
+  CHECK(seen->ended[0].number == 9);
+  CHECK(seen->ended[0].end == RunEnd::kStopped);
+  CHECK(seen->more_ends);
+}
+
+// 200 orders at once: one message there and one back for each 15 ms, instead of
+// 200 of each.
+TEST_CASE("relayed orders: orders that come together travel together") {
+  Pair pair;
+  pair.workers.reply.order.result = OrderResult::kDone;
+  int answered = 0;
+  for (int i = 0; i < 200; ++i) {
+    pair.orders->Stop(pair.Worker(), StopOrder(),
+                      [&](const OrderReply&) { ++answered; });
+  }
+  pair.Run(absl::Milliseconds(300));
+  CHECK(answered == 200);
+  MESSAGE("messages for 200 orders: 200 before, ", pair.messages, " after");
+  CHECK(pair.messages <= 2);
+}
+
+// What was never sent has not run: the task may start elsewhere at once.
+TEST_CASE("relayed orders: with a relay that is gone nothing was sent") {
+  Pair pair;
+  pair.UseRelay("127.0.0.1:1");
+  CHECK(pair.Start(pair.Worker(), absl::Milliseconds(300)) ==
+        OrderResult::kNotSent);
+}
+
+// The worker may have got it: nobody may say that it was not carried out.
+TEST_CASE("relayed orders: without an answer nobody knows whether it ran") {
+  Pair pair;
+  pair.workers.silent = true;
+  CHECK_FALSE(pair.Start(pair.Worker(), absl::Milliseconds(300)).has_value());
+  CHECK(pair.Start(pair.Worker(), absl::Seconds(1)) == OrderResult::kUnknown);
+  CHECK(pair.orders->unanswered() == 2);
+}
+
+TEST_CASE("relayed orders: a zone without a relay is served directly") {
+  Pair pair;
+  pair.direct.reply.order.result = OrderResult::kDone;
+  CHECK(pair.Start(pair.Worker("elsewhere"), absl::Milliseconds(50)) ==
+        OrderResult::kDone);
+  CHECK(pair.direct.starts.size() == 1);
+}
+
+// A relay may still send answers to orders of an earlier process that had the
+// leader's address.
+TEST_CASE("relayed orders: an answer to another life's order is passed over") {
+  Pair pair;
+  pair.workers.silent = true;
+  std::optional<OrderResult> result;
+  pair.orders->Start(
+      pair.Worker(), StartOrder(),
+      [&result](const OrderReply& reply) { result = reply.result; });
+  pair.Run(absl::Milliseconds(50));
+  Json::Value params(Json::objectValue);
+  for (int64_t number = 0; number < 100; ++number) {
+    RelayedReply stale;
+    stale.number = number;
+    stale.reply.order.result = OrderResult::kNoRoom;
+    params["rows"].append(ToRow(stale));
+  }
+  pair.orders->TakeReplies(params);
+  CHECK_FALSE(result.has_value());
+}
+
+TEST_CASE("order messages: what cannot be read is no order") {
+  CHECK_FALSE(OrderFromRow(Json::Value("text")).has_value());
+  CHECK_FALSE(OrderFromRow(Json::Value(Json::arrayValue)).has_value());
+  Json::Value row = ToRow(RelayedOrder{1, WorkerRecord(), StopOrder()});
+  CHECK(OrderFromRow(row).has_value());
+  row[1] = 99;  // No such kind.
+  CHECK_FALSE(OrderFromRow(row).has_value());
+  CHECK_FALSE(ReplyFromRow(Json::Value(Json::arrayValue)).has_value());
+}
+
+}  // namespace
+}  // namespace keelbridge
--- a/keelbridge/daemon/site_node.cc
+++ b/keelbridge/daemon/site_node.cc
@@ -36,6 +36,14 @@
   return options;
 }
 
+RelayedOrders::Options OrderOptions(const NodeSettings& settings) {
+  RelayedOrders::Options options;
+  options.routing.direct_workers_per_processor =
+      settings.direct_workers_per_processor;
+  options.own_address = settings.PeerAddress();
+  return options;
+}
+
 SiteElection::Options ElectionOptions(const NodeSettings& settings) {
   SiteElection::Options options;
   options.capacity = settings.Capacity();
@@ -54,6 +62,8 @@
       boot_(RandomId()),
       metrics_("node"),
       peer_server_(loop, settings_.peer_listen),
+      relayed_orders_(loop, *ports.workers, rpc, OrderOptions(settings_)),
+      order_relay_(loop, *ports.workers, rpc),
       election_(settings_.name, boot_, settings_.PeerAddress(),
                 ElectionOptions(settings_)) {}
 
@@ -87,6 +97,7 @@
         ServeReady(request, reply);
       });
   AddPeerMethods();
+  AddOrderMethods();
   for (auto start :
        {clients_->Start(), ready_->Start(), peer_server_.Start()}) {
     if (!start) return start.error();
@@ -142,6 +153,11 @@
   metrics_.Set("store_calls", {}, static_cast<double>(carrier_.calls()));
   metrics_.Set("store_calls_through_peers", {},
                static_cast<double>(carrier_.relayed()));
+  const auto count = [](int64_t value) { return static_cast<double>(value); };
+  metrics_.Set("orders_relayed", {}, count(relayed_orders_.relayed()));
+  metrics_.Set("orders_relayed_unanswered", {},
+               count(relayed_orders_.unanswered()));
+  metrics_.Set("orders_carried", {}, count(order_relay_.carried()));
   metrics_.Set("ready", {}, Ready() ? 1 : 0);
   metrics_.Set("leads", {}, session_ != nullptr && session_->active() ? 1 : 0);
   metrics_.Set("configuration_version", {},
--- a/keelbridge/daemon/site_node.h
+++ b/keelbridge/daemon/site_node.h
@@ -25,6 +25,8 @@
 #include "keelbridge/daemon/leader_session.h"
 #include "keelbridge/daemon/metrics.h"
 #include "keelbridge/daemon/node_settings.h"
+#include "keelbridge/daemon/order_relay.h"
+#include "keelbridge/daemon/relayed_orders.h"
 #include "keelbridge/daemon/store_failover.h"
 #include "keelbridge/transport/event_http_server.h"
 #include "keelbridge/transport/event_rpc.h"
@@ -47,6 +49,7 @@
   struct Peer {
     std::string name;
     std::string address;
+    std::string zone;
     bool store_ok = false;
     double capacity = 1;  // In processors; see NodeSettings::Capacity.
     absl::Time heard = absl::InfinitePast();
@@ -73,6 +76,7 @@
   // Nobody leads, as far as this node can tell, and it does not itself.
   bool LeaderOutOfReach() const;
   void AddPeerMethods();
+  void AddOrderMethods();
 
   // site_node_clients.cc
   void ServeClient(const ServerRequest& request, EventHttpServer::Reply reply);
@@ -182,6 +186,8 @@
   std::unique_ptr<EventHttpServer> ready_;
   std::unique_ptr<EventHttpServer> metrics_server_;
   EventRpcServer peer_server_;
+  RelayedOrders relayed_orders_;  // Its own, as the leader.
+  OrderRelay order_relay_;        // Other leaders' orders.
 
   std::shared_ptr<const SiteConfiguration> configuration_;
   int64_t configuration_next_ = -1;  // Offset to follow from; -1: read anew.
--- a/keelbridge/daemon/site_node_leading.cc
+++ b/keelbridge/daemon/site_node_leading.cc
@@ -205,8 +205,10 @@
   };
   options.on_ended = [this](const std::string& why) { OnTermEnded(why); };
   earlier_leaders_ = election_.leader().earlier;
+  NodePorts ports = ports_;
+  ports.workers = &relayed_orders_;
   session_ = std::make_shared<LeaderSession>(
-      loop_, ports_, std::move(options), election_.leader().epoch, metrics_);
+      loop_, ports, std::move(options), election_.leader().epoch, metrics_);
   for (const auto& [epoch, at] : leaders_seen_)
     session_->OnEarlierLeaderSeen(epoch, at);
   if (configuration_ != nullptr) session_->SetConfiguration(configuration_);
--- a/keelbridge/daemon/site_node_peers.cc
+++ b/keelbridge/daemon/site_node_peers.cc
@@ -115,12 +115,28 @@
   });
 }
 
+void SiteNode::AddOrderMethods() {
+  peer_server_.Add(
+      RelayedOrders::kOrdersMethod,
+      [this](const Json::Value& params, const EventRpcServer::Reply& reply) {
+        reply(Ok(Json::Value(Json::objectValue)));
+        order_relay_.Carry(params);
+      });
+  peer_server_.Add(
+      RelayedOrders::kRepliesMethod,
+      [this](const Json::Value& params, const EventRpcServer::Reply& reply) {
+        reply(Ok(Json::Value(Json::objectValue)));
+        relayed_orders_.TakeReplies(params);
+      });
+}
+
 void SiteNode::TakePeer(const Json::Value& in) {
   const std::string name = in["node"].asString();
   if (name.empty() || name == settings_.name) return;
   Peer& peer = peers_[name];
   peer.name = name;
   peer.address = in["address"].asString();
+  peer.zone = in["zone"].asString();
   peer.store_ok = in["store_ok"].asBool();
   peer.capacity = in.get("capacity", 1.0).asDouble();
   peer.heard = SystemNow().mono;
@@ -147,6 +163,7 @@
   Json::Value out(Json::objectValue);
   out["node"] = settings_.name;
   out["address"] = settings_.PeerAddress();
+  out["zone"] = settings_.zone;
   out["store_ok"] = carrier_.direct();
   out["capacity"] = settings_.Capacity();
   return out;
@@ -160,6 +177,7 @@
     Json::Value one(Json::objectValue);
     one["node"] = name;
     one["address"] = peer.address;
+    one["zone"] = peer.zone;
     one["store_ok"] = peer.store_ok;
     one["capacity"] = peer.capacity;
     list.append(std::move(one));
@@ -180,6 +198,7 @@
   std::vector<ElectionPeer> candidates;
   std::vector<std::string> fresh = {settings_.name};
   std::vector<std::string> relays;
+  std::vector<OrderRouting::Node> order_relays;
   for (auto it = peers_.begin(); it != peers_.end();) {
     const Peer& peer = it->second;
     if (now - peer.heard > kPeerForgotten) {
@@ -191,7 +210,11 @@
     it->second.was_fresh = is_fresh;
     if (last_heard - peer.heard < kPeerFresh)
       candidates.push_back({peer.name, peer.capacity, peer.store_ok});
-    if (is_fresh) fresh.push_back(peer.name);
+    if (is_fresh) {
+      fresh.push_back(peer.name);
+      order_relays.push_back(
+          {peer.name, peer.address, peer.zone, peer.capacity});
+    }
     if (peer.store_ok && is_fresh) relays.push_back(peer.address);
     ++it;
   }
@@ -206,7 +229,10 @@
     }
   }
   carrier_.SetPeers(std::move(relays));
-  if (session_ != nullptr && !session_->ended()) session_->SetAdvisers(fresh);
+  if (session_ != nullptr && !session_->ended()) {
+    session_->SetAdvisers(fresh);
+    relayed_orders_.SetNodes(std::move(order_relays), settings_.Capacity());
+  }
   UpdatePeerList();
 }
 
--- a/keelbridge/transport/event_rpc.cc
+++ b/keelbridge/transport/event_rpc.cc
@@ -12,6 +12,9 @@
 constexpr size_t kMostPeerBodyBytes = 8 << 20;
 constexpr size_t kWorkConnectionsToPeer = 8;
 constexpr size_t kControlConnectionsToPeer = 2;
+// Messages are answered at once: a second one is under way only when the first
+// is late.
+constexpr size_t kOrderConnectionsToPeer = 4;
 // A caller drops what idles for longer. The server waits a little more, so
 // that no call meets its end; what went silent for good counts no longer.
 constexpr absl::Duration kPeerClientIdle = absl::Seconds(30);
@@ -33,6 +36,18 @@
   return options;
 }
 
+size_t ConnectionsOf(RpcLane lane) {
+  switch (lane) {
+    case RpcLane::kWork:
+      return kWorkConnectionsToPeer;
+    case RpcLane::kOrders:
+      return kOrderConnectionsToPeer;
+    case RpcLane::kControl:
+      return kControlConnectionsToPeer;
+  }
+  return kControlConnectionsToPeer;
+}
+
 ServerResponse Frame(const Json::Value& id, const JsonRpcReply& reply) {
   Json::Value out(Json::objectValue);
   out["jsonrpc"] = "2.0";
@@ -77,15 +92,13 @@
 }
 
 void EventRpcClient::Call(const std::string& address, const std::string& method,
-                          const Json::Value& params, absl::Duration timeout,
+                          Json::Value params, absl::Duration timeout,
                           std::function<void(RpcOutcome)> done, RpcLane lane) {
   auto& peer = peers_[{address, lane}];
   if (peer == nullptr) {
     auto parsed = ParseAddress(address);
     EventHttpClient::Options options;
-    options.most_connections = lane == RpcLane::kWork
-                                   ? kWorkConnectionsToPeer
-                                   : kControlConnectionsToPeer;
+    options.most_connections = ConnectionsOf(lane);
     options.idle_expiry = kPeerClientIdle;
     options.drop_unsent = true;
     peer = std::make_unique<EventHttpClient>(
@@ -95,7 +108,7 @@
   call["jsonrpc"] = "2.0";
   call["id"] = Json::Int64(next_id_++);
   call["method"] = method;
-  call["params"] = params;
+  call["params"] = std::move(params);
   HttpRequest request;
   request.method = "POST";
   request.path = "/rpc";
--- a/keelbridge/transport/event_rpc.h
+++ b/keelbridge/transport/event_rpc.h
@@ -51,6 +51,7 @@
 // Calls of one lane never wait for calls of the other.
 enum class RpcLane {
   kWork,     // Clients' calls, advice, the store through a peer.
+  kOrders,   // Orders to workers that a peer carries, and their answers.
   kControl,  // Who leads and who is there: few, short, and never late.
 };
 
@@ -68,7 +69,7 @@
  public:
   explicit EventRpcClient(boost::asio::io_context& loop) : loop_(loop) {}
   void Call(const std::string& address, const std::string& method,
-            const Json::Value& params, absl::Duration timeout,
+            Json::Value params, absl::Duration timeout,
             std::function<void(RpcOutcome)> done,
             RpcLane lane = RpcLane::kWork);
 
