A leader that is behind does bounded work, and refuses what cannot begin in time

Change: 4 us a step between looks; 20 tasks a look when late, looks then a quarter of the lag apart; at most 16 searches a look, none when no node can be asked; stops and times of scheduled jobs are looked at only where there are any.

Tests: admission (five).

--- /dev/null
+++ b/keelbridge/coordination/admission_test.cc
@@ -0,0 +1,62 @@
+#include "keelbridge/coordination/admission.h"
+
+#include <doctest/doctest.h>
+
+namespace keelbridge {
+namespace {
+
+const absl::Time kBegin = absl::UnixEpoch() + absl::Hours(1);
+
+// Two looks a second for `length`, each starting 100 tasks.
+Admission Behind(const Backlog& backlog, absl::Duration length) {
+  Admission admission{Admission::Options()};
+  for (absl::Duration at; at <= length; at += absl::Milliseconds(500))
+    admission.OnLook(backlog, 100, kBegin + at);
+  return admission;
+}
+
+TEST_CASE("admission: nothing is refused before the rate is known") {
+  const Backlog backlog{{{0, 9000}}, 9000};
+  const Admission young = Behind(backlog, absl::Seconds(1));
+  CHECK(young.Decide(0, 10, absl::Seconds(1)).accept);
+  const Admission old = Behind(backlog, absl::Seconds(5));
+  CHECK(old.StartsPerSecond() == doctest::Approx(200));
+  CHECK_FALSE(old.Decide(0, 10, absl::Seconds(1)).accept);
+}
+
+TEST_CASE("admission: a job waits for timely work of its priority and before") {
+  const Admission admission =
+      Behind({{{0, 100}, {1, 300}, {2, 1000}}, 1500}, absl::Seconds(5));
+  const absl::Duration patience = absl::Seconds(3);
+  CHECK(admission.Decide(0, 4, patience).accept);
+  CHECK(admission.Decide(1, 4, patience).accept);  // 404 tasks: 2.02 s.
+  const Admission::Verdict late = admission.Decide(2, 4, patience);
+  CHECK_FALSE(late.accept);
+  CHECK(late.wait > absl::Seconds(7));
+  CHECK(late.retry_after > absl::Seconds(4));
+  CHECK(late.retry_after <= absl::Seconds(5));
+  CHECK(admission.Decide(2, 4, absl::Seconds(10)).accept);
+}
+
+// What is late already goes behind all that is timely, and still has to end.
+TEST_CASE("admission: a backlog that would not begin in time takes no more") {
+  const Admission deep = Behind({{{0, 10}}, 1700}, absl::Seconds(5));
+  CHECK_FALSE(deep.Decide(0, 1, absl::Seconds(60)).accept);
+  const Admission shallow = Behind({{{0, 10}}, 1500}, absl::Seconds(5));
+  CHECK(shallow.Decide(0, 1, absl::Seconds(60)).accept);
+}
+
+TEST_CASE("admission: a small backlog is no overload") {
+  const Admission admission = Behind({{{0, 999}}, 999}, absl::Seconds(5));
+  CHECK(admission.Decide(0, 1000, absl::Milliseconds(1)).accept);
+}
+
+TEST_CASE("admission: the load's end is noticed at once") {
+  Admission admission = Behind({{{0, 9000}}, 9000}, absl::Seconds(5));
+  CHECK_FALSE(admission.Decide(0, 1, absl::Seconds(1)).accept);
+  admission.OnLook({{{0, 10}}, 10}, 100, kBegin + absl::Seconds(6));
+  CHECK(admission.Decide(0, 1, absl::Seconds(1)).accept);
+}
+
+}  // namespace
+}  // namespace keelbridge
--- a/keelbridge/coordination/job_scheduler.cc
+++ b/keelbridge/coordination/job_scheduler.cc
@@ -9,6 +9,8 @@
 namespace {
 
 constexpr absl::Duration kHousekeepingEvery = absl::Seconds(1);
+// Looks whether a time of a scheduled job is due, over all jobs.
+constexpr absl::Duration kRoundsEvery = absl::Milliseconds(20);
 // The longest time between two looks for work that nothing announced, such as a
 // retry that falls due.
 constexpr absl::Duration kPlacementEvery = absl::Milliseconds(100);
@@ -131,6 +133,24 @@
   return batch;
 }
 
+std::optional<Admission::Verdict> JobScheduler::Admit(
+    const std::string& queue_name, const JobSpec& spec) const {
+  const Queue* queue = configuration_ != nullptr
+                           ? configuration_->FindQueueByName(queue_name)
+                           : nullptr;
+  if (queue == nullptr) return std::nullopt;
+  // Work that has its own times, or none, waits for what it takes.
+  const bool waits = spec.rounds > 0 || spec.steps.empty() ||
+                     std::any_of(spec.steps.begin(), spec.steps.end(),
+                                 [](const StepSpec& s) { return s.lasting; });
+  const JobTimes times = TimesOf(spec, *queue);
+  const absl::Duration patience =
+      waits ? absl::InfiniteDuration()
+            : times.objective * kLateFactor - times.work_from[0];
+  const int64_t tasks = spec.steps.empty() ? 0 : spec.steps[0].count;
+  return admission_.Decide(queue->priority, tasks, patience);
+}
+
 std::optional<int64_t> JobScheduler::Cancel(JobId id, Now now) {
   const auto found = jobs_.find(id);
   if (found == jobs_.end()) return std::nullopt;
@@ -261,8 +281,11 @@
     next_housekeeping_ = now.mono + kHousekeepingEvery;
     DropEnded(now);
   }
-  for (auto& [id, job] : active_) {
-    if (job->spec.rounds > 0) AddDueRounds(*job, now);
+  if (now.mono >= next_rounds_) {
+    next_rounds_ = now.mono + kRoundsEvery;
+    for (auto& [id, job] : active_) {
+      if (job->spec.rounds > 0) AddDueRounds(*job, now);
+    }
   }
   TickWorkers(now);
   const bool due = (placement_wanted_ && now.mono >= no_placement_before_) ||
--- a/keelbridge/coordination/job_scheduler.h
+++ b/keelbridge/coordination/job_scheduler.h
@@ -32,6 +32,7 @@
 #include "absl/time/time.h"
 #include "keelbridge/base/clock.h"
 #include "keelbridge/base/logging.h"
+#include "keelbridge/coordination/admission.h"
 #include "keelbridge/coordination/answer_times.h"
 #include "keelbridge/coordination/job_objective.h"
 #include "keelbridge/coordination/scheduler_policy.h"
@@ -114,6 +115,10 @@
   void OnDurable(int64_t batch);
 
   // --- Clients ---
+  // Whether a job that is not known yet should be taken: none when its queue
+  // is not known.
+  std::optional<Admission::Verdict> Admit(const std::string& queue,
+                                          const JobSpec& spec) const;
   // The batch whose durability accepts the job; 0: it is accepted already.
   int64_t Submit(JobId id, const std::string& queue, JobSpec spec, Now now);
   // The batch whose durability cancels it; 0: done already; none: no such job.
@@ -217,6 +222,8 @@
     Resources free;
     std::map<RunKey, Occupant> occupants;
     Resources stopping;  // What occupants take that are to stop.
+    // An occupant may be to stop, or its start had no answer.
+    bool unsettled = false;
     absl::Time next_check = absl::InfiniteFuture();  // Of the occupants.
     int unknown_sizes = 0;  // Occupants of unknown size: nothing else starts.
     bool listed = false;    // Its lists were taken under this leader's fence.
@@ -338,6 +345,8 @@
   const JobTimes& TimesOfJob(const Job& job, const Queue& queue);
   void PlaceAll(Now now);
   std::vector<ReadyStep> CollectReady(Now now);
+  // What the admission of new jobs goes by.
+  void TellBacklog(const std::vector<ReadyStep>& ready, Now now);
   void PlaceSingles(ReadyStep& ready, Now now);
   // Those that may run the step now, with a ticket where one is needed.
   std::vector<Worker*> WorkersFor(const ReadyStep& ready, Now now);
@@ -435,6 +444,9 @@
   void EnsureSinglesAdvice(ReadyStep& ready, Now now);
   void EnsureGangAdvice(ReadyStep& ready, Now now);
   Adviser* FreeAdviser(double cost_ms, Now now);
+  absl::Duration LookAgainAfter() const;
+  // Whether the step may search for whom to ask now; counts the search.
+  bool TakeAdviceSearch(const ReadyStep& ready, Now now);
 
   const Options options_;
   const int64_t epoch_;
@@ -456,6 +468,8 @@
   std::vector<std::string> dropped_keys_;
 
   AnswerTimes answer_times_{AnswerTimes::Options()};
+  Admission admission_{Admission::Options()};
+  int64_t starts_at_last_look_ = 0;
   absl::Time earlier_leader_until_;
   bool earlier_leader_stopped_ = false;  // OnEarlierLeaderStopped was called.
   // By epoch: when the leader was first seen at work.
@@ -464,6 +478,9 @@
   bool suspended_ = false;
   absl::Duration lag_;
   int32_t starts_left_ = 0;               // In this look for placements.
+  int32_t advice_searches_left_ = 0;      // The same.
+  bool short_advisers_busy_ = false;      // No node takes a short call now.
+  bool long_advisers_busy_ = false;       // Nor a long one.
   size_t ready_steps_ = 0;                // The same.
   bool behind_ = false;                   // More waits than room is held for.
   std::vector<Worker*> attention_;        // Workers to look at before a sweep.
@@ -475,6 +492,7 @@
   absl::Time no_placement_before_ = absl::InfinitePast();
   absl::Time next_placement_ = absl::InfinitePast();
   absl::Time next_housekeeping_ = absl::InfinitePast();
+  absl::Time next_rounds_ = absl::InfinitePast();
   Figures figures_;
 };
 
--- a/keelbridge/coordination/job_scheduler_advice.cc
+++ b/keelbridge/coordination/job_scheduler_advice.cc
@@ -17,8 +17,12 @@
 // after twice as long each time.
 constexpr absl::Duration kAskAgain = absl::Milliseconds(60);
 constexpr int32_t kMostDoublings = 3;
-// Between two looks at whom to ask, for a step that has no reason to ask.
+// Between two searches for whom to ask, for a step that has no reason to ask:
+// the more steps wait, the rarer, so that blocked ones leave searches to those
+// behind them.
 constexpr absl::Duration kLookAgain = absl::Milliseconds(20);
+constexpr absl::Duration kLookAgainOfStep = absl::Microseconds(500);
+constexpr absl::Duration kLongestLookAgain = absl::Milliseconds(200);
 constexpr absl::Duration kAvoidAdviser = absl::Seconds(1);
 // Calls that take less are short: they never stand behind long ones.
 constexpr double kShortAdviceMs = 100;
@@ -81,6 +85,28 @@
   return best->busy_until > now.mono + backlog ? nullptr : best;
 }
 
+absl::Duration JobScheduler::LookAgainAfter() const {
+  return std::clamp(kLookAgainOfStep * static_cast<double>(ready_steps_),
+                    kLookAgain, kLongestLookAgain);
+}
+
+// Most steps of a site that is behind find no node free to ask: that is seen
+// before all workers are searched on their behalf.
+bool JobScheduler::TakeAdviceSearch(const ReadyStep& ready, Now now) {
+  const StepAdvice& advice = ready.state->advice;
+  if (advice.asked || advice.next_ask > now.mono || advice_searches_left_ <= 0)
+    return false;
+  const AdviceTerms& terms = ready.queue->advice;
+  const double least_ms =
+      terms.base_ms + terms.per_worker_ms * static_cast<double>(kLeastNamed);
+  bool& busy =
+      least_ms < kShortAdviceMs ? short_advisers_busy_ : long_advisers_busy_;
+  busy = busy || FreeAdviser(least_ms, now) == nullptr;
+  if (busy) return false;
+  --advice_searches_left_;
+  return true;
+}
+
 double JobScheduler::GoodShare(const Queue& queue) const {
   const auto learnt = good_share_.find(queue.name);
   return learnt == good_share_.end() ? kInitialGoodShare : learnt->second;
@@ -188,25 +214,29 @@
 };
 
 void JobScheduler::EnsureSinglesAdvice(ReadyStep& ready, Now now) {
+  if (!TakeAdviceSearch(ready, now)) return;
   StepAdvice& advice = ready.state->advice;
-  if (advice.asked || advice.next_ask > now.mono) return;
   const bool by_cost =
       options_.policy.name_by_cost && MostNamed(*ready.queue) > 0;
   std::vector<AdviceCandidate> candidates;
   int32_t usable = 0;
   bool any_fits = false;
   bool any_unknown = false;
+  const Resources need = RoomNeeded(*ready.spec);
   for (auto& [id, worker] : workers_) {
+    // Most workers of a busy site have no room: the cheapest test comes first.
+    if (!by_cost && !need.FitsIn(worker->free)) continue;
     if (!MayRun(*worker, ready, now)) continue;
-    if (HasTicket(*worker, ready, now)) {
+    if (!advice.tickets.empty() && HasTicket(*worker, ready, now)) {
       usable += Fits(*worker, ready, RoomOn(*worker));
       if (HasLastingTicket(*worker, ready, now)) continue;
     }
+    const int32_t fits = Fits(*worker, ready, Unclaimed(*worker));
+    if (fits < 1 && !by_cost) continue;
     const auto known = advice.known.find(id);
     if (known != advice.known.end() && !known->second) continue;
-    const int32_t fits = Fits(*worker, ready, Unclaimed(*worker));
     const int32_t whole = Fits(*worker, ready, worker->record.capacity);
-    if (whole < 1 || (fits < 1 && !by_cost)) continue;
+    if (whole < 1) continue;
     const bool good = known != advice.known.end();
     any_fits = any_fits || fits > 0;
     any_unknown = any_unknown || !good;
@@ -219,7 +249,7 @@
                          HeldTicketRunsOut(ready, now));
   const bool lacks = usable < ready.waiting && any_fits;
   if (candidates.empty() || !(lacks || prepares)) {
-    advice.next_ask = now.mono + kLookAgain;
+    advice.next_ask = now.mono + LookAgainAfter();
     return;
   }
   const size_t cheap = by_cost ? MostNamed(*ready.queue) : 0;
@@ -246,8 +276,8 @@
 }
 
 void JobScheduler::EnsureGangAdvice(ReadyStep& ready, Now now) {
+  if (!TakeAdviceSearch(ready, now)) return;
   StepAdvice& advice = ready.state->advice;
-  if (advice.asked || advice.next_ask > now.mono) return;
   const bool by_cost =
       options_.policy.name_by_cost && MostNamed(*ready.queue) > 0;
   std::vector<AdviceCandidate> good;
@@ -290,7 +320,7 @@
       (hoped_now >= count || good_whole < count * kAdviceMargin);
   const bool prepares = by_cost && ready.holds && HeldTicketRunsOut(ready, now);
   if (!room_now && !ask_unknown && !prepares) {
-    advice.next_ask = now.mono + kLookAgain;
+    advice.next_ask = now.mono + LookAgainAfter();
     return;
   }
   const size_t cheap = by_cost ? MostNamed(*ready.queue) : 0;
--- a/keelbridge/coordination/job_scheduler_placement.cc
+++ b/keelbridge/coordination/job_scheduler_placement.cc
@@ -13,18 +13,27 @@
 namespace {
 
 // Least time from one look for placements to the next, and what is added to it
-// for each step that waits: under overload looks get rarer, not the leader
-// late.
+// for each step that waits. To collect and order a step takes some 2 us, so
+// that looks take a third of a processor at most. Longer pauses starve a site
+// that is behind: with 40 us and 2,500 steps there was a look in 100 ms, and
+// what one leader started fell from 1,400 tasks a second to 100 with 50,000 of
+// 70,400 processors idle.
 constexpr absl::Duration kPlacementPause = absl::Milliseconds(4);
-constexpr absl::Duration kPauseOfStep = absl::Microseconds(40);
+constexpr absl::Duration kPauseOfStep = absl::Microseconds(4);
 // Advice is asked for as much work as fits into this many times the free room:
 // some of the room that it is asked about turns out to be of no use.
 constexpr double kAskedRoom = 2.0;
 // Tasks that one look for placements starts at most, and when the driver's loop
-// is late by more than `kLate`. What is left waits for the next look.
+// is late by more than `kLate`; what is left waits for the next look. That then
+// comes after this share of the lag, so that what is under way is answered in
+// time, and the leader still does what it can.
 constexpr int32_t kMostStarts = 60;
-constexpr int32_t kMostStartsWhenLate = 4;
-constexpr absl::Duration kLate = absl::Milliseconds(60);
+constexpr int32_t kMostStartsWhenLate = 20;
+constexpr absl::Duration kLate = absl::Milliseconds(100);
+constexpr double kPauseOfLag = 0.25;
+// Searches of all workers for whom to ask about a step, in one look: each takes
+// some 0.1 ms at 1,100 workers.
+constexpr int32_t kMostAdviceSearches = 16;
 // Advice for tasks that last is asked this long before the lease of their
 // silent worker has passed: calls take up to 0.9 s, and users wait meanwhile (a
 // task was away 10.8 s instead of the 10.2 s that the lease takes).
@@ -84,8 +93,7 @@
         if (ready.waiting == 0 && spec.lasting && !spec.gang) {
           ready.waiting =
               static_cast<int32_t>(OnLeavingWorkers(spec, step).size());
-          if (queue->advice.needed)
-            ready.waiting += SoonLost(spec, step, now);
+          if (queue->advice.needed) ready.waiting += SoonLost(spec, step, now);
           ready.prepares = ready.waiting > 0;
         }
         const int32_t waiting = ready.waiting;
@@ -140,6 +148,17 @@
   return soon;
 }
 
+void JobScheduler::TellBacklog(const std::vector<ReadyStep>& ready, Now now) {
+  Backlog backlog;
+  backlog.all = figures_.ready_tasks;
+  for (const ReadyStep& step : ready) {
+    if (step.tier == 0) backlog.timely[step.queue->priority] += step.waiting;
+  }
+  const int64_t started = figures_.starts - starts_at_last_look_;
+  starts_at_last_look_ = figures_.starts;
+  admission_.OnLook(std::move(backlog), started, now.mono);
+}
+
 std::vector<int32_t> JobScheduler::OnLeavingWorkers(
     const StepSpec& spec, const StepState& step) const {
   std::vector<int32_t> out;
@@ -189,9 +208,17 @@
   if (std::exchange(attempts_unchecked_, false)) FailUsedUp(now);
   std::vector<ReadyStep> ready = CollectReady(now);
   ready_steps_ = ready.size();
+  TellBacklog(ready, now);
   no_placement_before_ = now.mono + kPlacementPause +
                          kPauseOfStep * static_cast<double>(ready.size());
-  starts_left_ = lag_ > kLate ? kMostStartsWhenLate : kMostStarts;
+  const bool late = lag_ > kLate;
+  if (late)
+    no_placement_before_ =
+        std::max(no_placement_before_, now.mono + lag_ * kPauseOfLag);
+  starts_left_ = late ? kMostStartsWhenLate : kMostStarts;
+  advice_searches_left_ = kMostAdviceSearches;
+  short_advisers_busy_ = false;
+  long_advisers_busy_ = false;
   const Resources most_free = MostFree();
   // Steps behind those that will fill all free room do not ask for advice:
   // their answers would be stale before there is room for them.
@@ -204,6 +231,11 @@
   int gangs_holding = 0;
   int others_holding = 0;
   for (ReadyStep& step : ready) {
+    // Nothing that is ordered behind can be started or asked about now.
+    if (starts_left_ <= 0 && advice_searches_left_ <= 0) {
+      placement_wanted_ = true;
+      break;
+    }
     const Resources need = RoomNeeded(*step.spec);
     if (step.prepares) {
       if (step.queue->advice.needed) EnsureSinglesAdvice(step, now);
--- a/keelbridge/coordination/job_scheduler_workers.cc
+++ b/keelbridge/coordination/job_scheduler_workers.cc
@@ -208,6 +208,7 @@
       if (occupant->second.start_answered <= now.mono) return;  // It was seen.
       occupant->second.uncertain = true;
       occupant->second.uncertain_since = now.mono;
+      worker.unsettled = true;
       if (current) task->phase = TaskPhase::kUncertain;
       worker.next_observe = now.mono;
       worker.look_wanted = options_.policy.settle_soon;
@@ -249,6 +250,7 @@
 void JobScheduler::MarkStopping(Worker& worker, Occupant& occupant) {
   if (occupant.stop_wanted) return;
   occupant.stop_wanted = true;
+  worker.unsettled = true;
   worker.stopping += occupant.need;
 }
 
@@ -267,9 +269,12 @@
 }
 
 void JobScheduler::SendStops(Worker& worker, Now now) {
+  if (!std::exchange(worker.unsettled, false)) return;
   const absl::Duration retry =
       answer_times_.AnswersGetLost(now.mono) ? kLossyRetry : kStopRetry;
   for (auto& [key, occupant] : worker.occupants) {
+    worker.unsettled =
+        worker.unsettled || occupant.uncertain || occupant.stop_wanted;
     const bool unsettled = occupant.uncertain && !occupant.stop_wanted;
     // A listing from after it was given up does not show it: it may still come.
     const bool not_listed = options_.policy.settle_soon &&
--- a/keelbridge/daemon/leader_session.cc
+++ b/keelbridge/daemon/leader_session.cc
@@ -423,6 +423,27 @@
              : NotTaken(why);
 }
 
+bool LeaderSession::RefuseOverload(
+    const ClientCall& call, const std::function<void(ClientReply)>& reply) {
+  const auto verdict = scheduler_.Admit(call.queue, call.spec);
+  if (!verdict || verdict->accept) return false;
+  const auto ms = [](absl::Duration time) {
+    return absl::StrCat(absl::ToInt64Milliseconds(time));
+  };
+  LogEvent(Severity::kInfo, "job_refused",
+           {{"job", JobIdText(call.job)},
+            {"queue", call.queue},
+            {"why", "more waits than can begin in time"},
+            {"ready", absl::StrCat(verdict->backlog)},
+            {"would_wait_ms", ms(verdict->wait)},
+            {"retry_after_ms", ms(verdict->retry_after)}});
+  metrics_.Count("jobs_refused_total", {{"queue", call.queue}});
+  ClientReply refused = NotTaken("more waits than can begin in time");
+  refused.retry_after = verdict->retry_after;
+  reply(std::move(refused));
+  return true;
+}
+
 void LeaderSession::Handle(const ClientCall& call,
                            std::function<void(ClientReply)> reply) {
   const Now now = SystemNow();
@@ -438,6 +459,7 @@
                  {{"job", JobIdText(call.job)}, {"why", refused.message}});
         return reply(std::move(refused));
       }
+      if (!known && RefuseOverload(call, reply)) return;
       const int64_t batch =
           scheduler_.Submit(call.job, call.queue, call.spec, now);
       return Await(batch, Reply(ClientAnswer::kAccepted), std::move(reply));
--- a/keelbridge/daemon/leader_session.h
+++ b/keelbridge/daemon/leader_session.h
@@ -146,6 +146,9 @@
   void PublishFigures();
   void DropEarlyCalls(absl::Time until);
   void SweepEarlyCalls();
+  // Refuses a new job that could not begin in time; whether it did.
+  bool RefuseOverload(const ClientCall& call,
+                      const std::function<void(ClientReply)>& reply);
   // Says that there is no such job once the store has confirmed, after the
   // call, that this node still leads.
   void DenyOnceConfirmed(const ClientCall& call,
