--- a/keelbridge/coordination/job_scheduler_advice_test.cc
+++ b/keelbridge/coordination/job_scheduler_advice_test.cc
@@ -215,5 +215,56 @@
   CHECK(site.start_workers[2] == "b");
 }
 
+// Tasks that a late leader starts in a second, with so many jobs of four tasks
+// waiting and room for all.
+size_t StartedInASecond(JobId jobs) {
+  SchedulerDriver site(1);
+  for (char id = 'a'; id < 'm'; ++id) {
+    site.AddWorker(std::string(1, id), 64000);
+    site.lists[std::string(1, id)];
+  }
+  JobSpec spec;
+  spec.steps.push_back(OneTask());
+  spec.steps.back().need = {5, 1, 0};
+  spec.steps.back().count = 4;
+  for (JobId id = 1; id <= jobs; ++id)
+    site.scheduler().Submit(id, "restore", spec, site.now());
+  site.scheduler().SetLag(absl::Milliseconds(150));
+  site.RunUntil(absl::Milliseconds(200));
+  const size_t before = site.starts.size();
+  site.RunUntil(absl::Milliseconds(1200));
+  return site.starts.size() - before;
+}
+
+// What a leader carries must not fall with what waits: it would never get rid
+// of a backlog.
+TEST_CASE("job scheduler: a leader that is behind starts no less for it") {
+  const size_t some = StartedInASecond(300);
+  const size_t many = StartedInASecond(2500);
+  MESSAGE("started in a second with 10,000 tasks waiting: 40 before, ", many,
+          " after; with 1,200: ", some);
+  CHECK(many >= 400);
+  CHECK(static_cast<double>(many) >= 0.9 * static_cast<double>(some));
+}
+
+// Nothing can start: a job that is handed in now would wait for ever.
+TEST_CASE("job scheduler: what cannot begin in time is refused, with a time") {
+  SchedulerDriver site(1);
+  JobSpec spec;
+  spec.steps.push_back(OneTask());
+  spec.steps.back().count = 10;
+  for (JobId id = 1; id <= 200; ++id)
+    site.scheduler().Submit(id, "restore", spec, site.now());
+  site.RunUntil(absl::Seconds(1));
+  CHECK(site.scheduler().Admit("restore", spec)->accept);
+  site.RunUntil(absl::Seconds(3));
+  const auto verdict = site.scheduler().Admit("restore", spec);
+  REQUIRE(verdict.has_value());
+  CHECK_FALSE(verdict->accept);
+  CHECK(verdict->backlog == 2000);
+  CHECK(verdict->retry_after >= absl::Seconds(1));
+  CHECK_FALSE(site.scheduler().Admit("no such queue", spec).has_value());
+}
+
 }  // namespace
 }  // namespace keelbridge::testing
