A worker that left with nothing running is off the record at once

Change: of a worker that was listed under this leader all runs are known; with none left, and its record gone, it is dropped. The test of extended leases now lists its worker on the platform, too, as a session does before it looks at one.

--- a/keelbridge/coordination/job_scheduler.h
+++ b/keelbridge/coordination/job_scheduler.h
@@ -304,6 +304,8 @@
   // The worker is looked at by the next `Tick`, not only by the next sweep.
   void Attend(Worker& worker);
   void TickWorkers(Now now);
+  // It has left, and nothing that it may still run is waited for.
+  bool IsGone(const Worker& worker, Now now) const;
   void TickWorker(Worker& worker, Now now);
   bool LookIsDue(const Worker& worker, Now now) const;
   void SendLook(Worker& worker, Now now);
--- a/keelbridge/coordination/job_scheduler_leases_test.cc
+++ b/keelbridge/coordination/job_scheduler_leases_test.cc
@@ -239,6 +239,8 @@
   JobScheduler scheduler(JobScheduler::Options(), 2, kBegin);
   scheduler.Load({}, {{SchedulerDriver::RecordOf("a", 8000), 1}},
                  {kBegin, kBegin});
+  scheduler.OnWorkerRecord(SchedulerDriver::RecordOf("a", 8000),
+                           {kBegin, kBegin});
   ObserveReply reply;
   reply.order.result = OrderResult::kDone;
   const auto extends = [&](absl::Duration after) {
@@ -270,5 +272,35 @@
   CHECK(old->epoch == std::numeric_limits<int64_t>::max());
 }
 
+// What is on record when a leader ends is waited for by the next one.
+TEST_CASE(
+    "job scheduler: a worker that left with nothing running is off the record "
+    "at once") {
+  SchedulerDriver site(1);
+  site.AddWorker("a");
+  site.AddWorker("b");
+  site.lists["a"];
+  site.lists["b"];
+  site.RunUntil(absl::Milliseconds(100));
+  JobSpec spec;
+  spec.steps.push_back(OneTask(8000));
+  site.scheduler().Submit(kJob, "restore", spec, site.now());
+  site.RunUntil(absl::Milliseconds(200));
+  REQUIRE(site.start_workers.size() == 1);
+  const std::string busy = site.start_workers[0];
+  const std::string idle = busy == "a" ? "b" : "a";
+  for (const std::string& worker : {busy, idle}) {
+    site.scheduler().OnWorkerRemoved(worker);
+    site.lists.erase(worker);
+  }
+  site.RunUntil(absl::Milliseconds(400));
+  CHECK(site.forgotten == std::vector<std::string>{idle});
+  // Its run may go on until its lease has passed.
+  site.RunUntil(absl::Seconds(6));
+  CHECK(site.forgotten.size() == 1);
+  site.RunUntil(absl::Seconds(8));
+  CHECK(site.forgotten == std::vector<std::string>{idle, busy});
+}
+
 }  // namespace
 }  // namespace keelbridge::testing
--- a/keelbridge/coordination/job_scheduler_workers.cc
+++ b/keelbridge/coordination/job_scheduler_workers.cc
@@ -469,9 +469,7 @@
   std::vector<std::string> gone;
   for (auto& [id, worker] : workers_) {
     TickWorker(*worker, now);
-    if (worker->record_removed && worker->occupants.empty() &&
-        now.mono > worker->lapse_at && (worker->listed || AllAccountedFor(now)))
-      gone.push_back(id);
+    if (IsGone(*worker, now)) gone.push_back(id);
   }
   for (const std::string& id : gone) {
     const auto worker = workers_.find(id);
@@ -487,6 +485,16 @@
   }
 }
 
+// Of one that was listed under this leader all runs are known: with none left
+// nothing there is waited for, whatever lease it had. Kept for that long, 82
+// workers that had left were still on record when all nodes lost power, and the
+// next leader's recovered work waited 11 s for them.
+bool JobScheduler::IsGone(const Worker& worker, Now now) const {
+  if (!worker.record_removed || !worker.occupants.empty()) return false;
+  if (worker.listed) return true;
+  return now.mono > worker.lapse_at && AllAccountedFor(now);
+}
+
 void JobScheduler::TickWorker(Worker& worker, Now now) {
   if (!worker.occupants.empty() && worker.listed && !Reachable(worker, now) &&
       now.mono > worker.lapse_at)
--- a/testing/support/scheduler_driver.h
+++ b/testing/support/scheduler_driver.h
@@ -129,6 +129,7 @@
   std::vector<StartOrder> starts;
   std::vector<std::string> start_workers;
   std::vector<StopOrder> stops;
+  std::vector<std::string> forgotten;  // Workers, in the order of that.
 
  private:
   static JobScheduler::Options OptionsWith(SchedulerPolicy policy) {
@@ -173,6 +174,8 @@
       scheduler_.OnStartReply(*start, reply, now());
       lists[start->worker.id].running.push_back(
           {start->order.task, start->order.run, "", 0});
+    } else if (const auto* gone = std::get_if<ForgetWorkerAction>(&action)) {
+      forgotten.push_back(gone->worker_id);
     } else if (const auto* stop = std::get_if<StopAction>(&action)) {
       stops.push_back(stop->order);
       OrderReply reply;
