No value is used after it was moved

bugprone-use-after-move in order_messages.cc: the optional was moved from in part, and then asked whether it holds one.

--- a/keelbridge/daemon/order_messages.cc
+++ b/keelbridge/daemon/order_messages.cc
@@ -84,8 +84,8 @@
 }
 
 template <typename Order>
-bool Put(std::optional<Order> order, RelayedOrder* out) {
-  if (order) out->order = *std::move(order);
+bool Put(const std::optional<Order>& order, RelayedOrder* out) {
+  if (order) out->order = *order;
   return order.has_value();
 }
 
