--- a/keelbridge/daemon/order_relay.cc
+++ b/keelbridge/daemon/order_relay.cc
@@ -70,7 +70,8 @@
   const bool first = rows.empty();
   rows.append(ToRow(RelayedReply{number, std::move(reply)}));
   if (!first) return;
-  RunAfter(loop_, RelayedOrders::kGather, [this, reply_to] { Flush(reply_to); });
+  RunAfter(loop_, RelayedOrders::kGather,
+           [this, reply_to] { Flush(reply_to); });
 }
 
 void OrderRelay::Flush(const std::string& reply_to) {
