Sight: which recovered work waits, for whom, how long at most

Cause: a later leader holds back tasks that a worker it has not reached may still run, and no line said so: step_blocked is written for steps that are tried, and these are not. The logs of the incident could not tell this from a lack of advice or a suspected worker.

Change: recovered_work_waits, once a second, names the number of tasks, the first of them, the worker whose lease ends last and what is known of it; recovered_work_free when none waits any more; the figure recovered_tasks_waiting. What earlier leaders may still run is in a file of its own, job_scheduler_recovery.cc. No decision is changed.

--- a/keelbridge/coordination/job_scheduler.cc
+++ b/keelbridge/coordination/job_scheduler.cc
@@ -47,6 +47,7 @@
   }
   untold_workers_.clear();
   placement_wanted_ = true;
+  ExplainRecovery(now);
 }
 
 void JobScheduler::Explain(std::string event, LogFields fields,
@@ -259,23 +260,6 @@
   placement_wanted_ = true;
 }
 
-void JobScheduler::OnFenced(absl::Time now) {
-  earlier_leader_until_ = earlier_leader_stopped_
-                              ? std::max(earlier_leader_until_, now)
-                              : now + options_.earlier_leader_bound;
-}
-
-void JobScheduler::OnEarlierLeaderSeen(int64_t epoch, absl::Time at) {
-  if (epoch < epoch_) earlier_leaders_seen_.try_emplace(epoch, at);
-}
-
-void JobScheduler::OnEarlierLeaderStopped(absl::Time since) {
-  earlier_leader_stopped_ = true;
-  if (since >= earlier_leader_until_) return;
-  earlier_leader_until_ = since;
-  placement_wanted_ = true;
-}
-
 void JobScheduler::Tick(Now now) {
   if (now.mono >= next_housekeeping_) {
     next_housekeeping_ = now.mono + kHousekeepingEvery;
--- a/keelbridge/coordination/job_scheduler.h
+++ b/keelbridge/coordination/job_scheduler.h
@@ -187,10 +187,15 @@
     int64_t ends_done = 0;
     int64_t ends_failed = 0;
     int64_t ends_other = 0;
+    // Tasks of earlier leaders that wait for workers that may still run them.
+    int64_t recovered_waiting = 0;
   };
   Figures figures() const;
 
  private:
+  // Beside what a lease takes on the slowest clock.
+  static constexpr absl::Duration kLapseMargin = absl::Milliseconds(100);
+
   // One run that takes room on a worker.
   struct Occupant {
     Resources need;
@@ -323,12 +328,18 @@
   bool Reachable(const Worker& worker, Now now) const;
   // Later leaders are told that this one may give the worker work.
   void TellOf(Worker& worker);
+
+  // job_scheduler_recovery.cc
   // By when a lease that starts now has passed on the slowest clock.
   absl::Duration LongestLease() const;
   // Until when an earlier leader may have extended the worker's lease.
   absl::Time EarlierLeaseUntil(const Worker& worker) const;
+  // The worker may run nothing that is not known of.
+  bool AccountedFor(const Worker& worker, Now now) const;
   // No worker may run something that is not known of.
   bool AllAccountedFor(Now now) const;
+  // Says which recovered tasks wait, for which workers, and how long at most.
+  void ExplainRecovery(Now now);
 
   // job_scheduler_runs.cc
   void OnEnd(Worker& worker, const EndedTask& end, Now now);
@@ -367,6 +378,9 @@
   int64_t FreeCpuMilli() const;
   static bool FollowsWhatEndedHere(const Job& job, const Round& round,
                                    size_t step);
+  // Counts the tasks of a step that wait until earlier leaders are accounted
+  // for.
+  void NoteHeldBack(const Job& job, const Round& round, size_t step);
   static bool MayTry(const ReadyStep& ready, const TaskState& task, Now now);
   // Tasks of a lasting step that are to start again once the lease of their
   // silent worker has passed, which is soon.
@@ -476,6 +490,14 @@
   bool earlier_leader_stopped_ = false;  // OnEarlierLeaderStopped was called.
   // By epoch: when the leader was first seen at work.
   std::map<int64_t, absl::Time> earlier_leaders_seen_;
+  // Recovered tasks that wait for workers, as of the last look for placements.
+  struct RecoveryWait {
+    int64_t tasks = 0;
+    TaskId first;
+  };
+  RecoveryWait recovery_wait_;
+  bool recovery_told_ = false;
+  absl::Time next_recovery_line_ = absl::InfinitePast();
   bool fenced_ = false;
   bool suspended_ = false;
   absl::Duration lag_;
--- a/keelbridge/coordination/job_scheduler_placement.cc
+++ b/keelbridge/coordination/job_scheduler_placement.cc
@@ -73,6 +73,7 @@
 std::vector<JobScheduler::ReadyStep> JobScheduler::CollectReady(Now now) {
   std::vector<ReadyStep> out;
   figures_.ready_tasks = 0;
+  recovery_wait_ = RecoveryWait();
   const bool accounted = AllAccountedFor(now);
   const int64_t wall_ms = ToMillis(now.wall);
   for (auto& [id, job] : active_) {
@@ -90,6 +91,7 @@
                           !FollowsWhatEndedHere(*job, round, s);
         for (const TaskState& task : step.tasks)
           ready.waiting += MayTry(ready, task, now) ? 1 : 0;
+        if (ready.only_seen) NoteHeldBack(*job, round, s);
         if (ready.waiting == 0 && spec.lasting && !spec.gang) {
           ready.waiting =
               static_cast<int32_t>(OnLeavingWorkers(spec, step).size());
@@ -134,6 +136,17 @@
   return out;
 }
 
+void JobScheduler::NoteHeldBack(const Job& job, const Round& round,
+                                size_t step) {
+  const std::vector<TaskState>& tasks = round.steps[step].tasks;
+  for (size_t i = 0; i < tasks.size(); ++i) {
+    if (tasks[i].phase != TaskPhase::kWaiting || tasks[i].seen) continue;
+    if (recovery_wait_.tasks++ == 0)
+      recovery_wait_.first = {job.id, round.number, static_cast<int32_t>(step),
+                              static_cast<int32_t>(i)};
+  }
+}
+
 int32_t JobScheduler::SoonLost(const StepSpec& spec, const StepState& step,
                                Now now) const {
   if (!spec.lasting || spec.gang) return 0;
@@ -207,6 +220,7 @@
   if (configuration_ == nullptr || suspended_) return;
   if (std::exchange(attempts_unchecked_, false)) FailUsedUp(now);
   std::vector<ReadyStep> ready = CollectReady(now);
+  ExplainRecovery(now);
   ready_steps_ = ready.size();
   TellBacklog(ready, now);
   no_placement_before_ = now.mono + kPlacementPause +
--- /dev/null
+++ b/keelbridge/coordination/job_scheduler_recovery.cc
@@ -0,0 +1,98 @@
+// What earlier leaders may still have running, and until when: what this leader
+// recovered and has not seen waits for that.
+
+#include <algorithm>
+
+#include "absl/strings/str_cat.h"
+#include "keelbridge/coordination/job_scheduler.h"
+
+namespace keelbridge {
+namespace {
+
+// Between two lines about recovered work that waits, and before the first:
+// workers that are there have answered by then.
+constexpr absl::Duration kTellRecoveryEvery = absl::Seconds(1);
+
+}  // namespace
+
+absl::Duration JobScheduler::LongestLease() const {
+  return options_.lease / (1.0 - options_.clock_error) + kLapseMargin;
+}
+
+// A leader that a worker never answered extended no lease there. So what counts
+// is when the one that it answered last was fenced, not when the last of its
+// successors was: with three changes of leader in 11 s the tasks of a worker
+// that had ended were away for 30 s, since each successor waited anew.
+absl::Time JobScheduler::EarlierLeaseUntil(const Worker& worker) const {
+  const auto successor = earlier_leaders_seen_.upper_bound(worker.held_by);
+  if (successor == earlier_leaders_seen_.end()) return earlier_leader_until_;
+  return std::min(earlier_leader_until_,
+                  successor->second + options_.earlier_leader_bound);
+}
+
+// What an earlier leader may have started on a worker that this one has not
+// reached ends at the latest when the last lease that it gave has passed.
+bool JobScheduler::AccountedFor(const Worker& worker, Now now) const {
+  return worker.listed || now.mono > EarlierLeaseUntil(worker) + LongestLease();
+}
+
+bool JobScheduler::AllAccountedFor(Now now) const {
+  if (now.mono > earlier_leader_until_ + LongestLease()) return true;
+  return std::all_of(workers_.begin(), workers_.end(), [&](const auto& entry) {
+    return AccountedFor(*entry.second, now);
+  });
+}
+
+void JobScheduler::ExplainRecovery(Now now) {
+  figures_.recovered_waiting = recovery_wait_.tasks;
+  if (recovery_wait_.tasks == 0) {
+    next_recovery_line_ = now.mono + kTellRecoveryEvery;
+    if (std::exchange(recovery_told_, false))
+      Explain("recovered_work_free", {});
+    return;
+  }
+  if (now.mono < next_recovery_line_) return;
+  recovery_told_ = true;
+  next_recovery_line_ = now.mono + kTellRecoveryEvery;
+  const Worker* last = nullptr;
+  int64_t unaccounted = 0;
+  for (const auto& [id, worker] : workers_) {
+    if (AccountedFor(*worker, now)) continue;
+    ++unaccounted;
+    if (last == nullptr ||
+        EarlierLeaseUntil(*worker) > EarlierLeaseUntil(*last))
+      last = worker.get();
+  }
+  if (last == nullptr) return;
+  const absl::Duration left =
+      EarlierLeaseUntil(*last) + LongestLease() - now.mono;
+  Explain("recovered_work_waits",
+          {{"tasks", absl::StrCat(recovery_wait_.tasks)},
+           {"first", TaskIdText(recovery_wait_.first)},
+           {"workers", absl::StrCat(unaccounted)},
+           {"last_worker", last->record.id},
+           {"it_leaves", last->record.draining ? "yes" : "no"},
+           {"record_removed", last->record_removed ? "yes" : "no"},
+           {"held_by_epoch", absl::StrCat(last->held_by)},
+           {"at_most_ms", absl::StrCat(absl::ToInt64Milliseconds(left))}},
+          Severity::kWarning);
+}
+
+void JobScheduler::OnFenced(absl::Time now) {
+  earlier_leader_until_ = earlier_leader_stopped_
+                              ? std::max(earlier_leader_until_, now)
+                              : now + options_.earlier_leader_bound;
+}
+
+void JobScheduler::OnEarlierLeaderSeen(int64_t epoch, absl::Time at) {
+  if (epoch < epoch_) earlier_leaders_seen_.try_emplace(epoch, at);
+}
+
+void JobScheduler::OnEarlierLeaderStopped(absl::Time since) {
+  earlier_leader_stopped_ = true;
+  if (since >= earlier_leader_until_) return;
+  earlier_leader_until_ = since;
+  placement_wanted_ = true;
+}
+
+}  // namespace keelbridge
--- a/keelbridge/coordination/job_scheduler_workers.cc
+++ b/keelbridge/coordination/job_scheduler_workers.cc
@@ -32,7 +32,6 @@
 // How long after a start without an answer a listing may still explain it.
 constexpr absl::Duration kUncertainPatience = absl::Milliseconds(300);
 constexpr absl::Duration kRetryAfterRefusal = absl::Milliseconds(100);
-constexpr absl::Duration kLapseMargin = absl::Milliseconds(100);
 constexpr absl::Duration kSuspectAfterRefusal = absl::Seconds(2);
 // A worker that answered nothing for this long gets no new work.
 constexpr absl::Duration kSilentAfter = absl::Milliseconds(2500);
@@ -423,36 +422,10 @@
   Attend(worker);
 }
 
-absl::Duration JobScheduler::LongestLease() const {
-  return options_.lease / (1.0 - options_.clock_error) + kLapseMargin;
-}
-
-// A leader that a worker never answered extended no lease there. So what counts
-// is when the one that it answered last was fenced, not when the last of its
-// successors was: with three changes of leader in 11 s the tasks of a worker
-// that had ended were away for 30 s, since each successor waited anew.
-absl::Time JobScheduler::EarlierLeaseUntil(const Worker& worker) const {
-  const auto successor = earlier_leaders_seen_.upper_bound(worker.held_by);
-  if (successor == earlier_leaders_seen_.end()) return earlier_leader_until_;
-  return std::min(earlier_leader_until_,
-                  successor->second + options_.earlier_leader_bound);
-}
-
 bool JobScheduler::Reachable(const Worker& worker, Now now) const {
   return now.mono - worker.last_answer < kSilentAfter;
 }
 
-bool JobScheduler::AllAccountedFor(Now now) const {
-  // What an earlier leader may have started on a worker that this one has not
-  // reached ends at the latest when the last lease that it gave has passed.
-  if (now.mono > earlier_leader_until_ + LongestLease()) return true;
-  return std::all_of(workers_.begin(), workers_.end(), [&](const auto& entry) {
-    const Worker& worker = *entry.second;
-    return worker.listed ||
-           now.mono > EarlierLeaseUntil(worker) + LongestLease();
-  });
-}
-
 void JobScheduler::Attend(Worker& worker) {
   if (worker.in_attention) return;
   worker.in_attention = true;
--- a/keelbridge/daemon/leader_session.cc
+++ b/keelbridge/daemon/leader_session.cc
@@ -522,6 +522,7 @@
   set("ends_done", f.ends_done);
   set("ends_failed", f.ends_failed);
   set("ends_other", f.ends_other);
+  set("recovered_tasks_waiting", f.recovered_waiting);
   metrics_.Set("loop_lag_seconds", {}, absl::ToDoubleSeconds(longest_lag_));
   const auto lag_ms = absl::ToInt64Milliseconds(longest_lag_);
   longest_lag_ = absl::ZeroDuration();
@@ -536,6 +537,7 @@
             {"advice_calls", absl::StrCat(f.advice_calls)},
             {"starts", absl::StrCat(f.starts)},
             {"refused", absl::StrCat(f.starts_refused)},
+            {"recovered_waiting", absl::StrCat(f.recovered_waiting)},
             {"longest_lag_ms", absl::StrCat(lag_ms)}});
 }
 
--- a/testing/support/scheduler_driver.h
+++ b/testing/support/scheduler_driver.h
@@ -19,6 +19,8 @@
 #include <vector>
 
 #include "keelbridge/coordination/job_scheduler.h"
+#include "keelbridge/state/job_table.h"
+#include "keelbridge/state/known_workers.h"
 
 namespace keelbridge::testing {
 
@@ -63,6 +65,19 @@
     scheduler_.Load(std::move(jobs), known_workers, now());
   }
 
+  // Takes over what `earlier` kept.
+  void TakeOver(const SchedulerDriver& earlier) {
+    JobRecords jobs;
+    std::vector<KnownWorker> workers;
+    for (const auto& [key, record] : earlier.kept) {
+      if (const auto worker = KnownWorkerFrom(record))
+        workers.push_back(*worker);
+      else
+        jobs.Add(record);
+    }
+    scheduler_.Load(jobs.Build(), workers, now());
+  }
+
   // Tasks need a ticket; the workers in `good` get one.
   void UseAdvice() {
     auto configuration = std::make_shared<SiteConfiguration>();
@@ -113,6 +128,7 @@
       scheduler_.Tick(now());
       if (scheduler_.HasBatch()) {
         const auto batch = scheduler_.TakeBatch();
+        Keep(batch);
         scheduler_.OnDurable(batch.number);
       }
       for (const Action& action : scheduler_.TakeActions()) Answer(action);
@@ -120,6 +136,8 @@
   }
 
   std::map<std::string, ObserveReply> lists;  // Workers in it answer.
+  std::map<std::string, Record> kept;         // The newest of each key.
+  std::vector<ExplainAction> lines;           // For the log.
   std::set<std::string> good;
   std::set<std::string> other_lives;  // Answer that another life is there.
   bool hold_advice = false;
@@ -137,6 +155,15 @@
     options.policy = policy;
     return options;
   }
+  void Keep(const JobScheduler::Batch& batch) {
+    for (const Record& record : batch.records) {
+      if (record.value)
+        kept[record.key] = record;
+      else
+        kept.erase(record.key);
+    }
+  }
+
   void AnswerAdvice(const AskAdviceAction& ask) {
     AdviceReply reply;
     reply.answered = true;
@@ -174,6 +201,8 @@
       scheduler_.OnStartReply(*start, reply, now());
       lists[start->worker.id].running.push_back(
           {start->order.task, start->order.run, "", 0});
+    } else if (const auto* line = std::get_if<ExplainAction>(&action)) {
+      lines.push_back(*line);
     } else if (const auto* gone = std::get_if<ForgetWorkerAction>(&action)) {
       forgotten.push_back(gone->worker_id);
     } else if (const auto* stop = std::get_if<StopAction>(&action)) {
