--- a/keelbridge/coordination/job_scheduler_recovery_test.cc
+++ b/keelbridge/coordination/job_scheduler_recovery_test.cc
@@ -46,5 +46,47 @@
   CHECK(site.scheduler().figures().recovered_waiting == 0);
 }
 
+// What users saw: a task that was to last stood still for 15 s, on a calm site
+// with room for it.
+//
+// In order: worker "x" said that it leaves. The leader froze. While nobody led,
+// the task's run failed on worker "w", which went on, and "x" was gone. The
+// next leader heard the end of the run at once, and still held the task back,
+// since "x" did not answer and the earlier leader might have started the task
+// there.
+//
+// The cause: an earlier leader's starts were on no record, so that one worker
+// that is silent kept back everything that the new leader had not seen.
+//
+// Evidence: the new leader started the task 15.0 s after it took over, which is
+// the earlier leader's end, 15.44 s, a worker's lease, 10.3 s, and a call for
+// advice, 0.8 s; all other workers were listed, and one less than before.
+TEST_CASE(
+    "job scheduler: a lasting task whose run ended while nobody led does not "
+    "wait for another worker") {
+  SchedulerDriver first(1);
+  for (const char* worker : {"w", "x", "y"}) first.lists[worker];
+  first.AddWorker("w");
+  first.RunUntil(absl::Milliseconds(100));
+  JobSpec spec;
+  spec.steps = {LastingTask()};
+  first.scheduler().Submit(kJob, "restore", spec, first.now());
+  first.RunUntil(absl::Milliseconds(200));
+  REQUIRE(first.start_workers == std::vector<std::string>{"w"});
+  first.AddWorker("x");
+  first.AddWorker("y");
+  first.RunUntil(absl::Milliseconds(400));
+
+  SchedulerDriver second(2);
+  second.TakeOver(first);
+  second.AddWorker("w");
+  second.AddWorker("y");
+  second.lists["w"].ended = {{1, kTask, 1, RunEnd::kFailed, ""}};
+  second.lists["y"];  // "x" answers nothing.
+  second.RunUntil(absl::Seconds(1));
+  REQUIRE(second.starts.size() == 1);
+  CHECK(second.starts[0].task == kTask);
+}
+
 }  // namespace
 }  // namespace keelbridge::testing
