A lasting task waits for its own worker only, and nothing for one that left empty

Cause: where a task runs was on no record, by design: the workers know it. So a new leader that could not reach one worker held back every recovered task that it had not seen, for the earlier leader's end and that worker's lease, 15 s where leases are of 10 s. In the incident the one worker had said 7 s before that it leaves; the task had never run there.

Class: what one leader knew for certain was forgotten with it, and the lack of it was charged to all work.

Ruled out: a lack of advice and a suspected worker. The time fits neither, and the test brings it about without both.

Change: each start of a task that lasts is on record before its order leaves (job_scheduler_placements.cc); a later leader waits for the worker that is named there, and for none when none is. A worker that leaves and is empty is recorded as closed, and is not waited for. Orders of lasting tasks leave one append later, and not while the store is away.

A test of the moves of lasting tasks ended the first run of its worker's list, whichever that was; it now ends the lasting task's, as it says.

Measured: the failing test passes; 47 test cases of the job scheduler and the site simulation, and 3 of the job table, pass.

--- a/keelbridge/coordination/job_scheduler.cc
+++ b/keelbridge/coordination/job_scheduler.cc
@@ -42,6 +42,7 @@
     Worker& worker = *workers_[known.worker.id];
     worker.known_at_batch = 0;
     worker.held_by = known.epoch;
+    worker.closed_before = known.closed;
     // Until the platform lists it, it gets nothing new.
     worker.record_removed = true;
   }
@@ -75,7 +76,8 @@
     const auto found = workers_.find(id);
     if (found == workers_.end()) continue;
     const Worker& worker = *found->second;
-    batch.records.push_back(KnownWorkerRecord({worker.record, epoch_}));
+    batch.records.push_back(
+        KnownWorkerRecord({worker.record, epoch_, worker.closed}));
   }
   untold_workers_.clear();
   for (const JobId id : undescribed_) {
@@ -123,6 +125,8 @@
   job->durable_at_batch = next_batch_;
   if (job->spec.rounds == 0) job->AddRound(0);
   undescribed_.insert(id);
+  job->placements_kept = job->Lasts();
+  if (job->placements_kept) MarkDirty(*job);
   const int64_t batch = next_batch_;
   Explain("job_taken", {{"job", JobIdText(id)},
                         {"queue", queue},
@@ -271,6 +275,7 @@
       if (job->spec.rounds > 0) AddDueRounds(*job, now);
     }
   }
+  SendKeptStarts(now);
   TickWorkers(now);
   const bool due = (placement_wanted_ && now.mono >= no_placement_before_) ||
                    now.mono >= next_placement_;
--- a/keelbridge/coordination/job_scheduler.h
+++ b/keelbridge/coordination/job_scheduler.h
@@ -224,6 +224,10 @@
     int64_t known_at_batch = 0;  // The batch that tells later leaders of it.
     // The last leader that may have given it work or extended its lease.
     int64_t held_by = 0;
+    // As of the record that tells later leaders of it: it leaves, runs nothing,
+    // and gets nothing.
+    bool closed = false;
+    bool closed_before = false;  // By an earlier leader.
     Resources free;
     std::map<RunKey, Occupant> occupants;
     Resources stopping;  // What occupants take that are to stop.
@@ -328,6 +332,8 @@
   bool Reachable(const Worker& worker, Now now) const;
   // Later leaders are told that this one may give the worker work.
   void TellOf(Worker& worker);
+  // Tells them that it does so no more, once a worker that leaves is empty.
+  void CloseIfEmpty(Worker& worker);
 
   // job_scheduler_recovery.cc
   // By when a lease that starts now has passed on the slowest clock.
@@ -338,6 +344,11 @@
   bool AccountedFor(const Worker& worker, Now now) const;
   // No worker may run something that is not known of.
   bool AllAccountedFor(Now now) const;
+  // A recovered task that this leader has not seen and that a worker which is
+  // not accounted for may run.
+  bool IsHeldBack(const ReadyStep& ready, const TaskState& task, Now now) const;
+  // Counts the tasks of a step that are held back.
+  void NoteHeldBack(const ReadyStep& ready, Now now);
   // Says which recovered tasks wait, for which workers, and how long at most.
   void ExplainRecovery(Now now);
 
@@ -378,10 +389,7 @@
   int64_t FreeCpuMilli() const;
   static bool FollowsWhatEndedHere(const Job& job, const Round& round,
                                    size_t step);
-  // Counts the tasks of a step that wait until earlier leaders are accounted
-  // for.
-  void NoteHeldBack(const Job& job, const Round& round, size_t step);
-  static bool MayTry(const ReadyStep& ready, const TaskState& task, Now now);
+  bool MayTry(const ReadyStep& ready, const TaskState& task, Now now) const;
   // Tasks of a lasting step that are to start again once the lease of their
   // silent worker has passed, which is soon.
   int32_t SoonLost(const StepSpec& spec, const StepState& step, Now now) const;
@@ -391,6 +399,17 @@
   // Stops one of them for which there is room elsewhere now.
   void MoveFromLeavingWorker(ReadyStep& ready, Now now);
 
+  // job_scheduler_placements.cc
+  // Puts the placement on record; the order leaves once that is durable.
+  void KeepStart(Job& job, TaskState& task, StartAction action);
+  // Sends the orders whose placements are durable.
+  void SendKeptStarts(Now now);
+  // Nothing runs the task any more, or `worker` was found to run it.
+  void KeepPlacement(Job& job, const TaskId& task, const std::string& worker);
+  // Keeps the placements of recovered jobs whose last leader did not, once
+  // nothing of theirs can run unseen.
+  void AdoptPlacements();
+
   // job_scheduler_gangs.cc
   void PlaceGang(ReadyStep& ready, Now now);
   // Of a gang some of whose members are placed: places or stops the rest. False
@@ -482,6 +501,13 @@
   std::set<JobId> undescribed_;
   std::set<JobId> dirty_;
   std::vector<std::string> dropped_keys_;
+  // Orders that wait for the batch that keeps their placements.
+  struct KeptStart {
+    int64_t batch;
+    StartAction action;
+  };
+  std::deque<KeptStart> kept_starts_;
+  bool placements_adopted_ = false;
 
   AnswerTimes answer_times_{AnswerTimes::Options()};
   Admission admission_{Admission::Options()};
--- a/keelbridge/coordination/job_scheduler_advice_test.cc
+++ b/keelbridge/coordination/job_scheduler_advice_test.cc
@@ -207,8 +207,7 @@
   REQUIRE(site.stops.size() == 1);
   CHECK(site.stops[0].task == kTask);
   CHECK(site.starts.size() == 2);
-  site.lists["a"].running.erase(site.lists["a"].running.begin());
-  site.lists["a"].ended = {{1, kTask, site.stops[0].run, RunEnd::kStopped, ""}};
+  site.End("a", {1, kTask, site.stops[0].run, RunEnd::kStopped, ""});
   site.RunUntil(absl::Milliseconds(900));
   REQUIRE(site.starts.size() == 3);
   CHECK(site.starts[2].task == kTask);
--- a/keelbridge/coordination/job_scheduler_placement.cc
+++ b/keelbridge/coordination/job_scheduler_placement.cc
@@ -65,9 +65,9 @@
 }
 
 bool JobScheduler::MayTry(const ReadyStep& ready, const TaskState& task,
-                          Now now) {
+                          Now now) const {
   return task.phase == TaskPhase::kWaiting && task.retry_at <= now.mono &&
-         (task.seen || !ready.only_seen);
+         !IsHeldBack(ready, task, now);
 }
 
 std::vector<JobScheduler::ReadyStep> JobScheduler::CollectReady(Now now) {
@@ -87,11 +87,17 @@
         if (step.done == spec.count || !job->StepReady(round, s)) continue;
         step.ready_since = std::min(step.ready_since, now.mono);
         ReadyStep ready{};
+        ready.job = job;
+        ready.round = &round;
+        ready.state = &step;
+        ready.spec = &spec;
+        ready.queue = queue;
+        ready.number = static_cast<int32_t>(s);
         ready.only_seen = job->recovered && !accounted &&
                           !FollowsWhatEndedHere(*job, round, s);
         for (const TaskState& task : step.tasks)
           ready.waiting += MayTry(ready, task, now) ? 1 : 0;
-        if (ready.only_seen) NoteHeldBack(*job, round, s);
+        if (ready.only_seen) NoteHeldBack(ready, now);
         if (ready.waiting == 0 && spec.lasting && !spec.gang) {
           ready.waiting =
               static_cast<int32_t>(OnLeavingWorkers(spec, step).size());
@@ -113,12 +119,6 @@
             left > absl::ZeroDuration()                                   ? 0
             : left + objective * (kLateFactor - 1) > absl::ZeroDuration() ? 1
                                                                           : 2;
-        ready.job = job;
-        ready.round = &round;
-        ready.state = &step;
-        ready.spec = &spec;
-        ready.queue = queue;
-        ready.number = static_cast<int32_t>(s);
         ready.tier = tier;
         ready.latest_start = now.mono + left;
         ready.slack_left = left / std::max(objective - times.work_from[0],
@@ -136,17 +136,6 @@
   return out;
 }
 
-void JobScheduler::NoteHeldBack(const Job& job, const Round& round,
-                                size_t step) {
-  const std::vector<TaskState>& tasks = round.steps[step].tasks;
-  for (size_t i = 0; i < tasks.size(); ++i) {
-    if (tasks[i].phase != TaskPhase::kWaiting || tasks[i].seen) continue;
-    if (recovery_wait_.tasks++ == 0)
-      recovery_wait_.first = {job.id, round.number, static_cast<int32_t>(step),
-                              static_cast<int32_t>(i)};
-  }
-}
-
 int32_t JobScheduler::SoonLost(const StepSpec& spec, const StepState& step,
                                Now now) const {
   if (!spec.lasting || spec.gang) return 0;
@@ -219,6 +208,7 @@
 void JobScheduler::PlaceAll(Now now) {
   if (configuration_ == nullptr || suspended_) return;
   if (std::exchange(attempts_unchecked_, false)) FailUsedUp(now);
+  if (!placements_adopted_ && AllAccountedFor(now)) AdoptPlacements();
   std::vector<ReadyStep> ready = CollectReady(now);
   ExplainRecovery(now);
   ready_steps_ = ready.size();
@@ -377,17 +367,20 @@
   if (ready.queue->advice.needed && ticket != ready.state->advice.tickets.end())
     action.order.ticket = ticket->second.ticket;
   ++figures_.starts;
-  Explain("start_sent",
+  ready.state->blocked.clear();
+  --starts_left_;
+  --ready.waiting;
+  --figures_.ready_tasks;
+  const bool kept =
+      ready.job->KeepsPlacements(static_cast<size_t>(ready.number));
+  Explain(kept ? "start_kept" : "start_sent",
           {{"task", TaskIdText(id)},
            {"run", absl::StrCat(run)},
            {"worker", worker.record.id},
            {"waited_ms", absl::StrCat(absl::ToInt64Milliseconds(
                              now.mono - ready.state->ready_since))},
            {"free_cpu_milli", absl::StrCat(worker.free.cpu_milli)}});
-  ready.state->blocked.clear();
-  --starts_left_;
-  --ready.waiting;
-  --figures_.ready_tasks;
+  if (kept) return KeepStart(*ready.job, task, std::move(action));
   actions_.push_back(std::move(action));
 }
 
--- /dev/null
+++ b/keelbridge/coordination/job_scheduler_placements.cc
@@ -0,0 +1,73 @@
+// Which worker each task that lasts was given to, kept for good before it
+// starts there.
+//
+// A later leader then knows the one worker that may run a task, and waits for
+// no other. The price is that an order leaves after an append to the store
+// (some 20 ms with the pause between appends), and not while the store is away.
+
+#include <utility>
+
+#include "absl/strings/str_cat.h"
+#include "keelbridge/coordination/job_scheduler.h"
+
+namespace keelbridge {
+
+void JobScheduler::KeepStart(Job& job, TaskState& task, StartAction action) {
+  task.placed_on = action.worker.id;
+  MarkDirty(job);
+  kept_starts_.push_back({next_batch_, std::move(action)});
+}
+
+void JobScheduler::SendKeptStarts(Now now) {
+  if (suspended_) return;
+  while (!kept_starts_.empty() &&
+         kept_starts_.front().batch <= durable_batch_) {
+    StartAction action = std::move(kept_starts_.front().action);
+    kept_starts_.pop_front();
+    const RunKey key{action.order.task, action.order.run};
+    const auto worker = workers_.find(action.worker.id);
+    if (worker == workers_.end()) continue;
+    const auto found = worker->second->occupants.find(key);
+    if (found == worker->second->occupants.end()) continue;
+    Occupant& occupant = found->second;
+    if (occupant.stop_wanted) {
+      // Its job was cancelled meanwhile, and no order to start it has left.
+      Release(*worker->second, key);
+      Requeue(key.first, key.second, action.worker.id, now.mono);
+      continue;
+    }
+    // What orders take counts from here.
+    occupant.placed = now.mono;
+    action.order.lease_until_ms = LeaseUntil(*worker->second, now.mono);
+    Explain("start_sent", {{"task", TaskIdText(key.first)},
+                           {"run", absl::StrCat(key.second)},
+                           {"worker", action.worker.id}});
+    actions_.push_back(std::move(action));
+  }
+}
+
+void JobScheduler::KeepPlacement(Job& job, const TaskId& task_id,
+                                 const std::string& worker) {
+  if (job.Ended() || !job.KeepsPlacements(static_cast<size_t>(task_id.step)))
+    return;
+  TaskState* task = job.FindTask(task_id);
+  if (task == nullptr || task->placed_on == worker) return;
+  task->placed_on = worker;
+  MarkDirty(job);
+}
+
+void JobScheduler::AdoptPlacements() {
+  placements_adopted_ = true;
+  for (const auto& [id, job] : active_) {
+    if (job->placements_kept || !job->Lasts()) continue;
+    job->placements_kept = true;
+    for (Round& round : job->rounds) {
+      for (StepState& step : round.steps) {
+        for (TaskState& task : step.tasks) task.placed_on = task.worker;
+      }
+    }
+    MarkDirty(*job);
+  }
+}
+
+}  // namespace keelbridge
--- a/keelbridge/coordination/job_scheduler_recovery.cc
+++ b/keelbridge/coordination/job_scheduler_recovery.cc
@@ -33,7 +33,8 @@
 // What an earlier leader may have started on a worker that this one has not
 // reached ends at the latest when the last lease that it gave has passed.
 bool JobScheduler::AccountedFor(const Worker& worker, Now now) const {
-  return worker.listed || now.mono > EarlierLeaseUntil(worker) + LongestLease();
+  return worker.listed || worker.closed_before ||
+         now.mono > EarlierLeaseUntil(worker) + LongestLease();
 }
 
 bool JobScheduler::AllAccountedFor(Now now) const {
@@ -43,6 +44,31 @@
   });
 }
 
+// A job that keeps placements tells which worker may run a task: only that one
+// is waited for. Without it one worker that is silent kept back all tasks that
+// last: one was away for 15 s whose own worker had told at once that it failed.
+bool JobScheduler::IsHeldBack(const ReadyStep& ready, const TaskState& task,
+                              Now now) const {
+  if (!ready.only_seen || task.seen) return false;
+  if (!ready.job->KeepsPlacements(static_cast<size_t>(ready.number)))
+    return true;
+  if (task.placed_on.empty()) return false;
+  const auto worker = workers_.find(task.placed_on);
+  return worker == workers_.end() || !AccountedFor(*worker->second, now);
+}
+
+void JobScheduler::NoteHeldBack(const ReadyStep& ready, Now now) {
+  const std::vector<TaskState>& tasks = ready.state->tasks;
+  for (size_t i = 0; i < tasks.size(); ++i) {
+    if (tasks[i].phase != TaskPhase::kWaiting ||
+        !IsHeldBack(ready, tasks[i], now))
+      continue;
+    if (recovery_wait_.tasks++ == 0)
+      recovery_wait_.first = {ready.job->id, ready.round->number, ready.number,
+                              static_cast<int32_t>(i)};
+  }
+}
+
 void JobScheduler::ExplainRecovery(Now now) {
   figures_.recovered_waiting = recovery_wait_.tasks;
   if (recovery_wait_.tasks == 0) {
--- a/keelbridge/coordination/job_scheduler_recovery_test.cc
+++ b/keelbridge/coordination/job_scheduler_recovery_test.cc
@@ -88,5 +88,131 @@
   CHECK(second.starts[0].task == kTask);
 }
 
+// The record of a worker that leaves says that it is empty.
+TEST_CASE(
+    "job scheduler: recovered work does not wait for a worker that was empty "
+    "as it left") {
+  SchedulerDriver first(1);
+  for (const char* worker : {"w", "x"}) {
+    first.lists[worker];
+    first.AddWorker(worker);
+  }
+  first.RunUntil(absl::Milliseconds(100));
+  JobSpec spec;
+  spec.steps = {OneTask(100000)};  // No worker has room for it.
+  first.scheduler().Submit(kJob, "restore", spec, first.now());
+  WorkerRecord leaving = SchedulerDriver::RecordOf("x", 8000);
+  leaving.draining = true;
+  first.scheduler().OnWorkerRecord(leaving, first.now());
+  first.RunUntil(absl::Milliseconds(400));
+
+  SchedulerDriver second(2);
+  second.TakeOver(first);
+  second.AddWorker("w");
+  second.AddWorker("wide", 100000);
+  second.lists["w"];
+  second.lists["wide"];  // "x" is gone.
+  second.RunUntil(absl::Seconds(1));
+  CHECK(second.start_workers == std::vector<std::string>{"wide"});
+}
+
+// It leaves with a run, or stays after all: it is waited for.
+TEST_CASE("job scheduler: only a worker that is empty and leaves is closed") {
+  SchedulerDriver site(1);
+  site.AddWorker("x");
+  site.lists["x"];
+  site.RunUntil(absl::Milliseconds(100));
+  JobSpec spec;
+  spec.steps = {OneTask()};
+  site.scheduler().Submit(kJob, "restore", spec, site.now());
+  site.RunUntil(absl::Milliseconds(200));
+  REQUIRE(site.starts.size() == 1);
+  WorkerRecord leaving = SchedulerDriver::RecordOf("x", 8000);
+  leaving.draining = true;
+  site.scheduler().OnWorkerRecord(leaving, site.now());
+  const auto closed = [&] {
+    return KnownWorkerFrom(site.kept.at(KnownWorkerKey("x")))->closed;
+  };
+  site.RunUntil(absl::Milliseconds(400));
+  CHECK_FALSE(closed());
+  site.End("x", {1, kTask, site.starts[0].run, RunEnd::kDone, ""});
+  site.RunUntil(absl::Milliseconds(600));
+  CHECK(closed());
+  site.AddWorker("x");
+  site.RunUntil(absl::Milliseconds(800));
+  CHECK_FALSE(closed());
+}
+
+// With its placement on record a task waits for one worker; that one may still
+// run it, so the task is not started a second time before its lease is over.
+TEST_CASE(
+    "job scheduler: a lasting task waits for the worker that it was placed "
+    "on") {
+  SchedulerDriver first(1);
+  first.lists["x"];
+  first.AddWorker("x");
+  first.RunUntil(absl::Milliseconds(100));
+  JobSpec spec;
+  spec.steps = {LastingTask()};
+  first.scheduler().Submit(kJob, "restore", spec, first.now());
+  first.RunUntil(absl::Milliseconds(200));
+  REQUIRE(first.starts.size() == 1);
+
+  SchedulerDriver second(2);
+  second.TakeOver(first);
+  second.AddWorker("w");
+  second.lists["w"];  // "x" answers nothing.
+  second.RunUntil(absl::Seconds(6));
+  CHECK(second.starts.empty());
+  second.RunUntil(absl::Seconds(8));
+  REQUIRE(second.start_workers == std::vector<std::string>{"w"});
+  CHECK(second.starts[0].run > first.starts[0].run);
+}
+
+// A leader that ends between the two leaves a task that was never started.
+TEST_CASE(
+    "job scheduler: a lasting task is on record before its order leaves") {
+  SchedulerDriver site(1);
+  site.lists["x"];
+  site.AddWorker("x");
+  site.RunUntil(absl::Milliseconds(100));
+  site.hold_batches = true;
+  JobSpec spec;
+  spec.steps = {LastingTask()};
+  const int64_t accepted =
+      site.scheduler().Submit(kJob, "restore", spec, site.now());
+  const auto batch = site.scheduler().TakeBatch();
+  REQUIRE(batch.number == accepted);
+  site.scheduler().OnDurable(accepted);
+  site.RunUntil(absl::Milliseconds(400));
+  CHECK(site.starts.empty());
+  CHECK(site.scheduler().HasBatch());
+  site.hold_batches = false;
+  site.RunUntil(absl::Milliseconds(500));
+  CHECK(site.starts.size() == 1);
+}
+
+TEST_CASE(
+    "job scheduler: a lasting task that is cancelled before its order leaves "
+    "is not started") {
+  SchedulerDriver site(1);
+  site.lists["x"];
+  site.AddWorker("x");
+  site.RunUntil(absl::Milliseconds(100));
+  JobSpec spec;
+  spec.steps = {LastingTask()};
+  const int64_t accepted =
+      site.scheduler().Submit(kJob, "restore", spec, site.now());
+  site.hold_batches = true;
+  site.scheduler().TakeBatch();
+  site.scheduler().OnDurable(accepted);
+  site.RunUntil(absl::Milliseconds(200));
+  site.scheduler().Cancel(kJob, site.now());
+  site.hold_batches = false;
+  site.RunUntil(absl::Seconds(1));
+  CHECK(site.starts.empty());
+  CHECK(site.scheduler().figures().running_tasks == 0);
+}
+
 }  // namespace
 }  // namespace keelbridge::testing
--- a/keelbridge/coordination/job_scheduler_workers.cc
+++ b/keelbridge/coordination/job_scheduler_workers.cc
@@ -68,6 +68,7 @@
             {{"worker", record.id},
              {"leaves_in_ms", absl::StrCat(record.leaves_in_ms)}});
   }
+  if (worker.closed && !record.draining) TellOf(worker);
   const Resources used = worker.record.capacity - worker.free;
   if (!fresh) worker.free = record.capacity - used;
   worker.record = record;
@@ -78,10 +79,23 @@
 
 void JobScheduler::TellOf(Worker& worker) {
   worker.held_by = epoch_;
+  worker.closed = false;
   worker.known_at_batch = next_batch_;
   untold_workers_.insert(worker.record.id);
 }
 
+// A worker that has left does not answer the next leader, which then held back
+// all work that it had not seen for that worker's lease: 15 s where leases are
+// of 10 s, though nothing had run there for seconds.
+void JobScheduler::CloseIfEmpty(Worker& worker) {
+  if (worker.closed || !worker.record.draining || !worker.listed ||
+      !worker.occupants.empty())
+    return;
+  worker.closed = true;
+  untold_workers_.insert(worker.record.id);
+  Explain("worker_closed", {{"worker", worker.record.id}});
+}
+
 void JobScheduler::OnWorkerRemoved(const std::string& worker_id) {
   const auto found = workers_.find(worker_id);
   if (found == workers_.end() || found->second->record_removed) return;
@@ -150,6 +164,7 @@
   task->phase = TaskPhase::kWaiting;
   task->worker.clear();
   task->retry_at = retry_at;
+  KeepPlacement(*job->second, task_id, "");
   placement_wanted_ = true;
 }
 
@@ -442,6 +457,7 @@
   std::vector<std::string> gone;
   for (auto& [id, worker] : workers_) {
     TickWorker(*worker, now);
+    CloseIfEmpty(*worker);
     if (IsGone(*worker, now)) gone.push_back(id);
   }
   for (const std::string& id : gone) {
--- a/keelbridge/state/job_table.cc
+++ b/keelbridge/state/job_table.cc
@@ -47,7 +47,7 @@
   return JobState::kQueued;
 }
 
-Json::Value RoundToJson(const Round& round) {
+Json::Value RoundToJson(const Job& job, const Round& round) {
   Json::Value out(Json::objectValue);
   out["round"] = round.number;
   out["done"] = Json::Value(Json::arrayValue);
@@ -62,6 +62,9 @@
       const bool keep =
           !task.checkpoint.empty() && task.phase == TaskPhase::kWaiting;
       if (keep) out["checkpoints"][key] = task.checkpoint;
+      if (task.placed_on.empty() || !job.KeepsPlacements(s)) continue;
+      out["placed"][key].append(task.placed_on);
+      out["placed"][key].append(task.run);
     }
   }
   return out;
@@ -79,6 +82,24 @@
   return &round.steps[step].tasks[index];
 }
 
+// Of a job that keeps them. One that cannot be read is not taken for none: all
+// of the job then count as not kept.
+void ReadPlacements(const Json::Value& in, Job* job, Round& round) {
+  for (const std::string& key : in.getMemberNames()) {
+    const Json::Value& placed = in[key];
+    TaskState* task = TaskAt(round, key);
+    const bool readable = task != nullptr && placed.isArray() &&
+                          placed.size() == 2 && placed[0].isString() &&
+                          placed[1].isInt();
+    if (!readable) {
+      job->placements_kept = false;
+      return;
+    }
+    task->placed_on = placed[0].asString();
+    task->run = std::max(task->run, placed[1].asInt());
+  }
+}
+
 void ReadRound(const Json::Value& in, Job* job) {
   Round& round = job->AddRound(in["round"].asInt());
   const Json::Value& done = in["done"];
@@ -96,6 +117,7 @@
     if (TaskState* task = TaskAt(round, key))
       task->checkpoint = in["checkpoints"][key].asString();
   }
+  if (job->placements_kept) ReadPlacements(in["placed"], job, round);
 }
 
 void ReadProgress(const Json::Value& in, Job* job) {
@@ -104,6 +126,7 @@
   job->begun = in["begun"].asBool();
   job->rounds_done = in["rounds_done"].asInt();
   if (job->Ended()) return;
+  job->placements_kept = in["placements_kept"].asBool();
   for (const Json::Value& round : in["rounds"]) ReadRound(round, job);
 }
 
@@ -180,6 +203,15 @@
       });
 }
 
+bool Job::Lasts() const {
+  return std::any_of(spec.steps.begin(), spec.steps.end(),
+                     [](const StepSpec& step) { return step.lasting; });
+}
+
+bool Job::KeepsPlacements(size_t step) const {
+  return placements_kept && spec.steps[step].lasting;
+}
+
 std::string DescriptionKey(JobId id) {
   return absl::StrCat(kDescriptionPrefix, JobIdText(id));
 }
@@ -204,8 +236,9 @@
     value["ended_ms"] = Json::Int64(job.ended_ms);
     value["queue"] = job.queue;
   } else {
+    if (job.placements_kept) value["placements_kept"] = true;
     for (const Round& round : job.rounds)
-      value["rounds"].append(RoundToJson(round));
+      value["rounds"].append(RoundToJson(job, round));
   }
   return Record{ProgressKey(job.id), ToJsonText(value)};
 }
--- a/keelbridge/state/job_table.h
+++ b/keelbridge/state/job_table.h
@@ -4,7 +4,9 @@
 // A job has two records: its description, written once, and its progress,
 // written again whenever something happened that a later leader must know: an
 // end that was taken note of, a cancel, how the job ended. What runs where is
-// not recorded: the workers know it.
+// not recorded, since the workers know it, but for tasks that last: those are
+// few, and a later leader that had to wait for all workers before it started
+// one again left its users without it.
 //
 //   Job job(id, "restore", spec, accepted_ms);
 //   Record record = DescriptionRecord(job);
@@ -51,6 +53,9 @@
   bool seen = false;      // This leader started it or found it running.
   std::string worker;     // While it is on one.
   std::string failed_on;  // The worker of the last failure.
+  // Of a task whose job keeps placements: the only worker that may run it. Kept
+  // for good before the order leaves; empty: none runs it.
+  std::string placed_on;
   std::string checkpoint;
   absl::Time retry_at = absl::InfinitePast();
   int32_t yields = 0;  // How often it made room for others.
@@ -102,6 +107,9 @@
   int32_t rounds_done = 0;   // All before this one are done and dropped.
   bool begun = false;        // A task of it has run.
   bool recovered = false;    // Was accepted under an earlier leader.
+  // Its record tells which worker each task that lasts was given to. Not so for
+  // a job whose last leader did not keep that.
+  bool placements_kept = false;
   JobState end = JobState::kQueued;  // kQueued: has not ended.
   int64_t ended_ms = 0;              // Wall clock.
   absl::Time ended_at;               // Of this process's steady clock.
@@ -118,6 +126,10 @@
   // Whether all tasks of the steps that `step` depends on are done.
   bool StepReady(const Round& round, size_t step) const;
   bool RoundDone(const Round& round) const;
+  // Whether a task of it lasts.
+  bool Lasts() const;
+  // Whether the record tells where tasks of `step` were started.
+  bool KeepsPlacements(size_t step) const;
 };
 
 // The jobs by id. Stable addresses.
--- a/keelbridge/state/known_workers.cc
+++ b/keelbridge/state/known_workers.cc
@@ -23,6 +23,7 @@
   const WorkerRecord& worker = known.worker;
   Json::Value value = ToJson(worker.capacity);
   value["epoch"] = Json::Int64(known.epoch);
+  if (known.closed) value["closed"] = true;
   value["machine"] = worker.machine;
   value["address"] = worker.address;
   value["zone"] = worker.zone;
@@ -39,6 +40,7 @@
   const Json::Value& value = document.root();
   KnownWorker known;
   if (value.isMember("epoch")) known.epoch = value["epoch"].asInt64();
+  known.closed = value["closed"].asBool();
   WorkerRecord& worker = known.worker;
   worker.id = record.key.substr(sizeof(kPrefix) - 1);
   worker.machine = value["machine"].asString();
--- a/keelbridge/state/known_workers.h
+++ b/keelbridge/state/known_workers.h
@@ -26,6 +26,9 @@
   // Of the last leader that may have given it work or extended its lease. A
   // record that names none may be anybody's.
   int64_t epoch = std::numeric_limits<int64_t>::max();
+  // It says that it leaves and runs nothing, and that leader gives it nothing
+  // any more.
+  bool closed = false;
 };
 
 std::string KnownWorkerKey(const std::string& worker_id);
--- a/testing/support/scheduler_driver.h
+++ b/testing/support/scheduler_driver.h
@@ -10,6 +10,7 @@
 #ifndef KEELBRIDGE_TESTING_SUPPORT_SCHEDULER_DRIVER_H_
 #define KEELBRIDGE_TESTING_SUPPORT_SCHEDULER_DRIVER_H_
 
+#include <algorithm>
 #include <map>
 #include <memory>
 #include <set>
@@ -120,13 +121,25 @@
     scheduler_.OnWorkerRecord(RecordOf(id, cpu_milli), now());
   }
 
+  // The run ends on the worker.
+  void End(const std::string& worker, const EndedTask& end) {
+    std::vector<RunningTask>& running = lists[worker].running;
+    running.erase(std::remove_if(running.begin(), running.end(),
+                                 [&](const RunningTask& one) {
+                                   return one.task == end.task &&
+                                          one.run == end.run;
+                                 }),
+                  running.end());
+    lists[worker].ended.push_back(end);
+  }
+
   // Ticks until `until` after the beginning; every observation of a worker in
   // `answering` is answered with what `lists` holds for it.
   void RunUntil(absl::Duration until) {
     while (now_ < kBegin + until) {
       now_ += absl::Milliseconds(20);
       scheduler_.Tick(now());
-      if (scheduler_.HasBatch()) {
+      if (scheduler_.HasBatch() && !hold_batches) {
         const auto batch = scheduler_.TakeBatch();
         Keep(batch);
         scheduler_.OnDurable(batch.number);
@@ -141,6 +154,7 @@
   std::set<std::string> good;
   std::set<std::string> other_lives;  // Answer that another life is there.
   bool hold_advice = false;
+  bool hold_batches = false;  // The store takes nothing.
   absl::Duration time_of_day_is_ahead;
   std::vector<std::vector<std::string>> asks;  // Workers named, call by call.
   std::vector<std::vector<int32_t>> hopes;     // Of each of them.
