Leases of earlier leaders count from their last order, not from their answer

Change: the answer tells for how long the node has given no order, as a leader or since its process started; the lease of a silent worker counts from there, and never from before the fence in the store. A small class of its own (earlier_leaders.h) keeps who has not answered.

--- /dev/null
+++ b/keelbridge/coordination/earlier_leaders.cc
@@ -0,0 +1,28 @@
+#include "keelbridge/coordination/earlier_leaders.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace keelbridge {
+namespace {
+
+// How much faster than this node's the clock of another may run.
+constexpr double kClockError = 0.02;
+
+}  // namespace
+
+EarlierLeaders::EarlierLeaders(std::vector<std::string> addresses,
+                               absl::Time own_last_order)
+    : unheard_(std::move(addresses)), last_order_(own_last_order) {}
+
+void EarlierLeaders::OnStopped(const std::string& address, absl::Duration idle,
+                               absl::Time now) {
+  const auto found = std::find(unheard_.begin(), unheard_.end(), address);
+  if (found == unheard_.end()) return;
+  unheard_.erase(found);
+  const absl::Duration at_least =
+      std::max(idle, absl::ZeroDuration()) * (1.0 - kClockError);
+  last_order_ = std::max(last_order_, now - at_least);
+}
+
+}  // namespace keelbridge
--- /dev/null
+++ b/keelbridge/coordination/earlier_leaders_test.cc
@@ -0,0 +1,42 @@
+#include "keelbridge/coordination/earlier_leaders.h"
+
+#include <doctest/doctest.h>
+
+namespace keelbridge {
+namespace {
+
+const absl::Time kBegin = absl::UnixEpoch() + absl::Hours(1);
+
+TEST_CASE("earlier leaders: the last order counts, not the answer") {
+  EarlierLeaders earlier({"a", "b"}, kBegin);
+  CHECK_FALSE(earlier.AllStopped());
+  earlier.OnStopped("a", absl::Seconds(5), kBegin + absl::Seconds(20));
+  CHECK_FALSE(earlier.AllStopped());
+  CHECK(earlier.LastOrder() == kBegin + absl::Milliseconds(15100));
+  earlier.OnStopped("b", absl::Seconds(10), kBegin + absl::Seconds(20));
+  CHECK(earlier.AllStopped());
+  CHECK(earlier.LastOrder() == kBegin + absl::Milliseconds(15100));
+}
+
+TEST_CASE("earlier leaders: an answer counts once") {
+  EarlierLeaders earlier({"a"}, kBegin);
+  earlier.OnStopped("a", absl::Seconds(10), kBegin + absl::Seconds(10));
+  earlier.OnStopped("a", absl::ZeroDuration(), kBegin + absl::Seconds(60));
+  CHECK(earlier.LastOrder() < kBegin + absl::Seconds(1));
+}
+
+// An answer without a time, of a node of an earlier version, says "now".
+TEST_CASE("earlier leaders: no idle time is told") {
+  EarlierLeaders earlier({"a"}, kBegin);
+  earlier.OnStopped("a", absl::ZeroDuration(), kBegin + absl::Seconds(9));
+  CHECK(earlier.LastOrder() == kBegin + absl::Seconds(9));
+}
+
+TEST_CASE("earlier leaders: nobody led but this node") {
+  const EarlierLeaders earlier({}, kBegin);
+  CHECK(earlier.AllStopped());
+  CHECK(earlier.LastOrder() == kBegin);
+}
+
+}  // namespace
+}  // namespace keelbridge
--- a/keelbridge/coordination/job_scheduler.h
+++ b/keelbridge/coordination/job_scheduler.h
@@ -147,8 +147,9 @@
   // The leader of `epoch`, an earlier one, was at work at `at`: it had fenced
   // all leaders before itself by then.
   void OnEarlierLeaderSeen(int64_t epoch, absl::Time at);
-  // The leader before this one gives no more orders since `since`.
-  void OnEarlierLeaderStopped(absl::Time since);
+  // The leaders before this one give no more orders; the last was given by
+  // `last_order`.
+  void OnEarlierLeaderStopped(absl::Time last_order);
   void OnWorkerRecord(const WorkerRecord& record, Now now);
   // Its record is gone; it may still run.
   void OnWorkerRemoved(const std::string& worker_id);
@@ -513,6 +514,7 @@
   Admission admission_{Admission::Options()};
   int64_t starts_at_last_look_ = 0;
   absl::Time earlier_leader_until_;
+  absl::Time fenced_at_ = absl::InfinitePast();
   bool earlier_leader_stopped_ = false;  // OnEarlierLeaderStopped was called.
   // By epoch: when the leader was first seen at work.
   std::map<int64_t, absl::Time> earlier_leaders_seen_;
--- a/keelbridge/coordination/job_scheduler_leases_test.cc
+++ b/keelbridge/coordination/job_scheduler_leases_test.cc
@@ -200,6 +200,24 @@
   CHECK(site.starts.size() == 1);
 }
 
+// A leader that froze gave its last order long before it answered again.
+TEST_CASE(
+    "job scheduler: leases of an earlier leader count from its last order") {
+  SchedulerDriver site(2);
+  site.Recover(OneTask(), {{SchedulerDriver::RecordOf("gone", 8000), 1}});
+  site.AddWorker("a");
+  site.lists["a"];
+  JobScheduler& scheduler = site.scheduler();
+  scheduler.OnFenced(kBegin + absl::Milliseconds(800));
+  site.RunUntil(absl::Seconds(4));
+  scheduler.OnEarlierLeaderStopped(kBegin);
+  site.RunUntil(absl::Milliseconds(7000));
+  CHECK(site.starts.empty());
+  // 0.8 s to the fence and 6.2 s of a lease on a slow clock.
+  site.RunUntil(absl::Milliseconds(7300));
+  CHECK(site.start_workers == std::vector<std::string>{"a"});
+}
+
 // The worker answered leader 1 last and ended. Leaders 2 and 3 never heard it,
 // so that no lease of theirs is waited for: 4 waits for those of 1, which 2 had
 // fenced 5 s before.
--- a/keelbridge/coordination/job_scheduler_recovery.cc
+++ b/keelbridge/coordination/job_scheduler_recovery.cc
@@ -105,6 +105,7 @@
 }
 
 void JobScheduler::OnFenced(absl::Time now) {
+  fenced_at_ = now;
   earlier_leader_until_ = earlier_leader_stopped_
                               ? std::max(earlier_leader_until_, now)
                               : now + options_.earlier_leader_bound;
@@ -114,10 +115,13 @@
   if (epoch < epoch_) earlier_leaders_seen_.try_emplace(epoch, at);
 }
 
-void JobScheduler::OnEarlierLeaderStopped(absl::Time since) {
+void JobScheduler::OnEarlierLeaderStopped(absl::Time last_order) {
   earlier_leader_stopped_ = true;
-  if (since >= earlier_leader_until_) return;
-  earlier_leader_until_ = since;
+  // Those that were asked may not be all: before the fence another may have
+  // given orders.
+  const absl::Time until = std::max(last_order, fenced_at_);
+  if (until >= earlier_leader_until_) return;
+  earlier_leader_until_ = until;
   placement_wanted_ = true;
 }
 
--- a/keelbridge/daemon/leader_session.cc
+++ b/keelbridge/daemon/leader_session.cc
@@ -177,6 +177,7 @@
 void LeaderSession::CarryOut(const std::vector<Action>& actions) {
   for (const Action& action : actions) {
     if (const auto* start = std::get_if<StartAction>(&action)) {
+      last_order_ = SystemNow().mono;
       ports_.workers->Start(
           start->worker, start->order,
           [self = shared_from_this(), start = *start](const OrderReply& reply) {
@@ -194,6 +195,7 @@
           });
     } else if (const auto* observe = std::get_if<ObserveAction>(&action)) {
       const absl::Time sent = SystemNow().mono;
+      if (observe->order.lease_until_ms > 0) last_order_ = sent;
       ports_.workers->Observe(observe->worker, observe->order,
                               [self = shared_from_this(), observe = *observe,
                                sent](const ObserveReply& reply) {
@@ -498,8 +500,8 @@
   scheduler_.SetAdvisers(nodes, options_.node);
 }
 
-void LeaderSession::OnEarlierLeaderStopped(absl::Time since) {
-  scheduler_.OnEarlierLeaderStopped(since);
+void LeaderSession::OnEarlierLeaderStopped(absl::Time last_order) {
+  scheduler_.OnEarlierLeaderStopped(last_order);
   PumpSoon();
 }
 
--- a/keelbridge/daemon/leader_session.h
+++ b/keelbridge/daemon/leader_session.h
@@ -74,10 +74,12 @@
                         std::function<void()> dropped);
   void SetConfiguration(std::shared_ptr<const SiteConfiguration> configuration);
   void SetAdvisers(const std::vector<std::string>& nodes);
-  void OnEarlierLeaderStopped(absl::Time since);
+  void OnEarlierLeaderStopped(absl::Time last_order);
   void OnEarlierLeaderSeen(int64_t epoch, absl::Time at) {
     scheduler_.OnEarlierLeaderSeen(epoch, at);
   }
+  // When it last gave an order that begins a run or extends a lease.
+  absl::Time last_order() const { return last_order_; }
   // How often the store came back after it was lost.
   int64_t store_returns() const { return store_returns_; }
 
@@ -196,6 +198,7 @@
   boost::asio::steady_timer pump_timer_;
   bool pump_armed_ = false;
   absl::Time last_tick_ = absl::InfinitePast();
+  absl::Time last_order_ = absl::InfinitePast();
   absl::Time next_figures_ = absl::InfinitePast();
   bool stood_still_ = false;
   absl::Time stood_still_until_ = absl::InfinitePast();  // The last time.
--- a/keelbridge/daemon/site_node.h
+++ b/keelbridge/daemon/site_node.h
@@ -19,6 +19,7 @@
 
 #include "keelbridge/coordination/answer_times.h"
 #include "keelbridge/coordination/call_fate.h"
+#include "keelbridge/coordination/earlier_leaders.h"
 #include "keelbridge/coordination/freshness.h"
 #include "keelbridge/coordination/site_election.h"
 #include "keelbridge/coordination/source_reads.h"
@@ -127,6 +128,8 @@
   void BeginTerm();
   void OnTermEnded(const std::string& why);
   void AskEarlierLeaders();
+  // When this process last gave an order as a leader, at the latest.
+  absl::Time LastOrder() const;
   void OfferLeadership();
   void AskToTakeOver(const Peer& peer);
 
@@ -220,7 +223,10 @@
   uint64_t leader_list_version_ = 0;
   std::vector<std::string> leader_list_;          // Names in the leader's list.
   absl::Time next_offer_ = absl::InfinitePast();  // Of leadership to a peer.
-  std::vector<EarlierLeader> earlier_leaders_;
+  EarlierLeaders earlier_leaders_;
+  // Of this process as a leader; at first when it started, since another that
+  // had its address before cannot have given a later one.
+  absl::Time last_order_ = SystemNow().mono;
   bool reading_control_ = false;
   bool following_control_ = false;
   bool control_lost_ = false;  // The last read of the control stream failed.
--- a/keelbridge/daemon/site_node_leading.cc
+++ b/keelbridge/daemon/site_node_leading.cc
@@ -204,7 +204,11 @@
     AskAdvice(action, std::move(done));
   };
   options.on_ended = [this](const std::string& why) { OnTermEnded(why); };
-  earlier_leaders_ = election_.leader().earlier;
+  last_order_ = LastOrder();
+  std::vector<std::string> earlier;
+  for (const EarlierLeader& one : election_.leader().earlier)
+    earlier.push_back(one.address);
+  earlier_leaders_ = EarlierLeaders(std::move(earlier), last_order_);
   NodePorts ports = ports_;
   ports.workers = &relayed_orders_;
   session_ = std::make_shared<LeaderSession>(
@@ -248,27 +252,29 @@
   AskToTakeOver(peer->second);
 }
 
+absl::Time SiteNode::LastOrder() const {
+  if (session_ == nullptr) return last_order_;
+  return std::max(last_order_, session_->last_order());
+}
+
 void SiteNode::AskEarlierLeaders() {
   if (session_ == nullptr || session_->ended()) return;
-  if (earlier_leaders_.empty()) {
-    session_->OnEarlierLeaderStopped(SystemNow().mono);
+  if (earlier_leaders_.AllStopped()) {
+    session_->OnEarlierLeaderStopped(earlier_leaders_.LastOrder());
     return;
   }
   Json::Value params(Json::objectValue);
   params["leader"] = ToJson(election_.leader());
-  for (const EarlierLeader& earlier : earlier_leaders_) {
+  for (const std::string& address : earlier_leaders_.Unheard()) {
     rpc_.Call(
-        earlier.address, "leader_heard", params, kReadTimeout,
-        [this, address = earlier.address](const RpcOutcome& outcome) {
+        address, "leader_heard", params, kReadTimeout,
+        [this, address](const RpcOutcome& outcome) {
           if (!outcome.answered || outcome.result["leads"].asBool()) return;
-          for (auto it = earlier_leaders_.begin(); it != earlier_leaders_.end();
-               ++it) {
-            if (it->address != address) continue;
-            LogEvent(Severity::kInfo, "earlier_leader_stopped",
-                     {{"address", address}});
-            earlier_leaders_.erase(it);
-            break;
-          }
+          const auto idle_ms = outcome.result["idle_ms"].asInt64();
+          LogEvent(Severity::kInfo, "earlier_leader_stopped",
+                   {{"address", address}, {"idle_ms", absl::StrCat(idle_ms)}});
+          earlier_leaders_.OnStopped(address, absl::Milliseconds(idle_ms),
+                                     SystemNow().mono);
         },
         RpcLane::kControl);
   }
--- a/keelbridge/daemon/site_node_peers.cc
+++ b/keelbridge/daemon/site_node_peers.cc
@@ -88,6 +88,8 @@
     Elect();
     Json::Value out(Json::objectValue);
     out["leads"] = session_ != nullptr && !session_->ended();
+    out["idle_ms"] =
+        Json::Int64(absl::ToInt64Milliseconds(SystemNow().mono - LastOrder()));
     reply(Ok(out));
   });
   // How long ago the leader answered this node, in milliseconds.
