A cell of a test has hosts of its own, and says why it is not ready

Cause: a test failed once since its nodes were not all ready; their logs were gone with the cell. By reading: the ports of a cell were tried, let go and only then listened on, on hosts that all cells share, so that another cell or any connection opened meanwhile could take one. Not shown to be what happened.

Change: each cell has a subnet of 127.0.0.0/8 to itself and fixed ports there; a cell that is not ready in time prints whether each node runs and what it logged last.

--- a/testing/support/site_cell.cc
+++ b/testing/support/site_cell.cc
@@ -1,9 +1,6 @@
 #include "testing/support/site_cell.h"
 
-#include <arpa/inet.h>
 #include <fcntl.h>
-#include <netinet/in.h>
-#include <sys/socket.h>
 #include <sys/stat.h>
 #include <unistd.h>
 
@@ -11,8 +8,10 @@
 #include <boost/asio/post.hpp>
 #include <csignal>
 #include <cstdlib>
+#include <deque>
 #include <fstream>
 #include <future>
+#include <iostream>
 
 #include "absl/strings/match.h"
 #include "absl/strings/numbers.h"
@@ -29,47 +28,28 @@
 constexpr absl::Duration kPause = absl::Milliseconds(50);
 // Nodes end a connection that is idle for 15 s.
 constexpr absl::Duration kClientIdle = absl::Seconds(10);
-constexpr int kFirstHost = 10;  // Nodes listen on 127.0.0.10 and on.
-
-// Binds `port` of `ip`, any if 0, and lets it go: the port; 0: it is taken.
-int TryPort(const std::string& ip, int port) {
-  const int fd = ::socket(AF_INET, SOCK_STREAM, 0);
-  sockaddr_in address{};
-  address.sin_family = AF_INET;
-  address.sin_port = htons(static_cast<uint16_t>(port));
-  inet_pton(AF_INET, ip.c_str(), &address.sin_addr);
-  if (::bind(fd, reinterpret_cast<sockaddr*>(&address), sizeof(address)) != 0) {
-    ::close(fd);
-    return 0;
-  }
-  socklen_t length = sizeof(address);
-  ::getsockname(fd, reinterpret_cast<sockaddr*>(&address), &length);
-  ::close(fd);
-  return ntohs(address.sin_port);
-}
-
-// A port that is free on `ip` now.
-int FreePort(const std::string& ip) { return TryPort(ip, 0); }
-
-// Where nodes reach the first one before they have heard of any. By a proxy, so
-// that a node that cannot be reached is not reached this way either.
-constexpr char kSeedHost[] = "127.0.0.9";
-
-std::string HostOf(int node) {
-  return absl::StrCat("127.0.0.", kFirstHost + node);
-}
-
-// A port that is free now on the hosts of all nodes; other cells may run.
-int PortFreeOnAll(int nodes) {
-  constexpr int kTries = 100;
-  for (int i = 0; i < kTries; ++i) {
-    const int port = FreePort(HostOf(0));
-    if (TryPort(kSeedHost, port) != port) continue;
-    int free = 1;
-    while (free < nodes && TryPort(HostOf(free), port) == port) ++free;
-    if (free >= nodes) return port;
-  }
-  return 0;
+// Nodes listen on x.x.x.10 and on. Where nodes reach the first one before they
+// have heard of any is x.x.x.9, by a proxy, so that a node that cannot be
+// reached is not reached this way either.
+constexpr int kSeedHost = 9;
+constexpr int kFirstHost = 10;
+// Of each node.
+constexpr int kPeerPort = 7580;
+constexpr int kClientPort = 7581;
+constexpr int kReadyPort = 7582;
+constexpr int kMetricsPort = 7583;
+constexpr int kLinesTold = 3;  // Of each node's log, when a cell is not ready.
+
+// Hosts of a cell's own. A port that is free when it is chosen may be taken
+// before a node listens on it, by another cell or by any connection that is
+// opened meanwhile; here nobody else opens any.
+std::string OwnSubnet() {
+  static std::atomic<uint32_t> cells{0};
+  constexpr uint32_t kCellsOfProcess = 8;
+  const uint32_t cell = static_cast<uint32_t>(::getpid()) * kCellsOfProcess +
+                        cells++ % kCellsOfProcess;
+  // 127.0 to 127.15 are left to all others.
+  return absl::StrCat("127.", 16 + cell / 256 % 240, ".", cell % 256, ".");
 }
 
 HttpOutcome CallAddress(const std::string& address, const HttpRequest& request,
@@ -82,6 +62,7 @@
 
 SiteCell::SiteCell(Options options)
     : options_(options),
+      subnet_(OwnSubnet()),
       work_(boost::asio::make_work_guard(loop_)),
       nodes_(static_cast<size_t>(options.nodes)) {
   char path[] = "/tmp/keelbridge-site-XXXXXX";
@@ -93,17 +74,16 @@
         std::make_unique<FaultProxy>(loop_, platform_->store_address()));
   if (options_.proxies) platform_->UseWorkerProxies();
   thread_ = std::thread([this] { loop_.run(); });
-  const int peer_port = PortFreeOnAll(options_.nodes);
   for (int i = 0; options_.proxies && i < options_.nodes; ++i)
-    AddPeerProxy(HostOf(i), peer_port);
-  if (options_.proxies) AddSeedProxy(peer_port);
+    AddPeerProxy(HostOf(i));
+  if (options_.proxies) AddSeedProxy();
   for (int i = 0; i < options_.nodes; ++i) {
     const std::string ip = HostOf(i);
     Node& node = nodes_[At(i)];
-    node.client_address = absl::StrCat(ip, ":", FreePort(ip));
-    node.ready_address = absl::StrCat(ip, ":", FreePort(ip));
-    node.metrics_address = absl::StrCat(ip, ":", FreePort(ip));
-    node.peer_address = absl::StrCat(ip, ":", peer_port);
+    node.client_address = absl::StrCat(ip, ":", kClientPort);
+    node.ready_address = absl::StrCat(ip, ":", kReadyPort);
+    node.metrics_address = absl::StrCat(ip, ":", kMetricsPort);
+    node.peer_address = absl::StrCat(ip, ":", kPeerPort);
     node.kept_client = std::make_unique<HttpClient>(
         ParseAddress(node.client_address).value(), HttpClient::Options());
     node.settings_path = absl::StrCat(directory_, "/node-", i, ".json");
@@ -112,23 +92,30 @@
   }
 }
 
-void SiteCell::AddPeerProxy(const std::string& ip, int port) {
+void SiteCell::AddPeerProxy(const std::string& ip) {
   std::promise<void> added;
   boost::asio::post(loop_, [&] {
     peer_proxies_.push_back(
-        std::make_unique<FaultProxy>(loop_, Address{ip, port, ""}));
+        std::make_unique<FaultProxy>(loop_, Address{ip, kPeerPort, ""}));
     added.set_value();
   });
   added.get_future().wait();
 }
 
-void SiteCell::AddSeedProxy(int port) {
+void SiteCell::AddSeedProxy() {
   WithPlatform([&](SitePlatform&) {
-    seed_proxy_ = std::make_unique<FaultProxy>(
-        loop_, peer_proxies_[0]->address(), Address{kSeedHost, port, ""});
+    seed_proxy_ =
+        std::make_unique<FaultProxy>(loop_, peer_proxies_[0]->address(),
+                                     Address{Host(kSeedHost), kPeerPort, ""});
   });
 }
 
+std::string SiteCell::Host(int number) const {
+  return absl::StrCat(subnet_, number);
+}
+
+std::string SiteCell::HostOf(int node) const { return Host(kFirstHost + node); }
+
 SiteCell::~SiteCell() {
   nodes_.clear();
   for (const int pipe : pipes_) ::close(pipe);
@@ -158,7 +145,7 @@
   settings["advice"] = platform_->advice_address().ToString();
   // The first node needs no other way to itself.
   const std::string seed =
-      options_.proxies && index > 0 ? kSeedHost : HostOf(0);
+      options_.proxies && index > 0 ? Host(kSeedHost) : HostOf(0);
   settings["seeds"].append(seed + ":1");
   settings["trace_file"] = absl::StrCat(directory_, "/node-", index, ".spans");
   settings["stop_grace_s"] = 6;
@@ -192,9 +179,24 @@
     if (ready >= count) return true;
     absl::SleepFor(kPause);
   }
+  TellWhyNotReady();
   return false;
 }
 
+void SiteCell::TellWhyNotReady() {
+  for (int i = 0; i < options_.nodes; ++i) {
+    std::cerr << "node " << i << (Alive(i) ? " runs, " : " has ended, ")
+              << (Ready(i) ? "ready\n" : "not ready\n");
+    std::ifstream log(absl::StrCat(directory_, "/node-", i, ".log"));
+    std::deque<std::string> last;
+    for (std::string line; std::getline(log, line);) {
+      last.push_back(line);
+      if (last.size() > kLinesTold) last.pop_front();
+    }
+    for (const std::string& line : last) std::cerr << "  " << line << "\n";
+  }
+}
+
 int SiteCell::Leader() {
   for (int i = 0; i < options_.nodes; ++i) {
     if (!Alive(i)) continue;
--- a/testing/support/site_cell.h
+++ b/testing/support/site_cell.h
@@ -102,14 +102,20 @@
     // Callers keep their connections to a node as long as it does.
     std::unique_ptr<HttpClient> kept_client;
   };
+  // The address of a host of this cell, and of the one that a node runs on.
+  std::string Host(int number) const;
+  std::string HostOf(int node) const;
+  // What each node last logged, on standard error.
+  void TellWhyNotReady();
   size_t At(int index) const { return static_cast<size_t>(index); }
   // A gauge of a node's metrics, by its whole name; -1: none.
   int64_t Gauge(int index, const std::string& name);
   void WriteSettings(int index);
-  void AddPeerProxy(const std::string& ip, int port);
-  void AddSeedProxy(int port);
+  void AddPeerProxy(const std::string& ip);
+  void AddSeedProxy();
 
   const Options options_;
+  const std::string subnet_;  // The first three numbers of its hosts.
   std::string directory_;
   boost::asio::io_context loop_;
   boost::asio::executor_work_guard<boost::asio::io_context::executor_type>
