--- a/keelbridge/cli/job_story.cc
+++ b/keelbridge/cli/job_story.cc
@@ -25,7 +25,9 @@
                                 "claiming",
                                 "node_started",
                                 "node_draining",
-                                "configuration_in_force"};
+                                "configuration_in_force",
+                                "recovered_work_waits",
+                                "recovered_work_free"};
   return *events;
 }
 
@@ -64,6 +66,7 @@
       {"advice_asked", "advice asked for"},
       {"advice_answered", "advice answered"},
       {"step_blocked", "could not start"},
+      {"start_kept", "start put on record"},
       {"start_sent", "start ordered"},
       {"start_not_done", "start not done"},
       {"run_adopted", "found running by a new leader"},
@@ -80,6 +83,8 @@
       {"term_active", "the new leader serves"},
       {"term_ended", "a leader's term ended"},
       {"stood_still", "the leader stood still"},
+      {"recovered_work_waits", "recovered work waits for a silent worker"},
+      {"recovered_work_free", "recovered work waits for no worker any more"},
       {"runs_lost", "all runs of a worker were given up"},
       {"worker_silent", "a worker is silent"},
       {"worker_back", "the worker answers again"},
@@ -168,7 +173,11 @@
       add(absl::StrCat("a run on ", Field(f, "worker"), " ended ",
                        Field(f, "how")));
     if (event == "step_blocked") blocked = Field(f, "why");
-    if (event == "start_sent" && Number(Field(f, "waited_ms")) >= 500)
+    if (event == "recovered_work_waits")
+      blocked = absl::StrCat("worker ", Field(f, "last_worker"),
+                             " might still run it for an earlier leader");
+    const bool start = event == "start_sent" || event == "start_kept";
+    if (start && Number(Field(f, "waited_ms")) >= 500)
       add(absl::StrCat("a task waited ", Field(f, "waited_ms"), " ms: ",
                        blocked.empty() ? "no cause was logged" : blocked));
   }
--- a/keelbridge/cli/job_story_test.cc
+++ b/keelbridge/cli/job_story_test.cc
@@ -55,5 +55,19 @@
   CHECK_FALSE(story.found());
 }
 
+TEST_CASE("job story: what was recovered waited for a silent worker") {
+  JobStory story(kJob);
+  story.AddLine(
+      R"({"time":"2026-01-01T00:00:01.000Z","process":"node/a","event":"job_taken","job":"5c0e7a21d94b36f8"})");
+  story.AddLine(
+      R"({"time":"2026-01-01T00:00:03.000Z","process":"node/b","event":"recovered_work_waits","tasks":"2","first":"0000000000000001.0.0.0","last_worker":"i-9"})");
+  story.AddLine(
+      R"({"time":"2026-01-01T00:00:09.000Z","process":"node/b","event":"start_kept","task":"5c0e7a21d94b36f8.0.0.1","worker":"i-1","waited_ms":"8000"})");
+  CHECK(absl::StrContains(
+      story.Text(),
+      "a task waited 8000 ms: worker i-9 might still run it for an earlier "
+      "leader"));
+}
+
 }  // namespace
 }  // namespace keelbridge::cli
