--- a/keelbridge/daemon/leader_session.h
+++ b/keelbridge/daemon/leader_session.h
@@ -123,14 +123,7 @@
   void PollWorkers();
   void TakeWorkerRecord(const Record& record);
 
-  // leader_session.cc
-  void Activate();
-  void ArmTick();
-  void Pump();
-  // How late the loop comes to a timer that was due then.
-  void TakeLag(std::chrono::steady_clock::time_point due);
-  void PumpSoon();
-  void CarryOut(const std::vector<Action>& actions);
+  // leader_session_appends.cc
   void MaybeFlush();
   absl::Duration AppendTimeout(int tries) const;
   // The next part of the batch under way, under a number of its own.
@@ -142,6 +135,18 @@
   // `flight`: the number of the append that was tried.
   void OnAppended(const AppendReply& reply, int64_t flight, absl::Time sent);
   void OnAppendFailed(const AppendReply& reply, absl::Time sent);
+  // Whether the stream ends where this leader's records put its end; if not,
+  // some are missing, or another wrote after the fence.
+  bool EndsAsExpected(const AppendReply& reply);
+
+  // leader_session.cc
+  void Activate();
+  void ArmTick();
+  void Pump();
+  // How late the loop comes to a timer that was due then.
+  void TakeLag(std::chrono::steady_clock::time_point due);
+  void PumpSoon();
+  void CarryOut(const std::vector<Action>& actions);
   void Await(int64_t batch, ClientReply answer,
              std::function<void(ClientReply)> reply);
   void After(absl::Duration delay, std::function<void()> step);
@@ -158,9 +163,6 @@
   // What is said of a job some record of which cannot be read: neither that
   // there is none, nor how far it is.
   ClientReply AnswerOfUnreadable(const ClientCall& call) const;
-  // Whether the stream ends where this leader's records put its end; if not,
-  // some are missing, or another wrote after the fence.
-  bool EndsAsExpected(const AppendReply& reply);
 
   boost::asio::io_context& loop_;
   const NodePorts ports_;
