Simulate tasks that last beside frozen leaders and workers that leave

Cause: the simulation had no tasks that last, no leader that froze between what it decided and its orders, and no worker that leaves, so that nothing checked placements, closed workers and leases from the last order together.

Change: such tasks, some of which fail; FreezeLeader, whose decided orders leave it when it wakes, and which hears of its successor only then; DrainWorker; successors are told of the last order as nodes tell each other. Two tests: no task twice at once, all run again (20 s at most); and a task whose own worker stays in reach waits for no other (1 s at most).

--- a/testing/site_simulation_test.cc
+++ b/testing/site_simulation_test.cc
@@ -11,6 +11,13 @@
 namespace keelbridge::testing {
 namespace {
 
+// A task that lasts whose own worker is in reach: the end is heard, another
+// start is answered, or settled if it was not.
+constexpr absl::Duration kAwayWithWorker = absl::Seconds(1);
+// Any other: an earlier leader's bound, 6 s, the lease of its own worker, 6.3
+// s, and what a second change of leader meanwhile adds.
+constexpr absl::Duration kLongestAway = absl::Seconds(20);
+
 StepSpec Step(int32_t count, int32_t cpu_milli, int64_t estimated_ms) {
   StepSpec step;
   step.count = count;
@@ -33,6 +40,13 @@
   return spec;
 }
 
+JobSpec Lasting(int32_t count) {
+  JobSpec spec;
+  spec.steps = {Step(count, 1000, 1000)};
+  spec.steps[0].lasting = true;
+  return spec;
+}
+
 JobSpec Single(int64_t estimated_ms) {
   JobSpec spec;
   spec.steps = {Step(2, 3000, estimated_ms)};
@@ -221,5 +235,83 @@
   }
 }
 
+// Leaders that die, live on, or freeze between what they decided and their
+// orders; workers that leave, crash or are cut off; orders that are lost or
+// carried out late.
+TEST_CASE("site: tasks that last never run twice at once and start again") {
+  for (uint64_t seed = 1; seed <= 60; ++seed) {
+    CAPTURE(seed);
+    SiteSimulation::Options options;
+    options.seed = seed;
+    options.lost_answers = 0.02;
+    options.late_orders = seed % 2 == 0 ? 0.03 : 0;
+    // With fewer, some step finds no worker that may run it.
+    options.advice = seed % 3 == 0;
+    if (options.advice) options.workers = 24;
+    SiteSimulation site(options);
+    Load(site, 12);
+    std::vector<JobId> lasting;
+    lasting.reserve(4);
+    for (int i = 0; i < 4; ++i) lasting.push_back(site.Submit(Lasting(3)));
+    std::mt19937_64 random(seed);
+    for (int i = 0; i < 9; ++i) {
+      const auto at = absl::Milliseconds(500 + random() % 22000);
+      const int kind = static_cast<int>(random() % 8);
+      const int worker = static_cast<int>(random() % 8);
+      const auto some = absl::Milliseconds(random() % 8000);
+      site.After(at, [&site, kind, worker, some] {
+        if (kind == 0) site.ReplaceLeader(absl::Milliseconds(300), false);
+        if (kind == 1) site.ReplaceLeader(absl::Milliseconds(50), true);
+        if (kind == 2) site.CrashWorker(worker, absl::Seconds(3));
+        if (kind == 3) site.CutWorker(worker, some);
+        if (kind == 4) site.StoreDown(absl::Seconds(2));
+        if (kind == 5) site.FreezeLeader(absl::Milliseconds(500), some);
+        if (kind >= 6) site.DrainWorker(worker, some, absl::Seconds(12));
+        if (kind != 7) return;
+        // The next leader does not reach what may still run there.
+        site.After(absl::Milliseconds(150), [&site, worker] {
+          site.CutWorker(worker, absl::Seconds(6));
+          site.ReplaceLeader(absl::Milliseconds(300), false);
+        });
+      });
+    }
+    site.Run(absl::Seconds(60));
+    CAPTURE(absl::StrJoin(site.faults(), "\n"));
+    CHECK(site.faults().empty());
+    CHECK(site.longest_away() < kLongestAway);
+    for (const JobId id : lasting) site.Cancel(id);
+    site.Run(absl::Seconds(40));
+    CheckSettled(site);
+  }
+}
+
+// One worker leaves and answers nothing, another is cut off, and a leader
+// freezes: a task whose own worker is there waits for neither.
+TEST_CASE("site: a task that lasts does not wait for workers of others") {
+  for (uint64_t seed = 1; seed <= 60; ++seed) {
+    CAPTURE(seed);
+    SiteSimulation::Options options;
+    options.seed = seed;
+    SiteSimulation site(options);
+    for (int i = 0; i < 4; ++i) site.Submit(Lasting(3));
+    std::mt19937_64 random(seed);
+    const auto some = [&random](int most) {
+      return absl::Milliseconds(random() % most);
+    };
+    site.Run(absl::Seconds(4) + some(1000));
+    const int leaves = static_cast<int>(random() % 8);
+    site.DrainWorker(leaves, absl::Seconds(1) + some(3000), absl::Seconds(20));
+    if (seed % 2 == 0) site.CutWorker((leaves + 1) % 8, absl::Seconds(12));
+    if (seed % 5 == 0) site.CrashWorker((leaves + 2) % 8, absl::Seconds(2));
+    site.Run(absl::Milliseconds(500) + some(3000));
+    site.FreezeLeader(absl::Milliseconds(300) + some(500),
+                      absl::Seconds(2) + some(4000));
+    site.Run(absl::Seconds(25));
+    CAPTURE(absl::StrJoin(site.faults(), "\n"));
+    CHECK(site.faults().empty());
+    CHECK(site.longest_away_with_worker() < kAwayWithWorker);
+  }
+}
+
 }  // namespace
 }  // namespace keelbridge::testing
--- a/testing/support/site_simulation.cc
+++ b/testing/support/site_simulation.cc
@@ -14,6 +14,12 @@
 constexpr absl::Duration kOrderTimeout = absl::Milliseconds(500);
 constexpr absl::Duration kAppendRetry = absl::Milliseconds(60);
 constexpr absl::Duration kGangPatience = absl::Seconds(3);
+constexpr absl::Duration kRecordLingers = absl::Seconds(3);
+constexpr absl::Duration kAskEarlierEvery = absl::Milliseconds(300);
+// A leader that stood still for longer starts nothing until the store takes an
+// append of it.
+constexpr absl::Duration kStandstill = absl::Milliseconds(1500);
+constexpr absl::Duration kLongestLastingWork = absl::Seconds(8);
 
 std::shared_ptr<SiteConfiguration> MakeConfiguration(
     const SiteSimulation::Options& options) {
@@ -93,6 +99,10 @@
   plan.done = std::min(SavedWork(order.checkpoint), plan.work);
   if (!order.checkpoint.empty()) plan.before = kRestore;
   plan.work += plan.before - plan.done;
+  if (step.lasting) {
+    plan.fails = Draw() < options_.failing_lasting_runs;
+    plan.work = plan.fails ? kLongestLastingWork * Draw() : absl::Hours(1);
+  }
   return plan;
 }
 
@@ -144,7 +154,9 @@
     if (!excused) Fault(absl::StrCat("TWICE: ", name, " after it was done"));
   }
   const std::set<int32_t>& failed = failed_[AccountOf(run.task)];
-  if (static_cast<int>(failed.size()) >= options_.most_attempts &&
+  const bool lasts =
+      facts.spec.steps[static_cast<size_t>(run.task.step)].lasting;
+  if (!lasts && static_cast<int>(failed.size()) >= options_.most_attempts &&
       failed.count(run.run) == 0)
     Fault(absl::StrCat("BUDGET: ", name, " after ", failed.size(),
                        " failed runs"));
@@ -231,6 +243,7 @@
     else
       records.Add(record);
   }
+  if (leader->epoch > 1) leader->scheduler->OnFenced(now_);
   leader->scheduler->Load(records.Build(), known, At());
   for (const auto& [epoch, at] : leaders_seen_)
     leader->scheduler->OnEarlierLeaderSeen(epoch, at);
@@ -253,13 +266,50 @@
         leader->scheduler->OnWorkerRecord(record, At());
     });
   }
-  if (leader->epoch == 1) leader->scheduler->OnEarlierLeaderStopped(now_);
   current_ = leader;
+  leaders_.push_back(leader);
+  AskEarlierLeaders(leader);
   Tick(leader);
 }
 
+void SiteSimulation::AskEarlierLeaders(const std::shared_ptr<Leader>& leader) {
+  if (leader->dead) return;
+  absl::Time last_order = leader->epoch == 1 ? now_ : absl::InfinitePast();
+  bool all = true;
+  for (const auto& other : leaders_) {
+    if (other->epoch >= leader->epoch) continue;
+    // One that was frozen hears that it was replaced; one that was not is left
+    // to find out by itself.
+    const bool wakes = other->frozen_until > absl::InfinitePast() &&
+                       other->frozen_until < now_;
+    if (wakes) other->dead = true;
+    all = all && other->dead;
+    last_order = std::max(last_order, other->last_order);
+  }
+  if (all) return leader->scheduler->OnEarlierLeaderStopped(last_order);
+  After(kAskEarlierEvery, [this, leader] { AskEarlierLeaders(leader); });
+}
+
+void SiteSimulation::ByLeader(const std::shared_ptr<Leader>& leader,
+                              const std::function<void()>& step) {
+  if (leader->dead) return;
+  if (leader->frozen_until <= now_) return step();
+  After(leader->frozen_until - now_, [leader, step] {
+    if (!leader->dead) step();
+  });
+}
+
 void SiteSimulation::Tick(const std::shared_ptr<Leader>& leader) {
   if (leader->dead) return;
+  if (leader->frozen_until > now_) {
+    // What it decided before it froze leaves it late.
+    return After(leader->frozen_until - now_, [this, leader] {
+      CarryOut(leader);
+      leader->scheduler->SetSuspended(leader->frozen_until - leader->frozen_at >
+                                      kStandstill);
+      Tick(leader);
+    });
+  }
   leader->scheduler->Tick(At());
   CarryOut(leader);
   Append(leader);
@@ -290,14 +340,15 @@
         store_.erase(record.key);
     }
     After(options_.store_delay, [this, leader, batch] {
-      if (leader->dead) return;
-      leader->appending = false;
-      leader->scheduler->OnDurable(batch->number);
-      auto it = leader->waiting.begin();
-      while (it != leader->waiting.end() && it->first <= batch->number) {
-        for (const auto& done : it->second) done();
-        it = leader->waiting.erase(it);
-      }
+      ByLeader(leader, [leader, batch] {
+        leader->appending = false;
+        leader->scheduler->OnDurable(batch->number);
+        auto it = leader->waiting.begin();
+        while (it != leader->waiting.end() && it->first <= batch->number) {
+          for (const auto& done : it->second) done();
+          it = leader->waiting.erase(it);
+        }
+      });
     });
   };
   After(options_.store_delay, [attempt] { (*attempt)(); });
@@ -313,8 +364,8 @@
   const bool answer_lost = late || Draw() < options_.lost_answers;
   const absl::Duration there = late ? absl::Seconds(2 + 10 * Draw()) : Delay();
   if (answer_lost)
-    After(kOrderTimeout, [leader, done, lost] {
-      if (!leader->dead) done(lost);
+    After(kOrderTimeout, [this, leader, done, lost] {
+      ByLeader(leader, [done, lost] { done(lost); });
     });
   After(there, [this, leader, worker, order, act, done, lost, other_life, late,
                 answer_lost] {
@@ -322,8 +373,8 @@
     SiteWorker* found = Find(worker, &cut);
     if (cut) {
       if (!answer_lost)
-        After(kOrderTimeout, [leader, done, lost] {
-          if (!leader->dead) done(lost);
+        After(kOrderTimeout, [this, leader, done, lost] {
+          ByLeader(leader, [done, lost] { done(lost); });
         });
       return;
     }
@@ -331,8 +382,8 @@
                             ? other_life
                             : act(*found, order, late);
     if (answer_lost) return;
-    After(Delay(), [leader, done, reply] {
-      if (!leader->dead) done(reply);
+    After(Delay(), [this, leader, done, reply] {
+      ByLeader(leader, [done, reply] { done(reply); });
     });
   });
 }
@@ -342,6 +393,12 @@
   const OrderReply gone{OrderResult::kOtherLife, -1, "gone"};
   for (const Action& action : leader->scheduler->TakeActions()) {
     if (const auto* start = std::get_if<StartAction>(&action)) {
+      leader->last_order = now_;
+      const auto lasting = lasting_.find(start->order.task);
+      if (lasting != lasting_.end()) {
+        lasting->second = Away();
+        lasting->second.worker = start->worker.id;
+      }
       Send<StartOrder, OrderReply>(
           leader, start->worker.id, start->order,
           [this](SiteWorker& w, const StartOrder& o, bool late) {
@@ -363,6 +420,7 @@
           lost, gone);
     } else if (const auto* look = std::get_if<ObserveAction>(&action)) {
       const absl::Time sent = now_;
+      if (look->order.lease_until_ms > 0) leader->last_order = sent;
       ObserveReply look_lost;
       look_lost.order = lost;
       ObserveReply look_gone;
@@ -390,7 +448,9 @@
       const absl::Duration took = absl::Milliseconds(
           10 + queue->advice.base_ms + queue->advice.per_worker_ms * named);
       After(took, [this, leader, ask = *ask, reply] {
-        if (!leader->dead) leader->scheduler->OnAdvice(ask, reply, At());
+        ByLeader(leader, [this, leader, ask, reply] {
+          leader->scheduler->OnAdvice(ask, reply, At());
+        });
       });
     }
   }
@@ -401,6 +461,11 @@
   jobs_[id].spec = std::move(spec);
   jobs_[id].queue = queue;
   jobs_[id].submitted = now_;
+  const std::vector<StepSpec>& steps = jobs_[id].spec.steps;
+  for (size_t s = 0; s < steps.size(); ++s) {
+    for (int32_t i = 0; steps[s].lasting && i < steps[s].count; ++i)
+      lasting_[{id, 0, static_cast<int32_t>(s), i}];
+  }
   const auto attempt = std::make_shared<std::function<void()>>();
   *attempt = [this, id, attempt] {
     const auto leader = current_;
@@ -432,11 +497,17 @@
   const auto old = current_;
   if (!old_one_lives) old->dead = true;
   current_ = nullptr;
-  After(pause, [this, old_one_lives] {
-    StartLeader();
-    if (!old_one_lives && current_ != nullptr)
-      current_->scheduler->OnEarlierLeaderStopped(now_);
-  });
+  After(pause, [this] { StartLeader(); });
+}
+
+void SiteSimulation::FreezeLeader(absl::Duration pause, absl::Duration frozen) {
+  if (current_ == nullptr || current_->dead) return;
+  const auto old = current_;
+  old->scheduler->Tick(At());
+  old->frozen_at = now_;
+  old->frozen_until = now_ + frozen;
+  current_ = nullptr;
+  After(pause, [this] { StartLeader(); });
 }
 
 void SiteSimulation::CrashWorker(int index, absl::Duration down) {
@@ -452,6 +523,26 @@
   After(down, [this, index] { StartLife(index); });
 }
 
+void SiteSimulation::DrainWorker(int index, absl::Duration drain,
+                                 absl::Duration down) {
+  const auto slot = static_cast<size_t>(index);
+  if (!workers_[slot].life->alive()) return;
+  workers_[slot].life->record().draining = true;
+  workers_[slot].life->record().leaves_in_ms = absl::ToInt64Milliseconds(drain);
+  if (current_ != nullptr)
+    current_->scheduler->OnWorkerRecord(workers_[slot].life->record(), At());
+  const std::string id = workers_[slot].life->record().id;
+  After(drain, [this, index, id, slot, down] {
+    if (workers_[slot].life->record().id != id || !workers_[slot].life->alive())
+      return;
+    CrashWorker(index, down);
+    CutWorker(index, down);
+    After(kRecordLingers, [this, id] {
+      if (current_ != nullptr) current_->scheduler->OnWorkerRemoved(id);
+    });
+  });
+}
+
 void SiteSimulation::CutWorker(int index, absl::Duration time) {
   workers_[static_cast<size_t>(index)].cut_until = now_ + time;
 }
@@ -473,6 +564,37 @@
     now_ = next;
     AdvanceWorkers();
     NoteEndedJobs();
+    NoteAway();
+  }
+}
+
+void SiteSimulation::NoteAway() {
+  for (auto& [task, away] : lasting_) {
+    const bool accepted = accepted_.count(task.job) > 0;
+    if (!accepted || jobs_[task.job].cancelled) continue;
+    bool runs = false;
+    bool cut = true;
+    const SiteWorker* last = Find(away.worker, &cut);
+    const bool there =
+        last != nullptr && last->alive() && !cut && !last->record().draining;
+    away.was_there = away.was_there && (there || away.worker.empty());
+    for (const WorkerSlot& slot : workers_) {
+      const auto& running = slot.life->running();
+      runs = runs || std::any_of(running.begin(), running.end(),
+                                 [&, t = task](const auto& one) {
+                                   return one.first.first == t;
+                                 });
+    }
+    const bool led =
+        current_ != nullptr && !current_->dead && now_ >= store_down_until_;
+    if (runs || !led) {
+      if (runs) away.time = away.with_worker = absl::ZeroDuration();
+      continue;
+    }
+    away.time += kStep;
+    away_ = std::max(away_, away.time);
+    if (away.was_there) away.with_worker += kStep;
+    away_with_worker_ = std::max(away_with_worker_, away.with_worker);
   }
 }
 
--- a/testing/support/site_simulation.h
+++ b/testing/support/site_simulation.h
@@ -31,6 +31,9 @@
     double lost_answers = 0;  // Share of orders carried out but not answered.
     double late_orders = 0;   // Share carried out 2 to 12 s later, unanswered.
     double failing_runs = 0.02;
+    // Of runs that last, which otherwise end with their worker or a stop: the
+    // share that fails, within 8 s.
+    double failing_lasting_runs = 0.5;
     // Share of the workers that the platform's list misses for 3 s when a
     // leader begins.
     double unlisted_workers = 0;
@@ -54,7 +57,14 @@
   // The leader's process is gone; another takes over after `pause`. Batches on
   // their way land or do not, as the seed draws.
   void ReplaceLeader(absl::Duration pause, bool old_one_lives);
+  // Its process stands still, as a rule between what it decided and its orders;
+  // another takes over after `pause`. It goes on where it was after `frozen`,
+  // and hears then that it was replaced, or a little later.
+  void FreezeLeader(absl::Duration pause, absl::Duration frozen);
   void CrashWorker(int index, absl::Duration down);
+  // The worker says that it leaves, is gone after `drain` and answers nothing;
+  // its record lingers for 3 s. The next life comes after `down`.
+  void DrainWorker(int index, absl::Duration drain, absl::Duration down);
   // Nobody reaches the worker meanwhile; it runs on.
   void CutWorker(int index, absl::Duration time);
   void StoreDown(absl::Duration time);
@@ -73,6 +83,11 @@
   // Tasks of which as many runs failed as a job bears.
   std::vector<TaskId> FailedOut() const;
   bool LeaderActive() const { return current_ != nullptr; }
+  // The longest time for which a task that lasts did not run though a leader
+  // was at work and the worker that it was last sent to was in reach and
+  // stayed, and the longest at all.
+  absl::Duration longest_away_with_worker() const { return away_with_worker_; }
+  absl::Duration longest_away() const { return away_; }
   JobScheduler* scheduler() {
     return current_ == nullptr ? nullptr : current_->scheduler.get();
   }
@@ -84,6 +99,9 @@
     int64_t epoch = 0;
     bool dead = false;
     bool appending = false;
+    absl::Time frozen_at = absl::InfinitePast();
+    absl::Time frozen_until = absl::InfinitePast();
+    absl::Time last_order = absl::InfinitePast();
     std::map<int64_t, std::vector<std::function<void()>>> waiting;  // By batch.
   };
   struct WorkerSlot {
@@ -91,6 +109,13 @@
     int lives = 0;
     absl::Time cut_until = absl::InfinitePast();
   };
+  // Of a task that lasts.
+  struct Away {
+    std::string worker;  // That it was last sent to.
+    bool was_there = true;
+    absl::Duration time;
+    absl::Duration with_worker;
+  };
   struct JobFacts {
     JobSpec spec;
     std::string queue;
@@ -113,6 +138,13 @@
   TaskId AccountOf(const TaskId& task);
   void AdvanceWorkers();
   void NoteEndedJobs();
+  void NoteAway();
+  // Those before `leader` that are not frozen hear of it, and tell when they
+  // gave their last order.
+  void AskEarlierLeaders(const std::shared_ptr<Leader>& leader);
+  // Has `step` done by the leader once it is not frozen, unless it is dead.
+  void ByLeader(const std::shared_ptr<Leader>& leader,
+                const std::function<void()>& step);
   SiteRunPlan PlanOf(const StartOrder& order);
   void Fault(const std::string& text);
   template <typename Order, typename Reply>
@@ -130,7 +162,8 @@
   int64_t store_epoch_ = 0;
   absl::Time store_down_until_ = absl::InfinitePast();
   std::shared_ptr<Leader> current_;
-  std::map<int64_t, absl::Time> leaders_seen_;  // By epoch: since when.
+  std::vector<std::shared_ptr<Leader>> leaders_;  // All, by epoch.
+  std::map<int64_t, absl::Time> leaders_seen_;    // By epoch: since when.
   std::vector<WorkerSlot> workers_;
   std::map<JobId, JobFacts> jobs_;
   std::set<JobId> accepted_;
@@ -140,6 +173,9 @@
   std::set<TaskId> done_;  // But for ends that died with their worker.
   std::set<TaskId> ever_done_;
   std::map<std::pair<TaskId, int32_t>, absl::Time> gang_done_at_;
+  std::map<TaskId, Away> lasting_;
+  absl::Duration away_;
+  absl::Duration away_with_worker_;
   std::vector<std::string> faults_;
   JobId next_job_ = 1;
 };
