Close a worker only once all ends that it listed are kept

Cause: a worker that leaves and is empty was recorded as closed also while the ends that it had listed were on no record yet. A batch that is split over several appends holds its workers first; if the leader ends between the parts, the next one does not wait for that worker and may start again what it lists as done, and takes note of that end afterwards.

Ruled out: a batch that is kept whole, and ends kept by an earlier batch.

Change: a worker with ends that are not kept is not closed.

Measured: the test fails on the code before (the closed record stands in the batch of the end), and passes; all test cases of the job scheduler pass.

--- a/keelbridge/coordination/job_scheduler_recovery_test.cc
+++ b/keelbridge/coordination/job_scheduler_recovery_test.cc
@@ -214,5 +214,35 @@
   CHECK(site.scheduler().figures().running_tasks == 0);
 }
 
+// A batch may be kept in part, its workers first: a later leader that did not
+// wait for the worker would start the task again whose end only it lists.
+TEST_CASE(
+    "job scheduler: a worker is closed once all ends that it listed are kept") {
+  SchedulerDriver site(1);
+  site.AddWorker("x");
+  site.lists["x"];
+  site.RunUntil(absl::Milliseconds(100));
+  JobSpec spec;
+  spec.steps = {OneTask()};
+  site.scheduler().Submit(kJob, "restore", spec, site.now());
+  site.RunUntil(absl::Milliseconds(200));
+  REQUIRE(site.starts.size() == 1);
+  WorkerRecord leaving = SchedulerDriver::RecordOf("x", 8000);
+  leaving.draining = true;
+  site.scheduler().OnWorkerRecord(leaving, site.now());
+  site.hold_batches = true;
+  site.End("x", {1, kTask, site.starts[0].run, RunEnd::kDone, ""});
+  site.RunUntil(absl::Milliseconds(600));
+  const auto batch = site.scheduler().TakeBatch();
+  for (const Record& record : batch.records) {
+    const auto worker = KnownWorkerFrom(record);
+    CHECK_FALSE((worker && worker->closed));
+  }
+  site.scheduler().OnDurable(batch.number);
+  site.hold_batches = false;
+  site.RunUntil(absl::Milliseconds(800));
+  CHECK(KnownWorkerFrom(site.kept.at(KnownWorkerKey("x")))->closed);
+}
+
 }  // namespace
 }  // namespace keelbridge::testing
--- a/keelbridge/coordination/job_scheduler_workers.cc
+++ b/keelbridge/coordination/job_scheduler_workers.cc
@@ -86,10 +86,12 @@
 
 // A worker that has left does not answer the next leader, which then held back
 // all work that it had not seen for that worker's lease: 15 s where leases are
-// of 10 s, though nothing had run there for seconds.
+// of 10 s, though nothing had run there for seconds. Not before its ends are
+// kept: a batch may be kept in part, its workers first, and a leader that did
+// not wait would start again what only this worker knows to be done.
 void JobScheduler::CloseIfEmpty(Worker& worker) {
   if (worker.closed || !worker.record.draining || !worker.listed ||
-      !worker.occupants.empty())
+      !worker.occupants.empty() || !worker.unnoted.empty())
     return;
   worker.closed = true;
   untold_workers_.insert(worker.record.id);
