A lasting task whose worker is gone does not wait for other workers

Cause: once a worker is known to be gone (its machine runs another life, or it was listed, is empty and its record is removed) it is forgotten, within 50 ms. A task that was placed there and had not started again by then, for want of room or of advice, then counted as placed on a worker nobody knows, and waited until all others were accounted for: the same wait that placements are to end.

Change: with the worker its placements are cleared, and that is kept.

--- a/keelbridge/coordination/job_scheduler.h
+++ b/keelbridge/coordination/job_scheduler.h
@@ -407,6 +407,9 @@
   void SendKeptStarts(Now now);
   // Nothing runs the task any more, or `worker` was found to run it.
   void KeepPlacement(Job& job, const TaskId& task, const std::string& worker);
+  // Nothing runs on `worker` any more, and it is forgotten: a task that was
+  // placed there would else wait for all other workers.
+  void ClearPlacementsOn(const std::string& worker);
   // Keeps the placements of recovered jobs whose last leader did not, once
   // nothing of theirs can run unseen.
   void AdoptPlacements();
--- a/keelbridge/coordination/job_scheduler_placements.cc
+++ b/keelbridge/coordination/job_scheduler_placements.cc
@@ -56,6 +56,21 @@
   MarkDirty(job);
 }
 
+void JobScheduler::ClearPlacementsOn(const std::string& worker) {
+  for (const auto& [id, job] : active_) {
+    if (!job->placements_kept) continue;
+    for (Round& round : job->rounds) {
+      for (StepState& step : round.steps) {
+        for (TaskState& task : step.tasks) {
+          if (task.placed_on != worker) continue;
+          task.placed_on.clear();
+          MarkDirty(*job);
+        }
+      }
+    }
+  }
+}
+
 void JobScheduler::AdoptPlacements() {
   placements_adopted_ = true;
   for (const auto& [id, job] : active_) {
--- a/keelbridge/coordination/job_scheduler_recovery_test.cc
+++ b/keelbridge/coordination/job_scheduler_recovery_test.cc
@@ -214,6 +214,33 @@
   CHECK(site.scheduler().figures().running_tasks == 0);
 }
 
+// Its own worker's machine runs another life: nothing runs the task, and
+// another worker that is silent has nothing to do with it.
+TEST_CASE(
+    "job scheduler: a lasting task whose worker is gone does not wait for "
+    "another worker") {
+  SchedulerDriver first(1);
+  for (const char* worker : {"w", "x"}) first.lists[worker];
+  first.AddWorker("w");
+  first.RunUntil(absl::Milliseconds(100));
+  JobSpec spec;
+  spec.steps = {LastingTask()};
+  first.scheduler().Submit(kJob, "restore", spec, first.now());
+  first.RunUntil(absl::Milliseconds(200));
+  REQUIRE(first.start_workers == std::vector<std::string>{"w"});
+  first.AddWorker("x");
+  first.RunUntil(absl::Milliseconds(400));
+
+  SchedulerDriver second(2);
+  second.TakeOver(first);
+  second.other_lives.insert("w");  // "x" answers nothing.
+  second.RunUntil(absl::Milliseconds(300));
+  second.AddWorker("y");  // Room comes when "w" is forgotten.
+  second.lists["y"];
+  second.RunUntil(absl::Seconds(1));
+  CHECK(second.start_workers == std::vector<std::string>{"y"});
+}
+
 // A batch may be kept in part, its workers first: a later leader that did not
 // wait for the worker would start the task again whose end only it lists.
 TEST_CASE(
--- a/keelbridge/coordination/job_scheduler_workers.cc
+++ b/keelbridge/coordination/job_scheduler_workers.cc
@@ -472,6 +472,7 @@
     forget(unnoted_workers_);
     actions_.push_back(ForgetWorkerAction{id});
     dropped_keys_.push_back(KnownWorkerKey(id));
+    ClearPlacementsOn(id);
     workers_.erase(worker);
   }
 }
