Send no kept start to a worker that leaves or fell silent meanwhile

Cause: the order of a task that lasts leaves once its placement is durable, which takes as long as the store is away. Whether the worker may still get work was looked at before that only: a task was sent to a worker that had said that it leaves (and had to move at once), or to one that had fallen silent, with a lease counted from an old reading of its clock.

Change: such a start is dropped like that of a cancelled job; the task is placed anew. Known and left: a member of a gang that is dropped so cannot join that run again, and the gang is stopped after its patience.

--- a/keelbridge/coordination/job_scheduler_placements.cc
+++ b/keelbridge/coordination/job_scheduler_placements.cc
@@ -30,8 +30,11 @@
     const auto found = worker->second->occupants.find(key);
     if (found == worker->second->occupants.end()) continue;
     Occupant& occupant = found->second;
-    if (occupant.stop_wanted) {
-      // Its job was cancelled meanwhile, and no order to start it has left.
+    // Its job was cancelled, or its worker leaves or fell silent, while the
+    // store took long. No order to start it has left.
+    const WorkerRecord& record = worker->second->record;
+    const bool stays = !record.draining && !worker->second->record_removed;
+    if (occupant.stop_wanted || !stays || !Reachable(*worker->second, now)) {
       Release(*worker->second, key);
       Requeue(key.first, key.second, action.worker.id, now.mono);
       continue;
--- a/keelbridge/coordination/job_scheduler_recovery_test.cc
+++ b/keelbridge/coordination/job_scheduler_recovery_test.cc
@@ -271,5 +271,32 @@
   CHECK(KnownWorkerFrom(site.kept.at(KnownWorkerKey("x")))->closed);
 }
 
+// The store took nothing for a while; its worker leaves meanwhile.
+TEST_CASE(
+    "job scheduler: a lasting task is not sent to a worker that leaves by "
+    "then") {
+  SchedulerDriver site(1);
+  for (const char* worker : {"a", "b"}) {
+    site.lists[worker];
+    site.AddWorker(worker);
+  }
+  site.RunUntil(absl::Milliseconds(100));
+  JobSpec spec;
+  spec.steps = {LastingTask()};
+  const int64_t accepted =
+      site.scheduler().Submit(kJob, "restore", spec, site.now());
+  site.hold_batches = true;
+  site.scheduler().TakeBatch();
+  site.scheduler().OnDurable(accepted);
+  site.RunUntil(absl::Milliseconds(400));
+  REQUIRE(site.starts.empty());
+  WorkerRecord leaving = SchedulerDriver::RecordOf("a", 8000);
+  leaving.draining = true;
+  site.scheduler().OnWorkerRecord(leaving, site.now());
+  site.hold_batches = false;
+  site.RunUntil(absl::Seconds(1));
+  CHECK(site.start_workers == std::vector<std::string>{"b"});
+}
+
 }  // namespace
 }  // namespace keelbridge::testing
