Trust placements only where each worker's last leader kept them

Cause: a leader of an earlier version, between two of this one, starts tasks that last without a placement. It records the workers that it gives work to, but no progress of the job for a start, so that the job's record goes on to say that its placements are kept. The next leader of this version then waited for the worker named there only, and could start a task a second time while it ran on another that did not answer: twice at once, in an upgrade node by node or one taken back.

Ruled out: the job's own mark, which that leader leaves as it is.

Change: a worker's record says whether its last leader kept placements; an earlier version writes it anew without that. While one that does not say so is not accounted for, tasks wait as those do of jobs that keep no placements.

Measured: the test fails on the code before (a start within 6 s while the worker of the leader between may still run the task) and passes; all test cases of the job scheduler, the job table and the site simulation pass. Not run: two versions of the program side by side.

--- a/keelbridge/coordination/job_scheduler.h
+++ b/keelbridge/coordination/job_scheduler.h
@@ -229,6 +229,8 @@
     // and gets nothing.
     bool closed = false;
     bool closed_before = false;  // By an earlier leader.
+    // See KnownWorker. True once this leader has listed it.
+    bool keeps_placements = true;
     Resources free;
     std::map<RunKey, Occupant> occupants;
     Resources stopping;  // What occupants take that are to stop.
@@ -280,6 +282,7 @@
     int32_t number;
     int32_t waiting;
     bool only_seen;  // Tasks that this leader has not seen may run elsewhere.
+    bool anywhere;   // Then also where no placement says so.
     int tier;        // 0: its objective can still be met.
     absl::Time latest_start;  // To meet the objective.
     // Of the time that the job could spend waiting, the share that is left.
@@ -345,6 +348,9 @@
   bool AccountedFor(const Worker& worker, Now now) const;
   // No worker may run something that is not known of.
   bool AllAccountedFor(Now now) const;
+  // Of those that are not accounted for, one was last held by a leader that
+  // kept no placements.
+  bool PlacementsMayLack(Now now) const;
   // A recovered task that this leader has not seen and that a worker which is
   // not accounted for may run.
   bool IsHeldBack(const ReadyStep& ready, const TaskState& task, Now now) const;
--- a/keelbridge/coordination/job_scheduler_placement.cc
+++ b/keelbridge/coordination/job_scheduler_placement.cc
@@ -75,6 +75,7 @@
   figures_.ready_tasks = 0;
   recovery_wait_ = RecoveryWait();
   const bool accounted = AllAccountedFor(now);
+  const bool anywhere = !accounted && PlacementsMayLack(now);
   const int64_t wall_ms = ToMillis(now.wall);
   for (auto& [id, job] : active_) {
     if (job->durable_at_batch > durable_batch_) continue;
@@ -95,6 +96,7 @@
         ready.number = static_cast<int32_t>(s);
         ready.only_seen = job->recovered && !accounted &&
                           !FollowsWhatEndedHere(*job, round, s);
+        ready.anywhere = anywhere;
         for (const TaskState& task : step.tasks)
           ready.waiting += MayTry(ready, task, now) ? 1 : 0;
         if (ready.only_seen) NoteHeldBack(ready, now);
--- a/keelbridge/coordination/job_scheduler_recovery.cc
+++ b/keelbridge/coordination/job_scheduler_recovery.cc
@@ -44,13 +44,20 @@
   });
 }
 
+bool JobScheduler::PlacementsMayLack(Now now) const {
+  return std::any_of(workers_.begin(), workers_.end(), [&](const auto& entry) {
+    return !entry.second->keeps_placements && !AccountedFor(*entry.second, now);
+  });
+}
+
 // A job that keeps placements tells which worker may run a task: only that one
 // is waited for. Without it one worker that is silent kept back all tasks that
 // last: one was away for 15 s whose own worker had told at once that it failed.
 bool JobScheduler::IsHeldBack(const ReadyStep& ready, const TaskState& task,
                               Now now) const {
   if (!ready.only_seen || task.seen) return false;
-  if (!ready.job->KeepsPlacements(static_cast<size_t>(ready.number)))
+  if (ready.anywhere ||
+      !ready.job->KeepsPlacements(static_cast<size_t>(ready.number)))
     return true;
   if (task.placed_on.empty()) return false;
   const auto worker = workers_.find(task.placed_on);
--- a/keelbridge/coordination/job_scheduler_recovery_test.cc
+++ b/keelbridge/coordination/job_scheduler_recovery_test.cc
@@ -298,5 +298,36 @@
   CHECK(site.start_workers == std::vector<std::string>{"b"});
 }
 
+// A leader of an earlier version records the workers that it gives work to, but
+// neither its placements nor, with them, that it keeps none. After it, any
+// worker that it knew may run the task.
+TEST_CASE(
+    "job scheduler: placements tell nothing of a worker whose last leader kept "
+    "none") {
+  SchedulerDriver first(1);
+  first.lists["w"];
+  first.AddWorker("w");
+  first.RunUntil(absl::Milliseconds(100));
+  JobSpec spec;
+  spec.steps = {LastingTask()};
+  first.scheduler().Submit(kJob, "restore", spec, first.now());
+  first.RunUntil(absl::Milliseconds(200));
+  REQUIRE(first.start_workers == std::vector<std::string>{"w"});
+  // Leader 2 starts the task on "z".
+  KnownWorker known;
+  known.worker = SchedulerDriver::RecordOf("z", 8000);
+  known.epoch = 2;
+  first.kept[KnownWorkerKey("z")] = KnownWorkerRecord(known);
+
+  SchedulerDriver third(3);
+  third.TakeOver(first);
+  third.AddWorker("w");
+  third.lists["w"];  // "z" answers nothing.
+  third.RunUntil(absl::Seconds(6));
+  CHECK(third.starts.empty());
+  third.RunUntil(absl::Seconds(8));
+  CHECK(third.start_workers == std::vector<std::string>{"w"});
+}
+
 }  // namespace
 }  // namespace keelbridge::testing
--- a/keelbridge/coordination/job_scheduler_workers.cc
+++ b/keelbridge/coordination/job_scheduler_workers.cc
@@ -386,6 +386,8 @@
   if (!worker.listed && !reply.more_ends) {
     worker.listed = true;
     placement_wanted_ = true;
+    if (!std::exchange(worker.keeps_placements, true))
+      untold_workers_.insert(worker.record.id);
     // An earlier leader may just have given the longest lease.
     worker.lapse_at = std::max(worker.lapse_at, now.mono + LongestLease());
   }
--- a/keelbridge/state/known_workers.cc
+++ b/keelbridge/state/known_workers.cc
@@ -24,6 +24,7 @@
   Json::Value value = ToJson(worker.capacity);
   value["epoch"] = Json::Int64(known.epoch);
   if (known.closed) value["closed"] = true;
+  if (known.keeps_placements) value["keeps_placements"] = true;
   value["machine"] = worker.machine;
   value["address"] = worker.address;
   value["zone"] = worker.zone;
@@ -41,6 +42,7 @@
   KnownWorker known;
   if (value.isMember("epoch")) known.epoch = value["epoch"].asInt64();
   known.closed = value["closed"].asBool();
+  known.keeps_placements = value["keeps_placements"].asBool();
   WorkerRecord& worker = known.worker;
   worker.id = record.key.substr(sizeof(kPrefix) - 1);
   worker.machine = value["machine"].asString();
--- a/keelbridge/state/known_workers.h
+++ b/keelbridge/state/known_workers.h
@@ -29,6 +29,10 @@
   // It says that it leaves and runs nothing, and that leader gives it nothing
   // any more.
   bool closed = false;
+  // Whatever may run there unseen and lasts has its placement on record. Not so
+  // after a leader of a version that kept none: it writes this record anew when
+  // it gives the worker work, and no job's.
+  bool keeps_placements = false;
 };
 
 std::string KnownWorkerKey(const std::string& worker_id);
