Read placements that are no table as unreadable, not as an error

Cause: where the table of placements is another kind of value, reading it threw, and the job table was not built.

Change: such a job counts as one that keeps no placements, as with a single placement that cannot be read.

Measured: the test's two new cases fail on the code before (an exception) and pass.

--- a/keelbridge/state/job_table.cc
+++ b/keelbridge/state/job_table.cc
@@ -85,6 +85,10 @@
 // Of a job that keeps them. One that cannot be read is not taken for none: all
 // of the job then count as not kept.
 void ReadPlacements(const Json::Value& in, Job* job, Round& round) {
+  if (!in.isNull() && !in.isObject()) {
+    job->placements_kept = false;
+    return;
+  }
   for (const std::string& key : in.getMemberNames()) {
     const Json::Value& placed = in[key];
     TaskState* task = TaskAt(round, key);
--- a/keelbridge/state/job_table_test.cc
+++ b/keelbridge/state/job_table_test.cc
@@ -58,7 +58,7 @@
   job.rounds[0].steps[0].tasks[1].placed_on = "i-1";
   for (const char* placed :
        {R"({"0.1":"i-1"})", R"({"0.1":["i-1"]})", R"({"0.1":[7,1]})",
-        R"({"0.9":["i-1",1]})", R"({"x":["i-1",1]})"}) {
+        R"({"0.9":["i-1",1]})", R"({"x":["i-1",1]})", R"(["0.1"])", "7"}) {
     CAPTURE(placed);
     Record progress = ProgressRecord(job);
     progress.value =
