--- a/keelbridge/coordination/job_scheduler_recovery_test.cc
+++ b/keelbridge/coordination/job_scheduler_recovery_test.cc
@@ -214,5 +214,120 @@
   CHECK(site.scheduler().figures().running_tasks == 0);
 }
 
+// Its own worker's machine runs another life: nothing runs the task, and
+// another worker that is silent has nothing to do with it.
+TEST_CASE(
+    "job scheduler: a lasting task whose worker is gone does not wait for "
+    "another worker") {
+  SchedulerDriver first(1);
+  for (const char* worker : {"w", "x"}) first.lists[worker];
+  first.AddWorker("w");
+  first.RunUntil(absl::Milliseconds(100));
+  JobSpec spec;
+  spec.steps = {LastingTask()};
+  first.scheduler().Submit(kJob, "restore", spec, first.now());
+  first.RunUntil(absl::Milliseconds(200));
+  REQUIRE(first.start_workers == std::vector<std::string>{"w"});
+  first.AddWorker("x");
+  first.RunUntil(absl::Milliseconds(400));
+
+  SchedulerDriver second(2);
+  second.TakeOver(first);
+  second.other_lives.insert("w");  // "x" answers nothing.
+  second.RunUntil(absl::Milliseconds(300));
+  second.AddWorker("y");  // Room comes when "w" is forgotten.
+  second.lists["y"];
+  second.RunUntil(absl::Seconds(1));
+  CHECK(second.start_workers == std::vector<std::string>{"y"});
+}
+
+// A batch may be kept in part, its workers first: a later leader that did not
+// wait for the worker would start the task again whose end only it lists.
+TEST_CASE(
+    "job scheduler: a worker is closed once all ends that it listed are kept") {
+  SchedulerDriver site(1);
+  site.AddWorker("x");
+  site.lists["x"];
+  site.RunUntil(absl::Milliseconds(100));
+  JobSpec spec;
+  spec.steps = {OneTask()};
+  site.scheduler().Submit(kJob, "restore", spec, site.now());
+  site.RunUntil(absl::Milliseconds(200));
+  REQUIRE(site.starts.size() == 1);
+  WorkerRecord leaving = SchedulerDriver::RecordOf("x", 8000);
+  leaving.draining = true;
+  site.scheduler().OnWorkerRecord(leaving, site.now());
+  site.hold_batches = true;
+  site.End("x", {1, kTask, site.starts[0].run, RunEnd::kDone, ""});
+  site.RunUntil(absl::Milliseconds(600));
+  const auto batch = site.scheduler().TakeBatch();
+  for (const Record& record : batch.records) {
+    const auto worker = KnownWorkerFrom(record);
+    CHECK_FALSE((worker && worker->closed));
+  }
+  site.scheduler().OnDurable(batch.number);
+  site.hold_batches = false;
+  site.RunUntil(absl::Milliseconds(800));
+  CHECK(KnownWorkerFrom(site.kept.at(KnownWorkerKey("x")))->closed);
+}
+
+// The store took nothing for a while; its worker leaves meanwhile.
+TEST_CASE(
+    "job scheduler: a lasting task is not sent to a worker that leaves by "
+    "then") {
+  SchedulerDriver site(1);
+  for (const char* worker : {"a", "b"}) {
+    site.lists[worker];
+    site.AddWorker(worker);
+  }
+  site.RunUntil(absl::Milliseconds(100));
+  JobSpec spec;
+  spec.steps = {LastingTask()};
+  const int64_t accepted =
+      site.scheduler().Submit(kJob, "restore", spec, site.now());
+  site.hold_batches = true;
+  site.scheduler().TakeBatch();
+  site.scheduler().OnDurable(accepted);
+  site.RunUntil(absl::Milliseconds(400));
+  REQUIRE(site.starts.empty());
+  WorkerRecord leaving = SchedulerDriver::RecordOf("a", 8000);
+  leaving.draining = true;
+  site.scheduler().OnWorkerRecord(leaving, site.now());
+  site.hold_batches = false;
+  site.RunUntil(absl::Seconds(1));
+  CHECK(site.start_workers == std::vector<std::string>{"b"});
+}
+
+// A leader of an earlier version records the workers that it gives work to, but
+// neither its placements nor, with them, that it keeps none. After it, any
+// worker that it knew may run the task.
+TEST_CASE(
+    "job scheduler: placements tell nothing of a worker whose last leader kept "
+    "none") {
+  SchedulerDriver first(1);
+  first.lists["w"];
+  first.AddWorker("w");
+  first.RunUntil(absl::Milliseconds(100));
+  JobSpec spec;
+  spec.steps = {LastingTask()};
+  first.scheduler().Submit(kJob, "restore", spec, first.now());
+  first.RunUntil(absl::Milliseconds(200));
+  REQUIRE(first.start_workers == std::vector<std::string>{"w"});
+  // Leader 2 starts the task on "z".
+  KnownWorker known;
+  known.worker = SchedulerDriver::RecordOf("z", 8000);
+  known.epoch = 2;
+  first.kept[KnownWorkerKey("z")] = KnownWorkerRecord(known);
+
+  SchedulerDriver third(3);
+  third.TakeOver(first);
+  third.AddWorker("w");
+  third.lists["w"];  // "z" answers nothing.
+  third.RunUntil(absl::Seconds(6));
+  CHECK(third.starts.empty());
+  third.RunUntil(absl::Seconds(8));
+  CHECK(third.start_workers == std::vector<std::string>{"w"});
+}
+
 }  // namespace
 }  // namespace keelbridge::testing
