Only workers that an earlier leader knew hold back recovered work

Cause: a worker that this leader saw first and that never answers, such as an entry of another writer, kept recovered work waiting for the fence, 6 s and a lease after each change of the leader. No leader gives work to a worker that is not on record, so that an earlier one cannot have used it.

Three tests handed in a worker that should have been on record as one that was not: they name it as known to the leader before now, and check what they did.

The term of an answer has no test.

--- a/keelbridge/coordination/job_scheduler.cc
+++ b/keelbridge/coordination/job_scheduler.cc
@@ -42,6 +42,7 @@
     Worker& worker = *workers_[known.worker.id];
     worker.known_at_batch = 0;
     worker.held_by = known.epoch;
+    worker.known_before = true;
     worker.closed_before = known.closed;
     worker.keeps_placements = known.keeps_placements;
     // Until the platform lists it, it gets nothing new.
--- a/keelbridge/coordination/job_scheduler.h
+++ b/keelbridge/coordination/job_scheduler.h
@@ -228,7 +228,11 @@
     // As of the record that tells later leaders of it: it leaves, runs nothing,
     // and gets nothing.
     bool closed = false;
-    bool closed_before = false;  // By an earlier leader.
+    // The same as of the record that an earlier leader left.
+    bool closed_before = false;
+    // An earlier leader may have given it work: none does before the worker is
+    // on record.
+    bool known_before = false;
     // See KnownWorker. True once this leader has listed it.
     bool keeps_placements = true;
     Resources free;
@@ -406,7 +410,7 @@
   // Stops one of them for which there is room elsewhere now.
   void MoveFromLeavingWorker(ReadyStep& ready, Now now);
 
-  // job_scheduler_placements.cc
+  // job_scheduler_kept_starts.cc
   // Puts the placement on record; the order leaves once that is durable.
   void KeepStart(Job& job, TaskState& task, StartAction action);
   // Sends the orders whose placements are durable.
--- a/keelbridge/coordination/job_scheduler_leases_test.cc
+++ b/keelbridge/coordination/job_scheduler_leases_test.cc
@@ -168,7 +168,8 @@
     "job scheduler: a worker with more ends than it listed is not accounted "
     "for") {
   SchedulerDriver site(2);
-  site.Recover(OneTask());
+  site.Recover(OneTask(), {{SchedulerDriver::RecordOf("a", 8000), 1},
+                           {SchedulerDriver::RecordOf("b", 8000), 1}});
   site.AddWorker("a");
   site.AddWorker("b");
   site.lists["b"];
@@ -189,7 +190,7 @@
     "job scheduler: whoever has stopped, what was given before the fence "
     "counts from the fence") {
   SchedulerDriver site(2);
-  site.Recover(OneTask());
+  site.Recover(OneTask(), {{SchedulerDriver::RecordOf("gone", 8000), 1}});
   site.AddWorker("a");
   site.AddWorker("gone");  // Never answers.
   site.lists["a"];
--- a/keelbridge/coordination/job_scheduler_recovery.cc
+++ b/keelbridge/coordination/job_scheduler_recovery.cc
@@ -31,9 +31,12 @@
 }
 
 // What an earlier leader may have started on a worker that this one has not
-// reached ends at the latest when the last lease that it gave has passed.
+// reached ends at the latest when the last lease that it gave has passed. One
+// that no earlier leader knew is not waited for: it may be an entry of another
+// writer, at an address where nobody answers, and would hold back all recovered
+// work for a lease after each change of the leader.
 bool JobScheduler::AccountedFor(const Worker& worker, Now now) const {
-  return worker.listed || worker.closed_before ||
+  return worker.listed || worker.closed_before || !worker.known_before ||
          now.mono > EarlierLeaseUntil(worker) + LongestLease();
 }
 
--- a/keelbridge/coordination/job_scheduler_recovery_test.cc
+++ b/keelbridge/coordination/job_scheduler_recovery_test.cc
@@ -271,6 +271,48 @@
   CHECK(KnownWorkerFrom(site.kept.at(KnownWorkerKey("x")))->closed);
 }
 
+// The key of a worker that is gone stands first in its batch, which may be kept
+// in part.
+TEST_CASE(
+    "job scheduler: a worker that is gone is dropped once all ends that it "
+    "listed are kept") {
+  SchedulerDriver site(1);
+  site.AddWorker("x");
+  site.lists["x"];
+  site.RunUntil(absl::Milliseconds(100));
+  JobSpec spec;
+  spec.steps = {OneTask()};
+  site.scheduler().Submit(kJob, "restore", spec, site.now());
+  site.RunUntil(absl::Milliseconds(200));
+  REQUIRE(site.starts.size() == 1);
+  site.hold_batches = true;
+  site.End("x", {1, kTask, site.starts[0].run, RunEnd::kDone, ""});
+  site.RunUntil(absl::Milliseconds(240));
+  site.scheduler().OnWorkerRemoved("x");
+  site.RunUntil(absl::Milliseconds(600));
+  const auto batch = site.scheduler().TakeBatch();
+  for (const Record& record : batch.records)
+    CHECK((record.key != KnownWorkerKey("x") || record.value.has_value()));
+  site.scheduler().OnDurable(batch.number);
+  site.hold_batches = false;
+  site.RunUntil(absl::Milliseconds(800));
+  CHECK(site.forgotten == std::vector<std::string>{"x"});
+  CHECK(site.kept.count(KnownWorkerKey("x")) == 0);
+}
+
+// Its record may be anybody's: an address where nobody answers.
+TEST_CASE(
+    "job scheduler: recovered work does not wait for a worker that no earlier "
+    "leader knew") {
+  SchedulerDriver site(2);
+  site.Recover(OneTask());
+  site.AddWorker("a");
+  site.AddWorker("new");  // Answers nothing.
+  site.lists["a"];
+  site.RunUntil(absl::Seconds(1));
+  CHECK(site.start_workers == std::vector<std::string>{"a"});
+}
+
 // The store took nothing for a while; its worker leaves meanwhile.
 TEST_CASE(
     "job scheduler: a lasting task is not sent to a worker that leaves by "
--- a/keelbridge/coordination/job_scheduler_test.cc
+++ b/keelbridge/coordination/job_scheduler_test.cc
@@ -19,7 +19,8 @@
 
 TEST_CASE("job scheduler: failed runs count once each, heard in any order") {
   SchedulerDriver site(2);
-  site.Recover(OneTask());
+  site.Recover(OneTask(), {{SchedulerDriver::RecordOf("a", 8000), 1},
+                           {SchedulerDriver::RecordOf("b", 8000), 1}});
   site.AddWorker("a");
   site.AddWorker("b");
   // Worker b, heard first, tells of the second run; a of the first.
--- a/keelbridge/coordination/job_scheduler_workers.cc
+++ b/keelbridge/coordination/job_scheduler_workers.cc
@@ -485,6 +485,8 @@
 // next leader's recovered work waited 11 s for them.
 bool JobScheduler::IsGone(const Worker& worker, Now now) const {
   if (!worker.record_removed || !worker.occupants.empty()) return false;
+  // Its key is dropped in the first part of a batch that may be kept in part.
+  if (!worker.unnoted.empty()) return false;
   if (worker.listed) return true;
   return now.mono > worker.lapse_at && AllAccountedFor(now);
 }
--- a/keelbridge/daemon/site_node.h
+++ b/keelbridge/daemon/site_node.h
@@ -127,7 +127,8 @@
   void Reaffirm();
   void BeginTerm();
   void OnTermEnded(const std::string& why);
-  void AskEarlierLeaders();
+  // Again and again in that term, until all have stopped.
+  void AskEarlierLeaders(const std::weak_ptr<LeaderSession>& term);
   // When this process last gave an order as a leader, at the latest.
   absl::Time LastOrder() const;
   void OfferLeadership();
--- a/keelbridge/daemon/site_node_leading.cc
+++ b/keelbridge/daemon/site_node_leading.cc
@@ -218,7 +218,7 @@
   if (configuration_ != nullptr) session_->SetConfiguration(configuration_);
   UpdatePeers();
   session_->Start();
-  AskEarlierLeaders();
+  AskEarlierLeaders(session_);
 }
 
 void SiteNode::OnTermEnded(const std::string& why) {
@@ -257,8 +257,13 @@
   return std::max(last_order_, session_->last_order());
 }
 
-void SiteNode::AskEarlierLeaders() {
-  if (session_ == nullptr || session_->ended()) return;
+void SiteNode::AskEarlierLeaders(const std::weak_ptr<LeaderSession>& term) {
+  // What is answered to an earlier term says nothing in this one: that node may
+  // have led since.
+  const auto in_term = [this, term] {
+    return term.lock() == session_ && session_ != nullptr && !session_->ended();
+  };
+  if (!in_term()) return;
   if (earlier_leaders_.AllStopped()) {
     session_->OnEarlierLeaderStopped(earlier_leaders_.LastOrder());
     return;
@@ -268,8 +273,10 @@
   for (const std::string& address : earlier_leaders_.Unheard()) {
     rpc_.Call(
         address, "leader_heard", params, kReadTimeout,
-        [this, address](const RpcOutcome& outcome) {
-          if (!outcome.answered || outcome.result["leads"].asBool()) return;
+        [this, in_term, address](const RpcOutcome& outcome) {
+          if (!in_term() || !outcome.answered ||
+              outcome.result["leads"].asBool())
+            return;
           const auto idle_ms = outcome.result["idle_ms"].asInt64();
           LogEvent(Severity::kInfo, "earlier_leader_stopped",
                    {{"address", address}, {"idle_ms", absl::StrCat(idle_ms)}});
@@ -278,7 +285,7 @@
         },
         RpcLane::kControl);
   }
-  RunAfter(loop_, kAskEarlierEvery, [this] { AskEarlierLeaders(); });
+  RunAfter(loop_, kAskEarlierEvery, [this, term] { AskEarlierLeaders(term); });
 }
 
 }  // namespace keelbridge
