Lasting tasks come back on a site that is behind, and not on workers that leave

Ruled out: recovered work that waits (recovered_waiting is 0), suspicion, a leader that is late (lag 5 ms). Change 1: once away for 0.5 s it comes before all others, and room is held for it as on a site that is not behind.

Cause 2, found by reading: the order to start a task that lasts leaves after an append; one that waited for the store went to a worker that had said meanwhile that it leaves. Change 2: such a start is withdrawn (start_withdrawn) and placed anew.

--- a/keelbridge/coordination/job_scheduler.h
+++ b/keelbridge/coordination/job_scheduler.h
@@ -280,6 +280,7 @@
     int32_t number;
     int32_t waiting;
     bool only_seen;  // Tasks that this leader has not seen may run elsewhere.
+    bool away;       // It lasts, and tasks of it have stopped running.
     int tier;        // 0: its objective can still be met.
     absl::Time latest_start;  // To meet the objective.
     // Of the time that the job could spend waiting, the share that is left.
@@ -391,6 +392,9 @@
   static bool FollowsWhatEndedHere(const Job& job, const Round& round,
                                    size_t step);
   bool MayTry(const ReadyStep& ready, const TaskState& task, Now now) const;
+  // Whether tasks of a lasting step have stopped running and wait for longer
+  // than they should.
+  bool IsAway(const ReadyStep& ready, Now now) const;
   // Tasks of a lasting step that are to start again once the lease of their
   // silent worker has passed, which is soon.
   int32_t SoonLost(const StepSpec& spec, const StepState& step, Now now) const;
--- a/keelbridge/coordination/job_scheduler_placement.cc
+++ b/keelbridge/coordination/job_scheduler_placement.cc
@@ -49,6 +49,13 @@
 // two plays of one day each).
 constexpr size_t kStepsBehind = 40;
 constexpr double kStepsBehindShare = 0.25;
+// A task that lasts and stopped running comes before all others once it has
+// been away this long. Users take it for lost when it was away for three
+// seconds, however full the site is: this leaves time for advice (up to 0.9 s)
+// and for room of its size to come. At first it has to wait its turn, since
+// many start again together when a worker or a zone is gone.
+constexpr absl::Duration kAwayTolerated = absl::Milliseconds(500);
+constexpr int kTierAway = -1;
 // Added to the share of a worker that would stay free, which is at most 1.
 constexpr double kElsewherePenalty = 10;  // Away from the task's data.
 constexpr double kFailedTherePenalty = 20;
@@ -115,8 +122,10 @@
                                      round.number * job->spec.round_interval_ms)
                 : now.mono - job->accepted_at;
         const absl::Duration left = objective - age - times.work_from[s];
+        ready.away = IsAway(ready, now);
         const int tier =
-            left > absl::ZeroDuration()                                   ? 0
+            ready.away                    ? kTierAway
+            : left > absl::ZeroDuration() ? 0
             : left + objective * (kLateFactor - 1) > absl::ZeroDuration() ? 1
                                                                           : 2;
         ready.tier = tier;
@@ -136,6 +145,15 @@
   return out;
 }
 
+bool JobScheduler::IsAway(const ReadyStep& ready, Now now) const {
+  if (!ready.spec->lasting || ready.spec->gang) return false;
+  const std::vector<TaskState>& tasks = ready.state->tasks;
+  return std::any_of(tasks.begin(), tasks.end(), [&](const TaskState& task) {
+    return task.run > 0 && MayTry(ready, task, now) &&
+           now.mono - task.retry_at > kAwayTolerated;
+  });
+}
+
 int32_t JobScheduler::SoonLost(const StepSpec& spec, const StepState& step,
                                Now now) const {
   if (!spec.lasting || spec.gang) return 0;
@@ -255,10 +273,11 @@
       Block(step, "no worker has room");
     }
     if (step.waiting == 0) continue;
+    const bool away = step.away && options_.policy.hold_room;
     int& holding = step.spec->gang ? gangs_holding : others_holding;
-    const int most = step.spec->gang ? kMostGangsHolding
-                     : others_hold   ? kMostOthersHolding
-                                     : 0;
+    const int most = step.spec->gang       ? kMostGangsHolding
+                     : others_hold || away ? kMostOthersHolding
+                                           : 0;
     step.holds = holding < most;
     if (step.holds) {
       HoldRoom(step, now);
--- a/keelbridge/coordination/job_scheduler_placements.cc
+++ b/keelbridge/coordination/job_scheduler_placements.cc
@@ -30,8 +30,17 @@
     const auto found = worker->second->occupants.find(key);
     if (found == worker->second->occupants.end()) continue;
     Occupant& occupant = found->second;
-    if (occupant.stop_wanted) {
-      // Its job was cancelled meanwhile, and no order to start it has left.
+    const Worker& at = *worker->second;
+    const bool leaves = at.record.draining || at.record_removed;
+    if (leaves) {
+      Explain("start_withdrawn", {{"task", TaskIdText(key.first)},
+                                  {"run", absl::StrCat(key.second)},
+                                  {"worker", action.worker.id},
+                                  {"why", "its worker leaves"}});
+    }
+    if (occupant.stop_wanted || leaves) {
+      // Its job was cancelled meanwhile, or its worker leaves, and no order to
+      // start it has left.
       Release(*worker->second, key);
       Requeue(key.first, key.second, action.worker.id, now.mono);
       continue;
--- a/keelbridge/coordination/job_scheduler_recovery_test.cc
+++ b/keelbridge/coordination/job_scheduler_recovery_test.cc
@@ -214,5 +214,35 @@
   CHECK(site.scheduler().figures().running_tasks == 0);
 }
 
+// The append that its order waits for may take seconds. What is started then on
+// a worker that has said meanwhile that it leaves has to move at once.
+TEST_CASE(
+    "job scheduler: a lasting task whose worker leaves before its order does "
+    "starts elsewhere") {
+  SchedulerDriver site(1);
+  site.lists["x"];
+  site.AddWorker("x");
+  site.RunUntil(absl::Milliseconds(100));
+  JobSpec spec;
+  spec.steps = {LastingTask()};
+  const int64_t accepted =
+      site.scheduler().Submit(kJob, "restore", spec, site.now());
+  site.hold_batches = true;
+  site.scheduler().TakeBatch();
+  site.scheduler().OnDurable(accepted);
+  site.RunUntil(absl::Milliseconds(200));
+  WorkerRecord leaving = SchedulerDriver::RecordOf("x", 8000);
+  leaving.draining = true;
+  site.scheduler().OnWorkerRecord(leaving, site.now());
+  site.lists["y"];
+  site.AddWorker("y");
+  site.RunUntil(absl::Milliseconds(3400));
+  CHECK(site.starts.empty());
+  site.hold_batches = false;
+  site.RunUntil(absl::Seconds(4));
+  CHECK(site.start_workers == std::vector<std::string>{"y"});
+  CHECK(site.stops.empty());
+}
+
 }  // namespace
 }  // namespace keelbridge::testing
