--- a/keelbridge/coordination/job_scheduler_kept_starts.cc
+++ b/keelbridge/coordination/job_scheduler_kept_starts.cc
@@ -30,11 +30,18 @@
     const auto found = worker->second->occupants.find(key);
     if (found == worker->second->occupants.end()) continue;
     Occupant& occupant = found->second;
-    // Its job was cancelled, or its worker leaves or fell silent, while the
-    // store took long. No order to start it has left.
-    const WorkerRecord& record = worker->second->record;
-    const bool stays = !record.draining && !worker->second->record_removed;
-    if (occupant.stop_wanted || !stays || !Reachable(*worker->second, now)) {
+    const Worker& at = *worker->second;
+    const bool stays =
+        !at.record.draining && !at.record_removed && Reachable(at, now);
+    if (!stays) {
+      Explain("start_withdrawn", {{"task", TaskIdText(key.first)},
+                                  {"run", absl::StrCat(key.second)},
+                                  {"worker", action.worker.id},
+                                  {"why", "its worker leaves or is silent"}});
+    }
+    if (occupant.stop_wanted || !stays) {
+      // Its job was cancelled meanwhile, or its worker leaves or fell silent
+      // while the store took long. No order to start it has left.
       Release(*worker->second, key);
       Requeue(key.first, key.second, action.worker.id, now.mono);
       continue;
--- a/keelbridge/coordination/job_scheduler_placement.cc
+++ b/keelbridge/coordination/job_scheduler_placement.cc
@@ -3,6 +3,8 @@
 
 #include <algorithm>
 #include <limits>
+#include <map>
+#include <string>
 #include <utility>
 
 #include "absl/strings/str_cat.h"
@@ -49,6 +51,13 @@
 // two plays of one day each).
 constexpr size_t kStepsBehind = 40;
 constexpr double kStepsBehindShare = 0.25;
+// A task that lasts and stopped running comes before all others once it has
+// been away this long. Users take it for lost when it was away for three
+// seconds, however full the site is: this leaves time for advice (up to 0.9 s)
+// and for room of its size to come. At first it has to wait its turn, since
+// many start again together when a worker or a zone is gone.
+constexpr absl::Duration kAwayTolerated = absl::Milliseconds(500);
+constexpr int kTierAway = -1;
 // Added to the share of a worker that would stay free, which is at most 1.
 constexpr double kElsewherePenalty = 10;  // Away from the task's data.
 constexpr double kFailedTherePenalty = 20;
@@ -117,8 +126,10 @@
                                      round.number * job->spec.round_interval_ms)
                 : now.mono - job->accepted_at;
         const absl::Duration left = objective - age - times.work_from[s];
+        ready.away = IsAway(ready, now);
         const int tier =
-            left > absl::ZeroDuration()                                   ? 0
+            ready.away                    ? kTierAway
+            : left > absl::ZeroDuration() ? 0
             : left + objective * (kLateFactor - 1) > absl::ZeroDuration() ? 1
                                                                           : 2;
         ready.tier = tier;
@@ -138,6 +149,15 @@
   return out;
 }
 
+bool JobScheduler::IsAway(const ReadyStep& ready, Now now) const {
+  if (!ready.spec->lasting || ready.spec->gang) return false;
+  const std::vector<TaskState>& tasks = ready.state->tasks;
+  return std::any_of(tasks.begin(), tasks.end(), [&](const TaskState& task) {
+    return (task.run > 0 || ready.job->recovered) && MayTry(ready, task, now) &&
+           now.mono - task.retry_at > kAwayTolerated;
+  });
+}
+
 int32_t JobScheduler::SoonLost(const StepSpec& spec, const StepState& step,
                                Now now) const {
   if (!spec.lasting || spec.gang) return 0;
@@ -226,9 +246,9 @@
   short_advisers_busy_ = false;
   long_advisers_busy_ = false;
   const Resources most_free = MostFree();
-  // Steps behind those that will fill all free room do not ask for advice:
-  // their answers would be stale before there is room for them.
-  double room_to_ask_for = kAskedRoom * static_cast<double>(FreeCpuMilli());
+  // Steps behind those that will fill all free room of their pool do not ask
+  // for advice: their answers would be stale before there is room for them.
+  std::map<std::string, double> room_to_ask_for = RoomToAskFor();
   for (auto& [id, worker] : workers_) worker->held = Resources();
   const auto workers = static_cast<double>(workers_.size());
   behind_ = ready_steps_ > kStepsBehind &&
@@ -257,22 +277,24 @@
       Block(step, "no worker has room");
     }
     if (step.waiting == 0) continue;
+    const bool away = step.away && options_.policy.hold_room;
     int& holding = step.spec->gang ? gangs_holding : others_holding;
-    const int most = step.spec->gang ? kMostGangsHolding
-                     : others_hold   ? kMostOthersHolding
-                                     : 0;
+    const int most = step.spec->gang       ? kMostGangsHolding
+                     : others_hold || away ? kMostOthersHolding
+                                           : 0;
     step.holds = holding < most;
     if (step.holds) {
       HoldRoom(step, now);
       ++holding;
     }
-    if (step.queue->advice.needed && (step.holds || room_to_ask_for > 0)) {
+    double& ask_for = room_to_ask_for[step.queue->pool];
+    if (step.queue->advice.needed && (step.holds || ask_for > 0)) {
       if (step.spec->gang)
         EnsureGangAdvice(step, now);
       else
         EnsureSinglesAdvice(step, now);
     }
-    room_to_ask_for -= static_cast<double>(step.waiting) * need.cpu_milli;
+    ask_for -= static_cast<double>(step.waiting) * need.cpu_milli;
   }
 }
 
@@ -287,11 +309,12 @@
   return most;
 }
 
-int64_t JobScheduler::FreeCpuMilli() const {
-  int64_t free = 0;
+std::map<std::string, double> JobScheduler::RoomToAskFor() const {
+  std::map<std::string, double> room;
   for (const auto& [id, worker] : workers_)
-    free += std::max(0, worker->free.cpu_milli);
-  return free;
+    room[worker->record.pool] +=
+        kAskedRoom * std::max(0, worker->free.cpu_milli);
+  return room;
 }
 
 void JobScheduler::Block(ReadyStep& ready, const char* why) {
