Gangs ask about the room that is held for them; the wide in calls side by side

Cause: a gang that held room counted that room as taken when it chose whom to ask, so it had tickets for other workers, where others were first. A gang that takes more workers than one call finds asked one call after the other (1.46 s where tickets hold 1.5 s) and named again whom it knew, so that it had learnt of enough workers late or never. And all gangs named the same workers first.

Ruled out: no room (37 of 70 thousand processors used); no adviser (99 of 100 calls were asked at once).

Change: what a step holds counts as its own, and is asked about first; a gang that one call cannot serve asks up to four nodes side by side, only while it is one of the four that may hold room; one that may not learns of workers not known yet, and asks no more for tickets that cannot do. Of workers with the same room those come first that others hope less of.

--- a/keelbridge/coordination/job_scheduler.h
+++ b/keelbridge/coordination/job_scheduler.h
@@ -466,8 +466,12 @@
     Worker* worker;
     int32_t hoped_milli;
   };
-  void AskAdvice(ReadyStep& ready, const std::vector<NamedWorker>& named,
+  // One call. False: no node is free for it.
+  bool AskAdvice(ReadyStep& ready, const NamedWorker* named, size_t count,
                  Now now);
+  // In so many calls side by side, at most, as naming them takes.
+  void AskAdvice(ReadyStep& ready, const std::vector<NamedWorker>& named,
+                 size_t most_calls, Now now);
   // Processors of as many tasks of the step as may start at one worker.
   static int32_t HopedMilli(const ReadyStep& ready, double tasks);
   void ReturnHopes(const AskAdviceAction& action);
@@ -479,6 +483,15 @@
   static Resources Unclaimed(const Worker& worker);
   void EnsureSinglesAdvice(ReadyStep& ready, Now now);
   void EnsureGangAdvice(ReadyStep& ready, Now now);
+  struct GangNames;
+  // Workers that a gang may be asked about, those with most room first.
+  struct GangCandidates {
+    std::vector<AdviceCandidate> good;  // Known to be allowed to run it.
+    std::vector<AdviceCandidate> unknown;
+    int32_t good_now = 0;    // Tasks that fit at the good ones now,
+    int32_t good_whole = 0;  // and when nothing else runs there.
+  };
+  GangCandidates FindGangCandidates(const ReadyStep& ready, Now now);
   Adviser* FreeAdviser(double cost_ms, Now now);
   absl::Duration LookAgainAfter() const;
   // Whether the step may search for whom to ask now; counts the search.
--- a/keelbridge/coordination/job_scheduler_advice.cc
+++ b/keelbridge/coordination/job_scheduler_advice.cc
@@ -38,6 +38,9 @@
 constexpr double kAdviceMargin = 1.4;
 constexpr double kGangSpare = 2.0;
 constexpr size_t kMostNamed = 100;  // The advice service takes no more.
+// Calls for one gang at a time, for the few that may hold room: together they
+// name what one may not. So many find 100 workers where a quarter may run it.
+constexpr size_t kMostSideBySide = 4;
 constexpr size_t kLeastNamed = 4;
 // A call may name so many workers that naming them takes this share of what it
 // takes to be called at all: a call that names too few is made again, and that
@@ -94,7 +97,8 @@
 // before all workers are searched on their behalf.
 bool JobScheduler::TakeAdviceSearch(const ReadyStep& ready, Now now) {
   const StepAdvice& advice = ready.state->advice;
-  if (advice.asked || advice.next_ask > now.mono || advice_searches_left_ <= 0)
+  if (advice.open > 0 || advice.next_ask > now.mono ||
+      advice_searches_left_ <= 0)
     return false;
   const AdviceTerms& terms = ready.queue->advice;
   const double least_ms =
@@ -163,20 +167,16 @@
   }
 }
 
-void JobScheduler::AskAdvice(ReadyStep& ready,
-                             const std::vector<NamedWorker>& named, Now now) {
-  if (named.empty()) return;
-  const size_t count = std::min(named.size(), kMostNamed);
+bool JobScheduler::AskAdvice(ReadyStep& ready, const NamedWorker* named,
+                             size_t count, Now now) {
   const AdviceTerms& terms = ready.queue->advice;
   const double cost_ms =
       terms.base_ms + terms.per_worker_ms * static_cast<double>(count);
   Adviser* adviser = FreeAdviser(cost_ms, now);
-  if (adviser == nullptr) return;
+  if (adviser == nullptr) return false;
   adviser->busy_until =
       std::max(adviser->busy_until, now.mono) + absl::Milliseconds(cost_ms);
-  StepAdvice& advice = ready.state->advice;
-  advice.asked = true;
-  ++advice.asks;
+  ++ready.state->advice.open;
   ++figures_.advice_calls;
   AskAdviceAction action;
   action.adviser = adviser->node;
@@ -197,6 +197,22 @@
            {"workers", absl::StrCat(action.request.workers.size())},
            {"expected_ms", absl::StrCat(static_cast<int64_t>(cost_ms))}});
   actions_.push_back(std::move(action));
+  return true;
+}
+
+void JobScheduler::AskAdvice(ReadyStep& ready,
+                             const std::vector<NamedWorker>& named,
+                             size_t most_calls, Now now) {
+  if (named.empty()) return;
+  const size_t count = std::min(named.size(), most_calls * kMostNamed);
+  const size_t calls = (count + kMostNamed - 1) / kMostNamed;
+  // As long as each other: their tickets hold at the same time.
+  for (size_t call = 0; call < calls; ++call) {
+    const size_t begin = count * call / calls;
+    const size_t end = count * (call + 1) / calls;
+    if (!AskAdvice(ready, named.data() + begin, end - begin, now)) break;
+  }
+  if (ready.state->advice.open > 0) ++ready.state->advice.asks;
 }
 
 int32_t JobScheduler::HopedMilli(const ReadyStep& ready, double tasks) {
@@ -207,10 +223,11 @@
 
 struct JobScheduler::AdviceCandidate {
   Worker* worker;
-  int32_t fits;   // Tasks, now.
-  int32_t whole;  // Tasks, when nothing else runs there.
-  bool good;      // Known to be allowed to run the step.
-  size_t number;  // In the order of the workers' names.
+  int32_t fits;       // Tasks, now.
+  int32_t whole;      // Tasks, when nothing else runs there.
+  bool good;          // Known to be allowed to run the step.
+  size_t number;      // In the order of the workers' names.
+  bool held = false;  // Room is kept there for the step.
 };
 
 void JobScheduler::EnsureSinglesAdvice(ReadyStep& ready, Now now) {
@@ -272,52 +289,86 @@
     expected += hoped;
     named.push_back({candidate.worker, enough ? 0 : HopedMilli(ready, hoped)});
   }
-  AskAdvice(ready, named, now);
+  AskAdvice(ready, named, 1, now);
 }
 
-void JobScheduler::EnsureGangAdvice(ReadyStep& ready, Now now) {
-  if (!TakeAdviceSearch(ready, now)) return;
-  StepAdvice& advice = ready.state->advice;
-  const bool by_cost =
-      options_.policy.name_by_cost && MostNamed(*ready.queue) > 0;
-  std::vector<AdviceCandidate> good;
-  std::vector<AdviceCandidate> unknown;
-  int32_t good_now = 0;
-  int32_t good_whole = 0;
+// What a call names for a gang: workers, in this order.
+struct JobScheduler::GangNames {
+  std::vector<NamedWorker> named;
+  double expected = 0;    // Tasks that those named are hoped to take.
+  double first_call = 0;  // Of these, what one call names.
+
+  void Add(const AdviceCandidate& candidate, double tasks, int32_t hoped) {
+    expected += tasks;
+    if (named.size() < kMostNamed) first_call = expected;
+    named.push_back({candidate.worker, hoped});
+  }
+};
+
+JobScheduler::GangCandidates JobScheduler::FindGangCandidates(
+    const ReadyStep& ready, Now now) {
+  GangCandidates out;
+  const StepAdvice& advice = ready.state->advice;
+  const Resources need = RoomNeeded(*ready.spec);
+  absl::flat_hash_map<std::string, int32_t> own;
+  for (const auto& [id, tasks] : ready.state->held) own[id] += tasks;
   for (auto& [id, worker] : workers_) {
     if (!MayRun(*worker, ready, now)) continue;
     const auto known = advice.known.find(id);
     const bool is_known = known != advice.known.end();
+    if (is_known && !known->second) continue;
+    // What is kept here for this step is room that it may have.
+    Resources room = RoomOn(*worker);
+    const auto kept = own.find(id);
+    const bool held = kept != own.end();
+    for (int32_t i = 0; held && i < kept->second; ++i) room += need;
     const AdviceCandidate candidate{
-        worker.get(), Fits(*worker, ready, RoomOn(*worker)),
-        Fits(*worker, ready, worker->record.capacity), is_known,
-        good.size() + unknown.size()};
+        worker.get(),
+        Fits(*worker, ready, room),
+        Fits(*worker, ready, worker->record.capacity),
+        is_known,
+        out.good.size() + out.unknown.size(),
+        held};
     if (candidate.whole < 1) continue;
     if (!is_known) {
-      unknown.push_back(candidate);
-    } else if (known->second) {
-      good.push_back(candidate);
-      good_now += candidate.fits;
-      good_whole += candidate.whole;
+      out.unknown.push_back(candidate);
+    } else {
+      out.good.push_back(candidate);
+      out.good_now += candidate.fits;
+      out.good_whole += candidate.whole;
     }
   }
+  // Others may take what is not held while the answer is on its way.
   const auto by_room = [](const AdviceCandidate& a, const AdviceCandidate& b) {
-    return std::make_tuple(-a.fits, -a.worker->free.cpu_milli, a.number) <
-           std::make_tuple(-b.fits, -b.worker->free.cpu_milli, b.number);
+    const auto rank = [](const AdviceCandidate& one) {
+      return std::make_tuple(
+          one.fits < 1, !one.held, -one.fits,
+          one.worker->hoped_milli - one.worker->free.cpu_milli, one.number);
+    };
+    return rank(a) < rank(b);
   };
-  std::sort(good.begin(), good.end(), by_room);
-  std::sort(unknown.begin(), unknown.end(), by_room);
+  std::sort(out.good.begin(), out.good.end(), by_room);
+  std::sort(out.unknown.begin(), out.unknown.end(), by_room);
+  return out;
+}
+
+void JobScheduler::EnsureGangAdvice(ReadyStep& ready, Now now) {
+  if (!TakeAdviceSearch(ready, now)) return;
+  StepAdvice& advice = ready.state->advice;
+  const bool by_cost =
+      options_.policy.name_by_cost && MostNamed(*ready.queue) > 0;
+  const GangCandidates candidates = FindGangCandidates(ready, now);
   const double share = GoodShare(*ready.queue);
   const double count = ready.spec->count;
-  double hoped_now = good_now;
-  for (const AdviceCandidate& candidate : unknown)
+  double hoped_now = candidates.good_now;
+  for (const AdviceCandidate& candidate : candidates.unknown)
     hoped_now += candidate.fits * share;
-  const bool room_now = good_now >= ready.spec->count;
+  const bool room_now = candidates.good_now >= ready.spec->count;
   // Others are asked about when those known to be good have no room now and
   // the others may, or when too few are known to be good at all.
   const bool ask_unknown =
-      !room_now && !unknown.empty() &&
-      (hoped_now >= count || good_whole < count * kAdviceMargin);
+      !room_now && !candidates.unknown.empty() &&
+      (hoped_now >= count || candidates.good_whole < count * kAdviceMargin);
   const bool prepares = by_cost && ready.holds && HeldTicketRunsOut(ready, now);
   if (!room_now && !ask_unknown && !prepares) {
     advice.next_ask = now.mono + LookAgainAfter();
@@ -326,25 +377,40 @@
   const size_t cheap = by_cost ? MostNamed(*ready.queue) : 0;
   // Fresh tickets for the good ones that have room, with some to spare: others
   // take room while the answer is on its way.
-  std::vector<NamedWorker> named;
-  double expected = 0;
-  for (const AdviceCandidate& candidate : good) {
-    const bool enough = candidate.fits < 1 || expected >= kGangSpare * count;
-    if (enough && named.size() >= cheap) break;
-    expected += candidate.fits;
-    named.push_back(
-        {candidate.worker, enough ? 0 : HopedMilli(ready, candidate.fits)});
+  GangNames names;
+  for (const AdviceCandidate& candidate : candidates.good) {
+    const bool enough =
+        candidate.fits < 1 || names.expected >= kGangSpare * count;
+    if (enough && names.named.size() >= cheap) break;
+    names.Add(candidate, candidate.fits,
+              enough ? 0 : HopedMilli(ready, candidate.fits));
   }
-  for (const AdviceCandidate& candidate : unknown) {
-    if (!ask_unknown) break;
-    const bool enough = expected >= kGangSpare * kAdviceMargin * count &&
-                        named.size() >= kLeastNamed;
-    if (enough && named.size() >= cheap) break;
-    expected += share * (candidate.fits > 0 ? candidate.fits : candidate.whole);
-    named.push_back({candidate.worker,
-                     enough ? 0 : HopedMilli(ready, share * candidate.fits)});
+  const auto add_unknown = [&](GangNames& to) {
+    for (const AdviceCandidate& candidate : candidates.unknown) {
+      const bool enough = to.expected >= kGangSpare * kAdviceMargin * count &&
+                          to.named.size() >= kLeastNamed;
+      if (enough && to.named.size() >= cheap) break;
+      to.Add(candidate,
+             share * (candidate.fits > 0 ? candidate.fits : candidate.whole),
+             enough ? 0 : HopedMilli(ready, share * candidate.fits));
+    }
+  };
+  if (ask_unknown) add_unknown(names);
+  size_t calls = 1;
+  if (names.named.size() > kMostNamed &&
+      names.first_call < kAdviceMargin * count) {
+    // One call may not bring the tickets, and those of calls one after the
+    // other do not hold together: a gang of 91 tasks on half a worker each
+    // asked 24 times in 57 s and did not start, with half of the site free.
+    if (ready.holds && hoped_now >= count) {
+      calls = kMostSideBySide;
+    } else if (names.first_call < count) {
+      names = GangNames();
+      if (ask_unknown) add_unknown(names);
+    }
   }
-  AskAdvice(ready, named, now);
+  if (names.named.empty()) advice.next_ask = now.mono + LookAgainAfter();
+  AskAdvice(ready, names.named, calls, now);
 }
 
 void JobScheduler::OnAdvice(const AskAdviceAction& action,
@@ -360,7 +426,7 @@
   StepState* step = found->second->FindStep(action.request.step);
   if (step == nullptr) return;
   StepAdvice& advice = step->advice;
-  advice.asked = false;
+  advice.open = std::max(0, advice.open - 1);
   advice.next_ask =
       now.mono + kAskAgain * (1 << std::min(advice.asks - 1, kMostDoublings));
   placement_wanted_ = true;
--- a/keelbridge/coordination/job_scheduler_gangs.cc
+++ b/keelbridge/coordination/job_scheduler_gangs.cc
@@ -85,7 +85,7 @@
     total += fits;
   }
   if (total < ready.spec->count) {
-    Block(ready, ready.state->advice.asked
+    Block(ready, ready.state->advice.open > 0
                      ? "waits for advice"
                      : "no room for the whole gang on workers that may run it");
     return;
--- a/keelbridge/coordination/job_scheduler_placement.cc
+++ b/keelbridge/coordination/job_scheduler_placement.cc
@@ -427,7 +427,7 @@
       best_score = score;
     }
     if (best == nullptr) {
-      Block(ready, ready.state->advice.asked ? "waits for advice"
+      Block(ready, ready.state->advice.open > 0 ? "waits for advice"
                                              : "no worker that may run it has "
                                                "room");
       return;
--- a/keelbridge/state/job_table.h
+++ b/keelbridge/state/job_table.h
@@ -63,7 +63,7 @@
 
 // Which workers may run a step, as far as the advice service has told.
 struct StepAdvice {
-  bool asked = false;  // A call is under way.
+  int32_t open = 0;  // Calls under way.
   absl::Time next_ask = absl::InfinitePast();
   int32_t asks = 0;                              // Calls so far.
   absl::flat_hash_map<std::string, bool> known;  // Worker -> may run it.
--- a/testing/support/scheduler_driver.h
+++ b/testing/support/scheduler_driver.h
@@ -11,6 +11,7 @@
 #define KEELBRIDGE_TESTING_SUPPORT_SCHEDULER_DRIVER_H_
 
 #include <algorithm>
+#include <functional>
 #include <map>
 #include <memory>
 #include <set>
@@ -80,14 +81,15 @@
   }
 
   // Tasks need a ticket; the workers in `good` get one.
-  void UseAdvice() {
+  void UseAdvice(const AdviceTerms& terms = {true, 500, 8, 1500}) {
+    advice_terms_ = terms;
     auto configuration = std::make_shared<SiteConfiguration>();
     configuration->version = 2;
     Queue queue;
     queue.name = "restore";
     queue.pool = "pool";
     queue.most_attempts = 2;
-    queue.advice = {true, 500, 8, 1500};
+    queue.advice = terms;
     configuration->queues.push_back(queue);
     queue.name = "plain";
     queue.advice = AdviceTerms();
@@ -138,6 +140,7 @@
   void RunUntil(absl::Duration until) {
     while (now_ < kBegin + until) {
       now_ += absl::Milliseconds(20);
+      AnswerDueAdvice();
       scheduler_.Tick(now());
       if (scheduler_.HasBatch() && !hold_batches) {
         const auto batch = scheduler_.TakeBatch();
@@ -153,7 +156,11 @@
   std::vector<ExplainAction> lines;           // For the log.
   std::set<std::string> good;
   std::set<std::string> other_lives;  // Answer that another life is there.
+  // Instead of `good`: by the step, its first task, and the worker.
+  std::function<bool(const TaskId&, const std::string&)> is_good;
   bool hold_advice = false;
+  // Advice takes as long as its terms say, one call at a time at each adviser.
+  bool timed_advice = false;
   bool hold_batches = false;  // The store takes nothing.
   absl::Duration time_of_day_is_ahead;
   std::vector<std::vector<std::string>> asks;  // Workers named, call by call.
@@ -182,11 +189,31 @@
     AdviceReply reply;
     reply.answered = true;
     for (const std::string& worker : ask.request.workers) {
-      if (good.count(worker) > 0) reply.good.push_back({worker, "t"});
+      const bool is_good_here =
+          is_good ? is_good(ask.request.step, worker) : good.count(worker) > 0;
+      if (is_good_here) reply.good.push_back({worker, "t"});
     }
     scheduler_.OnAdvice(ask, reply, now());
   }
 
+  void AnswerLater(const AskAdviceAction& ask) {
+    const double takes_ms =
+        advice_terms_.base_ms +
+        advice_terms_.per_worker_ms *
+            static_cast<double>(ask.request.workers.size());
+    absl::Time& free = adviser_free_[ask.adviser];
+    free = std::max(free, now_) + absl::Milliseconds(takes_ms);
+    due_.emplace(free, ask);
+  }
+
+  void AnswerDueAdvice() {
+    while (!due_.empty() && due_.begin()->first <= now_) {
+      const AskAdviceAction ask = due_.begin()->second;
+      due_.erase(due_.begin());
+      AnswerAdvice(ask);
+    }
+  }
+
   void Answer(const Action& action) {
     if (const auto* look = std::get_if<ObserveAction>(&action)) {
       const auto list = lists.find(look->worker.id);
@@ -205,6 +232,8 @@
       hopes.push_back(ask->hoped_milli);
       if (hold_advice)
         held_.push_back(*ask);
+      else if (timed_advice)
+        AnswerLater(*ask);
       else
         AnswerAdvice(*ask);
     } else if (const auto* start = std::get_if<StartAction>(&action)) {
@@ -227,7 +256,10 @@
     }
   }
 
+  AdviceTerms advice_terms_;
   std::vector<AskAdviceAction> held_;
+  std::multimap<absl::Time, AskAdviceAction> due_;
+  std::map<std::string, absl::Time> adviser_free_;
   absl::Time now_ = kBegin;
   JobScheduler scheduler_;
 };
