Merge gangs that ask about held room, and workers named with what they left with

A worker that leaves is told of with its last tasks only once the ends that it listed are kept, as when it is closed empty: a batch may be kept in part.

--- a/keelbridge/coordination/job_scheduler.cc
+++ b/keelbridge/coordination/job_scheduler.cc
@@ -45,6 +45,7 @@
     worker.known_before = true;
     worker.closed_before = known.closed;
     worker.keeps_placements = known.keeps_placements;
+    worker.last_tasks_before = known.last_tasks;
     // Until the platform lists it, it gets nothing new.
     worker.record_removed = true;
   }
@@ -78,8 +79,9 @@
     const auto found = workers_.find(id);
     if (found == workers_.end()) continue;
     const Worker& worker = *found->second;
-    batch.records.push_back(KnownWorkerRecord(
-        {worker.record, epoch_, worker.closed, worker.keeps_placements}));
+    batch.records.push_back(
+        KnownWorkerRecord({worker.record, epoch_, worker.closed,
+                           worker.keeps_placements, worker.last_tasks}));
   }
   untold_workers_.clear();
   for (const JobId id : undescribed_) {
--- a/keelbridge/coordination/job_scheduler.h
+++ b/keelbridge/coordination/job_scheduler.h
@@ -235,6 +235,10 @@
     bool known_before = false;
     // See KnownWorker. True once this leader has listed it.
     bool keeps_placements = true;
+    // The same while it runs something: only these tasks may run there. By this
+    // leader's record, and by an earlier leader's.
+    std::vector<TaskId> last_tasks;
+    std::vector<TaskId> last_tasks_before;
     Resources free;
     std::map<RunKey, Occupant> occupants;
     Resources stopping;  // What occupants take that are to stop.
@@ -341,8 +345,9 @@
   bool Reachable(const Worker& worker, Now now) const;
   // Later leaders are told that this one may give the worker work.
   void TellOf(Worker& worker);
-  // Tells them that it does so no more, once a worker that leaves is empty.
-  void CloseIfEmpty(Worker& worker);
+  // Tells them that it does so no more, and what may still run there, once a
+  // worker leaves.
+  void CloseLeaving(Worker& worker);
 
   // job_scheduler_recovery.cc
   // By when a lease that starts now has passed on the slowest clock.
@@ -356,6 +361,14 @@
   // Of those that are not accounted for, one was last held by a leader that
   // kept no placements.
   bool PlacementsMayLack(Now now) const;
+  // What workers that are not accounted for may run.
+  struct Unseen {
+    bool anything = false;
+    std::set<TaskId> tasks;  // Unless anything.
+
+    bool Any() const { return anything || !tasks.empty(); }
+  };
+  Unseen FindUnseen(Now now) const;
   // A recovered task that this leader has not seen and that a worker which is
   // not accounted for may run.
   bool IsHeldBack(const ReadyStep& ready, const TaskState& task, Now now) const;
@@ -485,8 +498,12 @@
     Worker* worker;
     int32_t hoped_milli;
   };
-  void AskAdvice(ReadyStep& ready, const std::vector<NamedWorker>& named,
+  // One call. False: no node is free for it.
+  bool AskAdvice(ReadyStep& ready, const NamedWorker* named, size_t count,
                  Now now);
+  // In so many calls side by side, at most, as naming them takes.
+  void AskAdvice(ReadyStep& ready, const std::vector<NamedWorker>& named,
+                 size_t most_calls, Now now);
   // Processors of as many tasks of the step as may start at one worker.
   static int32_t HopedMilli(const ReadyStep& ready, double tasks);
   void ReturnHopes(const AskAdviceAction& action);
@@ -498,6 +515,15 @@
   static Resources Unclaimed(const Worker& worker);
   void EnsureSinglesAdvice(ReadyStep& ready, Now now);
   void EnsureGangAdvice(ReadyStep& ready, Now now);
+  struct GangNames;
+  // Workers that a gang may be asked about, those with most room first.
+  struct GangCandidates {
+    std::vector<AdviceCandidate> good;  // Known to be allowed to run it.
+    std::vector<AdviceCandidate> unknown;
+    int32_t good_now = 0;    // Tasks that fit at the good ones now,
+    int32_t good_whole = 0;  // and when nothing else runs there.
+  };
+  GangCandidates FindGangCandidates(const ReadyStep& ready, Now now);
   Adviser* FreeAdviser(double cost_ms, Now now);
   absl::Duration LookAgainAfter() const;
   // Whether the step may search for whom to ask now; counts the search.
@@ -543,6 +569,7 @@
     TaskId first;
   };
   RecoveryWait recovery_wait_;
+  Unseen unseen_;  // As of that look.
   bool recovery_told_ = false;
   absl::Time next_recovery_line_ = absl::InfinitePast();
   bool fenced_ = false;
--- a/keelbridge/coordination/job_scheduler_placement.cc
+++ b/keelbridge/coordination/job_scheduler_placement.cc
@@ -83,8 +83,8 @@
   std::vector<ReadyStep> out;
   figures_.ready_tasks = 0;
   recovery_wait_ = RecoveryWait();
-  const bool accounted = AllAccountedFor(now);
-  const bool anywhere = !accounted && PlacementsMayLack(now);
+  unseen_ = FindUnseen(now);
+  const bool anywhere = unseen_.Any() && PlacementsMayLack(now);
   const int64_t wall_ms = ToMillis(now.wall);
   for (auto& [id, job] : active_) {
     if (job->durable_at_batch > durable_batch_) continue;
@@ -103,7 +103,7 @@
         ready.spec = &spec;
         ready.queue = queue;
         ready.number = static_cast<int32_t>(s);
-        ready.only_seen = job->recovered && !accounted &&
+        ready.only_seen = job->recovered && unseen_.Any() &&
                           !FollowsWhatEndedHere(*job, round, s);
         ready.anywhere = anywhere;
         for (const TaskState& task : step.tasks)
@@ -452,9 +452,10 @@
       best_score = score;
     }
     if (best == nullptr) {
-      Block(ready, ready.state->advice.asked ? "waits for advice"
-                                             : "no worker that may run it has "
-                                               "room");
+      Block(ready, ready.state->advice.open > 0
+                       ? "waits for advice"
+                       : "no worker that may run it has "
+                         "room");
       return;
     }
     StartTask(ready, index, std::max(task.run + 1, FirstRunOfEpoch(epoch_)),
--- a/keelbridge/state/known_workers.cc
+++ b/keelbridge/state/known_workers.cc
@@ -25,6 +25,8 @@
   value["epoch"] = Json::Int64(known.epoch);
   if (known.closed) value["closed"] = true;
   if (known.keeps_placements) value["keeps_placements"] = true;
+  for (const TaskId& task : known.last_tasks)
+    value["last_tasks"].append(TaskIdText(task));
   value["machine"] = worker.machine;
   value["address"] = worker.address;
   value["zone"] = worker.zone;
@@ -43,6 +45,11 @@
   if (value.isMember("epoch")) known.epoch = value["epoch"].asInt64();
   known.closed = value["closed"].asBool();
   known.keeps_placements = value["keeps_placements"].asBool();
+  for (const Json::Value& text : value["last_tasks"]) {
+    TaskId task;
+    if (!ParseTaskId(text.asString(), &task)) return std::nullopt;
+    known.last_tasks.push_back(task);
+  }
   WorkerRecord& worker = known.worker;
   worker.id = record.key.substr(sizeof(kPrefix) - 1);
   worker.machine = value["machine"].asString();
--- a/keelbridge/state/known_workers.h
+++ b/keelbridge/state/known_workers.h
@@ -15,7 +15,9 @@
 #include <limits>
 #include <optional>
 #include <string>
+#include <vector>
 
+#include "keelbridge/protocol/job.h"
 #include "keelbridge/protocol/record_store.h"
 #include "keelbridge/protocol/site_worker.h"
 
@@ -33,6 +35,10 @@
   // after a leader of a version that kept none: it writes this record anew when
   // it gives the worker work, and no job's.
   bool keeps_placements = false;
+  // It says that it leaves, and that leader gives it nothing any more: of that
+  // leader's and earlier ones' tasks only these may run there. Empty: any may,
+  // if it is not closed.
+  std::vector<TaskId> last_tasks{};
 };
 
 std::string KnownWorkerKey(const std::string& worker_id);
