--- a/keelbridge/base/json_reader.cc
+++ b/keelbridge/base/json_reader.cc
@@ -177,6 +177,28 @@
 
 void JsonReader::Each(const std::string& key,
                       const std::function<void(JsonReader&)>& read) {
+  EachObject(key, [&read](JsonReader& reader) {
+    read(reader);
+    reader.Finish();
+  });
+}
+
+void JsonReader::OpenEach(const std::string& key,
+                          const std::function<void(JsonReader&)>& read) {
+  EachObject(key, read);
+}
+
+void JsonReader::OpenObject(const std::string& key,
+                            const std::function<void(JsonReader&)>& read) {
+  const Json::Value* value = Find(key, "an object");
+  if (value == nullptr) return;
+  if (!value->isObject()) return Fault(key, "must be an object");
+  JsonReader reader(document_, *value, absl::StrCat(path_, key, "."));
+  read(reader);
+}
+
+void JsonReader::EachObject(const std::string& key,
+                            const std::function<void(JsonReader&)>& read) {
   const Json::Value* value = Find(key, "a list of objects");
   if (value == nullptr) return;
   if (!value->isArray()) return Fault(key, "must be a list of objects");
@@ -188,7 +210,6 @@
     }
     JsonReader reader(document_, (*value)[i], path);
     read(reader);
-    reader.Finish();
   }
 }
 
--- a/keelbridge/base/json_reader.h
+++ b/keelbridge/base/json_reader.h
@@ -69,6 +69,12 @@
   void Each(const std::string& key,
             const std::function<void(JsonReader&)>& read);
   void Texts(const std::string& key, std::vector<std::string>* out);
+  // The same of what others write, who may add members: unknown ones are no
+  // faults.
+  void OpenObject(const std::string& key,
+                  const std::function<void(JsonReader&)>& read);
+  void OpenEach(const std::string& key,
+                const std::function<void(JsonReader&)>& read);
 
   // True when the member is there; the calls above may then read it.
   bool Has(const std::string& key) const { return object_.isMember(key); }
@@ -91,6 +97,8 @@
 
  private:
   const Json::Value* Find(const std::string& key, const char* allowed);
+  void EachObject(const std::string& key,
+                  const std::function<void(JsonReader&)>& read);
 
   JsonDocument& document_;
   const Json::Value& object_;
