An item of a page that cannot be read is refused alone

Cause: one item with bad base64 made its whole page unreadable, and with it no leader could load; a key or value of another type threw; a value that was missing was taken for a dropped record; an end beyond 2^63 threw.

Change: DecodeNewest lists unreadable items beside the records, with their key where that can be read. Paging goes on after the last key of the page (NewestReply::NextAfter), and never counts a page that does not lead on as read.

--- a/keelbridge/protocol/record_store.cc
+++ b/keelbridge/protocol/record_store.cc
@@ -28,6 +28,11 @@
   return "unknown";
 }
 
+std::string NewestReply::NextAfter() const {
+  if (!last_key.empty()) return last_key;
+  return records.empty() ? "" : records.back().key;
+}
+
 size_t SizeOf(const Record& record) {
   return kLengthBytes + record.key.size() +
          (record.value ? record.value->size() : 0);
--- a/keelbridge/protocol/record_store.h
+++ b/keelbridge/protocol/record_store.h
@@ -79,12 +79,25 @@
   std::string message;
 };
 
+// An item of a page that cannot be read; the others of the page hold.
+struct UnreadableItem {
+  std::string key;  // Empty: it cannot be read either.
+  std::string what;
+};
+
 struct NewestReply {
   StoreResult result = StoreResult::kUnknown;
   std::vector<Record> records;
+  std::vector<UnreadableItem> unreadable;
+  // Of the last item of the page, if that is an unreadable one whose key can be
+  // read.
+  std::string last_key;
   bool more = false;
   int64_t end = -1;
   std::string message;
+
+  // After which key the next page begins; empty: no item of this one tells.
+  std::string NextAfter() const;
 };
 
 // How long a reader waits for an answer. A plain duration is the whole time.
