Own records that cannot be read are neither none nor written over

Cause: fields of another type threw out of a load (JobRecords::Build, KnownWorkerFrom, LeaderFromRecord) or were read as nothing: `"rounds":"x"` as no round, `"end":"wobbly"` as not ended, so that a job ran again; a known worker's bad record as no worker; a bad leader's record as no leader, so that the next node claimed epoch 1 over it.

Ruled out: claiming above the last epoch that a node knows. The record may be a claim of any epoch, and two leaders of one epoch would not fence each other.

Change: job records are checked for types and sense, and a bad one makes its job unreadable (not run, not denied, not accepted anew). A known worker's bad record keeps its id from the key, any leader may have used it; without an address it gets no clients, which would keep the wrong one. Over a bad leader's record nobody claims or says again that it leads; one log line and a gauge. A bad configuration is told of once for each record.

--- a/keelbridge/coordination/site_election.cc
+++ b/keelbridge/coordination/site_election.cc
@@ -20,6 +20,11 @@
 constexpr double kAmpleProcessors = 0.25;
 constexpr absl::Duration kHeadStart = absl::Seconds(1);
 
+bool IsEarlierLeader(const Json::Value& value) {
+  return value.isObject() && value["address"].isString() &&
+         value["claimed_ms"].isInt64();
+}
+
 }  // namespace
 
 Record ToRecord(const LeaderRecord& leader) {
@@ -42,15 +47,23 @@
   if (record.key != kLeaderKey || !record.value) return std::nullopt;
   const JsonDocument document = JsonDocument::Parse(*record.value, "leader");
   const Json::Value& value = document.root();
-  if (!document.faults().empty() || !value["epoch"].isIntegral())
-    return std::nullopt;
+  const Json::Value& earlier = value["earlier"];
+  const bool readable =
+      document.faults().empty() && value["epoch"].isInt64() &&
+      value["epoch"].asInt64() >= 0 && value["node"].isString() &&
+      value["boot"].isUInt64() && value["address"].isString() &&
+      value["claimed_ms"].isInt64() &&
+      (!value.isMember("earlier") ||
+       (earlier.isArray() &&
+        std::all_of(earlier.begin(), earlier.end(), IsEarlierLeader)));
+  if (!readable) return std::nullopt;
   LeaderRecord leader;
   leader.epoch = value["epoch"].asInt64();
   leader.node = value["node"].asString();
   leader.boot = value["boot"].asUInt64();
   leader.address = value["address"].asString();
   leader.claimed_ms = value["claimed_ms"].asInt64();
-  for (const Json::Value& one : value["earlier"])
+  for (const Json::Value& one : earlier)
     leader.earlier.push_back(
         {one["address"].asString(), one["claimed_ms"].asInt64()});
   return leader;
@@ -77,7 +90,9 @@
 void SiteElection::OnControlRead(const std::vector<Record>& records,
                                  int64_t end, absl::Time now) {
   for (const Record& record : records) {
+    if (record.key != kLeaderKey || !record.value) continue;
     const auto leader = LeaderFromRecord(record);
+    control_unreadable_ = !leader.has_value();
     if (!leader) continue;
     // A leader that confirmed its record was there after this node last read.
     const bool confirmed = control_end_ > 0 && end > control_end_ &&
@@ -190,6 +205,7 @@
   if (stood_still) last_heard_ = std::max(last_heard_, now);
   if (leads_ || retired_) return ElectionStep::kNone;
   if (!control_known_) return ElectionStep::kReadControl;
+  if (control_unreadable_) return ElectionStep::kNone;
   if (leader_.epoch == 0)
     return now - started_ > Stagger() ? ElectionStep::kClaim
                                       : ElectionStep::kNone;
--- a/keelbridge/coordination/site_election.h
+++ b/keelbridge/coordination/site_election.h
@@ -41,6 +41,7 @@
 
 constexpr char kLeaderKey[] = "leader";
 Record ToRecord(const LeaderRecord& leader);
+// None when `record` is another one, or cannot be read.
 std::optional<LeaderRecord> LeaderFromRecord(const Record& record);
 
 enum class ElectionStep { kNone, kReadControl, kClaim };
@@ -106,6 +107,10 @@
   AppendOrder Reaffirm() const;
   void OnReaffirmed(int64_t end) { control_end_ = std::max(control_end_, end); }
 
+  // The newest record of who leads cannot be read. It may be the claim of any
+  // epoch, and two leaders of one epoch would not fence each other: nobody
+  // claims or says again that it leads until one that can be read is written.
+  bool control_unreadable() const { return control_unreadable_; }
   const LeaderRecord& leader() const { return leader_; }
   bool Leads() const { return leads_; }
   absl::Time last_heard() const { return last_heard_; }
@@ -131,6 +136,7 @@
   bool leads_ = false;
   bool retired_ = false;
   bool control_known_ = false;
+  bool control_unreadable_ = false;
   int64_t control_end_ = 0;
   absl::Time started_ = absl::InfiniteFuture();
   absl::Time last_heard_ = absl::InfinitePast();
--- a/keelbridge/coordination/site_election_test.cc
+++ b/keelbridge/coordination/site_election_test.cc
@@ -304,5 +304,51 @@
   CHECK(look_for(absl::Milliseconds(200)) == ElectionStep::kClaim);
 }
 
+// A record of the leader that cannot be read: which epoch it claims is not
+// known, and two leaders of one epoch would not fence each other.
+Record SpoiltLeader(const std::string& value) {
+  return Record{kLeaderKey, value, -1};
+}
+
+const char* const kSpoilt[] = {
+    "",
+    "no record",
+    "[]",
+    "{}",
+    R"({"epoch":"x"})",
+    R"({"epoch":true})",
+    R"({"epoch":-3})",
+    R"({"epoch":18446744073709551615})",
+    R"({"epoch":3,"node":7,"boot":1,"address":"a:1","claimed_ms":1})",
+    R"({"epoch":3,"node":"a","boot":"x","address":"a:1","claimed_ms":1})",
+    R"({"epoch":3,"node":"a","boot":1,"address":[],"claimed_ms":1})",
+    R"({"epoch":3,"node":"a","boot":1,"address":"a:1","claimed_ms":{}})",
+    R"({"epoch":3,"node":"","boot":1,"address":"","claimed_ms":1,"earlier":"x"})",
+    R"({"epoch":3,"node":"","boot":1,"address":"","claimed_ms":1,"earlier":[7]})",
+};
+
+TEST_CASE("site election: over a record that cannot be read nobody claims") {
+  for (const char* value : kSpoilt) {
+    CAPTURE(value);
+    SiteElection fresh = Make("a", 1);
+    fresh.OnControlRead({SpoiltLeader(value)}, 3, kBegin);
+    CHECK(LookUntil(fresh, kBegin, absl::Seconds(20)) == ElectionStep::kNone);
+    // Nor does one that knew a leader before, which is silent now.
+    SiteElection knows = Make("c", 1);
+    knows.OnControlRead({ToRecord(Leader(3, "b", 7))}, 3, kBegin);
+    knows.OnControlRead({SpoiltLeader(value)}, 4, kBegin);
+    CHECK(LookUntil(knows, kBegin, absl::Seconds(20)) == ElectionStep::kNone);
+    CHECK(knows.leader().epoch == 3);
+    // Once one that can be read is written, it goes on from there.
+    fresh.OnControlRead({ToRecord(Leader(5, "", 0))}, 5,
+                        kBegin + absl::Seconds(20));
+    CHECK(LookUntil(fresh, kBegin + absl::Seconds(20), absl::Seconds(5)) ==
+          ElectionStep::kClaim);
+    fresh.Claim(5000);
+    fresh.OnClaimed(6, kBegin + absl::Seconds(25));
+    CHECK(fresh.leader().epoch == 6);
+  }
+}
+
 }  // namespace
 }  // namespace keelbridge
--- a/keelbridge/daemon/site_node.h
+++ b/keelbridge/daemon/site_node.h
@@ -124,6 +124,9 @@
                            const std::string& detail);
   void AskPeersThenClaim();
   void Claim();
+  // Records of who leads, of which the stream ends at `end`.
+  void TakeControl(const std::vector<Record>& records, int64_t end,
+                   absl::Time read);
   void Reaffirm();
   void BeginTerm();
   void OnTermEnded(const std::string& why);
@@ -159,6 +162,7 @@
   void OnConfigurationChecked(const ReadReply& reply, int64_t from,
                               absl::Time sent);
   void TakeConfigurationRecords(const std::vector<Record>& records);
+  void TakeUnreadableItems(const std::vector<UnreadableItem>& items);
   // A peer said which version it has, and how long ago that was confirmed;
   // `sent`: when it was asked.
   void OnConfigurationOfPeer(const std::string& address, const Json::Value& in,
@@ -199,6 +203,8 @@
   // That record cannot be read: the version in force is not the newest, is not
   // confirmed, and denies nothing.
   bool configuration_unreadable_ = false;
+  int64_t unreadable_offset_ =
+      -1;                     // Of the last record that could not be read.
   int64_t newest_heard_ = 0;  // The highest version that a peer told of.
   Freshness configuration_freshness_{Freshness::Options()};
   SourceReads configuration_reads_{SourceReads::Options()};
--- a/keelbridge/daemon/site_node_configuration.cc
+++ b/keelbridge/daemon/site_node_configuration.cc
@@ -41,15 +41,18 @@
   ports_.store->Newest(
       Stream::kConfiguration, key, {kTransferTimeout, kTransferSilence},
       [this, key, begun, end](const NewestReply& r) {
-        if (r.result != StoreResult::kDone || (r.more && r.records.empty())) {
+        const std::string next_key = r.NextAfter();
+        // A page that does not lead on would be asked for without end.
+        const bool leads_on = !r.more || (!next_key.empty() && next_key != key);
+        if (r.result != StoreResult::kDone || !leads_on) {
           configuration_reads_.OnReadEnded(begun, false);
           return OnConfigurationReadFailed("newest", r.result, r.message);
         }
         TakeConfigurationRecords(r.records);
+        TakeUnreadableItems(r.unreadable);
         // Reading goes on from where the first page was taken.
         const int64_t next = key.empty() ? r.end : end;
-        if (r.more)
-          return ReadConfigurationAfter(r.records.back().key, begun, next);
+        if (r.more) return ReadConfigurationAfter(next_key, begun, next);
         configuration_reads_.OnReadEnded(begun, true);
         OnConfigurationSourceAnswers();
         OnConfigurationConfirmed(begun);
@@ -166,8 +169,22 @@
         record.key == ports_.dialect->ConfigurationKey() && record.value;
     // The answer to a slow read may bring records older than those taken.
     if (!wanted || record.offset < configuration_offset_) continue;
+    if (record.offset == unreadable_offset_) continue;  // It was told of.
     configuration_offset_ = record.offset;
     configuration_unreadable_ = !TakeConfiguration(*record.value, "store");
+    if (configuration_unreadable_) unreadable_offset_ = record.offset;
+  }
+}
+
+void SiteNode::TakeUnreadableItems(const std::vector<UnreadableItem>& items) {
+  for (const UnreadableItem& item : items) {
+    // One without a key that can be read is taken for nobody's: the operator's
+    // other records are not read either.
+    if (item.key != ports_.dialect->ConfigurationKey()) continue;
+    if (!configuration_unreadable_)
+      LogEvent(Severity::kError, "configuration_unreadable",
+               {{"source", "store"}, {"what", item.what}});
+    configuration_unreadable_ = true;
   }
 }
 
--- a/keelbridge/daemon/site_node_leading.cc
+++ b/keelbridge/daemon/site_node_leading.cc
@@ -42,7 +42,8 @@
   const bool claims_may_be_late =
       peers_lost_ ||
       (serving && session_->store_returns() > reaffirmed_returns_);
-  if (serving && session_->active() && claims_may_be_late) Reaffirm();
+  const bool reaffirms = claims_may_be_late && !election_.control_unreadable();
+  if (serving && session_->active() && reaffirms) Reaffirm();
   if (serving && session_->active()) OfferLeadership();
   switch (election_.Decide(now)) {
     case ElectionStep::kReadControl:
@@ -65,13 +66,31 @@
         if (reply.result != StoreResult::kDone)
           return OnControlReadFailed("newest", reply.result, reply.message);
         control_lost_ = false;
-        election_.OnControlRead(reply.records, reply.end, sent);
+        std::vector<Record> records = reply.records;
+        // Only the leader's record is there.
+        for (const UnreadableItem& item : reply.unreadable)
+          records.push_back({item.key.empty() ? kLeaderKey : item.key, "", -1});
+        TakeControl(records, reply.end, sent);
         control_next_ = reply.end;
         if (!following_control_) FollowControl();
         Elect();
       });
 }
 
+void SiteNode::TakeControl(const std::vector<Record>& records, int64_t end,
+                           absl::Time read) {
+  const bool before = election_.control_unreadable();
+  election_.OnControlRead(records, end, read);
+  const bool unreadable = election_.control_unreadable();
+  metrics_.Set("leader_record_unreadable", {}, unreadable ? 1 : 0);
+  if (unreadable == before) return;
+  LogEvent(unreadable ? Severity::kError : Severity::kInfo,
+           unreadable ? "leader_record_unreadable" : "leader_record_readable",
+           {{"end", absl::StrCat(end)},
+            {"epoch", absl::StrCat(election_.leader().epoch)},
+            {"leader", election_.leader().node}});
+}
+
 void SiteNode::FollowControl() {
   following_control_ = true;
   const int64_t from = control_next_;
@@ -82,8 +101,7 @@
                              from + static_cast<int64_t>(reply.records.size());
                          control_next_ = std::max(control_next_, next);
                          if (!reply.records.empty()) {
-                           election_.OnControlRead(reply.records, next,
-                                                   SystemNow().mono);
+                           TakeControl(reply.records, next, SystemNow().mono);
                            Elect();
                          }
                          return FollowControl();
--- a/keelbridge/protocol/job.cc
+++ b/keelbridge/protocol/job.cc
@@ -1,5 +1,8 @@
 #include "keelbridge/protocol/job.h"
 
+#include <algorithm>
+#include <initializer_list>
+
 #include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_format.h"
@@ -80,6 +83,32 @@
   return step;
 }
 
+// A member that is there has the type that it is written with.
+bool StepTypesHold(const Json::Value& step) {
+  if (!step.isObject()) return false;
+  const auto all = [&step](std::initializer_list<const char*> keys,
+                           bool (Json::Value::*is)() const) {
+    return std::all_of(keys.begin(), keys.end(), [&](const char* key) {
+      return !step.isMember(key) || (step[key].*is)();
+    });
+  };
+  const Json::Value& after = step["after"];
+  const bool numbers =
+      !step.isMember("after") ||
+      (after.isArray() &&
+       std::all_of(after.begin(), after.end(),
+                   [](const Json::Value& number) { return number.isInt(); }));
+  return numbers && step["count"].isInt() &&
+         all({"cpu_milli", "memory_mib", "accelerators", "most_per_worker",
+              "may_miss"},
+             &Json::Value::isInt) &&
+         all({"estimated_ms", "target_ms"}, &Json::Value::isInt64) &&
+         all({"checkpoints", "gang", "same_rack", "duplicates", "lasting",
+              "fills"},
+             &Json::Value::isBool) &&
+         all({"label", "rack", "image"}, &Json::Value::isString);
+}
+
 }  // namespace
 
 std::string JobIdText(JobId id) { return absl::StrFormat("%016x", id); }
@@ -132,6 +161,19 @@
   return out;
 }
 
+bool ReadJobSpec(const Json::Value& json, JobSpec* spec) {
+  const Json::Value& steps = json["steps"];
+  const bool timed = json.isMember("rounds");
+  const bool types =
+      json["payload"].isString() && steps.isArray() &&
+      std::all_of(steps.begin(), steps.end(), StepTypesHold) &&
+      (!timed || (json["rounds"].isInt() && json["first_round_ms"].isInt64() &&
+                  json["round_interval_ms"].isInt64()));
+  if (!types) return false;
+  *spec = JobSpecFromJson(json);
+  return CheckJobSpec(*spec).has_value();
+}
+
 JobSpec JobSpecFromJson(const Json::Value& json) {
   JobSpec spec;
   spec.payload = json["payload"].asString();
--- a/keelbridge/protocol/job.h
+++ b/keelbridge/protocol/job.h
@@ -99,6 +99,9 @@
 // The product's own form, for the record store and between nodes.
 Json::Value ToJson(const JobSpec& spec);
 JobSpec JobSpecFromJson(const Json::Value& json);
+// The same of a record that may have been spoilt: false when a member has
+// another type or makes no sense.
+bool ReadJobSpec(const Json::Value& json, JobSpec* spec);
 
 }  // namespace keelbridge
 
--- a/keelbridge/state/job_table.cc
+++ b/keelbridge/state/job_table.cc
@@ -29,22 +29,35 @@
   return bits;
 }
 
-void ReadDoneBits(const std::string& bits, StepState* step) {
-  for (size_t i = 0; i < step->tasks.size() && i / 4 < bits.size(); ++i) {
+// False when they are not the bits of such a step.
+bool ReadDoneBits(const Json::Value& in, StepState* step) {
+  if (!in.isString()) return false;
+  const std::string bits = in.asString();
+  const size_t digits = (step->tasks.size() + 3) / 4;
+  if (bits.size() > digits) return false;
+  for (size_t i = 0; i < bits.size() * 4; ++i) {
     const char digit = bits[i / 4];
-    const int value =
-        absl::ascii_isdigit(digit) ? digit - '0' : digit - 'a' + 10;
+    const bool low = digit >= 'a' && digit <= 'f';
+    if (!low && !absl::ascii_isdigit(digit)) return false;
+    const int value = low ? digit - 'a' + 10 : digit - '0';
     if ((value >> (i % 4) & 1) == 0) continue;
+    if (i >= step->tasks.size()) return false;
     step->tasks[i].phase = TaskPhase::kDone;
     ++step->done;
   }
+  return true;
 }
 
-JobState StateFrom(const std::string& name) {
-  if (name == "completed") return JobState::kCompleted;
-  if (name == "failed") return JobState::kFailed;
-  if (name == "cancelled") return JobState::kCancelled;
-  return JobState::kQueued;
+// The end that a progress record names; kQueued: it names none. False when it
+// cannot be read.
+bool ReadEnd(const Json::Value& in, JobState* end) {
+  *end = JobState::kQueued;
+  if (!in.isMember("end")) return true;
+  for (const JobState state :
+       {JobState::kCompleted, JobState::kFailed, JobState::kCancelled}) {
+    if (in["end"] == JobStateName(state)) *end = state;
+  }
+  return *end != JobState::kQueued && in["ended_ms"].isInt64();
 }
 
 Json::Value RoundToJson(const Job& job, const Round& round) {
@@ -100,34 +113,91 @@
   }
 }
 
-void ReadRound(const Json::Value& in, Job* job) {
-  Round& round = job->AddRound(in["round"].asInt());
-  const Json::Value& done = in["done"];
-  for (Json::ArrayIndex s = 0; s < done.size() && s < round.steps.size(); ++s)
-    ReadDoneBits(done[s].asString(), &round.steps[s]);
-  for (const std::string& key : in["failed_runs"].getMemberNames()) {
+bool IsObjectOrMissing(const Json::Value& in, const char* key) {
+  return !in.isMember(key) || in[key].isObject();
+}
+
+bool ReadDone(const Json::Value& done, Round& round) {
+  if (!done.isArray() || done.size() > round.steps.size()) return false;
+  for (Json::ArrayIndex s = 0; s < done.size(); ++s) {
+    if (!ReadDoneBits(done[s], &round.steps[s])) return false;
+  }
+  return true;
+}
+
+bool ReadFailedRuns(const Json::Value& in, Round& round) {
+  for (const std::string& key : in.getMemberNames()) {
     TaskState* task = TaskAt(round, key);
-    if (task == nullptr) continue;
-    for (const Json::Value& run : in["failed_runs"][key]) {
+    if (task == nullptr || !in[key].isArray()) return false;
+    for (const Json::Value& run : in[key]) {
+      if (!run.isInt()) return false;
       task->failed_runs.push_back(run.asInt());
       task->run = std::max(task->run, run.asInt());
     }
   }
-  for (const std::string& key : in["checkpoints"].getMemberNames()) {
-    if (TaskState* task = TaskAt(round, key))
-      task->checkpoint = in["checkpoints"][key].asString();
+  return true;
+}
+
+bool ReadCheckpoints(const Json::Value& in, Round& round) {
+  for (const std::string& key : in.getMemberNames()) {
+    TaskState* task = TaskAt(round, key);
+    if (task == nullptr || !in[key].isString()) return false;
+    task->checkpoint = in[key].asString();
   }
-  if (job->placements_kept) ReadPlacements(in["placed"], job, round);
+  return true;
+}
+
+// False when it cannot be read: taken for a round of which nothing is known,
+// its tasks would run again.
+bool ReadRound(const Json::Value& in, Job* job) {
+  const bool types = in.isObject() && in["round"].isInt() &&
+                     IsObjectOrMissing(in, "failed_runs") &&
+                     IsObjectOrMissing(in, "checkpoints") &&
+                     IsObjectOrMissing(in, "placed");
+  if (!types) return false;
+  const int32_t number = in["round"].asInt();
+  const int32_t rounds = std::max(1, job->spec.rounds);
+  if (number < 0 || number >= rounds || job->FindRound(number) != nullptr)
+    return false;
+  Round& round = job->AddRound(number);
+  const bool read = (!in.isMember("done") || ReadDone(in["done"], round)) &&
+                    ReadFailedRuns(in["failed_runs"], round) &&
+                    ReadCheckpoints(in["checkpoints"], round);
+  if (read && job->placements_kept) ReadPlacements(in["placed"], job, round);
+  return read;
+}
+
+bool IsBoolOrMissing(const Json::Value& in, const char* key) {
+  return !in.isMember(key) || in[key].isBool();
 }
 
-void ReadProgress(const Json::Value& in, Job* job) {
-  job->end = StateFrom(in["end"].asString());
+bool ReadProgress(const Json::Value& in, Job* job) {
+  const bool types =
+      IsBoolOrMissing(in, "begun") && IsBoolOrMissing(in, "placements_kept") &&
+      (!in.isMember("rounds_done") || in["rounds_done"].isInt()) &&
+      (!in.isMember("queue") || in["queue"].isString()) &&
+      (!in.isMember("rounds") || in["rounds"].isArray()) &&
+      ReadEnd(in, &job->end);
+  if (!types) return false;
   job->ended_ms = in["ended_ms"].asInt64();
   job->begun = in["begun"].asBool();
   job->rounds_done = in["rounds_done"].asInt();
-  if (job->Ended()) return;
+  if (job->rounds_done < 0) return false;
+  if (job->Ended()) return true;
   job->placements_kept = in["placements_kept"].asBool();
-  for (const Json::Value& round : in["rounds"]) ReadRound(round, job);
+  return std::all_of(
+      in["rounds"].begin(), in["rounds"].end(),
+      [job](const Json::Value& round) { return ReadRound(round, job); });
+}
+
+// Null when the description cannot be read.
+std::unique_ptr<Job> ReadDescription(JobId id, const Json::Value& in) {
+  JobSpec spec;
+  const bool read = in["queue"].isString() && in["accepted_ms"].isInt64() &&
+                    ReadJobSpec(in, &spec);
+  if (!read) return nullptr;
+  return std::make_unique<Job>(id, in["queue"].asString(), std::move(spec),
+                               in["accepted_ms"].asInt64());
 }
 
 }  // namespace
@@ -262,23 +332,28 @@
     return;
   }
   const JsonDocument document = JsonDocument::Parse(*record.value, record.key);
-  if (!document.faults().empty()) {
-    ++unreadable_;
-    unreadable_jobs_.insert(id);
-    return;
-  }
+  if (!document.faults().empty()) return NoteUnreadable(id);
   map[id] = document.root();
 }
 
-JobTable JobRecords::Build() const {
+void JobRecords::NoteUnreadable(JobId id) {
+  ++unreadable_;
+  unreadable_jobs_.insert(id);
+}
+
+JobTable JobRecords::Build() {
   JobTable jobs;
   for (const auto& [id, value] : descriptions_) {
     if (unreadable_jobs_.count(id) > 0) continue;
-    auto job = std::make_unique<Job>(id, value["queue"].asString(),
-                                     JobSpecFromJson(value),
-                                     value["accepted_ms"].asInt64());
+    auto job = ReadDescription(id, value);
     const auto progress = progress_.find(id);
-    if (progress != progress_.end()) ReadProgress(progress->second, job.get());
+    const bool read =
+        job != nullptr && (progress == progress_.end() ||
+                           ReadProgress(progress->second, job.get()));
+    if (!read) {
+      NoteUnreadable(id);
+      continue;
+    }
     if (!job->Ended() && job->spec.rounds == 0 && job->rounds.empty())
       job->AddRound(0);
     job->recovered = true;
@@ -286,12 +361,16 @@
   }
   // Jobs that have ended keep only their progress.
   for (const auto& [id, value] : progress_) {
-    if (jobs.count(id) > 0 || unreadable_jobs_.count(id) > 0 ||
-        StateFrom(value["end"].asString()) == JobState::kQueued)
+    if (jobs.count(id) > 0 || unreadable_jobs_.count(id) > 0) continue;
+    JobState end = JobState::kQueued;
+    if (ReadEnd(value, &end) && end == JobState::kQueued) continue;
+    auto job = std::make_unique<Job>(id, "", JobSpec(), 0);
+    if (!ReadProgress(value, job.get())) {
+      NoteUnreadable(id);
       continue;
-    auto job = std::make_unique<Job>(id, value["queue"].asString(), JobSpec(),
-                                     value["ended_ms"].asInt64());
-    ReadProgress(value, job.get());
+    }
+    job->queue = value["queue"].asString();
+    job->accepted_ms = job->ended_ms;
     jobs.emplace(id, std::move(job));
   }
   return jobs;
--- a/keelbridge/state/job_table.h
+++ b/keelbridge/state/job_table.h
@@ -148,12 +148,15 @@
   // Takes one record; one that cannot be read is counted, and its job is known
   // by its id only.
   void Add(const Record& record);
-  // The jobs that the records describe, but for those in `unreadable_jobs`.
-  JobTable Build() const;
+  // The jobs that the records describe, but for those in `unreadable_jobs`,
+  // which grow by those whose records make no sense.
+  JobTable Build();
   int64_t unreadable() const { return unreadable_; }
   const std::set<JobId>& unreadable_jobs() const { return unreadable_jobs_; }
 
  private:
+  void NoteUnreadable(JobId id);
+
   std::map<JobId, Json::Value> descriptions_;
   std::map<JobId, Json::Value> progress_;
   int64_t unreadable_ = 0;
--- a/keelbridge/state/job_table_test.cc
+++ b/keelbridge/state/job_table_test.cc
@@ -68,5 +68,91 @@
   }
 }
 
+// Of one job, whose description or progress another writer spoilt: known to be
+// unreadable, neither run as something else nor forgotten.
+void CheckUnreadable(const std::string& key, const std::string& value) {
+  CAPTURE(key);
+  CAPTURE(value);
+  Job job = LastingJob();
+  Job other(kId + 1, "serve", job.spec, 1000);
+  JobRecords records;
+  records.Add(DescriptionRecord(job));
+  records.Add(ProgressRecord(job));
+  records.Add(DescriptionRecord(other));
+  records.Add(Record{key, value, -1});
+  const JobTable jobs = records.Build();
+  CHECK(jobs.count(kId) == 0);
+  CHECK(records.unreadable_jobs().count(kId) == 1);
+  CHECK(records.unreadable() == 1);
+  CHECK(jobs.count(kId + 1) == 1);
+}
+
+TEST_CASE("job table: a description that cannot be read is not taken for one") {
+  for (
+      const char* value :
+      {"", "no record", "[]", "{}",
+       R"({"payload":"","queue":"serve","accepted_ms":1,"steps":"x"})",
+       R"({"payload":"","queue":"serve","accepted_ms":1,"steps":[]})",
+       R"({"payload":"","queue":"serve","accepted_ms":1,"steps":[7]})",
+       R"({"payload":[],"queue":"serve","accepted_ms":1,"steps":[{"count":1}]})",
+       R"({"payload":"","queue":7,"accepted_ms":1,"steps":[{"count":1}]})",
+       R"({"payload":"","queue":"serve","accepted_ms":"x","steps":[{"count":1}]})",
+       R"({"payload":"","queue":"serve","steps":[{"count":1}]})",
+       R"({"payload":"","queue":"serve","accepted_ms":1,"steps":[{"count":2000000000}]})",
+       R"({"payload":"","queue":"serve","accepted_ms":1,"steps":[{"count":true}]})",
+       R"({"payload":"","queue":"serve","accepted_ms":1,"steps":[{"count":1,"gang":"x"}]})",
+       R"({"payload":"","queue":"serve","accepted_ms":1,"steps":[{"count":1},{"count":1,"after":"0"}]})",
+       R"({"payload":"","queue":"serve","accepted_ms":1,"steps":[{"count":1},{"count":1,"after":[{}]}]})",
+       R"({"payload":"","queue":"serve","accepted_ms":1,"steps":[{"count":1,"cpu_milli":-5}]})",
+       R"({"payload":"","queue":"serve","accepted_ms":1,"rounds":-1,"steps":[{"count":1}]})"})
+    CheckUnreadable(DescriptionKey(kId), value);
+}
+
+// Taken for progress of which nothing is known, the job would run again.
+TEST_CASE("job table: a progress that cannot be read is not taken for none") {
+  for (const char* value :
+       {"",
+        "no record",
+        "[]",
+        R"({"end":"wobbly"})",
+        R"({"end":7})",
+        R"({"end":null})",
+        R"({"end":"completed","ended_ms":"x"})",
+        R"({"end":"completed","ended_ms":1,"queue":[]})",
+        R"({"begun":"x"})",
+        R"({"rounds_done":"x"})",
+        R"({"rounds_done":-1})",
+        R"({"rounds":"x"})",
+        R"({"rounds":[7]})",
+        R"({"rounds":[{"round":"x"}]})",
+        R"({"rounds":[{"round":-1}]})",
+        R"({"rounds":[{"round":0},{"round":0}]})",
+        R"({"rounds":[{"round":0,"done":"1"}]})",
+        R"({"rounds":[{"round":0,"done":[7]}]})",
+        R"({"rounds":[{"round":0,"done":["z"]}]})",
+        R"({"rounds":[{"round":0,"done":["8"]}]})",
+        R"({"rounds":[{"round":0,"done":["1","1"]}]})",
+        R"({"rounds":[{"round":0,"failed_runs":[]}]})",
+        R"({"rounds":[{"round":0,"failed_runs":{"0.0":["x"]}}]})",
+        R"({"rounds":[{"round":0,"failed_runs":{"0.0":3}}]})",
+        R"({"rounds":[{"round":0,"checkpoints":"x"}]})",
+        R"({"rounds":[{"round":0,"checkpoints":{"0.0":[]}}]})",
+        R"({"placements_kept":7})"})
+    CheckUnreadable(ProgressKey(kId), value);
+}
+
+TEST_CASE(
+    "job table: an end without a description that cannot be read counts") {
+  for (const char* value :
+       {R"({"end":"completed","ended_ms":1,"queue":[]})",
+        R"({"end":"completed","ended_ms":{}})", R"({"end":"wobbly"})"}) {
+    CAPTURE(value);
+    JobRecords records;
+    records.Add(Record{ProgressKey(kId), value, -1});
+    CHECK(records.Build().empty());
+    CHECK(records.unreadable_jobs().count(kId) == 1);
+  }
+}
+
 }  // namespace
 }  // namespace keelbridge
--- a/keelbridge/state/known_workers.cc
+++ b/keelbridge/state/known_workers.cc
@@ -1,5 +1,8 @@
 #include "keelbridge/state/known_workers.h"
 
+#include <algorithm>
+#include <initializer_list>
+
 #include "absl/strings/match.h"
 #include "absl/strings/str_cat.h"
 #include "keelbridge/base/json_reader.h"
@@ -9,6 +12,42 @@
 
 constexpr char kPrefix[] = "w/";
 
+// A member that is there has the type that it is written with.
+bool TypesHold(const Json::Value& value) {
+  const auto all = [&value](std::initializer_list<const char*> keys,
+                            bool (Json::Value::*is)() const) {
+    return std::all_of(keys.begin(), keys.end(), [&](const char* key) {
+      return !value.isMember(key) || (value[key].*is)();
+    });
+  };
+  const Json::Value& labels = value["labels"];
+  const bool texts =
+      !value.isMember("labels") ||
+      (labels.isArray() &&
+       std::all_of(labels.begin(), labels.end(),
+                   [](const Json::Value& label) { return label.isString(); }));
+  return texts && all({"epoch"}, &Json::Value::isInt64) &&
+         all({"closed"}, &Json::Value::isBool) &&
+         all({"machine", "address", "zone", "pool", "rack"},
+             &Json::Value::isString) &&
+         all({"cpu_milli", "memory_mib", "accelerators"}, &Json::Value::isInt);
+}
+
+// Of a record whose types hold.
+void ReadKnown(const Json::Value& value, KnownWorker* known) {
+  if (value.isMember("epoch")) known->epoch = value["epoch"].asInt64();
+  known->closed = value["closed"].asBool();
+  WorkerRecord& worker = known->worker;
+  worker.machine = value["machine"].asString();
+  worker.address = value["address"].asString();
+  worker.zone = value["zone"].asString();
+  worker.pool = value["pool"].asString();
+  worker.rack = value["rack"].asString();
+  for (const Json::Value& label : value["labels"])
+    worker.labels.push_back(label.asString());
+  worker.capacity = ResourcesFromJson(value);
+}
+
 }  // namespace
 
 std::string KnownWorkerKey(const std::string& worker_id) {
@@ -35,22 +74,15 @@
 
 std::optional<KnownWorker> KnownWorkerFrom(const Record& record) {
   if (!IsKnownWorkerKey(record.key) || !record.value) return std::nullopt;
-  const JsonDocument document = JsonDocument::Parse(*record.value, record.key);
-  if (!document.faults().empty()) return std::nullopt;
-  const Json::Value& value = document.root();
   KnownWorker known;
-  if (value.isMember("epoch")) known.epoch = value["epoch"].asInt64();
-  known.closed = value["closed"].asBool();
-  WorkerRecord& worker = known.worker;
-  worker.id = record.key.substr(sizeof(kPrefix) - 1);
-  worker.machine = value["machine"].asString();
-  worker.address = value["address"].asString();
-  worker.zone = value["zone"].asString();
-  worker.pool = value["pool"].asString();
-  worker.rack = value["rack"].asString();
-  for (const Json::Value& label : value["labels"])
-    worker.labels.push_back(label.asString());
-  worker.capacity = ResourcesFromJson(value);
+  known.worker.id = record.key.substr(sizeof(kPrefix) - 1);
+  if (known.worker.id.empty()) return std::nullopt;
+  const JsonDocument document = JsonDocument::Parse(*record.value, record.key);
+  if (document.faults().empty() && TypesHold(document.root())) {
+    ReadKnown(document.root(), &known);
+  } else {
+    known.unreadable = true;
+  }
   return known;
 }
 
--- a/keelbridge/state/known_workers.h
+++ b/keelbridge/state/known_workers.h
@@ -29,12 +29,16 @@
   // It says that it leaves and runs nothing, and that leader gives it nothing
   // any more.
   bool closed = false;
+  // The record cannot be read: only the worker's id is known.
+  bool unreadable = false;
 };
 
 std::string KnownWorkerKey(const std::string& worker_id);
 bool IsKnownWorkerKey(const std::string& key);
 Record KnownWorkerRecord(const KnownWorker& known);
-// None when `record` is another kind of record, or cannot be read.
+// None when `record` is another kind of record, or drops one. Of one that
+// cannot be read the id is known, from its key: any leader may have used that
+// worker.
 std::optional<KnownWorker> KnownWorkerFrom(const Record& record);
 
 }  // namespace keelbridge
--- /dev/null
+++ b/keelbridge/state/known_workers_test.cc
@@ -0,0 +1,58 @@
+#include "keelbridge/state/known_workers.h"
+
+#include <doctest/doctest.h>
+
+#include <limits>
+
+namespace keelbridge {
+namespace {
+
+constexpr int64_t kAnybodys = std::numeric_limits<int64_t>::max();
+
+TEST_CASE("known workers: a record is read as it was written") {
+  WorkerRecord worker;
+  worker.id = "i-1";
+  worker.machine = "m-1";
+  worker.address = "127.0.0.1:9";
+  worker.pool = "desk";
+  worker.labels = {"a", "r1"};
+  worker.capacity = {8000, 1024, 1};
+  const auto known = KnownWorkerFrom(KnownWorkerRecord({worker, 4, true}));
+  REQUIRE(known.has_value());
+  CHECK(known->worker.id == "i-1");
+  CHECK(known->worker.address == "127.0.0.1:9");
+  CHECK(known->worker.labels == worker.labels);
+  CHECK(known->worker.capacity == worker.capacity);
+  CHECK(known->epoch == 4);
+  CHECK(known->closed);
+}
+
+// Its id is in the key: taken for none, what it runs would be started again.
+TEST_CASE("known workers: one whose record cannot be read is still known") {
+  for (const char* value :
+       {"", "no record", "[]", "7", R"({"epoch":"x","closed":true})",
+        R"({"epoch":1,"closed":"x"})", R"({"epoch":1,"machine":["m"]})",
+        R"({"epoch":1,"labels":{"a":[]}})", R"({"epoch":1,"labels":"a"})",
+        R"({"epoch":1,"labels":[[]]})", R"({"epoch":1,"cpu_milli":"x"})",
+        R"({"epoch":1,"cpu_milli":1e300})", R"({"epoch":1,"pool":{}})"}) {
+    CAPTURE(value);
+    const auto known =
+        KnownWorkerFrom(Record{KnownWorkerKey("i-1"), value, -1});
+    REQUIRE(known.has_value());
+    CHECK(known->worker.id == "i-1");
+    // Nothing is concluded from the rest: any leader may have used it.
+    CHECK(known->epoch == kAnybodys);
+    CHECK_FALSE(known->closed);
+  }
+}
+
+TEST_CASE("known workers: other records and dropped ones name none") {
+  CHECK_FALSE(KnownWorkerFrom(Record{"d/1", "{}", -1}).has_value());
+  CHECK_FALSE(
+      KnownWorkerFrom(Record{KnownWorkerKey(""), "{}", -1}).has_value());
+  CHECK_FALSE(KnownWorkerFrom(Record{KnownWorkerKey("i-1"), std::nullopt, -1})
+                  .has_value());
+}
+
+}  // namespace
+}  // namespace keelbridge
