An entry that names no worker to use is passed over, by every leader alike

Cause: an entry that turned bad stayed as it was for the leader that had it and was none for the next; a service that no configuration names made a worker that was asked for ever; each write of a bad entry logged a line; a page without a key to go on from was asked for without end.

Change: WorkerList (pure) judges by the newest entry and the configuration in force. A bad entry, or one of a service that no configuration names, counts as gone: what runs there is asked for and keeps its lease, nothing new starts. A configuration that names the service later makes it used without another entry. One line for an entry until its reason changes, five a second at most with the count left out, a gauge of such entries and a counter. The list of workers ends after ten pages that do not lead on; heartbeats bring the rest.

--- /dev/null
+++ b/keelbridge/base/line_limit.h
@@ -0,0 +1,53 @@
+// Bounds the lines that are logged of one kind of event in a period.
+//
+//   LineLimit lines({.most = 5, .period = absl::Seconds(1)});
+//   if (const auto left_out = lines.Take(now))
+//     LogEvent(..., {{"lines_left_out", absl::StrCat(*left_out)}});
+
+#ifndef KEELBRIDGE_BASE_LINE_LIMIT_H_
+#define KEELBRIDGE_BASE_LINE_LIMIT_H_
+
+#include <cstdint>
+#include <optional>
+#include <utility>
+
+#include "absl/time/time.h"
+
+namespace keelbridge {
+
+// Of one thread.
+class LineLimit {
+ public:
+  struct Options {
+    int most = 5;
+    absl::Duration period = absl::Seconds(1);
+  };
+
+  LineLimit() : LineLimit(Options()) {}
+  explicit LineLimit(Options options) : options_(options) {}
+
+  // How many lines were left out since the last one that was not; none: this
+  // one is left out, too.
+  std::optional<int64_t> Take(absl::Time now) {
+    if (now - begun_ >= options_.period) {
+      begun_ = now;
+      written_ = 0;
+    }
+    if (written_ >= options_.most) {
+      ++left_out_;
+      return std::nullopt;
+    }
+    ++written_;
+    return std::exchange(left_out_, 0);
+  }
+
+ private:
+  const Options options_;
+  absl::Time begun_ = absl::InfinitePast();
+  int written_ = 0;
+  int64_t left_out_ = 0;
+};
+
+}  // namespace keelbridge
+
+#endif  // KEELBRIDGE_BASE_LINE_LIMIT_H_
--- /dev/null
+++ b/keelbridge/base/line_limit_test.cc
@@ -0,0 +1,24 @@
+#include "keelbridge/base/line_limit.h"
+
+#include <doctest/doctest.h>
+
+namespace keelbridge {
+namespace {
+
+TEST_CASE("line limit: so many in a period, then the count left out") {
+  const absl::Time begin = absl::UnixEpoch() + absl::Hours(1);
+  LineLimit::Options options;
+  options.most = 2;
+  options.period = absl::Seconds(1);
+  LineLimit lines(options);
+  CHECK(lines.Take(begin) == 0);
+  CHECK(lines.Take(begin) == 0);
+  CHECK_FALSE(lines.Take(begin).has_value());
+  CHECK_FALSE(lines.Take(begin + absl::Milliseconds(900)).has_value());
+  CHECK(lines.Take(begin + absl::Seconds(1)) == 2);
+  CHECK(lines.Take(begin + absl::Seconds(1)) == 0);
+  CHECK_FALSE(lines.Take(begin + absl::Seconds(1)).has_value());
+}
+
+}  // namespace
+}  // namespace keelbridge
--- a/keelbridge/daemon/leader_session.cc
+++ b/keelbridge/daemon/leader_session.cc
@@ -106,7 +106,7 @@
   phase_ = Phase::kActive;
   LogEvent(Severity::kInfo, "term_active",
            {{"epoch", absl::StrCat(epoch_)},
-            {"workers", absl::StrCat(listed_workers_.size())}});
+            {"workers", absl::StrCat(worker_list_.figures().used)}});
   last_tick_ = SystemNow().mono;
   const auto early = std::exchange(early_calls_, {});
   for (const EarlyCall& waiting : early) Handle(waiting.call, waiting.reply);
@@ -492,7 +492,9 @@
 
 void LeaderSession::SetConfiguration(
     std::shared_ptr<const SiteConfiguration> configuration) {
+  worker_list_.SetConfiguration(*configuration);
   scheduler_.SetConfiguration(std::move(configuration));
+  ApplyWorkerList();
   PumpSoon();
 }
 
@@ -525,6 +527,13 @@
   set("ends_failed", f.ends_failed);
   set("ends_other", f.ends_other);
   set("recovered_tasks_waiting", f.recovered_waiting);
+  const WorkerList::Figures entries = worker_list_.figures();
+  const auto set_unused = [&](const char* why, int64_t count) {
+    metrics_.Set("worker_entries_unused", {{"why", why}},
+                 static_cast<double>(count));
+  };
+  set_unused("unreadable", entries.refused);
+  set_unused("service", entries.unnamed);
   metrics_.Set("loop_lag_seconds", {}, absl::ToDoubleSeconds(longest_lag_));
   const auto lag_ms = absl::ToInt64Milliseconds(longest_lag_);
   longest_lag_ = absl::ZeroDuration();
--- a/keelbridge/daemon/leader_session.h
+++ b/keelbridge/daemon/leader_session.h
@@ -24,7 +24,9 @@
 #include <string>
 #include <vector>
 
+#include "keelbridge/base/line_limit.h"
 #include "keelbridge/coordination/job_scheduler.h"
+#include "keelbridge/coordination/worker_list.h"
 #include "keelbridge/daemon/metrics.h"
 #include "keelbridge/protocol/client_call.h"
 #include "keelbridge/protocol/record_store.h"
@@ -119,9 +121,16 @@
   void LoadJobs(const std::string& after);
   // Goes on after `page`, which was read after the key `after`.
   void LoadJobsAfter(const NewestReply& page, const std::string& after);
+  void TakeJobRecord(const Record& record);
+  void OnJobsLoaded(int64_t stream_end);
   void LearnWorkers(const std::string& after);
+  // The same for the list of workers, which ends where a page does not lead on.
+  void LearnWorkersAfter(const NewestReply& page, const std::string& after);
+  void OnWorkersListed();
   void PollWorkers();
   void TakeWorkerRecord(const Record& record);
+  // Carries out what the list of workers means for the scheduler.
+  void ApplyWorkerList();
 
   // leader_session.cc
   void Activate();
@@ -176,7 +185,10 @@
   int64_t records_loaded_ = 0;
   int64_t load_retries_ = 0;
   std::vector<KnownWorker> known_workers_;
-  std::set<std::string> listed_workers_;
+  int64_t unreadable_workers_ = 0;  // Of those.
+  WorkerList worker_list_;
+  LineLimit entry_lines_;
+  int stuck_pages_ = 0;        // Of workers, in a row, that did not lead on.
   int64_t workers_next_ = -1;  // Offset to read on from; -1: list them anew.
   absl::Time next_worker_poll_ = absl::InfinitePast();
   bool polling_workers_ = false;
--- a/keelbridge/daemon/leader_session_loading.cc
+++ b/keelbridge/daemon/leader_session_loading.cc
@@ -14,6 +14,10 @@
 
 constexpr absl::Duration kReadTimeout = absl::Milliseconds(1500);
 constexpr absl::Duration kWorkerPollEvery = absl::Milliseconds(400);
+// A page of workers that does not lead on is asked for again so often; then the
+// list ends there. A worker on a later page writes its entry again with its
+// next heartbeat, and is learnt from that.
+constexpr int kMostStuckPages = 10;
 
 }  // namespace
 
@@ -57,49 +61,67 @@
         }
         ++self->pages_loaded_;
         self->records_loaded_ += static_cast<int64_t>(reply.records.size());
-        for (const Record& record : reply.records) {
-          if (auto worker = KnownWorkerFrom(record))
-            self->known_workers_.push_back(*worker);
-          else
-            self->records_.Add(record);
-        }
+        for (const Record& record : reply.records) self->TakeJobRecord(record);
+        for (const UnreadableItem& item : reply.unreadable)
+          self->TakeJobRecord({item.key, "", -1});
         if (reply.more) return self->LoadJobsAfter(reply, after);
-        JobTable jobs = self->records_.Build();
-        const auto ended = std::count_if(
-            jobs.begin(), jobs.end(),
-            [](const auto& entry) { return entry.second->Ended(); });
-        const absl::Duration took = SystemNow().mono - self->load_begun_;
-        LogEvent(Severity::kInfo, "jobs_loaded",
-                 {{"epoch", absl::StrCat(self->epoch_)},
-                  {"jobs", absl::StrCat(jobs.size())},
-                  {"ended", absl::StrCat(ended)},
-                  {"unreadable", absl::StrCat(self->records_.unreadable())},
-                  {"records", absl::StrCat(self->records_loaded_)},
-                  {"pages", absl::StrCat(self->pages_loaded_)},
-                  {"retries", absl::StrCat(self->load_retries_)},
-                  {"fence_end", absl::StrCat(self->stream_end_)},
-                  {"stream_end", absl::StrCat(reply.end)},
-                  {"took_ms", absl::StrCat(absl::ToInt64Milliseconds(took))}});
-        self->unreadable_jobs_ = self->records_.unreadable_jobs();
-        self->records_ = JobRecords();
-        self->scheduler_.Load(std::move(jobs), self->known_workers_,
-                              SystemNow());
-        self->phase_ = Phase::kLearningWorkers;
-        self->LearnWorkers("");
+        self->OnJobsLoaded(reply.end);
       });
 }
 
+void LeaderSession::TakeJobRecord(const Record& record) {
+  const auto worker = KnownWorkerFrom(record);
+  if (!worker) return records_.Add(record);
+  known_workers_.push_back(*worker);
+  if (!worker->unreadable) return;
+  ++unreadable_workers_;
+  const auto left_out = entry_lines_.Take(SystemNow().mono);
+  if (!left_out) return;
+  LogEvent(Severity::kError, "known_worker_unreadable",
+           {{"worker", worker->worker.id},
+            {"epoch", absl::StrCat(epoch_)},
+            {"lines_left_out", absl::StrCat(*left_out)}});
+}
+
+void LeaderSession::OnJobsLoaded(int64_t stream_end) {
+  JobTable jobs = records_.Build();
+  const auto ended =
+      std::count_if(jobs.begin(), jobs.end(),
+                    [](const auto& entry) { return entry.second->Ended(); });
+  const absl::Duration took = SystemNow().mono - load_begun_;
+  LogEvent(Severity::kInfo, "jobs_loaded",
+           {{"epoch", absl::StrCat(epoch_)},
+            {"jobs", absl::StrCat(jobs.size())},
+            {"ended", absl::StrCat(ended)},
+            {"unreadable", absl::StrCat(records_.unreadable())},
+            {"unreadable_workers", absl::StrCat(unreadable_workers_)},
+            {"records", absl::StrCat(records_loaded_)},
+            {"pages", absl::StrCat(pages_loaded_)},
+            {"retries", absl::StrCat(load_retries_)},
+            {"fence_end", absl::StrCat(stream_end_)},
+            {"stream_end", absl::StrCat(stream_end)},
+            {"took_ms", absl::StrCat(absl::ToInt64Milliseconds(took))}});
+  metrics_.Set(
+      "own_records_unreadable", {},
+      static_cast<double>(records_.unreadable() + unreadable_workers_));
+  unreadable_jobs_ = records_.unreadable_jobs();
+  records_ = JobRecords();
+  scheduler_.Load(std::move(jobs), known_workers_, SystemNow());
+  phase_ = Phase::kLearningWorkers;
+  LearnWorkers("");
+}
+
 void LeaderSession::LoadJobsAfter(const NewestReply& page,
                                   const std::string& after) {
-  if (!page.records.empty()) return LoadJobs(page.records.back().key);
-  // More is to follow, and this page does not say after which key.
+  const std::string next = page.NextAfter();
+  if (!next.empty() && next != after) return LoadJobs(next);
+  // More is to follow, and this page does not lead on.
   ++load_retries_;
   After(kRetryDelay,
         [self = shared_from_this(), after] { self->LoadJobs(after); });
 }
 
 void LeaderSession::LearnWorkers(const std::string& after) {
-  if (after.empty()) listed_workers_.clear();
   polling_workers_ = true;
   ports_.store->Newest(
       Stream::kWorkers, after, kReadTimeout,
@@ -110,36 +132,67 @@
                              [self, after] { self->LearnWorkers(after); });
         for (const Record& record : reply.records)
           self->TakeWorkerRecord(record);
+        for (const UnreadableItem& item : reply.unreadable)
+          self->worker_list_.OnEntry(item.key,
+                                     MakeError(ErrorCode::kInvalid, item.what));
+        self->ApplyWorkerList();
         // Reading goes on from where the first page was taken.
         if (after.empty()) self->workers_next_ = reply.end;
-        // A page without records is no end either: it is asked for again.
-        if (reply.more) {
-          if (!reply.records.empty())
-            return self->LearnWorkers(reply.records.back().key);
-          return self->After(kRetryDelay,
-                             [self, after] { self->LearnWorkers(after); });
-        }
-        self->polling_workers_ = false;
-        self->next_worker_poll_ = SystemNow().mono + kWorkerPollEvery;
-        if (self->phase_ == Phase::kLearningWorkers) self->Activate();
+        if (reply.more) return self->LearnWorkersAfter(reply, after);
+        self->OnWorkersListed();
       });
 }
 
+void LeaderSession::LearnWorkersAfter(const NewestReply& page,
+                                      const std::string& after) {
+  const std::string next = page.NextAfter();
+  if (!next.empty() && next != after) {
+    stuck_pages_ = 0;
+    return LearnWorkers(next);
+  }
+  // A page without records is no end: it is asked for again.
+  if (++stuck_pages_ < kMostStuckPages)
+    return After(kRetryDelay, [self = shared_from_this(), after] {
+      self->LearnWorkers(after);
+    });
+  LogEvent(Severity::kError, "workers_list_cut", {{"after", after}});
+  OnWorkersListed();
+}
+
+void LeaderSession::OnWorkersListed() {
+  stuck_pages_ = 0;
+  polling_workers_ = false;
+  next_worker_poll_ = SystemNow().mono + kWorkerPollEvery;
+  if (phase_ == Phase::kLearningWorkers) Activate();
+}
+
 void LeaderSession::TakeWorkerRecord(const Record& record) {
-  const Now now = SystemNow();
   if (!record.value) {
-    listed_workers_.erase(record.key);
-    scheduler_.OnWorkerRemoved(record.key);
-    return;
+    worker_list_.OnEntryGone(record.key);
+  } else {
+    worker_list_.OnEntry(record.key, ports_.dialect->ParseWorkerRecord(
+                                         record.key, *record.value));
+  }
+  ApplyWorkerList();
+}
+
+void LeaderSession::ApplyWorkerList() {
+  const Now now = SystemNow();
+  for (const WorkerList::Change& change : worker_list_.TakeChanges()) {
+    if (change.record)
+      scheduler_.OnWorkerRecord(*change.record, now);
+    else
+      scheduler_.OnWorkerRemoved(change.id);
   }
-  auto worker = ports_.dialect->ParseWorkerRecord(record.key, *record.value);
-  if (!worker) {
-    LogEvent(Severity::kWarning, "worker_record_unreadable",
-             {{"worker", record.key}, {"what", worker.error().message}});
-    return;
+  for (const WorkerList::Unused& unused : worker_list_.TakeUnused()) {
+    metrics_.Count("worker_entries_refused_total", {});
+    const auto left_out = entry_lines_.Take(now.mono);
+    if (!left_out) continue;
+    LogEvent(Severity::kWarning, "worker_entry_unused",
+             {{"worker", unused.id},
+              {"what", unused.what},
+              {"lines_left_out", absl::StrCat(*left_out)}});
   }
-  listed_workers_.insert(record.key);
-  scheduler_.OnWorkerRecord(worker.value(), now);
 }
 
 void LeaderSession::PollWorkers() {
