The stand-in writes foreign entries; a cell with them starts nothing there

The store stand-in can put unreadable items into its pages and reads escaped keys; the platform stand-in leaves foreign entries whose address counts calls.

--- a/testing/fakes/site_platform.cc
+++ b/testing/fakes/site_platform.cc
@@ -8,6 +8,7 @@
 #include "absl/strings/str_cat.h"
 #include "keelbridge/base/clock.h"
 #include "keelbridge/base/json_reader.h"
+#include "testing/fakes/foreign_entries.h"
 
 namespace keelbridge::testing {
 namespace {
@@ -358,6 +359,17 @@
   }
 }
 
+void SitePlatform::WriteForeignEntries() {
+  const Address address =
+      Serve(&foreign_server_,
+            [this](const ServerRequest&, const EventHttpServer::Reply& reply) {
+              ++foreign_calls_;
+              reply(Answer(503, Json::Value(Json::objectValue)));
+            });
+  for (const ForeignEntry& entry : ForeignEntries("desk", address.ToString()))
+    store_.Put("keyed.servers", entry.id, entry.document);
+}
+
 void SitePlatform::Arm() {
   timer_.expires_after(absl::ToChronoNanoseconds(kAdvanceEvery));
   timer_.async_wait([this](boost::system::error_code error) {
--- a/testing/fakes/site_platform.h
+++ b/testing/fakes/site_platform.h
@@ -60,6 +60,11 @@
   // The connections that are open to workers go silent for good.
   void SilenceOpenToWorkers();
   void CrashWorker(int index, absl::Duration down);
+  // Leaves entries of another writer in the list of workers; the address that
+  // they tell is nobody's to call.
+  void WriteForeignEntries();
+  // Calls that came there.
+  int64_t foreign_calls() const { return foreign_calls_; }
   // Lost: the worker carries orders out and does not answer.
   void SetLostOrders(double share) { lost_orders_ = share; }
 
@@ -101,6 +106,8 @@
   SiteStore store_;
   std::unique_ptr<EventHttpServer> store_server_;
   std::unique_ptr<EventHttpServer> advice_server_;
+  std::unique_ptr<EventHttpServer> foreign_server_;
+  int64_t foreign_calls_ = 0;
   Address store_address_;
   Address advice_address_;
   std::vector<Slot> slots_;
--- a/testing/fakes/site_store.cc
+++ b/testing/fakes/site_store.cc
@@ -66,6 +66,43 @@
   return true;
 }
 
+// Items of a page that name no record: a key, a value or an offset of another
+// type, a value that is no base64, no object at all.
+std::vector<Json::Value> SpoiltItems() {
+  std::vector<Json::Value> items;
+  const auto add = [&items](const Json::Value& key, const Json::Value& value,
+                            const Json::Value& offset) {
+    Json::Value item(Json::objectValue);
+    item["privateKey"] = key;
+    item["value"] = value;
+    item["offset"] = offset;
+    items.push_back(item);
+  };
+  add("spoilt-1", "no base64!", 1);
+  add("spoilt-2", 7, 1);
+  add("spoilt-3", Json::Value(Json::objectValue), 1);
+  add("spoilt-4", "e30=", "x");
+  add(7, "e30=", 1);
+  add(Json::Value(Json::arrayValue), "e30=", 1);
+  items.emplace_back(Json::nullValue);
+  items.emplace_back("text");
+  return items;
+}
+
+// `text` with its %XX as bytes.
+std::string Unescaped(const std::string& text) {
+  std::string out;
+  for (size_t i = 0; i < text.size(); ++i) {
+    const bool escaped = text[i] == '%' && i + 2 < text.size();
+    if (escaped)
+      out += absl::HexStringToBytes(text.substr(i + 1, 2));
+    else
+      out += text[i];
+    if (escaped) i += 2;
+  }
+  return out;
+}
+
 }  // namespace
 
 void SiteStore::Handle(const ServerRequest& request,
@@ -235,9 +272,12 @@
 
 ServerResponse SiteStore::Newest(const ServerRequest& request) {
   const Topic& topic = topics_[request.Query("topic")];
-  const std::string after = request.Query("dependsOn");
+  const std::string after = Unescaped(request.Query("dependsOn"));
   Json::Value body(Json::objectValue);
   body["items"] = Json::Value(Json::arrayValue);
+  if (spoilt_.count(request.Query("topic")) > 0) {
+    for (const Json::Value& item : SpoiltItems()) body["items"].append(item);
+  }
   body["more"] = false;
   body["end"] = Json::Int64(topic.end);
   for (auto it = topic.newest.upper_bound(after); it != topic.newest.end();
--- a/testing/fakes/site_store.h
+++ b/testing/fakes/site_store.h
@@ -14,6 +14,7 @@
 #include <list>
 #include <map>
 #include <random>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -53,6 +54,9 @@
   // Drops the history of a topic; the newest record of each key stays.
   void Forget(const std::string& topic);
   void ForgetAll();
+  // From now on each page of the topic's newest records has items between its
+  // own that cannot be read.
+  void SpoilPages(const std::string& topic) { spoilt_.insert(topic); }
   // Ends the connections of all long polls that wait, unanswered.
   void CutPolls();
   int64_t appends() const { return appends_; }
@@ -102,6 +106,7 @@
   size_t most_append_bytes_ = kMostAppendBytes;
   Faults faults_;
   std::map<std::string, Topic> topics_;
+  std::set<std::string> spoilt_;  // Topics whose pages are.
   // Calls that get no answer: their connections stay open and say nothing.
   std::vector<EventHttpServer::Reply> unanswered_;
   std::list<Waiter> waiters_;
