--- a/keelbridge/cli/job_story.cc
+++ b/keelbridge/cli/job_story.cc
@@ -68,6 +68,7 @@
       {"step_blocked", "could not start"},
       {"start_kept", "start put on record"},
       {"start_sent", "start ordered"},
+      {"start_withdrawn", "start withdrawn"},
       {"start_not_done", "start not done"},
       {"run_adopted", "found running by a new leader"},
       {"run_ended", "run ended"},
