A worker whose entry went with the list's history is not used any more

Cause: when the store has dropped what a leader would read next, it reads the list anew; a worker that is not on it any more stayed as it was for that leader, while the next one did not know it.

Change: WorkerList takes what a whole listing did not show for gone. A listing that was cut short tells nothing of the rest.

--- a/keelbridge/coordination/worker_list.cc
+++ b/keelbridge/coordination/worker_list.cc
@@ -28,6 +28,7 @@
                          const Result<WorkerRecord>& entry) {
   const auto [it, fresh] = entries_.try_emplace(id);
   if (fresh) ++CountOf(it->second.use);
+  it->second.shown = true;
   if (entry) {
     it->second.record = entry.value();
     Judge(id, &it->second);
@@ -50,6 +51,18 @@
   changes_.push_back({id, std::nullopt});
 }
 
+void WorkerList::BeginListing() {
+  for (auto& [id, entry] : entries_) entry.shown = false;
+}
+
+void WorkerList::EndListing() {
+  std::vector<std::string> gone;
+  for (const auto& [id, entry] : entries_) {
+    if (!entry.shown) gone.push_back(id);
+  }
+  for (const std::string& id : gone) OnEntryGone(id);
+}
+
 void WorkerList::SetConfiguration(const SiteConfiguration& configuration) {
   configured_ = true;
   services_.clear();
--- a/keelbridge/coordination/worker_list.h
+++ b/keelbridge/coordination/worker_list.h
@@ -49,6 +49,12 @@
   // The newest entry of `id`, or why it cannot be read.
   void OnEntry(const std::string& id, const Result<WorkerRecord>& entry);
   void OnEntryGone(const std::string& id);
+  // The whole list is read from its beginning, and has been read to its end:
+  // entries that it did not show are gone. One that was written meanwhile, on a
+  // page read before, is heard of by the reading that goes on from the first
+  // page.
+  void BeginListing();
+  void EndListing();
   void SetConfiguration(const SiteConfiguration& configuration);
 
   // In their order, since the last call.
@@ -62,6 +68,7 @@
     Use use = Use::kRefused;
     std::optional<WorkerRecord> record;  // None: it cannot be read.
     std::string what;                    // Why it is not used.
+    bool shown = true;                   // Since the listing began.
   };
 
   void Judge(const std::string& id, Entry* entry);
--- a/keelbridge/coordination/worker_list_test.cc
+++ b/keelbridge/coordination/worker_list_test.cc
@@ -97,6 +97,22 @@
   CHECK(list.figures().used == 0);
 }
 
+TEST_CASE("worker list: what a whole listing does not show is gone") {
+  WorkerList list;
+  list.SetConfiguration(Naming("desk"));
+  for (const char* id : {"a", "b", "c"}) list.OnEntry(id, Of(id, "desk"));
+  list.BeginListing();
+  list.OnEntry("b", Of("b", "desk"));
+  list.OnEntry("c", Refused("state"));
+  list.TakeChanges();
+  list.EndListing();
+  CHECK(LastOf(list, "a") == false);
+  CHECK(list.figures().used == 1);
+  CHECK(list.figures().refused == 1);
+  list.EndListing();
+  CHECK(list.TakeChanges().empty());
+}
+
 TEST_CASE("worker list: a reason is no longer than a line") {
   WorkerList list;
   list.OnEntry("a", Refused(std::string(100000, 'x')));
--- a/keelbridge/daemon/leader_session_entries_test.cc
+++ b/keelbridge/daemon/leader_session_entries_test.cc
@@ -86,6 +86,23 @@
   return configuration;
 }
 
+// Drops the history of the list of workers when told to: a reader hears that
+// what it asks for is gone.
+class DropsHistory : public MemoryStoreConnection {
+ public:
+  using MemoryStoreConnection::MemoryStoreConnection;
+  void Read(Stream stream, int64_t from, absl::Duration wait, Patience patience,
+            std::function<void(ReadReply)> done) override {
+    if (stream != Stream::kWorkers || !std::exchange(dropped, false))
+      return MemoryStoreConnection::Read(stream, from, wait, patience,
+                                         std::move(done));
+    ReadReply reply;
+    reply.result = StoreResult::kGone;
+    done(std::move(reply));
+  }
+  bool dropped = false;
+};
+
 // A store with workers, and one leader after the other.
 class Cell {
  public:
@@ -100,6 +117,12 @@
     order.records = {{id, document}};
     store.Append(order);
   }
+  void Drop(const std::string& id) {
+    AppendOrder order;
+    order.stream = Stream::kWorkers;
+    order.records = {{id, std::nullopt}};
+    store.Append(order);
+  }
   void WriteForeign() {
     for (const auto& entry : testing::ForeignEntries(kService, kAddress))
       Write(entry.id, entry.document);
@@ -107,7 +130,7 @@
   void BeginTerm(std::shared_ptr<const SiteConfiguration> configuration) {
     EndTerm();
     NodePorts ports;
-    ports.store = &connection_;
+    ports.store = &connection;
     ports.workers = &workers;
     ports.dialect = &dialect_;
     LeaderSession::Options options;
@@ -146,11 +169,11 @@
   boost::asio::io_context loop;
   MemoryStore store;
   AskedWorkers workers;
+  DropsHistory connection{store};
   Metrics metrics{"test"};
   std::shared_ptr<LeaderSession> session;
 
  private:
-  MemoryStoreConnection connection_{store};
   platform::Dialect dialect_;
   int64_t epoch_ = 0;
 };
@@ -230,6 +253,25 @@
   CHECK(cell.workers.asked == kOnlyGood);
 }
 
+// The list is read anew then; what it does not show any more is gone, as it is
+// for a leader that begins now.
+TEST_CASE(
+    "foreign entries: a worker whose entry went with the history is not used") {
+  Cell cell;
+  cell.Write("i-good", WorkerEntry(kService, kAddress));
+  cell.Write("i-other", WorkerEntry(kService, kAddress));
+  cell.BeginTerm(Naming(kService));
+  // In one turn: no read comes between.
+  cell.Drop("i-good");
+  cell.connection.dropped = true;
+  cell.Run();
+  REQUIRE_FALSE(cell.connection.dropped);
+  for (JobId job = 1; job <= 6; ++job) cell.Submit(job);
+  cell.Run();
+  CHECK(cell.RunsOn("i-good") == 0);
+  CHECK(cell.RunsOn("i-other") == 6);
+}
+
 // A known worker whose record cannot be read may still run something.
 TEST_CASE(
     "foreign entries: a record of an earlier leader that cannot be read ends "
--- a/keelbridge/daemon/leader_session_loading.cc
+++ b/keelbridge/daemon/leader_session_loading.cc
@@ -122,6 +122,7 @@
 }
 
 void LeaderSession::LearnWorkers(const std::string& after) {
+  if (after.empty()) worker_list_.BeginListing();
   polling_workers_ = true;
   ports_.store->Newest(
       Stream::kWorkers, after, kReadTimeout,
@@ -139,6 +140,8 @@
         // Reading goes on from where the first page was taken.
         if (after.empty()) self->workers_next_ = reply.end;
         if (reply.more) return self->LearnWorkersAfter(reply, after);
+        self->worker_list_.EndListing();
+        self->ApplyWorkerList();
         self->OnWorkersListed();
       });
 }
