--- /dev/null
+++ b/testing/fuzz/client_call_fuzzer.cc
@@ -0,0 +1,60 @@
+// A client's request: the first line is "METHOD PATH", the second the time that
+// the client waits, the rest the job. A job that is taken is within all limits
+// and reads the same from the product's own form.
+
+#include <algorithm>
+
+#include "absl/strings/str_join.h"
+#include "platform/dialect.h"
+#include "testing/fuzz/fuzz_check.h"
+
+namespace {
+
+using keelbridge::ClientCallKind;
+
+constexpr char kConfiguration[] =
+    R"({"version":1,"routes":[)"
+    R"({"name":"a","host":"a.example","pathPrefix":"/x/","service":"s"},)"
+    R"({"name":"b","host":"a.example","pathPrefix":"/x/y/","service":"s"}]})";
+
+keelbridge::ServerRequest RequestOf(const std::vector<std::string>& lines) {
+  keelbridge::ServerRequest request;
+  const std::vector<std::string> first =
+      absl::StrSplit(lines[0], absl::MaxSplits(' ', 1));
+  request.method = first[0];
+  request.path = first.size() > 1 ? first[1] : "";
+  request.headers = {{"Host", "a.example:80"}};
+  if (lines.size() > 1)
+    request.headers.emplace_back("X-Keelbridge-Remaining-Ms", lines[1]);
+  const auto body = lines.begin() + std::min<ptrdiff_t>(2, lines.size());
+  request.body = absl::StrJoin(body, lines.end(), "\n");
+  return request;
+}
+
+void CheckTaken(const keelbridge::JobSpec& spec) {
+  fuzz::Require(static_cast<bool>(keelbridge::CheckJobSpec(spec)),
+                "a job that is taken is within the limits");
+  const Json::Value own = ToJson(spec);
+  fuzz::Require(ToJson(keelbridge::JobSpecFromJson(own)) == own,
+                "a job reads the same from the product's own form");
+}
+
+}  // namespace
+
+extern "C" int LLVMFuzzerTestOneInput(const uint8_t* data, size_t size) {
+  const platform::Dialect dialect;
+  static const keelbridge::SiteConfiguration configuration =
+      dialect.ParseConfiguration(kConfiguration).value();
+  const auto call = dialect.ParseClientCall(RequestOf(fuzz::Lines(data, size)),
+                                            configuration);
+  if (!call) {
+    fuzz::Require(!call.error().message.empty(), "a refusal gives a reason");
+    return 0;
+  }
+  fuzz::Require(call.value().remaining > absl::ZeroDuration() &&
+                    call.value().remaining <= absl::Seconds(60),
+                "a client waits for some time, and not for ever");
+  if (call.value().kind == ClientCallKind::kSubmit)
+    CheckTaken(call.value().spec);
+  return 0;
+}
--- /dev/null
+++ b/testing/fuzz/configuration_fuzzer.cc
@@ -0,0 +1,38 @@
+// The operator's configuration: any text is read or refused, and the look-ups
+// find what was read.
+
+#include "platform/dialect.h"
+#include "testing/fuzz/fuzz_check.h"
+
+namespace {
+
+void CheckLookUps(const keelbridge::SiteConfiguration& configuration) {
+  for (const keelbridge::Queue& queue : configuration.queues) {
+    fuzz::Require(queue.most_attempts >= 1, "a task may be tried once");
+    const keelbridge::Queue* named = configuration.FindQueueByName(queue.name);
+    fuzz::Require(named != nullptr && named->name == queue.name,
+                  "a queue is found by its name");
+    const keelbridge::Queue* best =
+        configuration.FindQueue(queue.host, queue.path_prefix);
+    fuzz::Require(best != nullptr && best->path_prefix == queue.path_prefix,
+                  "the longest prefix wins");
+  }
+  for (const keelbridge::Pool& pool : configuration.pools)
+    fuzz::Require(configuration.FindPool(pool.name) != nullptr,
+                  "a pool is found by its name");
+}
+
+}  // namespace
+
+extern "C" int LLVMFuzzerTestOneInput(const uint8_t* data, size_t size) {
+  const std::string text = fuzz::Text(data, size);
+  const platform::Dialect dialect;
+  const auto read = dialect.ParseConfiguration(text);
+  if (!read) {
+    fuzz::Require(!read.error().message.empty(), "a refusal gives a reason");
+    return 0;
+  }
+  fuzz::Require(read.value().document == text, "the document is kept as it is");
+  CheckLookUps(read.value());
+  return 0;
+}
--- /dev/null
+++ b/testing/fuzz/fuzz_check.h
@@ -0,0 +1,37 @@
+// What fuzzers share: how they judge, and how an input holds several parts.
+//
+//   Require(decoded.size() == size, "a decoded record lost bytes");
+//   for (const std::string& line : Lines(data, size)) ...
+
+#ifndef TESTING_FUZZ_FUZZ_CHECK_H_
+#define TESTING_FUZZ_FUZZ_CHECK_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <cstdio>
+#include <cstdlib>
+#include <string>
+#include <vector>
+
+#include "absl/strings/str_split.h"
+
+namespace fuzz {
+
+// Ends the run with a finding unless `holds`.
+inline void Require(bool holds, const char* what) {
+  if (holds) return;
+  std::fprintf(stderr, "does not hold: %s\n", what);
+  std::abort();
+}
+
+inline std::string Text(const uint8_t* data, size_t size) {
+  return std::string(reinterpret_cast<const char*>(data), size);
+}
+
+inline std::vector<std::string> Lines(const uint8_t* data, size_t size) {
+  return absl::StrSplit(Text(data, size), '\n');
+}
+
+}  // namespace fuzz
+
+#endif  // TESTING_FUZZ_FUZZ_CHECK_H_
--- /dev/null
+++ b/testing/fuzz/known_workers_fuzzer.cc
@@ -0,0 +1,17 @@
+// What leaders keep of workers: any text is read or refused, and what is read
+// is written and read the same.
+
+#include "keelbridge/state/known_workers.h"
+#include "testing/fuzz/fuzz_check.h"
+
+extern "C" int LLVMFuzzerTestOneInput(const uint8_t* data, size_t size) {
+  const auto known = keelbridge::KnownWorkerFrom(
+      {keelbridge::KnownWorkerKey("w-1"), fuzz::Text(data, size), 0});
+  if (!known) return 0;
+  fuzz::Require(known->worker.id == "w-1", "the worker keeps its id");
+  const keelbridge::Record own = KnownWorkerRecord(*known);
+  const auto again = keelbridge::KnownWorkerFrom(own);
+  fuzz::Require(again && KnownWorkerRecord(*again).value == own.value,
+                "a known worker reads the same");
+  return 0;
+}
--- /dev/null
+++ b/testing/fuzz/order_messages_fuzzer.cc
@@ -0,0 +1,45 @@
+// Rows of orders and of answers between nodes: any row is read or refused, and
+// what is read is written and read the same.
+
+#include "keelbridge/base/json_reader.h"
+#include "keelbridge/daemon/order_messages.h"
+#include "testing/fuzz/fuzz_check.h"
+
+namespace {
+
+using keelbridge::OrderResult;
+using keelbridge::RunEnd;
+
+void CheckOrder(const Json::Value& row) {
+  const auto order = keelbridge::OrderFromRow(row);
+  if (!order) return;
+  const Json::Value own = ToRow(*order);
+  const auto again = keelbridge::OrderFromRow(own);
+  fuzz::Require(again && ToRow(*again) == own, "an order reads the same");
+}
+
+void CheckReply(const Json::Value& row) {
+  const auto reply = keelbridge::ReplyFromRow(row);
+  if (!reply) return;
+  const OrderResult result = reply->reply.order.result;
+  fuzz::Require(result >= OrderResult::kDone && result <= OrderResult::kUnknown,
+                "an answer's result is one of those that there are");
+  for (const keelbridge::EndedTask& task : reply->reply.ended)
+    fuzz::Require(task.end >= RunEnd::kDone && task.end <= RunEnd::kAlone,
+                  "an end is one of those that there are");
+  const Json::Value own = ToRow(*reply);
+  const auto again = keelbridge::ReplyFromRow(own);
+  fuzz::Require(again && ToRow(*again) == own, "an answer reads the same");
+}
+
+}  // namespace
+
+extern "C" int LLVMFuzzerTestOneInput(const uint8_t* data, size_t size) {
+  const auto message =
+      keelbridge::JsonDocument::Parse(fuzz::Text(data, size), "orders");
+  for (const Json::Value& row : message.root()["rows"]) {
+    CheckOrder(row);
+    CheckReply(row);
+  }
+  return 0;
+}
--- /dev/null
+++ b/testing/fuzz/worker_record_fuzzer.cc
@@ -0,0 +1,16 @@
+// A worker's record, as it stands in the workers' stream: any text is read or
+// refused.
+
+#include "platform/dialect.h"
+#include "testing/fuzz/fuzz_check.h"
+
+extern "C" int LLVMFuzzerTestOneInput(const uint8_t* data, size_t size) {
+  const platform::Dialect dialect;
+  const auto record = dialect.ParseWorkerRecord("w-1", fuzz::Text(data, size));
+  if (!record) {
+    fuzz::Require(!record.error().message.empty(), "a refusal gives a reason");
+    return 0;
+  }
+  fuzz::Require(record.value().id == "w-1", "the record keeps its id");
+  return 0;
+}
