Rows of orders that cannot be read are refused, with the good ones kept

Cause: a field of the wrong type threw out of OrderFromRow and ReplyFromRow, so that the rows behind it in the message were lost; a result or an end that there is not was taken as it came, one that was null as "done". Found by order_messages_fuzzer. Ruled out: catching it in the two callers, which would know of the whole message only. Change: both return none, as their header says.

--- a/keelbridge/daemon/order_messages.cc
+++ b/keelbridge/daemon/order_messages.cc
@@ -89,15 +89,21 @@
   return order.has_value();
 }
 
-}  // namespace
-
-Json::Value ToRow(const RelayedOrder& order) {
-  return std::visit([&](const auto& one) { return RowOf(order, one); },
-                    order.order);
+// False when `value` is none of the values from 0 to `last`. One that is not
+// there must not count as the first.
+template <typename Enum>
+bool ReadEnum(const Json::Value& value, Enum last, Enum* out) {
+  if (!value.isInt()) return false;
+  const int number = value.asInt();
+  if (number < 0 || number > static_cast<int>(last)) return false;
+  *out = static_cast<Enum>(number);
+  return true;
 }
 
-std::optional<RelayedOrder> OrderFromRow(const Json::Value& row) {
-  if (!row.isArray() || row.size() < kStopFields) return std::nullopt;
+// Throws `Json::Exception` where a field has the wrong type.
+std::optional<RelayedOrder> ReadOrder(const Json::Value& row) {
+  if (!row.isArray() || row.size() < kStopFields || !row[1].isInt())
+    return std::nullopt;
   RelayedOrder out;
   out.number = row[0].asInt64();
   out.worker.id = row[2].asString();
@@ -120,35 +126,14 @@
   return out;
 }
 
-Json::Value ToRow(const RelayedReply& reply) {
-  const OrderReply& order = reply.reply.order;
-  Json::Value row =
-      Row(Number(reply.number), static_cast<int>(order.result),
-          Number(order.clock_ms),
-          order.result == OrderResult::kDone ? std::string() : order.message);
-  const bool lists = !reply.reply.running.empty() ||
-                     !reply.reply.ended.empty() || reply.reply.more_ends;
-  if (!lists) return row;
-  Json::Value running(Json::arrayValue);
-  for (const RunningTask& task : reply.reply.running)
-    running.append(
-        Row(TaskIdText(task.task), task.run, task.checkpoint, task.percent));
-  Json::Value ended(Json::arrayValue);
-  for (const EndedTask& end : reply.reply.ended)
-    ended.append(Row(Number(end.number), TaskIdText(end.task), end.run,
-                     static_cast<int>(end.end), end.checkpoint));
-  row.append(std::move(running));
-  row.append(std::move(ended));
-  row.append(reply.reply.more_ends);
-  return row;
-}
-
-std::optional<RelayedReply> ReplyFromRow(const Json::Value& row) {
+// Throws `Json::Exception` where a field has the wrong type.
+std::optional<RelayedReply> ReadReply(const Json::Value& row) {
   if (!row.isArray() || row.size() < kOrderReplyFields) return std::nullopt;
   RelayedReply out;
   out.number = row[0].asInt64();
   OrderReply& order = out.reply.order;
-  order.result = static_cast<OrderResult>(row[1].asInt());
+  if (!ReadEnum(row[1], OrderResult::kUnknown, &order.result))
+    return std::nullopt;
   order.clock_ms = row[2].asInt64();
   order.message = row[3].asString();
   if (row.size() < kObserveReplyFields) return out;
@@ -162,10 +147,11 @@
   }
   for (const Json::Value& one : row[5]) {
     EndedTask end;
-    if (!ParseTaskId(one[1].asString(), &end.task)) return std::nullopt;
+    if (!ParseTaskId(one[1].asString(), &end.task) ||
+        !ReadEnum(one[3], RunEnd::kAlone, &end.end))
+      return std::nullopt;
     end.number = one[0].asInt64();
     end.run = one[2].asInt();
-    end.end = static_cast<RunEnd>(one[3].asInt());
     end.checkpoint = one[4].asString();
     out.reply.ended.push_back(std::move(end));
   }
@@ -173,4 +159,53 @@
   return out;
 }
 
+// An exception here would take the other rows of the message with it.
+template <typename T>
+std::optional<T> NoneIfMistyped(std::optional<T> (*read)(const Json::Value&),
+                                const Json::Value& row) {
+  try {
+    return read(row);
+  } catch (const Json::Exception&) {
+    return std::nullopt;
+  }
+}
+
+}  // namespace
+
+Json::Value ToRow(const RelayedOrder& order) {
+  return std::visit([&](const auto& one) { return RowOf(order, one); },
+                    order.order);
+}
+
+Json::Value ToRow(const RelayedReply& reply) {
+  const OrderReply& order = reply.reply.order;
+  Json::Value row =
+      Row(Number(reply.number), static_cast<int>(order.result),
+          Number(order.clock_ms),
+          order.result == OrderResult::kDone ? std::string() : order.message);
+  const bool lists = !reply.reply.running.empty() ||
+                     !reply.reply.ended.empty() || reply.reply.more_ends;
+  if (!lists) return row;
+  Json::Value running(Json::arrayValue);
+  for (const RunningTask& task : reply.reply.running)
+    running.append(
+        Row(TaskIdText(task.task), task.run, task.checkpoint, task.percent));
+  Json::Value ended(Json::arrayValue);
+  for (const EndedTask& end : reply.reply.ended)
+    ended.append(Row(Number(end.number), TaskIdText(end.task), end.run,
+                     static_cast<int>(end.end), end.checkpoint));
+  row.append(std::move(running));
+  row.append(std::move(ended));
+  row.append(reply.reply.more_ends);
+  return row;
+}
+
+std::optional<RelayedOrder> OrderFromRow(const Json::Value& row) {
+  return NoneIfMistyped(ReadOrder, row);
+}
+
+std::optional<RelayedReply> ReplyFromRow(const Json::Value& row) {
+  return NoneIfMistyped(ReadReply, row);
+}
+
 }  // namespace keelbridge
