Nodes' messages that cannot be read have an answer

Cause: an answer to a client's call or to a request for advice that had a field of the wrong type threw in the callback, so that the client, or the step, was told nothing; an answer without its kind was taken for "accepted", an unknown kind of call was never answered, and a job from a peer was not checked against the limits, so that a count of two thousand million tasks went on to the scheduler. Found by node_messages_fuzzer. Change: ClientReplyFromJson and AdviceReplyFromJson give the value that stands for nothing known; ClientCallFromJson gives a result.

--- a/keelbridge/daemon/node_messages.cc
+++ b/keelbridge/daemon/node_messages.cc
@@ -3,6 +3,50 @@
 #include "keelbridge/base/json_reader.h"
 
 namespace keelbridge {
+namespace {
+
+// Throws `Json::Exception` where a field has the wrong type.
+Result<ClientCall> ReadClientCall(const Json::Value& in) {
+  const int kind = in["kind"].isInt() ? in["kind"].asInt() : -1;
+  if (kind < 0 || kind > static_cast<int>(ClientCallKind::kWaiting))
+    return MakeError(ErrorCode::kInvalid, "no such kind of call");
+  ClientCall call;
+  call.kind = static_cast<ClientCallKind>(kind);
+  call.queue = in["queue"].asString();
+  if (!ParseJobId(in["job"].asString(), &call.job))
+    return MakeError(ErrorCode::kInvalid, "the call names no job");
+  if (call.kind != ClientCallKind::kSubmit) return call;
+  call.spec = JobSpecFromJson(in["spec"]);
+  if (auto checked = CheckJobSpec(call.spec); !checked) return checked.error();
+  return call;
+}
+
+// Throws `Json::Exception` where a field has the wrong type.
+ClientReply ReadClientReply(const Json::Value& in) {
+  ClientReply reply;
+  // An answer that is not there must not count as the first, "accepted".
+  const int answer = in["answer"].isInt() ? in["answer"].asInt() : -1;
+  if (answer < 0 || answer > static_cast<int>(ClientAnswer::kInvalid))
+    return reply;
+  reply.state = in["state"].asString();
+  reply.waiting = in["waiting"].asInt64();
+  reply.message = in["message"].asString();
+  reply.retry_after = absl::Milliseconds(in["retry_after_ms"].asInt64());
+  reply.answer = static_cast<ClientAnswer>(answer);
+  return reply;
+}
+
+// Throws `Json::Exception` where a field has the wrong type.
+AdviceReply ReadAdviceReply(const Json::Value& in) {
+  AdviceReply reply;
+  reply.answered = in["answered"].asBool();
+  reply.overloaded = in["overloaded"].asBool();
+  for (const Json::Value& row : in["good"])
+    reply.good.push_back({row[0].asString(), row[1].asString()});
+  return reply;
+}
+
+}  // namespace
 
 Json::Value ToJson(const ClientCall& call) {
   Json::Value out(Json::objectValue);
@@ -13,13 +57,12 @@
   return out;
 }
 
-ClientCall ClientCallFromJson(const Json::Value& in) {
-  ClientCall call;
-  call.kind = static_cast<ClientCallKind>(in["kind"].asInt());
-  call.queue = in["queue"].asString();
-  ParseJobId(in["job"].asString(), &call.job);
-  if (in.isMember("spec")) call.spec = JobSpecFromJson(in["spec"]);
-  return call;
+Result<ClientCall> ClientCallFromJson(const Json::Value& in) {
+  try {
+    return ReadClientCall(in);
+  } catch (const Json::Exception& e) {
+    return MakeError(ErrorCode::kInvalid, e.what());
+  }
 }
 
 Json::Value ToJson(const ClientReply& reply) {
@@ -34,13 +77,11 @@
 }
 
 ClientReply ClientReplyFromJson(const Json::Value& in) {
-  ClientReply reply;
-  reply.answer = static_cast<ClientAnswer>(in["answer"].asInt());
-  reply.state = in["state"].asString();
-  reply.waiting = in["waiting"].asInt64();
-  reply.message = in["message"].asString();
-  reply.retry_after = absl::Milliseconds(in["retry_after_ms"].asInt64());
-  return reply;
+  try {
+    return ReadClientReply(in);
+  } catch (const Json::Exception&) {
+    return ClientReply();
+  }
 }
 
 Json::Value ToJson(const AdviceRequest& request) {
@@ -75,12 +116,11 @@
 }
 
 AdviceReply AdviceReplyFromJson(const Json::Value& in) {
-  AdviceReply reply;
-  reply.answered = in["answered"].asBool();
-  reply.overloaded = in["overloaded"].asBool();
-  for (const Json::Value& row : in["good"])
-    reply.good.push_back({row[0].asString(), row[1].asString()});
-  return reply;
+  try {
+    return ReadAdviceReply(in);
+  } catch (const Json::Exception&) {
+    return AdviceReply();
+  }
 }
 
 Json::Value ToJson(const LeaderRecord& leader) {
--- a/keelbridge/daemon/site_node_peers.cc
+++ b/keelbridge/daemon/site_node_peers.cc
@@ -56,8 +56,15 @@
     const TraceContext parent =
         TraceContext::Parse(params["traceparent"].asString());
     if (parent.valid()) span = std::make_shared<Span>("leader.call", parent);
+    const auto call = ClientCallFromJson(params);
+    if (!call) {
+      ClientReply invalid;
+      invalid.answer = ClientAnswer::kInvalid;
+      invalid.message = call.error().message;
+      return reply(Ok(ToJson(invalid)));
+    }
     session_->HandleOnceActive(
-        ClientCallFromJson(params),
+        call.value(),
         [span, reply](const ClientReply& answer) { reply(Ok(ToJson(answer))); },
         not_leader);
   });
--- a/testing/fuzz/node_messages_fuzzer.cc
+++ b/testing/fuzz/node_messages_fuzzer.cc
@@ -1,6 +1,7 @@
-// Clients' calls, advice and answers between nodes: a first byte says which
+// Clients' calls, advice and answers between nodes: the first byte says which
 // message the rest is. Any object is read, or refused by the value that stands
-// for nothing known.
+// for nothing known; a request for advice alone throws `Json::Exception`, which
+// the server of calls answers.
 
 #include "keelbridge/base/json_reader.h"
 #include "keelbridge/daemon/node_messages.h"
@@ -17,6 +18,28 @@
                 "an answer is one of those that there are");
 }
 
+void CheckClientCall(const Json::Value& in) {
+  const auto call = keelbridge::ClientCallFromJson(in);
+  if (!call) {
+    fuzz::Require(!call.error().message.empty(), "a refusal gives a reason");
+    return;
+  }
+  fuzz::Require(call.value().kind != keelbridge::ClientCallKind::kSubmit ||
+                    keelbridge::CheckJobSpec(call.value().spec),
+                "a job that is taken is within the limits");
+  const Json::Value own = ToJson(call.value());
+  const auto again = keelbridge::ClientCallFromJson(own);
+  fuzz::Require(again && ToJson(again.value()) == own, "a call reads the same");
+}
+
+void CheckAdviceRequest(const Json::Value& in) {
+  try {
+    keelbridge::AdviceRequestFromJson(in);
+  } catch (const Json::Exception&) {
+    return;
+  }
+}
+
 }  // namespace
 
 extern "C" int LLVMFuzzerTestOneInput(const uint8_t* data, size_t size) {
@@ -25,6 +48,12 @@
       fuzz::Text(data + 1, size - 1), "message");
   const Json::Value& in = document.root();
   switch (data[0]) {
+    case 'c':
+      CheckClientCall(in);
+      break;
+    case 'q':
+      CheckAdviceRequest(in);
+      break;
     case 'r':
       CheckClientReply(in);
       break;
