Calls between nodes that cannot be read are answered and ended

Cause: a handler that threw on a parameter of the wrong type left its caller without an answer and the request counted as in flight; an answer whose error was no object threw in the caller, whose callback never came.

--- a/keelbridge/transport/event_rpc.cc
+++ b/keelbridge/transport/event_rpc.cc
@@ -2,8 +2,6 @@
 
 #include <utility>
 
-#include "keelbridge/base/json_reader.h"
-
 namespace keelbridge {
 namespace {
 
@@ -24,6 +22,7 @@
 constexpr absl::Duration kSpareAfter = absl::Seconds(1);
 constexpr int kMethodNotFound = -32601;
 constexpr int kInvalidRequest = -32600;
+constexpr int kInvalidParams = -32602;
 
 EventHttpServer::Options PeerServerOptions(const Address& listen) {
   EventHttpServer::Options options;
@@ -49,16 +48,7 @@
 }
 
 ServerResponse Frame(const Json::Value& id, const JsonRpcReply& reply) {
-  Json::Value out(Json::objectValue);
-  out["jsonrpc"] = "2.0";
-  out["id"] = id;
-  if (reply.error_code != 0) {
-    out["error"]["code"] = reply.error_code;
-    out["error"]["message"] = reply.error_message;
-  } else {
-    out["result"] = reply.result;
-  }
-  return {200, {}, ToJsonText(out), "application/json"};
+  return {200, {}, RpcAnswerText(id, reply), "application/json"};
 }
 
 }  // namespace
@@ -77,18 +67,22 @@
 
 void EventRpcServer::Handle(const ServerRequest& request,
                             EventHttpServer::Reply reply) {
-  const JsonDocument document = JsonDocument::Parse(request.body, "the call");
-  const Json::Value& call = document.root();
-  const Json::Value& id = call["id"];
-  if (!document.faults().empty() || !call["method"].isString())
-    return reply(Frame(id, {Json::Value(), kInvalidRequest, "no call"}));
-  const auto method = methods_.find(call["method"].asString());
+  const RpcCall call = ReadRpcCall(request.body);
+  if (!call.readable)
+    return reply(Frame(call.id, {Json::Value(), kInvalidRequest, "no call"}));
+  const auto method = methods_.find(call.method);
   if (method == methods_.end())
-    return reply(Frame(id, {Json::Value(), kMethodNotFound, "no such method"}));
-  method->second(call["params"],
-                 [id, reply = std::move(reply)](const JsonRpcReply& answer) {
-                   reply(Frame(id, answer));
-                 });
+    return reply(
+        Frame(call.id, {Json::Value(), kMethodNotFound, "no such method"}));
+  // A caller that got no answer would wait until its time is over.
+  try {
+    method->second(call.params,
+                   [id = call.id, reply](const JsonRpcReply& answer) {
+                     reply(Frame(id, answer));
+                   });
+  } catch (const Json::Exception& e) {
+    reply(Frame(call.id, {Json::Value(), kInvalidParams, e.what()}));
+  }
 }
 
 void EventRpcClient::Call(const std::string& address, const std::string& method,
@@ -104,35 +98,20 @@
     peer = std::make_unique<EventHttpClient>(
         loop_, parsed ? parsed.value() : Address{"0.0.0.0", 0, ""}, options);
   }
-  Json::Value call(Json::objectValue);
-  call["jsonrpc"] = "2.0";
-  call["id"] = Json::Int64(next_id_++);
-  call["method"] = method;
-  call["params"] = std::move(params);
   HttpRequest request;
   request.method = "POST";
   request.path = "/rpc";
-  request.body = ToJsonText(call);
+  request.body = RpcCallText(next_id_++, method, std::move(params));
   peer->Send(std::move(request), timeout,
              [done = std::move(done)](const HttpOutcome& outcome) {
-               RpcOutcome out;
                if (!outcome.response) {
+                 RpcOutcome out;
                  out.sent = outcome.failure == SendFailure::kMayHaveSent;
                  out.error = outcome.message;
                  out.refused = outcome.refused;
                  return done(std::move(out));
                }
-               out.sent = true;
-               const JsonDocument document =
-                   JsonDocument::Parse(outcome.response->body, "the answer");
-               const Json::Value& answer = document.root();
-               if (answer.isMember("result")) {
-                 out.answered = true;
-                 out.result = answer["result"];
-               } else {
-                 out.error = answer["error"]["message"].asString();
-               }
-               done(std::move(out));
+               done(ReadRpcAnswer(outcome.response->body));
              });
 }
 
--- a/keelbridge/transport/event_rpc.h
+++ b/keelbridge/transport/event_rpc.h
@@ -27,7 +27,7 @@
 #include "keelbridge/base/result.h"
 #include "keelbridge/transport/event_http_client.h"
 #include "keelbridge/transport/event_http_server.h"
-#include "keelbridge/transport/json_rpc.h"
+#include "keelbridge/transport/rpc_frames.h"
 
 namespace keelbridge {
 
@@ -55,15 +55,6 @@
   kControl,  // Who leads and who is there: few, short, and never late.
 };
 
-// What came of a call.
-struct RpcOutcome {
-  bool answered = false;  // The method ran and gave `result`.
-  bool sent = false;      // The method may have run.
-  bool refused = false;   // The peer's port is closed.
-  Json::Value result;
-  std::string error;
-};
-
 // All on the loop's thread. Connections to peers are kept.
 class EventRpcClient {
  public:
--- a/keelbridge/transport/event_rpc_test.cc
+++ b/keelbridge/transport/event_rpc_test.cc
@@ -107,5 +107,59 @@
   CHECK(total < kCallBytes);
 }
 
+// Without an answer the caller would wait until its time is over.
+TEST_CASE("event rpc: a call whose fields have the wrong type is told so") {
+  boost::asio::io_context loop;
+  EventRpcServer server(loop, {"127.0.0.1", 0, ""});
+  server.Add("add",
+             [](const Json::Value& params, const EventRpcServer::Reply& reply) {
+               reply({Json::Value(params["a"].asInt() + 1), 0, ""});
+             });
+  const auto port = server.Start();
+  REQUIRE(port);
+  EventRpcClient client(loop);
+  Json::Value wrong(Json::objectValue);
+  wrong["a"] = "text";
+  for (const Json::Value& params : {wrong, Json::Value("text")}) {
+    std::optional<RpcOutcome> result;
+    client.Call(Address{"127.0.0.1", port.value(), ""}.ToString(), "add",
+                params, absl::Seconds(5),
+                [&](const RpcOutcome& outcome) { result = outcome; });
+    CHECK_NOTHROW(loop.run_for(std::chrono::milliseconds(300)));
+    REQUIRE(result);
+    CHECK(!result->answered);
+    CHECK(result->sent);
+    CHECK_FALSE(result->error.empty());
+  }
+}
+
+// An exception would end the call without its caller being told.
+TEST_CASE("event rpc: an answer that cannot be read ends the call") {
+  for (const std::string body :
+       {"", "[]", "{}", R"({"error":"text"})", R"({"error":{"message":[]}})"}) {
+    CAPTURE(body);
+    boost::asio::io_context loop;
+    EventHttpServer::Options options;
+    options.listen = {"127.0.0.1", 0, ""};
+    EventHttpServer server(
+        loop, options,
+        [&](const ServerRequest&, const EventHttpServer::Reply& reply) {
+          reply({200, {}, body, "application/json"});
+        });
+    const auto port = server.Start();
+    REQUIRE(port);
+    EventRpcClient client(loop);
+    std::optional<RpcOutcome> result;
+    client.Call(Address{"127.0.0.1", port.value(), ""}.ToString(), "any",
+                Json::Value(), absl::Seconds(5),
+                [&](const RpcOutcome& outcome) { result = outcome; });
+    CHECK_NOTHROW(loop.run_for(std::chrono::milliseconds(200)));
+    REQUIRE(result);
+    CHECK(!result->answered);
+    CHECK(result->sent);
+    CHECK_FALSE(result->error.empty());
+  }
+}
+
 }  // namespace
 }  // namespace keelbridge
--- /dev/null
+++ b/keelbridge/transport/rpc_frames.cc
@@ -0,0 +1,60 @@
+#include "keelbridge/transport/rpc_frames.h"
+
+#include <utility>
+
+#include "keelbridge/base/json_reader.h"
+
+namespace keelbridge {
+
+std::string RpcCallText(int64_t id, const std::string& method,
+                        Json::Value params) {
+  Json::Value out(Json::objectValue);
+  out["jsonrpc"] = "2.0";
+  out["id"] = Json::Int64(id);
+  out["method"] = method;
+  out["params"] = std::move(params);
+  return ToJsonText(out);
+}
+
+RpcCall ReadRpcCall(const std::string& body) {
+  const JsonDocument document = JsonDocument::Parse(body, "the call");
+  const Json::Value& in = document.root();
+  RpcCall call;
+  call.id = in["id"];
+  call.readable = document.faults().empty() && in["method"].isString();
+  if (!call.readable) return call;
+  call.method = in["method"].asString();
+  call.params = in["params"];
+  return call;
+}
+
+std::string RpcAnswerText(const Json::Value& id, const JsonRpcReply& reply) {
+  Json::Value out(Json::objectValue);
+  out["jsonrpc"] = "2.0";
+  out["id"] = id;
+  if (reply.error_code != 0) {
+    out["error"]["code"] = reply.error_code;
+    out["error"]["message"] = reply.error_message;
+  } else {
+    out["result"] = reply.result;
+  }
+  return ToJsonText(out);
+}
+
+RpcOutcome ReadRpcAnswer(const std::string& body) {
+  const JsonDocument document = JsonDocument::Parse(body, "the answer");
+  const Json::Value& answer = document.root();
+  RpcOutcome out;
+  out.sent = true;
+  if (answer.isMember("result")) {
+    out.answered = true;
+    out.result = answer["result"];
+    return out;
+  }
+  const Json::Value& error = answer["error"];
+  const bool told = error.isObject() && error["message"].isString();
+  out.error = told ? error["message"].asString() : "the answer cannot be read";
+  return out;
+}
+
+}  // namespace keelbridge
