--- a/testing/fuzz/client_call_fuzzer.cc
+++ b/testing/fuzz/client_call_fuzzer.cc
@@ -5,6 +5,7 @@
 #include <algorithm>
 
 #include "absl/strings/str_join.h"
+#include "keelbridge/base/json_reader.h"
 #include "platform/dialect.h"
 #include "testing/fuzz/fuzz_check.h"
 
@@ -35,7 +36,10 @@
   fuzz::Require(static_cast<bool>(keelbridge::CheckJobSpec(spec)),
                 "a job that is taken is within the limits");
   const Json::Value own = ToJson(spec);
-  fuzz::Require(ToJson(keelbridge::JobSpecFromJson(own)) == own,
+  const Json::Value kept =
+      keelbridge::JsonDocument::Parse(keelbridge::ToJsonText(own), "job")
+          .root();
+  fuzz::Require(ToJson(keelbridge::JobSpecFromJson(kept)) == own,
                 "a job reads the same from the product's own form");
 }
 
