--- a/testing/fuzz/client_call_fuzzer.cc
+++ b/testing/fuzz/client_call_fuzzer.cc
@@ -16,7 +16,8 @@
 constexpr char kConfiguration[] =
     R"({"version":1,"routes":[)"
     R"({"name":"a","host":"a.example","pathPrefix":"/x/","service":"s"},)"
-    R"({"name":"b","host":"a.example","pathPrefix":"/x/y/","service":"s"}]})";
+    R"({"name":"b","host":"a.example","pathPrefix":"/x/y/","service":"s"}],)"
+    R"("services":[{"name":"s","admissionCheck":true,"spare":false}]})";
 
 keelbridge::ServerRequest RequestOf(const std::vector<std::string>& lines) {
   keelbridge::ServerRequest request;
