--- a/keelbridge/daemon/relayed_orders_test.cc
+++ b/keelbridge/daemon/relayed_orders_test.cc
@@ -90,7 +90,8 @@
 
   std::optional<OrderResult> Start(const WorkerRecord& worker,
                                    absl::Duration time) {
-    std::optional<OrderResult> result;
+    // The answer may come in a later call's time.
+    const auto result = std::make_shared<std::optional<OrderResult>>();
     StartOrder order;
     order.task = {7, 0, 1, 2};
     order.run = 3;
@@ -99,11 +100,11 @@
     order.ticket = "ticket";
     order.lease_until_ms = 9000;
     order.fence = 5;
-    orders->Start(worker, order, [&result](const OrderReply& reply) {
-      result = reply.result;
+    orders->Start(worker, order, [result](const OrderReply& reply) {
+      *result = reply.result;
     });
     Run(time);
-    return result;
+    return *result;
   }
 
   void Run(absl::Duration time) {
