--- /dev/null
+++ b/testing/fuzz/node_messages_fuzzer.cc
@@ -0,0 +1,70 @@
+// Clients' calls, advice and answers between nodes: the first byte says which
+// message the rest is. Any object is read, or refused by the value that stands
+// for nothing known; a request for advice alone throws `Json::Exception`, which
+// the server of calls answers.
+
+#include "keelbridge/base/json_reader.h"
+#include "keelbridge/daemon/node_messages.h"
+#include "testing/fuzz/fuzz_check.h"
+
+namespace {
+
+using keelbridge::ClientAnswer;
+
+void CheckClientReply(const Json::Value& in) {
+  const keelbridge::ClientReply reply = keelbridge::ClientReplyFromJson(in);
+  fuzz::Require(reply.answer >= ClientAnswer::kAccepted &&
+                    reply.answer <= ClientAnswer::kInvalid,
+                "an answer is one of those that there are");
+}
+
+void CheckClientCall(const Json::Value& in) {
+  const auto call = keelbridge::ClientCallFromJson(in);
+  if (!call) {
+    fuzz::Require(!call.error().message.empty(), "a refusal gives a reason");
+    return;
+  }
+  fuzz::Require(call.value().kind != keelbridge::ClientCallKind::kSubmit ||
+                    keelbridge::CheckJobSpec(call.value().spec),
+                "a job that is taken is within the limits");
+  const Json::Value own = ToJson(call.value());
+  const auto again = keelbridge::ClientCallFromJson(own);
+  fuzz::Require(again && ToJson(again.value()) == own, "a call reads the same");
+}
+
+void CheckAdviceRequest(const Json::Value& in) {
+  try {
+    keelbridge::AdviceRequestFromJson(in);
+  } catch (const Json::Exception&) {
+    return;
+  }
+}
+
+}  // namespace
+
+extern "C" int LLVMFuzzerTestOneInput(const uint8_t* data, size_t size) {
+  if (size == 0) return 0;
+  const auto document = keelbridge::JsonDocument::Parse(
+      fuzz::Text(data + 1, size - 1), "message");
+  const Json::Value& in = document.root();
+  switch (data[0]) {
+    case 'c':
+      CheckClientCall(in);
+      break;
+    case 'q':
+      CheckAdviceRequest(in);
+      break;
+    case 'r':
+      CheckClientReply(in);
+      break;
+    case 'a':
+      keelbridge::AdviceReplyFromJson(in);
+      break;
+    case 'l':
+      keelbridge::LeaderFromJson(in);
+      break;
+    default:
+      break;
+  }
+  return 0;
+}
