--- a/testing/support/scheduler_driver.h
+++ b/testing/support/scheduler_driver.h
@@ -197,10 +197,9 @@
   }
 
   void AnswerLater(const AskAdviceAction& ask) {
-    const double takes_ms =
-        advice_terms_.base_ms +
-        advice_terms_.per_worker_ms *
-            static_cast<double>(ask.request.workers.size());
+    const double takes_ms = advice_terms_.base_ms +
+                            advice_terms_.per_worker_ms *
+                                static_cast<double>(ask.request.workers.size());
     absl::Time& free = adviser_free_[ask.adviser];
     free = std::max(free, now_) + absl::Milliseconds(takes_ms);
     due_.emplace(free, ask);
