--- a/keelbridge/daemon/leader_session_test.cc
+++ b/keelbridge/daemon/leader_session_test.cc
@@ -84,6 +84,17 @@
   std::map<std::string, std::vector<RunningTask>> running_;  // By worker.
 };
 
+std::shared_ptr<const SiteConfiguration> OneQueue() {
+  auto configuration = std::make_shared<SiteConfiguration>();
+  configuration->version = 1;
+  Queue queue;
+  queue.name = kQueue;
+  queue.pool = "pool";
+  queue.most_attempts = 2;
+  configuration->queues.push_back(queue);
+  return configuration;
+}
+
 // Reads the record of any worker as one with room in the pool of `OneQueue`.
 class AnyWorkerDialect : public platform::Dialect {
  public:
@@ -249,6 +260,7 @@
   HangsWorkerReads connection(store);
   FewWorkers workers(loop);
   Leader leader(store, 1, Leader::Parts{&connection, &workers, {}});
+  leader.session().SetConfiguration(OneQueue());
   RunFor(store, absl::Milliseconds(100));
   REQUIRE(leader.session().active());
   connection.to_hang = 2;
@@ -383,17 +395,6 @@
   store.Append(order);
 }
 
-std::shared_ptr<const SiteConfiguration> OneQueue() {
-  auto configuration = std::make_shared<SiteConfiguration>();
-  configuration->version = 1;
-  Queue queue;
-  queue.name = kQueue;
-  queue.pool = "pool";
-  queue.most_attempts = 2;
-  configuration->queues.push_back(queue);
-  return configuration;
-}
-
 // The platform lists a worker.
 void List(MemoryStore& store, const std::string& worker) {
   AppendOrder order;
