What a newcomer stumbled over: names, comments, and a few small faults

Renamed: the marks of placements, of workers as earlier leaders left them, of tasks that wait for an earlier lease; no word for two things. Faults, by that reading: an item without a key in the control stream counted as the leader's record also beside a good one (test); an overtaken answer could say that it can be read; an answer of another type threw out of a callback; a wait was blamed on recovered work that was free by then (test); stuck pages and unreadable records of jobs had no line; a withdrawn start of a cancelled job had none. Checks that could pass for nothing check something; known workers' new fields are checked.

Not seen to fail first: the two tests named above came with their mends.

--- a/keelbridge/base/line_limit.h
+++ b/keelbridge/base/line_limit.h
@@ -19,7 +19,7 @@
 class LineLimit {
  public:
   struct Options {
-    int most = 5;
+    int most = 5;  // Lines in a period.
     absl::Duration period = absl::Seconds(1);
   };
 
--- a/keelbridge/cli/job_story.cc
+++ b/keelbridge/cli/job_story.cc
@@ -177,6 +177,7 @@
     if (event == "recovered_work_waits")
       blocked = absl::StrCat("worker ", Field(f, "last_worker"),
                              " might still run it for an earlier leader");
+    if (event == "recovered_work_free") blocked.clear();
     const bool start = event == "start_sent" || event == "start_kept";
     if (start && Number(Field(f, "waited_ms")) >= 500)
       add(absl::StrCat("a task waited ", Field(f, "waited_ms"), " ms: ",
--- a/keelbridge/cli/job_story_test.cc
+++ b/keelbridge/cli/job_story_test.cc
@@ -69,5 +69,19 @@
       "leader"));
 }
 
+TEST_CASE("job story: a wait after recovered work is free has other causes") {
+  JobStory story(kJob);
+  story.AddLine(
+      R"({"time":"2026-01-01T00:00:01.000Z","process":"node/a","event":"job_taken","job":"5c0e7a21d94b36f8"})");
+  story.AddLine(
+      R"({"time":"2026-01-01T00:00:03.000Z","process":"node/b","event":"recovered_work_waits","last_worker":"i-9"})");
+  story.AddLine(
+      R"({"time":"2026-01-01T00:00:04.000Z","process":"node/b","event":"recovered_work_free"})");
+  story.AddLine(
+      R"({"time":"2026-01-01T00:00:09.000Z","process":"node/b","event":"start_sent","task":"5c0e7a21d94b36f8.0.0.1","worker":"i-1","waited_ms":"700"})");
+  CHECK(absl::StrContains(story.Text(),
+                          "a task waited 700 ms: no cause was logged"));
+}
+
 }  // namespace
 }  // namespace keelbridge::cli
--- a/keelbridge/coordination/earlier_leaders.cc
+++ b/keelbridge/coordination/earlier_leaders.cc
@@ -6,7 +6,8 @@
 namespace keelbridge {
 namespace {
 
-// How much faster than this node's the clock of another may run.
+// By what share the clock of another node may run faster than this one's: the
+// bound that leases allow for, too (JobScheduler::Options::clock_error).
 constexpr double kClockError = 0.02;
 
 }  // namespace
--- a/keelbridge/coordination/earlier_leaders_test.cc
+++ b/keelbridge/coordination/earlier_leaders_test.cc
@@ -26,7 +26,8 @@
 }
 
 // An answer without a time, of a node of an earlier version, says "now".
-TEST_CASE("earlier leaders: no idle time is told") {
+TEST_CASE(
+    "earlier leaders: an answer without an idle time is an order given now") {
   EarlierLeaders earlier({"a"}, kBegin);
   earlier.OnStopped("a", absl::ZeroDuration(), kBegin + absl::Seconds(9));
   CHECK(earlier.LastOrder() == kBegin + absl::Seconds(9));
--- a/keelbridge/coordination/job_scheduler.cc
+++ b/keelbridge/coordination/job_scheduler.cc
@@ -41,11 +41,11 @@
     OnWorkerRecord(known.worker, now);
     Worker& worker = *workers_[known.worker.id];
     worker.known_at_batch = 0;
-    worker.held_by = known.epoch;
-    worker.known_before = true;
-    worker.closed_before = known.closed;
+    worker.leased_by = known.epoch;
+    worker.known_to_earlier = true;
+    worker.closed_by_earlier = known.closed;
     worker.keeps_placements = known.keeps_placements;
-    worker.last_tasks_before = known.last_tasks;
+    worker.last_tasks_of_earlier = known.last_tasks;
     // Until the platform lists it, it gets nothing new.
     worker.record_removed = true;
   }
@@ -129,8 +129,8 @@
   job->durable_at_batch = next_batch_;
   if (job->spec.rounds == 0) job->AddRound(0);
   undescribed_.insert(id);
-  job->placements_kept = job->Lasts();
-  if (job->placements_kept) MarkDirty(*job);
+  job->placements_on_record = job->Lasts();
+  if (job->placements_on_record) MarkDirty(*job);
   const int64_t batch = next_batch_;
   Explain("job_taken", {{"job", JobIdText(id)},
                         {"queue", queue},
@@ -279,7 +279,7 @@
       if (job->spec.rounds > 0) AddDueRounds(*job, now);
     }
   }
-  SendKeptStarts(now);
+  SendPendingStarts(now);
   TickWorkers(now);
   const bool due = (placement_wanted_ && now.mono >= no_placement_before_) ||
                    now.mono >= next_placement_;
--- a/keelbridge/coordination/job_scheduler.h
+++ b/keelbridge/coordination/job_scheduler.h
@@ -149,7 +149,7 @@
   void OnEarlierLeaderSeen(int64_t epoch, absl::Time at);
   // The leaders before this one give no more orders; the last was given by
   // `last_order`.
-  void OnEarlierLeaderStopped(absl::Time last_order);
+  void OnEarlierLeadersStopped(absl::Time last_order);
   void OnWorkerRecord(const WorkerRecord& record, Now now);
   // Its record is gone; it may still run.
   void OnWorkerRemoved(const std::string& worker_id);
@@ -194,7 +194,7 @@
   Figures figures() const;
 
  private:
-  // Beside what a lease takes on the slowest clock.
+  // Added to the length of a lease on the slowest clock, for late timers.
   static constexpr absl::Duration kLapseMargin = absl::Milliseconds(100);
 
   // One run that takes room on a worker.
@@ -224,21 +224,21 @@
     WorkerRecord record;
     int64_t known_at_batch = 0;  // The batch that tells later leaders of it.
     // The last leader that may have given it work or extended its lease.
-    int64_t held_by = 0;
-    // As of the record that tells later leaders of it: it leaves, runs nothing,
-    // and gets nothing.
+    int64_t leased_by = 0;
+    // This leader's record of the worker says that it leaves, runs nothing and
+    // gets nothing more.
     bool closed = false;
-    // The same as of the record that an earlier leader left.
-    bool closed_before = false;
+    // The record that an earlier leader left says so.
+    bool closed_by_earlier = false;
     // An earlier leader may have given it work: none does before the worker is
     // on record.
-    bool known_before = false;
+    bool known_to_earlier = false;
     // See KnownWorker. True once this leader has listed it.
     bool keeps_placements = true;
-    // The same while it runs something: only these tasks may run there. By this
-    // leader's record, and by an earlier leader's.
+    // This leader's record says that it leaves, and that only these may still
+    // run there; and the record that an earlier leader left.
     std::vector<TaskId> last_tasks;
-    std::vector<TaskId> last_tasks_before;
+    std::vector<TaskId> last_tasks_of_earlier;
     Resources free;
     std::map<RunKey, Occupant> occupants;
     Resources stopping;  // What occupants take that are to stop.
@@ -289,10 +289,12 @@
     const Queue* queue;
     int32_t number;
     int32_t waiting;
-    bool only_seen;  // Tasks that this leader has not seen may run elsewhere.
-    bool anywhere;   // Then also where no placement says so.
-    bool away;       // It lasts, and tasks of it have stopped running.
-    int tier;        // 0: its objective can still be met.
+    // Its tasks that this leader has not seen may still run for an earlier one.
+    bool may_run_unseen;
+    // Then on any worker, whatever the placements say.
+    bool placements_incomplete;
+    bool away;                // It lasts, and tasks of it have stopped running.
+    int tier;                 // 0: its objective can still be met.
     absl::Time latest_start;  // To meet the objective.
     // Of the time that the job could spend waiting, the share that is left.
     double slack_left;
@@ -360,7 +362,7 @@
   bool AllAccountedFor(Now now) const;
   // Of those that are not accounted for, one was last held by a leader that
   // kept no placements.
-  bool PlacementsMayLack(Now now) const;
+  bool PlacementsMayBeMissing(Now now) const;
   // What workers that are not accounted for may run.
   struct Unseen {
     bool anything = false;
@@ -371,9 +373,10 @@
   Unseen FindUnseen(Now now) const;
   // A recovered task that this leader has not seen and that a worker which is
   // not accounted for may run.
-  bool IsHeldBack(const ReadyStep& ready, const TaskState& task, Now now) const;
+  bool WaitsForEarlierLease(const ReadyStep& ready, const TaskState& task,
+                            Now now) const;
   // Counts the tasks of a step that are held back.
-  void NoteHeldBack(const ReadyStep& ready, Now now);
+  void CountWaiting(const ReadyStep& ready, Now now);
   // Says which recovered tasks wait, for which workers, and how long at most.
   void ExplainRecovery(Now now);
 
@@ -429,13 +432,13 @@
   // Stops one of them for which there is room elsewhere now.
   void MoveFromLeavingWorker(ReadyStep& ready, Now now);
 
-  // job_scheduler_kept_starts.cc
+  // job_scheduler_pending_starts.cc
   // Puts the placement on record; the order leaves once that is durable.
-  void KeepStart(Job& job, TaskState& task, StartAction action);
+  void StartOnceDurable(Job& job, TaskState& task, StartAction action);
   // Sends the orders whose placements are durable.
-  void SendKeptStarts(Now now);
+  void SendPendingStarts(Now now);
   // Nothing runs the task any more, or `worker` was found to run it.
-  void KeepPlacement(Job& job, const TaskId& task, const std::string& worker);
+  void NotePlacement(Job& job, const TaskId& task, const std::string& worker);
   // Nothing runs on `worker` any more, and it is forgotten: a task that was
   // placed there would else wait for all other workers.
   void ClearPlacementsOn(const std::string& worker);
@@ -548,11 +551,11 @@
   std::set<JobId> dirty_;
   std::vector<std::string> dropped_keys_;
   // Orders that wait for the batch that keeps their placements.
-  struct KeptStart {
+  struct PendingStart {
     int64_t batch;
     StartAction action;
   };
-  std::deque<KeptStart> kept_starts_;
+  std::deque<PendingStart> pending_starts_;
   bool placements_adopted_ = false;
 
   AnswerTimes answer_times_{AnswerTimes::Options()};
@@ -560,7 +563,7 @@
   int64_t starts_at_last_look_ = 0;
   absl::Time earlier_leader_until_;
   absl::Time fenced_at_ = absl::InfinitePast();
-  bool earlier_leader_stopped_ = false;  // OnEarlierLeaderStopped was called.
+  bool earlier_leader_stopped_ = false;  // OnEarlierLeadersStopped was called.
   // By epoch: when the leader was first seen at work.
   std::map<int64_t, absl::Time> earlier_leaders_seen_;
   // Recovered tasks that wait for workers, as of the last look for placements.
--- a/keelbridge/coordination/job_scheduler_advice.cc
+++ b/keelbridge/coordination/job_scheduler_advice.cc
@@ -38,8 +38,8 @@
 constexpr double kAdviceMargin = 1.4;
 constexpr double kGangSpare = 2.0;
 constexpr size_t kMostNamed = 100;  // The advice service takes no more.
-// Calls for one gang at a time, for the few that may hold room: together they
-// name what one may not. So many find 100 workers where a quarter may run it.
+// Most calls under way for one gang, only for gangs that may hold room. Four
+// name 400 workers, of which 100 may run it where a quarter of all may.
 constexpr size_t kMostSideBySide = 4;
 constexpr size_t kLeastNamed = 4;
 // A call may name so many workers that naming them takes this share of what it
--- a/keelbridge/coordination/job_scheduler_advice_test.cc
+++ b/keelbridge/coordination/job_scheduler_advice_test.cc
@@ -133,8 +133,8 @@
   CHECK(site.asks.size() <= 6);
 }
 
-// Played: a worker was gone at 37.8 s, its lease over at 47.8 s, and the advice
-// for where its tasks could go came at 48.6 s.
+// Seen in a simulated run: a worker was gone at 37.8 s, its lease over at 47.8
+// s, and the advice for where its tasks could go came at 48.6 s.
 TEST_CASE(
     "job scheduler: a lasting task on a silent worker starts again as soon as "
     "its lease has passed") {
--- a/keelbridge/coordination/job_scheduler_gangs.cc
+++ b/keelbridge/coordination/job_scheduler_gangs.cc
@@ -24,7 +24,7 @@
     const TaskState& task = ready.state->tasks[static_cast<size_t>(i)];
     if (task.phase == TaskPhase::kWaiting) {
       // It may be at work on a worker that was not reached yet.
-      if (IsHeldBack(ready, task, now)) return true;
+      if (WaitsForEarlierLease(ready, task, now)) return true;
       missing.push_back(i);
       continue;
     }
--- a/keelbridge/coordination/job_scheduler_gangs_test.cc
+++ b/keelbridge/coordination/job_scheduler_gangs_test.cc
@@ -123,8 +123,8 @@
   CHECK(site.Started(1) == 240);
 }
 
-// Played: 14 gangs of 55 to 183 tasks waited for up to 57 s, and not one
-// started in the last 15 s, with half of the site free.
+// Seen in a simulated run: 14 gangs of 55 to 183 tasks waited for up to 57 s,
+// and not one started in the last 15 s, with half of the site free.
 TEST_CASE("job scheduler: wide gangs that wait together all get through") {
   WideSite site;
   for (JobId job = 1; job <= 20; ++job)
@@ -164,7 +164,8 @@
     most = std::max(most, site.driver().asks.size() - before);
   }
   MESSAGE("calls in half a second, at most: ", most);
-  CHECK(most <= 76);  // 4 gangs of 4 calls, and one of each other.
+  CHECK(most > 0);
+  CHECK(most <= 76);  // 4 gangs of 4 calls, and one of each of 60.
 }
 
 // Of 1,100 workers the gangs that hold keep 4 x 90 at most.
--- a/keelbridge/coordination/job_scheduler_leases_test.cc
+++ b/keelbridge/coordination/job_scheduler_leases_test.cc
@@ -211,7 +211,7 @@
   JobScheduler& scheduler = site.scheduler();
   scheduler.OnFenced(kBegin + absl::Milliseconds(800));
   site.RunUntil(absl::Seconds(4));
-  scheduler.OnEarlierLeaderStopped(kBegin);
+  scheduler.OnEarlierLeadersStopped(kBegin);
   site.RunUntil(absl::Milliseconds(7000));
   CHECK(site.starts.empty());
   // 0.8 s to the fence and 6.2 s of a lease on a slow clock.
--- a/keelbridge/coordination/job_scheduler_kept_starts.cc
+++ b/keelbridge/coordination/job_scheduler_pending_starts.cc
@@ -12,18 +12,19 @@
 
 namespace keelbridge {
 
-void JobScheduler::KeepStart(Job& job, TaskState& task, StartAction action) {
+void JobScheduler::StartOnceDurable(Job& job, TaskState& task,
+                                    StartAction action) {
   task.placed_on = action.worker.id;
   MarkDirty(job);
-  kept_starts_.push_back({next_batch_, std::move(action)});
+  pending_starts_.push_back({next_batch_, std::move(action)});
 }
 
-void JobScheduler::SendKeptStarts(Now now) {
+void JobScheduler::SendPendingStarts(Now now) {
   if (suspended_) return;
-  while (!kept_starts_.empty() &&
-         kept_starts_.front().batch <= durable_batch_) {
-    StartAction action = std::move(kept_starts_.front().action);
-    kept_starts_.pop_front();
+  while (!pending_starts_.empty() &&
+         pending_starts_.front().batch <= durable_batch_) {
+    StartAction action = std::move(pending_starts_.front().action);
+    pending_starts_.pop_front();
     const RunKey key{action.order.task, action.order.run};
     const auto worker = workers_.find(action.worker.id);
     if (worker == workers_.end()) continue;
@@ -33,15 +34,15 @@
     const Worker& at = *worker->second;
     const bool stays =
         !at.record.draining && !at.record_removed && Reachable(at, now);
-    if (!stays) {
-      Explain("start_withdrawn", {{"task", TaskIdText(key.first)},
-                                  {"run", absl::StrCat(key.second)},
-                                  {"worker", action.worker.id},
-                                  {"why", "its worker leaves or is silent"}});
-    }
     if (occupant.stop_wanted || !stays) {
-      // Its job was cancelled meanwhile, or its worker leaves or fell silent
-      // while the store took long. No order to start it has left.
+      // No order to start it has left.
+      Explain(
+          "start_withdrawn",
+          {{"task", TaskIdText(key.first)},
+           {"run", absl::StrCat(key.second)},
+           {"worker", action.worker.id},
+           {"why", occupant.stop_wanted ? "it is to stop"
+                                        : "its worker leaves or is silent"}});
       Release(*worker->second, key);
       Requeue(key.first, key.second, action.worker.id, now.mono);
       continue;
@@ -56,9 +57,9 @@
   }
 }
 
-void JobScheduler::KeepPlacement(Job& job, const TaskId& task_id,
+void JobScheduler::NotePlacement(Job& job, const TaskId& task_id,
                                  const std::string& worker) {
-  if (job.Ended() || !job.KeepsPlacements(static_cast<size_t>(task_id.step)))
+  if (job.Ended() || !job.HasPlacementsOf(static_cast<size_t>(task_id.step)))
     return;
   TaskState* task = job.FindTask(task_id);
   if (task == nullptr || task->placed_on == worker) return;
@@ -68,7 +69,7 @@
 
 void JobScheduler::ClearPlacementsOn(const std::string& worker) {
   for (const auto& [id, job] : active_) {
-    if (!job->placements_kept) continue;
+    if (!job->placements_on_record) continue;
     for (Round& round : job->rounds) {
       for (StepState& step : round.steps) {
         for (TaskState& task : step.tasks) {
@@ -84,8 +85,8 @@
 void JobScheduler::AdoptPlacements() {
   placements_adopted_ = true;
   for (const auto& [id, job] : active_) {
-    if (job->placements_kept || !job->Lasts()) continue;
-    job->placements_kept = true;
+    if (job->placements_on_record || !job->Lasts()) continue;
+    job->placements_on_record = true;
     for (Round& round : job->rounds) {
       for (StepState& step : round.steps) {
         for (TaskState& task : step.tasks) task.placed_on = task.worker;
--- a/keelbridge/coordination/job_scheduler_placement.cc
+++ b/keelbridge/coordination/job_scheduler_placement.cc
@@ -48,7 +48,7 @@
 // its workers. Whatever ends there is taken at once, and room that is held, or
 // made by runs that have to be restored, is work lost: with 350 workers and 100
 // and more steps waiting 0.61 of the worth was earned, 0.64 without (means of
-// two plays of one day each).
+// two simulated runs each).
 constexpr size_t kStepsBehind = 40;
 constexpr double kStepsBehindShare = 0.25;
 // A task that lasts and stopped running comes before all others once it has
@@ -76,7 +76,7 @@
 bool JobScheduler::MayTry(const ReadyStep& ready, const TaskState& task,
                           Now now) const {
   return task.phase == TaskPhase::kWaiting && task.retry_at <= now.mono &&
-         !IsHeldBack(ready, task, now);
+         !WaitsForEarlierLease(ready, task, now);
 }
 
 std::vector<JobScheduler::ReadyStep> JobScheduler::CollectReady(Now now) {
@@ -84,7 +84,8 @@
   figures_.ready_tasks = 0;
   recovery_wait_ = RecoveryWait();
   unseen_ = FindUnseen(now);
-  const bool anywhere = unseen_.Any() && PlacementsMayLack(now);
+  const bool placements_incomplete =
+      unseen_.Any() && PlacementsMayBeMissing(now);
   const int64_t wall_ms = ToMillis(now.wall);
   for (auto& [id, job] : active_) {
     if (job->durable_at_batch > durable_batch_) continue;
@@ -103,12 +104,12 @@
         ready.spec = &spec;
         ready.queue = queue;
         ready.number = static_cast<int32_t>(s);
-        ready.only_seen = job->recovered && unseen_.Any() &&
-                          !FollowsWhatEndedHere(*job, round, s);
-        ready.anywhere = anywhere;
+        ready.may_run_unseen = job->recovered && unseen_.Any() &&
+                               !FollowsWhatEndedHere(*job, round, s);
+        ready.placements_incomplete = placements_incomplete;
         for (const TaskState& task : step.tasks)
           ready.waiting += MayTry(ready, task, now) ? 1 : 0;
-        if (ready.only_seen) NoteHeldBack(ready, now);
+        if (ready.may_run_unseen) CountWaiting(ready, now);
         if (ready.waiting == 0 && spec.lasting && !spec.gang) {
           ready.waiting =
               static_cast<int32_t>(OnLeavingWorkers(spec, step).size());
@@ -397,7 +398,7 @@
   --ready.waiting;
   --figures_.ready_tasks;
   const bool kept =
-      ready.job->KeepsPlacements(static_cast<size_t>(ready.number));
+      ready.job->HasPlacementsOf(static_cast<size_t>(ready.number));
   Explain(kept ? "start_kept" : "start_sent",
           {{"task", TaskIdText(id)},
            {"run", absl::StrCat(run)},
@@ -405,7 +406,7 @@
            {"waited_ms", absl::StrCat(absl::ToInt64Milliseconds(
                              now.mono - ready.state->ready_since))},
            {"free_cpu_milli", absl::StrCat(worker.free.cpu_milli)}});
-  if (kept) return KeepStart(*ready.job, task, std::move(action));
+  if (kept) return StartOnceDurable(*ready.job, task, std::move(action));
   actions_.push_back(std::move(action));
 }
 
--- a/keelbridge/coordination/job_scheduler_recovery.cc
+++ b/keelbridge/coordination/job_scheduler_recovery.cc
@@ -2,6 +2,7 @@
 // recovered and has not seen waits for that.
 
 #include <algorithm>
+#include <utility>
 
 #include "absl/strings/str_cat.h"
 #include "keelbridge/coordination/job_scheduler.h"
@@ -24,7 +25,7 @@
 // successors was: with three changes of leader in 11 s the tasks of a worker
 // that had ended were away for 30 s, since each successor waited anew.
 absl::Time JobScheduler::EarlierLeaseUntil(const Worker& worker) const {
-  const auto successor = earlier_leaders_seen_.upper_bound(worker.held_by);
+  const auto successor = earlier_leaders_seen_.upper_bound(worker.leased_by);
   if (successor == earlier_leaders_seen_.end()) return earlier_leader_until_;
   return std::min(earlier_leader_until_,
                   successor->second + options_.earlier_leader_bound);
@@ -36,7 +37,8 @@
 // writer, at an address where nobody answers, and would hold back all recovered
 // work for a lease after each change of the leader.
 bool JobScheduler::AccountedFor(const Worker& worker, Now now) const {
-  return worker.listed || worker.closed_before || !worker.known_before ||
+  return worker.listed || worker.closed_by_earlier ||
+         !worker.known_to_earlier ||
          now.mono > EarlierLeaseUntil(worker) + LongestLease();
 }
 
@@ -47,7 +49,7 @@
   });
 }
 
-bool JobScheduler::PlacementsMayLack(Now now) const {
+bool JobScheduler::PlacementsMayBeMissing(Now now) const {
   return std::any_of(workers_.begin(), workers_.end(), [&](const auto& entry) {
     return !entry.second->keeps_placements && !AccountedFor(*entry.second, now);
   });
@@ -61,7 +63,7 @@
   if (now.mono > earlier_leader_until_ + LongestLease()) return unseen;
   for (const auto& [id, worker] : workers_) {
     if (AccountedFor(*worker, now)) continue;
-    const std::vector<TaskId>& tasks = worker->last_tasks_before;
+    const std::vector<TaskId>& tasks = worker->last_tasks_of_earlier;
     if (tasks.empty()) return {true, {}};
     unseen.tasks.insert(tasks.begin(), tasks.end());
   }
@@ -71,11 +73,11 @@
 // A job that keeps placements tells which worker may run a task: only that one
 // is waited for. Without it one worker that is silent kept back all tasks that
 // last: one was away for 15 s whose own worker had told at once that it failed.
-bool JobScheduler::IsHeldBack(const ReadyStep& ready, const TaskState& task,
-                              Now now) const {
-  if (!ready.only_seen || task.seen) return false;
-  if (ready.anywhere ||
-      !ready.job->KeepsPlacements(static_cast<size_t>(ready.number))) {
+bool JobScheduler::WaitsForEarlierLease(const ReadyStep& ready,
+                                        const TaskState& task, Now now) const {
+  if (!ready.may_run_unseen || task.seen) return false;
+  if (ready.placements_incomplete ||
+      !ready.job->HasPlacementsOf(static_cast<size_t>(ready.number))) {
     if (unseen_.anything) return true;
     const auto index = static_cast<int32_t>(&task - ready.state->tasks.data());
     return unseen_.tasks.count(TaskId{ready.job->id, ready.round->number,
@@ -86,11 +88,11 @@
   return worker == workers_.end() || !AccountedFor(*worker->second, now);
 }
 
-void JobScheduler::NoteHeldBack(const ReadyStep& ready, Now now) {
+void JobScheduler::CountWaiting(const ReadyStep& ready, Now now) {
   const std::vector<TaskState>& tasks = ready.state->tasks;
   for (size_t i = 0; i < tasks.size(); ++i) {
     if (tasks[i].phase != TaskPhase::kWaiting ||
-        !IsHeldBack(ready, tasks[i], now))
+        !WaitsForEarlierLease(ready, tasks[i], now))
       continue;
     if (recovery_wait_.tasks++ == 0)
       recovery_wait_.first = {ready.job->id, ready.round->number, ready.number,
@@ -128,7 +130,7 @@
            {"last_worker", last->record.id},
            {"it_leaves", last->record.draining ? "yes" : "no"},
            {"record_removed", last->record_removed ? "yes" : "no"},
-           {"held_by_epoch", absl::StrCat(last->held_by)},
+           {"held_by_epoch", absl::StrCat(last->leased_by)},
            {"at_most_ms", absl::StrCat(absl::ToInt64Milliseconds(left))}},
           Severity::kWarning);
 }
@@ -144,7 +146,7 @@
   if (epoch < epoch_) earlier_leaders_seen_.try_emplace(epoch, at);
 }
 
-void JobScheduler::OnEarlierLeaderStopped(absl::Time last_order) {
+void JobScheduler::OnEarlierLeadersStopped(absl::Time last_order) {
   earlier_leader_stopped_ = true;
   // Those that were asked may not be all: before the fence another may have
   // given orders.
--- a/keelbridge/coordination/job_scheduler_recovery_test.cc
+++ b/keelbridge/coordination/job_scheduler_recovery_test.cc
@@ -26,7 +26,9 @@
   return "";
 }
 
-TEST_CASE("job scheduler: why recovered work waits, and that it is free") {
+TEST_CASE(
+    "job scheduler: the log says what recovered work waits for, and till "
+    "when") {
   SchedulerDriver site(2);
   site.Recover(OneTask(), {{SchedulerDriver::RecordOf("gone", 8000), 1}});
   site.AddWorker("a");
@@ -183,8 +185,8 @@
   }
 }
 
-// Played: 14 workers had left with 26 tasks, and the next leader kept back
-// 8,508 tasks for 10 s.
+// Seen in a simulated run: 14 workers had left with 26 tasks, and the next
+// leader kept back 8,508 tasks for 10 s.
 TEST_CASE(
     "job scheduler: of recovered work only what a worker left with waits for "
     "its lease") {
--- a/keelbridge/coordination/job_scheduler_runs.cc
+++ b/keelbridge/coordination/job_scheduler_runs.cc
@@ -205,7 +205,7 @@
     task->seen = true;
     if (!running.checkpoint.empty()) task->checkpoint = running.checkpoint;
     job->begun = true;
-    KeepPlacement(*job, running.task, worker.record.id);
+    NotePlacement(*job, running.task, worker.record.id);
     StepState* step = job->FindStep(running.task);
     if (step->gang_started == absl::InfinitePast())
       step->gang_started = now.mono;
--- a/keelbridge/coordination/job_scheduler_workers.cc
+++ b/keelbridge/coordination/job_scheduler_workers.cc
@@ -79,7 +79,7 @@
 }
 
 void JobScheduler::TellOf(Worker& worker) {
-  worker.held_by = epoch_;
+  worker.leased_by = epoch_;
   worker.closed = false;
   worker.last_tasks.clear();
   worker.known_at_batch = next_batch_;
@@ -126,7 +126,7 @@
   // Answers on different connections may overtake each other.
   if (worker.clock_ms >= 0 && clock_ms < worker.clock_ms) return;
   // From its first answer on this leader may extend its lease.
-  if (worker.held_by != epoch_) TellOf(worker);
+  if (worker.leased_by != epoch_) TellOf(worker);
   worker.clock_ms = clock_ms;
   worker.clock_at = at;
 }
@@ -180,7 +180,7 @@
   task->phase = TaskPhase::kWaiting;
   task->worker.clear();
   task->retry_at = retry_at;
-  KeepPlacement(*job->second, task_id, "");
+  NotePlacement(*job->second, task_id, "");
   placement_wanted_ = true;
 }
 
--- a/keelbridge/coordination/site_election.cc
+++ b/keelbridge/coordination/site_election.cc
@@ -69,6 +69,19 @@
   return leader;
 }
 
+std::vector<Record> ControlRecords(const NewestReply& reply) {
+  std::vector<Record> records = reply.records;
+  const bool leader_read = std::any_of(
+      records.begin(), records.end(),
+      [](const Record& record) { return record.key == kLeaderKey; });
+  for (const UnreadableItem& item : reply.unreadable) {
+    const bool leaders =
+        item.key == kLeaderKey || (item.key.empty() && !leader_read);
+    if (leaders) records.push_back({kLeaderKey, "", -1});
+  }
+  return records;
+}
+
 SiteElection::SiteElection(std::string node, uint64_t boot, std::string address,
                            Options options)
     : node_(std::move(node)),
@@ -92,7 +105,8 @@
   for (const Record& record : records) {
     if (record.key != kLeaderKey || !record.value) continue;
     const auto leader = LeaderFromRecord(record);
-    control_unreadable_ = !leader.has_value();
+    // An answer that was overtaken by a newer one says nothing of it.
+    if (end >= control_end_) control_unreadable_ = !leader.has_value();
     if (!leader) continue;
     // A leader that confirmed its record was there after this node last read.
     const bool confirmed = control_end_ > 0 && end > control_end_ &&
--- a/keelbridge/coordination/site_election.h
+++ b/keelbridge/coordination/site_election.h
@@ -44,6 +44,10 @@
 // None when `record` is another one, or cannot be read.
 std::optional<LeaderRecord> LeaderFromRecord(const Record& record);
 
+// What a read of the control stream brought. An item whose key cannot be read
+// may be the leader's record unless that stands beside it: a key has one item.
+std::vector<Record> ControlRecords(const NewestReply& reply);
+
 enum class ElectionStep { kNone, kReadControl, kClaim };
 
 // Another node that may lead.
--- a/keelbridge/coordination/site_election_test.cc
+++ b/keelbridge/coordination/site_election_test.cc
@@ -350,5 +350,20 @@
   }
 }
 
+TEST_CASE(
+    "site election: an item without a key is no leader's beside the leader's") {
+  NewestReply reply;
+  reply.records = {ToRecord({3, "a", 5, "10.0.0.1:1", 0, {}})};
+  reply.unreadable = {{"", "no key"}};
+  const auto beside = ControlRecords(reply);
+  REQUIRE(beside.size() == 1);
+  CHECK(LeaderFromRecord(beside[0])->epoch == 3);
+  reply.records.clear();
+  const auto alone = ControlRecords(reply);
+  REQUIRE(alone.size() == 1);
+  CHECK(alone[0].key == kLeaderKey);
+  CHECK_FALSE(LeaderFromRecord(alone[0]).has_value());
+}
+
 }  // namespace
 }  // namespace keelbridge
--- a/keelbridge/daemon/leader_session.cc
+++ b/keelbridge/daemon/leader_session.cc
@@ -342,8 +342,8 @@
   scheduler_.SetAdvisers(nodes, options_.node);
 }
 
-void LeaderSession::OnEarlierLeaderStopped(absl::Time last_order) {
-  scheduler_.OnEarlierLeaderStopped(last_order);
+void LeaderSession::OnEarlierLeadersStopped(absl::Time last_order) {
+  scheduler_.OnEarlierLeadersStopped(last_order);
   PumpSoon();
 }
 
--- a/keelbridge/daemon/leader_session_loading.cc
+++ b/keelbridge/daemon/leader_session_loading.cc
@@ -67,8 +67,13 @@
         ++self->pages_loaded_;
         self->records_loaded_ += static_cast<int64_t>(reply.records.size());
         for (const Record& record : reply.records) self->TakeJobRecord(record);
-        for (const UnreadableItem& item : reply.unreadable)
+        for (const UnreadableItem& item : reply.unreadable) {
+          LogEvent(Severity::kError, "job_record_unreadable",
+                   {{"epoch", absl::StrCat(self->epoch_)},
+                    {"key", item.key},
+                    {"what", item.what}});
           self->TakeJobRecord({item.key, "", -1});
+        }
         if (reply.more) return self->LoadJobsAfter(reply, after);
         self->OnJobsLoaded(reply.end);
       });
@@ -122,6 +127,10 @@
   if (!next.empty() && next != after) return LoadJobs(next);
   // More is to follow, and this page does not lead on.
   ++load_retries_;
+  LogEvent(Severity::kWarning, "jobs_page_stuck",
+           {{"epoch", absl::StrCat(epoch_)},
+            {"after", after},
+            {"retries", absl::StrCat(load_retries_)}});
   After(kRetryDelay,
         [self = shared_from_this(), after] { self->LoadJobs(after); });
 }
--- a/keelbridge/daemon/site_node_leading.cc
+++ b/keelbridge/daemon/site_node_leading.cc
@@ -66,11 +66,7 @@
         if (reply.result != StoreResult::kDone)
           return OnControlReadFailed("newest", reply.result, reply.message);
         control_lost_ = false;
-        std::vector<Record> records = reply.records;
-        // Only the leader's record is there.
-        for (const UnreadableItem& item : reply.unreadable)
-          records.push_back({item.key.empty() ? kLeaderKey : item.key, "", -1});
-        TakeControl(records, reply.end, sent);
+        TakeControl(ControlRecords(reply), reply.end, sent);
         control_next_ = reply.end;
         if (!following_control_) FollowControl();
         Elect();
@@ -283,7 +279,7 @@
   };
   if (!in_term()) return;
   if (earlier_leaders_.AllStopped()) {
-    session_->OnEarlierLeaderStopped(earlier_leaders_.LastOrder());
+    session_->OnEarlierLeadersStopped(earlier_leaders_.LastOrder());
     return;
   }
   Json::Value params(Json::objectValue);
@@ -292,10 +288,13 @@
     rpc_.Call(
         address, "leader_heard", params, kReadTimeout,
         [this, in_term, address](const RpcOutcome& outcome) {
-          if (!in_term() || !outcome.answered ||
-              outcome.result["leads"].asBool())
-            return;
-          const auto idle_ms = outcome.result["idle_ms"].asInt64();
+          const Json::Value& answer = outcome.result;
+          const bool stopped = outcome.answered && answer.isObject() &&
+                               answer["leads"].isBool() &&
+                               !answer["leads"].asBool();
+          if (!in_term() || !stopped) return;
+          const int64_t idle_ms =
+              answer["idle_ms"].isInt64() ? answer["idle_ms"].asInt64() : 0;
           LogEvent(Severity::kInfo, "earlier_leader_stopped",
                    {{"address", address}, {"idle_ms", absl::StrCat(idle_ms)}});
           earlier_leaders_.OnStopped(address, absl::Milliseconds(idle_ms),
--- a/keelbridge/state/job_table.cc
+++ b/keelbridge/state/job_table.cc
@@ -75,7 +75,7 @@
       const bool keep =
           !task.checkpoint.empty() && task.phase == TaskPhase::kWaiting;
       if (keep) out["checkpoints"][key] = task.checkpoint;
-      if (task.placed_on.empty() || !job.KeepsPlacements(s)) continue;
+      if (task.placed_on.empty() || !job.HasPlacementsOf(s)) continue;
       out["placed"][key].append(task.placed_on);
       out["placed"][key].append(task.run);
     }
@@ -99,7 +99,7 @@
 // of the job then count as not kept.
 void ReadPlacements(const Json::Value& in, Job* job, Round& round) {
   if (!in.isNull() && !in.isObject()) {
-    job->placements_kept = false;
+    job->placements_on_record = false;
     return;
   }
   for (const std::string& key : in.getMemberNames()) {
@@ -109,7 +109,7 @@
                           placed.size() == 2 && placed[0].isString() &&
                           placed[1].isInt();
     if (!readable) {
-      job->placements_kept = false;
+      job->placements_on_record = false;
       return;
     }
     task->placed_on = placed[0].asString();
@@ -166,7 +166,8 @@
   const bool read = (!in.isMember("done") || ReadDone(in["done"], round)) &&
                     ReadFailedRuns(in["failed_runs"], round) &&
                     ReadCheckpoints(in["checkpoints"], round);
-  if (read && job->placements_kept) ReadPlacements(in["placed"], job, round);
+  if (read && job->placements_on_record)
+    ReadPlacements(in["placed"], job, round);
   return read;
 }
 
@@ -187,7 +188,7 @@
   job->rounds_done = in["rounds_done"].asInt();
   if (job->rounds_done < 0) return false;
   if (job->Ended()) return true;
-  job->placements_kept = in["placements_kept"].asBool();
+  job->placements_on_record = in["placements_kept"].asBool();
   return std::all_of(
       in["rounds"].begin(), in["rounds"].end(),
       [job](const Json::Value& round) { return ReadRound(round, job); });
@@ -281,8 +282,8 @@
                      [](const StepSpec& step) { return step.lasting; });
 }
 
-bool Job::KeepsPlacements(size_t step) const {
-  return placements_kept && spec.steps[step].lasting;
+bool Job::HasPlacementsOf(size_t step) const {
+  return placements_on_record && spec.steps[step].lasting;
 }
 
 std::string DescriptionKey(JobId id) {
@@ -309,7 +310,7 @@
     value["ended_ms"] = Json::Int64(job.ended_ms);
     value["queue"] = job.queue;
   } else {
-    if (job.placements_kept) value["placements_kept"] = true;
+    if (job.placements_on_record) value["placements_kept"] = true;
     for (const Round& round : job.rounds)
       value["rounds"].append(RoundToJson(job, round));
   }
--- a/keelbridge/state/job_table.h
+++ b/keelbridge/state/job_table.h
@@ -5,8 +5,8 @@
 // written again whenever something happened that a later leader must know: an
 // end that was taken note of, a cancel, how the job ended. What runs where is
 // not recorded, since the workers know it, but for tasks that last: those are
-// few, and a later leader that had to wait for all workers before it started
-// one again left its users without it.
+// few, and without a placement a later leader waits for every silent worker's
+// lease before it starts one again.
 //
 //   Job job(id, "restore", spec, accepted_ms);
 //   Record record = DescriptionRecord(job);
@@ -65,7 +65,7 @@
 struct StepAdvice {
   int32_t open = 0;  // Calls under way.
   absl::Time next_ask = absl::InfinitePast();
-  int32_t asks = 0;                              // Calls so far.
+  int32_t asks = 0;  // Times asked, in one or more calls.
   absl::flat_hash_map<std::string, bool> known;  // Worker -> may run it.
   struct Ticket {
     std::string ticket;
@@ -109,7 +109,7 @@
   bool recovered = false;    // Was accepted under an earlier leader.
   // Its record tells which worker each task that lasts was given to. Not so for
   // a job whose last leader did not keep that.
-  bool placements_kept = false;
+  bool placements_on_record = false;
   JobState end = JobState::kQueued;  // kQueued: has not ended.
   int64_t ended_ms = 0;              // Wall clock.
   absl::Time ended_at;               // Of this process's steady clock.
@@ -129,7 +129,7 @@
   // Whether a task of it lasts.
   bool Lasts() const;
   // Whether the record tells where tasks of `step` were started.
-  bool KeepsPlacements(size_t step) const;
+  bool HasPlacementsOf(size_t step) const;
 };
 
 // The jobs by id. Stable addresses.
--- a/keelbridge/state/job_table_test.cc
+++ b/keelbridge/state/job_table_test.cc
@@ -33,12 +33,12 @@
 
 TEST_CASE("job table: placements of tasks that last are kept with their runs") {
   Job job = LastingJob();
-  job.placements_kept = true;
+  job.placements_on_record = true;
   TaskState& placed = job.rounds[0].steps[0].tasks[1];
   placed.placed_on = "i-1";
   placed.run = 1003;
   const auto recovered = Recovered(job, ProgressRecord(job));
-  CHECK(recovered->placements_kept);
+  CHECK(recovered->placements_on_record);
   const auto& tasks = recovered->rounds[0].steps[0].tasks;
   CHECK(tasks[0].placed_on.empty());
   CHECK(tasks[1].placed_on == "i-1");
@@ -49,12 +49,12 @@
 TEST_CASE("job table: a job whose leader kept no placements says so") {
   const Job job = LastingJob();
   const auto recovered = Recovered(job, ProgressRecord(job));
-  CHECK_FALSE(recovered->placements_kept);
+  CHECK_FALSE(recovered->placements_on_record);
 }
 
 TEST_CASE("job table: a placement that cannot be read is not taken for none") {
   Job job = LastingJob();
-  job.placements_kept = true;
+  job.placements_on_record = true;
   job.rounds[0].steps[0].tasks[1].placed_on = "i-1";
   for (const char* placed :
        {R"({"0.1":"i-1"})", R"({"0.1":["i-1"]})", R"({"0.1":[7,1]})",
@@ -64,7 +64,7 @@
     progress.value =
         R"({"placements_kept":true,"rounds":[{"round":0,"placed":)" +
         std::string(placed) + "}]}";
-    CHECK_FALSE(Recovered(job, progress)->placements_kept);
+    CHECK_FALSE(Recovered(job, progress)->placements_on_record);
   }
 }
 
--- a/keelbridge/state/known_workers_test.cc
+++ b/keelbridge/state/known_workers_test.cc
@@ -3,6 +3,7 @@
 #include <doctest/doctest.h>
 
 #include <limits>
+#include <vector>
 
 namespace keelbridge {
 namespace {
@@ -17,14 +18,20 @@
   worker.pool = "desk";
   worker.labels = {"a", "r1"};
   worker.capacity = {8000, 1024, 1};
-  const auto known = KnownWorkerFrom(KnownWorkerRecord({worker, 4, true}));
+  const TaskId left{7, 0, 1, 2};
+  const auto known =
+      KnownWorkerFrom(KnownWorkerRecord({worker, 4, false, true, {left}}));
   REQUIRE(known.has_value());
   CHECK(known->worker.id == "i-1");
   CHECK(known->worker.address == "127.0.0.1:9");
   CHECK(known->worker.labels == worker.labels);
   CHECK(known->worker.capacity == worker.capacity);
   CHECK(known->epoch == 4);
-  CHECK(known->closed);
+  CHECK_FALSE(known->closed);
+  CHECK(known->keeps_placements);
+  CHECK(known->last_tasks == std::vector<TaskId>{left});
+  CHECK_FALSE(known->unreadable);
+  CHECK(KnownWorkerFrom(KnownWorkerRecord({worker, 4, true}))->closed);
 }
 
 // Its id is in the key: taken for none, what it runs would be started again.
@@ -34,7 +41,10 @@
         R"({"epoch":1,"closed":"x"})", R"({"epoch":1,"machine":["m"]})",
         R"({"epoch":1,"labels":{"a":[]}})", R"({"epoch":1,"labels":"a"})",
         R"({"epoch":1,"labels":[[]]})", R"({"epoch":1,"cpu_milli":"x"})",
-        R"({"epoch":1,"cpu_milli":1e300})", R"({"epoch":1,"pool":{}})"}) {
+        R"({"epoch":1,"cpu_milli":1e300})", R"({"epoch":1,"pool":{}})",
+        R"({"epoch":1,"last_tasks":["x"]})",
+        R"({"epoch":1,"last_tasks":{"a":1}})",
+        R"({"epoch":1,"keeps_placements":7})"}) {
     CAPTURE(value);
     const auto known =
         KnownWorkerFrom(Record{KnownWorkerKey("i-1"), value, -1});
@@ -43,6 +53,7 @@
     // Nothing is concluded from the rest: any leader may have used it.
     CHECK(known->epoch == kAnybodys);
     CHECK_FALSE(known->closed);
+    CHECK(known->unreadable);
   }
 }
 
--- a/testing/fakes/foreign_entries.h
+++ b/testing/fakes/foreign_entries.h
@@ -1,7 +1,7 @@
 // Entries that another writer leaves in the list of workers: none of them names
-// a runner to use.
+// a worker to use.
 //
-//   for (const ForeignEntry& entry : ForeignEntries("127.0.0.1:9"))
+//   for (const ForeignEntry& entry : ForeignEntries("desk", "127.0.0.1:9"))
 //     store.Put("keyed.servers", entry.id, entry.document);
 
 #ifndef KEELBRIDGE_TESTING_FAKES_FOREIGN_ENTRIES_H_
@@ -17,7 +17,7 @@
   std::string document;
 };
 
-// The entry of a worker with room, of `service`, as a runner writes it.
+// The entry of a worker with room, of `service`, as a worker writes it.
 std::string WorkerEntry(const std::string& service, const std::string& address);
 
 // One of each kind: a field missing, of another type or out of range, a state
--- a/testing/fuzz/known_workers_fuzzer.cc
+++ b/testing/fuzz/known_workers_fuzzer.cc
@@ -1,5 +1,5 @@
-// What leaders keep of workers: any text is read or refused, and what is read
-// is written and read the same.
+// What leaders keep of workers: whatever the text, the worker is known, and
+// what is read is written and read the same.
 
 #include "keelbridge/state/known_workers.h"
 #include "testing/fuzz/fuzz_check.h"
@@ -7,7 +7,7 @@
 extern "C" int LLVMFuzzerTestOneInput(const uint8_t* data, size_t size) {
   const auto known = keelbridge::KnownWorkerFrom(
       {keelbridge::KnownWorkerKey("w-1"), fuzz::Text(data, size), 0});
-  if (!known) return 0;
+  fuzz::Require(known.has_value(), "a worker with a record is known");
   fuzz::Require(known->worker.id == "w-1", "the worker keeps its id");
   const keelbridge::Record own = KnownWorkerRecord(*known);
   const auto again = keelbridge::KnownWorkerFrom(own);
--- a/testing/fuzz/list_page_fuzzer.cc
+++ b/testing/fuzz/list_page_fuzzer.cc
@@ -1,4 +1,5 @@
-// A page of the store's newest records: any body is read whole or refused.
+// A page of the store's newest records: any body is refused, or read but for
+// the items named as unreadable.
 
 #include "platform/log_store.h"
 #include "testing/fuzz/fuzz_check.h"
--- a/testing/site_entries_test.cc
+++ b/testing/site_entries_test.cc
@@ -110,7 +110,9 @@
   CheckRuns(cell, 1, 3);
   cell.WithPlatform(
       [](SitePlatform& platform) { platform.PublishConfiguration(60); });
-  CHECK(Eventually([&] { return cell.ConfigurationVersion(0) == 60; }));
+  for (int node = 0; node < kNodes; ++node)
+    CHECK(Eventually([&] { return cell.ConfigurationVersion(node) == 60; }));
+  CHECK(cell.Faults().empty());
 }
 
 }  // namespace
--- a/testing/support/scheduler_driver.h
+++ b/testing/support/scheduler_driver.h
@@ -36,7 +36,7 @@
                            SchedulerPolicy policy = SchedulerPolicy())
       : scheduler_(OptionsWith(policy), epoch, kBegin) {
     UseQueue(most_attempts);
-    scheduler_.OnEarlierLeaderStopped(kBegin);
+    scheduler_.OnEarlierLeadersStopped(kBegin);
   }
 
   // A configuration with one queue, "restore".
--- a/testing/support/site_simulation.cc
+++ b/testing/support/site_simulation.cc
@@ -286,7 +286,7 @@
     all = all && other->dead;
     last_order = std::max(last_order, other->last_order);
   }
-  if (all) return leader->scheduler->OnEarlierLeaderStopped(last_order);
+  if (all) return leader->scheduler->OnEarlierLeadersStopped(last_order);
   After(kAskEarlierEvery, [this, leader] { AskEarlierLeaders(leader); });
 }
 
--- a/testing/support/site_simulation.h
+++ b/testing/support/site_simulation.h
@@ -139,8 +139,9 @@
   void AdvanceWorkers();
   void NoteEndedJobs();
   void NoteAway();
-  // Those before `leader` that are not frozen hear of it, and tell when they
-  // gave their last order.
+  // Again and again until all leaders before `leader` are dead. One that was
+  // frozen hears of `leader` when it wakes, and ends; one that never froze is
+  // told nothing.
   void AskEarlierLeaders(const std::shared_ptr<Leader>& leader);
   // Has `step` done by the leader once it is not frozen, unless it is dead.
   void ByLeader(const std::shared_ptr<Leader>& leader,
