Sight: which runs are lost with a worker, how long each ran, and what ended the worker

The incident's logs named a worker and a number of runs only: they could not tell which task was there each time, nor a crash from a leave. No change of decisions.

--- a/keelbridge/cli/job_story.cc
+++ b/keelbridge/cli/job_story.cc
@@ -73,6 +73,7 @@
       {"run_adopted", "found running by a new leader"},
       {"run_ended", "run ended"},
       {"run_missing", "run is gone from its worker"},
+      {"run_lost", "run lost with its worker"},
       {"run_unwanted", "a run nobody wants is stopped"},
       {"stop_sent", "stop ordered"},
       {"job_ended", "the job ended"},
--- a/keelbridge/coordination/job_scheduler.h
+++ b/keelbridge/coordination/job_scheduler.h
@@ -77,6 +77,14 @@
 using Action = std::variant<StartAction, StopAction, ObserveAction,
                             AskAdviceAction, ExplainAction, ForgetWorkerAction>;
 
+// What ended a worker, as far as the leader can tell.
+enum class WorkerLoss {
+  kCrash,    // Another life is at its machine, and it had not said it leaves.
+  kLeft,     // The same, and it had said so.
+  kSilence,  // It answered nothing for a lease: crashed, cut off or gone.
+};
+const char* WorkerLossName(WorkerLoss loss);
+
 // The first run number of a leader's epoch. Each epoch numbers runs from its
 // own range, so that a later leader never gives a number again.
 int32_t FirstRunOfEpoch(int64_t epoch);
@@ -266,6 +274,8 @@
     absl::Time next_observe = absl::InfinitePast();
     absl::Time last_answer = absl::InfinitePast();
     absl::Time unanswered_since = absl::InfiniteFuture();  // Nothing since.
+    // The first look that failed since one was answered.
+    absl::Time lost_since = absl::InfiniteFuture();
     int failed_observations = 0;
     int64_t ends_noted = 0;  // Told to the worker.
     int64_t ends_processed = 0;
@@ -346,7 +356,6 @@
   // The run is over without a success: its task waits again.
   void Requeue(const TaskId& task, int32_t run, const std::string& worker,
                absl::Time retry_at);
-  void LoseAll(Worker& worker, const std::string& why, Now now);
   void NoteDurableEnds(Worker& worker);
   // The worker is looked at by the next `Tick`, not only by the next sweep.
   void Attend(Worker& worker);
@@ -374,6 +383,18 @@
   // worker leaves.
   void CloseLeaving(Worker& worker);
 
+  // job_scheduler_losses.cc
+  // Another life answered in the worker's place: this one has ended.
+  void OnOtherLife(Worker& worker, Now now);
+  // Since when the worker may be gone: its first failed look or order.
+  static absl::Time LostSince(const Worker& worker, Now now);
+  // All that runs on the worker is lost with it and waits again.
+  void LoseAll(Worker& worker, WorkerLoss loss, Now now);
+  // `beside`: other runs that were lost with it.
+  void ExplainLostRun(const Worker& worker, const RunKey& key,
+                      const Occupant& occupant, size_t beside, absl::Time lost,
+                      Now now);
+
   // job_scheduler_recovery.cc
   // By when a lease that starts now has passed on the slowest clock.
   absl::Duration LongestLease() const;
--- a/keelbridge/coordination/job_scheduler_workers.cc
+++ b/keelbridge/coordination/job_scheduler_workers.cc
@@ -184,23 +184,6 @@
   placement_wanted_ = true;
 }
 
-void JobScheduler::LoseAll(Worker& worker, const std::string& why, Now now) {
-  if (worker.occupants.empty()) return;
-  Explain("runs_lost",
-          {{"worker", worker.record.id},
-           {"why", why},
-           {"runs", absl::StrCat(worker.occupants.size())}},
-          Severity::kWarning);
-  const auto occupants = std::move(worker.occupants);
-  worker.occupants.clear();
-  worker.unknown_sizes = 0;
-  worker.stopping = Resources();
-  for (const auto& [key, occupant] : occupants) {
-    worker.free += occupant.need;
-    Requeue(key.first, key.second, worker.record.id, now.mono);
-  }
-}
-
 void JobScheduler::OnStartReply(const StartAction& action,
                                 const OrderReply& reply, Now now) {
   const auto found = workers_.find(action.worker.id);
@@ -245,11 +228,7 @@
       Attend(worker);
       return;
     case OrderResult::kOtherLife:
-      LoseAll(worker, "another life answered", now);
-      worker.record_removed = true;
-      worker.listed = true;
-      worker.lapse_at = absl::InfinitePast();
-      return;
+      return OnOtherLife(worker, now);
     case OrderResult::kFenced:
       fenced_ = true;
       break;
@@ -335,13 +314,7 @@
   Worker& worker = *found->second;
   TakeClock(worker, reply.clock_ms, now.mono);
   if (reply.result == OrderResult::kFenced) fenced_ = true;
-  if (reply.result == OrderResult::kOtherLife) {
-    LoseAll(worker, "another life answered", now);
-    worker.record_removed = true;
-    worker.listed = true;
-    worker.lapse_at = absl::InfinitePast();
-    return;
-  }
+  if (reply.result == OrderResult::kOtherLife) return OnOtherLife(worker, now);
   const auto it = worker.occupants.find({action.order.task, action.order.run});
   if (it == worker.occupants.end()) return;
   it->second.stop_in_flight = false;
@@ -364,15 +337,13 @@
   Worker& worker = *found->second;
   --worker.looks_open;
   if (reply.order.result == OrderResult::kOtherLife) {
-    LoseAll(worker, "another life answered", now);
-    worker.record_removed = true;
-    worker.listed = true;
-    worker.lapse_at = absl::InfinitePast();
+    OnOtherLife(worker, now);
     worker.next_observe = now.mono + kObserveRetry;
     return;
   }
   if (reply.order.result != OrderResult::kDone)
     return OnLookFailed(worker, reply.order, sent, now);
+  worker.lost_since = absl::InfiniteFuture();
   if (worker.failed_observations > 0) {
     worker.failed_observations = 0;
     Explain("worker_back", {{"worker", worker.record.id}});
@@ -428,6 +399,7 @@
                                 absl::Time sent, Now now) {
   if (reply.result == OrderResult::kFenced) fenced_ = true;
   if (reply.result == OrderResult::kUnknown) NoteUnanswered(worker, now);
+  worker.lost_since = std::min(worker.lost_since, now.mono);
   // Another look was answered meanwhile: it is not silent.
   if (worker.last_answer > sent) return;
   if (++worker.failed_observations == 1) {
@@ -508,7 +480,7 @@
 void JobScheduler::TickWorker(Worker& worker, Now now) {
   if (!worker.occupants.empty() && worker.listed && !Reachable(worker, now) &&
       now.mono > worker.lapse_at)
-    LoseAll(worker, "its lease has passed without an answer", now);
+    LoseAll(worker, WorkerLoss::kSilence, now);
   if (options_.policy.settle_soon) CheckOverdue(worker, now);
   SendStops(worker, now);
   if (LookIsDue(worker, now)) SendLook(worker, now);
--- /dev/null
+++ b/testing/support/crashing_site.h
@@ -0,0 +1,158 @@
+// A SchedulerDriver whose workers die of some tasks, while others do their
+// work.
+//
+//   CrashingSite site(/*epoch=*/1, /*workers=*/4);
+//   site.crashes = [](const TaskId& task) { return task.job == 7; };
+//   site.Submit(7, OneTask());
+//   site.Run(absl::Seconds(20));
+//   CHECK(site.StartsOf(7) == 3);
+
+#ifndef KEELBRIDGE_TESTING_SUPPORT_CRASHING_SITE_H_
+#define KEELBRIDGE_TESTING_SUPPORT_CRASHING_SITE_H_
+
+#include <algorithm>
+#include <functional>
+#include <map>
+#include <set>
+#include <string>
+#include <utility>
+
+#include "absl/strings/str_cat.h"
+#include "testing/support/scheduler_driver.h"
+
+namespace keelbridge::testing {
+
+class CrashingSite {
+ public:
+  explicit CrashingSite(int64_t epoch, int workers = 4,
+                        int32_t cpu_milli = 16000)
+      : driver(epoch), cpu_milli_(cpu_milli) {
+    for (int i = 0; i < workers; ++i) StartLife(absl::StrCat("m", i));
+  }
+
+  void Submit(JobId id, const StepSpec& step) {
+    JobSpec spec;
+    spec.steps.push_back(step);
+    driver.scheduler().Submit(id, "restore", spec, driver.now());
+  }
+
+  // Goes on until `until` after the beginning.
+  void Run(absl::Duration until) {
+    while (driver.now().mono < kBegin + until) {
+      driver.RunUntil(driver.now().mono - kBegin + absl::Milliseconds(20));
+      TakeStarts();
+      TakeDue();
+    }
+  }
+
+  // The worker's process dies; the next life comes after `down_for`.
+  void Crash(const std::string& worker) {
+    if (driver.down.count(worker) > 0 || driver.other_lives.count(worker) > 0)
+      return;
+    ++crashes_seen;
+    driver.down.insert(worker);
+    driver.lists.erase(worker);
+    most_down = std::max(most_down, driver.down.size());
+    After(down_for, [this, worker] {
+      driver.down.erase(worker);
+      driver.other_lives.insert(worker);
+      StartLife(machine_of_.at(worker));
+    });
+  }
+
+  // The worker says that it leaves and ends 2 s later; then as after a crash.
+  void Leave(const std::string& worker) {
+    WorkerRecord record = RecordOf(worker);
+    record.draining = true;
+    driver.scheduler().OnWorkerRecord(record, driver.now());
+    After(absl::Seconds(2), [this, worker] { Crash(worker); });
+  }
+
+  void After(absl::Duration delay, std::function<void()> step) {
+    due_.emplace(driver.now().mono + delay, std::move(step));
+  }
+
+  // The worker that is at the machine now.
+  std::string WorkerAt(const std::string& machine) const {
+    return machine_now_.at(machine);
+  }
+
+  int StartsOf(JobId job) const {
+    return static_cast<int>(
+        std::count_if(driver.starts.begin(), driver.starts.end(),
+                      [&](const StartOrder& s) { return s.task.job == job; }));
+  }
+  std::optional<JobState> Status(JobId job) {
+    return driver.scheduler().Status(job);
+  }
+
+  SchedulerDriver driver;
+  // Tasks that crash the worker that starts them, `crash_after` later.
+  std::function<bool(const TaskId&)> crashes = [](const TaskId&) {
+    return false;
+  };
+  absl::Duration crash_after = absl::Milliseconds(100);
+  absl::Duration down_for = absl::Seconds(3);
+  // How long other tasks work; without an end: until their worker ends.
+  absl::Duration work = absl::Seconds(1);
+  // Called at each start.
+  std::function<void(const StartOrder&, const std::string& worker)> on_start =
+      [](const StartOrder&, const std::string&) {};
+  int crashes_seen = 0;
+  size_t most_down = 0;  // Workers, at one time.
+
+ private:
+  WorkerRecord RecordOf(const std::string& worker) const {
+    WorkerRecord record = SchedulerDriver::RecordOf(worker, cpu_milli_);
+    record.capacity.memory_mib = 1 << 20;
+    record.machine = machine_of_.at(worker);
+    return record;
+  }
+
+  void StartLife(const std::string& machine) {
+    const std::string id = absl::StrCat(machine, "-", ++lives_[machine]);
+    machine_of_[id] = machine;
+    machine_now_[machine] = id;
+    driver.lists[id];
+    driver.scheduler().OnWorkerRecord(RecordOf(id), driver.now());
+  }
+
+  void TakeStarts() {
+    for (; taken_ < driver.starts.size(); ++taken_) {
+      const StartOrder order = driver.starts[taken_];
+      const std::string worker = driver.start_workers[taken_];
+      on_start(order, worker);
+      if (crashes(order.task)) {
+        After(crash_after, [this, worker] { Crash(worker); });
+      } else if (work < absl::InfiniteDuration()) {
+        After(work, [this, worker, order] { EndDone(worker, order); });
+      }
+    }
+  }
+
+  void EndDone(const std::string& worker, const StartOrder& order) {
+    if (driver.lists.count(worker) == 0) return;
+    driver.End(worker,
+               {++ends_[worker], order.task, order.run, RunEnd::kDone, ""});
+  }
+
+  void TakeDue() {
+    while (!due_.empty() && due_.begin()->first <= driver.now().mono) {
+      const auto step = std::move(due_.begin()->second);
+      due_.erase(due_.begin());
+      step();
+    }
+  }
+
+  const int32_t cpu_milli_;
+  size_t taken_ = 0;  // Of the driver's starts.
+  std::map<std::string, int> lives_;
+  std::map<std::string, int64_t> ends_;
+  std::map<std::string, std::string> machine_of_;   // By worker.
+  std::map<std::string, std::string> machine_now_;  // By machine: its worker.
+  std::multimap<absl::Time, std::function<void()>> due_;
+};
+
+}  // namespace keelbridge::testing
+
+#endif  // KEELBRIDGE_TESTING_SUPPORT_CRASHING_SITE_H_
--- a/testing/support/scheduler_driver.h
+++ b/testing/support/scheduler_driver.h
@@ -156,6 +156,7 @@
   std::vector<ExplainAction> lines;           // For the log.
   std::set<std::string> good;
   std::set<std::string> other_lives;  // Answer that another life is there.
+  std::set<std::string> down;         // Nothing listens there.
   // Instead of `good`: by the step, its first task, and the worker.
   std::function<bool(const TaskId&, const std::string&)> is_good;
   bool hold_advice = false;
@@ -171,6 +172,13 @@
   std::vector<std::string> forgotten;  // Workers, in the order of that.
 
  private:
+  // What an order to the worker comes to that would else be `otherwise`.
+  OrderResult ResultAt(const std::string& worker, OrderResult otherwise) const {
+    if (other_lives.count(worker) > 0) return OrderResult::kOtherLife;
+    if (down.count(worker) > 0) return OrderResult::kNotSent;
+    return otherwise;
+  }
+
   static JobScheduler::Options OptionsWith(SchedulerPolicy policy) {
     JobScheduler::Options options;
     options.policy = policy;
@@ -222,8 +230,7 @@
         reply.order.result = OrderResult::kDone;
         reply.order.clock_ms = absl::ToInt64Milliseconds(now_ - kBegin) + 1000;
       }
-      if (other_lives.count(look->worker.id) > 0)
-        reply.order.result = OrderResult::kOtherLife;
+      reply.order.result = ResultAt(look->worker.id, reply.order.result);
       scheduler_.OnObserveReply(*look, reply, now_ - absl::Milliseconds(1),
                                 now());
     } else if (const auto* ask = std::get_if<AskAdviceAction>(&action)) {
@@ -239,8 +246,9 @@
       starts.push_back(start->order);
       start_workers.push_back(start->worker.id);
       OrderReply reply;
-      reply.result = OrderResult::kDone;
+      reply.result = ResultAt(start->worker.id, OrderResult::kDone);
       scheduler_.OnStartReply(*start, reply, now());
+      if (reply.result != OrderResult::kDone) return;
       lists[start->worker.id].running.push_back(
           {start->order.task, start->order.run, "", 0});
     } else if (const auto* line = std::get_if<ExplainAction>(&action)) {
@@ -250,7 +258,7 @@
     } else if (const auto* stop = std::get_if<StopAction>(&action)) {
       stops.push_back(stop->order);
       OrderReply reply;
-      reply.result = OrderResult::kDone;
+      reply.result = ResultAt(stop->worker.id, OrderResult::kDone);
       scheduler_.OnStopReply(*stop, reply, now());
     }
   }
