Failing tests: tasks that crash their workers

Symptom: a task that crashes each worker that starts it is started again without end, also by one leader after the other; one wide step of such tasks takes all workers down at once.

--- a/testing/support/crashing_site.h
+++ b/testing/support/crashing_site.h
@@ -24,9 +24,18 @@
 
 class CrashingSite {
  public:
+  // `kept`: what an earlier leader left. All power was lost since, so that its
+  // workers have other lives now.
   explicit CrashingSite(int64_t epoch, int workers = 4,
-                        int32_t cpu_milli = 16000)
-      : driver(epoch), cpu_milli_(cpu_milli) {
+                        int32_t cpu_milli = 16000,
+                        const std::map<std::string, Record>& kept = {})
+      : driver(epoch), epoch_(epoch), cpu_milli_(cpu_milli) {
+    for (const auto& [key, record] : kept) {
+      if (const auto worker = KnownWorkerFrom(record))
+        driver.other_lives.insert(worker->worker.id);
+    }
+    driver.kept = kept;
+    if (!kept.empty()) driver.TakeOver(driver);
     for (int i = 0; i < workers; ++i) StartLife(absl::StrCat("m", i));
   }
 
@@ -110,7 +119,9 @@
   }
 
   void StartLife(const std::string& machine) {
-    const std::string id = absl::StrCat(machine, "-", ++lives_[machine]);
+    // Lives of one machine differ, also from those under another leader.
+    const std::string id =
+        absl::StrCat(machine, "-", epoch_, "-", ++lives_[machine]);
     machine_of_[id] = machine;
     machine_now_[machine] = id;
     driver.lists[id];
@@ -144,6 +155,7 @@
     }
   }
 
+  const int64_t epoch_;
   const int32_t cpu_milli_;
   size_t taken_ = 0;  // Of the driver's starts.
   std::map<std::string, int> lives_;
