Tasks that crash their workers are given up, and suspects start by themselves

Cause: a run lost with its worker was put back to wait and nothing was kept of it; only ends that workers list counted against a task.

Change: each task has an account of the crashes under its runs, in the job's record. A crash is another life at the machine of a worker that had not said that it leaves; a silence, a cut or a leave counts nothing. Suspects start by themselves, where least is lost, one task of a step at a time; a step of which nothing is known gets a quarter of the workers until one of its tasks was at work for 0.3 s. What may crash is on record before a leader is replaced.

--- a/keelbridge/cli/job_story.cc
+++ b/keelbridge/cli/job_story.cc
@@ -74,6 +74,8 @@
       {"run_ended", "run ended"},
       {"run_missing", "run is gone from its worker"},
       {"run_lost", "run lost with its worker"},
+      {"crash_held_against_task", "a crash is held against the task"},
+      {"start_on_probation", "the start is a trial: nothing else starts there"},
       {"run_unwanted", "a run nobody wants is stopped"},
       {"stop_sent", "stop ordered"},
       {"job_ended", "the job ended"},
@@ -171,6 +173,11 @@
     if (event == "runs_lost")
       add(absl::StrCat("runs were lost with worker ", Field(f, "worker"), ": ",
                        Field(f, "why")));
+    if (event == "crash_held_against_task")
+      add(absl::StrCat(
+          "worker ", Field(f, "worker"), " crashed ", Field(f, "ran_ms"),
+          " ms after run ", Field(f, "run"), " of task ", Field(f, "task"),
+          " began: ", Field(f, "evidence"), ": ", Field(f, "verdict")));
     if (event == "run_ended" && Field(f, "how") != "done")
       add(absl::StrCat("a run on ", Field(f, "worker"), " ended ",
                        Field(f, "how")));
--- a/keelbridge/coordination/job_scheduler.cc
+++ b/keelbridge/coordination/job_scheduler.cc
@@ -50,6 +50,7 @@
     worker.record_removed = true;
   }
   untold_workers_.clear();
+  LoadExposed();
   placement_wanted_ = true;
   ExplainRecovery(now);
 }
--- a/keelbridge/coordination/job_scheduler.h
+++ b/keelbridge/coordination/job_scheduler.h
@@ -19,6 +19,7 @@
 
 #include <cstdint>
 #include <deque>
+#include <limits>
 #include <map>
 #include <memory>
 #include <optional>
@@ -224,6 +225,7 @@
     absl::Time stop_answered = absl::InfiniteFuture();
     bool stop_wanted = false;
     bool stop_in_flight = false;
+    bool adopted = false;    // Found running: when it began is not known.
     bool uncertain = false;  // The start had no answer.
     absl::Time uncertain_since;
     // When its end is overdue by the estimate: a look is worth its price then.
@@ -236,6 +238,7 @@
     absl::Time yields_until = absl::InfinitePast();
   };
   using RunKey = std::pair<TaskId, int32_t>;
+  using Occupants = std::map<RunKey, Occupant>;
   struct Worker {
     WorkerRecord record;
     int64_t known_at_batch = 0;  // The batch that tells later leaders of it.
@@ -256,7 +259,7 @@
     std::vector<TaskId> last_tasks;
     std::vector<TaskId> last_tasks_of_earlier;
     Resources free;
-    std::map<RunKey, Occupant> occupants;
+    Occupants occupants;
     Resources stopping;  // What occupants take that are to stop.
     // An occupant may be to stop, or its start had no answer.
     bool unsettled = false;
@@ -284,6 +287,8 @@
     absl::Time clock_at;                         // When `clock_ms` arrived.
     absl::Time lapse_at = absl::InfinitePast();  // All has ended by then.
     absl::Time suspect_until = absl::InfinitePast();
+    // A task under suspicion was just started here, by itself.
+    absl::Time probation_until = absl::InfinitePast();
     int failures_in_row = 0;
     // What steps that were looked at before in this look for placements keep
     // free here.
@@ -305,6 +310,7 @@
     double total_milli = 0;
     double ask_for = 0;  // For how much work advice may still be asked.
     bool idles = false;  // Much of it is free.
+    int32_t workers = 0;
   };
   // How many steps keep room in a look for placements.
   struct RoomKept {
@@ -332,11 +338,22 @@
     double slack_left;
     bool holds = false;       // It may keep room free in this look.
     bool pool_idles = false;  // Much of its pool is free in this look.
+    int32_t pool_workers = 0;
     // Its tasks are to be started again soon, and it has no others to place:
     // advice is asked ahead.
     bool prepares = false;
   };
 
+  // Which workers a step may use.
+  struct WorkerQuota {
+    int32_t most = std::numeric_limits<int32_t>::max();
+    std::set<std::string> used;
+
+    bool Allows(const std::string& worker) const {
+      return static_cast<int32_t>(used.size()) < most || used.count(worker) > 0;
+    }
+  };
+
   // job_scheduler.cc
   void MarkDirty(Job& job);
   void EndJob(Job& job, JobState end, std::string why, Now now);
@@ -390,6 +407,47 @@
   static absl::Time LostSince(const Worker& worker, Now now);
   // All that runs on the worker is lost with it and waits again.
   void LoseAll(Worker& worker, WorkerLoss loss, Now now);
+  static absl::Duration RanUntil(const Occupant& occupant, absl::Time lost);
+  // A worker that crashed.
+  struct Crash {
+    absl::Time lost;  // The first sign of it.
+    int earlier_on_machine = 0;
+  };
+  // Returns how often the worker's machine had crashed lately.
+  int RememberCrash(const Worker& worker, const Occupants& runs,
+                    absl::Time lost);
+  // Other workers that were lost at that time and ran nothing of the step.
+  int LostAtOnce(const TaskId& step, const Worker& worker,
+                 absl::Time lost) const;
+  static bool WasAlone(const RunKey& key, const Occupants& runs,
+                       absl::Time lost);
+  // Holds the crash of a worker against a run that was lost with it.
+  void HoldCrash(const Worker& worker, const RunKey& key, const Occupants& runs,
+                 const Crash& crash, Now now);
+  void AddCrash(Job& job, const TaskId& id, CrashedRun crash,
+                const std::string& worker, Now now);
+  // The same for runs that only the record of an earlier leader tells of.
+  void HoldUnseenCrash(const Worker& worker, Now now);
+  void LoadExposed();
+  void NoteExposed(Job& job, const TaskId& id, ExposedRun run);
+  // The worker answers no more.
+  void NoteSilence(Worker& worker, Now now);
+  // Workers crashed under the task's last runs.
+  static bool IsSuspect(const ReadyStep& ready, const TaskState& task);
+  // The task is done, or at work for that long on a worker that answers.
+  bool WorkedFor(const TaskState& task, const TaskId& id, absl::Duration time,
+                 Now now) const;
+  // Tasks of the step that may start now, for all that is held against it.
+  int32_t MayStartOfSuspected(ReadyStep& ready, Now now);
+  // Some workers only, until one of the step's tasks was at work for a while.
+  WorkerQuota QuotaOf(ReadyStep& ready, Now now) const;
+  // The less, the less is lost should the worker crash.
+  double ProbeScore(const Worker& worker) const;
+  // The task was just started there under suspicion: nothing else is for a
+  // while.
+  void PutOnProbation(ReadyStep& ready, int32_t index, Worker& worker, Now now);
+  // The worker answers again.
+  void ForgetSilence(Worker& worker);
   // `beside`: other runs that were lost with it.
   void ExplainLostRun(const Worker& worker, const RunKey& key,
                       const Occupant& occupant, size_t beside, absl::Time lost,
@@ -444,6 +502,15 @@
   // What the admission of new jobs goes by.
   void TellBacklog(const std::vector<ReadyStep>& ready, Now now);
   void PlaceSingles(ReadyStep& ready, Now now);
+  // Starts waiting tasks, those under suspicion or the others, `may_start` at
+  // most. False: no more of the step start in this look.
+  bool PlaceTasks(ReadyStep& ready, bool suspects,
+                  const std::vector<Worker*>& usable, WorkerQuota& quota,
+                  int32_t* may_start, Now now);
+  // Null: none has room. `probe`: where least is lost if it crashes.
+  Worker* BestWorker(const ReadyStep& ready, const TaskState& task, bool probe,
+                     const std::vector<Worker*>& usable,
+                     const WorkerQuota& quota, Now now) const;
   // Those that may run the step now, with a ticket where one is needed.
   std::vector<Worker*> WorkersFor(const ReadyStep& ready, Now now);
   // The less, the better the worker suits the task.
@@ -607,6 +674,16 @@
     StartAction action;
   };
   std::deque<PendingStart> pending_starts_;
+  // Crashes of the last minute, oldest first.
+  struct PastCrash {
+    absl::Time lost;
+    std::string worker;
+    std::string machine;
+    std::set<TaskId> steps;  // That ran there; the index is 0.
+  };
+  std::deque<PastCrash> crashes_;
+  // By worker: recovered tasks whose run there may have crashed it.
+  std::map<std::string, std::vector<TaskId>> exposed_;
   bool placements_adopted_ = false;
 
   AnswerTimes answer_times_{AnswerTimes::Options()};
--- a/keelbridge/coordination/job_scheduler_gangs.cc
+++ b/keelbridge/coordination/job_scheduler_gangs.cc
@@ -117,6 +117,8 @@
     for (int32_t i = 0; i < room.fits && index < ready.spec->count; ++i) {
       ready.state->tasks[static_cast<size_t>(index)].checkpoint = checkpoint;
       StartTask(ready, index, run, *room.worker, now);
+      if (IsSuspect(ready, ready.state->tasks.front()))
+        PutOnProbation(ready, index, *room.worker, now);
       ++index;
     }
   }
--- a/keelbridge/coordination/job_scheduler_losses.cc
+++ b/keelbridge/coordination/job_scheduler_losses.cc
@@ -1,10 +1,17 @@
-// Runs that are lost with their worker, and what ended it.
+// Runs that are lost with their worker, what ended it, and what of that is held
+// against their tasks.
+//
+// Only a crash is: another life at the machine of a worker that had not said
+// that it leaves. A worker that is silent may be cut off or suspended; when its
+// lease has passed nobody can tell, and nothing is held against anyone.
 
 #include <algorithm>
+#include <limits>
 #include <string>
 #include <utility>
 
 #include "absl/strings/str_cat.h"
+#include "keelbridge/coordination/crash_verdict.h"
 #include "keelbridge/coordination/job_scheduler.h"
 
 namespace keelbridge {
@@ -12,6 +19,39 @@
 
 // Lines for the log about runs lost with one worker, at most.
 constexpr size_t kMostRunLines = 32;
+// A task under suspicion that has been at work for this long did not crash its
+// worker by its start: until then nothing else starts there.
+constexpr absl::Duration kProbation = absl::Milliseconds(500);
+// The same for the first tasks of a wide step, of which nothing is known.
+constexpr absl::Duration kProving = absl::Milliseconds(300);
+// A crashed worker's next life comes after some seconds. One that stays away
+// does not keep the step's other tasks for longer than this.
+constexpr absl::Duration kProbePatience = absl::Seconds(4);
+// Of the pool's workers, what a step may take before one of its tasks was at
+// work for a while, and at least so many: if they crash what they start on,
+// most workers are left.
+constexpr double kUnprovenShare = 0.25;
+constexpr int32_t kFewestUnproven = 2;
+// What is added to the used share of a worker, which is at most 1, when a task
+// under suspicion might go there.
+constexpr double kLastingBeside = 10;
+constexpr double kWornMachine = 2;
+// Workers that are lost within this of each other are lost at once.
+constexpr absl::Duration kAtOnce = absl::Seconds(1);
+// Tasks of one step of which crashes, or runs that may crash, are on record at
+// most: some are enough to end its job, and a record stays small.
+constexpr int kMostAccounts = 64;
+
+bool IsOfStep(const TaskId& task, const TaskId& step) {
+  return task.job == step.job && task.round == step.round &&
+         task.step == step.step;
+}
+
+template <typename Counted>
+bool AccountsFull(const StepState& step, Counted counted) {
+  return std::count_if(step.tasks.begin(), step.tasks.end(), counted) >=
+         kMostAccounts;
+}
 
 }  // namespace
 
@@ -40,15 +80,17 @@
 }
 
 void JobScheduler::LoseAll(Worker& worker, WorkerLoss loss, Now now) {
+  if (loss == WorkerLoss::kCrash) HoldUnseenCrash(worker, now);
   if (worker.occupants.empty()) return;
-  const absl::Time lost = LostSince(worker, now);
+  Crash crash;
+  crash.lost = LostSince(worker, now);
   Explain("runs_lost",
           {{"worker", worker.record.id},
            {"machine", worker.record.machine},
            {"why", WorkerLossName(loss)},
            {"runs", absl::StrCat(worker.occupants.size())},
            {"lost_ms_ago",
-            absl::StrCat(absl::ToInt64Milliseconds(now.mono - lost))}},
+            absl::StrCat(absl::ToInt64Milliseconds(now.mono - crash.lost))}},
           Severity::kWarning);
   const auto occupants = std::move(worker.occupants);
   worker.occupants.clear();
@@ -57,9 +99,348 @@
   size_t lines = 0;
   for (const auto& [key, occupant] : occupants) {
     if (lines++ < kMostRunLines)
-      ExplainLostRun(worker, key, occupant, occupants.size() - 1, lost, now);
+      ExplainLostRun(worker, key, occupant, occupants.size() - 1, crash.lost,
+                     now);
     worker.free += occupant.need;
+  }
+  if (loss == WorkerLoss::kCrash) {
+    crash.earlier_on_machine = RememberCrash(worker, occupants, crash.lost);
+    for (const auto& [key, occupant] : occupants)
+      HoldCrash(worker, key, occupants, crash, now);
+  }
+  for (const auto& [key, occupant] : occupants)
     Requeue(key.first, key.second, worker.record.id, now.mono);
+}
+
+absl::Duration JobScheduler::RanUntil(const Occupant& occupant,
+                                      absl::Time lost) {
+  return std::max(absl::ZeroDuration(), lost - occupant.placed);
+}
+
+int JobScheduler::RememberCrash(const Worker& worker, const Occupants& runs,
+                                absl::Time lost) {
+  while (!crashes_.empty() && crashes_.front().lost < lost - kCrashesRemembered)
+    crashes_.pop_front();
+  const auto earlier = std::count_if(
+      crashes_.begin(), crashes_.end(), [&](const PastCrash& past) {
+        return past.machine == worker.record.machine;
+      });
+  PastCrash past{lost, worker.record.id, worker.record.machine, {}};
+  for (const auto& [key, occupant] : runs) {
+    TaskId step = key.first;
+    step.index = 0;
+    past.steps.insert(step);
+  }
+  crashes_.push_back(std::move(past));
+  return static_cast<int>(earlier);
+}
+
+// A worker counts that crashed, or that is silent and may have.
+int JobScheduler::LostAtOnce(const TaskId& step, const Worker& worker,
+                             absl::Time lost) const {
+  const auto at_once = [&](absl::Time other) {
+    return absl::AbsDuration(other - lost) < kAtOnce;
+  };
+  std::set<std::string> others;
+  for (const PastCrash& past : crashes_) {
+    if (at_once(past.lost) && past.steps.count(step) == 0)
+      others.insert(past.worker);
+  }
+  for (const auto& [id, other] : workers_) {
+    if (other->lost_since == absl::InfiniteFuture() ||
+        !at_once(other->lost_since))
+      continue;
+    const bool ran_it = std::any_of(
+        other->occupants.begin(), other->occupants.end(),
+        [&](const auto& run) { return IsOfStep(run.first.first, step); });
+    if (!ran_it) others.insert(id);
+  }
+  others.erase(worker.record.id);
+  return static_cast<int>(others.size());
+}
+
+// Others that ran for long are sound; with any younger one there, that may have
+// done it as well.
+bool JobScheduler::WasAlone(const RunKey& key, const Occupants& runs,
+                            absl::Time lost) {
+  return std::all_of(runs.begin(), runs.end(), [&](const auto& run) {
+    return run.first == key || RanUntil(run.second, lost) >= kSoundRun;
+  });
+}
+
+void JobScheduler::HoldCrash(const Worker& worker, const RunKey& key,
+                             const Occupants& runs, const Crash& crash,
+                             Now now) {
+  const auto found = jobs_.find(key.first.job);
+  if (found == jobs_.end() || found->second->Ended()) return;
+  Job& job = *found->second;
+  const TaskState* task = job.FindTask(key.first);
+  const bool current = task != nullptr && task->run == key.second &&
+                       task->worker == worker.record.id &&
+                       task->phase != TaskPhase::kDone;
+  if (!current) return;
+  const Occupant& occupant = runs.at(key);
+  const ExposedRun& exposed = task->exposed;
+  const bool told_before =
+      exposed.worker == worker.record.id && exposed.run == key.second;
+  // It has outlived a change of the leader, by which nobody knows how long.
+  if (occupant.adopted && !told_before) return;
+  CrashedRun one;
+  one.run = key.second;
+  one.begun = occupant.start_answered <= now.mono;
+  // It was ordered when the worker was gone already: it never began.
+  if (!one.begun && occupant.placed >= crash.lost) return;
+  one.ran_ms = occupant.adopted
+                   ? std::max<int64_t>(0, ToMillis(now.wall) - exposed.since_ms)
+                   : absl::ToInt64Milliseconds(RanUntil(occupant, crash.lost));
+  one.alone = WasAlone(key, runs, crash.lost);
+  TaskId step = key.first;
+  step.index = 0;
+  CrashSurroundings around;
+  around.earlier_on_machine = crash.earlier_on_machine;
+  around.others_at_once = LostAtOnce(step, worker, crash.lost);
+  around.site_workers = static_cast<int>(workers_.size());
+  one.chance = ChanceOfCrash(absl::Milliseconds(one.ran_ms), around);
+  AddCrash(job, key.first, one, worker.record.id, now);
+}
+
+void JobScheduler::AddCrash(Job& job, const TaskId& id, CrashedRun crash,
+                            const std::string& worker, Now now) {
+  StepState& step = *job.FindStep(id);
+  TaskState& task = *job.FindTask(id);
+  const StepSpec& spec = job.spec.steps[static_cast<size_t>(id.step)];
+  TaskState& account = spec.gang ? step.tasks.front() : task;
+  if (!task.exposed.worker.empty()) MarkDirty(job);
+  task.exposed = ExposedRun();
+  if (absl::Milliseconds(crash.ran_ms) >= kSoundRun) {
+    if (!account.crashes.empty()) MarkDirty(job);
+    account.crashes.clear();
+    return;
+  }
+  const auto same =
+      std::find_if(account.crashes.begin(), account.crashes.end(),
+                   [&](const CrashedRun& c) { return c.run == crash.run; });
+  if (same != account.crashes.end()) {
+    // Two workers of one run of a gang: they have nothing but the gang in
+    // common, unless many others were lost at the same time.
+    same->alone = true;
+    same->begun = same->begun || crash.begun;
+  } else if (!account.crashes.empty() ||
+             !AccountsFull(
+                 step, [](const TaskState& t) { return !t.crashes.empty(); })) {
+    account.crashes.push_back(crash);
+    step.crashed = true;
+  }
+  MarkDirty(job);
+  if (absl::Milliseconds(crash.ran_ms) < kSuspectWithin) {
+    step.suspected = true;
+    step.proven = false;
+  }
+  const bool given_up = GivesUpAfter(account.crashes);
+  Explain("crash_held_against_task",
+          {{"task", TaskIdText(id)},
+           {"run", absl::StrCat(crash.run)},
+           {"worker", worker},
+           {"ran_ms", absl::StrCat(crash.ran_ms)},
+           {"evidence", CrashEvidence(account.crashes)},
+           {"verdict", given_up ? "given up" : "to be tried again"}},
+          Severity::kWarning);
+  if (!given_up) return;
+  EndJob(job, JobState::kFailed,
+         absl::StrCat("task ", TaskIdText(id),
+                      " crashes the workers that start it: ",
+                      CrashEvidence(account.crashes), ", last on ", worker),
+         now);
+}
+
+// A leader that is replaced before another life answers cannot hold the crash
+// against its task: its successor does, by what is on record.
+void JobScheduler::HoldUnseenCrash(const Worker& worker, Now now) {
+  const auto exposed = exposed_.find(worker.record.id);
+  if (exposed == exposed_.end()) return;
+  const std::vector<TaskId> tasks = std::move(exposed->second);
+  exposed_.erase(exposed);
+  for (const TaskId& id : tasks) {
+    const auto found = jobs_.find(id.job);
+    if (found == jobs_.end() || found->second->Ended()) continue;
+    TaskState* task = found->second->FindTask(id);
+    if (task == nullptr || task->phase != TaskPhase::kWaiting || task->seen ||
+        task->exposed.worker != worker.record.id)
+      continue;
+    const ExposedRun& run = task->exposed;
+    CrashedRun crash;
+    crash.run = run.run;
+    crash.begun = run.begun;
+    crash.ran_ms = run.ran_ms >= 0 ? run.ran_ms
+                                   : std::max<int64_t>(
+                                         0, ToMillis(now.wall) - run.since_ms);
+    crash.chance =
+        ChanceOfCrash(absl::Milliseconds(crash.ran_ms), CrashSurroundings());
+    AddCrash(*found->second, id, crash, worker.record.id, now);
+  }
+}
+
+void JobScheduler::LoadExposed() {
+  for (const auto& [id, job] : active_) {
+    for (Round& round : job->rounds) {
+      for (size_t s = 0; s < round.steps.size(); ++s) {
+        StepState& step = round.steps[s];
+        for (size_t i = 0; i < step.tasks.size(); ++i) {
+          const TaskState& task = step.tasks[i];
+          step.crashed = step.crashed || !task.crashes.empty();
+          step.suspected = step.crashed;
+          if (task.exposed.worker.empty()) continue;
+          exposed_[task.exposed.worker].push_back({id, round.number,
+                                                   static_cast<int32_t>(s),
+                                                   static_cast<int32_t>(i)});
+        }
+      }
+    }
+  }
+}
+
+void JobScheduler::NoteExposed(Job& job, const TaskId& id, ExposedRun run) {
+  TaskState& task = *job.FindTask(id);
+  const bool full = task.exposed.worker.empty() &&
+                    AccountsFull(*job.FindStep(id), [](const TaskState& t) {
+                      return !t.exposed.worker.empty();
+                    });
+  if (full) return;
+  task.exposed = std::move(run);
+  MarkDirty(job);
+}
+
+// Another leader may have to tell by then what crashed the worker: what began
+// there lately goes on record.
+void JobScheduler::NoteSilence(Worker& worker, Now now) {
+  if (worker.record.draining) return;
+  const absl::Time lost = LostSince(worker, now);
+  for (const auto& [key, occupant] : worker.occupants) {
+    const auto job = jobs_.find(key.first.job);
+    const absl::Duration ran = RanUntil(occupant, lost);
+    if (job == jobs_.end() || job->second->Ended() || occupant.adopted ||
+        ran >= kSuspectWithin)
+      continue;
+    const TaskState* task = job->second->FindTask(key.first);
+    if (task == nullptr || task->run != key.second ||
+        task->worker != worker.record.id)
+      continue;
+    const bool begun = occupant.start_answered <= now.mono;
+    if (!begun && occupant.placed >= lost) continue;
+    NoteExposed(*job->second, key.first,
+                {worker.record.id, key.second,
+                 ToMillis(now.wall - (now.mono - occupant.placed)),
+                 absl::ToInt64Milliseconds(ran), begun});
+  }
+}
+
+bool JobScheduler::IsSuspect(const ReadyStep& ready, const TaskState& task) {
+  const TaskState& account =
+      ready.spec->gang ? ready.state->tasks.front() : task;
+  return !account.crashes.empty();
+}
+
+bool JobScheduler::WorkedFor(const TaskState& task, const TaskId& id,
+                             absl::Duration time, Now now) const {
+  if (task.phase == TaskPhase::kDone) return true;
+  if (task.phase != TaskPhase::kRunning) return false;
+  const auto worker = workers_.find(task.worker);
+  if (worker == workers_.end()) return false;
+  const Worker& on = *worker->second;
+  const bool answers = on.lost_since == absl::InfiniteFuture() &&
+                       on.unanswered_since == absl::InfiniteFuture();
+  const auto run = on.occupants.find({id, task.run});
+  return answers && run != on.occupants.end() &&
+         now.mono - run->second.placed >= time;
+}
+
+int32_t JobScheduler::MayStartOfSuspected(ReadyStep& ready, Now now) {
+  StepState& step = *ready.state;
+  if (!step.suspected) return std::numeric_limits<int32_t>::max();
+  if (step.probed >= 0) {
+    const TaskState& task = step.tasks[static_cast<size_t>(step.probed)];
+    const TaskId id{ready.job->id, ready.round->number, ready.number,
+                    step.probed};
+    if (WorkedFor(task, id, kProbation, now)) {
+      step.suspected = false;
+      step.probed = -1;
+      return std::numeric_limits<int32_t>::max();
+    }
+    const bool open = task.phase != TaskPhase::kWaiting &&
+                      now.mono < step.probed_until + kProbePatience;
+    if (open) return 0;
+    step.probed = -1;
+  }
+  return 1;
+}
+
+// A step of tasks that crash what starts them would else take all workers down
+// before the first crash is heard of.
+JobScheduler::WorkerQuota JobScheduler::QuotaOf(ReadyStep& ready,
+                                                Now now) const {
+  StepState& step = *ready.state;
+  WorkerQuota quota;
+  const int32_t most =
+      std::max(kFewestUnproven,
+               static_cast<int32_t>(kUnprovenShare * ready.pool_workers));
+  if (step.proven || ready.spec->count <= most) return quota;
+  for (size_t i = 0; i < step.tasks.size() && !step.proven; ++i) {
+    const TaskId id{ready.job->id, ready.round->number, ready.number,
+                    static_cast<int32_t>(i)};
+    step.proven = WorkedFor(step.tasks[i], id, kProving, now);
+    if (!step.tasks[i].worker.empty()) quota.used.insert(step.tasks[i].worker);
+  }
+  if (step.proven) return WorkerQuota();
+  quota.most = most;
+  return quota;
+}
+
+double JobScheduler::ProbeScore(const Worker& worker) const {
+  const Resources used = worker.record.capacity - worker.free;
+  double score = DominantShare(used, worker.record.capacity);
+  const auto lasts = [&](const auto& run) {
+    const auto job = jobs_.find(run.first.first.job);
+    return job != jobs_.end() && job->second->Lasts();
+  };
+  if (std::any_of(worker.occupants.begin(), worker.occupants.end(), lasts))
+    score += kLastingBeside;
+  const auto crashes = std::count_if(
+      crashes_.begin(), crashes_.end(), [&](const PastCrash& past) {
+        return past.machine == worker.record.machine;
+      });
+  return score + kWornMachine * static_cast<double>(crashes);
+}
+
+void JobScheduler::PutOnProbation(ReadyStep& ready, int32_t index,
+                                  Worker& worker, Now now) {
+  const TaskState& task = ready.state->tasks[static_cast<size_t>(index)];
+  const TaskId id{ready.job->id, ready.round->number, ready.number, index};
+  worker.probation_until = now.mono + kProbation;
+  if (ready.state->suspected && !ready.spec->gang) {
+    ready.state->probed = index;
+    ready.state->probed_until = worker.probation_until;
+  }
+  NoteExposed(*ready.job, id,
+              {worker.record.id, task.run, ToMillis(now.wall), -1, false});
+  Explain("start_on_probation",
+          {{"task", TaskIdText(id)},
+           {"run", absl::StrCat(task.run)},
+           {"worker", worker.record.id},
+           {"beside", absl::StrCat(worker.occupants.size() - 1)}});
+}
+
+void JobScheduler::ForgetSilence(Worker& worker) {
+  if (worker.lost_since == absl::InfiniteFuture()) return;
+  worker.lost_since = absl::InfiniteFuture();
+  for (const auto& [key, occupant] : worker.occupants) {
+    const auto job = jobs_.find(key.first.job);
+    if (job == jobs_.end()) continue;
+    TaskState* task = job->second->FindTask(key.first);
+    if (task == nullptr || task->exposed.worker != worker.record.id ||
+        task->exposed.ran_ms < 0)
+      continue;
+    task->exposed.ran_ms = -1;
+    MarkDirty(*job->second);
   }
 }
 
--- a/keelbridge/coordination/job_scheduler_losses_test.cc
+++ b/keelbridge/coordination/job_scheduler_losses_test.cc
@@ -139,5 +139,148 @@
   CHECK(starts <= kMostStartsOfCrasher);
 }
 
+// A worn machine crashes whatever runs there; so may a whole wave of workers.
+TEST_CASE("job scheduler: a sound task on machines that crash is not failed") {
+  CrashingSite site(1, 1);
+  site.work = absl::Seconds(100);
+  site.Submit(7, OneTask());
+  for (int i = 1; i <= 6; ++i) {
+    site.Run(absl::Seconds(15 * i));
+    site.Crash(site.WorkerAt("m0"));
+  }
+  site.Run(absl::Seconds(100));
+  CHECK(site.StartsOf(7) == 7);
+  CHECK(site.Status(7) == JobState::kRunning);
+}
+
+TEST_CASE("job scheduler: sound tasks on a machine that crashes often end") {
+  CrashingSite site(1, 1);
+  site.work = absl::Seconds(3);
+  site.Submit(7, OneTask());
+  // The machine is up for 2.5 s at a time, eight times.
+  for (int i = 1; i <= 8; ++i) {
+    site.Run(absl::Milliseconds(5500) * i);
+    site.Crash(site.WorkerAt("m0"));
+  }
+  site.Run(absl::Seconds(60));
+  CHECK(site.Status(7) == JobState::kCompleted);
+}
+
+TEST_CASE("job scheduler: waves of crashes fail no sound task") {
+  CrashingSite site(1, 20);
+  site.work = absl::Seconds(2);
+  for (JobId job = 1; job <= 100; ++job) site.Submit(job, OneTask());
+  for (int wave = 0; wave < 7; ++wave) {
+    // Soon after the tasks of the last one have started again.
+    site.Run(absl::Milliseconds(300 + 3600 * wave));
+    for (int i = 0; i < 3; ++i)
+      site.Crash(site.WorkerAt("m" + std::to_string((wave + i) % 20)));
+  }
+  site.Run(absl::Seconds(60));
+  for (JobId job = 1; job <= 100; ++job)
+    CHECK(site.Status(job) == JobState::kCompleted);
+}
+
+TEST_CASE("job scheduler: a silence and a leave are held against no task") {
+  CrashingSite site(1, 2);
+  site.work = absl::Seconds(100);
+  site.Submit(7, OneTask());
+  for (int i = 0; i < 5; ++i) {
+    // Its worker is gone at once, and nobody answers in its place.
+    site.Run(absl::Seconds(20 * i) + absl::Milliseconds(100));
+    const std::string worker = site.driver.start_workers.back();
+    site.driver.lists.erase(worker);
+    site.After(absl::Seconds(12),
+               [&site, worker] { site.driver.lists[worker]; });
+  }
+  site.Run(absl::Seconds(110));
+  CHECK(site.Status(7) != JobState::kFailed);
+  CrashingSite leaving(1, 2);
+  leaving.work = absl::Seconds(100);
+  leaving.Submit(7, LastingTask());
+  leaving.on_start = [&leaving](const StartOrder&, const std::string& worker) {
+    leaving.After(absl::Milliseconds(100),
+                  [&leaving, worker] { leaving.Leave(worker); });
+  };
+  leaving.Run(absl::Seconds(40));
+  CHECK(leaving.Status(7) == JobState::kRunning);
+  CHECK(LineOf(leaving.driver, "crash_held_against_task") == nullptr);
+}
+
+TEST_CASE("job scheduler: a gang that crashes its workers is given up") {
+  CrashingSite site(1, 12);
+  StepSpec gang = OneTask(8000);
+  gang.gang = true;
+  gang.count = 8;
+  site.gangs = {7};
+  site.Submit(7, gang);
+  // One member does it; the others' workers live on.
+  site.crashes = [](const TaskId& task) { return task.index == 3; };
+  site.work = absl::InfiniteDuration();
+  site.Run(absl::Seconds(90));
+  CHECK(site.Status(7) == JobState::kFailed);
+  std::map<int32_t, int> runs;
+  for (const StartOrder& start : site.driver.starts) ++runs[start.run];
+  CHECK(runs.size() <= kMostStartsOfCrasher);
+  CHECK(runs.size() >= kFewestCrashes);
+}
+
+TEST_CASE(
+    "job scheduler: a lasting task that crashes its workers is given up") {
+  CrashingSite site(1, 4);
+  site.Submit(7, LastingTask());
+  site.crashes = [](const TaskId& task) { return task.job == 7; };
+  site.Run(absl::Seconds(60));
+  CHECK(site.Status(7) == JobState::kFailed);
+  CHECK(site.StartsOf(7) <= kMostStartsOfCrasher);
+}
+
+TEST_CASE("job scheduler: months of crashes do not end a lasting task") {
+  CrashingSite site(1, 3);
+  site.work = absl::InfiniteDuration();
+  site.Submit(7, LastingTask());
+  for (int i = 1; i <= 20; ++i) {
+    site.Run(absl::Seconds(20 * i));
+    site.Crash(site.driver.start_workers.back());
+  }
+  site.Run(absl::Seconds(420));
+  CHECK(site.Status(7) == JobState::kRunning);
+  CHECK(site.StartsOf(7) == 21);
+}
+
+TEST_CASE("job scheduler: a task that crashes late crashes few workers") {
+  CrashingSite site(1, 6);
+  site.crash_after = absl::Seconds(5);
+  site.Submit(7, OneTask());
+  site.crashes = [](const TaskId& task) { return task.job == 7; };
+  site.Run(absl::Seconds(90));
+  CHECK(site.Status(7) == JobState::kFailed);
+  CHECK(site.StartsOf(7) <= kMostStartsOfCrasher);
+}
+
+TEST_CASE("job scheduler: nothing starts beside a task under suspicion") {
+  CrashingSite site(1, 3);
+  site.crashes = [](const TaskId& task) { return task.job == 7; };
+  site.Submit(7, OneTask());
+  site.Run(absl::Seconds(2));
+  std::map<std::string, absl::Time> tried;
+  int beside = 0;
+  site.on_start = [&](const StartOrder& order, const std::string& worker) {
+    const absl::Time now = site.driver.now().mono;
+    const auto last = tried.find(worker);
+    if (last != tried.end() && now - last->second < absl::Milliseconds(100))
+      ++beside;
+    if (order.task.job == 7) tried[worker] = now;
+  };
+  // Short work comes all the time.
+  for (JobId job = 100; job < 400; ++job) {
+    site.Submit(job, OneTask());
+    site.Run(absl::Seconds(2) + absl::Milliseconds(40) * (job - 99));
+  }
+  site.Run(absl::Seconds(40));
+  CHECK(site.Status(7) == JobState::kFailed);
+  CHECK(beside == 0);
+}
+
 }  // namespace
 }  // namespace keelbridge::testing
--- a/keelbridge/coordination/job_scheduler_placement.cc
+++ b/keelbridge/coordination/job_scheduler_placement.cc
@@ -279,6 +279,8 @@
       break;
     }
     const Resources need = RoomNeeded(*step.spec);
+    PoolRoom& pool = pools[step.queue->pool];
+    step.pool_workers = pool.workers;
     if (step.prepares) {
       if (step.queue->advice.needed) EnsureSinglesAdvice(step, now);
       MoveFromLeavingWorker(step, now);
@@ -294,7 +296,6 @@
     }
     if (step.waiting == 0) continue;
     if (step.spec->gang) ++figures_.gangs_waiting;
-    PoolRoom& pool = pools[step.queue->pool];
     step.pool_idles = pool.idles;
     KeepRoom(step, kept, now);
     AskFor(step, pool, now);
@@ -349,6 +350,7 @@
   std::map<std::string, PoolRoom> pools;
   for (const auto& [id, worker] : workers_) {
     PoolRoom& pool = pools[worker->record.pool];
+    ++pool.workers;
     pool.free_milli += std::max(0, worker->free.cpu_milli);
     pool.total_milli += worker->record.capacity.cpu_milli;
   }
@@ -375,7 +377,8 @@
   if (!worker.listed || worker.record.draining || worker.record_removed ||
       worker.known_at_batch > durable_batch_)
     return false;
-  if (worker.unknown_sizes > 0) return false;
+  if (worker.unknown_sizes > 0 || worker.probation_until > now.mono)
+    return false;
   // It may just have been cut off: what is started there now is not heard of
   // until its lease has passed.
   if (options_.policy.settle_soon && worker.unanswered_since <= now.mono)
@@ -438,6 +441,8 @@
   --starts_left_;
   --ready.waiting;
   --figures_.ready_tasks;
+  if (!task.exposed.worker.empty()) MarkDirty(*ready.job);
+  task.exposed = ExposedRun();
   const bool kept =
       ready.job->HasPlacementsOf(static_cast<size_t>(ready.number));
   Explain(kept ? "start_kept" : "start_sent",
@@ -475,34 +480,67 @@
 }
 
 void JobScheduler::PlaceSingles(ReadyStep& ready, Now now) {
+  int32_t may_start = MayStartOfSuspected(ready, now);
+  if (may_start == 0)
+    return Block(ready, "a worker crashed under it: one task is tried first");
   const std::vector<Worker*> usable = WorkersFor(ready, now);
+  WorkerQuota quota = QuotaOf(ready, now);
+  // Suspects first: what becomes of them tells most of the step.
+  if (ready.state->crashed &&
+      !PlaceTasks(ready, /*suspects=*/true, usable, quota, &may_start, now))
+    return;
+  PlaceTasks(ready, /*suspects=*/false, usable, quota, &may_start, now);
+}
+
+bool JobScheduler::PlaceTasks(ReadyStep& ready, bool suspects,
+                              const std::vector<Worker*>& usable,
+                              WorkerQuota& quota, int32_t* may_start, Now now) {
   for (int32_t index = 0; index < ready.spec->count && ready.waiting > 0;
        ++index) {
+    if (*may_start <= 0) return false;
     if (starts_left_ <= 0) {
       placement_wanted_ = true;
-      return;
+      return false;
     }
-    TaskState& task = ready.state->tasks[static_cast<size_t>(index)];
-    if (!MayTry(ready, task, now)) continue;
-    Worker* best = nullptr;
-    double best_score = 0;
-    for (Worker* worker : usable) {
-      if (Fits(*worker, ready, RoomOn(*worker)) < 1) continue;
-      const double score = PlacementScore(*worker, ready, task);
-      if (best != nullptr && score >= best_score) continue;
-      best = worker;
-      best_score = score;
-    }
-    if (best == nullptr) {
+    const TaskState& task = ready.state->tasks[static_cast<size_t>(index)];
+    if (IsSuspect(ready, task) != suspects || !MayTry(ready, task, now))
+      continue;
+    const bool probe = suspects || ready.state->suspected;
+    Worker* worker = BestWorker(ready, task, probe, usable, quota, now);
+    if (worker == nullptr) {
       Block(ready, ready.state->advice.open > 0
                        ? "waits for advice"
                        : "no worker that may run it has "
                          "room");
-      return;
+      return false;
     }
+    quota.used.insert(worker->record.id);
     StartTask(ready, index, std::max(task.run + 1, FirstRunOfEpoch(epoch_)),
-              *best, now);
+              *worker, now);
+    if (probe) PutOnProbation(ready, index, *worker, now);
+    if (ready.state->suspected) --*may_start;
+  }
+  return true;
+}
+
+JobScheduler::Worker* JobScheduler::BestWorker(
+    const ReadyStep& ready, const TaskState& task, bool probe,
+    const std::vector<Worker*>& usable, const WorkerQuota& quota,
+    Now now) const {
+  Worker* best = nullptr;
+  double best_score = 0;
+  for (Worker* worker : usable) {
+    if (worker->probation_until > now.mono ||
+        !quota.Allows(worker->record.id) ||
+        Fits(*worker, ready, RoomOn(*worker)) < 1)
+      continue;
+    const double score =
+        probe ? ProbeScore(*worker) : PlacementScore(*worker, ready, task);
+    if (best != nullptr && score >= best_score) continue;
+    best = worker;
+    best_score = score;
   }
+  return best;
 }
 
 double JobScheduler::PlacementScore(const Worker& worker,
--- a/keelbridge/coordination/job_scheduler_runs.cc
+++ b/keelbridge/coordination/job_scheduler_runs.cc
@@ -194,6 +194,7 @@
   added.unknown_size = !described;
   if (!described) ++worker.unknown_sizes;
   added.start_answered = now.mono;
+  added.adopted = true;
   added.percent = running.percent;
   const bool wanted = task != nullptr && !job->Ended() &&
                       task->phase == TaskPhase::kWaiting &&
--- a/keelbridge/coordination/job_scheduler_workers.cc
+++ b/keelbridge/coordination/job_scheduler_workers.cc
@@ -180,6 +180,8 @@
   task->phase = TaskPhase::kWaiting;
   task->worker.clear();
   task->retry_at = retry_at;
+  if (!task->exposed.worker.empty()) MarkDirty(*job->second);
+  task->exposed = ExposedRun();
   NotePlacement(*job->second, task_id, "");
   placement_wanted_ = true;
 }
@@ -343,7 +345,7 @@
   }
   if (reply.order.result != OrderResult::kDone)
     return OnLookFailed(worker, reply.order, sent, now);
-  worker.lost_since = absl::InfiniteFuture();
+  ForgetSilence(worker);
   if (worker.failed_observations > 0) {
     worker.failed_observations = 0;
     Explain("worker_back", {{"worker", worker.record.id}});
@@ -399,7 +401,15 @@
                                 absl::Time sent, Now now) {
   if (reply.result == OrderResult::kFenced) fenced_ = true;
   if (reply.result == OrderResult::kUnknown) NoteUnanswered(worker, now);
-  worker.lost_since = std::min(worker.lost_since, now.mono);
+  // Nobody listens there: a start would only come back.
+  if (reply.result == OrderResult::kNotSent)
+    worker.suspect_until =
+        std::max(worker.suspect_until,
+                 now.mono + kObserveRetry + kRetryAfterRefusal);
+  if (worker.lost_since == absl::InfiniteFuture()) {
+    worker.lost_since = now.mono;
+    NoteSilence(worker, now);
+  }
   // Another look was answered meanwhile: it is not silent.
   if (worker.last_answer > sent) return;
   if (++worker.failed_observations == 1) {
--- a/keelbridge/state/job_table.cc
+++ b/keelbridge/state/job_table.cc
@@ -60,6 +60,58 @@
   return *end != JobState::kQueued && in["ended_ms"].isInt64();
 }
 
+Json::Value CrashToJson(const CrashedRun& crash) {
+  Json::Value out(Json::objectValue);
+  out["run"] = crash.run;
+  out["ran_ms"] = Json::Int64(crash.ran_ms);
+  out["chance"] = crash.chance;
+  if (crash.begun) out["begun"] = true;
+  if (crash.alone) out["alone"] = true;
+  return out;
+}
+
+bool IsBoolOrMissing(const Json::Value& in, const char* key) {
+  return !in.isMember(key) || in[key].isBool();
+}
+
+bool ReadCrash(const Json::Value& in, CrashedRun* crash) {
+  const bool types = in.isObject() && in["run"].isInt() &&
+                     in["ran_ms"].isInt64() && in["chance"].isNumeric() &&
+                     IsBoolOrMissing(in, "begun") &&
+                     IsBoolOrMissing(in, "alone");
+  if (!types) return false;
+  crash->run = in["run"].asInt();
+  crash->ran_ms = in["ran_ms"].asInt64();
+  crash->chance = in["chance"].asDouble();
+  crash->begun = in["begun"].asBool();
+  crash->alone = in["alone"].asBool();
+  return crash->chance >= 0 && crash->chance <= 1;
+}
+
+Json::Value ExposedToJson(const ExposedRun& exposed) {
+  Json::Value out(Json::objectValue);
+  out["worker"] = exposed.worker;
+  out["run"] = exposed.run;
+  out["since_ms"] = Json::Int64(exposed.since_ms);
+  if (exposed.ran_ms >= 0) out["ran_ms"] = Json::Int64(exposed.ran_ms);
+  if (exposed.begun) out["begun"] = true;
+  return out;
+}
+
+bool ReadExposed(const Json::Value& in, ExposedRun* exposed) {
+  const bool types = in.isObject() && in["worker"].isString() &&
+                     in["run"].isInt() && in["since_ms"].isInt64() &&
+                     (!in.isMember("ran_ms") || in["ran_ms"].isInt64()) &&
+                     IsBoolOrMissing(in, "begun");
+  if (!types) return false;
+  exposed->worker = in["worker"].asString();
+  exposed->run = in["run"].asInt();
+  exposed->since_ms = in["since_ms"].asInt64();
+  exposed->ran_ms = in.get("ran_ms", -1).asInt64();
+  exposed->begun = in["begun"].asBool();
+  return true;
+}
+
 Json::Value RoundToJson(const Job& job, const Round& round) {
   Json::Value out(Json::objectValue);
   out["round"] = round.number;
@@ -72,6 +124,10 @@
       const std::string key = absl::StrCat(s, ".", i);
       for (const int32_t run : task.failed_runs)
         out["failed_runs"][key].append(run);
+      for (const CrashedRun& crash : task.crashes)
+        out["crashes"][key].append(CrashToJson(crash));
+      if (!task.exposed.worker.empty() && task.phase != TaskPhase::kDone)
+        out["exposed"][key] = ExposedToJson(task.exposed);
       const bool keep =
           !task.checkpoint.empty() && task.phase == TaskPhase::kWaiting;
       if (keep) out["checkpoints"][key] = task.checkpoint;
@@ -142,6 +198,29 @@
   return true;
 }
 
+bool ReadCrashes(const Json::Value& in, Round& round) {
+  for (const std::string& key : in.getMemberNames()) {
+    TaskState* task = TaskAt(round, key);
+    if (task == nullptr || !in[key].isArray()) return false;
+    for (const Json::Value& one : in[key]) {
+      CrashedRun crash;
+      if (!ReadCrash(one, &crash)) return false;
+      task->crashes.push_back(crash);
+      task->run = std::max(task->run, crash.run);
+    }
+  }
+  return true;
+}
+
+bool ReadExposedRuns(const Json::Value& in, Round& round) {
+  for (const std::string& key : in.getMemberNames()) {
+    TaskState* task = TaskAt(round, key);
+    if (task == nullptr || !ReadExposed(in[key], &task->exposed)) return false;
+    task->run = std::max(task->run, task->exposed.run);
+  }
+  return true;
+}
+
 bool ReadCheckpoints(const Json::Value& in, Round& round) {
   for (const std::string& key : in.getMemberNames()) {
     TaskState* task = TaskAt(round, key);
@@ -156,6 +235,8 @@
 bool ReadRound(const Json::Value& in, Job* job) {
   const bool types = in.isObject() && in["round"].isInt() &&
                      IsObjectOrMissing(in, "failed_runs") &&
+                     IsObjectOrMissing(in, "crashes") &&
+                     IsObjectOrMissing(in, "exposed") &&
                      IsObjectOrMissing(in, "checkpoints");
   if (!types) return false;
   const int32_t number = in["round"].asInt();
@@ -165,16 +246,14 @@
   Round& round = job->AddRound(number);
   const bool read = (!in.isMember("done") || ReadDone(in["done"], round)) &&
                     ReadFailedRuns(in["failed_runs"], round) &&
+                    ReadCrashes(in["crashes"], round) &&
+                    ReadExposedRuns(in["exposed"], round) &&
                     ReadCheckpoints(in["checkpoints"], round);
   if (read && job->placements_on_record)
     ReadPlacements(in["placed"], job, round);
   return read;
 }
 
-bool IsBoolOrMissing(const Json::Value& in, const char* key) {
-  return !in.isMember(key) || in[key].isBool();
-}
-
 bool ReadProgress(const Json::Value& in, Job* job) {
   const bool types =
       IsBoolOrMissing(in, "begun") && IsBoolOrMissing(in, "placements_kept") &&
--- a/keelbridge/state/job_table.h
+++ b/keelbridge/state/job_table.h
@@ -43,6 +43,26 @@
   kDone,
 };
 
+// A run whose worker crashed.
+struct CrashedRun {
+  int32_t run = 0;
+  int64_t ran_ms = 0;  // From its start to the first sign of the crash.
+  double chance = 0;   // That a sound task meets a crash in that time.
+  bool begun = false;  // The worker had told of it.
+  bool alone = false;  // Nothing else there can have crashed the worker.
+};
+
+// A run whose worker may be about to crash of it, or has fallen silent soon
+// after its start. On record, so that a later leader that finds another life at
+// the machine knows what ran there.
+struct ExposedRun {
+  std::string worker;  // Empty: none.
+  int32_t run = 0;
+  int64_t since_ms = 0;  // Wall clock: when it was ordered.
+  int64_t ran_ms = -1;   // Until its worker fell silent; -1: it did not yet.
+  bool begun = false;
+};
+
 struct TaskState {
   TaskPhase phase = TaskPhase::kWaiting;
   int32_t run = 0;  // The last run that was ordered; 0: none yet.
@@ -50,6 +70,10 @@
   // same end again, and of ends on several workers in any order. A gang keeps
   // them at its first task.
   std::vector<int32_t> failed_runs;
+  // Crashes under its runs, in a row: a run that goes on for long clears them.
+  // A gang keeps them at its first task.
+  std::vector<CrashedRun> crashes;
+  ExposedRun exposed;
   bool seen = false;      // This leader started it or found it running.
   std::string worker;     // While it is on one.
   std::string failed_on;  // The worker of the last failure.
@@ -87,6 +111,15 @@
   // A task of it was seen by this leader before it was done: no earlier leader
   // can have started what depends on it.
   bool ended_here = false;
+  // A worker crashed soon after it was given a task of this step: its tasks
+  // start one at a time until one has been at work for a while.
+  bool suspected = false;
+  bool crashed = false;  // A task of it has crashes on record.
+  int32_t probed = -1;   // The task that was started to learn of that.
+  absl::Time probed_until = absl::InfinitePast();
+  // A task of it was at work for a while, or done: its tasks are no danger to
+  // all workers that they are given to.
+  bool proven = false;
   std::string blocked;  // Why nothing of it started at the last attempt.
 };
 
--- a/testing/support/crashing_site.h
+++ b/testing/support/crashing_site.h
@@ -60,7 +60,11 @@
       return;
     ++crashes_seen;
     driver.down.insert(worker);
+    const std::vector<RunningTask> lost = driver.lists[worker].running;
     driver.lists.erase(worker);
+    for (const RunningTask& run : lost) {
+      if (gangs.count(run.task.job) > 0) BreakGang(run);
+    }
     most_down = std::max(most_down, driver.down.size());
     After(down_for, [this, worker] {
       driver.down.erase(worker);
@@ -107,6 +111,7 @@
   // Called at each start.
   std::function<void(const StartOrder&, const std::string& worker)> on_start =
       [](const StartOrder&, const std::string&) {};
+  std::set<JobId> gangs;  // A member that is lost breaks the others' runs.
   int crashes_seen = 0;
   size_t most_down = 0;  // Workers, at one time.
 
@@ -141,6 +146,20 @@
     }
   }
 
+  // What is left of the gang's run ends.
+  void BreakGang(const RunningTask& member) {
+    std::vector<std::pair<std::string, RunningTask>> left;
+    for (const auto& [worker, list] : driver.lists) {
+      for (const RunningTask& run : list.running) {
+        if (run.task.job == member.task.job && run.run == member.run)
+          left.emplace_back(worker, run);
+      }
+    }
+    for (const auto& [worker, run] : left)
+      driver.End(worker,
+                 {++ends_[worker], run.task, run.run, RunEnd::kBroken, ""});
+  }
+
   void EndDone(const std::string& worker, const StartOrder& order) {
     if (driver.lists.count(worker) == 0) return;
     driver.End(worker,
--- a/testing/support/scheduler_driver.h
+++ b/testing/support/scheduler_driver.h
@@ -166,7 +166,7 @@
   absl::Duration time_of_day_is_ahead;
   std::vector<std::vector<std::string>> asks;  // Workers named, call by call.
   std::vector<std::vector<int32_t>> hopes;     // Of each of them.
-  std::vector<StartOrder> starts;
+  std::vector<StartOrder> starts;  // That were carried out.
   std::vector<std::string> start_workers;
   std::vector<StopOrder> stops;
   std::vector<std::string> forgotten;  // Workers, in the order of that.
@@ -243,12 +243,12 @@
       else
         AnswerAdvice(*ask);
     } else if (const auto* start = std::get_if<StartAction>(&action)) {
-      starts.push_back(start->order);
-      start_workers.push_back(start->worker.id);
       OrderReply reply;
       reply.result = ResultAt(start->worker.id, OrderResult::kDone);
       scheduler_.OnStartReply(*start, reply, now());
       if (reply.result != OrderResult::kDone) return;
+      starts.push_back(start->order);
+      start_workers.push_back(start->worker.id);
       lists[start->worker.id].running.push_back(
           {start->order.task, start->order.run, "", 0});
     } else if (const auto* line = std::get_if<ExplainAction>(&action)) {
