One steady clock, which counts the time in which the machine is suspended

Seen by reading: ages, leases and deadlines were told by CLOCK_MONOTONIC and timers by std::chrono::steady_clock; both stand still while a machine is suspended. A leader that slept for seconds took its last append, its configuration and its answers from memory for fresh, and what it held for clients was given up as much too late.

Change: BootClock (CLOCK_BOOTTIME) is the only steady clock; timers of the loop run by it. The kernel's timers stand still all the same: what fell due is done at the loop's next timer, which is 50 ms away at most.

Left: timeouts of single reads and writes on a connection (Beast's) count awake time only; the calls that they serve have deadlines of their own by BootClock.

--- a/keelbridge/daemon/leader_session.cc
+++ b/keelbridge/daemon/leader_session.cc
@@ -120,9 +120,8 @@
       });
 }
 
-void LeaderSession::TakeLag(std::chrono::steady_clock::time_point due) {
-  const absl::Duration lag =
-      absl::FromChrono(std::chrono::steady_clock::now() - due);
+void LeaderSession::TakeLag(BootClock::time_point due) {
+  const absl::Duration lag = absl::FromChrono(BootClock::now() - due);
   scheduler_.SetLag(lag);
   longest_lag_ = std::max(longest_lag_, lag);
 }
--- a/keelbridge/daemon/leader_session.h
+++ b/keelbridge/daemon/leader_session.h
@@ -14,7 +14,6 @@
 #define KEELBRIDGE_DAEMON_LEADER_SESSION_H_
 
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <chrono>
 #include <deque>
 #include <functional>
@@ -31,6 +30,7 @@
 #include "keelbridge/protocol/client_call.h"
 #include "keelbridge/protocol/record_store.h"
 #include "keelbridge/protocol/site_worker.h"
+#include "keelbridge/transport/event_timer.h"
 
 namespace keelbridge {
 
@@ -153,7 +153,7 @@
   void ArmTick();
   void Pump();
   // How late the loop comes to a timer that was due then.
-  void TakeLag(std::chrono::steady_clock::time_point due);
+  void TakeLag(BootClock::time_point due);
   void PumpSoon();
   void CarryOut(const std::vector<Action>& actions);
   void Await(int64_t batch, ClientReply answer,
@@ -208,8 +208,8 @@
   std::multimap<int64_t, Waiter> waiters_;  // By batch.
   std::deque<EarlyCall> early_calls_;       // In the order of their arrival.
 
-  boost::asio::steady_timer tick_timer_;
-  boost::asio::steady_timer pump_timer_;
+  EventTimer tick_timer_;
+  EventTimer pump_timer_;
   bool pump_armed_ = false;
   absl::Time last_tick_ = absl::InfinitePast();
   absl::Time last_order_ = absl::InfinitePast();
--- a/keelbridge/daemon/leader_session_test.cc
+++ b/keelbridge/daemon/leader_session_test.cc
@@ -468,6 +468,35 @@
   CHECK(workers.leases == leases);
 }
 
+// A machine that is suspended does nothing, and the clock that stands still
+// meanwhile tells of no gap: a leader that was replaced then went on as if its
+// last append had just confirmed it.
+TEST_CASE(
+    "leader session: a suspension counts as a standstill, whatever the length "
+    "that the loop saw") {
+  boost::asio::io_context loop;
+  MemoryStore store(loop);
+  List(store, "there");
+  FewWorkers workers(loop);
+  LateAnswers late(store, absl::Milliseconds(400));
+  Leader::Parts parts;
+  parts.store = &late;
+  parts.workers = &workers;
+  Leader former(store, 1, parts);
+  former.session().SetConfiguration(OneQueue());
+  RunFor(store, absl::Milliseconds(600));
+  REQUIRE(former.session().active());
+  while (late.open() == 0) RunFor(store, absl::Milliseconds(10));
+  BootClock::SuspendForTest(absl::Seconds(8));
+  AppendOrder fence;
+  fence.stream = Stream::kJobs;
+  fence.writer = WriterEpoch{"leader", 2, 0};
+  store.Append(fence);
+  const int leases = workers.leases;
+  RunFor(store, absl::Milliseconds(300));
+  CHECK(workers.leases == leases);
+}
+
 // A record that cannot be read still tells that there is such a job.
 TEST_CASE("leader session: a job whose record cannot be read is not denied") {
   boost::asio::io_context loop;
--- a/keelbridge/daemon/relayed_orders.h
+++ b/keelbridge/daemon/relayed_orders.h
@@ -20,7 +20,6 @@
 #include <json/json.h>
 
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -33,6 +32,7 @@
 #include "keelbridge/daemon/order_messages.h"
 #include "keelbridge/protocol/site_worker.h"
 #include "keelbridge/transport/event_rpc.h"
+#include "keelbridge/transport/event_timer.h"
 
 namespace keelbridge {
 
@@ -111,8 +111,8 @@
   int64_t next_number_;
   int64_t relayed_ = 0;
   int64_t unanswered_ = 0;
-  boost::asio::steady_timer flush_timer_;
-  boost::asio::steady_timer sweep_timer_;
+  EventTimer flush_timer_;
+  EventTimer sweep_timer_;
   bool flush_armed_ = false;
   bool sweep_armed_ = false;
   // The time that answers were waited for since the beginning. It stands while
--- a/keelbridge/daemon/site_node.cc
+++ b/keelbridge/daemon/site_node.cc
@@ -6,6 +6,7 @@
 #include "absl/cleanup/cleanup.h"
 #include "absl/strings/str_cat.h"
 #include "keelbridge/base/logging.h"
+#include "keelbridge/transport/event_timer.h"
 #include "keelbridge/transport/trace.h"
 
 namespace keelbridge {
@@ -68,7 +69,7 @@
                 ElectionOptions(settings_)) {}
 
 void SiteNode::Every(absl::Duration period, std::function<void()> step) {
-  auto timer = std::make_shared<boost::asio::steady_timer>(loop_);
+  auto timer = std::make_shared<EventTimer>(loop_);
   auto run = std::make_shared<std::function<void()>>();
   *run = [timer, period, step = std::move(step), run] {
     // Also when the step throws: the duty goes on with its next turn.
--- a/keelbridge/daemon/site_node.h
+++ b/keelbridge/daemon/site_node.h
@@ -9,7 +9,6 @@
 #define KEELBRIDGE_DAEMON_SITE_NODE_H_
 
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <functional>
 #include <map>
 #include <memory>
--- a/keelbridge/transport/event_http_client.cc
+++ b/keelbridge/transport/event_http_client.cc
@@ -5,7 +5,6 @@
 #include <algorithm>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 #include <deque>
@@ -17,6 +16,7 @@
 #include "absl/synchronization/mutex.h"
 #include "keelbridge/base/clock.h"
 #include "keelbridge/base/logging.h"
+#include "keelbridge/transport/event_timer.h"
 #include "keelbridge/transport/read_at_once.h"
 
 namespace keelbridge {
@@ -90,8 +90,7 @@
   HttpRequest request;
   EventHttpClient::Callback callback;
   absl::Time deadline;
-  std::unique_ptr<asio::steady_timer>
-      timer;  // While it waits for a connection.
+  std::unique_ptr<EventTimer> timer;  // While it waits for a connection.
 };
 
 }  // namespace
@@ -327,8 +326,8 @@
   Dispatch();
   const bool still_waiting = !waiting_.empty() && waiting_.back() == pending;
   if (!still_waiting) return;
-  pending->timer = std::make_unique<asio::steady_timer>(
-      loop_, absl::ToChronoNanoseconds(timeout));
+  pending->timer =
+      std::make_unique<EventTimer>(loop_, absl::ToChronoNanoseconds(timeout));
   pending->timer->async_wait(
       [self = shared_from_this(), pending](boost::system::error_code error) {
         if (!error) self->ExpireWaiting(pending);
--- a/keelbridge/transport/event_http_server.cc
+++ b/keelbridge/transport/event_http_server.cc
@@ -3,7 +3,6 @@
 #include <netinet/tcp.h>
 
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 #include <list>
@@ -14,6 +13,7 @@
 #include "absl/strings/str_split.h"
 #include "keelbridge/base/clock.h"
 #include "keelbridge/base/logging.h"
+#include "keelbridge/transport/event_timer.h"
 #include "keelbridge/transport/read_at_once.h"
 
 namespace keelbridge {
@@ -116,7 +116,7 @@
   bool MakeRoom();
 
   Tcp::acceptor acceptor_;
-  asio::steady_timer accept_timer_;
+  EventTimer accept_timer_;
   bool closed_ = false;
 };
 
--- a/keelbridge/transport/event_timer.h
+++ b/keelbridge/transport/event_timer.h
@@ -1,26 +1,34 @@
-// Runs a step later on an event loop.
+// Timers of an event loop, and a step that runs later on it.
 //
+// What falls due while the machine is suspended is done at the loop's next
+// timer after that, whichever it is: the kernel's own timers stand still
+// meanwhile, and a node always has one that is due within 50 ms.
+//
+//   EventTimer timer(loop);
 //   RunAfter(loop, absl::Milliseconds(50), [this] { Retry(); });
 
 #ifndef KEELBRIDGE_TRANSPORT_EVENT_TIMER_H_
 #define KEELBRIDGE_TRANSPORT_EVENT_TIMER_H_
 
+#include <boost/asio/basic_waitable_timer.hpp>
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <functional>
 #include <memory>
 #include <utility>
 
 #include "absl/time/time.h"
+#include "keelbridge/base/clock.h"
 
 namespace keelbridge {
 
+using EventTimer = boost::asio::basic_waitable_timer<BootClock>;
+
 // Calls `step` once from the loop's thread; not at all when the loop ends
 // first.
 inline void RunAfter(boost::asio::io_context& loop, absl::Duration delay,
                      std::function<void()> step) {
-  auto timer = std::make_shared<boost::asio::steady_timer>(
-      loop, absl::ToChronoNanoseconds(delay));
+  auto timer =
+      std::make_shared<EventTimer>(loop, absl::ToChronoNanoseconds(delay));
   timer->async_wait(
       [timer, step = std::move(step)](boost::system::error_code error) {
         if (!error) step();
