An order that waited for the store does not go to a worker that has shrunk since

Seen by a test of the new rule on capacity: the start of a task that lasts leaves once its placement is on record, which takes as long as the store is away; its worker may have shrunk meanwhile, does not guard its capacity, and ran it over it.

Cause: room was reckoned at the decision only. Change: what leaves late is looked at again; with its worker over its capacity it is placed anew. A change of capacity has a line of its own.

--- a/keelbridge/cli/job_story.cc
+++ b/keelbridge/cli/job_story.cc
@@ -34,8 +34,9 @@
 // Events that concern jobs with runs on the worker that they name.
 const std::set<std::string>& WorkerEvents() {
   static const auto* events = new std::set<std::string>{
-      "worker_silent",    "worker_back",           "runs_lost",
-      "worker_suspected", "worker_record_removed", "worker_draining"};
+      "worker_capacity", "worker_silent",    "worker_back",
+      "runs_lost",       "worker_suspected", "worker_record_removed",
+      "worker_draining"};
   return *events;
 }
 
@@ -92,6 +93,7 @@
       {"runs_lost", "all runs of a worker were given up"},
       {"worker_silent", "a worker is silent"},
       {"worker_back", "the worker answers again"},
+      {"worker_capacity", "a worker tells another capacity"},
       {"worker_suspected", "a worker gets no work for a while"}};
   const auto found = words->find(event);
   return found == words->end() ? event : found->second;
--- a/keelbridge/coordination/job_scheduler_pending_starts.cc
+++ b/keelbridge/coordination/job_scheduler_pending_starts.cc
@@ -34,15 +34,18 @@
     const Worker& at = *worker->second;
     const bool stays =
         !at.record.draining && !at.record_removed && Reachable(at, now);
-    if (occupant.stop_wanted || !stays) {
+    // It may have shrunk while the store was away, and would run the order all
+    // the same.
+    const bool fits = Resources().FitsIn(at.free);
+    if (occupant.stop_wanted || !stays || !fits) {
       // No order to start it has left.
-      Explain(
-          "start_withdrawn",
-          {{"task", TaskIdText(key.first)},
-           {"run", absl::StrCat(key.second)},
-           {"worker", action.worker.id},
-           {"why", occupant.stop_wanted ? "it is to stop"
-                                        : "its worker leaves or is silent"}});
+      Explain("start_withdrawn",
+              {{"task", TaskIdText(key.first)},
+               {"run", absl::StrCat(key.second)},
+               {"worker", action.worker.id},
+               {"why", occupant.stop_wanted ? "it is to stop"
+                       : !stays             ? "its worker leaves or is silent"
+                                            : "its worker has shrunk"}});
       Release(*worker->second, key);
       Requeue(key.first, key.second, action.worker.id, now.mono);
       continue;
--- a/keelbridge/coordination/job_scheduler_workers.cc
+++ b/keelbridge/coordination/job_scheduler_workers.cc
@@ -68,6 +68,16 @@
             {{"worker", record.id},
              {"leaves_in_ms", absl::StrCat(record.leaves_in_ms)}});
   }
+  if (!fresh && record.capacity != worker.record.capacity) {
+    Explain(
+        "worker_capacity",
+        {{"worker", record.id},
+         {"cpu_milli_before", absl::StrCat(worker.record.capacity.cpu_milli)},
+         {"cpu_milli", absl::StrCat(record.capacity.cpu_milli)},
+         {"memory_mib", absl::StrCat(record.capacity.memory_mib)},
+         {"accelerators", absl::StrCat(record.capacity.accelerators)},
+         {"runs", absl::StrCat(worker.occupants.size())}});
+  }
   const bool closes = worker.closed || !worker.last_tasks.empty();
   if (closes && !record.draining) TellOf(worker);
   const Resources used = worker.record.capacity - worker.free;
@@ -403,9 +413,8 @@
   if (reply.result == OrderResult::kUnknown) NoteUnanswered(worker, now);
   // Nobody listens there: a start would only come back.
   if (reply.result == OrderResult::kNotSent)
-    worker.suspect_until =
-        std::max(worker.suspect_until,
-                 now.mono + kObserveRetry + kRetryAfterRefusal);
+    worker.suspect_until = std::max(
+        worker.suspect_until, now.mono + kObserveRetry + kRetryAfterRefusal);
   if (worker.lost_since == absl::InfiniteFuture()) {
     worker.lost_since = now.mono;
     NoteSilence(worker, now);
