A crash that is first taken for a silence is held against its task all the same

Cause: what is lost with a silent worker was forgotten. Change: it is kept until the machine answers: with another life there it was a crash, with the same one nothing happened.

Test: job scheduler: a crash that is first taken for a silence counts.

--- a/keelbridge/base/clock.h
+++ b/keelbridge/base/clock.h
@@ -23,7 +23,7 @@
   using rep = duration::rep;
   using period = duration::period;
   using time_point = std::chrono::time_point<BootClock>;
-  static constexpr bool is_steady = true;
+  static constexpr bool is_steady = true;  // NOLINT: <chrono> names it so.
 
   static time_point now();
 
--- a/keelbridge/coordination/crash_verdict.cc
+++ b/keelbridge/coordination/crash_verdict.cc
@@ -78,6 +78,7 @@
 
 std::string CrashEvidence(const std::vector<CrashedRun>& crashes) {
   std::vector<std::string> rows;
+  rows.reserve(crashes.size());
   for (const CrashedRun& crash : crashes) {
     rows.push_back(absl::StrCat("run ", crash.run, " after ", crash.ran_ms,
                                 " ms",
--- a/keelbridge/coordination/crash_verdict_test.cc
+++ b/keelbridge/coordination/crash_verdict_test.cc
@@ -8,6 +8,7 @@
 std::vector<CrashedRun> Crashes(int count, absl::Duration ran,
                                 const CrashSurroundings& around = {}) {
   std::vector<CrashedRun> out;
+  out.reserve(static_cast<size_t>(count));
   for (int i = 0; i < count; ++i) {
     out.push_back({i + 1, absl::ToInt64Milliseconds(ran),
                    ChanceOfCrash(ran, around), /*begun=*/true});
--- a/keelbridge/coordination/job_scheduler.h
+++ b/keelbridge/coordination/job_scheduler.h
@@ -404,6 +404,8 @@
   // job_scheduler_losses.cc
   // Another life answered in the worker's place: this one has ended.
   void OnOtherLife(Worker& worker, Now now);
+  // Another life of its machine has answered since the worker did.
+  bool AnotherLifeAnswered(const Worker& worker) const;
   // Since when the worker may be gone: its first failed look or order.
   static absl::Time LostSince(const Worker& worker, Now now);
   // All that runs on the worker is lost with it and waits again.
@@ -421,6 +423,11 @@
     Suspicion suspicion;
   };
   static bool IsExplained(const Worker& worker, absl::Time lost);
+  // Runs that were lost with a silent worker are held against their tasks once
+  // another life answers at its machine.
+  void RememberSilentLoss(const Worker& worker, const Occupants& runs,
+                          const Crash& crash, Now now);
+  void HoldSilentLosses(const Worker& answers, Now now);
   // Returns how often the worker's machine had crashed lately.
   int RememberCrash(const Worker& worker, const Occupants& runs,
                     absl::Time lost);
@@ -701,6 +708,11 @@
     std::set<TaskId> steps;  // That ran there; the index is 0.
   };
   std::deque<PastCrash> crashes_;
+  struct SilentLoss {
+    std::string worker;
+    std::vector<std::pair<TaskId, CrashedRun>> runs;
+  };
+  std::map<std::string, SilentLoss> silent_losses_;  // By machine.
   // A worker to which an earlier leader may have given work crashed since.
   bool crashed_unseen_ = false;
   int unseen_noted_ = 0;  // Starts that were put on record for that.
--- a/keelbridge/coordination/job_scheduler_losses.cc
+++ b/keelbridge/coordination/job_scheduler_losses.cc
@@ -84,6 +84,18 @@
   worker.lapse_at = absl::InfinitePast();
 }
 
+// A leader that stood still finds both at once, that the lease has passed and
+// that another life answers.
+bool JobScheduler::AnotherLifeAnswered(const Worker& worker) const {
+  if (worker.record.draining || worker.record.machine.empty()) return false;
+  return std::any_of(workers_.begin(), workers_.end(), [&](const auto& entry) {
+    const Worker& other = *entry.second;
+    return other.record.machine == worker.record.machine &&
+           other.record.id != worker.record.id &&
+           other.last_answer > worker.last_answer;
+  });
+}
+
 absl::Time JobScheduler::LostSince(const Worker& worker, Now now) {
   return std::min({now.mono, worker.lost_since, worker.unanswered_since});
 }
@@ -113,6 +125,8 @@
                      now);
     worker.free += occupant.need;
   }
+  if (loss == WorkerLoss::kSilence)
+    RememberSilentLoss(worker, occupants, crash, now);
   if (loss == WorkerLoss::kCrash) {
     crash.earlier_on_machine = RememberCrash(worker, occupants, crash.lost);
     for (const auto& [key, occupant] : occupants)
@@ -122,6 +136,42 @@
     Requeue(key.first, key.second, worker.record.id, now.mono);
 }
 
+// Whether it crashed is known once another life answers at its machine.
+void JobScheduler::RememberSilentLoss(const Worker& worker,
+                                      const Occupants& runs, const Crash& crash,
+                                      Now now) {
+  if (worker.record.draining || worker.record.machine.empty()) return;
+  SilentLoss loss;
+  loss.worker = worker.record.id;
+  for (const auto& [key, occupant] : runs) {
+    const absl::Duration ran = RanUntil(occupant, crash.lost);
+    if (occupant.adopted || ran >= kSuspectWithin ||
+        !IsSuspected(occupant, crash.lost, crash.suspicion, now))
+      continue;
+    loss.runs.push_back({key.first,
+                         {key.second, absl::ToInt64Milliseconds(ran),
+                          ChanceOfCrash(ran, CrashSurroundings()),
+                          occupant.start_answered <= now.mono}});
+  }
+  silent_losses_[worker.record.machine] = std::move(loss);
+}
+
+void JobScheduler::HoldSilentLosses(const Worker& answers, Now now) {
+  const auto found = silent_losses_.find(answers.record.machine);
+  if (found == silent_losses_.end()) return;
+  const SilentLoss loss = std::move(found->second);
+  silent_losses_.erase(found);
+  // It was silent and is back: nothing crashed.
+  if (loss.worker == answers.record.id) return;
+  for (const auto& [id, crash] : loss.runs) {
+    const auto job = jobs_.find(id.job);
+    if (job == jobs_.end() || job->second->Ended()) continue;
+    const TaskState* task = job->second->FindTask(id);
+    if (task != nullptr && task->phase != TaskPhase::kDone)
+      AddCrash(*job->second, id, crash, loss.worker, now);
+  }
+}
+
 absl::Duration JobScheduler::RanUntil(const Occupant& occupant,
                                       absl::Time lost) {
   return std::max(absl::ZeroDuration(), lost - occupant.placed);
@@ -248,10 +298,9 @@
   TaskState& task = *job.FindTask(id);
   const StepSpec& spec = job.spec.steps[static_cast<size_t>(id.step)];
   TaskState& account = spec.gang ? step.tasks.front() : task;
-  if (!task.exposed.worker.empty()) MarkDirty(job);
-  task.exposed = ExposedRun();
+  if (task.exposed.run == crash.run) task.exposed = ExposedRun();
+  MarkDirty(job);
   if (absl::Milliseconds(crash.ran_ms) >= kSoundRun) {
-    if (!account.crashes.empty()) MarkDirty(job);
     account.crashes.clear();
     return;
   }
@@ -268,7 +317,6 @@
     account.crashes.push_back(crash);
     step.crashed = true;
   }
-  MarkDirty(job);
   if (absl::Milliseconds(crash.ran_ms) < kSuspectWithin) {
     step.suspected = true;
     step.proven = false;
--- a/keelbridge/coordination/job_scheduler_losses_test.cc
+++ b/keelbridge/coordination/job_scheduler_losses_test.cc
@@ -303,5 +303,16 @@
   CHECK(starts <= kMostStartsOfCrasher);
 }
 
+TEST_CASE("job scheduler: a crash that is first taken for a silence counts") {
+  CrashingSite site(1, 6);
+  // Longer than the lease of what ran there.
+  site.down_for = absl::Seconds(12);
+  site.Submit(7, OneTask());
+  site.crashes = [](const TaskId& task) { return task.job == 7; };
+  site.Run(absl::Seconds(120));
+  CHECK(site.Status(7) == JobState::kFailed);
+  CHECK(site.StartsOf(7) <= kMostStartsOfCrasher);
+}
+
 }  // namespace
 }  // namespace keelbridge::testing
--- a/keelbridge/coordination/job_scheduler_workers.cc
+++ b/keelbridge/coordination/job_scheduler_workers.cc
@@ -363,6 +363,7 @@
   TakeClock(worker, reply.order.clock_ms, now.mono);
   worker.last_answer = now.mono;
   NoteAnswered(worker, now);
+  HoldSilentLosses(worker, now);
   // A later listing was taken already: what this one shows as running may have
   // ended.
   if (reply.order.clock_ms < worker.listing_clock_ms) return;
@@ -499,7 +500,10 @@
 void JobScheduler::TickWorker(Worker& worker, Now now) {
   if (!worker.occupants.empty() && worker.listed && !Reachable(worker, now) &&
       now.mono > worker.lapse_at)
-    LoseAll(worker, WorkerLoss::kSilence, now);
+    LoseAll(
+        worker,
+        AnotherLifeAnswered(worker) ? WorkerLoss::kCrash : WorkerLoss::kSilence,
+        now);
   if (options_.policy.settle_soon) CheckOverdue(worker, now);
   if (IsOnProbation(worker)) AnsweredSince(worker, worker.probation_until, now);
   SendStops(worker, now);
--- a/testing/site_simulation_test.cc
+++ b/testing/site_simulation_test.cc
@@ -330,6 +330,7 @@
   Load(site, 15);
   std::mt19937_64 random(seed);
   std::vector<JobId> lasting;
+  lasting.reserve(3);
   for (int i = 0; i < 3; ++i) lasting.push_back(site.Submit(Lasting(2)));
   std::vector<JobId> crashing;
   for (int i = 0; i < 3; ++i) {
@@ -386,7 +387,8 @@
   PlayCrashingTasks(1318);
   // BUDGET: the store was away, and the next leader found an older account.
   PlayCrashingTasks(2367);
-  // BUDGET: its first crash came in a wave, and one was not known to be its own.
+  // BUDGET: its first crash came in a wave, and one was not known to be its
+  // own.
   PlayCrashingTasks(3422);
 }
 
