--- a/keelbridge/coordination/job_scheduler_losses.cc
+++ b/keelbridge/coordination/job_scheduler_losses.cc
@@ -2,8 +2,8 @@
 // against their tasks.
 //
 // Only a crash is: another life at the machine of a worker that had not said
-// that it leaves. A worker that is silent may be cut off or suspended; when its
-// lease has passed nobody can tell, and nothing is held against anyone.
+// that it leaves. A worker that is silent may be cut off or suspended: when its
+// lease has passed, nothing is held against anyone until its machine answers.
 
 #include <algorithm>
 #include <limits>
@@ -576,8 +576,8 @@
            {"run", absl::StrCat(key.second)},
            {"worker", worker.record.id},
            {"began", begun ? "yes" : "not known"},
-           {"ran_ms", absl::StrCat(absl::ToInt64Milliseconds(std::max(
-                          absl::ZeroDuration(), lost - occupant.placed)))},
+           {"ran_ms",
+            absl::StrCat(absl::ToInt64Milliseconds(RanUntil(occupant, lost)))},
            {"beside", absl::StrCat(beside)}});
 }
 
