--- a/testing/site_soak_test.cc
+++ b/testing/site_soak_test.cc
@@ -82,5 +82,17 @@
   CheckSeed(9206, options);
 }
 
+TEST_CASE("soak: seeds that failed, tasks that crash their workers") {
+  SoakOptions options;
+  options.length = absl::Seconds(12);
+  options.kinds = SoakKinds::kWorkers;
+  // BUDGET: three leaders in a row were killed 0.4 s after they had started the
+  // tasks, before anything showed, and left no record of them.
+  CheckSeed(4, options);
+  // BUDGET: all nodes stood still for seconds, and the crash that they slept
+  // through was taken for a silence.
+  CheckSeed(13, options);
+}
+
 }  // namespace
 }  // namespace keelbridge::testing
