A start without an answer keeps its task off other workers where workers restart

Callers saw: a task that runs twice (TWICE). Its start had no answer, was stopped on the worker and started elsewhere; the worker started again under its name, and the order, carried out up to 12 s late, reached the new life before the leader's first look at it.

Cause: what keeps a late order from running (an answered stop, a higher fence) is forgotten with the worker's life, while the task was let go as if it lasted.

Change: where a worker was seen to start again under its name in the last 10 minutes, such a task waits until the order cannot come any more (12 s after it left), a lasting one starts again on the same worker at once, and both are on record for later leaders, as is that workers restart. Why it works: nothing else runs the task while the order is out, and the worker that has the order runs the higher run only.

Left: an order that left before the first restart was seen.

--- a/keelbridge/coordination/job_scheduler.cc
+++ b/keelbridge/coordination/job_scheduler.cc
@@ -50,6 +50,8 @@
     worker.closed_by_earlier = known.closed;
     worker.keeps_placements = known.keeps_placements;
     worker.last_tasks_of_earlier = known.last_tasks;
+    worker.restarted = known.restarted;
+    if (known.restarted) restart_seen_ = now.mono;
     // Until the platform lists it, it gets nothing new.
     worker.record_removed = true;
   }
@@ -84,9 +86,9 @@
     const auto found = workers_.find(id);
     if (found == workers_.end()) continue;
     const Worker& worker = *found->second;
-    batch.records.push_back(
-        KnownWorkerRecord({worker.record, epoch_, worker.closed,
-                           worker.keeps_placements, worker.last_tasks}));
+    batch.records.push_back(KnownWorkerRecord(
+        {worker.record, epoch_, worker.closed, worker.keeps_placements,
+         worker.last_tasks, worker.restarted}));
   }
   untold_workers_.clear();
   for (const JobId id : undescribed_) {
--- a/keelbridge/coordination/job_scheduler.h
+++ b/keelbridge/coordination/job_scheduler.h
@@ -90,6 +90,8 @@
 // The first run number of a leader's epoch. Each epoch numbers runs from its
 // own range, so that a later leader never gives a number again.
 int32_t FirstRunOfEpoch(int64_t epoch);
+// The leader that ordered the run.
+int64_t EpochOfRun(int32_t run);
 
 class JobScheduler {
  public:
@@ -103,6 +105,8 @@
     // How long an earlier leader that cannot be reached may go on giving leases
     // after it was fenced in the store.
     absl::Duration earlier_leader_bound = absl::Seconds(6);
+    // How late a worker may carry out an order that it has not answered.
+    absl::Duration longest_order_delay = absl::Seconds(12);
     SchedulerPolicy policy;
   };
 
@@ -197,6 +201,8 @@
     int64_t cpu_milli_used = 0;
     int64_t starts = 0;
     int64_t starts_refused = 0;
+    // Starts without an answer of which the worker told nothing either.
+    int64_t starts_unanswered = 0;
     int64_t yields = 0;  // Runs stopped for more urgent work.
     int64_t advice_calls = 0;
     int64_t ends_done = 0;
@@ -235,6 +241,8 @@
     bool unknown_size = false;  // Its job's description is gone.
     absl::Time start_answered = absl::InfiniteFuture();
     absl::Time placed;
+    // When this leader's order to start it left.
+    absl::Time ordered = absl::InfinitePast();
     absl::Time stop_sent = absl::InfinitePast();
     absl::Time stop_answered = absl::InfiniteFuture();
     bool stop_wanted = false;
@@ -281,6 +289,7 @@
     absl::Time next_check = absl::InfiniteFuture();  // Of the occupants.
     int unknown_sizes = 0;   // Occupants of unknown size: nothing else starts.
     bool listed = false;     // Its lists were taken under this leader's fence.
+    bool restarted = false;  // Under the name that it had.
     bool took_over = false;  // Runs of the life before were moved here.
     // Above that of all earlier lives: what was sent to these, and comes late,
     // is refused by a life that has seen this one.
@@ -401,6 +410,8 @@
   bool IsGone(const Worker& worker, Now now) const;
   void TickWorker(Worker& worker, Now now);
   bool LookIsDue(const Worker& worker, Now now) const;
+  // It is silent, and its next life may get an order meant for this one.
+  bool MustBeFencedSoon(const Worker& worker, Now now) const;
   void SendLook(Worker& worker, Now now);
   void OnLookFailed(Worker& worker, const ObserveAction& action,
                     const OrderReply& reply, absl::Time sent, Now now);
@@ -524,7 +535,35 @@
   // The worker was known by its name alone, and now its life is told.
   void NameLife(Worker& worker, const std::string& id);
 
+  // job_scheduler_unanswered.cc
+  // `next` is the life with which a worker started again under its name.
+  void NoteRestart(Worker& next, Now now);
+  // Whether workers of this site have done so of late.
+  bool WorkersRestart(Now now) const;
+  // What became of the order to start the run is not known.
+  static bool IsUnanswered(const Occupant& run, Now now);
+  // The run is not on its worker, or lost with it: its task waits again.
+  void GiveUpRun(const Worker& worker, const RunKey& key, const Occupant& run,
+                 Now now);
+  // The run of `worker` is given up, or about to be, without an answer.
+  void NoteUnanswered(const Worker& worker, const RunKey& key,
+                      const Occupant& run, Now now);
+  // Its worker told of the run.
+  void ForgetUnanswered(Job& job, TaskState& task, int32_t run);
+  // The task is kept off other workers: an order to start it may be carried
+  // out yet.
+  bool WaitsForUnanswered(const TaskState& task, Now now) const;
+  // Until when a worker of that name may carry out orders that it has not
+  // answered.
+  absl::Time UnansweredUntil(const std::string& name) const;
+  // The one worker that may start such a task: that which has the order. It
+  // drops the order once it has heard of the later run. Null: none.
+  Worker* WorkerOfUnanswered(const ReadyStep& ready, const TaskState& task,
+                             Now now);
+
   // job_scheduler_recovery.cc
+  // Until when the leader of that epoch may have given orders.
+  absl::Time EarlierOrdersUntil(int64_t epoch) const;
   // By when a lease that starts now has passed on the slowest clock.
   absl::Duration LongestLease() const;
   // Until when an earlier leader may have extended the worker's lease.
@@ -608,10 +647,10 @@
   std::map<std::string, PoolRoom> PoolRooms() const;
   static bool FollowsWhatEndedHere(const Job& job, const Round& round,
                                    size_t step);
-  bool MayTry(const ReadyStep& ready, const TaskState& task, Now now) const;
+  bool MayTry(const ReadyStep& ready, const TaskState& task, Now now);
   // Whether tasks of a lasting step have stopped running and wait for longer
   // than they should.
-  bool IsAway(const ReadyStep& ready, Now now) const;
+  bool IsAway(const ReadyStep& ready, Now now);
   // Tasks of a lasting step that are to start again once the lease of their
   // silent worker has passed, which is soon.
   int32_t SoonLost(const StepSpec& spec, const StepState& step, Now now) const;
@@ -732,6 +771,10 @@
   std::map<JobId, Job*> active_;  // Those that have not ended.
   std::map<std::string, std::unique_ptr<Worker>> workers_;  // By life.
   std::map<std::string, int64_t> fences_;  // The highest, by worker's name.
+  // By worker's name: until when it may carry out orders that it has not
+  // answered.
+  std::map<std::string, absl::Time> unanswered_until_;
+  absl::Time restart_seen_ = absl::InfinitePast();
   std::shared_ptr<const SiteConfiguration> configuration_;
   absl::flat_hash_map<JobId, JobTimes> job_times_;
   std::vector<Adviser> advisers_;
--- a/keelbridge/coordination/job_scheduler_lives.cc
+++ b/keelbridge/coordination/job_scheduler_lives.cc
@@ -50,6 +50,7 @@
   Worker* next = nullptr;
   if (!next_id.empty() && next_id != worker.record.id) {
     next = &LifeAfter(worker, next_id, now);
+    NoteRestart(*next, now);
     Explain("worker_started_again",
             {{"worker", worker.record.id},
              {"next", next_id},
@@ -106,6 +107,7 @@
   Occupant& moved = Occupy(next, key.first, key.second, run.need, now);
   moved.uncertain = true;
   moved.uncertain_since = now.mono;
+  if (IsUnanswered(run, now)) moved.ordered = run.ordered;
   next.unsettled = true;
   next.took_over = true;
   next.lapse_at = std::max(next.lapse_at, now.mono + LongestLease());
--- a/keelbridge/coordination/job_scheduler_losses.cc
+++ b/keelbridge/coordination/job_scheduler_losses.cc
@@ -135,7 +135,7 @@
     if (next != nullptr && MayBeOnNextLife(worker, occupant))
       MoveToNextLife(worker, *next, key, occupant, now);
     else
-      Requeue(key.first, key.second, worker.record.id, now.mono);
+      GiveUpRun(worker, key, occupant, now);
   }
 }
 
--- a/keelbridge/coordination/job_scheduler_pending_starts.cc
+++ b/keelbridge/coordination/job_scheduler_pending_starts.cc
@@ -57,6 +57,7 @@
     if (to.probation_until > occupant.placed)
       to.probation_until += now.mono - occupant.placed;
     occupant.placed = now.mono;
+    occupant.ordered = now.mono;
     action.order.lease_until_ms = LeaseUntil(*worker->second, now.mono);
     Explain("start_sent", {{"task", TaskIdText(key.first)},
                            {"run", absl::StrCat(key.second)},
--- a/keelbridge/coordination/job_scheduler_placement.cc
+++ b/keelbridge/coordination/job_scheduler_placement.cc
@@ -94,9 +94,11 @@
 }
 
 bool JobScheduler::MayTry(const ReadyStep& ready, const TaskState& task,
-                          Now now) const {
+                          Now now) {
   return task.phase == TaskPhase::kWaiting && task.retry_at <= now.mono &&
-         !WaitsForEarlierLease(ready, task, now);
+         !WaitsForEarlierLease(ready, task, now) &&
+         (!WaitsForUnanswered(task, now) ||
+          WorkerOfUnanswered(ready, task, now) != nullptr);
 }
 
 std::vector<JobScheduler::ReadyStep> JobScheduler::CollectReady(Now now) {
@@ -170,7 +172,7 @@
   return out;
 }
 
-bool JobScheduler::IsAway(const ReadyStep& ready, Now now) const {
+bool JobScheduler::IsAway(const ReadyStep& ready, Now now) {
   if (!ready.spec->lasting || ready.spec->gang) return false;
   const std::vector<TaskState>& tasks = ready.state->tasks;
   return std::any_of(tasks.begin(), tasks.end(), [&](const TaskState& task) {
@@ -450,7 +452,7 @@
                              Worker& worker, Now now) {
   TaskState& task = ready.state->tasks[static_cast<size_t>(index)];
   const TaskId id{ready.job->id, ready.round->number, ready.number, index};
-  Occupy(worker, id, run, RoomNeeded(*ready.spec), now);
+  Occupant& occupant = Occupy(worker, id, run, RoomNeeded(*ready.spec), now);
   const bool unseen = ready.job->recovered && !task.seen;
   task.phase = TaskPhase::kStarting;
   task.run = run;
@@ -476,6 +478,8 @@
   --figures_.ready_tasks;
   if (!task.exposed.worker.empty()) MarkDirty(*ready.job);
   task.exposed = ExposedRun();
+  if (!WaitsForUnanswered(task, now))
+    ForgetUnanswered(*ready.job, task, task.unanswered.run);
   if (unseen) NoteStartOfUnseen(ready, id, action, now);
   const bool kept =
       ready.job->HasPlacementsOf(static_cast<size_t>(ready.number)) ||
@@ -488,6 +492,7 @@
                              now.mono - ready.state->ready_since))},
            {"free_cpu_milli", absl::StrCat(worker.free.cpu_milli)}});
   if (kept) return StartOnceDurable(*ready.job, task, std::move(action));
+  occupant.ordered = now.mono;
   actions_.push_back(std::move(action));
 }
 
@@ -540,7 +545,10 @@
     if (IsSuspect(ready, task) != suspects || !MayTry(ready, task, now))
       continue;
     const bool probe = suspects || ready.state->suspected;
-    Worker* worker = BestWorker(ready, task, probe, usable, quota, now);
+    const bool bound = WaitsForUnanswered(task, now);
+    Worker* worker = bound ? WorkerOfUnanswered(ready, task, now)
+                           : BestWorker(ready, task, probe, usable, quota, now);
+    if (worker == nullptr && bound) continue;
     if (worker == nullptr) {
       Block(ready, ready.state->advice.open > 0
                        ? "waits for advice"
--- a/keelbridge/coordination/job_scheduler_recovery.cc
+++ b/keelbridge/coordination/job_scheduler_recovery.cc
@@ -25,7 +25,11 @@
 // successors was: with three changes of leader in 11 s the tasks of a worker
 // that had ended were away for 30 s, since each successor waited anew.
 absl::Time JobScheduler::EarlierLeaseUntil(const Worker& worker) const {
-  const auto successor = earlier_leaders_seen_.upper_bound(worker.leased_by);
+  return EarlierOrdersUntil(worker.leased_by);
+}
+
+absl::Time JobScheduler::EarlierOrdersUntil(int64_t epoch) const {
+  const auto successor = earlier_leaders_seen_.upper_bound(epoch);
   if (successor == earlier_leaders_seen_.end()) return earlier_leader_until_;
   return std::min(earlier_leader_until_,
                   successor->second + options_.earlier_leader_bound);
--- a/keelbridge/coordination/job_scheduler_runs.cc
+++ b/keelbridge/coordination/job_scheduler_runs.cc
@@ -135,6 +135,7 @@
   const bool current = task != nullptr && task->run == end.run &&
                        task->worker == worker.record.id;
   if (task != nullptr && end.run > task->run) task->run = end.run;
+  if (task != nullptr) ForgetUnanswered(*job, *task, end.run);
   if (job != nullptr) job->begun = true;
   if (end.end == RunEnd::kDone) {
     ++figures_.ends_done;
@@ -178,6 +179,7 @@
     if (task != nullptr && task->run == running.run &&
         task->worker == worker.record.id) {
       if (!running.checkpoint.empty()) task->checkpoint = running.checkpoint;
+      ForgetUnanswered(*job, *task, running.run);
       const bool was_starting = task->phase == TaskPhase::kStarting ||
                                 task->phase == TaskPhase::kUncertain;
       if (was_starting) task->phase = TaskPhase::kRunning;
@@ -202,6 +204,7 @@
                       task->phase == TaskPhase::kWaiting &&
                       running.run >= task->run;
   if (wanted) {
+    ForgetUnanswered(*job, *task, running.run);
     task->phase = TaskPhase::kRunning;
     task->worker = worker.record.id;
     task->run = running.run;
@@ -245,8 +248,8 @@
     Explain("run_missing", {{"task", TaskIdText(key.first)},
                             {"run", absl::StrCat(key.second)},
                             {"worker", worker.record.id}});
+    GiveUpRun(worker, key, worker.occupants.at(key), now);
     Release(worker, key);
-    Requeue(key.first, key.second, worker.record.id, now.mono);
   }
 }
 
--- /dev/null
+++ b/keelbridge/coordination/job_scheduler_unanswered.cc
@@ -0,0 +1,115 @@
+// Starts that have no answer, on sites where workers start again under their
+// names.
+//
+// Such an order may be carried out seconds later. A stop that the worker has
+// answered keeps it from that, and so does a later fence, but both are
+// forgotten with the worker's life: its next one carries the order out if it
+// comes before the leader's first look. Were the task at work elsewhere by
+// then, it would run twice. So it waits until the order's time has passed, or
+// starts on the same worker, which then runs it once whatever becomes of the
+// order.
+//
+// A task that waits may be late for its job. Where no worker has started again
+// under its name of late, tasks do not wait: a silent worker is looked at often
+// instead, so that its next life is told of the fence soon.
+
+#include <algorithm>
+#include <string>
+#include <utility>
+
+#include "absl/strings/str_cat.h"
+#include "keelbridge/coordination/job_scheduler.h"
+#include "keelbridge/protocol/worker_life.h"
+
+namespace keelbridge {
+namespace {
+
+// Restarts come in series, with pauses in between.
+constexpr absl::Duration kRestartsRemembered = absl::Minutes(10);
+
+}  // namespace
+
+void JobScheduler::NoteRestart(Worker& next, Now now) {
+  restart_seen_ = now.mono;
+  if (std::exchange(next.restarted, true)) return;
+  untold_workers_.insert(next.record.id);
+}
+
+bool JobScheduler::WorkersRestart(Now now) const {
+  return now.mono - restart_seen_ <= kRestartsRemembered;
+}
+
+bool JobScheduler::IsUnanswered(const Occupant& run, Now now) {
+  return run.ordered > absl::InfinitePast() && !run.listed &&
+         run.start_answered > now.mono;
+}
+
+void JobScheduler::GiveUpRun(const Worker& worker, const RunKey& key,
+                             const Occupant& run, Now now) {
+  if (IsUnanswered(run, now)) ++figures_.starts_unanswered;
+  NoteUnanswered(worker, key, run, now);
+  Requeue(key.first, key.second, worker.record.id, now.mono);
+}
+
+void JobScheduler::NoteUnanswered(const Worker& worker, const RunKey& key,
+                                  const Occupant& run, Now now) {
+  if (!IsUnanswered(run, now)) return;
+  const std::string name = ParseWorkerLife(worker.record.id).name;
+  const absl::Time until = run.ordered + options_.longest_order_delay;
+  absl::Time& latest = unanswered_until_[name];
+  latest = std::max(latest, until);
+  if (!WorkersRestart(now) || until <= now.mono) return;
+  const auto job = jobs_.find(key.first.job);
+  if (job == jobs_.end() || job->second->Ended()) return;
+  TaskState* task = job->second->FindTask(key.first);
+  const size_t step = static_cast<size_t>(key.first.step);
+  if (task == nullptr || task->run != key.second ||
+      job->second->spec.steps[step].duplicates)
+    return;
+  if (task->unanswered.run == key.second) return;
+  task->unanswered = {name, key.second, until};
+  MarkDirty(*job->second);
+  Explain("start_unanswered",
+          {{"task", TaskIdText(key.first)},
+           {"run", absl::StrCat(key.second)},
+           {"worker", worker.record.id},
+           {"may_come_for_ms",
+            absl::StrCat(absl::ToInt64Milliseconds(until - now.mono))}});
+}
+
+void JobScheduler::ForgetUnanswered(Job& job, TaskState& task, int32_t run) {
+  if (task.unanswered.worker.empty() || task.unanswered.run != run) return;
+  task.unanswered = UnansweredStart();
+  MarkDirty(job);
+}
+
+bool JobScheduler::WaitsForUnanswered(const TaskState& task, Now now) const {
+  const UnansweredStart& start = task.unanswered;
+  if (start.worker.empty()) return false;
+  const int64_t epoch = EpochOfRun(start.run);
+  const absl::Time until = epoch == epoch_ ? start.until
+                                           : EarlierOrdersUntil(epoch) +
+                                                 options_.longest_order_delay;
+  return now.mono < until;
+}
+
+absl::Time JobScheduler::UnansweredUntil(const std::string& name) const {
+  const auto found = unanswered_until_.find(name);
+  return found == unanswered_until_.end() ? absl::InfinitePast()
+                                          : found->second;
+}
+
+// Only a task that lasts: another could be done, and the order still be out.
+JobScheduler::Worker* JobScheduler::WorkerOfUnanswered(const ReadyStep& ready,
+                                                       const TaskState& task,
+                                                       Now now) {
+  if (!ready.spec->lasting || ready.spec->gang) return nullptr;
+  for (Worker* worker : LivesOf(task.unanswered.worker)) {
+    if (MayRun(*worker, ready, now) && HasTicket(*worker, ready, now) &&
+        Fits(*worker, ready, RoomOn(*worker)) > 0)
+      return worker;
+  }
+  return nullptr;
+}
+
+}  // namespace keelbridge
--- /dev/null
+++ b/keelbridge/coordination/job_scheduler_unanswered_test.cc
@@ -0,0 +1,117 @@
+// Starts without an answer, where workers start again under their names.
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <cstddef>
+#include <string>
+
+#include "testing/support/scheduler_driver.h"
+
+namespace keelbridge::testing {
+namespace {
+
+constexpr absl::Duration kMayComeFor = absl::Seconds(12);
+constexpr absl::Duration kSubmitted = absl::Milliseconds(500);
+
+// Workers "a" and "b", of which "a" loses the start of the one task.
+// `restarts`: "c" was seen to start again under its name before.
+class UnansweredSite {
+ public:
+  UnansweredSite(SchedulerDriver& site, const StepSpec& step, bool restarts)
+      : site_(site) {
+    if (restarts) {
+      site.AddWorker("c@1000", 100);
+      site.AddWorker("c@2000", 100);
+    }
+    site.AddWorker("a@1000", 4000);
+    site.lists["a@1000"];
+    site.loses_starts.insert("a@1000");
+    site.RunUntil(kSubmitted);
+    JobSpec spec;
+    spec.steps = {step};
+    site.scheduler().Submit(kJob, "restore", spec, site.now());
+    site.RunUntil(kSubmitted + absl::Milliseconds(100));
+    REQUIRE(site.lost_starts.size() == 1);
+    site.AddWorker("b@1000");
+    site.lists["b@1000"];
+  }
+
+  // The worker takes starts again.
+  void Heal() { site_.loses_starts.clear(); }
+
+ private:
+  SchedulerDriver& site_;
+};
+
+TEST_CASE(
+    "job scheduler: a start without an answer keeps its task off other workers "
+    "where workers restart") {
+  SchedulerDriver site(1);
+  UnansweredSite workers(site, OneTask(), /*restarts=*/true);
+  site.RunUntil(kSubmitted + kMayComeFor - absl::Milliseconds(100));
+  CHECK(site.starts.empty());
+  site.RunUntil(kSubmitted + kMayComeFor + absl::Seconds(1));
+  CHECK(site.starts.size() + site.lost_starts.size() > 1);
+}
+
+TEST_CASE(
+    "job scheduler: a start without an answer delays nothing where no worker "
+    "restarts") {
+  SchedulerDriver site(1);
+  UnansweredSite workers(site, OneTask(), /*restarts=*/false);
+  workers.Heal();
+  site.RunUntil(kSubmitted + absl::Seconds(1));
+  CHECK(site.starts.size() == 1);
+}
+
+// Users of such a task are not kept waiting: its own worker drops the order
+// once it has heard of a later run.
+TEST_CASE(
+    "job scheduler: a lasting task whose start had no answer starts again on "
+    "the same worker") {
+  SchedulerDriver site(1);
+  UnansweredSite workers(site, LastingTask(), /*restarts=*/true);
+  workers.Heal();
+  site.RunUntil(kSubmitted + absl::Seconds(2));
+  REQUIRE(site.starts.size() == 1);
+  CHECK(site.start_workers[0] == "a@1000");
+  CHECK(site.starts[0].run > site.lost_starts[0].run);
+}
+
+TEST_CASE(
+    "job scheduler: a later leader waits for an earlier one's start without an "
+    "answer") {
+  SchedulerDriver first(1);
+  UnansweredSite workers(first, OneTask(), /*restarts=*/true);
+  SchedulerDriver second(2);
+  second.TakeOver(first);
+  for (const char* worker : {"a@1000", "b@1000"}) {
+    second.AddWorker(worker);
+    second.lists[worker];
+  }
+  second.lists["c@2000"];
+  second.RunUntil(kMayComeFor - absl::Seconds(1));
+  CHECK(second.starts.empty());
+  second.RunUntil(kMayComeFor + absl::Seconds(8));
+  CHECK(second.starts.size() == 1);
+}
+
+TEST_CASE(
+    "job scheduler: a silent worker is looked at often while a start may reach "
+    "its next life") {
+  SchedulerDriver site(1);
+  UnansweredSite workers(site, OneTask(), /*restarts=*/false);
+  site.down.insert("a@1000");
+  site.RunUntil(kSubmitted + absl::Seconds(1));
+  const size_t before = site.looks.size();
+  site.RunUntil(kSubmitted + absl::Seconds(2));
+  const auto looks = std::count_if(
+      site.looks.begin() + static_cast<std::ptrdiff_t>(before),
+      site.looks.end(),
+      [](const ObserveAction& look) { return look.worker.id == "a@1000"; });
+  CHECK(looks >= 10);
+}
+
+}  // namespace
+}  // namespace keelbridge::testing
--- a/keelbridge/daemon/leader_session.cc
+++ b/keelbridge/daemon/leader_session.cc
@@ -378,6 +378,7 @@
   set("late_steps_looked_at", f.late_steps_looked_at);
   set("workers_tried", f.workers_tried);
   set("listings_passed_over", f.listings_passed_over);
+  set("starts_unanswered", f.starts_unanswered);
   metrics_.Set("deciding_seconds", {}, absl::ToDoubleSeconds(decided_for_));
   const WorkerList::Figures entries = worker_list_.figures();
   const auto set_unused = [&](const char* why, int64_t count) {
@@ -411,6 +412,7 @@
        {"late_steps_looked_at", absl::StrCat(f.late_steps_looked_at)},
        {"workers_tried", absl::StrCat(f.workers_tried)},
        {"listings_passed_over", absl::StrCat(f.listings_passed_over)},
+       {"starts_unanswered", absl::StrCat(f.starts_unanswered)},
        {"deciding_ms", absl::StrCat(absl::ToInt64Milliseconds(decided_for_))},
        {"longest_lag_ms", absl::StrCat(lag_ms)}});
 }
--- a/keelbridge/state/job_table.cc
+++ b/keelbridge/state/job_table.cc
@@ -109,6 +109,15 @@
   return true;
 }
 
+bool ReadUnanswered(const Json::Value& in, UnansweredStart* start) {
+  const bool types = in.isObject() && in["worker"].isString() &&
+                     !in["worker"].asString().empty() && in["run"].isInt();
+  if (!types) return false;
+  start->worker = in["worker"].asString();
+  start->run = in["run"].asInt();
+  return true;
+}
+
 Json::Value RoundToJson(const Job& job, const Round& round) {
   Json::Value out(Json::objectValue);
   out["round"] = round.number;
@@ -125,6 +134,11 @@
         out["crashes"][key].append(CrashToJson(crash));
       if (!task.exposed.worker.empty() && task.phase != TaskPhase::kDone)
         out["exposed"][key] = ExposedToJson(task.exposed);
+      if (!task.unanswered.worker.empty() && task.phase != TaskPhase::kDone) {
+        Json::Value& start = out["unanswered"][key];
+        start["worker"] = task.unanswered.worker;
+        start["run"] = task.unanswered.run;
+      }
       const bool keep =
           !task.checkpoint.empty() && task.phase == TaskPhase::kWaiting;
       if (keep) out["checkpoints"][key] = task.checkpoint;
@@ -218,6 +232,16 @@
   return true;
 }
 
+bool ReadUnansweredStarts(const Json::Value& in, Round& round) {
+  for (const std::string& key : in.getMemberNames()) {
+    TaskState* task = TaskAt(round, key);
+    if (task == nullptr || !ReadUnanswered(in[key], &task->unanswered))
+      return false;
+    task->run = std::max(task->run, task->unanswered.run);
+  }
+  return true;
+}
+
 bool ReadCheckpoints(const Json::Value& in, Round& round) {
   for (const std::string& key : in.getMemberNames()) {
     TaskState* task = TaskAt(round, key);
@@ -234,6 +258,7 @@
                      IsObjectOrMissing(in, "failed_runs") &&
                      IsObjectOrMissing(in, "crashes") &&
                      IsObjectOrMissing(in, "exposed") &&
+                     IsObjectOrMissing(in, "unanswered") &&
                      IsObjectOrMissing(in, "checkpoints");
   if (!types) return false;
   const int32_t number = in["round"].asInt();
@@ -245,6 +270,7 @@
                     ReadFailedRuns(in["failed_runs"], round) &&
                     ReadCrashes(in["crashes"], round) &&
                     ReadExposedRuns(in["exposed"], round) &&
+                    ReadUnansweredStarts(in["unanswered"], round) &&
                     ReadCheckpoints(in["checkpoints"], round);
   if (read && job->placements_on_record)
     ReadPlacements(in["placed"], job, round);
--- a/keelbridge/state/job_table.h
+++ b/keelbridge/state/job_table.h
@@ -62,6 +62,16 @@
   bool begun = false;
 };
 
+// A start whose order its worker has not answered. The order may be carried out
+// late, by whatever life the worker then has.
+struct UnansweredStart {
+  std::string worker;  // By its name, whichever life; empty: there is none.
+  int32_t run = 0;
+  // Of the leader that sent it: until when. A later leader reckons it by when
+  // that one had to stop.
+  absl::Time until = absl::InfinitePast();
+};
+
 struct TaskState {
   TaskPhase phase = TaskPhase::kWaiting;
   int32_t run = 0;  // The last run that was ordered; 0: none yet.
@@ -73,6 +83,7 @@
   // A gang keeps them at its first task.
   std::vector<CrashedRun> crashes;
   ExposedRun exposed;
+  UnansweredStart unanswered;
   bool seen = false;      // This leader started it or found it running.
   std::string worker;     // While it is on one.
   std::string failed_on;  // The worker of the last failure.
--- a/keelbridge/state/job_table_test.cc
+++ b/keelbridge/state/job_table_test.cc
@@ -163,6 +163,8 @@
   TaskState& task = job.rounds[0].steps[0].tasks[1];
   task.crashes = {{4, 54, 0.25, true}, {5, 31, 0.5, false}};
   task.exposed = {"w-1", 6, 12345, 40, true};
+  task.unanswered.worker = "w-2";
+  task.unanswered.run = 5;
   JobRecords records;
   records.Add(DescriptionRecord(job));
   records.Add(ProgressRecord(job));
@@ -175,6 +177,8 @@
   CHECK(read.crashes[0].chance == 0.25);
   CHECK(read.crashes[0].begun);
   CHECK_FALSE(read.crashes[1].begun);
+  CHECK(read.unanswered.worker == "w-2");
+  CHECK(read.unanswered.run == 5);
   CHECK(read.exposed.worker == "w-1");
   CHECK(read.exposed.run == 6);
   CHECK(read.exposed.since_ms == 12345);
--- a/keelbridge/state/known_workers.cc
+++ b/keelbridge/state/known_workers.cc
@@ -27,7 +27,8 @@
        std::all_of(labels.begin(), labels.end(),
                    [](const Json::Value& label) { return label.isString(); }));
   return texts && all({"epoch"}, &Json::Value::isInt64) &&
-         all({"closed", "keeps_placements"}, &Json::Value::isBool) &&
+         all({"closed", "keeps_placements", "restarted"},
+             &Json::Value::isBool) &&
          all({"machine", "address", "zone", "pool", "rack"},
              &Json::Value::isString) &&
          all({"cpu_milli", "memory_mib", "accelerators"}, &Json::Value::isInt);
@@ -49,6 +50,7 @@
   if (value.isMember("epoch")) known->epoch = value["epoch"].asInt64();
   known->closed = value["closed"].asBool();
   known->keeps_placements = value["keeps_placements"].asBool();
+  known->restarted = value["restarted"].asBool();
   WorkerRecord& worker = known->worker;
   worker.machine = value["machine"].asString();
   worker.address = value["address"].asString();
@@ -77,6 +79,7 @@
   value["epoch"] = Json::Int64(known.epoch);
   if (known.closed) value["closed"] = true;
   if (known.keeps_placements) value["keeps_placements"] = true;
+  if (known.restarted) value["restarted"] = true;
   for (const TaskId& task : known.last_tasks)
     value["last_tasks"].append(TaskIdText(task));
   value["machine"] = worker.machine;
--- a/keelbridge/state/known_workers.h
+++ b/keelbridge/state/known_workers.h
@@ -39,6 +39,8 @@
   // leader's and earlier ones' tasks only these may run there. Empty: any may,
   // if it is not closed.
   std::vector<TaskId> last_tasks{};
+  // It started again under the name that it had.
+  bool restarted = false;
   // The record cannot be read: only the worker's id is known.
   bool unreadable = false;
 };
--- a/testing/site_simulation_test.cc
+++ b/testing/site_simulation_test.cc
@@ -395,7 +395,9 @@
 // Workers start again under their ids in series, again before they were
 // noticed, with orders that are carried out late, leaders that change and power
 // lost.
-void PlayRestarts(uint64_t seed, int troubles, double late_orders) {
+// `seen_before`: one did so before there was work.
+void PlayRestarts(uint64_t seed, int troubles, double late_orders,
+                  bool seen_before = false) {
   CAPTURE(seed);
   SiteSimulation::Options options;
   options.seed = seed;
@@ -407,6 +409,10 @@
   options.crashed_keep_id = true;
   if (options.advice) options.workers = 24;
   SiteSimulation site(options);
+  if (seen_before) {
+    site.RestartWorker(0, absl::Milliseconds(50));
+    site.Run(absl::Seconds(2));
+  }
   Load(site, 15);
   const JobId lasting = site.Submit(Lasting(3));
   std::mt19937_64 random(seed);
@@ -459,6 +465,13 @@
   for (uint64_t seed = 1; seed <= 10; ++seed) PlayRestarts(seed, 3, 0.03);
 }
 
+// A late order may reach a life that nobody has spoken to yet: its task waits
+// until that cannot be any more, where workers were seen to start again.
+TEST_CASE("site: no late order runs twice once workers were seen to restart") {
+  for (uint64_t seed = 1; seed <= 100; ++seed)
+    PlayRestarts(seed, 3, 0.03, /*seen_before=*/true);
+}
+
 // A late order may reach a life that nobody has spoken to yet.
 TEST_CASE("site: no order that comes late runs twice on a worker's next life") {
   for (uint64_t seed = 11; seed <= 60; ++seed) PlayRestarts(seed, 3, 0.03);
--- a/testing/support/scheduler_driver.h
+++ b/testing/support/scheduler_driver.h
@@ -156,8 +156,9 @@
   std::map<std::string, Record> kept;         // The newest of each key.
   std::vector<ExplainAction> lines;           // For the log.
   std::set<std::string> good;
-  std::set<std::string> other_lives;  // Answer that another life is there.
-  std::set<std::string> down;         // Nothing listens there.
+  std::set<std::string> other_lives;   // Answer that another life is there.
+  std::set<std::string> down;          // Nothing listens there.
+  std::set<std::string> loses_starts;  // Starts get no answer and do not run.
   // By a life that is over: the life of the same worker that is there now. It
   // carries out orders that are sent to the earlier one.
   std::map<std::string, std::string> next_lives;
@@ -173,6 +174,7 @@
   std::vector<std::vector<int32_t>> hopes;     // Of each of them.
   std::vector<StartOrder> starts;              // That were carried out.
   std::vector<std::string> start_workers;
+  std::vector<StartOrder> lost_starts;
   std::vector<StopOrder> stops;
   std::vector<std::string> stop_workers;
   std::vector<ObserveAction> looks;
@@ -262,8 +264,11 @@
         AnswerAdvice(*ask);
     } else if (const auto* start = std::get_if<StartAction>(&action)) {
       OrderReply reply;
-      reply.result = ResultAt(start->worker.id, OrderResult::kDone);
+      const bool lost = loses_starts.count(start->worker.id) > 0;
+      reply.result = ResultAt(
+          start->worker.id, lost ? OrderResult::kUnknown : OrderResult::kDone);
       scheduler_.OnStartReply(*start, reply, now());
+      if (lost) lost_starts.push_back(start->order);
       if (reply.result != OrderResult::kDone) return;
       starts.push_back(start->order);
       start_workers.push_back(start->worker.id);
