Sight: what a step that waits for long lacks

The logs told that 12,900 tasks waited, not which of them could have run nor what kept them.

step_waits tells for the eight such steps that lack most: what fits in the free room, on workers known to be allowed, of that what is not kept for others, with tickets, and how often it asked.

--- a/keelbridge/coordination/job_scheduler.h
+++ b/keelbridge/coordination/job_scheduler.h
@@ -660,6 +660,20 @@
   // Stops one of them for which there is room elsewhere now.
   void MoveFromLeavingWorker(ReadyStep& ready, Now now);
 
+  // job_scheduler_waiting.cc
+  // What there is for a step that waits. In tasks of it.
+  struct WaitingRoom {
+    int64_t fits = 0;           // On all workers of its pool.
+    int64_t fits_good = 0;      // On those known to be allowed to run it,
+    int64_t fits_unheld = 0;    // of that, what is not kept for others,
+    int64_t fits_ticketed = 0;  // and on those that it has a ticket of.
+    int32_t workers_good = 0;
+    int32_t workers_bad = 0;  // Known not to be allowed to.
+  };
+  WaitingRoom FindWaitingRoom(const ReadyStep& ready, Now now) const;
+  // Tells of some of the steps that have waited for long, once in a while.
+  void ExplainWaiting(const std::vector<ReadyStep>& ready, Now now);
+
   // job_scheduler_pending_starts.cc
   // Puts the placement on record; the order leaves once that is durable.
   void StartOnceDurable(Job& job, TaskState& task, StartAction action);
@@ -840,6 +854,7 @@
   Unseen unseen_;  // As of that look.
   bool recovery_told_ = false;
   absl::Time next_recovery_line_ = absl::InfinitePast();
+  absl::Time next_waiting_lines_ = absl::InfinitePast();
   bool fenced_ = false;
   bool suspended_ = false;
   absl::Duration lag_;
--- a/keelbridge/coordination/job_scheduler_placement.cc
+++ b/keelbridge/coordination/job_scheduler_placement.cc
@@ -334,6 +334,7 @@
     pool.ask_for -= static_cast<double>(step.waiting) * need.cpu_milli;
   }
   figures_.gangs_holding = kept.gangs + kept.ready_gangs;
+  ExplainWaiting(ready, now);
   // What fills free room as fast as it can be ordered goes on at once.
   if (starts_left_ <= 0) next_late_look_ = now.mono;
 }
--- /dev/null
+++ b/keelbridge/coordination/job_scheduler_waiting_test.cc
@@ -0,0 +1,51 @@
+// What the log tells of steps that wait.
+
+#include <doctest/doctest.h>
+
+#include <map>
+#include <string>
+
+#include "testing/support/scheduler_driver.h"
+
+namespace keelbridge::testing {
+namespace {
+
+std::map<std::string, std::string> LastLine(const SchedulerDriver& site,
+                                            const std::string& event) {
+  std::map<std::string, std::string> fields;
+  for (const ExplainAction& line : site.lines) {
+    if (line.event != event) continue;
+    fields.clear();
+    for (const auto& [key, value] : line.fields)
+      fields[std::string(key)] = std::string(value);
+  }
+  return fields;
+}
+
+// A gang with room twice over waits since few may run it, and the log tells so.
+TEST_CASE("job scheduler: the log tells what a step that waits lacks") {
+  SchedulerDriver site(1);
+  site.UseAdvice();
+  for (const char* worker : {"a", "b"}) {
+    site.AddWorker(worker, 8000);
+    site.lists[worker];
+  }
+  site.good = {"a"};
+  site.RunUntil(absl::Milliseconds(100));
+  JobSpec spec;
+  spec.steps = {OneTask(2000)};
+  spec.steps[0].count = 6;
+  spec.steps[0].gang = true;
+  site.scheduler().Submit(kJob, "restore", spec, site.now());
+  site.RunUntil(absl::Seconds(8));
+  REQUIRE(site.starts.empty());
+  auto fields = LastLine(site, "step_waits");
+  CHECK(fields["fits"] == "8");
+  CHECK(fields["fits_good"] == "4");
+  CHECK(fields["workers_good"] == "1");
+  CHECK(fields["workers_bad"] == "1");
+  CHECK(fields["waiting"] == "6");
+}
+
+}  // namespace
+}  // namespace keelbridge::testing
