--- a/testing/site_simulation_test.cc
+++ b/testing/site_simulation_test.cc
@@ -482,6 +482,8 @@
     "site: no sound job is given up as workers start again all the time") {
   PlayRestarts(kGivesUpSoundJob, 3, 0);
   for (uint64_t seed = 1; seed <= 60; ++seed) PlayRestarts(seed, 5, 0);
+  // A series of restarts takes the task's worker three and four times in a row.
+  for (const uint64_t seed : {106, 407, 490}) PlayRestarts(seed, 5, 0);
 }
 
 }  // namespace
