Test: a step whose turn comes under a new leader does not wait for a worker that left

Cause, now shown: the end of the step before comes from before the new leader (its batch was not kept), and a worker on record that has left answers nobody: all recovered work waited for that worker's last lease (earlier bound 6 s and lease 6.2 s), room twice over or not. Left: a worker that is cut off before its leader hears that it leaves is still waited for, since what may run there is not known.

--- /dev/null
+++ b/keelbridge/coordination/job_scheduler_left_worker_test.cc
@@ -0,0 +1,86 @@
+// A leader is cut off, and its successor finds a worker on record that has
+// left.
+
+#include <doctest/doctest.h>
+
+#include <string>
+#include <vector>
+
+#include "testing/support/scheduler_driver.h"
+
+namespace keelbridge::testing {
+namespace {
+
+constexpr JobId kOtherJob = 9;
+// Users take a job for lost that could run and does not for this long.
+constexpr absl::Duration kTolerated = absl::Seconds(3);
+
+JobSpec TwoSteps() {
+  JobSpec spec;
+  spec.steps = {OneTask(), OneTask()};
+  spec.steps[1].after = {0};
+  return spec;
+}
+
+// Under a first leader step 0 of the job runs on "a", and "left" runs a task of
+// another job as it says that it leaves.
+void RunFirstLeader(SchedulerDriver& first) {
+  first.AddWorker("a", 2000);
+  first.lists["a"];
+  first.RunUntil(absl::Milliseconds(100));
+  first.scheduler().Submit(kJob, "restore", TwoSteps(), first.now());
+  first.RunUntil(absl::Milliseconds(300));
+  first.AddWorker("left");
+  first.lists["left"];
+  first.RunUntil(absl::Milliseconds(500));
+  JobSpec other;
+  other.steps = {OneTask()};
+  first.scheduler().Submit(kOtherJob, "restore", other, first.now());
+  first.RunUntil(absl::Milliseconds(700));
+  REQUIRE(first.start_workers == std::vector<std::string>{"a", "left"});
+  WorkerRecord leaves = SchedulerDriver::RecordOf("left", 8000);
+  leaves.draining = true;
+  leaves.leaves_in_ms = 500;
+  first.scheduler().OnWorkerRecord(leaves, first.now());
+  first.RunUntil(absl::Seconds(1));
+}
+
+// The successor, which "left" does not answer, with room for all on "b".
+void TakeOver(SchedulerDriver& second, SchedulerDriver& first) {
+  second.TakeOver(first);
+  second.AddWorker("b");
+  second.AddWorker("a", 2000);
+  second.lists["b"];
+  second.lists["a"] = first.lists["a"];
+}
+
+TEST_CASE(
+    "job scheduler: a step whose turn comes under a new leader does not wait "
+    "for a worker that left with others' runs") {
+  SchedulerDriver first(1);
+  RunFirstLeader(first);
+  SchedulerDriver second(2);
+  TakeOver(second, first);
+  second.RunUntil(absl::Seconds(1));
+  second.End("a", {1, kTask, first.starts[0].run, RunEnd::kDone, ""});
+  second.RunUntil(absl::Seconds(1) + kTolerated);
+  REQUIRE(second.starts.size() == 1);
+  CHECK(second.starts[0].task == TaskId{kJob, 0, 1, 0});
+}
+
+TEST_CASE(
+    "job scheduler: nor does one that follows an end from before the new "
+    "leader") {
+  SchedulerDriver first(1);
+  RunFirstLeader(first);
+  first.hold_batches = true;  // Its end is not kept, and the leader is cut off.
+  SchedulerDriver second(2);
+  TakeOver(second, first);
+  second.End("a", {1, kTask, first.starts[0].run, RunEnd::kDone, ""});
+  second.RunUntil(kTolerated);
+  REQUIRE(second.starts.size() == 1);
+  CHECK(second.starts[0].task == TaskId{kJob, 0, 1, 0});
+}
+
+}  // namespace
+}  // namespace keelbridge::testing
