--- a/keelbridge/coordination/job_scheduler.h
+++ b/keelbridge/coordination/job_scheduler.h
@@ -410,8 +410,6 @@
   bool IsGone(const Worker& worker, Now now) const;
   void TickWorker(Worker& worker, Now now);
   bool LookIsDue(const Worker& worker, Now now) const;
-  // It is silent, and its next life may get an order meant for this one.
-  bool MustBeFencedSoon(const Worker& worker, Now now) const;
   void SendLook(Worker& worker, Now now);
   void OnLookFailed(Worker& worker, const ObserveAction& action,
                     const OrderReply& reply, absl::Time sent, Now now);
@@ -546,16 +544,13 @@
   void GiveUpRun(const Worker& worker, const RunKey& key, const Occupant& run,
                  Now now);
   // The run of `worker` is given up, or about to be, without an answer.
-  void NoteUnanswered(const Worker& worker, const RunKey& key,
-                      const Occupant& run, Now now);
+  void NoteUnansweredStart(const Worker& worker, const RunKey& key,
+                           const Occupant& run, Now now);
   // Its worker told of the run.
   void ForgetUnanswered(Job& job, TaskState& task, int32_t run);
   // The task is kept off other workers: an order to start it may be carried
   // out yet.
   bool WaitsForUnanswered(const TaskState& task, Now now) const;
-  // Until when a worker of that name may carry out orders that it has not
-  // answered.
-  absl::Time UnansweredUntil(const std::string& name) const;
   // The one worker that may start such a task: that which has the order. It
   // drops the order once it has heard of the later run. Null: none.
   Worker* WorkerOfUnanswered(const ReadyStep& ready, const TaskState& task,
@@ -785,9 +780,7 @@
   std::map<JobId, Job*> active_;  // Those that have not ended.
   std::map<std::string, std::unique_ptr<Worker>> workers_;  // By life.
   std::map<std::string, int64_t> fences_;  // The highest, by worker's name.
-  // By worker's name: until when it may carry out orders that it has not
-  // answered.
-  std::map<std::string, absl::Time> unanswered_until_;
+  // When a worker was last found to have started again under its name.
   absl::Time restart_seen_ = absl::InfinitePast();
   std::shared_ptr<const SiteConfiguration> configuration_;
   absl::flat_hash_map<JobId, JobTimes> job_times_;
--- a/keelbridge/coordination/job_scheduler_unanswered.cc
+++ b/keelbridge/coordination/job_scheduler_unanswered.cc
@@ -9,11 +9,9 @@
 // starts on the same worker, which then runs it once whatever becomes of the
 // order.
 //
-// A task that waits may be late for its job. Where no worker has started again
-// under its name of late, tasks do not wait: a silent worker is looked at often
-// instead, so that its next life is told of the fence soon.
+// A task that waits may be late for its job. So none does where no worker has
+// started again under its name of late.
 
-#include <algorithm>
 #include <string>
 #include <utility>
 
@@ -47,18 +45,15 @@
 void JobScheduler::GiveUpRun(const Worker& worker, const RunKey& key,
                              const Occupant& run, Now now) {
   if (IsUnanswered(run, now)) ++figures_.starts_unanswered;
-  NoteUnanswered(worker, key, run, now);
+  NoteUnansweredStart(worker, key, run, now);
   Requeue(key.first, key.second, worker.record.id, now.mono);
 }
 
-void JobScheduler::NoteUnanswered(const Worker& worker, const RunKey& key,
-                                  const Occupant& run, Now now) {
-  if (!IsUnanswered(run, now)) return;
-  const std::string name = ParseWorkerLife(worker.record.id).name;
+void JobScheduler::NoteUnansweredStart(const Worker& worker, const RunKey& key,
+                                       const Occupant& run, Now now) {
   const absl::Time until = run.ordered + options_.longest_order_delay;
-  absl::Time& latest = unanswered_until_[name];
-  latest = std::max(latest, until);
-  if (!WorkersRestart(now) || until <= now.mono) return;
+  if (!IsUnanswered(run, now) || !WorkersRestart(now) || until <= now.mono)
+    return;
   const auto job = jobs_.find(key.first.job);
   if (job == jobs_.end() || job->second->Ended()) return;
   TaskState* task = job->second->FindTask(key.first);
@@ -67,6 +62,7 @@
       job->second->spec.steps[step].duplicates)
     return;
   if (task->unanswered.run == key.second) return;
+  const std::string name = ParseWorkerLife(worker.record.id).name;
   task->unanswered = {name, key.second, until};
   MarkDirty(*job->second);
   Explain("start_unanswered",
@@ -93,12 +89,6 @@
   return now.mono < until;
 }
 
-absl::Time JobScheduler::UnansweredUntil(const std::string& name) const {
-  const auto found = unanswered_until_.find(name);
-  return found == unanswered_until_.end() ? absl::InfinitePast()
-                                          : found->second;
-}
-
 // Only a task that lasts: another could be done, and the order still be out.
 JobScheduler::Worker* JobScheduler::WorkerOfUnanswered(const ReadyStep& ready,
                                                        const TaskState& task,
--- a/keelbridge/coordination/job_scheduler_workers.cc
+++ b/keelbridge/coordination/job_scheduler_workers.cc
@@ -25,10 +25,6 @@
 constexpr absl::Duration kLossSettled = absl::Seconds(1);
 // Looks at one worker that may be under way at a time.
 constexpr int kMostLooks = 3;
-// Looks at a worker that is silent while an order to start may still reach its
-// next life: that refuses the order once it has answered a look.
-constexpr int kMostFencingLooks = 12;
-constexpr absl::Duration kFenceEvery = absl::Milliseconds(50);
 // A task of at most this estimate is checked on once its end is overdue, after
 // so many times the estimate, and again after each pause.
 constexpr int64_t kCheckedEstimateMs = 2000;
@@ -253,7 +249,7 @@
       occupant->second.uncertain_since = now.mono;
       worker.unsettled = true;
       if (current) task->phase = TaskPhase::kUncertain;
-      NoteUnanswered(worker, key, occupant->second, now);
+      NoteUnansweredStart(worker, key, occupant->second, now);
       worker.next_observe = now.mono;
       worker.look_wanted = options_.policy.settle_soon;
       Attend(worker);
@@ -546,9 +542,6 @@
 
 bool JobScheduler::LookIsDue(const Worker& worker, Now now) const {
   if (worker.look_wanted) return worker.looks_open < kMostLooks;
-  if (MustBeFencedSoon(worker, now))
-    return worker.looks_open < kMostFencingLooks &&
-           now.mono - worker.look_sent >= kFenceEvery;
   if (worker.looks_open == 0) return now.mono >= worker.next_observe;
   // The answer to the one under way may be lost.
   return options_.policy.settle_soon && worker.looks_open == 1 &&
@@ -558,11 +551,6 @@
              kLossyObserveWait + answer_times_.Patience();
 }
 
-bool JobScheduler::MustBeFencedSoon(const Worker& worker, Now now) const {
-  return worker.failed_observations > 0 &&
-         UnansweredUntil(ParseWorkerLife(worker.record.id).name) > now.mono;
-}
-
 absl::Time JobScheduler::CheckTime(const TaskId& task, absl::Time now) const {
   const auto job = jobs_.find(task.job);
   if (job == jobs_.end()) return absl::InfiniteFuture();
