Failing test: a run that its leaving worker cannot finish is back soon

A run of 17 s is placed 0.3 s before its worker says that it leaves in 9 s. The test has no start within 3 s of the worker's end. Only what lasts is moved off a worker that leaves; a run that cannot end in time should be, too.

--- a/keelbridge/coordination/job_scheduler_left_worker_test.cc
+++ b/keelbridge/coordination/job_scheduler_left_worker_test.cc
@@ -82,5 +82,33 @@
   CHECK(second.starts[0].task == TaskId{kJob, 0, 1, 0});
 }
 
+// The worker says that it leaves long before the run could end there, and the
+// run's job waits for the worker's lease once it has left.
+TEST_CASE(
+    "job scheduler: a run that its leaving worker cannot finish is back soon") {
+  constexpr absl::Duration kLeaves = absl::Seconds(9);
+  SchedulerDriver site(1);
+  site.AddWorker("a");
+  site.lists["a"];
+  site.RunUntil(absl::Milliseconds(100));
+  JobSpec spec;
+  spec.steps = {OneTask()};
+  spec.steps[0].estimated_ms = 17000;
+  site.scheduler().Submit(kJob, "restore", spec, site.now());
+  site.RunUntil(absl::Milliseconds(500));
+  REQUIRE(site.start_workers == std::vector<std::string>{"a"});
+  site.AddWorker("b");
+  site.lists["b"];
+  WorkerRecord leaves = SchedulerDriver::RecordOf("a", 8000);
+  leaves.draining = true;
+  leaves.leaves_in_ms = absl::ToInt64Milliseconds(kLeaves);
+  site.scheduler().OnWorkerRecord(leaves, site.now());
+  site.RunUntil(kLeaves);
+  site.lists.erase("a");
+  site.scheduler().OnWorkerRemoved("a");
+  site.RunUntil(kLeaves + kTolerated);
+  CHECK(site.starts.size() == 2);
+}
+
 }  // namespace
 }  // namespace keelbridge::testing
