Sight: a wait is explained by what made up most of it

Cause: `recovered_work_free` cleared the reason, and a later `step_blocked` took its place.

Change: the period in which recovered work waits is kept with its times, and explains a wait that it makes up for more than half of.

--- a/keelbridge/cli/job_timeline.cc
+++ b/keelbridge/cli/job_timeline.cc
@@ -7,11 +7,15 @@
 #include "absl/strings/match.h"
 #include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
+#include "absl/time/time.h"
 #include "keelbridge/base/json_reader.h"
 
 namespace keelbridge::cli {
 namespace {
 
+// Shorter waits of a task are not listed among the causes.
+constexpr absl::Duration kMinExplainedWait = absl::Milliseconds(500);
+
 // Events that concern every job of the site.
 const std::set<std::string>& SiteEvents() {
   static const auto* events =
@@ -27,7 +31,8 @@
                                 "node_draining",
                                 "configuration_in_force",
                                 "recovered_work_waits",
-                                "recovered_work_free"};
+                                "recovered_work_free",
+                                "handover_received"};
   return *events;
 }
 
@@ -94,6 +99,7 @@
       {"recovered_work_waits",
        "recovered work waits for an unresponsive worker"},
       {"recovered_work_free", "recovered work no longer waits for a worker"},
+      {"handover_received", "an earlier leader handed over what it knew"},
       {"runs_lost", "all runs of a worker were given up"},
       {"worker_silent", "a worker is unresponsive"},
       {"worker_back", "the worker responds again"},
@@ -110,6 +116,44 @@
   return absl::SimpleAtoi(text, &value) ? value : 0;
 }
 
+// Returns the time in a log line; InfinitePast if it is malformed.
+absl::Time ParseLogTime(const std::string& text) {
+  absl::Time time;
+  std::string error;
+  return absl::ParseTime(absl::RFC3339_full, text, &time, &error)
+             ? time
+             : absl::InfinitePast();
+}
+
+// The latest period in which recovered work waited for a worker.
+class RecoveryWait {
+ public:
+  void AddLine(const std::string& time, const Json::Value& fields) {
+    const std::string event = Field(fields, "event");
+    if (event == "recovered_work_waits") {
+      worker_ = Field(fields, "last_worker");
+      if (end_ < absl::InfiniteFuture()) begin_ = ParseLogTime(time);
+      end_ = absl::InfiniteFuture();
+    } else if (event == "recovered_work_free") {
+      end_ = ParseLogTime(time);
+    }
+  }
+  const std::string& worker() const { return worker_; }
+  // Returns whether the period makes up most of a wait of length `waited` that
+  // ended at `start`.
+  bool Explains(const std::string& start, absl::Duration waited) const {
+    const absl::Time until = ParseLogTime(start);
+    const absl::Duration overlap =
+        std::min(end_, until) - std::max(begin_, until - waited);
+    return overlap > waited / 2;
+  }
+
+ private:
+  std::string worker_;
+  absl::Time begin_ = absl::InfinitePast();
+  absl::Time end_ = absl::InfinitePast();
+};
+
 }  // namespace
 
 JobTimeline::JobTimeline(JobId job) : job_(JobIdText(job)) {}
@@ -163,6 +207,7 @@
       out.push_back(std::move(cause));
   };
   std::string blocked;
+  RecoveryWait recovery;
   for (const Line& line : RelevantLines()) {
     const Json::Value& f = line.fields;
     const std::string event = Field(f, "event");
@@ -190,14 +235,16 @@
       add(absl::StrCat("a run on ", Field(f, "worker"), " ended ",
                        Field(f, "how")));
     if (event == "step_blocked") blocked = Field(f, "why");
-    if (event == "recovered_work_waits")
-      blocked = absl::StrCat("worker ", Field(f, "last_worker"),
-                             " might still run it for an earlier leader");
-    if (event == "recovered_work_free") blocked.clear();
+    recovery.AddLine(line.time, f);
     const bool start = event == "start_sent" || event == "start_kept";
-    if (start && ParseNumberOrZero(Field(f, "waited_ms")) >= 500)
-      add(absl::StrCat("a task waited ", Field(f, "waited_ms"), " ms: ",
-                       blocked.empty() ? "no cause was logged" : blocked));
+    const absl::Duration waited =
+        absl::Milliseconds(ParseNumberOrZero(Field(f, "waited_ms")));
+    if (!start || waited < kMinExplainedWait) continue;
+    std::string why = blocked.empty() ? "no cause was logged" : blocked;
+    if (recovery.Explains(line.time, waited))
+      why = absl::StrCat("worker ", recovery.worker(),
+                         " might still run it for an earlier leader");
+    add(absl::StrCat("a task waited ", Field(f, "waited_ms"), " ms: ", why));
   }
   return out;
 }
--- a/keelbridge/cli/job_timeline_test.cc
+++ b/keelbridge/cli/job_timeline_test.cc
@@ -70,6 +70,28 @@
       "leader"));
 }
 
+// Guards against a wait for a worker's lease that is put down to the short wait
+// for advice after it.
+TEST_CASE("job story: a wait is explained by what made up most of it") {
+  JobTimeline timeline(kJob);
+  timeline.AddLine(
+      R"({"time":"2026-01-01T00:00:01.000Z","process":"node/a","event":"job_taken","job":"5c0e7a21d94b36f8"})");
+  timeline.AddLine(
+      R"({"time":"2026-01-01T00:00:03.000Z","process":"node/b","event":"recovered_work_waits","last_worker":"i-9"})");
+  timeline.AddLine(
+      R"({"time":"2026-01-01T00:00:04.000Z","process":"node/b","event":"recovered_work_waits","last_worker":"i-9"})");
+  timeline.AddLine(
+      R"({"time":"2026-01-01T00:00:11.000Z","process":"node/b","event":"recovered_work_free"})");
+  timeline.AddLine(
+      R"({"time":"2026-01-01T00:00:11.000Z","process":"node/b","event":"step_blocked","job":"5c0e7a21d94b36f8","why":"waits for advice"})");
+  timeline.AddLine(
+      R"({"time":"2026-01-01T00:00:11.200Z","process":"node/b","event":"start_sent","task":"5c0e7a21d94b36f8.0.0.1","worker":"i-1","waited_ms":"10000"})");
+  CHECK(absl::StrContains(
+      timeline.Text(),
+      "a task waited 10000 ms: worker i-9 might still run it for an earlier "
+      "leader"));
+}
+
 TEST_CASE("job story: a wait after recovery ended has other causes") {
   JobTimeline timeline(kJob);
   timeline.AddLine(
