A leader that has stopped hands over what it could not make durable

Cause: the leader was in the zone that was cut. It heard that the two tasks were done and could make nothing durable. Their worker had said that it leaves and left within the cut, so the next leader never heard of the ends. That leader asked the earlier one whether it had stopped, and was told when it had stopped and nothing of what it knew. It waited for the worker's lease and repeated the tasks.

Change: the answer of a leader that has stopped carries the ends that are not durable, and for workers that the next leader may not reach the tasks that may still run there. The next leader applies the ends as if the worker had listed them, and waits for the remaining tasks only. Facts about a worker that it has reached itself are ignored, and remaining tasks count only from the leader that last used the worker by its record. A node that leads again hands over to itself, and what is not durable yet is handed on.

Why this works: an end is acknowledged only once it is durable, so that every worker that stays tells the next leader. Only workers that leave do not, and for those the earlier leader now tells.

Eight tests of the scheduler and two of the message are new.

--- a/keelbridge/coordination/job_scheduler.h
+++ b/keelbridge/coordination/job_scheduler.h
@@ -42,6 +42,7 @@
 #include "keelbridge/coordination/job_objective.h"
 #include "keelbridge/coordination/scheduler_policy.h"
 #include "keelbridge/protocol/job.h"
+#include "keelbridge/protocol/leader_handover.h"
 #include "keelbridge/protocol/record_store.h"
 #include "keelbridge/protocol/site_configuration.h"
 #include "keelbridge/protocol/site_worker.h"
@@ -192,6 +193,12 @@
   // Reports that the earlier leaders give no more orders. They gave the last
   // order no later than `last_order`.
   void OnEarlierLeadersStopped(absl::Time last_order);
+  // Returns what the next leader cannot learn from the store. To be called once
+  // this leader sends no more orders.
+  LeaderHandover Handover() const;
+  // Applies the handover of an earlier leader to the workers that this leader
+  // has not reached.
+  void OnHandover(const LeaderHandover& handover, Now now);
   // Reports a worker's entry in the platform's list of workers.
   void OnWorkerRecord(const WorkerRecord& record, Now now);
   // Reports that the platform no longer lists a worker of that name. The worker
@@ -300,6 +307,10 @@
     int32_t preemptible_below = 0;
     absl::Time preemptible_until = absl::InfinitePast();
   };
+  struct UnacknowledgedEnd {
+    EndedTask end;
+    int64_t batch = 0;  // The batch that holds what follows from the end.
+  };
   using RunKey = std::pair<TaskId, int32_t>;
   using Allocations = std::map<RunKey, Allocation>;
   struct Worker {
@@ -365,8 +376,8 @@
     int64_t ends_acknowledged = 0;
     // Ends up to this number were processed by this leader.
     int64_t ends_processed = 0;
-    // Ends that are not durable yet: the number of each and its batch.
-    std::deque<std::pair<int64_t, int64_t>> unacknowledged_ends;
+    // Ends that are not durable yet.
+    std::deque<UnacknowledgedEnd> unacknowledged_ends;
     int64_t clock_ms = -1;
     // When `clock_ms` was received.
     absl::Time clock_at;
@@ -505,6 +516,10 @@
   // which tasks may still run there.
   void RetireDrainingWorker(Worker& worker);
 
+  // job_scheduler_handover.cc
+  // Returns the tasks that may run on the worker, in ascending order.
+  static std::vector<TaskId> TasksOn(const Worker& worker);
+
   // job_scheduler_losses.cc
   // Returns whether another incarnation of the worker's machine has answered
   // more recently than the worker.
@@ -705,6 +720,9 @@
   void LogRecoveryWait(Now now);
 
   // job_scheduler_runs.cc
+  // Processes an end of a run on the worker and remembers it until it is
+  // durable. Returns false if it was processed before.
+  bool ProcessEnd(Worker& worker, const EndedTask& end, Now now);
   void OnRunEnded(Worker& worker, const EndedTask& end, Now now);
   void OnTaskDone(Job& job, const EndedTask& end, Now now);
   void OnTaskFailed(Worker& worker, Job& job, const EndedTask& end, Now now);
--- /dev/null
+++ b/keelbridge/coordination/job_scheduler_handover_test.cc
@@ -0,0 +1,243 @@
+// Tests what a leader that could not make its knowledge durable hands over to
+// the next one.
+
+#include <doctest/doctest.h>
+
+#include <string>
+#include <vector>
+
+#include "testing/support/scheduler_driver.h"
+
+namespace keelbridge::testing {
+namespace {
+
+// Users consider a job lost if it could run but does not for this long.
+constexpr absl::Duration kMaxRestartDelay = absl::Seconds(3);
+// Longer than the longest lease that the driver's workers grant.
+constexpr absl::Duration kLeaseOver = absl::Milliseconds(6500);
+// When the earlier leader is cut off from the store.
+constexpr absl::Duration kCutAt = absl::Seconds(1);
+
+JobSpec TwoStepJob() {
+  JobSpec spec;
+  spec.steps = {OneTask(), OneTask()};
+  spec.steps[1].after = {0};
+  return spec;
+}
+
+// Runs a first leader under which the only started task of the job runs on
+// "leaving", which reports that it leaves. The leader is then cut off from the
+// store.
+void RunFirstLeader(SchedulerDriver& first, const JobSpec& spec) {
+  first.AddWorker("leaving");
+  first.reports["leaving"];
+  first.RunUntil(absl::Milliseconds(100));
+  first.scheduler().Submit(kJob, "restore", spec, first.now());
+  first.RunUntil(absl::Milliseconds(300));
+  REQUIRE(first.starts.size() == 1);
+  WorkerRecord leaves = SchedulerDriver::RecordOf("leaving", 8000);
+  leaves.draining = true;
+  leaves.leaves_in_ms = 10000;
+  first.scheduler().OnWorkerRecord(leaves, first.now());
+  first.RunUntil(kCutAt);
+  first.hold_batches = true;
+}
+
+// Lets the run on "leaving" end; only the first leader hears of it.
+void EndHeardByFirst(SchedulerDriver& first, RunEnd how,
+                     const std::string& checkpoint = "") {
+  first.End("leaving",
+            {1, first.starts[0].task, first.starts[0].run, how, checkpoint});
+  first.RunUntil(kCutAt + absl::Milliseconds(500));
+}
+
+// Starts a later leader, which reaches "b" and does not reach "leaving".
+void TakeOver(SchedulerDriver& second, const SchedulerDriver& first) {
+  second.TakeOver(first);
+  second.AddWorker("b");
+  second.reports["b"];
+  second.RunUntil(absl::Seconds(1));
+}
+
+// Guards against a wait for the lease of a worker that has left, and a second
+// run of its task, although the earlier leader has heard that the task is done.
+TEST_CASE(
+    "job scheduler: a step starts after an end that only the leader before had "
+    "heard") {
+  SchedulerDriver first(1);
+  RunFirstLeader(first, TwoStepJob());
+  EndHeardByFirst(first, RunEnd::kDone);
+  SchedulerDriver second(2);
+  TakeOver(second, first);
+  REQUIRE(second.starts.empty());
+  second.scheduler().OnHandover(first.scheduler().Handover(), second.now());
+  second.RunUntil(absl::Seconds(1) + kMaxRestartDelay);
+  REQUIRE(second.starts.size() == 1);
+  CHECK(second.starts[0].task == TaskId{kJob, 0, 1, 0});
+}
+
+// Guards against a lost checkpoint and a wait for a run that was stopped.
+TEST_CASE(
+    "job scheduler: a task continues from the checkpoint of a stop that only "
+    "the leader before had heard") {
+  JobSpec spec;
+  spec.steps = {OneTask()};
+  spec.steps[0].checkpoints = true;
+  SchedulerDriver first(1);
+  RunFirstLeader(first, spec);
+  EndHeardByFirst(first, RunEnd::kStopped, "saved");
+  SchedulerDriver second(2);
+  TakeOver(second, first);
+  second.scheduler().OnHandover(first.scheduler().Handover(), second.now());
+  second.RunUntil(absl::Seconds(1) + kMaxRestartDelay);
+  REQUIRE(second.starts.size() == 1);
+  CHECK(second.starts[0].checkpoint == "saved");
+}
+
+// Guards against attempts beyond the limit: the failure was heard only by the
+// earlier leader.
+TEST_CASE("job scheduler: a failed run that is handed over counts once") {
+  JobSpec spec;
+  spec.steps = {OneTask()};
+  SchedulerDriver first(1);
+  RunFirstLeader(first, spec);
+  EndHeardByFirst(first, RunEnd::kFailed);
+  SchedulerDriver second(2);
+  TakeOver(second, first);
+  const LeaderHandover handover = first.scheduler().Handover();
+  second.scheduler().OnHandover(handover, second.now());
+  second.scheduler().OnHandover(handover, second.now());
+  second.RunUntil(absl::Seconds(2));
+  // One of two attempts is left.
+  REQUIRE(second.starts.size() == 1);
+  second.End("b", {1, kTask, second.starts[0].run, RunEnd::kFailed, ""});
+  second.RunUntil(absl::Seconds(3));
+  CHECK(second.scheduler().Status(kJob) == JobState::kFailed);
+}
+
+// Guards against a second run beside the first: the run goes on where the
+// earlier leader last saw it.
+TEST_CASE(
+    "job scheduler: a task that still runs by a handover waits for the lease") {
+  JobSpec spec;
+  spec.steps = {OneTask()};
+  SchedulerDriver first(1);
+  RunFirstLeader(first, spec);
+  first.RunUntil(kCutAt + absl::Milliseconds(500));
+  SchedulerDriver second(2);
+  TakeOver(second, first);
+  second.scheduler().OnHandover(first.scheduler().Handover(), second.now());
+  second.RunUntil(absl::Seconds(5));
+  CHECK(second.starts.empty());
+  second.RunUntil(absl::Seconds(1) + kLeaseOver);
+  CHECK(second.starts.size() == 1);
+}
+
+// Guards against a wait of all recovered tasks for a worker whose departure the
+// earlier leader could not record.
+TEST_CASE(
+    "job scheduler: recovered work does not wait for a worker that was empty "
+    "as it left by a handover") {
+  SchedulerDriver first(1);
+  first.AddWorker("a", 2000);
+  first.reports["a"];
+  first.RunUntil(absl::Milliseconds(100));
+  JobSpec spec;
+  spec.steps = {OneTask()};
+  first.scheduler().Submit(kJob, "restore", spec, first.now());
+  first.AddWorker("leaving");
+  first.reports["leaving"];
+  first.RunUntil(kCutAt);
+  REQUIRE(first.start_workers == std::vector<std::string>{"a"});
+  first.hold_batches = true;
+  WorkerRecord leaves = SchedulerDriver::RecordOf("leaving", 8000);
+  leaves.draining = true;
+  first.scheduler().OnWorkerRecord(leaves, first.now());
+  first.RunUntil(kCutAt + absl::Milliseconds(200));
+
+  SchedulerDriver second(2);
+  second.TakeOver(first);
+  second.AddWorker("a", 2000);
+  second.reports["a"] = first.reports["a"];
+  second.End("a", {1, kTask, first.starts[0].run, RunEnd::kFailed, ""});
+  second.AddWorker("b");
+  second.reports["b"];
+  second.RunUntil(absl::Seconds(1));
+  REQUIRE(second.starts.empty());
+  second.scheduler().OnHandover(first.scheduler().Handover(), second.now());
+  second.RunUntil(absl::Seconds(1) + kMaxRestartDelay);
+  CHECK(second.starts.size() == 1);
+}
+
+// Guards against a double start: a leader in between has used the worker again,
+// so that what the earlier one knew of its runs no longer holds.
+TEST_CASE(
+    "job scheduler: a handover of a leader before the last does not free the "
+    "worker's tasks") {
+  JobSpec spec;
+  spec.steps = {OneTask()};
+  SchedulerDriver first(1);
+  RunFirstLeader(first, spec);
+  EndHeardByFirst(first, RunEnd::kFailed);
+  SchedulerDriver second(2);
+  second.TakeOver(first);
+  second.AddWorker("leaving");
+  second.reports["leaving"];
+  second.RunUntil(absl::Seconds(1));
+  REQUIRE(second.starts.size() == 1);
+  REQUIRE(second.start_workers[0] == "leaving");
+  SchedulerDriver third(3);
+  TakeOver(third, second);
+  third.scheduler().OnHandover(first.scheduler().Handover(), third.now());
+  third.RunUntil(absl::Seconds(5));
+  CHECK(third.starts.empty());
+}
+
+// Guards against ends that are lost with the leader that received them in a
+// handover.
+TEST_CASE(
+    "job scheduler: ends that were handed over are handed over again until "
+    "they are durable") {
+  SchedulerDriver first(1);
+  RunFirstLeader(first, TwoStepJob());
+  EndHeardByFirst(first, RunEnd::kDone);
+  SchedulerDriver second(2);
+  TakeOver(second, first);
+  second.hold_batches = true;
+  second.scheduler().OnHandover(first.scheduler().Handover(), second.now());
+  SchedulerDriver third(3);
+  third.TakeOver(first);
+  third.AddWorker("b");
+  third.reports["b"];
+  third.RunUntil(absl::Seconds(1));
+  third.scheduler().OnHandover(second.scheduler().Handover(), third.now());
+  third.RunUntil(absl::Seconds(1) + kMaxRestartDelay);
+  REQUIRE(third.starts.size() == 1);
+  CHECK(third.starts[0].task == TaskId{kJob, 0, 1, 0});
+  third.RunUntil(absl::Seconds(5));
+  CHECK(third.scheduler().Handover().workers.empty());
+}
+
+// Guards against ends that count twice: a worker that the new leader reaches
+// reports them itself.
+TEST_CASE(
+    "job scheduler: a handover changes nothing at a worker that has reported") {
+  SchedulerDriver first(1);
+  RunFirstLeader(first, TwoStepJob());
+  EndHeardByFirst(first, RunEnd::kDone);
+  SchedulerDriver second(2);
+  second.TakeOver(first);
+  second.AddWorker("leaving");
+  second.reports["leaving"] = first.reports["leaving"];
+  second.AddWorker("b");
+  second.reports["b"];
+  second.RunUntil(absl::Seconds(1));
+  REQUIRE(second.starts.size() == 1);
+  second.scheduler().OnHandover(first.scheduler().Handover(), second.now());
+  second.RunUntil(absl::Seconds(2));
+  CHECK(second.starts.size() == 1);
+  CHECK(second.scheduler().figures().ends_done == 1);
+}
+
+}  // namespace
+}  // namespace keelbridge::testing
--- a/keelbridge/coordination/job_scheduler_runs.cc
+++ b/keelbridge/coordination/job_scheduler_runs.cc
@@ -125,6 +125,17 @@
   }
 }
 
+bool JobScheduler::ProcessEnd(Worker& worker, const EndedTask& end, Now now) {
+  if (end.number <= worker.ends_processed) return false;
+  OnRunEnded(worker, end, now);
+  worker.ends_processed = end.number;
+  if (worker.unacknowledged_ends.empty())
+    workers_with_unacknowledged_ends_.push_back(&worker);
+  worker.unacknowledged_ends.push_back({end, next_batch_});
+  batch_needed_ = true;
+  return true;
+}
+
 void JobScheduler::OnRunEnded(Worker& worker, const EndedTask& end, Now now) {
   const RunKey key{end.task, end.run};
   const auto found = jobs_.find(end.task.job);
--- a/keelbridge/coordination/job_scheduler_workers.cc
+++ b/keelbridge/coordination/job_scheduler_workers.cc
@@ -128,10 +128,7 @@
   if (worker.retired || !worker.record.draining || !worker.reported ||
       !worker.unacknowledged_ends.empty())
     return;
-  std::vector<TaskId> tasks;
-  for (const auto& [key, allocation] : worker.allocations) {
-    if (tasks.empty() || tasks.back() != key.first) tasks.push_back(key.first);
-  }
+  std::vector<TaskId> tasks = TasksOn(worker);
   // The recorded tasks include all that are left, so the record stays valid.
   const bool already_recorded =
       std::includes(worker.last_tasks.begin(), worker.last_tasks.end(),
@@ -415,15 +412,7 @@
   }
   worker.report_clock_ms = reply.order.clock_ms;
   worker.report_requested_at = std::max(worker.report_requested_at, sent);
-  for (const EndedTask& end : reply.ended) {
-    if (end.number <= worker.ends_processed) continue;
-    OnRunEnded(worker, end, now);
-    worker.ends_processed = end.number;
-    if (worker.unacknowledged_ends.empty())
-      workers_with_unacknowledged_ends_.push_back(&worker);
-    worker.unacknowledged_ends.emplace_back(end.number, next_batch_);
-    batch_needed_ = true;
-  }
+  for (const EndedTask& end : reply.ended) ProcessEnd(worker, end, now);
   for (const RunningTask& running : reply.running)
     OnRunReported(worker, running, now);
   GiveUpMissingRuns(worker, reply, sent, now);
@@ -493,8 +482,8 @@
 void JobScheduler::AcknowledgeDurableEnds(Worker& worker) {
   bool acknowledged = false;
   while (!worker.unacknowledged_ends.empty() &&
-         worker.unacknowledged_ends.front().second <= durable_batch_) {
-    worker.ends_acknowledged = worker.unacknowledged_ends.front().first;
+         worker.unacknowledged_ends.front().batch <= durable_batch_) {
+    worker.ends_acknowledged = worker.unacknowledged_ends.front().end.number;
     worker.unacknowledged_ends.pop_front();
     acknowledged = true;
   }
--- a/keelbridge/daemon/leader_session.cc
+++ b/keelbridge/daemon/leader_session.cc
@@ -72,6 +72,7 @@
 
 void LeaderSession::End(const std::string& why) {
   if (ended()) return;
+  if (active()) handover_ = scheduler_.Handover();
   phase_ = Phase::kEnded;
   LogEvent(Severity::kWarning, "term_ended",
            {{"epoch", absl::StrCat(epoch_)}, {"why", why}});
@@ -91,6 +92,8 @@
            {{"epoch", absl::StrCat(epoch_)},
             {"workers", absl::StrCat(worker_list_.figures().used)}});
   last_tick_ = SystemNow().mono;
+  for (const LeaderHandover& handover : std::exchange(queued_handovers_, {}))
+    scheduler_.OnHandover(handover, SystemNow());
   const auto queued_calls = std::exchange(queued_calls_, {});
   for (const QueuedCall& waiting : queued_calls)
     Handle(waiting.call, waiting.reply);
@@ -362,6 +365,14 @@
   ScheduleCycle();
 }
 
+void LeaderSession::OnHandover(LeaderHandover handover) {
+  if (ended()) return;
+  // The jobs and workers that it concerns are not loaded yet.
+  if (!active()) return queued_handovers_.push_back(std::move(handover));
+  scheduler_.OnHandover(handover, SystemNow());
+  ScheduleCycle();
+}
+
 void LeaderSession::PublishMetrics() {
   const JobScheduler::Figures f = scheduler_.figures();
   const auto set = [&](const char* name, int64_t value) {
--- a/keelbridge/daemon/leader_session.h
+++ b/keelbridge/daemon/leader_session.h
@@ -21,6 +21,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -85,6 +86,11 @@
   void OnEarlierLeaderSeen(int64_t epoch, absl::Time at) {
     scheduler_.OnEarlierLeaderSeen(epoch, at);
   }
+  // Applies the handover of an earlier leader, once the term is active.
+  void OnHandover(LeaderHandover handover);
+  // Returns what the next leader cannot learn from the store. Nullopt until the
+  // term has ended, and if it was never active.
+  const std::optional<LeaderHandover>& handover() const { return handover_; }
   // Time of the last order sent that starts a run or extends a lease.
   absl::Time last_order() const { return last_order_; }
   // Number of times that the store became available again after a failure.
@@ -229,6 +235,9 @@
   int64_t store_recoveries_ = 0;
   std::multimap<int64_t, Waiter> waiters_;  // Keyed by batch number.
   std::deque<QueuedCall> queued_calls_;     // In order of arrival.
+  // Handovers of earlier leaders that arrived before the term was active.
+  std::vector<LeaderHandover> queued_handovers_;
+  std::optional<LeaderHandover> handover_;
 
   EventTimer tick_timer_;
   EventTimer cycle_timer_;
--- a/keelbridge/daemon/node_messages.cc
+++ b/keelbridge/daemon/node_messages.cc
@@ -1,6 +1,9 @@
 #include "keelbridge/daemon/node_messages.h"
 
+#include <utility>
+
 #include "keelbridge/base/json_reader.h"
+#include "keelbridge/daemon/order_messages.h"
 
 namespace keelbridge {
 namespace {
@@ -46,6 +49,54 @@
   return reply;
 }
 
+Json::Value ToJson(const WorkerHandover& worker) {
+  Json::Value out(Json::objectValue);
+  out["worker"] = worker.worker;
+  out["ends"] = Json::Value(Json::arrayValue);
+  for (const EndedTask& end : worker.ends) out["ends"].append(ToRow(end));
+  if (!worker.reported) return out;
+  out["remaining"] = Json::Value(Json::arrayValue);
+  for (const TaskId& task : worker.remaining)
+    out["remaining"].append(TaskIdText(task));
+  return out;
+}
+
+// Throws `Json::Exception` where a field has the wrong type.
+std::optional<WorkerHandover> ReadWorkerHandover(const Json::Value& in) {
+  WorkerHandover worker;
+  worker.worker = in["worker"].asString();
+  if (worker.worker.empty() || !in["ends"].isArray()) return std::nullopt;
+  for (const Json::Value& row : in["ends"]) {
+    std::optional<EndedTask> end = EndFromRow(row);
+    if (!end) return std::nullopt;
+    worker.ends.push_back(*std::move(end));
+  }
+  if (!in.isMember("remaining")) return worker;
+  // A worker whose remaining tasks cannot be read must not be mistaken for one
+  // on which nothing runs.
+  if (!in["remaining"].isArray()) return std::nullopt;
+  worker.reported = true;
+  for (const Json::Value& text : in["remaining"]) {
+    TaskId task;
+    if (!ParseTaskId(text.asString(), &task)) return std::nullopt;
+    worker.remaining.push_back(task);
+  }
+  return worker;
+}
+
+// Throws `Json::Exception` where a field has the wrong type.
+std::optional<LeaderHandover> ReadLeaderHandover(const Json::Value& in) {
+  LeaderHandover handover;
+  handover.epoch = in["epoch"].asInt64();
+  if (handover.epoch <= 0 || !in["workers"].isArray()) return std::nullopt;
+  for (const Json::Value& item : in["workers"]) {
+    std::optional<WorkerHandover> worker = ReadWorkerHandover(item);
+    if (!worker) return std::nullopt;
+    handover.workers.push_back(*std::move(worker));
+  }
+  return handover;
+}
+
 }  // namespace
 
 Json::Value ToJson(const ClientCall& call) {
@@ -132,4 +183,21 @@
   return leader ? *leader : LeaderRecord();
 }
 
+Json::Value ToJson(const LeaderHandover& handover) {
+  Json::Value out(Json::objectValue);
+  out["epoch"] = Json::Int64(handover.epoch);
+  out["workers"] = Json::Value(Json::arrayValue);
+  for (const WorkerHandover& worker : handover.workers)
+    out["workers"].append(ToJson(worker));
+  return out;
+}
+
+std::optional<LeaderHandover> LeaderHandoverFromJson(const Json::Value& in) {
+  try {
+    return ReadLeaderHandover(in);
+  } catch (const Json::Exception&) {
+    return std::nullopt;
+  }
+}
+
 }  // namespace keelbridge
--- a/keelbridge/daemon/node_messages.h
+++ b/keelbridge/daemon/node_messages.h
@@ -5,9 +5,12 @@
 
 #include <json/json.h>
 
+#include <optional>
+
 #include "keelbridge/base/result.h"
 #include "keelbridge/coordination/site_election.h"
 #include "keelbridge/protocol/client_call.h"
+#include "keelbridge/protocol/leader_handover.h"
 #include "keelbridge/protocol/site_worker.h"
 
 namespace keelbridge {
@@ -28,6 +31,9 @@
 Json::Value ToJson(const LeaderRecord& leader);
 // Returns a record of epoch 0 if `in` contains no leader.
 LeaderRecord LeaderFromJson(const Json::Value& in);
+Json::Value ToJson(const LeaderHandover& handover);
+// Returns nullopt if `in` contains no handover or cannot be parsed.
+std::optional<LeaderHandover> LeaderHandoverFromJson(const Json::Value& in);
 
 }  // namespace keelbridge
 
--- a/keelbridge/daemon/node_messages_test.cc
+++ b/keelbridge/daemon/node_messages_test.cc
@@ -75,5 +75,44 @@
   }
 }
 
+TEST_CASE("node messages: a handover survives encoding and decoding") {
+  LeaderHandover handover;
+  handover.epoch = 3;
+  WorkerHandover worker;
+  worker.worker = "i-1";
+  worker.ends = {{4, {7, 0, 1, 2}, 2001, RunEnd::kStopped, "saved"}};
+  handover.workers.push_back(worker);
+  worker.worker = "i-2";
+  worker.reported = true;
+  worker.remaining = {{7, 0, 1, 3}};
+  handover.workers.push_back(worker);
+  const auto read = LeaderHandoverFromJson(ToJson(handover));
+  REQUIRE(read.has_value());
+  CHECK(ToJson(*read) == ToJson(handover));
+  REQUIRE(read->workers.size() == 2);
+  CHECK(read->workers[0].ends[0].checkpoint == "saved");
+  CHECK_FALSE(read->workers[0].reported);
+  CHECK(read->workers[1].reported);
+  CHECK(read->workers[1].remaining == worker.remaining);
+}
+
+// Otherwise a worker whose remaining tasks cannot be read would count as empty,
+// and its tasks would run twice.
+TEST_CASE("node messages: an invalid handover is not used") {
+  for (const char* text :
+       {"{}", R"({"epoch":0,"workers":[]})", R"({"epoch":3,"workers":{}})",
+        R"({"epoch":3,"workers":[{"worker":"","ends":[]}]})",
+        R"({"epoch":3,"workers":[{"worker":"i-1"}]})",
+        R"({"epoch":3,"workers":[{"worker":"i-1","ends":[[1,"x",1,0,""]]}]})",
+        R"({"epoch":3,"workers":[{"worker":"i-1","ends":[],"remaining":7}]})",
+        R"({"epoch":3,"workers":[{"worker":"i-1","ends":[],)"
+        R"("remaining":["x"]}]})",
+        R"({"epoch":3,"workers":[{"worker":"i-1","ends":[],)"
+        R"("remaining":[{}]}]})"}) {
+    CAPTURE(text);
+    CHECK_FALSE(LeaderHandoverFromJson(Message(text)).has_value());
+  }
+}
+
 }  // namespace
 }  // namespace keelbridge
--- a/keelbridge/daemon/order_messages.cc
+++ b/keelbridge/daemon/order_messages.cc
@@ -128,6 +128,18 @@
   return out;
 }
 
+// Throws `Json::Exception` where a field has the wrong type.
+std::optional<EndedTask> ReadEnd(const Json::Value& row) {
+  EndedTask end;
+  if (!ParseTaskId(row[1].asString(), &end.task) ||
+      !ReadEnum(row[3], RunEnd::kAlone, &end.end))
+    return std::nullopt;
+  end.number = row[0].asInt64();
+  end.run = row[2].asInt();
+  end.checkpoint = row[4].asString();
+  return end;
+}
+
 // Throws `Json::Exception` where a field has the wrong type.
 std::optional<RelayedReply> ReadReply(const Json::Value& row) {
   if (!row.isArray() || row.size() < kOrderReplyFields) return std::nullopt;
@@ -153,14 +165,9 @@
     out.reply.running.push_back(std::move(task));
   }
   for (const Json::Value& item : row[5]) {
-    EndedTask end;
-    if (!ParseTaskId(item[1].asString(), &end.task) ||
-        !ReadEnum(item[3], RunEnd::kAlone, &end.end))
-      return std::nullopt;
-    end.number = item[0].asInt64();
-    end.run = item[2].asInt();
-    end.checkpoint = item[4].asString();
-    out.reply.ended.push_back(std::move(end));
+    std::optional<EndedTask> end = ReadEnd(item);
+    if (!end) return std::nullopt;
+    out.reply.ended.push_back(*std::move(end));
   }
   out.reply.more_ends = row[6].asBool();
   return out;
@@ -180,6 +187,15 @@
 
 }  // namespace
 
+Json::Value ToRow(const EndedTask& end) {
+  return Row(Number(end.number), TaskIdText(end.task), end.run,
+             static_cast<int>(end.end), end.checkpoint);
+}
+
+std::optional<EndedTask> EndFromRow(const Json::Value& row) {
+  return NulloptOnTypeError(ReadEnd, row);
+}
+
 Json::Value ToRow(const RelayedOrder& order) {
   return std::visit([&](const auto& item) { return OrderRow(order, item); },
                     order.order);
@@ -203,9 +219,7 @@
     running.append(
         Row(TaskIdText(task.task), task.run, task.checkpoint, task.percent));
   Json::Value ended(Json::arrayValue);
-  for (const EndedTask& end : reply.reply.ended)
-    ended.append(Row(Number(end.number), TaskIdText(end.task), end.run,
-                     static_cast<int>(end.end), end.checkpoint));
+  for (const EndedTask& end : reply.reply.ended) ended.append(ToRow(end));
   row.append(std::move(running));
   row.append(std::move(ended));
   row.append(reply.reply.more_ends);
--- a/keelbridge/daemon/order_messages.h
+++ b/keelbridge/daemon/order_messages.h
@@ -29,6 +29,9 @@
   ObserveReply reply;
 };
 
+Json::Value ToRow(const EndedTask& end);
+// Returns nullopt if `row` cannot be parsed.
+std::optional<EndedTask> EndFromRow(const Json::Value& row);
 Json::Value ToRow(const RelayedOrder& order);
 // Returns nullopt if `row` cannot be parsed.
 std::optional<RelayedOrder> OrderFromRow(const Json::Value& row);
--- a/keelbridge/daemon/site_node.h
+++ b/keelbridge/daemon/site_node.h
@@ -258,6 +258,9 @@
   bool following_control_ = false;
   bool control_lost_ = false;  // The last read of the control stream failed.
   bool claiming_ = false;
+  // What the latest term of this node has to hand over; epoch 0 if this process
+  // has not led.
+  LeaderHandover handover_;
   // Number of times in this term that the store became reachable again, as of
   // the last reaffirmation.
   int64_t reaffirmed_store_recoveries_ = 0;
--- a/keelbridge/daemon/site_node_leading.cc
+++ b/keelbridge/daemon/site_node_leading.cc
@@ -232,6 +232,8 @@
   for (const auto& [epoch, at] : leaders_seen_)
     session_->OnEarlierLeaderSeen(epoch, at);
   if (configuration_ != nullptr) session_->SetConfiguration(configuration_);
+  // Another leader may have led in between without asking for it.
+  session_->OnHandover(handover_);
   UpdatePeers();
   session_->Start();
   PollEarlierLeaders(session_);
@@ -239,6 +241,7 @@
 
 void SiteNode::OnTermEnded(const std::string& why) {
   (void)why;
+  if (session_->handover()) handover_ = *session_->handover();
   election_.StepDown(SystemNow().mono);
   ReadControl();
 }
@@ -300,6 +303,8 @@
               answer["idle_ms"].isInt64() ? answer["idle_ms"].asInt64() : 0;
           LogEvent(Severity::kInfo, "earlier_leader_stopped",
                    {{"address", address}, {"idle_ms", absl::StrCat(idle_ms)}});
+          if (const auto handover = LeaderHandoverFromJson(answer["handover"]))
+            session_->OnHandover(*handover);
           earlier_leaders_.OnStopped(address, absl::Milliseconds(idle_ms),
                                      SystemNow().mono);
         },
--- a/keelbridge/daemon/site_node_peers.cc
+++ b/keelbridge/daemon/site_node_peers.cc
@@ -91,7 +91,7 @@
     reply(Ok(out));
   });
   // Called by a leader on an earlier leader: reports the new leader, and
-  // returns whether the earlier one has stopped.
+  // returns whether the earlier one has stopped and what it hands over.
   peer_server_.Add("leader_heard", [this](const Json::Value& params,
                                           const EventRpcServer::Reply& reply) {
     election_.OnLeaderReported(LeaderFromJson(params["leader"]),
@@ -101,6 +101,8 @@
     out["leads"] = session_ != nullptr && !session_->ended();
     out["idle_ms"] = Json::Int64(
         absl::ToInt64Milliseconds(SystemNow().mono - LastOrderTime()));
+    if (!out["leads"].asBool() && handover_.epoch > 0)
+      out["handover"] = ToJson(handover_);
     reply(Ok(out));
   });
   // Returns the time since the leader last answered this node, in milliseconds.
--- /dev/null
+++ b/keelbridge/protocol/leader_handover.h
@@ -0,0 +1,45 @@
+// What a leader knows at the end of its term and may not have made durable.
+//
+// A leader that is cut off from the store goes on to hear from the workers that
+// it still reaches. A worker that leaves before the next leader reaches it
+// reports to nobody else, so the next leader asks the earlier one for a
+// handover. Without it, that leader would wait for the worker's lease and then
+// repeat tasks that are done.
+//
+//   LeaderHandover handover = earlier_scheduler.Handover();
+//   Json::Value message = ToJson(handover);  // daemon/node_messages.h
+//   scheduler.OnHandover(handover, now);
+
+#ifndef KEELBRIDGE_PROTOCOL_LEADER_HANDOVER_H_
+#define KEELBRIDGE_PROTOCOL_LEADER_HANDOVER_H_
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "keelbridge/protocol/job.h"
+#include "keelbridge/protocol/site_worker.h"
+
+namespace keelbridge {
+
+struct WorkerHandover {
+  std::string worker;  // The id of the incarnation.
+  // Ends of runs that are not durable, in the order of their numbers. The
+  // worker may still list them: none was acknowledged to it.
+  std::vector<EndedTask> ends;
+  // The worker has sent a full report to the leader, so that `remaining` names
+  // every task that may still run on it.
+  bool reported = false;
+  std::vector<TaskId> remaining;
+};
+
+// Holds the workers that have ends which are not durable, and those that the
+// next leader may not reach. A leader creates it once it sends no more orders.
+struct LeaderHandover {
+  int64_t epoch = 0;  // Of the leader; 0: the node has not led.
+  std::vector<WorkerHandover> workers;
+};
+
+}  // namespace keelbridge
+
+#endif  // KEELBRIDGE_PROTOCOL_LEADER_HANDOVER_H_
--- a/testing/fakes/site_platform.cc
+++ b/testing/fakes/site_platform.cc
@@ -21,6 +21,8 @@
 // worker's next incarnation starts after the downtime.
 constexpr absl::Duration kCrashDelay = absl::Milliseconds(10);
 constexpr absl::Duration kCrashDownTime = absl::Seconds(3);
+// The machine of a worker that left gets no other worker for this long.
+constexpr absl::Duration kDepartureTime = absl::Minutes(10);
 // A task may crash kExcusedCrashes workers. If it is then started
 // kEndlessRepeatStarts more times, it counts as restarted without bound.
 constexpr int kExcusedCrashes = 3;
@@ -432,7 +434,10 @@
     out["born"] = Json::Int64(slot.start_time_ms);
     out["address"] = slot.address.ToString();
     out["zone"] = record.zone;
-    out["state"] = "ready";
+    out["state"] = record.draining ? "draining" : "ready";
+    if (record.draining)
+      out["remainingMs"] = Json::Int64(absl::ToInt64Milliseconds(
+          std::max(slot.leaves_at - now, absl::ZeroDuration())));
     out["capacity"]["cpu"] = record.capacity.cpu_milli;
     out["capacity"]["memoryRequestMb"] = record.capacity.memory_mib;
     out["capacity"]["gpu"] = record.capacity.accelerators;
@@ -481,6 +486,15 @@
   EndIncarnation(index, down, /*keep_id=*/false);
 }
 
+void SitePlatform::DrainWorker(int index, absl::Duration drain) {
+  Slot& slot = slots_[static_cast<size_t>(index)];
+  slot.incarnation->record().draining = true;
+  slot.leaves_at = SystemNow().mono + drain;
+  RunAfter(drain, [this, index] {
+    EndIncarnation(index, kDepartureTime, /*keep_id=*/false);
+  });
+}
+
 void SitePlatform::RestartWorker(int index, absl::Duration down) {
   EndIncarnation(index, down, /*keep_id=*/true);
 }
--- a/testing/fuzz/node_messages_fuzzer.cc
+++ b/testing/fuzz/node_messages_fuzzer.cc
@@ -41,6 +41,15 @@
   }
 }
 
+void CheckHandover(const Json::Value& in) {
+  const auto handover = keelbridge::LeaderHandoverFromJson(in);
+  if (!handover) return;
+  const Json::Value encoded = ToJson(*handover);
+  const auto decoded_again = keelbridge::LeaderHandoverFromJson(encoded);
+  fuzz::Require(decoded_again && ToJson(*decoded_again) == encoded,
+                "a handover survives a round trip");
+}
+
 }  // namespace
 
 extern "C" int LLVMFuzzerTestOneInput(const uint8_t* data, size_t size) {
@@ -64,6 +73,9 @@
     case 'l':
       keelbridge::LeaderFromJson(in);
       break;
+    case 'h':
+      CheckHandover(in);
+      break;
     default:
       break;
   }
--- a/testing/support/site_simulation.cc
+++ b/testing/support/site_simulation.cc
@@ -357,6 +357,7 @@
     const bool resumed = other->frozen_until > absl::InfinitePast() &&
                          other->frozen_until < now_;
     if (resumed) other->dead = true;
+    HandOver(*other, *leader);
     all = all && other->dead;
     last_order = std::max(last_order, other->last_order);
   }
@@ -365,6 +366,13 @@
         [this, leader] { PollEarlierLeaders(leader); });
 }
 
+void SiteSimulation::HandOver(const Leader& from, Leader& to) {
+  const bool done = to.handed_over.count(from.epoch) > 0;
+  if (done || !from.dead || from.process_ended) return;
+  to.handed_over.insert(from.epoch);
+  to.scheduler->OnHandover(from.scheduler->Handover(), CurrentTime());
+}
+
 void SiteSimulation::RunOnLeader(const std::shared_ptr<Leader>& leader,
                                  const std::function<void()>& step) {
   if (leader->dead) return;
@@ -598,7 +606,8 @@
 void SiteSimulation::ReplaceLeader(absl::Duration pause, bool keep_old_leader) {
   if (current_ == nullptr) return;
   const auto old = current_;
-  if (!keep_old_leader) old->dead = true;
+  old->process_ended = !keep_old_leader;
+  old->dead = old->dead || old->process_ended;
   current_ = nullptr;
   After(pause, [this] { StartLeader(); });
 }
--- a/testing/support/site_simulation.h
+++ b/testing/support/site_simulation.h
@@ -124,6 +124,8 @@
     std::unique_ptr<JobScheduler> scheduler;
     int64_t epoch = 0;
     bool dead = false;
+    bool process_ended = false;
+    std::set<int64_t> handed_over;  // Epochs of earlier leaders.
     bool appending = false;
     absl::Time frozen_at = absl::InfinitePast();
     absl::Time frozen_until = absl::InfinitePast();
@@ -189,6 +191,9 @@
   // reports it to `leader` once they are. A frozen leader ends when it resumes
   // and learns of `leader`; a leader that never froze is not notified.
   void PollEarlierLeaders(const std::shared_ptr<Leader>& leader);
+  // Passes what `from` could not make durable to `to`, once, if `from` has
+  // stopped leading and its process still runs.
+  void HandOver(const Leader& from, Leader& to);
   // Runs `step` as soon as the leader is not frozen, unless the leader is dead.
   void RunOnLeader(const std::shared_ptr<Leader>& leader,
                    const std::function<void()>& step);
