Leaving workers: a run that cannot end there moves before its worker leaves

Cause: a run that the worker could not end in the time it had announced was left to die there. Once a worker has left, the leader cannot tell it from one that is cut off, so that the task waits for the worker's lease. Only tasks that last were moved.

Now the leader keeps when a worker leaves, on its own steady clock, and stops 1.5 s before that the runs that it does not expect to end by then, while the worker still answers: the end is heard, what can be saved is saved, and the task starts elsewhere at once. A gang is stopped as a whole. 1.5 s covers a stop (0.9 s), the age of the worker's record as it is read (up to 0.4 s) and the calls. When a run ends is told by its estimate and by its pace, whichever is later; it has to end 0.6 s before the worker leaves by its record, since that much may be the record's age and the call that reports the end. A later record with other time left counts instead, one that is read again does not, one that no longer drains ends it. Nothing is stopped on a worker that does not answer, or that has not said when it leaves, and tasks that last move as before. The log line run_moves names the cause, and `keelbridge explain` gives it.

What belongs to leaving workers is in job_scheduler_departures.cc now; RetireDrainingWorker, FindTasksOnLeavingWorkers and MoveTaskFromLeavingWorker are moved as they were.

Tests changed beside: - The driver of scheduler tests let its workers accept a stop and never carry it out. They do after 0.9 s now, the longest that a stop takes, unless the test ends the run before. "runs that should stop use capacity of a shrunk worker" needs stops that last for seconds and says so (carry_out_stops = false); its checks are as they were. - The fake worker reported its progress as 0 or 100 only: dividing durations cuts to whole numbers. - runs() of the site simulation tells how runs ended.

--- a/keelbridge/cli/job_timeline.cc
+++ b/keelbridge/cli/job_timeline.cc
@@ -81,6 +81,7 @@
       {"start_on_probation",
        "the start is on probation: nothing else starts on that worker"},
       {"run_unwanted", "an unwanted run is stopped"},
+      {"run_moves", "a run is stopped because its worker leaves"},
       {"stop_sent", "stop order sent"},
       {"job_ended", "the job ended"},
       {"job_forgotten", "the ended job is no longer kept"},
@@ -186,6 +187,10 @@
           "worker ", Field(f, "worker"), " crashed ", Field(f, "ran_ms"),
           " ms after run ", Field(f, "run"), " of task ", Field(f, "task"),
           " began: ", Field(f, "evidence"), ": ", Field(f, "verdict")));
+    if (event == "run_moves")
+      add(absl::StrCat("run ", Field(f, "run"), " of task ", Field(f, "task"),
+                       " was stopped on worker ", Field(f, "worker"), ": ",
+                       Field(f, "why")));
     if (event == "run_ended" && Field(f, "how") != "done")
       add(absl::StrCat("a run on ", Field(f, "worker"), " ended ",
                        Field(f, "how")));
--- a/keelbridge/cli/job_timeline_test.cc
+++ b/keelbridge/cli/job_timeline_test.cc
@@ -50,6 +50,18 @@
   CHECK(absl::StrContains(text, "waited 900 ms"));
 }
 
+TEST_CASE("job story: a run stopped since its worker leaves has that cause") {
+  JobTimeline timeline(kJob);
+  timeline.AddLine(
+      R"({"time":"1","process":"a","event":"run_moves","task":"5c0e7a21d94b36f8.0.0.0","run":"2","worker":"i-1","why":"its worker leaves before the run can end"})");
+  const std::string text = timeline.Text();
+  CHECK(absl::StrContains(text, "a run is stopped because its worker leaves"));
+  CHECK(absl::StrContains(
+      text,
+      "run 2 of task 5c0e7a21d94b36f8.0.0.0 was stopped on worker i-1: its "
+      "worker leaves before the run can end"));
+}
+
 TEST_CASE("job story: a job that no line names is not found") {
   JobTimeline timeline(kJob);
   timeline.AddLine(R"({"time":"1","process":"a","event":"term_active"})");
--- a/keelbridge/coordination/job_scheduler.h
+++ b/keelbridge/coordination/job_scheduler.h
@@ -345,6 +345,9 @@
     // has seen this fence refuses late orders to earlier incarnations.
     int64_t fence = 0;
     bool record_removed = false;
+    // The earliest time at which the worker leaves, by its record. Infinite if
+    // it is not draining or has not reported a time.
+    absl::Time leaves_at = absl::InfiniteFuture();
     int observations_in_flight = 0;
     // Send an observation at once, even if another one waits for an end.
     bool observe_now = false;
@@ -501,9 +504,34 @@
   bool IsReachable(const Worker& worker, Now now) const;
   // Records for later leaders that this one may assign tasks to the worker.
   void PersistWorker(Worker& worker);
+
+  // job_scheduler_departures.cc
+  // Takes over when the worker leaves from its new record, which must not have
+  // replaced `worker.record` yet.
+  static void UpdateDeparture(Worker& worker, const WorkerRecord& record,
+                              Now now);
+  // Returns when the run is expected to end, by the estimate of its step and
+  // the progress that it has reported. Returns the infinite future if it should
+  // have ended already.
+  static absl::Time ExpectedEnd(const Allocation& run, const StepSpec& spec,
+                                Now now);
+  // Stops the runs that are not expected to end before the worker leaves, as
+  // late as their ends can still be reported. Gangs are stopped as a whole.
+  void StopRunsBeforeDeparture(Worker& worker, Now now);
+  // Stops the run, or the gang that it belongs to, if it is not expected to end
+  // before the worker leaves.
+  void StopRunBeforeDeparture(Worker& worker, const RunKey& key,
+                              const Allocation& run, Now now);
   // Records for later leaders that a draining worker gets no more tasks, and
   // which tasks may still run there.
   void RetireDrainingWorker(Worker& worker);
+  // Returns the indices of the running tasks of a long-running step whose
+  // workers are about to leave.
+  std::vector<int32_t> FindTasksOnLeavingWorkers(const StepSpec& spec,
+                                                 const StepState& step) const;
+  // Stops one task on a leaving worker if another worker has capacity for it
+  // now, so that the task starts there.
+  void MoveTaskFromLeavingWorker(ReadyStep& ready, Now now);
 
   // job_scheduler_losses.cc
   // Returns whether another incarnation of the worker's machine has answered
@@ -788,13 +816,6 @@
   // soon, when the lease of their unresponsive worker expires.
   int32_t CountTasksOnExpiringLeases(const StepSpec& spec,
                                      const StepState& step, Now now) const;
-  // Returns the indices of the running tasks of a long-running step whose
-  // workers are about to leave.
-  std::vector<int32_t> FindTasksOnLeavingWorkers(const StepSpec& spec,
-                                                 const StepState& step) const;
-  // Stops one task on a leaving worker if another worker has capacity for it
-  // now, so that the task starts there.
-  void MoveTaskFromLeavingWorker(ReadyStep& ready, Now now);
 
   // job_scheduler_waiting.cc
   // The capacity that is available to a waiting step. `fits` and the fields
@@ -832,6 +853,8 @@
   // Places the remaining members of a partly placed gang, or stops the placed
   // ones. Returns false if no member is placed.
   bool CompleteGang(ReadyStep& ready, Now now);
+  // Stops the runs of all members of the gang that `member` belongs to.
+  void StopGang(const TaskId& member, const StepState& gang);
 
   // job_scheduler_reservations.cc
   struct ReservationOption;
--- a/keelbridge/coordination/job_scheduler_capacity_test.cc
+++ b/keelbridge/coordination/job_scheduler_capacity_test.cc
@@ -51,6 +51,7 @@
 TEST_CASE(
     "job scheduler: runs that should stop use capacity of a shrunk worker") {
   SchedulerDriver site(1);
+  site.carry_out_stops = false;
   site.AddWorker("a", 8000);
   site.reports["a"];
   StepSpec four_tasks = OneTask(2000);
--- /dev/null
+++ b/keelbridge/coordination/job_scheduler_departures.cc
@@ -0,0 +1,182 @@
+// Handles workers that have reported that they leave.
+
+#include <algorithm>
+#include <utility>
+
+#include "absl/strings/str_cat.h"
+#include "keelbridge/coordination/job_scheduler.h"
+
+namespace keelbridge {
+namespace {
+
+// How long a stop may take until the worker lists the end of the run.
+constexpr absl::Duration kMaxStopDuration = absl::Milliseconds(900);
+// A run is left alone if it is expected to end at least this long before its
+// worker leaves. Covers the age of the worker's record when the leader reads
+// it, by which the worker leaves sooner than the record suggests (up to 400 ms,
+// mostly between two reads of changes), and the call that reports the end.
+constexpr absl::Duration kMinTimeLeftAtEnd = absl::Milliseconds(600);
+// How long before a worker leaves the runs that it cannot finish are stopped.
+// Covers a stop, the age of the worker's record, and the calls that order the
+// stop and report the end. Any later, the end might not be heard. Any earlier,
+// the run would lose time in which it makes progress, or ends after all if the
+// worker stays longer than announced.
+constexpr absl::Duration kDepartureMargin = absl::Milliseconds(1500);
+// The progress of a run is extrapolated once it has been observed for this
+// long. Before that, it mostly shows how long the run took to begin.
+constexpr absl::Duration kMinPaceDuration = absl::Seconds(2);
+// A reachable worker reports progress at least this often, and ends at once. A
+// run whose expected end is longer ago than this does not progress as expected.
+constexpr absl::Duration kMaxProgressDelay = absl::Milliseconds(1500);
+constexpr double kAllPercent = 100;
+
+}  // namespace
+
+// The same record may be read again later, so an unchanged remaining time is
+// not counted from the time of the later read.
+void JobScheduler::UpdateDeparture(Worker& worker, const WorkerRecord& record,
+                                   Now now) {
+  if (!record.draining || record.leaves_in_ms < 0) {
+    worker.leaves_at = absl::InfiniteFuture();
+    return;
+  }
+  const bool unchanged = worker.leaves_at != absl::InfiniteFuture() &&
+                         record.leaves_in_ms == worker.record.leaves_in_ms;
+  if (unchanged) return;
+  worker.leaves_at = now.mono + absl::Milliseconds(record.leaves_in_ms);
+}
+
+absl::Time JobScheduler::ExpectedEnd(const Allocation& run,
+                                     const StepSpec& spec, Now now) {
+  const double done = run.percent / kAllPercent;
+  absl::Duration left = absl::Milliseconds(spec.estimated_ms) * (1 - done);
+  // A run that started from a checkpoint, or before this leader, seems to be
+  // faster than it is, so that its estimate decides.
+  const absl::Duration ran = run.percent_changed - run.placed;
+  if (run.percent > 0 && ran >= kMinPaceDuration)
+    left = std::max(left, ran * ((1 - done) / done));
+  const absl::Time end = run.percent_changed + left;
+  return now.mono > end + kMaxProgressDelay ? absl::InfiniteFuture() : end;
+}
+
+// A run that ends with its worker is lost with all that it has not saved, and
+// its task waits until the worker's lease expires, because the leader cannot
+// distinguish a worker that has left from one that is disconnected. A run that
+// is stopped while the worker still answers saves its progress if it can, and
+// its task starts elsewhere at once.
+void JobScheduler::StopRunsBeforeDeparture(Worker& worker, Now now) {
+  if (now.mono < worker.leaves_at - kDepartureMargin) return;
+  // The end of a run on a worker that does not answer would not be heard.
+  if (!IsReachable(worker, now) || worker.failed_observations > 0) return;
+  for (const auto& [key, run] : worker.allocations)
+    StopRunBeforeDeparture(worker, key, run, now);
+}
+
+void JobScheduler::StopRunBeforeDeparture(Worker& worker, const RunKey& key,
+                                          const Allocation& run, Now now) {
+  // A run whose start is unanswered is considered once the outcome is known.
+  if (run.should_stop || run.uncertain || run.start_answered > now.mono) return;
+  const auto found = jobs_.find(key.first.job);
+  if (found == jobs_.end() || found->second->Ended()) return;
+  const TaskState* task = found->second->FindTask(key.first);
+  const StepState* step = found->second->FindStep(key.first);
+  if (task == nullptr || step == nullptr || task->run != key.second ||
+      task->worker != worker.record.id || task->phase == TaskPhase::kDone)
+    return;
+  const StepSpec& spec =
+      found->second->spec.steps[static_cast<size_t>(key.first.step)];
+  // Long-running tasks never end by themselves; see MoveTaskFromLeavingWorker.
+  if (spec.long_running) return;
+  const absl::Time end = ExpectedEnd(run, spec, now);
+  const absl::Time end_by = worker.leaves_at - kMinTimeLeftAtEnd;
+  if (end <= end_by) return;
+  // From then on the worker may leave any moment, and a run that ends sooner
+  // than a stop might is not stopped.
+  if (now.mono > end_by && end <= now.mono + kMaxStopDuration) return;
+  const auto in_ms = [&](absl::Time time) {
+    return absl::StrCat(absl::ToInt64Milliseconds(time - now.mono));
+  };
+  LogDecision(
+      "run_moves",
+      {{"task", TaskIdText(key.first)},
+       {"run", absl::StrCat(key.second)},
+       {"worker", worker.record.id},
+       {"why", spec.gang ? "its worker leaves before its gang can end"
+                         : "its worker leaves before the run can end"},
+       {"leaves_in_ms", in_ms(worker.leaves_at)},
+       {"ends_in_ms", end == absl::InfiniteFuture() ? "unknown" : in_ms(end)},
+       {"percent", absl::StrCat(run.percent)}});
+  if (spec.gang)
+    StopGang(key.first, *step);
+  else
+    RequestStop(worker, key);
+}
+
+// A worker that has left does not answer the next leader. Without this record
+// that leader would hold back all tasks that it has not observed until the
+// worker's lease has expired: 15 s with leases of 10 s, even if nothing has run
+// on the worker for seconds. The worker is retired only after its ends are
+// durable: only a part of a batch may become durable, workers first, and a
+// leader that did not wait for the worker would restart tasks which only that
+// worker knows to be done.
+void JobScheduler::RetireDrainingWorker(Worker& worker) {
+  if (worker.retired || !worker.record.draining || !worker.reported ||
+      !worker.unacknowledged_ends.empty())
+    return;
+  std::vector<TaskId> tasks;
+  for (const auto& [key, allocation] : worker.allocations) {
+    if (tasks.empty() || tasks.back() != key.first) tasks.push_back(key.first);
+  }
+  // The recorded tasks include all that are left, so the record stays valid.
+  const bool already_recorded =
+      std::includes(worker.last_tasks.begin(), worker.last_tasks.end(),
+                    tasks.begin(), tasks.end());
+  if (already_recorded && !tasks.empty()) return;
+  worker.retired = tasks.empty();
+  worker.last_tasks = std::move(tasks);
+  unpersisted_workers_.insert(worker.record.id);
+  LogDecision("worker_closed",
+              {{"worker", worker.record.id},
+               {"tasks_left", absl::StrCat(worker.last_tasks.size())}});
+}
+
+std::vector<int32_t> JobScheduler::FindTasksOnLeavingWorkers(
+    const StepSpec& spec, const StepState& step) const {
+  std::vector<int32_t> out;
+  if (!spec.long_running || spec.gang) return out;
+  for (size_t i = 0; i < step.tasks.size(); ++i) {
+    const TaskState& task = step.tasks[i];
+    if (task.phase != TaskPhase::kRunning) continue;
+    const auto worker = workers_.find(task.worker);
+    if (worker != workers_.end() && worker->second->record.draining)
+      out.push_back(static_cast<int32_t>(i));
+  }
+  return out;
+}
+
+// A long-running task on a leaving worker would run until the worker is gone,
+// and would then be down until the worker's lease expires (for 9.7 s with
+// leases of 9 s), because the leader cannot distinguish a worker that has left
+// from one that is disconnected. A task that is stopped while the worker still
+// answers is down only for the stop and the new start.
+void JobScheduler::MoveTaskFromLeavingWorker(ReadyStep& ready, Now now) {
+  const std::vector<int32_t> leaving =
+      FindTasksOnLeavingWorkers(*ready.spec, *ready.state);
+  if (leaving.empty()) return;
+  for (Worker* to : FindUsableWorkers(ready, now)) {
+    if (CountFittingTasks(*to, ready, UnreservedCapacity(*to)) < 1) continue;
+    const TaskState& task =
+        ready.state->tasks[static_cast<size_t>(leaving.front())];
+    const TaskId id{ready.job->id, ready.round->number, ready.number,
+                    leaving.front()};
+    LogDecision("task_moves", {{"task", TaskIdText(id)},
+                               {"run", absl::StrCat(task.run)},
+                               {"worker", task.worker},
+                               {"why", "its worker leaves"}});
+    RequestStop(*workers_.at(task.worker), {id, task.run});
+    to->reserved += CapacityNeeded(*ready.spec);
+    return;
+  }
+}
+
+}  // namespace keelbridge
--- a/keelbridge/coordination/job_scheduler_gangs.cc
+++ b/keelbridge/coordination/job_scheduler_gangs.cc
@@ -53,16 +53,21 @@
     }
     return true;
   }
-  for (int32_t i = 0; i < ready.spec->count; ++i) {
-    TaskState& task = ready.state->tasks[static_cast<size_t>(i)];
+  StopGang(TaskId{ready.job->id, ready.round->number, ready.number, 0},
+           *ready.state);
+  return true;
+}
+
+void JobScheduler::StopGang(const TaskId& member, const StepState& gang) {
+  TaskId id = member;
+  for (size_t i = 0; i < gang.tasks.size(); ++i) {
+    const TaskState& task = gang.tasks[i];
     if (task.worker.empty()) continue;
     const auto worker = workers_.find(task.worker);
     if (worker == workers_.end()) continue;
-    RequestStop(*worker->second,
-                {TaskId{ready.job->id, ready.round->number, ready.number, i},
-                 task.run});
+    id.index = static_cast<int32_t>(i);
+    RequestStop(*worker->second, {id, task.run});
   }
-  return true;
 }
 
 void JobScheduler::PlaceGang(ReadyStep& ready, Now now) {
--- a/keelbridge/coordination/job_scheduler_placement.cc
+++ b/keelbridge/coordination/job_scheduler_placement.cc
@@ -242,45 +242,6 @@
   return IsLate(ready) && !begun && !ready.spec->long_running;
 }
 
-std::vector<int32_t> JobScheduler::FindTasksOnLeavingWorkers(
-    const StepSpec& spec, const StepState& step) const {
-  std::vector<int32_t> out;
-  if (!spec.long_running || spec.gang) return out;
-  for (size_t i = 0; i < step.tasks.size(); ++i) {
-    const TaskState& task = step.tasks[i];
-    if (task.phase != TaskPhase::kRunning) continue;
-    const auto worker = workers_.find(task.worker);
-    if (worker != workers_.end() && worker->second->record.draining)
-      out.push_back(static_cast<int32_t>(i));
-  }
-  return out;
-}
-
-// A long-running task on a leaving worker would run until the worker is gone,
-// and would then be down until the worker's lease expires (for 9.7 s with
-// leases of 9 s), because the leader cannot distinguish a worker that has left
-// from one that is disconnected. A task that is stopped while the worker still
-// answers is down only for the stop and the new start.
-void JobScheduler::MoveTaskFromLeavingWorker(ReadyStep& ready, Now now) {
-  const std::vector<int32_t> leaving =
-      FindTasksOnLeavingWorkers(*ready.spec, *ready.state);
-  if (leaving.empty()) return;
-  for (Worker* to : FindUsableWorkers(ready, now)) {
-    if (CountFittingTasks(*to, ready, UnreservedCapacity(*to)) < 1) continue;
-    const TaskState& task =
-        ready.state->tasks[static_cast<size_t>(leaving.front())];
-    const TaskId id{ready.job->id, ready.round->number, ready.number,
-                    leaving.front()};
-    LogDecision("task_moves", {{"task", TaskIdText(id)},
-                               {"run", absl::StrCat(task.run)},
-                               {"worker", task.worker},
-                               {"why", "its worker leaves"}});
-    RequestStop(*workers_.at(task.worker), {id, task.run});
-    to->reserved += CapacityNeeded(*ready.spec);
-    return;
-  }
-}
-
 const JobTiming& JobScheduler::GetJobTiming(const Job& job,
                                             const Queue& queue) {
   const auto known = job_times_.find(job.id);
--- a/keelbridge/coordination/job_scheduler_workers.cc
+++ b/keelbridge/coordination/job_scheduler_workers.cc
@@ -89,6 +89,7 @@
                 {{"worker", record.id},
                  {"leaves_in_ms", absl::StrCat(record.leaves_in_ms)}});
   }
+  UpdateDeparture(worker, record, now);
   if (!is_new && record.capacity != worker.record.capacity) {
     LogDecision(
         "worker_capacity",
@@ -117,34 +118,6 @@
   unpersisted_workers_.insert(worker.record.id);
 }
 
-// A worker that has left does not answer the next leader. Without this record
-// that leader would hold back all tasks that it has not observed until the
-// worker's lease has expired: 15 s with leases of 10 s, even if nothing has run
-// on the worker for seconds. The worker is retired only after its ends are
-// durable: only a part of a batch may become durable, workers first, and a
-// leader that did not wait for the worker would restart tasks which only that
-// worker knows to be done.
-void JobScheduler::RetireDrainingWorker(Worker& worker) {
-  if (worker.retired || !worker.record.draining || !worker.reported ||
-      !worker.unacknowledged_ends.empty())
-    return;
-  std::vector<TaskId> tasks;
-  for (const auto& [key, allocation] : worker.allocations) {
-    if (tasks.empty() || tasks.back() != key.first) tasks.push_back(key.first);
-  }
-  // The recorded tasks include all that are left, so the record stays valid.
-  const bool already_recorded =
-      std::includes(worker.last_tasks.begin(), worker.last_tasks.end(),
-                    tasks.begin(), tasks.end());
-  if (already_recorded && !tasks.empty()) return;
-  worker.retired = tasks.empty();
-  worker.last_tasks = std::move(tasks);
-  unpersisted_workers_.insert(worker.record.id);
-  LogDecision("worker_closed",
-              {{"worker", worker.record.id},
-               {"tasks_left", absl::StrCat(worker.last_tasks.size())}});
-}
-
 void JobScheduler::OnWorkerRemoved(const std::string& name) {
   for (Worker* worker : IncarnationsOf(name)) {
     if (std::exchange(worker->record_removed, true)) continue;
@@ -522,6 +495,7 @@
   next_sweep_ = now.mono + kSweepPeriod;
   std::vector<std::string> gone;
   for (auto& [id, worker] : workers_) {
+    StopRunsBeforeDeparture(*worker, now);
     TickWorker(*worker, now);
     RetireDrainingWorker(*worker);
     if (CanBeForgotten(*worker, now)) gone.push_back(id);
--- a/testing/fakes/site_worker.cc
+++ b/testing/fakes/site_worker.cc
@@ -54,7 +54,8 @@
   const absl::Duration total_work =
       timing.plan.done + timing.plan.work - timing.plan.restore_time;
   if (total_work <= absl::ZeroDuration()) return 0;
-  return static_cast<int32_t>(100 * (WorkDone(timing, now) / total_work));
+  return static_cast<int32_t>(
+      100 * absl::FDivDuration(WorkDone(timing, now), total_work));
 }
 
 void SiteWorker::End(const RunKey& key, RunEnd end, absl::Time now) {
--- a/testing/site_simulation_test.cc
+++ b/testing/site_simulation_test.cc
@@ -295,6 +295,55 @@
   }
 }
 
+// Returns the longest time from the end of a run that did not succeed until the
+// next run of its task begins, or until `now`.
+absl::Duration LongestRestartDelay(const SiteSimulation& site) {
+  absl::Duration longest;
+  for (const SiteRun& run : site.runs()) {
+    if (run.ended > site.now() || run.end == RunEnd::kDone) continue;
+    absl::Time next = site.now();
+    for (const SiteRun& later : site.runs()) {
+      if (later.task == run.task && later.began >= run.ended)
+        next = std::min(next, later.began);
+    }
+    longest = std::max(longest, next - run.ended);
+  }
+  return longest;
+}
+
+// Workers leave as announced and run tasks that they cannot finish. Users
+// consider a job lost if it could run but does not for 3 s.
+TEST_CASE("site: tasks of leaving workers start elsewhere soon") {
+  constexpr absl::Duration kMaxRestartDelay = absl::Seconds(3);
+  absl::Duration longest;
+  for (uint64_t seed = 1; seed <= 60; ++seed) {
+    CAPTURE(seed);
+    SiteSimulation::Options options;
+    options.seed = seed;
+    options.failing_runs = 0;
+    SiteSimulation site(options);
+    std::mt19937_64 random(seed);
+    for (int i = 0; i < 8; ++i) {
+      JobSpec spec = i % 4 == 0 ? Gang() : SingleStep(0);
+      spec.steps[0].need.cpu_milli = 3000;
+      spec.steps[0].estimated_ms =
+          4000 + static_cast<int64_t>(random() % 16000);
+      spec.steps[0].checkpoints = i % 2 == 0;
+      site.Submit(spec);
+    }
+    site.Run(absl::Seconds(1));
+    for (int worker = 0; worker < 3; ++worker)
+      site.DrainWorker(worker, absl::Milliseconds(3000 + random() % 9000),
+                       absl::Seconds(30));
+    site.Run(absl::Seconds(60));
+    CheckAllJobsEnded(site);
+    const absl::Duration delay = LongestRestartDelay(site);
+    longest = std::max(longest, delay);
+    CHECK(delay <= kMaxRestartDelay);
+  }
+  MESSAGE("longest delay: ", absl::FormatDuration(longest));
+}
+
 // One worker leaves and stops answering, another is isolated, and a leader
 // freezes. A task whose own worker is reachable must not wait for either of the
 // two.
--- a/testing/support/scheduler_driver.h
+++ b/testing/support/scheduler_driver.h
@@ -28,6 +28,8 @@
 
 constexpr JobId kJob = 7;
 inline const absl::Time kBegin = absl::UnixEpoch() + absl::Hours(1);
+// How long a worker takes for a stop that it has accepted, at most.
+constexpr absl::Duration kMaxStopDuration = absl::Milliseconds(900);
 
 // Simulates a site of workers "a", "b", ... that answer as the test directs.
 class SchedulerDriver {
@@ -143,6 +145,7 @@
     while (now_ < kBegin + until) {
       now_ += absl::Milliseconds(20);
       AnswerDueAdvice();
+      CarryOutDueStops();
       scheduler_.Tick(now());
       scheduler_.OnTickFinished(tick_duration, now());
       if (scheduler_.HasBatch() && !hold_batches) {
@@ -178,7 +181,10 @@
   // Each advice call takes as long as its terms say, and each adviser handles
   // one call at a time.
   bool timed_advice = false;
-  bool hold_batches = false;     // The store accepts no appends.
+  bool hold_batches = false;  // The store accepts no appends.
+  // A run that a worker was ordered to stop ends `kMaxStopDuration` after the
+  // order unless the test has ended it before. Otherwise only the test ends it.
+  bool carry_out_stops = true;
   absl::Duration tick_duration;  // Tick duration reported to the scheduler.
   absl::Duration wall_clock_offset;
   // The workers that each advice call named.
@@ -250,6 +256,28 @@
     }
   }
 
+  void CarryOutDueStops() {
+    while (!scheduled_stops_.empty() &&
+           scheduled_stops_.begin()->first <= now_) {
+      const auto [worker, order] = scheduled_stops_.begin()->second;
+      scheduled_stops_.erase(scheduled_stops_.begin());
+      const auto found = reports.find(worker);
+      if (found == reports.end()) continue;
+      const auto& running = found->second.running;
+      const auto run =
+          std::find_if(running.begin(), running.end(),
+                       [&order = order](const RunningTask& one) {
+                         return one.task == order.task && one.run == order.run;
+                       });
+      if (run == running.end()) continue;
+      int64_t number = 1;
+      for (const EndedTask& end : found->second.ended)
+        number = std::max(number, end.number + 1);
+      End(worker,
+          {number, order.task, order.run, RunEnd::kStopped, run->checkpoint});
+    }
+  }
+
   void HandleAction(const Action& action) {
     if (const auto* observe = std::get_if<ObserveAction>(&action)) {
       const auto list = reports.find(observe->worker.id);
@@ -307,6 +335,9 @@
       OrderReply reply;
       reply.result = ResultAt(stop->worker.id, OrderResult::kDone);
       scheduler_.OnStopReply(*stop, reply, now());
+      if (reply.result == OrderResult::kDone && carry_out_stops)
+        scheduled_stops_.emplace(now_ + kMaxStopDuration,
+                                 std::make_pair(stop->worker.id, stop->order));
     }
   }
 
@@ -314,6 +345,8 @@
   std::vector<AskAdviceAction> held_advice_;
   std::multimap<absl::Time, AskAdviceAction> scheduled_advice_;
   std::map<std::string, absl::Time> adviser_free_at_;
+  // By the time at which they are carried out: the worker and the order.
+  std::multimap<absl::Time, std::pair<std::string, StopOrder>> scheduled_stops_;
   // By incarnation: the highest fencing token that it has received.
   std::map<std::string, int64_t> fences_;
   absl::Time now_ = kBegin;
--- a/testing/support/site_simulation.cc
+++ b/testing/support/site_simulation.cc
@@ -250,6 +250,12 @@
     if (jobs_[run.task.job].crashes) CheckCrashingRun(run);
     return;
   }
+  const auto begun =
+      std::find_if(runs_.rbegin(), runs_.rend(), [&](const SiteRun& one) {
+        return one.task == run.task && one.run == run.run &&
+               one.worker == run.worker;
+      });
+  if (begun != runs_.rend()) *begun = run;
   if (run.end == RunEnd::kDone) {
     done_.insert(run.task);
     ever_done_.insert(run.task);
