--- a/testing/fakes/site_platform.h
+++ b/testing/fakes/site_platform.h
@@ -106,7 +106,7 @@
     std::string name;           // Current worker id, without the incarnation.
     int64_t start_time_ms = 0;  // Wall clock.
     absl::Time leaves_at = absl::InfiniteFuture();  // If it is draining.
-    int name_count = 0;         // Number of ids used so far.
+    int name_count = 0;  // Number of ids used so far.
     // Limit on the resources of concurrent runs. A capacity that was reduced by
     // `ShrinkWorker` is enforced only after nodes had time to learn of it.
     Resources capacity_limit;
