Handover: ended incarnations, unanswered starts and earlier terms

Such an incarnation is not called empty. - A start that was given up without an answer was not named among what a leaving worker may still run. It is. - A long-running task whose end was handed over waited for its worker while another task was left there. Its placement is cleared. - A handover of a leader before the last could bring an older checkpoint. Only the last leader's checkpoints are used. - A node that never led handed over to itself, which logged an empty handover; an unreadable handover left no line. Both mended. - The message held the runs of every worker that the leader could not reach. It is part of the proof that the leader has stopped and has to arrive over slow links, so it holds ends of workers that leave, are off the list or silent, and remaining tasks of those that leave or are off the list. A leader that is suspended stops no runs on leaving workers any more.

The process test lets its worker leave without an announced time: with one, the run would be stopped before the leader is cut off.

One check that could not fail (a handover changes nothing at a worker that has reported) now uses a number that the worker has not reached.

--- a/keelbridge/coordination/job_scheduler.h
+++ b/keelbridge/coordination/job_scheduler.h
@@ -350,6 +350,9 @@
     bool reported = false;
     // The worker restarted under the same name.
     bool restarted = false;
+    // Another incarnation has answered in place of this one, which has ended.
+    // Runs that it may not have reported were moved to that one.
+    bool ended = false;
     // Runs of the previous incarnation were moved to this one.
     bool inherited_runs = false;
     // Higher than the fences of all earlier incarnations. An incarnation that
@@ -547,6 +550,13 @@
   // job_scheduler_handover.cc
   // Returns the tasks that may run on the worker, in ascending order.
   static std::vector<TaskId> TasksOn(const Worker& worker);
+  // Returns, by the name of the worker, the tasks with a start that was given
+  // up without an answer.
+  std::map<std::string, std::set<TaskId>> UnansweredStartTasks() const;
+  // Applies an end that the leader of `epoch` has handed over. Returns false if
+  // it was processed before.
+  bool ApplyHandedOverEnd(Worker& worker, EndedTask end, int64_t epoch,
+                          Now now);
 
   // job_scheduler_losses.cc
   // Returns whether another incarnation of the worker's machine has answered
--- a/keelbridge/coordination/job_scheduler_departures.cc
+++ b/keelbridge/coordination/job_scheduler_departures.cc
@@ -65,7 +65,7 @@
 // is stopped while the worker still answers saves its progress if it can, and
 // its task starts elsewhere at once.
 void JobScheduler::StopRunsBeforeDeparture(Worker& worker, Now now) {
-  if (now.mono < worker.leaves_at - kDepartureMargin) return;
+  if (suspended_ || now.mono < worker.leaves_at - kDepartureMargin) return;
   // The end of a run on a worker that does not answer would not be heard.
   if (!IsReachable(worker, now) || worker.failed_observations > 0) return;
   for (const auto& [key, run] : worker.allocations)
--- a/keelbridge/coordination/job_scheduler_handover.cc
+++ b/keelbridge/coordination/job_scheduler_handover.cc
@@ -1,9 +1,13 @@
 // Hands over to the next leader what this one knows and could not make durable.
 
+#include <map>
+#include <set>
+#include <string>
 #include <utility>
 
 #include "absl/strings/str_cat.h"
 #include "keelbridge/coordination/job_scheduler.h"
+#include "keelbridge/protocol/worker_incarnation.h"
 
 namespace keelbridge {
 
@@ -15,22 +19,53 @@
   return tasks;
 }
 
+// A start without an answer may be carried out late, by whatever incarnation
+// the worker then has.
+std::map<std::string, std::set<TaskId>> JobScheduler::UnansweredStartTasks()
+    const {
+  std::map<std::string, std::set<TaskId>> tasks;
+  for (const auto& [id, job] : active_) {
+    for (const Round& round : job->rounds) {
+      for (size_t s = 0; s < round.steps.size(); ++s) {
+        const std::vector<TaskState>& states = round.steps[s].tasks;
+        for (size_t i = 0; i < states.size(); ++i) {
+          const std::string& worker = states[i].unanswered.worker;
+          if (worker.empty()) continue;
+          tasks[worker].insert({id, round.number, static_cast<int32_t>(s),
+                                static_cast<int32_t>(i)});
+        }
+      }
+    }
+  }
+  return tasks;
+}
+
+// Workers that stay report to the next leader themselves, so that the handover
+// holds only the others. It is part of the answer that says that this leader
+// has stopped, which must arrive in time over slow links.
 LeaderHandover JobScheduler::Handover() const {
+  const std::map<std::string, std::set<TaskId>> unanswered =
+      UnansweredStartTasks();
   LeaderHandover handover;
   handover.epoch = epoch_;
   for (const auto& [id, worker] : workers_) {
-    const bool may_be_out_of_reach = worker->record.draining ||
-                                     worker->record_removed ||
-                                     worker->failed_observations > 0;
-    if (worker->unacknowledged_ends.empty() &&
-        !(worker->reported && may_be_out_of_reach))
-      continue;
-    WorkerHandover& to = handover.workers.emplace_back();
-    to.worker = id;
+    const bool leaves = worker->record.draining || worker->record_removed;
+    if (!leaves && worker->failed_observations == 0) continue;
+    WorkerHandover out;
+    out.worker = id;
     for (const UnacknowledgedEnd& one : worker->unacknowledged_ends)
-      to.ends.push_back(one.end);
-    to.reported = worker->reported;
-    if (to.reported) to.remaining = TasksOn(*worker);
+      out.ends.push_back(one.end);
+    out.remaining_known = leaves && worker->reported && !worker->ended;
+    if (out.remaining_known) {
+      const std::vector<TaskId> placed = TasksOn(*worker);
+      std::set<TaskId> remaining(placed.begin(), placed.end());
+      const auto late = unanswered.find(ParseWorkerIncarnation(id).name);
+      if (late != unanswered.end())
+        remaining.insert(late->second.begin(), late->second.end());
+      out.remaining.assign(remaining.begin(), remaining.end());
+    }
+    if (out.remaining_known || !out.ends.empty())
+      handover.workers.push_back(std::move(out));
   }
   return handover;
 }
@@ -44,9 +79,11 @@
     if (found == workers_.end() || found->second->reported) continue;
     Worker& worker = *found->second;
     for (const EndedTask& end : from.ends)
-      ends += ProcessEnd(worker, end, now) ? 1 : 0;
-    // A later leader may have assigned further tasks to the worker.
-    if (!from.reported || worker.leased_by_epoch != handover.epoch) continue;
+      ends += ApplyHandedOverEnd(worker, end, handover.epoch, now) ? 1 : 0;
+    // A later leader that assigned tasks to the worker is named by its record:
+    // no leader assigns any before its record of the worker is durable.
+    if (!from.remaining_known || worker.leased_by_epoch != handover.epoch)
+      continue;
     worker.retired_by_earlier = from.remaining.empty();
     worker.last_tasks_of_earlier = from.remaining;
   }
@@ -54,7 +91,21 @@
   LogDecision("handover_received",
               {{"epoch", absl::StrCat(handover.epoch)},
                {"workers", absl::StrCat(handover.workers.size())},
-               {"ends", absl::StrCat(ends)}});
+               {"ends_used", absl::StrCat(ends)}});
+}
+
+bool JobScheduler::ApplyHandedOverEnd(Worker& worker, EndedTask end,
+                                      int64_t epoch, Now now) {
+  // A leader in between may have saved a later checkpoint of the task.
+  if (epoch != epoch_ - 1) end.checkpoint.clear();
+  if (!ProcessEnd(worker, end, now)) return false;
+  const auto job = jobs_.find(end.task.job);
+  if (job == jobs_.end()) return true;
+  const TaskState* task = job->second->FindTask(end.task);
+  const bool placed_here = task != nullptr && task->run == end.run &&
+                           task->placed_on == worker.record.id;
+  if (placed_here) RecordPlacement(*job->second, end.task, "");
+  return true;
 }
 
 }  // namespace keelbridge
--- a/keelbridge/coordination/job_scheduler_handover_test.cc
+++ b/keelbridge/coordination/job_scheduler_handover_test.cc
@@ -3,6 +3,7 @@
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
 #include <string>
 #include <vector>
 
@@ -233,11 +234,85 @@
   second.reports["b"];
   second.RunUntil(absl::Seconds(1));
   REQUIRE(second.starts.size() == 1);
-  second.scheduler().OnHandover(first.scheduler().Handover(), second.now());
+  LeaderHandover handover = first.scheduler().Handover();
+  REQUIRE(handover.workers.size() == 1);
+  REQUIRE(handover.workers[0].ends.size() == 1);
+  // A number that the worker has not reached shows that it is not looked at.
+  handover.workers[0].ends[0].number = 2;
+  second.scheduler().OnHandover(handover, second.now());
   second.RunUntil(absl::Seconds(2));
   CHECK(second.starts.size() == 1);
   CHECK(second.scheduler().figures().ends_done == 1);
 }
 
+// Guards against a double start: the worker restarted under its name, and the
+// start that it had not answered may be carried out by its next incarnation.
+TEST_CASE(
+    "job scheduler: the handover of an incarnation that has ended does not "
+    "call it empty") {
+  JobSpec spec;
+  spec.steps = {OneTask()};
+  SchedulerDriver first(1);
+  first.AddWorker("w@1");
+  first.reports["w@1"];
+  first.RunUntil(kCutAt);
+  first.hold_batches = true;
+  first.drops_starts.insert("w@1");
+  const int64_t batch =
+      first.scheduler().Submit(kJob, "restore", spec, first.now());
+  first.scheduler().OnDurable(batch);
+  first.RunUntil(kCutAt + absl::Milliseconds(40));
+  REQUIRE(first.lost_starts.size() == 1);
+  first.next_incarnations["w@1"] = "w@2";
+  first.RunUntil(kCutAt + absl::Milliseconds(80));
+  for (const WorkerHandover& worker : first.scheduler().Handover().workers) {
+    CAPTURE(worker.worker);
+    const bool names_task =
+        std::find(worker.remaining.begin(), worker.remaining.end(), kTask) !=
+        worker.remaining.end();
+    CHECK((names_task || !worker.remaining_known));
+  }
+}
+
+// Guards against a wait for the lease of a worker that left with another task,
+// although the long-running task is known to have ended there.
+TEST_CASE(
+    "job scheduler: a long-running task whose end is handed over does not wait "
+    "for its worker") {
+  JobSpec spec;
+  spec.steps = {LongRunningTask()};
+  SchedulerDriver first(1);
+  RunFirstLeader(first, spec);
+  EndHeardByFirst(first, RunEnd::kFailed);
+  SchedulerDriver second(2);
+  TakeOver(second, first);
+  REQUIRE(second.starts.empty());
+  LeaderHandover handover = first.scheduler().Handover();
+  REQUIRE(handover.workers.size() == 1);
+  // The worker left with a task of another job.
+  handover.workers[0].remaining = {{kJob + 1, 0, 0, 0}};
+  second.scheduler().OnHandover(handover, second.now());
+  second.RunUntil(absl::Seconds(1) + kMaxRestartDelay);
+  CHECK(second.starts.size() == 1);
+}
+
+// Guards against lost progress: a leader in between has saved more.
+TEST_CASE(
+    "job scheduler: a handover of a leader before the last brings no "
+    "checkpoint") {
+  JobSpec spec;
+  spec.steps = {OneTask()};
+  spec.steps[0].checkpoints = true;
+  SchedulerDriver first(1);
+  RunFirstLeader(first, spec);
+  EndHeardByFirst(first, RunEnd::kStopped, "first");
+  SchedulerDriver third(3);
+  TakeOver(third, first);
+  third.scheduler().OnHandover(first.scheduler().Handover(), third.now());
+  third.RunUntil(absl::Seconds(1) + kMaxRestartDelay);
+  REQUIRE(third.starts.size() == 1);
+  CHECK(third.starts[0].checkpoint.empty());
+}
+
 }  // namespace
 }  // namespace keelbridge::testing
--- a/keelbridge/coordination/job_scheduler_incarnations.cc
+++ b/keelbridge/coordination/job_scheduler_incarnations.cc
@@ -68,6 +68,7 @@
       next, now);
   worker.record_removed = true;
   worker.reported = true;
+  worker.ended = true;
   worker.lease_expires_at = absl::InfinitePast();
 }
 
--- a/keelbridge/daemon/node_messages.cc
+++ b/keelbridge/daemon/node_messages.cc
@@ -54,7 +54,7 @@
   out["worker"] = worker.worker;
   out["ends"] = Json::Value(Json::arrayValue);
   for (const EndedTask& end : worker.ends) out["ends"].append(ToRow(end));
-  if (!worker.reported) return out;
+  if (!worker.remaining_known) return out;
   out["remaining"] = Json::Value(Json::arrayValue);
   for (const TaskId& task : worker.remaining)
     out["remaining"].append(TaskIdText(task));
@@ -75,7 +75,7 @@
   // A worker whose remaining tasks cannot be read must not be mistaken for one
   // on which nothing runs.
   if (!in["remaining"].isArray()) return std::nullopt;
-  worker.reported = true;
+  worker.remaining_known = true;
   for (const Json::Value& text : in["remaining"]) {
     TaskId task;
     if (!ParseTaskId(text.asString(), &task)) return std::nullopt;
--- a/keelbridge/daemon/node_messages_test.cc
+++ b/keelbridge/daemon/node_messages_test.cc
@@ -83,7 +83,7 @@
   worker.ends = {{4, {7, 0, 1, 2}, 2001, RunEnd::kStopped, "saved"}};
   handover.workers.push_back(worker);
   worker.worker = "i-2";
-  worker.reported = true;
+  worker.remaining_known = true;
   worker.remaining = {{7, 0, 1, 3}};
   handover.workers.push_back(worker);
   const auto read = LeaderHandoverFromJson(ToJson(handover));
@@ -91,8 +91,8 @@
   CHECK(ToJson(*read) == ToJson(handover));
   REQUIRE(read->workers.size() == 2);
   CHECK(read->workers[0].ends[0].checkpoint == "saved");
-  CHECK_FALSE(read->workers[0].reported);
-  CHECK(read->workers[1].reported);
+  CHECK_FALSE(read->workers[0].remaining_known);
+  CHECK(read->workers[1].remaining_known);
   CHECK(read->workers[1].remaining == worker.remaining);
 }
 
--- a/keelbridge/daemon/site_node.h
+++ b/keelbridge/daemon/site_node.h
@@ -139,6 +139,9 @@
   void Reaffirm();
   void BeginTerm();
   void OnTermEnded(const std::string& why);
+  // Passes the handover of the earlier leader at `address` to the session.
+  void OnHandoverMessage(const std::string& address,
+                         const Json::Value& message);
   // Asks the earlier leaders whether they have stopped, repeatedly during
   // `term` until all have.
   void PollEarlierLeaders(const std::weak_ptr<LeaderSession>& term);
--- a/keelbridge/daemon/site_node_leading.cc
+++ b/keelbridge/daemon/site_node_leading.cc
@@ -233,7 +233,7 @@
     session_->OnEarlierLeaderSeen(epoch, at);
   if (configuration_ != nullptr) session_->SetConfiguration(configuration_);
   // Another leader may have led in between without asking for it.
-  session_->OnHandover(handover_);
+  if (handover_.epoch > 0) session_->OnHandover(handover_);
   UpdatePeers();
   session_->Start();
   PollEarlierLeaders(session_);
@@ -241,6 +241,8 @@
 
 void SiteNode::OnTermEnded(const std::string& why) {
   (void)why;
+  // A term that was never active knows nothing, so the handover of an earlier
+  // one is kept.
   if (session_->handover()) handover_ = *session_->handover();
   election_.StepDown(SystemNow().mono);
   ReadControl();
@@ -277,6 +279,15 @@
   return std::max(last_order_, session_->last_order());
 }
 
+void SiteNode::OnHandoverMessage(const std::string& address,
+                                 const Json::Value& message) {
+  auto handover = LeaderHandoverFromJson(message);
+  if (!handover)
+    return LogEvent(Severity::kWarning, "handover_unreadable",
+                    {{"address", address}});
+  session_->OnHandover(*std::move(handover));
+}
+
 void SiteNode::PollEarlierLeaders(const std::weak_ptr<LeaderSession>& term) {
   // An answer to a request of an earlier term proves nothing in this one: that
   // node may have led in between.
@@ -303,8 +314,8 @@
               answer["idle_ms"].isInt64() ? answer["idle_ms"].asInt64() : 0;
           LogEvent(Severity::kInfo, "earlier_leader_stopped",
                    {{"address", address}, {"idle_ms", absl::StrCat(idle_ms)}});
-          if (const auto handover = LeaderHandoverFromJson(answer["handover"]))
-            session_->OnHandover(*handover);
+          if (answer.isMember("handover"))
+            OnHandoverMessage(address, answer["handover"]);
           earlier_leaders_.OnStopped(address, absl::Milliseconds(idle_ms),
                                      SystemNow().mono);
         },
--- a/keelbridge/protocol/leader_handover.h
+++ b/keelbridge/protocol/leader_handover.h
@@ -24,17 +24,18 @@
 
 struct WorkerHandover {
   std::string worker;  // The id of the incarnation.
-  // Ends of runs that are not durable, in the order of their numbers. The
-  // worker may still list them: none was acknowledged to it.
+  // Ends of runs that the leader has heard and not acknowledged to the worker,
+  // in the order of their numbers.
   std::vector<EndedTask> ends;
-  // The worker has sent a full report to the leader, so that `remaining` names
-  // every task that may still run on it.
-  bool reported = false;
+  // `remaining` names every task that may still run on the worker by an order
+  // of this leader or an earlier one.
+  bool remaining_known = false;
   std::vector<TaskId> remaining;
 };
 
-// Holds the workers that have ends which are not durable, and those that the
-// next leader may not reach. A leader creates it once it sends no more orders.
+// Holds the workers that may report nothing to the next leader: those that
+// leave, are off the platform's list or do not answer. A leader creates it once
+// it sends no more orders.
 struct LeaderHandover {
   int64_t epoch = 0;  // Of the leader; 0: the node has not led.
   std::vector<WorkerHandover> workers;
--- a/testing/fakes/site_platform.cc
+++ b/testing/fakes/site_platform.cc
@@ -435,9 +435,6 @@
     out["address"] = slot.address.ToString();
     out["zone"] = record.zone;
     out["state"] = record.draining ? "draining" : "ready";
-    if (record.draining)
-      out["remainingMs"] = Json::Int64(absl::ToInt64Milliseconds(
-          std::max(slot.leaves_at - now, absl::ZeroDuration())));
     out["capacity"]["cpu"] = record.capacity.cpu_milli;
     out["capacity"]["memoryRequestMb"] = record.capacity.memory_mib;
     out["capacity"]["gpu"] = record.capacity.accelerators;
@@ -489,7 +486,6 @@
 void SitePlatform::DrainWorker(int index, absl::Duration drain) {
   Slot& slot = slots_[static_cast<size_t>(index)];
   slot.incarnation->record().draining = true;
-  slot.leaves_at = SystemNow().mono + drain;
   RunAfter(drain, [this, index] {
     EndIncarnation(index, kDepartureTime, /*keep_id=*/false);
   });
--- a/testing/fakes/site_platform.h
+++ b/testing/fakes/site_platform.h
@@ -76,8 +76,9 @@
   // anew, and no earlier connection leads to it. Until then the proxy resets
   // connections or drops all data. Requires `UseWorkerProxies`.
   void RestartWorker(int index, absl::Duration down);
-  // The worker reports that it is draining, and leaves after `drain`: its runs
-  // and its unacknowledged ends are gone, and it answers nothing from then on.
+  // The worker reports that it is draining, but not for how long, and leaves
+  // after `drain`: its runs and its unacknowledged ends are gone, and it
+  // answers nothing from then on.
   void DrainWorker(int index, absl::Duration drain);
   // Reduces the worker's capacity to the fraction `share` for `time`. Its
   // record shows the reduced capacity from the next heartbeat on.
@@ -105,8 +106,7 @@
     std::unique_ptr<FaultProxy> proxy;
     std::string name;           // Current worker id, without the incarnation.
     int64_t start_time_ms = 0;  // Wall clock.
-    absl::Time leaves_at = absl::InfiniteFuture();  // If it is draining.
-    int name_count = 0;  // Number of ids used so far.
+    int name_count = 0;         // Number of ids used so far.
     // Limit on the resources of concurrent runs. A capacity that was reduced by
     // `ShrinkWorker` is enforced only after nodes had time to learn of it.
     Resources capacity_limit;
