Client accounts: keys, whose job it is, and maximums

Change: keelbridge/accounts decides who may call (account_access) and what an account may start (account_usage); both are pure. A key is checked where a call arrives and again by the leader if its configuration is newer. The account is part of both records of a job. Every allocation counts until its run has ended; runs of earlier leaders that may exist and starts without an answer count too.

--- a/keelbridge/base/json_reader.cc
+++ b/keelbridge/base/json_reader.cc
@@ -202,7 +202,9 @@
                              const std::function<void(JsonReader&)>& read) {
   const Json::Value* value = Find(key, "a list of objects");
   if (value == nullptr) return;
-  if (!value->isArray()) return ReportFault(key, "must be a list of objects");
+  // The value may hold secrets in its members.
+  if (!value->isArray())
+    return ReportSecretFault(key, "must be a list of objects");
   for (Json::ArrayIndex i = 0; i < value->size(); ++i) {
     const std::string path = absl::StrCat(path_, key, "[", i, "].");
     if (!(*value)[i].isObject()) {
@@ -214,6 +216,26 @@
   }
 }
 
+void JsonReader::ReportSecretFault(const std::string& key,
+                                   const std::string& what) {
+  const Json::Value* value = object_.find(key.data(), key.data() + key.size());
+  document_.AddFault(value == nullptr ? object_ : *value, path_ + key, what);
+}
+
+void JsonReader::SecretList(const std::string& key,
+                            std::vector<std::string>* out) {
+  const Json::Value* value = Find(key, "a list of texts");
+  if (value == nullptr) return;
+  if (!value->isArray())
+    return ReportSecretFault(key, "must be a list of texts");
+  out->clear();
+  for (const Json::Value& item : *value) {
+    if (!item.isString() || item.asString().empty())
+      return ReportSecretFault(key, "must hold only texts that are not empty");
+    out->push_back(item.asString());
+  }
+}
+
 void JsonReader::StringList(const std::string& key,
                             std::vector<std::string>* out) {
   const Json::Value* value = Find(key, "a list of texts");
--- a/keelbridge/base/json_reader.h
+++ b/keelbridge/base/json_reader.h
@@ -71,6 +71,8 @@
   void ObjectList(const std::string& key,
                   const std::function<void(JsonReader&)>& read);
   void StringList(const std::string& key, std::vector<std::string>* out);
+  // Like `StringList`, but faults do not show the value.
+  void SecretList(const std::string& key, std::vector<std::string>* out);
   // Read an object or a list of objects from other writers, which may add
   // members: unknown members are not faults.
   void ExtensibleObject(const std::string& key,
@@ -94,6 +96,8 @@
 
   // Reports a fault for a member that has a valid type but an invalid value.
   void ReportFault(const std::string& key, const std::string& what);
+  // Like `ReportFault`, but does not show the value.
+  void ReportSecretFault(const std::string& key, const std::string& what);
 
   // Reports every member that no call above has read. Call this last.
   void Finish();
--- a/keelbridge/base/result.h
+++ b/keelbridge/base/result.h
@@ -22,13 +22,14 @@
 // The kind of failure that an `Error` reports. Code decides by the error code;
 // the message is for people.
 enum class ErrorCode {
-  kInvalid,      // The input is wrong; the same call will fail again.
-  kNotFound,     // The thing named does not exist.
-  kConflict,     // Another caller was first.
-  kStale,        // The call was based on a state that has since changed.
-  kOverloaded,   // A limit is reached; `retry_after` says when to retry.
-  kUnavailable,  // A required service does not answer.
-  kUnknown,      // The call may or may not have taken effect.
+  kInvalid,       // The input is wrong; the same call will fail again.
+  kNotFound,      // The thing named does not exist.
+  kConflict,      // Another caller was first.
+  kUnauthorized,  // The caller has not shown that it may make the call.
+  kStale,         // The call was based on a state that has since changed.
+  kOverloaded,    // A limit is reached; `retry_after` says when to retry.
+  kUnavailable,   // A required service does not answer.
+  kUnknown,       // The call may or may not have taken effect.
 };
 
 // Returns the name of `code` used in replies and logs, for example "stale".
@@ -40,6 +41,8 @@
       return "not_found";
     case ErrorCode::kConflict:
       return "conflict";
+    case ErrorCode::kUnauthorized:
+      return "unauthorized";
     case ErrorCode::kStale:
       return "stale";
     case ErrorCode::kOverloaded:
--- a/keelbridge/cli/command_context.cc
+++ b/keelbridge/cli/command_context.cc
@@ -23,6 +23,7 @@
   switch (error.code) {
     case ErrorCode::kInvalid:
     case ErrorCode::kNotFound:
+    case ErrorCode::kUnauthorized:
       return kExitBadInput;
     case ErrorCode::kStale:
     case ErrorCode::kConflict:
--- a/keelbridge/coordination/job_scheduler.cc
+++ b/keelbridge/coordination/job_scheduler.cc
@@ -130,7 +130,7 @@
 void JobScheduler::MarkDirty(Job& job) { dirty_jobs_.insert(job.id); }
 
 int64_t JobScheduler::Submit(JobId id, const std::string& queue, JobSpec spec,
-                             Now now) {
+                             Now now, const std::string& account) {
   const auto found = jobs_.find(id);
   if (found != jobs_.end()) {
     const int64_t batch = found->second->description_batch;
@@ -138,6 +138,7 @@
   }
   auto job =
       std::make_unique<Job>(id, queue, std::move(spec), ToMillis(now.wall));
+  job->account = account;
   job->accepted_at = now.mono;
   job->description_batch = next_batch_;
   if (job->spec.rounds == 0) job->AddRound(0);
@@ -147,6 +148,7 @@
   const int64_t batch = next_batch_;
   LogDecision("job_taken", {{"job", JobIdText(id)},
                             {"queue", queue},
+                            {"account", account},
                             {"steps", absl::StrCat(job->spec.steps.size())},
                             {"batch", absl::StrCat(batch)}});
   active_.emplace(id, job.get());
@@ -192,6 +194,12 @@
   return JobState::kQueued;
 }
 
+std::optional<std::string> JobScheduler::AccountOf(JobId id) const {
+  const auto found = jobs_.find(id);
+  if (found == jobs_.end()) return std::nullopt;
+  return found->second->account;
+}
+
 std::map<std::string, int64_t> JobScheduler::QueuedJobs() const {
   std::map<std::string, int64_t> waiting;
   for (const auto& [id, job] : active_) {
@@ -279,6 +287,7 @@
 void JobScheduler::SetConfiguration(
     std::shared_ptr<const SiteConfiguration> configuration) {
   configuration_ = std::move(configuration);
+  accounts_.SetAccounts(configuration_->accounts);
   job_times_.clear();
   attempts_unchecked_ = true;
   placement_wanted_ = true;
--- a/keelbridge/coordination/job_scheduler.h
+++ b/keelbridge/coordination/job_scheduler.h
@@ -34,6 +34,7 @@
 
 #include "absl/container/flat_hash_map.h"
 #include "absl/time/time.h"
+#include "keelbridge/accounts/account_usage.h"
 #include "keelbridge/base/clock.h"
 #include "keelbridge/base/logging.h"
 #include "keelbridge/coordination/admission.h"
@@ -151,15 +152,20 @@
   // unknown.
   std::optional<Admission::Verdict> Admit(const std::string& queue,
                                           const JobSpec& spec) const;
-  // Submits a job. Returns the number of the batch that must be durable before
-  // the job counts as accepted, or 0 if the job is accepted already.
-  int64_t Submit(JobId id, const std::string& queue, JobSpec spec, Now now);
+  // Submits a job on behalf of a client account, "" for none. Returns the
+  // number of the batch that must be durable before the job counts as accepted,
+  // or 0 if the job is accepted already.
+  int64_t Submit(JobId id, const std::string& queue, JobSpec spec, Now now,
+                 const std::string& account = "");
   // Cancels a job. Returns the number of the batch that must be durable before
   // the job counts as cancelled, 0 if its end is durable already, or nullopt if
   // there is no such job.
   std::optional<int64_t> Cancel(JobId id, Now now);
   // Returns nullopt if there is no such job.
   std::optional<JobState> Status(JobId id) const;
+  // Returns the client account that submitted the job, or nullopt if there is
+  // no such job.
+  std::optional<std::string> AccountOf(JobId id) const;
   // Returns, by queue, the number of accepted jobs none of whose tasks has
   // begun.
   std::map<std::string, int64_t> QueuedJobs() const;
@@ -274,6 +280,9 @@
   // A run that uses, or may use, capacity of a worker.
   struct Allocation {
     Resources need;
+    // What the run counts for against the maximum of its client account.
+    Resources account_need;
+    AccountId account = kNoAccount;
     // This leader does not want the run on this worker.
     bool unwanted = false;
     // The size of the run is unknown because its job's description is gone.
@@ -433,6 +442,7 @@
     StepState* state;
     const StepSpec* spec;
     const Queue* queue;
+    AccountId account;
     int32_t number;   // Index of the step in its job.
     int32_t waiting;  // Tasks that may start now; see also `asks_ahead`.
     // Tasks of the step that this leader has not observed may still run under
@@ -845,6 +855,19 @@
   int32_t CountTasksOnExpiringLeases(const StepSpec& spec,
                                      const StepState& step, Now now) const;
 
+  // job_scheduler_accounts.cc
+  // Counts a new allocation against the maximum of its job's client account.
+  void CountForAccount(const Worker& worker, const TaskId& task,
+                       Allocation& allocation);
+  // Recomputes what accounts may have running unknown to this leader: runs of
+  // earlier leaders on workers that are not accounted for, and starts without
+  // an answer.
+  void CountPossibleRuns(Now now);
+  void CountPossibleRunsOf(const Job& job, Now now);
+  // Limits the tasks of the step that may start to what its client account may
+  // have running. Returns false, and records why, if none may start.
+  bool LimitToAccount(ReadyStep& ready);
+
   // job_scheduler_waiting.cc
   // The capacity that is available to a waiting step. `fits` and the fields
   // named after it count tasks of the step.
@@ -1005,6 +1028,7 @@
   // When this leader last learned that a worker restarted under its name.
   absl::Time last_restart_seen_ = absl::InfinitePast();
   std::shared_ptr<const SiteConfiguration> configuration_;
+  AccountUsage accounts_;
   absl::flat_hash_map<JobId, JobTiming> job_times_;
   std::vector<Adviser> advisers_;
   // By queue: the learned share of workers that may run its steps.
--- /dev/null
+++ b/keelbridge/coordination/job_scheduler_accounts.cc
@@ -0,0 +1,68 @@
+// Keeps client accounts within their maximums.
+
+#include <algorithm>
+
+#include "keelbridge/coordination/job_scheduler.h"
+
+namespace keelbridge {
+
+void JobScheduler::CountForAccount(const Worker& worker, const TaskId& task,
+                                   Allocation& allocation) {
+  const auto found = jobs_.find(task.job);
+  if (found == jobs_.end()) return;
+  const Job& job = *found->second;
+  const auto step = static_cast<size_t>(task.step);
+  allocation.account = accounts_.IdOf(job.account);
+  // A run whose size is no longer known counts as all that its worker can run.
+  allocation.account_need = step < job.spec.steps.size()
+                                ? job.spec.steps[step].need
+                                : worker.record.capacity;
+  accounts_.Add(allocation.account, allocation.account_need);
+}
+
+void JobScheduler::CountPossibleRuns(Now now) {
+  accounts_.ClearPossible();
+  // Only then is there a run that this leader does not know of.
+  if (!unobserved_.Any() && !WorkersRestartedRecently(now)) return;
+  for (const auto& [id, job] : active_) {
+    if (!job->account.empty()) CountPossibleRunsOf(*job, now);
+  }
+  if (!unobserved_.Any()) return;
+  ResourceTotals unaccounted;
+  for (const auto& [id, worker] : workers_) {
+    if (!IsAccountedFor(*worker, now)) unaccounted += worker->record.capacity;
+  }
+  accounts_.LimitUnobserved(unaccounted);
+}
+
+void JobScheduler::CountPossibleRunsOf(const Job& job, Now now) {
+  const AccountId account = accounts_.IdOf(job.account);
+  const bool may_run_unobserved = job.recovered && unobserved_.Any();
+  for (const Round& round : job.rounds) {
+    for (size_t s = 0; s < round.steps.size(); ++s) {
+      for (const TaskState& task : round.steps[s].tasks) {
+        if (task.phase != TaskPhase::kWaiting) continue;
+        const Resources& need = job.spec.steps[s].need;
+        if (may_run_unobserved && !task.observed)
+          accounts_.AddUnobserved(account, need);
+        else if (WaitsForUnansweredStart(task, now))
+          accounts_.AddUnanswered(account, need);
+      }
+    }
+  }
+}
+
+bool JobScheduler::LimitToAccount(ReadyStep& ready) {
+  const int32_t fits =
+      accounts_.CountFits(ready.account, ready.spec->need, ready.waiting);
+  const bool blocked = fits < (ready.spec->gang ? ready.waiting : 1);
+  if (blocked) {
+    ready.state->reserved.clear();
+    RecordBlocked(ready, "its client account is at its maximum");
+    return false;
+  }
+  ready.waiting = fits;
+  return true;
+}
+
+}  // namespace keelbridge
--- a/keelbridge/coordination/job_scheduler_placement.cc
+++ b/keelbridge/coordination/job_scheduler_placement.cc
@@ -135,6 +135,7 @@
         ready.state = &step;
         ready.spec = &spec;
         ready.queue = queue;
+        ready.account = accounts_.IdOf(job->account);
         ready.number = static_cast<int32_t>(s);
         ready.may_run_unobserved = job->recovered && unobserved_.Any() &&
                                    !DependsOnObservedStep(*job, round, s);
@@ -257,6 +258,7 @@
   std::vector<ReadyStep> ready = CollectReadySteps(now);
   LogRecoveryWait(now);
   ready_steps_ = ready.size();
+  CountPossibleRuns(now);
   ReportBacklog(ready, now);
   CountPlacementPass(ready, now);
   no_placement_before_ =
@@ -304,7 +306,10 @@
     }
     if (step.spec->gang) {
       if (CompleteGang(step, now)) continue;
+      if (!LimitToAccount(step)) continue;
       PlaceGang(step, now);
+    } else if (!LimitToAccount(step)) {
+      continue;
     } else if (need.FitsIn(max_free)) {
       PlaceSingleTasks(step, now);
     } else {
--- a/keelbridge/coordination/job_scheduler_workers.cc
+++ b/keelbridge/coordination/job_scheduler_workers.cc
@@ -165,6 +165,7 @@
     it->second.check_at = OverdueCheckTime(task, now.mono);
     worker.next_check = std::min(worker.next_check, it->second.check_at);
     UpdatePreemptibility(it->second, task, now);
+    CountForAccount(worker, task, it->second);
     worker.free -= need;
   }
   return it->second;
@@ -174,6 +175,7 @@
   const auto it = worker.allocations.find(key);
   if (it == worker.allocations.end()) return;
   worker.free += it->second.need;
+  accounts_.Remove(it->second.account, it->second.account_need);
   if (it->second.should_stop) worker.stopping -= it->second.need;
   if (it->second.unknown_size) --worker.runs_of_unknown_size;
   worker.allocations.erase(it);
--- a/keelbridge/daemon/leader_session.cc
+++ b/keelbridge/daemon/leader_session.cc
@@ -5,6 +5,7 @@
 
 #include "absl/cleanup/cleanup.h"
 #include "absl/strings/str_cat.h"
+#include "keelbridge/accounts/account_access.h"
 #include "keelbridge/base/logging.h"
 #include "keelbridge/transport/event_timer.h"
 
@@ -301,35 +302,74 @@
   return true;
 }
 
+std::optional<ClientReply> LeaderSession::CheckCaller(
+    const ClientCall& call) const {
+  // The node that received the call has decided by a configuration that is at
+  // least as new.
+  if (configuration_ == nullptr ||
+      configuration_->version <= call.caller.configuration_version)
+    return std::nullopt;
+  const Queue* queue = configuration_->FindQueueByName(call.queue);
+  if (queue == nullptr) return std::nullopt;
+  const AccessDecision access =
+      CheckAccess(*configuration_, *queue, call.caller.key);
+  if (access.allowed()) return std::nullopt;
+  LogEvent(
+      Severity::kInfo, "call_denied_by_leader",
+      {{"job", JobIdText(call.job)},
+       {"queue", call.queue},
+       {"account", call.caller.account},
+       {"why", access.reason()},
+       {"checked_version", absl::StrCat(call.caller.configuration_version)},
+       {"configuration_version", absl::StrCat(configuration_->version)}});
+  return Reply(ClientAnswer::kUnauthorized, access.reason());
+}
+
+bool LeaderSession::BelongsToAnotherAccount(const ClientCall& call) const {
+  const std::optional<std::string> account = scheduler_.AccountOf(call.job);
+  return account.has_value() &&
+         !MayAccessJob(call.caller.account, call.caller.queue_allows_anonymous,
+                       *account);
+}
+
+void LeaderSession::HandleSubmit(const ClientCall& call,
+                                 std::function<void(ClientReply)> reply) {
+  if (BelongsToAnotherAccount(call))
+    return reply(Reply(ClientAnswer::kConflict, "this id is in use"));
+  const bool known = scheduler_.Status(call.job).has_value();
+  if (!known && !CanAccept()) {
+    ClientReply refused = RetryLaterReply("the store does not take records");
+    LogEvent(Severity::kInfo, "job_refused",
+             {{"job", JobIdText(call.job)}, {"why", refused.message}});
+    return reply(std::move(refused));
+  }
+  if (!known && RefuseIfOverloaded(call, reply)) return;
+  const int64_t batch = scheduler_.Submit(call.job, call.queue, call.spec,
+                                          SystemNow(), call.caller.account);
+  ReplyWhenDurable(batch, Reply(ClientAnswer::kAccepted), std::move(reply));
+}
+
 void LeaderSession::Handle(const ClientCall& call,
                            std::function<void(ClientReply)> reply) {
+  if (auto denied = CheckCaller(call)) return reply(*std::move(denied));
   const Now now = SystemNow();
   const bool has_job = call.kind != ClientCallKind::kWaiting;
   if (has_job && unreadable_jobs_.count(call.job) > 0)
     return reply(UnreadableJobReply(call));
   switch (call.kind) {
-    case ClientCallKind::kSubmit: {
-      const bool known = scheduler_.Status(call.job).has_value();
-      if (!known && !CanAccept()) {
-        ClientReply refused =
-            RetryLaterReply("the store does not take records");
-        LogEvent(Severity::kInfo, "job_refused",
-                 {{"job", JobIdText(call.job)}, {"why", refused.message}});
-        return reply(std::move(refused));
-      }
-      if (!known && RefuseIfOverloaded(call, reply)) return;
-      const int64_t batch =
-          scheduler_.Submit(call.job, call.queue, call.spec, now);
-      return ReplyWhenDurable(batch, Reply(ClientAnswer::kAccepted),
-                              std::move(reply));
-    }
+    case ClientCallKind::kSubmit:
+      return HandleSubmit(call, std::move(reply));
     case ClientCallKind::kCancel: {
+      if (BelongsToAnotherAccount(call))
+        return reply(Reply(ClientAnswer::kNoSuchJob));
       const auto batch = scheduler_.Cancel(call.job, now);
       if (!batch) return ReplyNoSuchJobOnceConfirmed(call, std::move(reply));
       return ReplyWhenDurable(*batch, Reply(ClientAnswer::kAccepted),
                               std::move(reply));
     }
     case ClientCallKind::kStatus: {
+      if (BelongsToAnotherAccount(call))
+        return reply(Reply(ClientAnswer::kNoSuchJob));
       const auto state = scheduler_.Status(call.job);
       if (!state) return ReplyNoSuchJobOnceConfirmed(call, std::move(reply));
       ClientReply answer = Reply(ClientAnswer::kState);
@@ -351,6 +391,7 @@
 void LeaderSession::SetConfiguration(
     std::shared_ptr<const SiteConfiguration> configuration) {
   worker_list_.SetConfiguration(*configuration);
+  configuration_ = configuration;
   scheduler_.SetConfiguration(std::move(configuration));
   ApplyWorkerList();
   ScheduleCycle();
--- a/keelbridge/daemon/leader_session.h
+++ b/keelbridge/daemon/leader_session.h
@@ -194,6 +194,13 @@
   // call that this node still leads.
   void ReplyNoSuchJobOnceConfirmed(const ClientCall& call,
                                    std::function<void(ClientReply)> reply);
+  // Returns the reply to a call whose key is no longer valid under this
+  // leader's configuration, or nullopt if the call may proceed.
+  std::optional<ClientReply> CheckCaller(const ClientCall& call) const;
+  void HandleSubmit(const ClientCall& call,
+                    std::function<void(ClientReply)> reply);
+  // Returns whether the job was submitted by another account than the caller's.
+  bool BelongsToAnotherAccount(const ClientCall& call) const;
   // Returns the reply for a job with an unreadable record. It states neither
   // that the job does not exist nor its state.
   ClientReply UnreadableJobReply(const ClientCall& call) const;
@@ -204,6 +211,7 @@
   const int64_t epoch_;
   Metrics& metrics_;
   JobScheduler scheduler_;
+  std::shared_ptr<const SiteConfiguration> configuration_;
   Phase phase_ = Phase::kFencing;
   JobRecords records_;
   std::set<JobId> unreadable_jobs_;
--- a/keelbridge/daemon/leader_session_test.cc
+++ b/keelbridge/daemon/leader_session_test.cc
@@ -604,5 +604,94 @@
   CHECK(leader.session().ended());
 }
 
+// Returns a configuration in which `keys` belong to the account "a".
+std::shared_ptr<const SiteConfiguration> ConfigurationWithKeys(
+    int64_t version, std::vector<std::string> keys) {
+  auto configuration =
+      std::make_shared<SiteConfiguration>(*OneQueueConfiguration());
+  configuration->version = version;
+  configuration->has_accounts = true;
+  configuration->accounts.resize(2);
+  configuration->accounts[0].name = "a";
+  configuration->accounts[0].keys = std::move(keys);
+  configuration->accounts[1].name = "b";
+  configuration->accounts[1].keys = {"key-b"};
+  configuration->BuildIndex();
+  return configuration;
+}
+
+// Returns the leader's answer to a call for `kJob` that another node has
+// checked by the configuration `version`.
+std::optional<ClientAnswer> AnswerTo(MemoryStore& store, Leader& leader,
+                                     ClientCallKind kind,
+                                     const std::string& account,
+                                     const std::string& key, int64_t version) {
+  ClientCall call;
+  call.kind = kind;
+  call.queue = kQueue;
+  call.job = kJob;
+  call.caller = {key, account, version, false};
+  if (kind == ClientCallKind::kSubmit) call.spec.steps.emplace_back();
+  std::optional<ClientAnswer> answer;
+  leader.session().Handle(
+      call, [&answer](const ClientReply& reply) { answer = reply.answer; });
+  RunFor(store, absl::Milliseconds(300));
+  return answer;
+}
+
+// The node that received the call has not learned of the revocation yet.
+TEST_CASE(
+    "leader session: a revoked key is denied by the newer configuration") {
+  boost::asio::io_context loop;
+  MemoryStore store(loop);
+  Leader leader(store, 1);
+  leader.session().SetConfiguration(ConfigurationWithKeys(2, {"key-2"}));
+  RunFor(store, absl::Milliseconds(100));
+  REQUIRE(leader.session().active());
+  for (const ClientCallKind kind :
+       {ClientCallKind::kSubmit, ClientCallKind::kStatus,
+        ClientCallKind::kCancel, ClientCallKind::kWaiting})
+    CHECK(AnswerTo(store, leader, kind, "a", "key-1", 1) ==
+          ClientAnswer::kUnauthorized);
+  CHECK(AnswerTo(store, leader, ClientCallKind::kSubmit, "a", "key-2", 1) ==
+        ClientAnswer::kAccepted);
+}
+
+// The leader has not learned of the key yet.
+TEST_CASE("leader session: a key of a newer configuration is accepted") {
+  boost::asio::io_context loop;
+  MemoryStore store(loop);
+  Leader leader(store, 1);
+  leader.session().SetConfiguration(ConfigurationWithKeys(2, {"key-2"}));
+  RunFor(store, absl::Milliseconds(100));
+  CHECK(AnswerTo(store, leader, ClientCallKind::kSubmit, "a", "key-3", 3) ==
+        ClientAnswer::kAccepted);
+}
+
+TEST_CASE("leader session: a job is hidden from other accounts") {
+  boost::asio::io_context loop;
+  MemoryStore store(loop);
+  Leader leader(store, 1);
+  leader.session().SetConfiguration(ConfigurationWithKeys(2, {"key-a"}));
+  RunFor(store, absl::Milliseconds(100));
+  const auto answer = [&](ClientCallKind kind, const std::string& account) {
+    return AnswerTo(store, leader, kind, account, "key-" + account, 2);
+  };
+  REQUIRE(answer(ClientCallKind::kSubmit, "a") == ClientAnswer::kAccepted);
+  CHECK(answer(ClientCallKind::kStatus, "b") == ClientAnswer::kNoSuchJob);
+  CHECK(answer(ClientCallKind::kCancel, "b") == ClientAnswer::kNoSuchJob);
+  CHECK(answer(ClientCallKind::kSubmit, "b") == ClientAnswer::kConflict);
+  CHECK(answer(ClientCallKind::kStatus, "a") == ClientAnswer::kState);
+  // A later leader learns the account from the job's records.
+  Leader successor(store, 2);
+  successor.session().SetConfiguration(ConfigurationWithKeys(2, {"key-a"}));
+  RunFor(store, absl::Milliseconds(100));
+  REQUIRE(successor.session().active());
+  CHECK(AnswerTo(store, successor, ClientCallKind::kCancel, "b", "key-b", 2) ==
+        ClientAnswer::kNoSuchJob);
+  CHECK(AnswerTo(store, successor, ClientCallKind::kCancel, "a", "key-a", 2) ==
+        ClientAnswer::kAccepted);
+}
+
 }  // namespace
 }  // namespace keelbridge
--- a/keelbridge/daemon/node_messages.cc
+++ b/keelbridge/daemon/node_messages.cc
@@ -8,6 +8,23 @@
 namespace keelbridge {
 namespace {
 
+Json::Value ToJson(const Caller& caller) {
+  Json::Value out(Json::objectValue);
+  if (!caller.key.empty()) out["key"] = caller.key;
+  if (!caller.account.empty()) out["account"] = caller.account;
+  out["version"] = Json::Int64(caller.configuration_version);
+  if (caller.queue_allows_anonymous) out["anonymous"] = true;
+  return out;
+}
+
+// Throws `Json::Exception` where a field has the wrong type.
+void ReadCaller(const Json::Value& in, Caller* out) {
+  out->key = in["key"].asString();
+  out->account = in["account"].asString();
+  out->configuration_version = in["version"].asInt64();
+  out->queue_allows_anonymous = in["anonymous"].asBool();
+}
+
 // Throws `Json::Exception` where a field has the wrong type.
 Result<ClientCall> ReadClientCall(const Json::Value& in) {
   const int kind = in["kind"].isInt() ? in["kind"].asInt() : -1;
@@ -18,6 +35,7 @@
   call.queue = in["queue"].asString();
   if (!ParseJobId(in["job"].asString(), &call.job))
     return MakeError(ErrorCode::kInvalid, "the call names no job");
+  ReadCaller(in["caller"], &call.caller);
   if (call.kind != ClientCallKind::kSubmit) return call;
   call.spec = JobSpecFromJson(in["spec"]);
   if (auto checked = CheckJobSpec(call.spec); !checked) return checked.error();
@@ -29,7 +47,7 @@
   ClientReply reply;
   // A missing answer must not be read as the enumerator 0, "accepted".
   const int answer = in["answer"].isInt() ? in["answer"].asInt() : -1;
-  if (answer < 0 || answer > static_cast<int>(ClientAnswer::kInvalid))
+  if (answer < 0 || answer > static_cast<int>(ClientAnswer::kConflict))
     return reply;
   reply.state = in["state"].asString();
   reply.waiting = in["waiting"].asInt64();
@@ -104,6 +122,7 @@
   out["kind"] = static_cast<int>(call.kind);
   out["queue"] = call.queue;
   out["job"] = JobIdText(call.job);
+  out["caller"] = ToJson(call.caller);
   if (call.kind == ClientCallKind::kSubmit) out["spec"] = ToJson(call.spec);
   return out;
 }
--- a/keelbridge/daemon/node_messages_test.cc
+++ b/keelbridge/daemon/node_messages_test.cc
@@ -19,9 +19,14 @@
   call.queue = "q";
   call.job = 0x5c0e7a21d94b36f8;
   call.spec.steps.emplace_back();
+  call.caller = {"key-1", "agency-a", 7, true};
   const auto read = ClientCallFromJson(ToJson(call));
   REQUIRE(read);
   CHECK(ToJson(read.value()) == ToJson(call));
+  CHECK(read.value().caller.key == "key-1");
+  CHECK(read.value().caller.account == "agency-a");
+  CHECK(read.value().caller.configuration_version == 7);
+  CHECK(read.value().caller.queue_allows_anonymous);
   call.kind = ClientCallKind::kWaiting;
   call.job = 0;
   CHECK(ClientCallFromJson(ToJson(call)));
@@ -34,7 +39,10 @@
   for (const std::string& text :
        {"{" + job + "}", R"({"kind":4,)" + job + "}",
         R"({"kind":-1,)" + job + "}", std::string(R"({"kind":1,"job":"5c0e"})"),
-        R"({"kind":1,"queue":{},)" + job + "}", R"({"kind":0,)" + job + "}",
+        R"({"kind":1,"queue":{},)" + job + "}",
+        R"({"kind":1,"caller":{"key":[]},)" + job + "}",
+        R"({"kind":1,"caller":{"account":{}},)" + job + "}",
+        R"({"kind":0,)" + job + "}",
         R"({"kind":0,"spec":{"steps":[1]},)" + job + "}",
         R"({"kind":0,"spec":{"steps":[{"count":-1}]},)" + job + "}",
         R"({"kind":0,"spec":{"steps":[{"count":2000000000}]},)" + job + "}",
--- a/keelbridge/daemon/site_node.h
+++ b/keelbridge/daemon/site_node.h
@@ -85,6 +85,9 @@
   void ServeClient(const ServerRequest& request, EventHttpServer::Reply reply);
   // Returns the answer to a call that this node cannot forward: what it asks
   // for does not exist, or might exist in a newer configuration.
+  // Returns the call that the request makes, or an error if it makes none or if
+  // its caller may not make it.
+  Result<ClientCall> ReadCall(const ServerRequest& request) const;
   ClientReply DenialReply(const ServerRequest& request,
                           const Error& error) const;
   // Counts and logs the answer to a call.
--- a/keelbridge/daemon/site_node_clients.cc
+++ b/keelbridge/daemon/site_node_clients.cc
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "absl/strings/str_cat.h"
+#include "keelbridge/accounts/account_access.h"
 #include "keelbridge/base/logging.h"
 #include "keelbridge/daemon/node_messages.h"
 #include "keelbridge/daemon/site_node.h"
@@ -32,8 +33,14 @@
 constexpr int kFirstErrorStatus = 400;
 
 ClientAnswer AnswerForError(const Error& error) {
-  return error.code == ErrorCode::kNotFound ? ClientAnswer::kNoSuchQueue
-                                            : ClientAnswer::kInvalid;
+  switch (error.code) {
+    case ErrorCode::kNotFound:
+      return ClientAnswer::kNoSuchQueue;
+    case ErrorCode::kUnauthorized:
+      return ClientAnswer::kUnauthorized;
+    default:
+      return ClientAnswer::kInvalid;
+  }
 }
 
 const char* KindName(ClientCallKind kind) {
@@ -78,6 +85,7 @@
     case ClientAnswer::kUnknown:
       return CallOutcome::TryResult::kTermEnded;
     case ClientAnswer::kRejected:
+    case ClientAnswer::kUnauthorized:
       return CallOutcome::TryResult::kRejected;
     default:
       return CallOutcome::TryResult::kAnswered;
@@ -105,7 +113,7 @@
   if (final_replies_sent_)
     return reply(
         ports_.dialect->FormatReply(RetryLaterReply("this node stops")));
-  auto call = ports_.dialect->ParseClientCall(request, *configuration_);
+  auto call = ReadCall(request);
   if (!call)
     return reply(
         ports_.dialect->FormatReply(DenialReply(request, call.error())));
@@ -134,6 +142,21 @@
   TryCall(pending);
 }
 
+Result<ClientCall> SiteNode::ReadCall(const ServerRequest& request) const {
+  auto call = ports_.dialect->ParseClientCall(request, *configuration_);
+  if (!call) return call;
+  const Queue* queue = configuration_->FindQueueByName(call.value().queue);
+  Caller& caller = call.value().caller;
+  const AccessDecision access =
+      CheckAccess(*configuration_, *queue, caller.key);
+  if (!access.allowed())
+    return MakeError(ErrorCode::kUnauthorized, access.reason());
+  if (access.account != nullptr) caller.account = access.account->name;
+  caller.configuration_version = configuration_->version;
+  caller.queue_allows_anonymous = queue->allows_anonymous;
+  return call;
+}
+
 ClientReply SiteNode::DenialReply(const ServerRequest& request,
                                   const Error& error) const {
   ClientReply denial;
--- a/keelbridge/protocol/client_call.h
+++ b/keelbridge/protocol/client_call.h
@@ -17,9 +17,20 @@
 
 enum class ClientCallKind { kSubmit, kStatus, kCancel, kWaiting };
 
+// Who makes a call, as established by the node that received it.
+struct Caller {
+  std::string key;      // A secret; empty if the call has none.
+  std::string account;  // Empty if the call is on behalf of no account.
+  // The version of the configuration that the key was checked against.
+  int64_t configuration_version = 0;
+  // The queue allows anonymous calls, so it does not tell callers apart.
+  bool queue_allows_anonymous = false;
+};
+
 struct ClientCall {
   ClientCallKind kind = ClientCallKind::kStatus;
   std::string queue;
+  Caller caller;
   JobId job = 0;
   JobSpec spec;  // Only for `kSubmit`.
   // How much longer the client waits for the reply.
@@ -32,9 +43,11 @@
   kWaiting,   // The number of waiting jobs.
   kNoSuchJob,
   kNoSuchQueue,
-  kRejected,  // Not executed, now or later. Retry after `retry_after`.
-  kUnknown,   // The call may or may not have been executed.
-  kInvalid,   // The call is malformed.
+  kRejected,      // Not executed, now or later. Retry after `retry_after`.
+  kUnknown,       // The call may or may not have been executed.
+  kInvalid,       // The call is malformed.
+  kUnauthorized,  // The call has no valid key.
+  kConflict,      // The id of the job belongs to another account.
 };
 
 struct ClientReply {
--- a/keelbridge/protocol/site_configuration.cc
+++ b/keelbridge/protocol/site_configuration.cc
@@ -1,5 +1,7 @@
 #include "keelbridge/protocol/site_configuration.h"
 
+#include <algorithm>
+
 #include "absl/strings/ascii.h"
 #include "absl/strings/match.h"
 
@@ -21,10 +23,14 @@
 void SiteConfiguration::BuildIndex() {
   by_name_.clear();
   by_host_.clear();
+  by_key_.clear();
   for (size_t i = 0; i < queues.size(); ++i) {
     by_name_.emplace(queues[i].name, i);  // The first queue of a name wins.
     by_host_[absl::AsciiStrToLower(queues[i].host)].push_back(i);
   }
+  for (size_t i = 0; i < accounts.size(); ++i) {
+    for (const std::string& key : accounts[i].keys) by_key_.emplace(key, i);
+  }
 }
 
 const Queue* SiteConfiguration::FindQueue(const std::string& host,
@@ -55,6 +61,19 @@
   return nullptr;
 }
 
+const ClientAccount* SiteConfiguration::FindAccountByKey(
+    absl::string_view key) const {
+  if (!by_key_.empty()) {
+    const auto found = by_key_.find(key);
+    return found == by_key_.end() ? nullptr : &accounts[found->second];
+  }
+  for (const ClientAccount& account : accounts) {
+    const auto& keys = account.keys;
+    if (std::find(keys.begin(), keys.end(), key) != keys.end()) return &account;
+  }
+  return nullptr;
+}
+
 const Pool* SiteConfiguration::FindPool(const std::string& name) const {
   for (const Pool& pool : pools) {
     if (pool.name == name) return &pool;
--- a/keelbridge/protocol/site_configuration.h
+++ b/keelbridge/protocol/site_configuration.h
@@ -1,6 +1,6 @@
-// The operator's configuration of a site: queues of jobs, pools of workers and
-// limits on the requests of clients. Versions increase, and a newer
-// configuration replaces the older one entirely.
+// The operator's configuration of a site: queues of jobs, pools of workers,
+// client accounts and limits on the requests of clients. Versions increase, and
+// a newer configuration replaces the older one entirely.
 //
 //   const Queue* queue = configuration.FindQueue("host.example", "/restore/1");
 
@@ -12,6 +12,8 @@
 #include <vector>
 
 #include "absl/container/flat_hash_map.h"
+#include "absl/strings/string_view.h"
+#include "keelbridge/protocol/client_account.h"
 
 namespace keelbridge {
 
@@ -35,6 +37,8 @@
   double stretch = 1;
   int64_t target_latency_ms = 0;
   int64_t timeout_ms = 0;  // Of a client's request.
+  // Calls need no key.
+  bool allows_anonymous = false;
   AdviceTerms advice;
 };
 
@@ -54,24 +58,33 @@
   int64_t version = 0;  // 0: no configuration yet.
   std::vector<Queue> queues;
   std::vector<Pool> pools;
+  // Calls need a key of an account, except on queues that allow anonymous ones.
+  // False for a site without client accounts, which serves every call.
+  bool has_accounts = false;
+  std::vector<ClientAccount> accounts;
   RequestLimits limits;
   std::string document;  // The original text, which is passed to peers.
 
   // Builds an index, so that the time of the lookups below does not depend on
-  // the number of queues. Call it again after `queues` has changed. Without an
-  // index the lookups scan all queues.
+  // the number of queues or keys. Call it again after `queues` or `accounts`
+  // have changed. Without an index the lookups scan all queues and keys.
   void BuildIndex();
   // Returns the queue for a request, or null if there is none.
   const Queue* FindQueue(const std::string& host,
                          const std::string& path) const;
   const Queue* FindQueueByName(const std::string& name) const;
   const Pool* FindPool(const std::string& name) const;
+  // Returns the account that `key` authenticates, or null if no account has the
+  // key.
+  const ClientAccount* FindAccountByKey(absl::string_view key) const;
 
  private:
   // Indices into `queues`.
   absl::flat_hash_map<std::string, size_t> by_name_;
   // The host names are in lower case.
   absl::flat_hash_map<std::string, std::vector<size_t>> by_host_;
+  // Indices into `accounts`.
+  absl::flat_hash_map<std::string, size_t> by_key_;
 };
 
 }  // namespace keelbridge
--- a/keelbridge/state/job_table.cc
+++ b/keelbridge/state/job_table.cc
@@ -75,6 +75,10 @@
   return !in.isMember(key) || in[key].isBool();
 }
 
+bool IsStringOrMissing(const Json::Value& in, const char* key) {
+  return !in.isMember(key) || in[key].isString();
+}
+
 bool ReadCrash(const Json::Value& in, CrashedRun* crash) {
   const bool has_valid_types =
       in.isObject() && in["run"].isInt() && in["ran_ms"].isInt64() &&
@@ -289,7 +293,7 @@
   const bool has_valid_types =
       IsBoolOrMissing(in, "begun") && IsBoolOrMissing(in, "placements_kept") &&
       (!in.isMember("rounds_done") || in["rounds_done"].isInt()) &&
-      (!in.isMember("queue") || in["queue"].isString()) &&
+      IsStringOrMissing(in, "queue") && IsStringOrMissing(in, "account") &&
       (!in.isMember("rounds") || in["rounds"].isArray()) &&
       ReadEnd(in, &job->end);
   if (!has_valid_types) return false;
@@ -308,10 +312,12 @@
 std::unique_ptr<Job> ReadDescription(JobId id, const Json::Value& in) {
   JobSpec spec;
   const bool read = in["queue"].isString() && in["accepted_ms"].isInt64() &&
-                    ReadJobSpec(in, &spec);
+                    IsStringOrMissing(in, "account") && ReadJobSpec(in, &spec);
   if (!read) return nullptr;
-  return std::make_unique<Job>(id, in["queue"].asString(), std::move(spec),
-                               in["accepted_ms"].asInt64());
+  auto job = std::make_unique<Job>(id, in["queue"].asString(), std::move(spec),
+                                   in["accepted_ms"].asInt64());
+  job->account = in["account"].asString();
+  return job;
 }
 
 }  // namespace
@@ -407,6 +413,7 @@
 Record DescriptionRecord(const Job& job) {
   Json::Value value = ToJson(job.spec);
   value["queue"] = job.queue;
+  if (!job.account.empty()) value["account"] = job.account;
   value["accepted_ms"] = Json::Int64(job.accepted_ms);
   return Record{DescriptionKey(job.id), ToJsonText(value)};
 }
@@ -419,6 +426,7 @@
     value["end"] = JobStateName(job.end);
     value["ended_ms"] = Json::Int64(job.ended_ms);
     value["queue"] = job.queue;
+    if (!job.account.empty()) value["account"] = job.account;
   } else {
     if (job.placements_persisted) value["placements_kept"] = true;
     for (const Round& round : job.rounds)
@@ -484,6 +492,7 @@
       continue;
     }
     job->queue = value["queue"].asString();
+    job->account = value["account"].asString();
     job->accepted_ms = job->ended_ms;
     jobs.emplace(id, std::move(job));
   }
--- a/keelbridge/state/job_table.h
+++ b/keelbridge/state/job_table.h
@@ -166,6 +166,8 @@
 
   const JobId id;
   std::string queue;
+  // The client account that submitted the job; empty if there is none.
+  std::string account;
   JobSpec spec;
   int64_t accepted_ms;       // Wall clock.
   absl::Time accepted_at;    // Steady clock of this process.
--- a/keelbridge/state/job_table_test.cc
+++ b/keelbridge/state/job_table_test.cc
@@ -194,5 +194,28 @@
   CHECK(read.run == 6);
 }
 
+TEST_CASE("job table: the account of a job persists, also after its end") {
+  Job job = LongRunningJob();
+  job.account = "agency-a";
+  CHECK(RecoverJob(job, ProgressRecord(job))->account == "agency-a");
+  job.end = JobState::kCancelled;
+  JobRecords ended;
+  ended.Add(ProgressRecord(job));
+  CHECK(ended.Build().at(kId)->account == "agency-a");
+}
+
+// Guards against taking a job of an unreadable account for one that anybody may
+// read and cancel.
+TEST_CASE(
+    "job table: an account that cannot be read makes the job unreadable") {
+  const Job job = LongRunningJob();
+  Record record = DescriptionRecord(job);
+  record.value->insert(1, R"("account":7,)");
+  JobRecords records;
+  records.Add(record);
+  CHECK(records.Build().empty());
+  CHECK(records.unreadable_jobs().count(kId) == 1);
+}
+
 }  // namespace
 }  // namespace keelbridge
--- a/testing/fuzz/configuration_fuzzer.cc
+++ b/testing/fuzz/configuration_fuzzer.cc
@@ -20,6 +20,14 @@
   for (const keelbridge::Pool& pool : configuration.pools)
     fuzz::Require(configuration.FindPool(pool.name) != nullptr,
                   "a pool is found by its name");
+  for (const keelbridge::ClientAccount& account : configuration.accounts) {
+    fuzz::Require(account.weight >= 0, "a weight is not negative");
+    for (const std::string& key : account.keys) {
+      const auto* owner = configuration.FindAccountByKey(key);
+      fuzz::Require(owner != nullptr && owner->name == account.name,
+                    "a key belongs to one account");
+    }
+  }
 }
 
 }  // namespace
--- a/testing/fuzz/node_messages_fuzzer.cc
+++ b/testing/fuzz/node_messages_fuzzer.cc
@@ -14,7 +14,7 @@
 void CheckClientReply(const Json::Value& in) {
   const keelbridge::ClientReply reply = keelbridge::ClientReplyFromJson(in);
   fuzz::Require(reply.answer >= ClientAnswer::kAccepted &&
-                    reply.answer <= ClientAnswer::kInvalid,
+                    reply.answer <= ClientAnswer::kConflict,
                 "an answer is a known enumerator");
 }
 
--- /dev/null
+++ b/testing/site_accounts_test.cc
@@ -0,0 +1,187 @@
+// Tests that a site keeps client accounts within their maximums, whatever
+// becomes of its leaders and workers, and that no account with capacity left
+// waits.
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "absl/strings/str_cat.h"
+#include "absl/strings/str_join.h"
+#include "testing/support/site_simulation.h"
+
+namespace keelbridge::testing {
+namespace {
+
+constexpr int kWorkers = 8;
+
+StepSpec Step(int32_t count, int32_t cpu_milli, int64_t estimated_ms) {
+  StepSpec step;
+  step.count = count;
+  step.need = {cpu_milli, 2048, 0};
+  step.estimated_ms = estimated_ms;
+  step.checkpoints = true;
+  return step;
+}
+
+JobSpec OneStep(const StepSpec& step) {
+  JobSpec spec;
+  spec.steps = {step};
+  return spec;
+}
+
+JobSpec Gang(int32_t count) {
+  StepSpec step = Step(count, 3000, 900);
+  step.gang = true;
+  return OneStep(step);
+}
+
+JobSpec LongRunning(int32_t count) {
+  StepSpec step = Step(count, 1000, 1000);
+  step.long_running = true;
+  return OneStep(step);
+}
+
+// "small" may run a sixth of the site's processors, "large" half of them and a
+// quarter of the memory, and "free" has no maximum.
+std::vector<ClientAccount> ThreeAccounts() {
+  std::vector<ClientAccount> accounts(3);
+  accounts[0].name = "small";
+  accounts[0].maximum = {21000, 0, 0};
+  accounts[1].name = "large";
+  accounts[1].maximum = {64000, 131072, 0};
+  accounts[2].name = "free";
+  return accounts;
+}
+
+// Submits eight jobs per second for `seconds`, more than the two limited
+// accounts may run.
+void SubmitLoad(SiteSimulation& site, int seconds) {
+  for (int i = 0; i < seconds * 8; ++i) {
+    site.After(absl::Milliseconds(125 * i), [&site, i] {
+      const std::string account = i % 4 == 0   ? "free"
+                                  : i % 4 == 3 ? "small"
+                                               : "large";
+      site.Submit(i % 9 == 0    ? Gang(5)
+                  : i % 31 == 2 ? LongRunning(2)
+                                : OneStep(Step(4, 2500, 500 + 100 * (i % 7))),
+                  SiteSimulation::kQueue, account);
+    });
+  }
+}
+
+// Schedules six faults, drawn from the seed: changes of the leader, with and
+// without an old leader that goes on, and workers that crash, restart, are cut
+// off or leave.
+void ScheduleFaults(SiteSimulation& site, uint64_t seed) {
+  std::mt19937_64 random(seed);
+  for (int i = 0; i < 6; ++i) {
+    const auto at = absl::Milliseconds(random() % 12000);
+    const int kind = static_cast<int>(random() % 8);
+    const int worker = static_cast<int>(random() % kWorkers);
+    site.After(at, [&site, kind, worker] {
+      if (kind == 0) site.ReplaceLeader(absl::Milliseconds(300), false);
+      if (kind == 1) site.ReplaceLeader(absl::Milliseconds(50), true);
+      if (kind == 2) site.CrashWorker(worker, absl::Seconds(3));
+      if (kind == 3) site.CutWorker(worker, absl::Seconds(5));
+      if (kind == 4) site.StoreDown(absl::Seconds(2));
+      if (kind == 5)
+        site.FreezeLeader(absl::Milliseconds(200), absl::Seconds(3));
+      if (kind == 6)
+        site.DrainWorker(worker, absl::Seconds(1), absl::Seconds(3));
+      if (kind == 7) {
+        site.CutWorker(worker, absl::Seconds(6));
+        site.ReplaceLeader(absl::Milliseconds(100), false);
+      }
+    });
+  }
+}
+
+void CheckSeeds(uint64_t first, uint64_t last, double lost_answers) {
+  for (uint64_t seed = first; seed <= last; ++seed) {
+    CAPTURE(seed);
+    SiteSimulation::Options options;
+    options.seed = seed;
+    options.workers = kWorkers;
+    options.lost_answers = lost_answers;
+    options.accounts = ThreeAccounts();
+    SiteSimulation site(options);
+    SubmitLoad(site, 8);
+    ScheduleFaults(site, seed);
+    site.Run(absl::Seconds(25));
+    CAPTURE(absl::StrJoin(site.violations(), "\n"));
+    CHECK(site.violations().empty());
+  }
+}
+
+TEST_CASE("site accounts: none exceeds its maximum as leaders and workers go") {
+  CheckSeeds(1, 40, 0);
+}
+
+TEST_CASE("site accounts: none exceeds its maximum when answers are lost") {
+  CheckSeeds(1001, 1040, 0.05);
+}
+
+// Takes minutes, so it runs by hand: --no-skip -tc="site accounts: * 1,000*".
+TEST_CASE("site accounts: none exceeds its maximum in 1,000 seeds" *
+          doctest::skip()) {
+  CheckSeeds(2001, 2500, 0.02);
+  CheckSeeds(3001, 3500, 0);
+}
+
+TEST_CASE("site accounts: a lowered maximum starts nothing and stops nothing") {
+  SiteSimulation::Options options;
+  options.failing_runs = 0;
+  options.accounts = ThreeAccounts();
+  SiteSimulation site(options);
+  for (int i = 0; i < 20; ++i)
+    site.Submit(OneStep(Step(4, 2500, 2000)), SiteSimulation::kQueue, "large");
+  site.Run(absl::Seconds(1));
+  const size_t before = site.runs().size();
+  REQUIRE(before > 20);
+  std::vector<ClientAccount> lowered = ThreeAccounts();
+  lowered[1].maximum.cpu_milli = 10000;
+  site.SetAccounts(lowered);
+  site.Run(absl::Milliseconds(500));
+  CHECK(site.runs().size() == before);
+  site.Run(absl::Seconds(60));
+  CHECK(site.violations().empty());
+  for (const SiteRun& run : site.runs()) CHECK(run.end == RunEnd::kDone);
+}
+
+TEST_CASE("site accounts: one at its maximum does not delay another") {
+  SiteSimulation::Options options;
+  options.failing_runs = 0;
+  options.accounts = ThreeAccounts();
+  SiteSimulation site(options);
+  for (int i = 0; i < 100; ++i)
+    site.Submit(OneStep(Step(4, 2500, 2000)), SiteSimulation::kQueue, "small");
+  site.Run(absl::Seconds(2));
+  const JobId other =
+      site.Submit(OneStep(Step(4, 2500, 500)), SiteSimulation::kQueue, "free");
+  site.Run(absl::Seconds(3));
+  REQUIRE(site.JobDuration(other).has_value());
+  CHECK(*site.JobDuration(other) < absl::Milliseconds(1500));
+}
+
+TEST_CASE("site accounts: a new leader does not make an account wait long") {
+  // The account is well below its maximum, and all workers answer.
+  SiteSimulation::Options options;
+  options.failing_runs = 0;
+  options.accounts = ThreeAccounts();
+  SiteSimulation site(options);
+  site.Submit(OneStep(Step(8, 2500, 4000)), SiteSimulation::kQueue, "large");
+  site.Run(absl::Seconds(1));
+  site.ReplaceLeader(absl::Milliseconds(100), false);
+  const JobId next =
+      site.Submit(OneStep(Step(4, 2500, 500)), SiteSimulation::kQueue, "large");
+  site.Run(absl::Seconds(4));
+  REQUIRE(site.JobDuration(next).has_value());
+  CHECK(*site.JobDuration(next) < absl::Milliseconds(2500));
+}
+
+}  // namespace
+}  // namespace keelbridge::testing
--- a/testing/support/site_simulation.cc
+++ b/testing/support/site_simulation.cc
@@ -39,6 +39,8 @@
   auto out = std::make_shared<SiteConfiguration>();
   out->version = 1;
   out->pools.push_back({SiteSimulation::kPool, false, false});
+  out->accounts = options.accounts;
+  out->has_accounts = !options.accounts.empty();
   out->queues = options.queues;
   if (!out->queues.empty()) return out;
   Queue queue;
@@ -243,10 +245,48 @@
   });
 }
 
+void SiteSimulation::CheckAccountMaximum(const SiteRun& run) {
+  const std::string& name = jobs_[run.task.job].account;
+  const auto& accounts = configuration_->accounts;
+  const auto account = std::find_if(
+      accounts.begin(), accounts.end(),
+      [&name](const ClientAccount& one) { return one.name == name; });
+  if (account == accounts.end()) return;
+  const Resources& maximum = account->maximum;
+  Resources used;
+  for (const WorkerSlot& slot : workers_) {
+    for (const auto& [key, other] : slot.incarnation->running()) {
+      if (jobs_[key.first.job].account == name) used += other.need;
+    }
+  }
+  const auto exceeds = [](int32_t amount, int32_t limit) {
+    return limit > 0 && amount > limit;
+  };
+  if (exceeds(used.cpu_milli, maximum.cpu_milli) ||
+      exceeds(used.memory_mib, maximum.memory_mib) ||
+      exceeds(used.accelerators, maximum.accelerators))
+    RecordViolation(absl::StrCat("QUOTA: ", TaskIdText(run.task), " run ",
+                                 run.run, " on ", run.worker,
+                                 " exceeds the maximum of ", name,
+                                 "; CPU milli in use: ", used.cpu_milli,
+                                 ", MiB in use: ", used.memory_mib));
+}
+
+void SiteSimulation::SetAccounts(std::vector<ClientAccount> accounts) {
+  auto next = std::make_shared<SiteConfiguration>(*configuration_);
+  ++next->version;
+  next->accounts = std::move(accounts);
+  configuration_ = std::move(next);
+  for (const auto& leader : leaders_) {
+    if (!leader->dead) leader->scheduler->SetConfiguration(configuration_);
+  }
+}
+
 void SiteSimulation::RecordRun(const SiteRun& run, bool begins) {
   if (begins) {
     runs_.push_back(run);
     CheckStart(run);
+    CheckAccountMaximum(run);
     if (jobs_[run.task.job].crashes) CheckCrashingRun(run);
     return;
   }
@@ -566,10 +606,12 @@
   }
 }
 
-JobId SiteSimulation::Submit(JobSpec spec, const std::string& queue) {
+JobId SiteSimulation::Submit(JobSpec spec, const std::string& queue,
+                             const std::string& account) {
   const JobId id = next_job_++;
   jobs_[id].spec = std::move(spec);
   jobs_[id].queue = queue;
+  jobs_[id].account = account;
   jobs_[id].submitted = now_;
   const std::vector<StepSpec>& steps = jobs_[id].spec.steps;
   for (size_t s = 0; s < steps.size(); ++s) {
@@ -585,7 +627,7 @@
       return;
     }
     const int64_t batch = leader->scheduler->Submit(
-        id, jobs_[id].queue, jobs_[id].spec, CurrentTime());
+        id, jobs_[id].queue, jobs_[id].spec, CurrentTime(), jobs_[id].account);
     if (batch == 0) {
       accepted_.insert(id);
       return;
--- a/testing/support/site_simulation.h
+++ b/testing/support/site_simulation.h
@@ -48,6 +48,7 @@
     absl::Duration store_delay = absl::Milliseconds(5);
     // If not empty, replaces the default queue.
     std::vector<Queue> queues;
+    std::vector<ClientAccount> accounts;
     int advisers = 1;  // Number of nodes that can request advice.
     // The duration of a run differs from its estimate by up to this share.
     double estimate_error = 0.5;
@@ -58,7 +59,10 @@
 
   explicit SiteSimulation(const Options& options);
 
-  JobId Submit(JobSpec spec, const std::string& queue = kQueue);
+  JobId Submit(JobSpec spec, const std::string& queue = kQueue,
+               const std::string& account = "");
+  // Replaces the accounts of the configuration in force.
+  void SetAccounts(std::vector<ClientAccount> accounts);
   // Submits a job whose tasks crash each worker that starts them, soon after
   // the start.
   JobId SubmitCrashing(JobSpec spec);
@@ -157,6 +161,7 @@
   struct JobFacts {
     JobSpec spec;
     std::string queue;
+    std::string account;
     bool cancelled = false;
     bool crashes = false;
     absl::Time submitted;
@@ -180,6 +185,8 @@
   SiteWorker* FindWorker(const std::string& worker_id, bool* cut);
   void RecordRun(const SiteRun& run, bool begins);
   void CheckStart(const SiteRun& run);
+  // Checks that a start keeps the client account of its job within its maximum.
+  void CheckAccountMaximum(const SiteRun& run);
   void CheckCrashingRun(const SiteRun& run);
   WorkerSlot* FindSlot(const std::string& worker_id);
   void SetCapacity(int index, const Resources& capacity);
