Status calls wait for the pending end of their job

Cause: clients ask for a job's state as its last task ends. The leader knew the end but answered 'running' until its record was durable, some 20 ms later, and the client learned of the end only when it asked again.

Change: such a call waits for the append, 200 ms at most.

--- a/keelbridge/coordination/job_scheduler.cc
+++ b/keelbridge/coordination/job_scheduler.cc
@@ -194,6 +194,15 @@
   return JobState::kQueued;
 }
 
+std::optional<JobScheduler::PendingEnd> JobScheduler::FindPendingEnd(
+    JobId id) const {
+  const auto found = jobs_.find(id);
+  if (found == jobs_.end()) return std::nullopt;
+  const Job& job = *found->second;
+  if (!job.Ended() || job.end_batch <= durable_batch_) return std::nullopt;
+  return PendingEnd{job.end, job.end_batch};
+}
+
 std::optional<std::string> JobScheduler::AccountOf(JobId id) const {
   const auto found = jobs_.find(id);
   if (found == jobs_.end()) return std::nullopt;
--- a/keelbridge/coordination/job_scheduler.h
+++ b/keelbridge/coordination/job_scheduler.h
@@ -163,6 +163,12 @@
   std::optional<int64_t> Cancel(JobId id, Now now);
   // Returns nullopt if there is no such job.
   std::optional<JobState> Status(JobId id) const;
+  // The end of a job that is decided but not durable yet.
+  struct PendingEnd {
+    JobState end;
+    int64_t batch;  // The end counts once this batch is durable.
+  };
+  std::optional<PendingEnd> FindPendingEnd(JobId id) const;
   // Returns the client account that submitted the job, or nullopt if there is
   // no such job.
   std::optional<std::string> AccountOf(JobId id) const;
--- a/keelbridge/coordination/scheduler_policy.h
+++ b/keelbridge/coordination/scheduler_policy.h
@@ -30,6 +30,8 @@
   bool reserve_for_single_tasks = true;
   // Less urgent runs that save their progress are preempted for blocked steps.
   bool preempt_runs = true;
+  // A status call waits for the pending end of its job.
+  bool await_pending_ends = true;
 };
 
 struct PolicySwitch {
@@ -41,7 +43,8 @@
   return {{"settle_soon", &SchedulerPolicy::resolve_unanswered_orders},
           {"name_by_cost", &SchedulerPolicy::name_extra_workers},
           {"hold_room", &SchedulerPolicy::reserve_for_single_tasks},
-          {"make_room", &SchedulerPolicy::preempt_runs}};
+          {"make_room", &SchedulerPolicy::preempt_runs},
+          {"await_ends", &SchedulerPolicy::await_pending_ends}};
 }
 
 }  // namespace keelbridge
--- a/keelbridge/daemon/leader_session.cc
+++ b/keelbridge/daemon/leader_session.cc
@@ -17,6 +17,9 @@
 // The number of waiting jobs is reported only if the store confirmed this
 // leader within this time, because the count may be at most 2 s old.
 constexpr absl::Duration kMaxWaitingCountAge = absl::Seconds(2);
+// How long a status call waits for the end of its job to become durable. An
+// append takes much less than this unless the store is disturbed.
+constexpr absl::Duration kMaxPendingEndWait = absl::Milliseconds(200);
 // New jobs are refused once appends have failed for this long.
 constexpr absl::Duration kMaxAppendFailureDuration = absl::Milliseconds(400);
 constexpr absl::Duration kMetricsInterval = absl::Seconds(1);
@@ -40,6 +43,12 @@
   return reply;
 }
 
+ClientReply StateReply(JobState state) {
+  ClientReply reply = Reply(ClientAnswer::kState);
+  reply.state = JobStateName(state);
+  return reply;
+}
+
 ClientReply RetryLaterReply(std::string message) {
   ClientReply reply = Reply(ClientAnswer::kRejected, std::move(message));
   reply.retry_after = kRetryAfter;
@@ -349,6 +358,28 @@
   ReplyWhenDurable(batch, Reply(ClientAnswer::kAccepted), std::move(reply));
 }
 
+void LeaderSession::HandleStatus(const ClientCall& call,
+                                 std::function<void(ClientReply)> reply) {
+  if (BelongsToAnotherAccount(call))
+    return reply(Reply(ClientAnswer::kNoSuchJob));
+  const auto state = scheduler_.Status(call.job);
+  if (!state) return ReplyNoSuchJobOnceConfirmed(call, std::move(reply));
+  const auto pending = scheduler_.FindPendingEnd(call.job);
+  const bool waits =
+      options_.scheduler.policy.await_pending_ends && pending && CanAccept();
+  if (!waits) return reply(StateReply(*state));
+  // Only the first of the two replies is passed on.
+  auto once =
+      std::make_shared<std::function<void(ClientReply)>>(std::move(reply));
+  const auto reply_once = [once](const ClientReply& answer) {
+    if (*once) std::exchange(*once, nullptr)(answer);
+  };
+  ReplyWhenDurable(pending->batch, StateReply(pending->end), reply_once);
+  RunAfterUnlessEnded(
+      kMaxPendingEndWait,
+      [reply_once, answer = StateReply(*state)] { reply_once(answer); });
+}
+
 void LeaderSession::Handle(const ClientCall& call,
                            std::function<void(ClientReply)> reply) {
   if (auto denied = CheckCaller(call)) return reply(*std::move(denied));
@@ -367,15 +398,8 @@
       return ReplyWhenDurable(*batch, Reply(ClientAnswer::kAccepted),
                               std::move(reply));
     }
-    case ClientCallKind::kStatus: {
-      if (BelongsToAnotherAccount(call))
-        return reply(Reply(ClientAnswer::kNoSuchJob));
-      const auto state = scheduler_.Status(call.job);
-      if (!state) return ReplyNoSuchJobOnceConfirmed(call, std::move(reply));
-      ClientReply answer = Reply(ClientAnswer::kState);
-      answer.state = JobStateName(*state);
-      return reply(std::move(answer));
-    }
+    case ClientCallKind::kStatus:
+      return HandleStatus(call, std::move(reply));
     case ClientCallKind::kWaiting: {
       if (now.mono - last_append_sent_ > kMaxWaitingCountAge)
         return reply(RetryLaterReply("the count may be old"));
--- a/keelbridge/daemon/leader_session.h
+++ b/keelbridge/daemon/leader_session.h
@@ -197,6 +197,11 @@
   // Returns the reply to a call whose key is no longer valid under this
   // leader's configuration, or nullopt if the call may proceed.
   std::optional<ClientReply> CheckCaller(const ClientCall& call) const;
+  // Replies with the state of a job. If its end is decided but not durable yet,
+  // waits for that briefly: a client that asks as its last task ends would
+  // otherwise learn of the end only when it asks again.
+  void HandleStatus(const ClientCall& call,
+                    std::function<void(ClientReply)> reply);
   void HandleSubmit(const ClientCall& call,
                     std::function<void(ClientReply)> reply);
   // Returns whether the job was submitted by another account than the caller's.
--- a/keelbridge/daemon/leader_session_test.cc
+++ b/keelbridge/daemon/leader_session_test.cc
@@ -693,5 +693,59 @@
         ClientAnswer::kAccepted);
 }
 
+// Guards against telling a client that its job still runs when the end is known
+// and is being written: the client would ask again only some time later.
+TEST_CASE(
+    "leader session: a status call waits for an end that is not durable") {
+  boost::asio::io_context loop;
+  MemoryStore store(loop);
+  FakeWorkers workers(loop);
+  Leader leader(store, 1, Leader::Parts{nullptr, &workers, {}});
+  leader.session().SetConfiguration(OneQueueConfiguration());
+  RunFor(store, absl::Milliseconds(100));
+  REQUIRE(leader.session().active());
+  std::optional<ClientAnswer> accepted;
+  leader.Send(ClientCallKind::kSubmit, &accepted);
+  RunFor(store, absl::Milliseconds(100));
+  REQUIRE(accepted == ClientAnswer::kAccepted);
+  const auto ask = [&](std::optional<std::string>* state) {
+    ClientCall call;
+    call.kind = ClientCallKind::kStatus;
+    call.queue = kQueue;
+    call.job = kJob;
+    leader.session().Handle(
+        call, [state](const ClientReply& reply) { *state = reply.state; });
+  };
+  std::optional<ClientAnswer> cancelled;
+  std::optional<std::string> state;
+  leader.Send(ClientCallKind::kCancel, &cancelled);
+  ask(&state);
+  CHECK_FALSE(state.has_value());
+  RunFor(store, absl::Milliseconds(100));
+  CHECK(cancelled == ClientAnswer::kAccepted);
+  CHECK(state == "cancelled");
+}
+
+TEST_CASE("leader session: a status call waits only briefly for the store") {
+  boost::asio::io_context loop;
+  MemoryStore store(loop);
+  FakeWorkers workers(loop);
+  Leader leader(store, 1, Leader::Parts{nullptr, &workers, {}});
+  leader.session().SetConfiguration(OneQueueConfiguration());
+  RunFor(store, absl::Milliseconds(100));
+  std::optional<ClientAnswer> accepted;
+  leader.Send(ClientCallKind::kSubmit, &accepted);
+  RunFor(store, absl::Milliseconds(100));
+  REQUIRE(accepted == ClientAnswer::kAccepted);
+  leader.connection().SetUnresponsive(true);
+  std::optional<ClientAnswer> cancelled;
+  std::optional<ClientAnswer> state;
+  leader.Send(ClientCallKind::kCancel, &cancelled);
+  leader.Send(ClientCallKind::kStatus, &state);
+  RunFor(store, absl::Milliseconds(300));
+  CHECK_FALSE(cancelled.has_value());
+  CHECK(state == ClientAnswer::kState);
+}
+
 }  // namespace
 }  // namespace keelbridge
