Shares of a full site by the weights of client accounts

Cause: steps were ordered by deadline alone, so an account that sends many times its usual put its backlog before everybody else's new work.

Change: while the site has a backlog, steps of accounts that hold more than their weight's part of it come after those of others with the same priority (accounts/account_shares, switch share_by_weight).

--- a/keelbridge/accounts/account_usage.h
+++ b/keelbridge/accounts/account_usage.h
@@ -91,6 +91,7 @@
   // over the resources, divided by its weight.
   double WeightedShare(AccountId id, const ResourceTotals& total) const;
 
+  double WeightOf(AccountId id) const { return Find(id).weight; }
   const ResourceTotals& Running(AccountId id) const { return Find(id).running; }
   // The number of accounts, including `kNoAccount`. Ids are below it.
   AccountId size() const { return static_cast<AccountId>(accounts_.size()); }
--- a/keelbridge/coordination/job_scheduler.h
+++ b/keelbridge/coordination/job_scheduler.h
@@ -34,6 +34,7 @@
 
 #include "absl/container/flat_hash_map.h"
 #include "absl/time/time.h"
+#include "keelbridge/accounts/account_shares.h"
 #include "keelbridge/accounts/account_usage.h"
 #include "keelbridge/base/clock.h"
 #include "keelbridge/base/logging.h"
@@ -463,6 +464,8 @@
     // still be met. 1: the job is late, by less than `kMaxObjectiveFactor`
     // allows. 2: it is later than that. Negative: see `down`.
     int tier;
+    // The client account holds more than its share of the site.
+    bool exceeds_share = false;
     // The latest start that meets the objective.
     absl::Time latest_start;
     // The fraction that is left of the time which the job could spend waiting.
@@ -798,6 +801,8 @@
   const JobTiming& GetJobTiming(const Job& job, const Queue& queue);
   void PlaceAll(Now now);
   std::vector<ReadyStep> CollectReadySteps(Now now);
+  // Returns whether `a` is placed before `b`.
+  static bool IsPlacedBefore(const ReadyStep& a, const ReadyStep& b);
   // Reports the backlog and the starts since the last pass to the admission
   // control.
   void ReportBacklog(const std::vector<ReadyStep>& ready, Now now);
@@ -870,6 +875,8 @@
   // an answer.
   void CountPossibleRuns(Now now);
   void CountPossibleRunsOf(const Job& job, Now now);
+  // Finds the accounts that hold more than their share, and marks their steps.
+  void MarkStepsOverShare(std::vector<ReadyStep>& ready);
   // Limits the tasks of the step that may start to what its client account may
   // have running. Returns false, and records why, if none may start.
   bool LimitToAccount(ReadyStep& ready);
@@ -1035,6 +1042,7 @@
   absl::Time last_restart_seen_ = absl::InfinitePast();
   std::shared_ptr<const SiteConfiguration> configuration_;
   AccountUsage accounts_;
+  AccountShares account_shares_;
   absl::flat_hash_map<JobId, JobTiming> job_times_;
   std::vector<Adviser> advisers_;
   // By queue: the learned share of workers that may run its steps.
--- a/keelbridge/coordination/job_scheduler_accounts.cc
+++ b/keelbridge/coordination/job_scheduler_accounts.cc
@@ -1,7 +1,9 @@
-// Keeps client accounts within their maximums.
+// Keeps client accounts within their maximums, and shares a full site among
+// them.
 
-#include <algorithm>
+#include <vector>
 
+#include "absl/container/flat_hash_set.h"
 #include "keelbridge/coordination/job_scheduler.h"
 
 namespace keelbridge {
@@ -52,6 +54,18 @@
   }
 }
 
+void JobScheduler::MarkStepsOverShare(std::vector<ReadyStep>& ready) {
+  account_shares_.Clear();
+  if (!options_.policy.share_by_weight || !backlogged_) return;
+  absl::flat_hash_set<AccountId> waiting;
+  for (const ReadyStep& step : ready) waiting.insert(step.account);
+  ResourceTotals capacity;
+  for (const auto& [id, worker] : workers_) capacity += worker->record.capacity;
+  account_shares_.Update(accounts_, capacity, waiting);
+  for (ReadyStep& step : ready)
+    step.exceeds_share = account_shares_.Exceeds(step.account);
+}
+
 bool JobScheduler::LimitToAccount(ReadyStep& ready) {
   const int32_t fits =
       accounts_.CountFits(ready.account, ready.spec->need, ready.waiting);
--- a/keelbridge/coordination/job_scheduler_placement.cc
+++ b/keelbridge/coordination/job_scheduler_placement.cc
@@ -176,15 +176,17 @@
       }
     }
   }
-  std::sort(out.begin(), out.end(), [](const ReadyStep& a, const ReadyStep& b) {
-    return std::make_tuple(a.tier, a.queue->priority, a.latest_start,
-                           a.job->id) <
-           std::make_tuple(b.tier, b.queue->priority, b.latest_start,
-                           b.job->id);
-  });
   return out;
 }
 
+bool JobScheduler::IsPlacedBefore(const ReadyStep& a, const ReadyStep& b) {
+  const auto rank = [](const ReadyStep& step) {
+    return std::make_tuple(step.tier, step.queue->priority, step.exceeds_share,
+                           step.latest_start, step.job->id);
+  };
+  return rank(a) < rank(b);
+}
+
 bool JobScheduler::IsDown(const ReadyStep& ready, Now now) {
   if (!ready.spec->long_running || ready.spec->gang) return false;
   const std::vector<TaskState>& tasks = ready.state->tasks;
@@ -258,6 +260,12 @@
   std::vector<ReadyStep> ready = CollectReadySteps(now);
   LogRecoveryWait(now);
   ready_steps_ = ready.size();
+  const auto workers = static_cast<double>(workers_.size());
+  backlogged_ =
+      ready_steps_ > kBacklogMinSteps &&
+      static_cast<double>(ready_steps_) > kBacklogWorkerShare * workers;
+  MarkStepsOverShare(ready);
+  std::sort(ready.begin(), ready.end(), IsPlacedBefore);
   CountPossibleRuns(now);
   ReportBacklog(ready, now);
   CountPlacementPass(ready, now);
@@ -279,10 +287,6 @@
   // them.
   std::map<std::string, PoolCapacity> pools = FindPoolCapacity();
   for (auto& [id, worker] : workers_) worker->reserved = Resources();
-  const auto workers = static_cast<double>(workers_.size());
-  backlogged_ =
-      ready_steps_ > kBacklogMinSteps &&
-      static_cast<double>(ready_steps_) > kBacklogWorkerShare * workers;
   ReservingSteps kept;
   figures_.gangs_waiting = 0;
   figures_.steps_without_advice = 0;
--- a/keelbridge/coordination/scheduler_policy.h
+++ b/keelbridge/coordination/scheduler_policy.h
@@ -30,6 +30,9 @@
   bool reserve_for_single_tasks = true;
   // Less urgent runs that save their progress are preempted for blocked steps.
   bool preempt_runs = true;
+  // While all capacity is in demand, tasks of accounts that hold more than their
+  // share are placed after those of others with the same priority.
+  bool share_by_weight = true;
   // A status call waits for the pending end of its job.
   bool await_pending_ends = true;
 };
@@ -44,6 +47,7 @@
           {"name_by_cost", &SchedulerPolicy::name_extra_workers},
           {"hold_room", &SchedulerPolicy::reserve_for_single_tasks},
           {"make_room", &SchedulerPolicy::preempt_runs},
+          {"share_by_weight", &SchedulerPolicy::share_by_weight},
           {"await_ends", &SchedulerPolicy::await_pending_ends}};
 }
 
--- a/keelbridge/daemon/site_node_leading.cc
+++ b/keelbridge/daemon/site_node_leading.cc
@@ -295,6 +295,10 @@
   if (speed_.slowed() == was_slowed) return;
   LogEvent(Severity::kWarning, was_slowed ? "speed_back" : "slowed",
            {{"relative_speed", absl::StrCat(speed_.RelativeSpeed())}});
+  // A slowed leader may be too busy to reach its next regular offer soon.
+  if (was_slowed || session_ == nullptr || !session_->active()) return;
+  next_offer_at_ = SystemNow().mono;
+  OfferLeadership();
 }
 
 double SiteNode::Capacity() const {
--- a/testing/site_accounts_test.cc
+++ b/testing/site_accounts_test.cc
@@ -183,5 +183,65 @@
   CHECK(*site.JobDuration(next) < absl::Milliseconds(2500));
 }
 
+constexpr int kLoadSeconds = 10;
+constexpr absl::Duration kInTime = absl::Seconds(2);
+
+struct LoadResult {
+  double calm_in_time = 0;  // Share of the calm account's jobs.
+  size_t done = 0;          // Jobs of both accounts.
+};
+
+// One account submits three times what the site can run, another of equal
+// weight a twelfth of it. Returns what their callers get.
+LoadResult PlayCrowding(bool share_by_weight) {
+  SiteSimulation::Options options;
+  options.failing_runs = 0;
+  options.policy.share_by_weight = share_by_weight;
+  options.accounts.resize(2);
+  options.accounts[0].name = "crowding";
+  options.accounts[1].name = "calm";
+  SiteSimulation site(options);
+  std::vector<JobId> crowding;
+  std::vector<JobId> calm;
+  const JobSpec job = OneStep(Step(4, 2500, 500));
+  for (int ms = 0; ms < kLoadSeconds * 1000; ms += 13) {
+    site.After(absl::Milliseconds(ms), [&] {
+      crowding.push_back(site.Submit(job, SiteSimulation::kQueue, "crowding"));
+    });
+  }
+  for (int ms = 1000; ms < kLoadSeconds * 1000; ms += 500) {
+    site.After(absl::Milliseconds(ms), [&] {
+      calm.push_back(site.Submit(job, SiteSimulation::kQueue, "calm"));
+    });
+  }
+  site.Run(absl::Seconds(kLoadSeconds) + kInTime);
+  LoadResult result;
+  const auto in_time =
+      std::count_if(calm.begin(), calm.end(), [&site](JobId id) {
+        const auto took = site.JobDuration(id);
+        return took.has_value() && *took <= kInTime;
+      });
+  result.calm_in_time =
+      static_cast<double>(in_time) / static_cast<double>(calm.size());
+  crowding.insert(crowding.end(), calm.begin(), calm.end());
+  for (const JobId id : crowding)
+    result.done += site.JobDuration(id).has_value() ? 1 : 0;
+  return result;
+}
+
+TEST_CASE("site accounts: one that crowds the site does not delay the others") {
+  const LoadResult shared = PlayCrowding(true);
+  const LoadResult unshared = PlayCrowding(false);
+  CAPTURE(shared.calm_in_time);
+  CAPTURE(unshared.calm_in_time);
+  CAPTURE(shared.done);
+  CAPTURE(unshared.done);
+  CHECK(shared.calm_in_time >= 0.95);
+  CHECK(shared.calm_in_time >= unshared.calm_in_time);
+  // What the calm account does not use is not withheld from the other.
+  CHECK(static_cast<double>(shared.done) >=
+        0.9 * static_cast<double>(unshared.done));
+}
+
 }  // namespace
 }  // namespace keelbridge::testing
