Admission: an account over its share, or at its maximum, is refused first and at once

Cause: a job of an account that sends many times its usual was accepted although it could not start in time, and its backlog counted against everybody else's new jobs.

Change: tasks of accounts over their share are ordered, and counted, behind those of others; tasks that their account may not start delay nobody. A job is refused at once if its account's own backlog, run at the account's maximum, would not end in time (accounts/account_backlog), or if one of its steps could never start under the maximum.

--- a/keelbridge/accounts/account_usage.cc
+++ b/keelbridge/accounts/account_usage.cc
@@ -63,6 +63,11 @@
   return it->second;
 }
 
+AccountId AccountUsage::FindId(const std::string& name) const {
+  const auto found = ids_.find(name);
+  return found == ids_.end() ? kNoAccount : found->second;
+}
+
 void AccountUsage::ClearPossible() {
   for (Account& account : accounts_) {
     account.unobserved = ResourceTotals();
--- a/keelbridge/accounts/account_usage.h
+++ b/keelbridge/accounts/account_usage.h
@@ -59,6 +59,9 @@
   // Returns the id of the account `name`, which may be unknown to the
   // configuration. "" yields `kNoAccount`.
   AccountId IdOf(const std::string& name);
+  // Like `IdOf`, but does not add the account. Returns `kNoAccount` if it is
+  // unknown.
+  AccountId FindId(const std::string& name) const;
   const std::string& NameOf(AccountId id) const { return Find(id).name; }
 
   void Add(AccountId id, const Resources& need) { Find(id).running += need; }
@@ -91,6 +94,7 @@
   // over the resources, divided by its weight.
   double WeightedShare(AccountId id, const ResourceTotals& total) const;
 
+  const Resources& MaximumOf(AccountId id) const { return Find(id).maximum; }
   double WeightOf(AccountId id) const { return Find(id).weight; }
   const ResourceTotals& Running(AccountId id) const { return Find(id).running; }
   // The number of accounts, including `kNoAccount`. Ids are below it.
--- a/keelbridge/coordination/admission.cc
+++ b/keelbridge/coordination/admission.cc
@@ -35,23 +35,39 @@
          absl::ToDoubleSeconds(span);
 }
 
-Admission::Verdict Admission::Decide(int32_t priority, int64_t tasks,
-                                     absl::Duration patience) const {
+Admission::Verdict Admission::Judge(absl::Duration wait,
+                                    absl::Duration patience,
+                                    const char* reason) const {
   Verdict verdict;
   verdict.backlog = backlog_.all;
-  if (!known()) return verdict;
-  const double rate = std::max(StartsPerSecond(), 1.0);
-  int64_t tasks_ahead = tasks;
-  for (const auto& [its_priority, count] : backlog_.timely) {
-    if (its_priority <= priority) tasks_ahead += count;
-  }
-  verdict.wait = absl::Seconds(static_cast<double>(tasks_ahead) / rate);
-  const absl::Duration excess_wait = verdict.wait - patience;
+  verdict.wait = wait;
+  const absl::Duration excess_wait = wait - patience;
   verdict.accept = excess_wait <= absl::ZeroDuration();
-  if (!verdict.accept)
-    verdict.retry_after = std::clamp(excess_wait, options_.min_retry_after,
-                                     options_.max_retry_after);
+  if (verdict.accept) return verdict;
+  verdict.reason = reason;
+  verdict.retry_after = std::clamp(excess_wait, options_.min_retry_after,
+                                   options_.max_retry_after);
   return verdict;
 }
 
+Admission::Verdict Admission::Decide(const Request& request) const {
+  const Verdict for_account =
+      Judge(request.account_wait, request.patience,
+            "more of the account waits than its maximum can run in time");
+  if (!for_account.accept || !known()) return for_account;
+  int64_t tasks_ahead = request.tasks;
+  for (const auto& [priority, count] : backlog_.timely) {
+    if (priority <= request.priority) tasks_ahead += count;
+  }
+  for (const auto& [priority, count] : backlog_.timely_over_share) {
+    const bool is_ahead =
+        priority < request.priority ||
+        (priority == request.priority && request.exceeds_share);
+    if (is_ahead) tasks_ahead += count;
+  }
+  const double rate = std::max(StartsPerSecond(), 1.0);
+  return Judge(absl::Seconds(static_cast<double>(tasks_ahead) / rate),
+               request.patience, "more waits than can begin in time");
+}
+
 }  // namespace keelbridge
--- a/keelbridge/coordination/admission.h
+++ b/keelbridge/coordination/admission.h
@@ -6,19 +6,19 @@
 // overload is over. A job is refused if it would wait for so long that its
 // result has no value. If it is refused at once, its client may retry in time.
 //
-// Timely work precedes work that is already late, and is ordered by priority. A
-// new job therefore waits only for timely tasks of its own and of more urgent
-// priorities. Late tasks cause no refusals: with a bound on all waiting tasks,
-// a new leader refused every job for 15 s after all nodes had lost power,
-// because 13,000 tasks waited, although new tasks would have begun at once.
+// Timely work precedes work that is already late, and is ordered by priority.
+// Within a priority, work of client accounts that hold more than their share of
+// the site comes last. A new job therefore waits only for timely tasks that are
+// ordered before it. Late tasks cause no refusals: after an outage many of them
+// wait, although new tasks would begin at once.
 //
 // The class is pure: its inputs are backlogs and starts, its outputs are
 // verdicts.
 //
 //   Admission admission(options);
 //   admission.OnPlacementPass(backlog, started_since, now);  // At each pass.
-//   const Admission::Verdict verdict = admission.Decide(priority, 4, patience);
-//   if (!verdict.accept) RefuseFor(verdict.retry_after);
+//   const Admission::Verdict verdict = admission.Decide({priority, 4,
+//   patience}); if (!verdict.accept) RefuseFor(verdict.retry_after);
 
 #ifndef KEELBRIDGE_COORDINATION_ADMISSION_H_
 #define KEELBRIDGE_COORDINATION_ADMISSION_H_
@@ -33,9 +33,13 @@
 
 // Tasks that could start now if there were capacity.
 struct Backlog {
-  // By priority: tasks of jobs that can still meet their objective.
+  // By priority: tasks of jobs that can still meet their objective, without
+  // those in `timely_over_share`.
   std::map<int32_t, int64_t> timely;
   int64_t all = 0;
+  // By priority: such tasks of client accounts that hold more than their share
+  // of the site.
+  std::map<int32_t, int64_t> timely_over_share;
 };
 
 class Admission {
@@ -52,7 +56,8 @@
   };
   struct Verdict {
     bool accept = true;
-    int64_t backlog = 0;  // All waiting tasks.
+    const char* reason = "";  // Why the job is refused.
+    int64_t backlog = 0;      // All waiting tasks.
     // Expected time until all of its tasks have started.
     absl::Duration wait;
     absl::Duration retry_after;  // Set if the job is refused.
@@ -63,10 +68,21 @@
   // Records the backlog found by a placement pass, and the number of tasks
   // started since the last pass.
   void OnPlacementPass(Backlog backlog, int64_t started, absl::Time now);
-  // Decides on a job of `tasks` tasks whose result has no value once it has
-  // waited for `patience`.
-  Verdict Decide(int32_t priority, int64_t tasks,
-                 absl::Duration patience) const;
+  // A new job.
+  struct Request {
+    int32_t priority = 0;
+    int64_t tasks = 0;
+    // Once the job has waited for this long its result has no value.
+    absl::Duration patience;
+    // Its client account holds more than its share of the site.
+    bool exceeds_share = false;
+    // The least time for which it waits for the maximum of its client account.
+    absl::Duration account_wait;
+  };
+  Verdict Decide(const Request& request) const;
+  // Returns the verdict on a job that would wait for `wait`.
+  Verdict Judge(absl::Duration wait, absl::Duration patience,
+                const char* reason) const;
   // Returns the tasks started per second while tasks waited, or 0 if the rate
   // is not known yet.
   double StartsPerSecond() const;
--- a/keelbridge/coordination/job_scheduler.cc
+++ b/keelbridge/coordination/job_scheduler.cc
@@ -158,7 +158,8 @@
 }
 
 std::optional<Admission::Verdict> JobScheduler::Admit(
-    const std::string& queue_name, const JobSpec& spec) const {
+    const std::string& queue_name, const JobSpec& spec,
+    const std::string& account_name) const {
   const Queue* queue = configuration_ != nullptr
                            ? configuration_->FindQueueByName(queue_name)
                            : nullptr;
@@ -169,12 +170,21 @@
       spec.rounds > 0 || spec.steps.empty() ||
       std::any_of(spec.steps.begin(), spec.steps.end(),
                   [](const StepSpec& s) { return s.long_running; });
+  const AccountId account = accounts_.FindId(account_name);
+  Admission::Request request;
+  request.priority = queue->priority;
+  request.tasks = spec.steps.empty() ? 0 : spec.steps[0].count;
+  request.exceeds_share = account_shares_.Exceeds(account);
   const JobTiming times = ComputeJobTiming(spec, *queue);
-  const absl::Duration patience =
+  request.patience =
       waits ? absl::InfiniteDuration()
             : times.objective * kMaxObjectiveFactor - times.work_from[0];
-  const int64_t tasks = spec.steps.empty() ? 0 : spec.steps[0].count;
-  return admission_.Decide(queue->priority, tasks, patience);
+  request.account_wait =
+      FitsAccountMaximum(spec, account)
+          ? account_backlog_.MinWait(account, queue->priority,
+                                     accounts_.MaximumOf(account))
+          : absl::InfiniteDuration();
+  return admission_.Decide(request);
 }
 
 std::optional<int64_t> JobScheduler::Cancel(JobId id, Now now) {
--- a/keelbridge/coordination/job_scheduler.h
+++ b/keelbridge/coordination/job_scheduler.h
@@ -34,6 +34,7 @@
 
 #include "absl/container/flat_hash_map.h"
 #include "absl/time/time.h"
+#include "keelbridge/accounts/account_backlog.h"
 #include "keelbridge/accounts/account_shares.h"
 #include "keelbridge/accounts/account_usage.h"
 #include "keelbridge/base/clock.h"
@@ -149,10 +150,11 @@
   void OnDurable(int64_t batch);
 
   // --- Clients ---
-  // Decides whether to accept a new job. Returns nullopt when the queue is
-  // unknown.
-  std::optional<Admission::Verdict> Admit(const std::string& queue,
-                                          const JobSpec& spec) const;
+  // Decides whether to accept a new job of a client account, "" for none.
+  // Returns nullopt when the queue is unknown.
+  std::optional<Admission::Verdict> Admit(
+      const std::string& queue, const JobSpec& spec,
+      const std::string& account = "") const;
   // Submits a job on behalf of a client account, "" for none. Returns the
   // number of the batch that must be durable before the job counts as accepted,
   // or 0 if the job is accepted already.
@@ -875,6 +877,9 @@
   // an answer.
   void CountPossibleRuns(Now now);
   void CountPossibleRunsOf(const Job& job, Now now);
+  // Returns whether each step of the job could start if its account had nothing
+  // else running.
+  bool FitsAccountMaximum(const JobSpec& spec, AccountId account) const;
   // Finds the accounts that hold more than their share, and marks their steps.
   void MarkStepsOverShare(std::vector<ReadyStep>& ready);
   // Limits the tasks of the step that may start to what its client account may
@@ -1043,6 +1048,7 @@
   std::shared_ptr<const SiteConfiguration> configuration_;
   AccountUsage accounts_;
   AccountShares account_shares_;
+  AccountBacklog account_backlog_;  // As of the last placement pass.
   absl::flat_hash_map<JobId, JobTiming> job_times_;
   std::vector<Adviser> advisers_;
   // By queue: the learned share of workers that may run its steps.
--- a/keelbridge/coordination/job_scheduler_accounts.cc
+++ b/keelbridge/coordination/job_scheduler_accounts.cc
@@ -1,6 +1,7 @@
 // Keeps client accounts within their maximums, and shares a full site among
 // them.
 
+#include <algorithm>
 #include <vector>
 
 #include "absl/container/flat_hash_set.h"
@@ -54,6 +55,15 @@
   }
 }
 
+bool JobScheduler::FitsAccountMaximum(const JobSpec& spec,
+                                      AccountId account) const {
+  return std::all_of(
+      spec.steps.begin(), spec.steps.end(), [&](const StepSpec& step) {
+        const int32_t together = step.gang ? step.count : 1;
+        return accounts_.FitsMaximum(account, step.need, together);
+      });
+}
+
 void JobScheduler::MarkStepsOverShare(std::vector<ReadyStep>& ready) {
   account_shares_.Clear();
   if (!options_.policy.share_by_weight || !backlogged_) return;
--- a/keelbridge/coordination/job_scheduler_advice.cc
+++ b/keelbridge/coordination/job_scheduler_advice.cc
@@ -61,9 +61,8 @@
 // be repeated at its full cost.
 constexpr double kNamingCostShare = 0.5;
 // Short calls name more workers than they need only while at most this many
-// steps wait, because there are many such calls. Naming 35 workers where 4
-// sufficed earned 0.55 of the value on a site of 350 workers instead of 0.78,
-// limited by the leader's processor (one simulated run each).
+// steps wait, because there are many such calls and each takes processor time
+// of the leader in proportion to the workers that it names.
 constexpr size_t kMaxStepsForExtraNames = 20;
 
 }  // namespace
--- a/keelbridge/coordination/job_scheduler_placement.cc
+++ b/keelbridge/coordination/job_scheduler_placement.cc
@@ -15,11 +15,8 @@
 namespace {
 
 // Minimum time between two placement passes, and what is added to it for each
-// step that waits. Collecting and ordering a step takes about 2 us (estimated),
-// so passes use about a third of a processor. Longer pauses starve a site with
-// a backlog: with 40 us and 2,500 steps there was one pass in 100 ms, and the
-// starts of one leader fell from 1,400 tasks a second to 100 with 50,000 of
-// 70,400 processors idle.
+// step that waits, because a pass collects and orders all of them. Longer
+// pauses starve a site with a backlog.
 constexpr absl::Duration kMinPassInterval = absl::Milliseconds(4);
 constexpr absl::Duration kPassIntervalPerStep = absl::Microseconds(4);
 // Advice is requested for at most this multiple of the work that fits into the
@@ -39,9 +36,8 @@
 // pass. Each takes about 0.1 ms at 1,100 workers.
 constexpr int32_t kMaxAdviceSearches = 16;
 // Advice for long-running tasks on an unresponsive worker is requested this
-// long before the worker's lease expires. Advice calls take up to 0.9 s, during
-// which the service is down (a task was down for 10.8 s instead of the 10.2 s
-// that the lease takes).
+// long before the worker's lease expires, so that the service is not down for
+// the duration of an advice call as well.
 constexpr absl::Duration kAdviceLeadTime = absl::Milliseconds(1200);
 // Maximum number of blocked gangs, and of blocked steps of single tasks, that
 // may reserve capacity at a time.
@@ -49,28 +45,17 @@
 constexpr int kMaxReservingSingleSteps = 8;
 // Maximum number of further gangs that reserve capacity while they obtain their
 // tickets. This applies only in an idle pool, and only to gangs for which all
-// of the capacity they need is free. This many gangs of 40 tasks with 18
-// processors each take a third of 1,100 workers with 64 processors, about what
-// is free in a pool that counts as idle.
+// of the capacity they need is free.
 constexpr int kMaxReservingReadyGangs = 32;
 // A pool is idle while more than this share of its processors is free. Users
 // consider a job lost if it does not run for 3 s while less than half of the
-// processors are in use. With 160 gangs of 40 tasks submitted at once on 1,100
-// workers, a gang that would have fitted twice waited up to 5.3 s; with
-// concurrent advice calls and reservations for the gangs of an idle pool it
-// waited up to 1.8 s (simulated, 4 and 12 seeds).
-//
-// A pool that is not idle gains nothing from this: it is full at 0.75 of its
-// processors, and gangs that request more there cost small tasks a third of
-// their value (0.46 fell to 0.33 on one simulated day of a site of 1,100
-// workers).
+// processors are in use, so gangs make concurrent advice calls and reserve
+// capacity there. In a fuller pool that would only delay small tasks.
 constexpr double kIdlePoolShare = 0.4;
 // A site has a backlog when the number of waiting steps exceeds both this
 // number and this share of its workers. Capacity that becomes free there is
 // used at once, and reserving capacity, or preempting runs that must be
-// restored later, wastes work: with 350 workers and 100 and more steps waiting,
-// 0.61 of the value was earned with reservations and 0.64 without (means of two
-// simulated runs each).
+// restored later, wastes work.
 constexpr size_t kBacklogMinSteps = 40;
 constexpr double kBacklogWorkerShare = 0.25;
 // If more than `kMaxUnthrottledLateSteps` steps belong to jobs that are already
@@ -216,8 +201,18 @@
 void JobScheduler::ReportBacklog(const std::vector<ReadyStep>& ready, Now now) {
   Backlog backlog;
   backlog.all = figures_.ready_tasks;
+  account_backlog_.Clear();
   for (const ReadyStep& step : ready) {
-    if (step.tier == 0) backlog.timely[step.queue->priority] += step.waiting;
+    if (step.tier != 0) continue;
+    const int32_t priority = step.queue->priority;
+    account_backlog_.Add(step.account, priority, step.spec->need, step.waiting,
+                         absl::Milliseconds(step.spec->estimated_ms));
+    // Tasks that their account may not start now delay no others.
+    const int32_t startable =
+        accounts_.CountFits(step.account, step.spec->need, step.waiting);
+    auto& timely =
+        step.exceeds_share ? backlog.timely_over_share : backlog.timely;
+    timely[priority] += startable;
   }
   const int64_t started = figures_.starts - starts_at_last_pass_;
   starts_at_last_pass_ = figures_.starts;
--- a/keelbridge/coordination/job_scheduler_reservations.cc
+++ b/keelbridge/coordination/job_scheduler_reservations.cc
@@ -12,8 +12,7 @@
 namespace {
 
 // Expected delay until a preempted run has started again, without its advice
-// call: its stop (0.2 to 0.9 s on the sites known), its restore (up to 0.6 s)
-// and the wait for capacity.
+// call: its stop, its restore and the wait for capacity.
 constexpr absl::Duration kRestartDelay = absl::Seconds(2);
 // Work that preemption wastes: a restore and a part of the stop, multiplied by
 // the share of a worker that the run uses. It may be at most
@@ -36,9 +35,7 @@
 // restore.
 constexpr int32_t kMaxPreemptions = 2;
 // A task is large if it needs at least this share of a worker, so that at most
-// two fit. Where tasks of half a worker ran next to small ones, 0.96 of the
-// value was earned on a day with little load when capacity was reserved for
-// them, and 0.94 when it was not (one simulated run each).
+// two fit. Small tasks next to it may leave no worker with enough capacity.
 constexpr double kLargeTaskShare = 0.4;
 
 }  // namespace
--- a/keelbridge/daemon/leader_session.cc
+++ b/keelbridge/daemon/leader_session.cc
@@ -292,7 +292,8 @@
 
 bool LeaderSession::RefuseIfOverloaded(
     const ClientCall& call, const std::function<void(ClientReply)>& reply) {
-  const auto verdict = scheduler_.Admit(call.queue, call.spec);
+  const auto verdict =
+      scheduler_.Admit(call.queue, call.spec, call.caller.account);
   if (!verdict || verdict->accept) return false;
   const auto ms = [](absl::Duration time) {
     return absl::StrCat(absl::ToInt64Milliseconds(time));
@@ -300,12 +301,13 @@
   LogEvent(Severity::kInfo, "job_refused",
            {{"job", JobIdText(call.job)},
             {"queue", call.queue},
-            {"why", "more waits than can begin in time"},
+            {"account", call.caller.account},
+            {"why", verdict->reason},
             {"ready", absl::StrCat(verdict->backlog)},
             {"would_wait_ms", ms(verdict->wait)},
             {"retry_after_ms", ms(verdict->retry_after)}});
   metrics_.Count("jobs_refused_total", {{"queue", call.queue}});
-  ClientReply refused = RetryLaterReply("more waits than can begin in time");
+  ClientReply refused = RetryLaterReply(verdict->reason);
   refused.retry_after = verdict->retry_after;
   reply(std::move(refused));
   return true;
