Metrics of client accounts; the site stand-in and the soak use keys

Change: a leader publishes what the 32 largest accounts run and how many of their tasks wait. The stand-in's configurations can have accounts; calls of the soak carry a key. New process tests: who gets 200, 401 and 410, and a revoked key.

--- a/keelbridge/accounts/account_usage.cc
+++ b/keelbridge/accounts/account_usage.cc
@@ -1,6 +1,7 @@
 #include "keelbridge/accounts/account_usage.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace keelbridge {
 namespace {
@@ -85,6 +86,25 @@
   }
 }
 
+void AccountUsage::ClearWaiting() {
+  for (Account& account : accounts_) account.waiting = 0;
+}
+
+std::vector<AccountUsage::Figures> AccountUsage::LargestAccounts(
+    size_t max_accounts) const {
+  std::vector<Figures> out;
+  for (const Account& account : accounts_) {
+    if (account.name.empty()) continue;
+    out.push_back({account.name, account.running.cpu_milli, account.waiting});
+  }
+  std::sort(out.begin(), out.end(), [](const Figures& a, const Figures& b) {
+    return std::make_pair(-a.cpu_milli_running, a.account) <
+           std::make_pair(-b.cpu_milli_running, b.account);
+  });
+  if (out.size() > max_accounts) out.resize(max_accounts);
+  return out;
+}
+
 int32_t AccountUsage::CountFits(AccountId id, const Resources& need,
                                 int32_t wanted) const {
   if (id == kNoAccount) return wanted;
--- a/keelbridge/accounts/account_usage.h
+++ b/keelbridge/accounts/account_usage.h
@@ -83,6 +83,18 @@
   // unknown runs.
   void LimitUnobserved(const ResourceTotals& limit);
 
+  // Counts the tasks that wait to start, for metrics.
+  void ClearWaiting();
+  void AddWaiting(AccountId id, int64_t tasks) { Find(id).waiting += tasks; }
+  struct Figures {
+    std::string account;
+    int64_t cpu_milli_running = 0;
+    int64_t tasks_waiting = 0;
+  };
+  // Returns the figures of at most `max_accounts` accounts, those that run most
+  // first.
+  std::vector<Figures> LargestAccounts(size_t max_accounts) const;
+
   // Returns how many tasks with this need the account may start now, at most
   // `wanted`.
   int32_t CountFits(AccountId id, const Resources& need, int32_t wanted) const;
@@ -108,6 +120,7 @@
     ResourceTotals running;
     ResourceTotals unobserved;
     ResourceTotals unanswered;
+    int64_t waiting = 0;  // Tasks.
   };
   Account& Find(AccountId id) { return accounts_[static_cast<size_t>(id)]; }
   const Account& Find(AccountId id) const {
--- a/keelbridge/accounts/account_usage_test.cc
+++ b/keelbridge/accounts/account_usage_test.cc
@@ -90,5 +90,21 @@
   CHECK(usage.WeightedShare(usage.IdOf("b"), total) > 1);
 }
 
+TEST_CASE("account usage: figures show the accounts that run most") {
+  AccountUsage usage;
+  usage.Add(usage.IdOf("a"), kNeed);
+  usage.Add(usage.IdOf("b"), {2000, 1, 0});
+  usage.AddWaiting(usage.IdOf("c"), 7);
+  usage.Add(kNoAccount, kNeed);
+  const auto largest = usage.LargestAccounts(9);
+  REQUIRE(largest.size() == 3);
+  CHECK(largest[0].account == "b");
+  CHECK(largest[1].cpu_milli_running == 1000);
+  CHECK(largest[2].tasks_waiting == 7);
+  CHECK(usage.LargestAccounts(1).size() == 1);
+  usage.ClearWaiting();
+  CHECK(usage.LargestAccounts(9)[2].tasks_waiting == 0);
+}
+
 }  // namespace
 }  // namespace keelbridge
--- a/keelbridge/coordination/job_scheduler.h
+++ b/keelbridge/coordination/job_scheduler.h
@@ -280,6 +280,12 @@
     int64_t stale_reports_skipped = 0;
   };
   Figures figures() const;
+  // Returns figures of at most `max_accounts` client accounts, those that run
+  // most first.
+  std::vector<AccountUsage::Figures> LargestAccounts(
+      size_t max_accounts) const {
+    return accounts_.LargestAccounts(max_accounts);
+  }
 
  private:
   // Added to the length of a lease on the slowest clock, since a worker's
--- a/keelbridge/coordination/job_scheduler_placement.cc
+++ b/keelbridge/coordination/job_scheduler_placement.cc
@@ -202,7 +202,9 @@
   Backlog backlog;
   backlog.all = figures_.ready_tasks;
   account_backlog_.Clear();
+  accounts_.ClearWaiting();
   for (const ReadyStep& step : ready) {
+    accounts_.AddWaiting(step.account, step.waiting);
     if (step.tier != 0) continue;
     const int32_t priority = step.queue->priority;
     account_backlog_.Add(step.account, priority, step.spec->need, step.waiting,
--- a/keelbridge/daemon/leader_session.cc
+++ b/keelbridge/daemon/leader_session.cc
@@ -22,6 +22,8 @@
 constexpr absl::Duration kMaxPendingEndWait = absl::Milliseconds(200);
 // New jobs are refused once appends have failed for this long.
 constexpr absl::Duration kMaxAppendFailureDuration = absl::Milliseconds(400);
+// Accounts with metrics of their own, so that the number of metrics is bounded.
+constexpr size_t kMaxAccountMetrics = 32;
 constexpr absl::Duration kMetricsInterval = absl::Seconds(1);
 // A longer gap between two ticks means that this process was suspended.
 constexpr absl::Duration kStallThreshold = absl::Milliseconds(1500);
@@ -472,6 +474,13 @@
   set("starts_unanswered", f.starts_unanswered);
   metrics_.Set("deciding_seconds", {},
                absl::ToDoubleSeconds(total_decision_time_));
+  for (const auto& account : scheduler_.LargestAccounts(kMaxAccountMetrics)) {
+    const MetricLabels labels = {{"account", account.account}};
+    metrics_.Set("account_cpu_milli_used", labels,
+                 static_cast<double>(account.cpu_milli_running));
+    metrics_.Set("account_tasks_waiting", labels,
+                 static_cast<double>(account.tasks_waiting));
+  }
   const WorkerList::Figures entries = worker_list_.figures();
   const auto set_unused = [&](const char* why, int64_t count) {
     metrics_.Set("worker_entries_unused", {{"why", why}},
--- a/testing/fakes/site_platform.cc
+++ b/testing/fakes/site_platform.cc
@@ -89,6 +89,7 @@
 SitePlatform::SitePlatform(boost::asio::io_context& loop, Options options)
     : loop_(loop),
       options_(options),
+      accounts_(options.accounts),
       random_(options.seed),
       store_(loop, options.seed),
       slots_(static_cast<size_t>(options.workers)),
@@ -182,6 +183,17 @@
   route["pathPrefix"] = VersionPrefix(version);
   out["routes"].append(route);
   out["services"].append(service);
+  for (const ClientAccount& account : accounts_) {
+    Json::Value entry(Json::objectValue);
+    entry["name"] = account.name;
+    entry["apiKeys"] = Json::Value(Json::arrayValue);
+    for (const std::string& key : account.keys) entry["apiKeys"].append(key);
+    entry["weight"] = account.weight;
+    entry["maximum"]["cpu"] = account.maximum.cpu_milli;
+    entry["maximum"]["memoryRequestMb"] = account.maximum.memory_mib;
+    entry["maximum"]["gpu"] = account.maximum.accelerators;
+    out["tenants"].append(entry);
+  }
   store_.Put("keyed.op", "config", ToJsonText(out));
 }
 
--- a/testing/fakes/site_platform.h
+++ b/testing/fakes/site_platform.h
@@ -24,8 +24,10 @@
 #include <optional>
 #include <random>
 #include <string>
+#include <utility>
 #include <vector>
 
+#include "keelbridge/protocol/client_account.h"
 #include "keelbridge/transport/event_http_server.h"
 #include "testing/fakes/fault_proxy.h"
 #include "testing/fakes/site_store.h"
@@ -54,6 +56,8 @@
     // A worker that was crashed by a task restarts under the same id. Requires
     // `UseWorkerProxies`.
     bool keep_id_after_crash = false;
+    // Without accounts, calls need no key.
+    std::vector<ClientAccount> accounts;
   };
 
   SitePlatform(boost::asio::io_context& loop, Options options);
@@ -62,6 +66,10 @@
   Address advice_address() const { return advice_address_; }
   SiteStore& store() { return store_; }
   void PublishConfiguration(int64_t version);
+  // Sets the accounts of the configurations that are published from now on.
+  void SetAccounts(std::vector<ClientAccount> accounts) {
+    accounts_ = std::move(accounts);
+  }
 
   // Puts a fault proxy in front of each worker. Call before the first worker
   // record is read.
@@ -145,6 +153,7 @@
 
   boost::asio::io_context& loop_;
   const Options options_;
+  std::vector<ClientAccount> accounts_;
   std::mt19937_64 random_;
   SiteStore store_;
   std::unique_ptr<EventHttpServer> store_server_;
--- a/testing/site_process_test.cc
+++ b/testing/site_process_test.cc
@@ -87,6 +87,67 @@
   CHECK(StatusOf(cluster.Call(0, "GET", 5)) == 410);
 }
 
+ClientAccount AccountWithKeys(const std::string& name,
+                              std::vector<std::string> keys) {
+  ClientAccount account;
+  account.name = name;
+  account.keys = std::move(keys);
+  return account;
+}
+
+// Returns the status that `node` answers to a GET of the job with `key`.
+int StatusWithKey(SiteTestCluster& cluster, int node, uint64_t job,
+                  const std::string& key) {
+  HttpRequest request{"GET",
+                      absl::StrCat(kSitePrefix, JobIdText(job)),
+                      {{"Host", kSiteHost}},
+                      "",
+                      ""};
+  if (!key.empty()) request.headers.emplace_back("X-Keelbridge-Key", key);
+  return StatusOf(cluster.SendRequest(node, request));
+}
+
+TEST_CASE(
+    "site processes: calls need the key of the account that owns the job") {
+  SiteTestCluster::Options options;
+  options.key = "key-a";
+  options.platform.accounts = {AccountWithKeys("a", {"key-a"}),
+                               AccountWithKeys("b", {"key-b"})};
+  SiteTestCluster cluster(options);
+  REQUIRE(cluster.AwaitReady(3));
+  REQUIRE(cluster.SubmitAnywhere(1, SiteTestCluster::OneStepJob(1, 200)));
+  for (int node = 0; node < 3; ++node) {
+    CHECK(StatusWithKey(cluster, node, 1, "key-a") == 200);
+    CHECK(StatusWithKey(cluster, node, 1, "key-b") == 410);
+    CHECK(StatusWithKey(cluster, node, 1, "key-c") == 401);
+    CHECK(StatusWithKey(cluster, node, 1, "") == 401);
+  }
+  CHECK(cluster.AwaitState(1, "completed"));
+  CheckNoViolations(cluster);
+}
+
+TEST_CASE(
+    "site processes: a revoked key is denied by every node, a new one not") {
+  SiteTestCluster::Options options;
+  options.key = "key-2";
+  options.platform.accounts = {AccountWithKeys("a", {"key-1", "key-2"})};
+  SiteTestCluster cluster(options);
+  REQUIRE(cluster.AwaitReady(3));
+  REQUIRE(cluster.SubmitAnywhere(1, SiteTestCluster::OneStepJob(1, 200)));
+  cluster.WithPlatform([](SitePlatform& platform) {
+    platform.SetAccounts({AccountWithKeys("a", {"key-2", "key-3"})});
+    platform.PublishConfiguration(2);
+  });
+  for (int node = 0; node < 3; ++node) {
+    CHECK(Eventually(
+        [&] { return StatusWithKey(cluster, node, 1, "key-1") == 401; }));
+    CHECK(StatusWithKey(cluster, node, 1, "key-3") == 200);
+  }
+  // The account's jobs remain its own under its other keys.
+  CHECK(cluster.AwaitState(1, "completed"));
+  CheckNoViolations(cluster);
+}
+
 TEST_CASE("site processes: a traced call records one span per hop") {
   SiteTestCluster cluster({});
   REQUIRE(cluster.AwaitReady(3));
--- a/testing/support/site_soak.cc
+++ b/testing/support/site_soak.cc
@@ -73,6 +73,11 @@
     out.proxies = true;
     out.platform.workers = options.workers;
     out.platform.seed = options.seed;
+    out.key = "key-of-desk";
+    ClientAccount account;
+    account.name = "desk";
+    account.keys = {out.key};
+    out.platform.accounts = {account};
     return out;
   }
 
--- a/testing/support/site_test_cluster.cc
+++ b/testing/support/site_test_cluster.cc
@@ -251,13 +251,17 @@
   return nodes_[Index(index)].persistent_client->Send(request, timeout);
 }
 
+HttpHeaders SiteTestCluster::RequestHeaders() const {
+  HttpHeaders headers = {{"Host", kSiteHost}};
+  if (!options_.key.empty())
+    headers.emplace_back("X-Keelbridge-Key", options_.key);
+  return headers;
+}
+
 HttpOutcome SiteTestCluster::Call(int index, const std::string& method,
                                   uint64_t job, const std::string& body) {
-  HttpRequest request{method,
-                      absl::StrCat(kSitePrefix, JobIdText(job)),
-                      {{"Host", kSiteHost}},
-                      body,
-                      "application/json"};
+  HttpRequest request{method, absl::StrCat(kSitePrefix, JobIdText(job)),
+                      RequestHeaders(), body, "application/json"};
   return SendRequest(index, request);
 }
 
--- a/testing/support/site_test_cluster.h
+++ b/testing/support/site_test_cluster.h
@@ -34,6 +34,8 @@
     // The nodes write their logs to pipes that nobody reads.
     bool blocked_logs = false;
     SitePlatform::Options platform;
+    // Key of a client account that calls carry; empty: they carry none.
+    std::string key;
   };
 
   explicit SiteTestCluster(Options options);
@@ -58,6 +60,9 @@
   bool Ready(int index);
   bool AwaitReady(int count);
 
+  // Returns the headers of a client call: the queue's host, and the key if
+  // there is one.
+  HttpHeaders RequestHeaders() const;
   // Sends a client call about a job to one node.
   HttpOutcome Call(int index, const std::string& method, uint64_t job,
                    const std::string& body = "");
--- a/testing/support/soak_monitor.cc
+++ b/testing/support/soak_monitor.cc
@@ -95,11 +95,8 @@
                            absl::Duration timeout) {
   const absl::Time sent_at = absl::Now();
   const HttpOutcome outcome =
-      client.Send({"GET",
-                   absl::StrCat(kSitePrefix, JobIdText(job)),
-                   {{"Host", kSiteHost}},
-                   "",
-                   ""},
+      client.Send({"GET", absl::StrCat(kSitePrefix, JobIdText(job)),
+                   cluster_.RequestHeaders(), "", ""},
                   timeout);
   ++read_calls_;
   const int status = outcome.response ? outcome.response->status : 0;
@@ -146,10 +143,11 @@
   for (int64_t version = newest; version > 0; --version) {
     // This is not a valid job id, so a node that knows the queue rejects it
     // without asking the leader.
-    const HttpOutcome outcome = cluster_.SendRequest(
-        node,
-        {"GET", VersionPrefix(version) + "none", {{"Host", kSiteHost}}, "", ""},
-        kVersionCallTimeout);
+    const HttpOutcome outcome =
+        cluster_.SendRequest(node,
+                             {"GET", VersionPrefix(version) + "none",
+                              cluster_.RequestHeaders(), "", ""},
+                             kVersionCallTimeout);
     const int status = outcome.response ? outcome.response->status : 0;
     if (status == kBadRequest) return version;
     // The node has no configuration, or one that may be outdated.
