--- a/keelbridge/cli/job_timeline.cc
+++ b/keelbridge/cli/job_timeline.cc
@@ -70,6 +70,7 @@
       {"job_taken", "handed in"},
       {"job_refused", "refused"},
       {"call_given_up", "a call was given up"},
+      {"call_denied_by_leader", "the leader denied a call"},
       {"call_answered", "a call was answered"},
       {"advice_asked", "advice requested"},
       {"advice_answered", "advice received"},
--- a/keelbridge/coordination/job_scheduler_waiting.cc
+++ b/keelbridge/coordination/job_scheduler_waiting.cc
@@ -86,6 +86,8 @@
          {"asks", absl::StrCat(step.state->advice.ask_count)},
          {"asks_open", absl::StrCat(step.state->advice.calls_in_flight)},
          {"holds", step.may_reserve ? "yes" : "no"},
+         {"account", step.job->account},
+         {"over_share", step.exceeds_share ? "yes" : "no"},
          {"others_waiting", absl::StrCat(waiting.size() - 1)}});
   }
 }
