Workers that leave get short leases

Change: a worker that has announced its departure is granted 3 s at a time. A lease that was granted earlier is never shortened, so nothing is started sooner than it may.

--- a/keelbridge/coordination/job_scheduler_departures_test.cc
+++ b/keelbridge/coordination/job_scheduler_departures_test.cc
@@ -265,5 +265,35 @@
   CHECK(driver.starts.size() == 2);
 }
 
+// Users consider a long-running task lost from this long after its last run.
+constexpr absl::Duration kMaxDownTime = absl::Seconds(6);
+
+// A quarter of the workers leave at once, so that no other worker has capacity
+// for a task until its own worker is gone. The leader has to wait until the
+// lease of that worker has expired, and a full lease takes longer than users
+// tolerate.
+TEST_CASE(
+    "job scheduler: a long-running task that could not move before its worker "
+    "left is back soon") {
+  SchedulerDriver driver(1);
+  driver.AddWorker("a");
+  driver.reports["a"];
+  driver.RunUntil(absl::Milliseconds(100));
+  JobSpec spec;
+  spec.steps = {LongRunningTask()};
+  driver.scheduler().Submit(kJob, "restore", spec, driver.now());
+  driver.RunUntil(kAnnouncedAt);
+  REQUIRE(driver.start_workers == std::vector<std::string>{"a"});
+  driver.scheduler().OnWorkerRecord(LeavingRecord("a", kRemaining),
+                                    driver.now());
+  driver.RunUntil(kLeavesAt);
+  // The worker has not reported an end, and its record remains for a while.
+  driver.reports.erase("a");
+  driver.AddWorker("b");
+  driver.reports["b"];
+  driver.RunUntil(kLeavesAt + kMaxDownTime);
+  CHECK(driver.start_workers == std::vector<std::string>{"a", "b"});
+}
+
 }  // namespace
 }  // namespace keelbridge::testing
--- a/keelbridge/coordination/job_scheduler_workers.cc
+++ b/keelbridge/coordination/job_scheduler_workers.cc
@@ -41,6 +41,10 @@
 constexpr absl::Duration kSuspectAfterRefusal = absl::Seconds(2);
 // A worker that has answered nothing for this long gets no new tasks.
 constexpr absl::Duration kUnresponsiveAfter = absl::Milliseconds(2500);
+// The longest lease of a worker that has announced that it leaves. Its tasks
+// may start elsewhere only once its lease has expired, and it may leave without
+// a last word. Longer than two observations, so that one may get lost.
+constexpr absl::Duration kLeavingLease = absl::Seconds(3);
 // The size of the range of run numbers that belongs to one epoch. The ranges do
 // not overlap, so a later leader never reuses a number.
 constexpr int32_t kRunsPerEpoch = 1000;
@@ -141,7 +145,10 @@
 int64_t JobScheduler::GrantLease(Worker& worker, absl::Time now) {
   if (worker.clock_ms < 0) return 0;
   const int64_t since = absl::ToInt64Milliseconds(now - worker.clock_at);
-  const int64_t lease = absl::ToInt64Milliseconds(options_.lease);
+  const absl::Duration granted = worker.record.draining
+                                     ? std::min(options_.lease, kLeavingLease)
+                                     : options_.lease;
+  const int64_t lease = absl::ToInt64Milliseconds(granted);
   const int64_t until = worker.clock_ms + since + lease;
   const absl::Duration longest =
       absl::Milliseconds(static_cast<double>(since + lease) /
