Speed monitor: probes that are too short to be true are ignored

Cause: on the large site one node called itself slowed for good, at 7e-6 of its speed: one probe had taken next to no time by its clock, and all others looked slow beside it.

Change: probes under 20 us are ignored; the work takes 0.1 ms on a whole processor.

--- a/keelbridge/coordination/speed_monitor.cc
+++ b/keelbridge/coordination/speed_monitor.cc
@@ -5,7 +5,7 @@
 namespace keelbridge {
 
 void SpeedMonitor::OnProbe(absl::Duration took) {
-  if (took <= absl::ZeroDuration()) return;
+  if (took < options_.min_probe) return;
   fastest_ = std::min(fastest_, took);
   recent_.push_back(took);
   if (recent_.size() > options_.probes) recent_.pop_front();
--- a/keelbridge/coordination/speed_monitor.h
+++ b/keelbridge/coordination/speed_monitor.h
@@ -31,6 +31,9 @@
     // interrupted.
     size_t probes = 3;
     double slow_factor = 3;
+    // Shorter probes are errors of the clock and ignored: no processor does the
+    // work in this time, and one such probe would make all others look slow.
+    absl::Duration min_probe = absl::Microseconds(20);
   };
 
   explicit SpeedMonitor(Options options) : options_(options) {}
--- a/keelbridge/coordination/speed_monitor_test.cc
+++ b/keelbridge/coordination/speed_monitor_test.cc
@@ -33,8 +33,9 @@
   CHECK_FALSE(After({100, 100, 500, 500, 500, 120}).slowed());
 }
 
-TEST_CASE("speed monitor: a clock that does not advance is ignored") {
+TEST_CASE("speed monitor: a probe that is too short to be true is ignored") {
   CHECK_FALSE(After({0, 100, 100, 100}).slowed());
+  CHECK_FALSE(After({1, 100, 100, 100}).slowed());
 }
 
 }  // namespace
