--- a/keelbridge/coordination/scheduler_policy.h
+++ b/keelbridge/coordination/scheduler_policy.h
@@ -30,8 +30,8 @@
   bool reserve_for_single_tasks = true;
   // Less urgent runs that save their progress are preempted for blocked steps.
   bool preempt_runs = true;
-  // While all capacity is in demand, tasks of accounts that hold more than their
-  // share are placed after those of others with the same priority.
+  // While all capacity is in demand, tasks of accounts that hold more than
+  // their share are placed after those of others with the same priority.
   bool share_by_weight = true;
   // A status call waits for the pending end of its job.
   bool await_pending_ends = true;
--- a/testing/fakes/site_platform.cc
+++ b/testing/fakes/site_platform.cc
@@ -86,7 +86,8 @@
 
 }  // namespace
 
-SitePlatform::SitePlatform(boost::asio::io_context& loop, Options options)
+SitePlatform::SitePlatform(boost::asio::io_context& loop,
+                           const Options& options)
     : loop_(loop),
       options_(options),
       accounts_(options.accounts),
--- a/testing/fakes/site_platform.h
+++ b/testing/fakes/site_platform.h
@@ -60,7 +60,7 @@
     std::vector<ClientAccount> accounts;
   };
 
-  SitePlatform(boost::asio::io_context& loop, Options options);
+  SitePlatform(boost::asio::io_context& loop, const Options& options);
 
   Address store_address() const { return store_address_; }
   Address advice_address() const { return advice_address_; }
--- a/testing/support/site_test_cluster.cc
+++ b/testing/support/site_test_cluster.cc
@@ -64,7 +64,7 @@
 
 }  // namespace
 
-SiteTestCluster::SiteTestCluster(Options options)
+SiteTestCluster::SiteTestCluster(const Options& options)
     : options_(options),
       subnet_(UniqueSubnet()),
       work_(boost::asio::make_work_guard(loop_)),
--- a/testing/support/site_test_cluster.h
+++ b/testing/support/site_test_cluster.h
@@ -38,7 +38,7 @@
     std::string key;
   };
 
-  explicit SiteTestCluster(Options options);
+  explicit SiteTestCluster(const Options& options);
   ~SiteTestCluster();
   SiteTestCluster(const SiteTestCluster&) = delete;
   SiteTestCluster& operator=(const SiteTestCluster&) = delete;
