job_scheduler.h: actions, figures and accounts move out of it

Change: AccountLedger holds usage, shares and backlog, and decides how long a job waits for its account's maximum (tested by itself now); the actions and the figures have headers of their own. An accessor without callers is gone, and a test's comment no longer tells of a run.

Measured: the cases of accounts, admission and speed pass.

--- a/keelbridge/accounts/account_usage.h
+++ b/keelbridge/accounts/account_usage.h
@@ -62,7 +62,6 @@
   // Like `IdOf`, but does not add the account. Returns `kNoAccount` if it is
   // unknown.
   AccountId FindId(const std::string& name) const;
-  const std::string& NameOf(AccountId id) const { return Find(id).name; }
 
   void Add(AccountId id, const Resources& need) { Find(id).running += need; }
   void Remove(AccountId id, const Resources& need) { Find(id).running -= need; }
--- a/keelbridge/coordination/job_scheduler.cc
+++ b/keelbridge/coordination/job_scheduler.cc
@@ -170,20 +170,17 @@
       spec.rounds > 0 || spec.steps.empty() ||
       std::any_of(spec.steps.begin(), spec.steps.end(),
                   [](const StepSpec& s) { return s.long_running; });
-  const AccountId account = accounts_.FindId(account_name);
+  const AccountId account = accounts_.usage.FindId(account_name);
   Admission::Request request;
   request.priority = queue->priority;
   request.tasks = spec.steps.empty() ? 0 : spec.steps[0].count;
-  request.exceeds_share = account_shares_.Exceeds(account);
+  request.exceeds_share = accounts_.shares.Exceeds(account);
   const JobTiming times = ComputeJobTiming(spec, *queue);
   request.patience =
       waits ? absl::InfiniteDuration()
             : times.objective * kMaxObjectiveFactor - times.work_from[0];
   request.account_wait =
-      FitsAccountMaximum(spec, account)
-          ? account_backlog_.MinWait(account, queue->priority,
-                                     accounts_.MaximumOf(account))
-          : absl::InfiniteDuration();
+      accounts_.WaitForMaximum(spec, account, queue->priority);
   return admission_.Decide(request);
 }
 
@@ -306,7 +303,7 @@
 void JobScheduler::SetConfiguration(
     std::shared_ptr<const SiteConfiguration> configuration) {
   configuration_ = std::move(configuration);
-  accounts_.SetAccounts(configuration_->accounts);
+  accounts_.usage.SetAccounts(configuration_->accounts);
   job_times_.clear();
   attempts_unchecked_ = true;
   placement_wanted_ = true;
--- a/keelbridge/coordination/job_scheduler.h
+++ b/keelbridge/coordination/job_scheduler.h
@@ -29,20 +29,19 @@
 #include <set>
 #include <string>
 #include <utility>
-#include <variant>
 #include <vector>
 
 #include "absl/container/flat_hash_map.h"
 #include "absl/time/time.h"
-#include "keelbridge/accounts/account_backlog.h"
-#include "keelbridge/accounts/account_shares.h"
-#include "keelbridge/accounts/account_usage.h"
+#include "keelbridge/accounts/account_ledger.h"
 #include "keelbridge/base/clock.h"
 #include "keelbridge/base/logging.h"
 #include "keelbridge/coordination/admission.h"
 #include "keelbridge/coordination/answer_times.h"
 #include "keelbridge/coordination/crash_verdict.h"
 #include "keelbridge/coordination/job_objective.h"
+#include "keelbridge/coordination/scheduler_actions.h"
+#include "keelbridge/coordination/scheduler_figures.h"
 #include "keelbridge/coordination/scheduler_policy.h"
 #include "keelbridge/protocol/job.h"
 #include "keelbridge/protocol/leader_handover.h"
@@ -54,44 +53,6 @@
 
 namespace keelbridge {
 
-// Sends the order to start a run to a worker.
-struct StartAction {
-  WorkerRecord worker;
-  StartOrder order;
-};
-// Sends the order to stop a run to a worker.
-struct StopAction {
-  WorkerRecord worker;
-  StopOrder order;
-};
-// Sends an observation to a worker: asks what runs there and what has ended.
-struct ObserveAction {
-  WorkerRecord worker;
-  ObserveOrder order;
-};
-// Has a node ask the platform for admission advice.
-struct AskAdviceAction {
-  std::string adviser;  // The node that makes the call.
-  AdviceRequest request;
-  // For each worker in the request: the CPU, in thousandths of a processor,
-  // that the step expects to use there.
-  std::vector<int32_t> expected_cpu_milli;
-  absl::Duration timeout;
-};
-// Writes a log line: what was decided, about which object, and from which
-// inputs.
-struct LogAction {
-  Severity severity = Severity::kInfo;
-  std::string event;
-  LogFields fields;
-};
-// Closes the connections to a worker that the scheduler has forgotten.
-struct ForgetWorkerAction {
-  std::string worker_id;
-};
-using Action = std::variant<StartAction, StopAction, ObserveAction,
-                            AskAdviceAction, LogAction, ForgetWorkerAction>;
-
 // Why a worker was lost, as far as the leader can tell.
 enum class WorkerLoss {
   kCrash,  // Another incarnation answered without an announced departure.
@@ -240,51 +201,13 @@
   // leads.
   bool fenced() const { return fenced_; }
 
-  // Figures for metrics.
-  struct Figures {
-    int64_t jobs = 0;
-    int64_t ready_tasks = 0;
-    int64_t running_tasks = 0;
-    int64_t workers = 0;
-    int64_t workers_reported = 0;  // Workers that have sent a worker report.
-    int64_t cpu_milli_total = 0;
-    int64_t cpu_milli_used = 0;
-    int64_t starts = 0;
-    int64_t starts_refused = 0;
-    // Starts without an answer whose run no worker has reported either.
-    int64_t starts_unanswered = 0;
-    int64_t preemptions = 0;  // Runs preempted for more urgent work.
-    int64_t advice_calls = 0;
-    int64_t ends_done = 0;
-    int64_t ends_failed = 0;
-    int64_t ends_other = 0;
-    // Tasks of earlier leaders that wait for workers that may still run them.
-    int64_t recovered_waiting = 0;
-    // Unused processor capacity that is reserved for blocked steps.
-    int64_t cpu_milli_reserved = 0;
-    // Values of the most recent placement pass: gangs that only lack capacity
-    // or tickets, those of these gangs that have capacity reserved, and steps
-    // that did not ask for advice because the steps ordered before them would
-    // use up the free capacity.
-    int64_t gangs_waiting = 0;
-    int64_t gangs_reserving = 0;
-    int64_t steps_without_advice = 0;
-    // Totals over all placement passes: passes, steps that they examined, those
-    // of these steps whose job is late already, and how often a worker was
-    // tried for a step.
-    int64_t placement_passes = 0;
-    int64_t steps_examined = 0;
-    int64_t late_steps_examined = 0;
-    int64_t workers_tried = 0;
-    // Worker reports that were ignored because a later report had arrived.
-    int64_t stale_reports_skipped = 0;
-  };
+  using Figures = SchedulerFigures;
   Figures figures() const;
   // Returns figures of at most `max_accounts` client accounts, those that run
   // most first.
   std::vector<AccountUsage::Figures> LargestAccounts(
       size_t max_accounts) const {
-    return accounts_.LargestAccounts(max_accounts);
+    return accounts_.usage.LargestAccounts(max_accounts);
   }
 
  private:
@@ -883,9 +806,6 @@
   // an answer.
   void CountPossibleRuns(Now now);
   void CountPossibleRunsOf(const Job& job, Now now);
-  // Returns whether each step of the job could start if its account had nothing
-  // else running.
-  bool FitsAccountMaximum(const JobSpec& spec, AccountId account) const;
   // Finds the accounts that hold more than their share, and marks their steps.
   void MarkStepsOverShare(std::vector<ReadyStep>& ready);
   // Limits the tasks of the step that may start to what its client account may
@@ -1052,9 +972,7 @@
   // When this leader last learned that a worker restarted under its name.
   absl::Time last_restart_seen_ = absl::InfinitePast();
   std::shared_ptr<const SiteConfiguration> configuration_;
-  AccountUsage accounts_;
-  AccountShares account_shares_;
-  AccountBacklog account_backlog_;  // As of the last placement pass.
+  AccountLedger accounts_;
   absl::flat_hash_map<JobId, JobTiming> job_times_;
   std::vector<Adviser> advisers_;
   // By queue: the learned share of workers that may run its steps.
--- a/keelbridge/coordination/job_scheduler_accounts.cc
+++ b/keelbridge/coordination/job_scheduler_accounts.cc
@@ -1,7 +1,6 @@
 // Keeps client accounts within their maximums, and shares a full site among
 // them.
 
-#include <algorithm>
 #include <vector>
 
 #include "absl/container/flat_hash_set.h"
@@ -15,16 +14,16 @@
   if (found == jobs_.end()) return;
   const Job& job = *found->second;
   const auto step = static_cast<size_t>(task.step);
-  allocation.account = accounts_.IdOf(job.account);
+  allocation.account = accounts_.usage.IdOf(job.account);
   // A run whose size is no longer known counts as all that its worker can run.
   allocation.account_need = step < job.spec.steps.size()
                                 ? job.spec.steps[step].need
                                 : worker.record.capacity;
-  accounts_.Add(allocation.account, allocation.account_need);
+  accounts_.usage.Add(allocation.account, allocation.account_need);
 }
 
 void JobScheduler::CountPossibleRuns(Now now) {
-  accounts_.ClearPossible();
+  accounts_.usage.ClearPossible();
   // Only then is there a run that this leader does not know of.
   if (!unobserved_.Any() && !WorkersRestartedRecently(now)) return;
   for (const auto& [id, job] : active_) {
@@ -35,11 +34,11 @@
   for (const auto& [id, worker] : workers_) {
     if (!IsAccountedFor(*worker, now)) unaccounted += worker->record.capacity;
   }
-  accounts_.LimitUnobserved(unaccounted);
+  accounts_.usage.LimitUnobserved(unaccounted);
 }
 
 void JobScheduler::CountPossibleRunsOf(const Job& job, Now now) {
-  const AccountId account = accounts_.IdOf(job.account);
+  const AccountId account = accounts_.usage.IdOf(job.account);
   const bool may_run_unobserved = job.recovered && unobserved_.Any();
   for (const Round& round : job.rounds) {
     for (size_t s = 0; s < round.steps.size(); ++s) {
@@ -47,38 +46,29 @@
         if (task.phase != TaskPhase::kWaiting) continue;
         const Resources& need = job.spec.steps[s].need;
         if (may_run_unobserved && !task.observed)
-          accounts_.AddUnobserved(account, need);
+          accounts_.usage.AddUnobserved(account, need);
         else if (WaitsForUnansweredStart(task, now))
-          accounts_.AddUnanswered(account, need);
+          accounts_.usage.AddUnanswered(account, need);
       }
     }
   }
 }
 
-bool JobScheduler::FitsAccountMaximum(const JobSpec& spec,
-                                      AccountId account) const {
-  return std::all_of(
-      spec.steps.begin(), spec.steps.end(), [&](const StepSpec& step) {
-        const int32_t together = step.gang ? step.count : 1;
-        return accounts_.FitsMaximum(account, step.need, together);
-      });
-}
-
 void JobScheduler::MarkStepsOverShare(std::vector<ReadyStep>& ready) {
-  account_shares_.Clear();
+  accounts_.shares.Clear();
   if (!options_.policy.share_by_weight || !backlogged_) return;
   absl::flat_hash_set<AccountId> waiting;
   for (const ReadyStep& step : ready) waiting.insert(step.account);
   ResourceTotals capacity;
   for (const auto& [id, worker] : workers_) capacity += worker->record.capacity;
-  account_shares_.Update(accounts_, capacity, waiting);
+  accounts_.shares.Update(accounts_.usage, capacity, waiting);
   for (ReadyStep& step : ready)
-    step.exceeds_share = account_shares_.Exceeds(step.account);
+    step.exceeds_share = accounts_.shares.Exceeds(step.account);
 }
 
 bool JobScheduler::LimitToAccount(ReadyStep& ready) {
   const int32_t fits =
-      accounts_.CountFits(ready.account, ready.spec->need, ready.waiting);
+      accounts_.usage.CountFits(ready.account, ready.spec->need, ready.waiting);
   const bool blocked = fits < (ready.spec->gang ? ready.waiting : 1);
   if (blocked) {
     ready.state->reserved.clear();
--- a/keelbridge/coordination/job_scheduler_gangs_test.cc
+++ b/keelbridge/coordination/job_scheduler_gangs_test.cc
@@ -32,9 +32,9 @@
   CHECK(site.Started(1) == 240);
 }
 
-// Guards against wide gangs that starve each other: in a simulated run 14 gangs
-// of 55 to 183 tasks waited for up to 57 s, and none started in the last 15 s,
-// with half of the site free.
+// Guards against wide gangs that starve each other: each holds a part of the
+// capacity that another one lacks, and none starts although the site is half
+// free.
 TEST_CASE("job scheduler: wide gangs that wait together all start") {
   WideSite site;
   for (JobId job = 1; job <= 20; ++job)
--- a/keelbridge/coordination/job_scheduler_losses.cc
+++ b/keelbridge/coordination/job_scheduler_losses.cc
@@ -133,7 +133,7 @@
       ExplainLostRun(worker, key, allocation, allocations.size() - 1,
                      crash.lost, now);
     worker.free += allocation.need;
-    accounts_.Remove(allocation.account, allocation.account_need);
+    accounts_.usage.Remove(allocation.account, allocation.account_need);
   }
   if (loss == WorkerLoss::kUnresponsive)
     RecordUnresponsiveLoss(worker, allocations, crash, now);
--- a/keelbridge/coordination/job_scheduler_placement.cc
+++ b/keelbridge/coordination/job_scheduler_placement.cc
@@ -120,7 +120,7 @@
         ready.state = &step;
         ready.spec = &spec;
         ready.queue = queue;
-        ready.account = accounts_.IdOf(job->account);
+        ready.account = accounts_.usage.IdOf(job->account);
         ready.number = static_cast<int32_t>(s);
         ready.may_run_unobserved = job->recovered && unobserved_.Any() &&
                                    !DependsOnObservedStep(*job, round, s);
@@ -201,17 +201,17 @@
 void JobScheduler::ReportBacklog(const std::vector<ReadyStep>& ready, Now now) {
   Backlog backlog;
   backlog.all = figures_.ready_tasks;
-  account_backlog_.Clear();
-  accounts_.ClearWaiting();
+  accounts_.backlog.Clear();
+  accounts_.usage.ClearWaiting();
   for (const ReadyStep& step : ready) {
-    accounts_.AddWaiting(step.account, step.waiting);
+    accounts_.usage.AddWaiting(step.account, step.waiting);
     if (step.tier != 0) continue;
     const int32_t priority = step.queue->priority;
-    account_backlog_.Add(step.account, priority, step.spec->need, step.waiting,
-                         absl::Milliseconds(step.spec->estimated_ms));
+    accounts_.backlog.Add(step.account, priority, step.spec->need, step.waiting,
+                          absl::Milliseconds(step.spec->estimated_ms));
     // Tasks that their account may not start now delay no others.
     const int32_t startable =
-        accounts_.CountFits(step.account, step.spec->need, step.waiting);
+        accounts_.usage.CountFits(step.account, step.spec->need, step.waiting);
     auto& timely =
         step.exceeds_share ? backlog.timely_over_share : backlog.timely;
     timely[priority] += startable;
--- a/keelbridge/coordination/job_scheduler_workers.cc
+++ b/keelbridge/coordination/job_scheduler_workers.cc
@@ -182,7 +182,7 @@
   const auto it = worker.allocations.find(key);
   if (it == worker.allocations.end()) return;
   worker.free += it->second.need;
-  accounts_.Remove(it->second.account, it->second.account_need);
+  accounts_.usage.Remove(it->second.account, it->second.account_need);
   if (it->second.should_stop) worker.stopping -= it->second.need;
   if (it->second.unknown_size) --worker.runs_of_unknown_size;
   worker.allocations.erase(it);
--- /dev/null
+++ b/keelbridge/coordination/scheduler_actions.h
@@ -0,0 +1,62 @@
+// What a scheduler decides, for its driver to carry out.
+//
+//   for (const Action& action : scheduler.TakeActions()) {
+//     if (const auto* start = std::get_if<StartAction>(&action))
+//       workers.Start(start->worker, start->order, done);
+//   }
+
+#ifndef KEELBRIDGE_COORDINATION_SCHEDULER_ACTIONS_H_
+#define KEELBRIDGE_COORDINATION_SCHEDULER_ACTIONS_H_
+
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "absl/time/time.h"
+#include "keelbridge/base/logging.h"
+#include "keelbridge/protocol/site_worker.h"
+
+namespace keelbridge {
+
+// Sends the order to start a run to a worker.
+struct StartAction {
+  WorkerRecord worker;
+  StartOrder order;
+};
+// Sends the order to stop a run to a worker.
+struct StopAction {
+  WorkerRecord worker;
+  StopOrder order;
+};
+// Sends an observation to a worker: asks what runs there and what has ended.
+struct ObserveAction {
+  WorkerRecord worker;
+  ObserveOrder order;
+};
+// Has a node ask the platform for admission advice.
+struct AskAdviceAction {
+  std::string adviser;  // The node that makes the call.
+  AdviceRequest request;
+  // For each worker in the request: the CPU, in thousandths of a processor,
+  // that the step expects to use there.
+  std::vector<int32_t> expected_cpu_milli;
+  absl::Duration timeout;
+};
+// Writes a log line: what was decided, about which object, and from which
+// inputs.
+struct LogAction {
+  Severity severity = Severity::kInfo;
+  std::string event;
+  LogFields fields;
+};
+// Closes the connections to a worker that the scheduler has forgotten.
+struct ForgetWorkerAction {
+  std::string worker_id;
+};
+using Action = std::variant<StartAction, StopAction, ObserveAction,
+                            AskAdviceAction, LogAction, ForgetWorkerAction>;
+
+}  // namespace keelbridge
+
+#endif  // KEELBRIDGE_COORDINATION_SCHEDULER_ACTIONS_H_
--- /dev/null
+++ b/keelbridge/coordination/scheduler_figures.h
@@ -0,0 +1,54 @@
+// Figures of a scheduler for metrics and logs.
+//
+//   const SchedulerFigures figures = scheduler.figures();
+//   metrics.Set("jobs", {}, figures.jobs);
+
+#ifndef KEELBRIDGE_COORDINATION_SCHEDULER_FIGURES_H_
+#define KEELBRIDGE_COORDINATION_SCHEDULER_FIGURES_H_
+
+#include <cstdint>
+
+namespace keelbridge {
+
+struct SchedulerFigures {
+  int64_t jobs = 0;
+  int64_t ready_tasks = 0;
+  int64_t running_tasks = 0;
+  int64_t workers = 0;
+  int64_t workers_reported = 0;  // Workers that have sent a worker report.
+  int64_t cpu_milli_total = 0;
+  int64_t cpu_milli_used = 0;
+  int64_t starts = 0;
+  int64_t starts_refused = 0;
+  // Starts without an answer whose run no worker has reported either.
+  int64_t starts_unanswered = 0;
+  int64_t preemptions = 0;  // Runs preempted for more urgent work.
+  int64_t advice_calls = 0;
+  int64_t ends_done = 0;
+  int64_t ends_failed = 0;
+  int64_t ends_other = 0;
+  // Tasks of earlier leaders that wait for workers that may still run them.
+  int64_t recovered_waiting = 0;
+  // Unused processor capacity that is reserved for blocked steps.
+  int64_t cpu_milli_reserved = 0;
+  // Values of the most recent placement pass: gangs that only lack capacity
+  // or tickets, those of these gangs that have capacity reserved, and steps
+  // that did not ask for advice because the steps ordered before them would
+  // use up the free capacity.
+  int64_t gangs_waiting = 0;
+  int64_t gangs_reserving = 0;
+  int64_t steps_without_advice = 0;
+  // Totals over all placement passes: passes, steps that they examined, those
+  // of these steps whose job is late already, and how often a worker was
+  // tried for a step.
+  int64_t placement_passes = 0;
+  int64_t steps_examined = 0;
+  int64_t late_steps_examined = 0;
+  int64_t workers_tried = 0;
+  // Worker reports that were ignored because a later report had arrived.
+  int64_t stale_reports_skipped = 0;
+};
+
+}  // namespace keelbridge
+
+#endif  // KEELBRIDGE_COORDINATION_SCHEDULER_FIGURES_H_
