Tests of client accounts: changes of maximums, late orders, and gaps that mutants showed

Cause: the mechanisms were switched off one at a time in a scratch copy to see whether a test notices. Two were not noticed: the bound on runs of earlier leaders by what unreached workers can run, and the release of runs that are lost with their worker. The property test drew no changes of the configuration and no late orders.

Starts that the earlier configuration permits count as allowed for 0.5 s after a change, for orders on their way; the pages allow the highest maximum that may be in force. No check was taken out.

--- a/testing/support/site_simulation.cc
+++ b/testing/support/site_simulation.cc
@@ -1,6 +1,7 @@
 #include "testing/support/site_simulation.h"
 
 #include <algorithm>
+#include <utility>
 
 #include "absl/strings/str_cat.h"
 #include "keelbridge/protocol/worker_incarnation.h"
@@ -31,6 +32,8 @@
 // Time after which a reduced capacity is enforced, so that leaders can learn of
 // it first. A worker reports the reduction within one heartbeat interval.
 constexpr absl::Duration kCapacityGrace = absl::Milliseconds(3500);
+// How late an order may arrive that the earlier configuration permitted.
+constexpr absl::Duration kConfigurationGrace = absl::Milliseconds(500);
 constexpr absl::Duration kHeartbeatInterval = absl::Milliseconds(500);
 constexpr absl::Duration kMaxLongRunningWork = absl::Seconds(8);
 
@@ -245,14 +248,29 @@
   });
 }
 
+Resources SiteSimulation::MaximumInForce(const std::string& name) const {
+  const auto maximum_by = [&name](const SiteConfiguration& configuration) {
+    for (const ClientAccount& account : configuration.accounts) {
+      if (account.name == name) return account.maximum;
+    }
+    return Resources();
+  };
+  const Resources now = maximum_by(*configuration_);
+  if (now_ - configuration_changed_ > kConfigurationGrace) return now;
+  // 0 means that the resource is not limited.
+  const auto larger = [](int32_t a, int32_t b) {
+    return a == 0 || b == 0 ? 0 : std::max(a, b);
+  };
+  const Resources earlier = maximum_by(*earlier_configuration_);
+  return {larger(now.cpu_milli, earlier.cpu_milli),
+          larger(now.memory_mib, earlier.memory_mib),
+          larger(now.accelerators, earlier.accelerators)};
+}
+
 void SiteSimulation::CheckAccountMaximum(const SiteRun& run) {
   const std::string& name = jobs_[run.task.job].account;
-  const auto& accounts = configuration_->accounts;
-  const auto account = std::find_if(
-      accounts.begin(), accounts.end(),
-      [&name](const ClientAccount& one) { return one.name == name; });
-  if (account == accounts.end()) return;
-  const Resources& maximum = account->maximum;
+  if (name.empty()) return;
+  const Resources maximum = MaximumInForce(name);
   Resources used;
   for (const WorkerSlot& slot : workers_) {
     for (const auto& [key, other] : slot.incarnation->running()) {
@@ -276,7 +294,8 @@
   auto next = std::make_shared<SiteConfiguration>(*configuration_);
   ++next->version;
   next->accounts = std::move(accounts);
-  configuration_ = std::move(next);
+  earlier_configuration_ = std::exchange(configuration_, std::move(next));
+  configuration_changed_ = now_;
   for (const auto& leader : leaders_) {
     if (!leader->dead) leader->scheduler->SetConfiguration(configuration_);
   }
--- a/testing/support/site_simulation.h
+++ b/testing/support/site_simulation.h
@@ -61,7 +61,9 @@
 
   JobId Submit(JobSpec spec, const std::string& queue = kQueue,
                const std::string& account = "");
-  // Replaces the accounts of the configuration in force.
+  // Replaces the accounts of the configuration in force. For
+  // `kConfigurationGrace` starts that the earlier one permits are no violation,
+  // since orders that it permitted may be on their way.
   void SetAccounts(std::vector<ClientAccount> accounts);
   // Submits a job whose tasks crash each worker that starts them, soon after
   // the start.
@@ -187,6 +189,8 @@
   void CheckStart(const SiteRun& run);
   // Checks that a start keeps the client account of its job within its maximum.
   void CheckAccountMaximum(const SiteRun& run);
+  // Returns the maximum of the account that a start may use up now.
+  Resources MaximumInForce(const std::string& account) const;
   void CheckCrashingRun(const SiteRun& run);
   WorkerSlot* FindSlot(const std::string& worker_id);
   void SetCapacity(int index, const Resources& capacity);
@@ -230,6 +234,8 @@
   std::map<JobId, JobFacts> jobs_;
   std::set<JobId> accepted_;
   std::shared_ptr<SiteConfiguration> configuration_;
+  std::shared_ptr<SiteConfiguration> earlier_configuration_;
+  absl::Time configuration_changed_ = absl::InfinitePast();
   std::vector<SiteRun> runs_;
   // Failed runs by task; those of a gang are counted at its index 0.
   std::map<TaskId, std::set<int32_t>> failed_;
