A long-running task does not start beside the run of its late order

Cause: a long-running task whose start got no answer may start again on the same worker at once, since the worker drops the order once it has received a later run. If a later incarnation of the worker has already carried out the order, this is too late: the leader saw that run, had it stopped, and started the next one beside it.

--- a/keelbridge/coordination/job_scheduler.h
+++ b/keelbridge/coordination/job_scheduler.h
@@ -668,6 +668,9 @@
   // Returns whether the task may not start on other workers because an earlier
   // order to start it may still be carried out.
   bool WaitsForUnansweredStart(const TaskState& task, Now now) const;
+  // Returns whether the order was carried out late and that run of the task
+  // still has to end.
+  bool HasRunOfUnansweredStart(const ReadyStep& ready, const TaskState& task);
   // Returns the only worker that may start a task with an unanswered start: the
   // one that the order was sent to, since it drops the order once it has
   // received a later run. Returns null if there is none.
--- a/keelbridge/coordination/job_scheduler_unanswered.cc
+++ b/keelbridge/coordination/job_scheduler_unanswered.cc
@@ -16,8 +16,10 @@
 // Where each incarnation has a name of its own, no later one carries out the
 // order, and no task waits.
 
+#include <algorithm>
 #include <string>
 #include <utility>
+#include <vector>
 
 #include "absl/strings/str_cat.h"
 #include "keelbridge/coordination/job_scheduler.h"
@@ -107,6 +109,19 @@
   return now.mono < may_arrive_until;
 }
 
+bool JobScheduler::HasRunOfUnansweredStart(const ReadyStep& ready,
+                                           const TaskState& task) {
+  if (task.unanswered.worker.empty()) return false;
+  const auto index = static_cast<int32_t>(&task - ready.state->tasks.data());
+  const TaskId id{ready.job->id, ready.round->number, ready.number, index};
+  const std::vector<Worker*> incarnations =
+      IncarnationsOf(task.unanswered.worker);
+  return std::any_of(
+      incarnations.begin(), incarnations.end(), [&](const Worker* worker) {
+        return worker->allocations.count({id, task.unanswered.run}) > 0;
+      });
+}
+
 // Applies only to long-running tasks: another task could be done before the
 // order is carried out.
 JobScheduler::Worker* JobScheduler::WorkerOfUnansweredStart(
--- a/keelbridge/coordination/job_scheduler_unanswered_test.cc
+++ b/keelbridge/coordination/job_scheduler_unanswered_test.cc
@@ -113,6 +113,28 @@
   }
 }
 
+// Guards against a double start: the next incarnation of the worker has carried
+// out the first order, and the task's second run was lost with the one before.
+TEST_CASE(
+    "job scheduler: a long-running task does not start beside its run of a "
+    "late order") {
+  SchedulerDriver site(1);
+  UnansweredStartFixture workers(site, LongRunningTask(), Restarts::kSeen);
+  workers.AcceptStarts();
+  site.RunUntil(kSubmittedAt + absl::Milliseconds(500));
+  REQUIRE(site.starts.size() == 1);
+  REQUIRE(site.start_workers[0] == "a@1000");
+  site.next_incarnations["a@1000"] = "a@2000";
+  site.reports["a@2000"].running.push_back(
+      {kTask, site.lost_starts[0].run, "", 0});
+  site.AddWorker("a@2000", 4000);
+  site.RunUntil(kSubmittedAt + absl::Seconds(1));
+  CHECK(site.starts.size() == 1);
+  site.RunUntil(kSubmittedAt + absl::Seconds(3));
+  CHECK(site.reports["a@2000"].ended.size() == 1);
+  CHECK(site.starts.size() == 2);
+}
+
 // A worker that answers nothing is most likely cut off. Users of a long-running
 // task must not wait for longer than its lease.
 TEST_CASE(
