Membership: heartbeats along a tree, a list of members with versions

Cause: all nodes sent heartbeats to the leader, 100 a second together, so at 585 nodes one in 5.85 s; but a peer counted as fresh for 1.5 s and a leader as suspect after 1.4 s. So most nodes were not ready, read the configuration from the store themselves and polled all peers before a claim (nodes times peers), and the leader's relays changed all the time. Change: above 51 nodes a node sends heartbeats to a parent with at most 32 children, zone by zone; a heartbeat vouches for the members below its sender and names only changes; answers carry changes of the leader's list. Freshness, ranks of claims and suspicion follow the depth. At most 16 peers are asked before a claim, and ranks no longer cost peers squared. A leader confirms its configuration each 0.5 s, so that three hops stay below 1.5 s.

--- a/keelbridge/coordination/freshness.h
+++ b/keelbridge/coordination/freshness.h
@@ -30,9 +30,10 @@
   };
   struct Options {
     // Data that has not been confirmed for this long is refreshed. A change
-    // must be in force within 2 s. A leader that asks after 0.8 s and updates
-    // its followers every 0.4 s keeps the age of their data under 1.5 s.
-    absl::Duration leader_refresh_after = absl::Milliseconds(800);
+    // must be in force within 2 s. A leader that asks after 0.5 s and updates
+    // its followers through up to three hops of 0.25 s, or one of 0.5 s, keeps
+    // the age of their data under 1.5 s.
+    absl::Duration leader_refresh_after = absl::Milliseconds(500);
     absl::Duration follower_refresh_after = absl::Milliseconds(1500);
     // Data that has not been confirmed for longer than this must not be used to
     // deny that something exists. An old version may be served for 2 s.
--- a/keelbridge/coordination/site_election.cc
+++ b/keelbridge/coordination/site_election.cc
@@ -162,10 +162,16 @@
   last_contact_ = now;
 }
 
+void SiteElection::SetPeers(std::vector<ElectionPeer> peers) {
+  peers_ = std::move(peers);
+  best_peer_capacity_ = 0;
+  for (const ElectionPeer& peer : peers_)
+    best_peer_capacity_ = std::max(best_peer_capacity_, peer.capacity);
+}
+
 bool SiteElection::IsWeak(double capacity) const {
-  double best = capacity_;
-  for (const ElectionPeer& peer : peers_) best = std::max(best, peer.capacity);
-  return capacity < kWeakCapacityRatio * best;
+  return capacity <
+         kWeakCapacityRatio * std::max(capacity_, best_peer_capacity_);
 }
 
 const ElectionPeer* SiteElection::BestPeer() const {
@@ -199,16 +205,17 @@
     return XXH64(node.data(), node.size(),
                  static_cast<uint64_t>(leader_.epoch));
   };
-  const auto rank = [&](const std::string& node, double capacity) {
-    return std::make_tuple(IsWeak(capacity), hash(node), node);
+  const auto rank = [&](const std::string& node, double capacity,
+                        bool watches_leader) {
+    return std::make_tuple(IsWeak(capacity), !watches_leader, hash(node), node);
   };
-  const auto self = rank(node_, capacity_);
+  const auto self = rank(node_, capacity_, watches_leader_);
   int64_t others = 0;
   int64_t ahead = 0;
   for (const ElectionPeer& peer : peers_) {
     if (peer.node == leader_.node || peer.node == node_) continue;
     ++others;
-    if (rank(peer.node, peer.capacity) < self) ++ahead;
+    if (rank(peer.node, peer.capacity, peer.watches_leader) < self) ++ahead;
   }
   if (others > 0) return options_.rank_step * static_cast<double>(ahead);
   // Without known peers, only the hash of the name spreads the claims.
@@ -237,9 +244,10 @@
     return now - gone_since_ > ClaimDelay() ? ElectionStep::kClaim
                                             : ElectionStep::kNone;
   }
-  return now - last_contact_ > suspect_after_ + ClaimDelay()
-             ? ElectionStep::kClaim
-             : ElectionStep::kNone;
+  const absl::Duration overdue = now - last_contact_ - suspect_after_;
+  // Computing the delay takes time for each peer.
+  const bool claims = overdue > absl::ZeroDuration() && overdue > ClaimDelay();
+  return claims ? ElectionStep::kClaim : ElectionStep::kNone;
 }
 
 AppendOrder SiteElection::Claim(int64_t wall_ms) {
--- a/keelbridge/coordination/site_election.h
+++ b/keelbridge/coordination/site_election.h
@@ -66,6 +66,9 @@
   // Processors that the node can spend on leading; see NodeSettings::Capacity.
   double capacity = 1;
   bool store_ok = true;  // The node reaches the store directly.
+  // The node sends its heartbeats to the leader itself, so it is among the
+  // first to notice that the leader does not answer.
+  bool watches_leader = true;
 };
 
 class SiteElection {
@@ -111,8 +114,10 @@
   void Retire() { retired_ = true; }
   // Sets the processors that this node can spend on leading.
   void SetCapacity(double capacity) { capacity_ = capacity; }
-  // Sets the peers that recently sent a message.
-  void SetPeers(std::vector<ElectionPeer> peers) { peers_ = std::move(peers); }
+  // Sets the peers that are known to run.
+  void SetPeers(std::vector<ElectionPeer> peers);
+  // Sets whether this node is a peer that `watches_leader`.
+  void SetWatchesLeader(bool watches) { watches_leader_ = watches; }
   // Returns the peer with the highest capacity among those that reach the
   // store, or nullopt if there is none.
   std::optional<std::string> Successor() const;
@@ -136,6 +141,8 @@
   // claims or reaffirms leadership until a readable leader record is written.
   bool control_unreadable() const { return control_unreadable_; }
   const LeaderRecord& leader() const { return leader_; }
+  // True if the leader's process is known to be gone.
+  bool leader_gone() const { return leader_gone_; }
   bool Leads() const { return leads_; }
   absl::Time last_contact() const { return last_contact_; }
   // Records that this node has been replaced as leader.
@@ -170,6 +177,8 @@
   bool leader_gone_ = false;
   absl::Time gone_since_ = absl::InfinitePast();
   std::vector<ElectionPeer> peers_;
+  double best_peer_capacity_ = 0;
+  bool watches_leader_ = true;
 };
 
 }  // namespace keelbridge
--- a/keelbridge/coordination/site_election_test.cc
+++ b/keelbridge/coordination/site_election_test.cc
@@ -220,6 +220,25 @@
         ElectionStep::kClaim);
 }
 
+TEST_CASE("site election: those that watch the leader claim before others") {
+  const auto claim_after = [](bool watches_leader) {
+    SiteElection node = MakeWithCapacity("node", 1);
+    std::vector<ElectionPeer> peers;
+    for (int i = 0; i < 8; ++i)
+      peers.push_back({"peer" + std::to_string(i), 1, true, i < 4});
+    node.OnControlRead({ToRecord(Leader(3, "gone", 7))}, 3, kBegin);
+    node.SetPeers(peers);
+    node.SetWatchesLeader(watches_leader);
+    node.OnLeaderGone(kBegin);
+    absl::Duration after;
+    while (node.Decide(kBegin + after) != ElectionStep::kClaim)
+      after += absl::Milliseconds(50);
+    return after;
+  };
+  CHECK(claim_after(true) <= absl::Milliseconds(1050));
+  CHECK(claim_after(false) > absl::Milliseconds(1000));
+}
+
 TEST_CASE("site election: a weak node without known peers delays its claim") {
   SiteElection weak = MakeWithCapacity("weak", 0.05);
   weak.OnControlRead({}, 0, kBegin);
--- a/keelbridge/daemon/site_node.cc
+++ b/keelbridge/daemon/site_node.cc
@@ -19,8 +19,6 @@
 constexpr absl::Duration kConfigurationCheckInterval = absl::Milliseconds(100);
 // How often to check whether a heartbeat is due.
 constexpr absl::Duration kHeartbeatCheckInterval = absl::Milliseconds(50);
-// A node is ready if a leader that accepts jobs answered within this time.
-constexpr absl::Duration kMaxLeaderAnswerAge = absl::Milliseconds(1500);
 // Time from the stop signal until no new requests arrive: the balancer checks
 // readiness every second and removes a node after two failed checks.
 constexpr absl::Duration kDrainNotice = absl::Milliseconds(2300);
@@ -71,7 +69,8 @@
       order_relay_client_(loop, *ports.workers, rpc, OrderOptions(settings_)),
       order_relay_server_(loop, *ports.workers, rpc),
       election_(settings_.name, incarnation_, settings_.PeerAddress(),
-                ElectionOptions(settings_)) {}
+                ElectionOptions(settings_)),
+      membership_(DescribeSelf(), incarnation_, SiteMembership::Options()) {}
 
 void SiteNode::RunPeriodically(absl::Duration period,
                                std::function<void()> step) {
@@ -128,7 +127,8 @@
   RunPeriodically(kConfigurationCheckInterval,
                   [this] { CheckConfiguration(); });
   RunPeriodically(kHeartbeatCheckInterval, [this] {
-    if (SystemNow().mono >= next_heartbeat_at_) Heartbeat();
+    UpdateMembership();
+    if (HeartbeatDue(SystemNow().mono)) Heartbeat();
   });
   return Success();
 }
@@ -136,14 +136,10 @@
 bool SiteNode::Ready() const {
   if (draining_ || configuration_ == nullptr) return false;
   if (session_ != nullptr && session_->active()) return session_->CanAccept();
-  return leader_accepts_jobs_ &&
-         SystemNow().mono - leader_answered_at_ < kMaxLeaderAnswerAge;
+  return leader_contact_.accepts && InContactWithLeader();
 }
 
-bool SiteNode::LeaderOutOfReach() const {
-  if (session_ != nullptr && !session_->ended()) return false;
-  return SystemNow().mono - leader_answered_at_ >= kMaxLeaderAnswerAge;
-}
+bool SiteNode::LeaderOutOfReach() const { return !InContactWithLeader(); }
 
 void SiteNode::ServeReady(const ServerRequest& request,
                           const EventHttpServer::Reply& reply) {
@@ -190,8 +186,9 @@
     const bool leads = session_ != nullptr && !session_->ended();
     if (leads) {
       const auto successor = election_.Successor();
-      const auto peer = successor ? peers_.find(*successor) : peers_.end();
-      if (peer != peers_.end()) RequestTakeover(peer->second);
+      const Member* member =
+          successor ? membership_.members().Find(*successor) : nullptr;
+      if (member != nullptr) RequestTakeover(*member);
     }
     const bool idle =
         since > kDrainNotice && client_server_->InFlight() == 0 && !leads;
--- a/keelbridge/daemon/site_node.h
+++ b/keelbridge/daemon/site_node.h
@@ -14,6 +14,7 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <tuple>
 #include <vector>
 
 #include "keelbridge/coordination/answer_times.h"
@@ -29,6 +30,7 @@
 #include "keelbridge/daemon/order_relay_client.h"
 #include "keelbridge/daemon/order_relay_server.h"
 #include "keelbridge/daemon/store_failover.h"
+#include "keelbridge/membership/site_membership.h"
 #include "keelbridge/overload/outage_retry.h"
 #include "keelbridge/transport/event_http_server.h"
 #include "keelbridge/transport/event_rpc.h"
@@ -47,15 +49,31 @@
   void Drain(std::function<void()> done);
 
  private:
-  // Another node, as last reported to this one.
-  struct Peer {
+  // The latest time at which the leader is known to have answered a node.
+  struct LeaderContact {
+    int64_t epoch = 0;
+    absl::Time at = absl::InfinitePast();
+    bool accepts = false;  // The leader accepts jobs.
+  };
+  // The receiver of a heartbeat.
+  struct HeartbeatTarget {
+    LeaderRecord leader;  // The leader known as the heartbeat was sent.
     std::string name;
     std::string address;
-    std::string zone;
-    bool store_ok = false;
-    double capacity = 1;  // In processors; see NodeSettings::Capacity.
-    absl::Time last_report = absl::InfinitePast();
-    bool was_fresh = false;  // At the last call of UpdatePeers.
+    bool is_leader = false;
+  };
+  // What the last call of PublishMembers() depended on.
+  struct MembershipView {
+    int64_t changes = -1;
+    int64_t epoch = 0;
+    bool leads = false;
+    bool in_contact = false;
+    bool serving = false;
+    bool operator==(const MembershipView& other) const {
+      return std::tie(changes, epoch, leads, in_contact, serving) ==
+             std::tie(other.changes, other.epoch, other.leads, other.in_contact,
+                      other.serving);
+    }
   };
   // A client's call that has not been answered yet.
   struct PendingCall {
@@ -69,6 +87,11 @@
     std::function<void(ClientReply)> reply;
   };
 
+  // The knowledge of a node that has not heard of the leader for this long is
+  // out of date: the node is not ready.
+  static constexpr absl::Duration kMaxLeaderContactAge =
+      absl::Milliseconds(1500);
+
   // site_node.cc
   // Calls `step` at once and then again `period` after each call, even if a
   // call throws.
@@ -109,22 +132,33 @@
 
   // site_node_peers.cc
   absl::Duration HeartbeatPeriod() const;
+  bool HeartbeatDue(absl::Time now) const;
+  // Returns how long this node must be without news of the leader before the
+  // leader is suspect. `timeout` is that of a heartbeat.
+  absl::Duration SuspectAfter(absl::Duration timeout) const;
   void Heartbeat();
-  // Handles the outcome of the heartbeat that was sent to `to` at `sent` with
-  // the timeout `timeout`.
-  void OnHeartbeatReply(const RpcOutcome& outcome, const LeaderRecord& to,
-                        absl::Time sent, absl::Duration timeout);
-  Json::Value HandleHeartbeat(const Json::Value& params);
-  void RecordPeer(const Json::Value& in);
-  // Records the peers in the leader's heartbeat answer. An answer without a
-  // list confirms the previous one.
-  void RecordLeaderPeers(const Json::Value& answer);
-  // Removes expired peers and passes the others to the election, the store
-  // failover, the leader session and the order relay client.
-  void UpdatePeers();
-  // Builds the list of peers that this node reports in heartbeat answers.
-  void UpdatePeerList();
-  Json::Value DescribeSelf() const;
+  // Handles the answer to the heartbeat that was sent to `target` at `sent`.
+  void OnHeartbeatAnswer(const Json::Value& in, const HeartbeatTarget& target,
+                         absl::Time sent);
+  void OnHeartbeatUnanswered(const RpcOutcome& outcome,
+                             const HeartbeatTarget& target);
+  void OnLeaderAnswer(const Json::Value& in, const LeaderRecord& to);
+  void OnParentAnswer(const Json::Value& in, const HeartbeatTarget& target,
+                      absl::Time sent);
+  void RecordLeaderContact(const LeaderContact& contact);
+  Result<Json::Value> HandleHeartbeat(const Json::Value& params);
+  static void LogUnlessApplied(MemberList::ApplyResult result,
+                               const std::string& sender);
+  // Removes members that do not respond, and publishes changes.
+  void UpdateMembership();
+  // Passes the members to the election, the store failover, the leader session
+  // and the order relay client.
+  void PublishMembers();
+  // Returns the addresses of nodes that may relay calls to the store.
+  std::vector<std::string> StoreRelays() const;
+  // True if this node leads or heard of the leader recently.
+  bool InContactWithLeader() const;
+  Member DescribeSelf() const;
   void FetchConfiguration(const std::string& address);
   void AskAdvice(const AskAdviceAction& action,
                  std::function<void(AdviceReply)> done);
@@ -135,6 +169,9 @@
   void FollowControl();
   void OnControlReadFailed(const char* read, StoreResult result,
                            const std::string& detail);
+  // Returns the addresses of the nodes that may know whether the leader is
+  // well.
+  std::vector<std::string> AddressesToAskForLeader() const;
   void AskPeersThenClaim();
   void Claim();
   // Applies records of the control stream, which name the leader. `end` is the
@@ -157,7 +194,7 @@
   void ProbeSpeed();
   // Returns the capacity for leading, in processors, at the present speed.
   double Capacity() const;
-  void RequestTakeover(const Peer& peer);
+  void RequestTakeover(const Member& member);
 
   // site_node_configuration.cc
   // Reloads the configuration because the offset to follow it from is unknown.
@@ -253,14 +290,9 @@
   OutageRetry outage_retry_{OutageRetry::Options()};
   SpeedMonitor speed_{SpeedMonitor::Options()};
   std::shared_ptr<LeaderSession> session_;
-  std::map<std::string, Peer> peers_;  // By name.
-  // The list of peers that this node reports while it leads, and its version. A
-  // node that already has this version is not sent the list again.
-  Json::Value peer_list_;
-  uint64_t peer_list_version_ = 0;
-  // Version of the list that the leader sent, and the names in it.
-  uint64_t leader_peer_list_version_ = 0;
-  std::vector<std::string> leader_peer_names_;
+  SiteMembership membership_;
+  MembershipView published_view_;
+  int64_t members_lost_ = 0;  // As of the last call of UpdateMembership().
   // Earliest time to offer leadership to a peer again.
   absl::Time next_offer_at_ = absl::InfinitePast();
   EarlierLeaders earlier_leaders_;
@@ -285,14 +317,14 @@
   int64_t control_read_offset_ = -1;
   bool heartbeat_in_flight_ = false;
   absl::Time next_heartbeat_at_ = absl::InfinitePast();
+  absl::Time last_heartbeat_at_ = absl::InfinitePast();
   // Times that the leader takes to answer. No answer counts as lost within
   // 250 ms: event loops of loaded leaders ran up to 75 ms late.
   AnswerTimes heartbeat_times_{
       AnswerTimes::Options{absl::Milliseconds(250), absl::Milliseconds(700),
                            absl::ZeroDuration(), absl::ZeroDuration()}};
   int failed_heartbeats_ = 0;
-  bool leader_accepts_jobs_ = false;
-  absl::Time leader_answered_at_ = absl::InfinitePast();
+  LeaderContact leader_contact_;
   // Time at which each leader was first known to accept jobs, by epoch; only
   // the newest epochs are kept.
   std::map<int64_t, absl::Time> leaders_seen_;
--- a/keelbridge/daemon/site_node_leading.cc
+++ b/keelbridge/daemon/site_node_leading.cc
@@ -8,6 +8,7 @@
 #include "keelbridge/daemon/node_messages.h"
 #include "keelbridge/daemon/site_node.h"
 #include "keelbridge/transport/event_timer.h"
+#include "keelbridge/transport/trace.h"
 
 namespace keelbridge {
 namespace {
@@ -16,6 +17,9 @@
 constexpr absl::Duration kFollowWait = absl::Seconds(20);
 constexpr absl::Duration kFollowTimeout = absl::Seconds(22);
 constexpr absl::Duration kFollowRetryDelay = absl::Milliseconds(500);
+// Number of peers that are asked for the leader before a claim. Most nodes are
+// in contact with a leader that is well.
+constexpr size_t kMaxPeersToAsk = 16;
 constexpr absl::Duration kAskPeersTimeout = absl::Milliseconds(300);
 constexpr absl::Duration kEarlierLeaderPollInterval = absl::Milliseconds(300);
 constexpr absl::Duration kTakeOverTimeout = absl::Milliseconds(800);
@@ -135,6 +139,21 @@
             {"detail", detail}});
 }
 
+std::vector<std::string> SiteNode::AddressesToAskForLeader() const {
+  const LeaderRecord& leader = election_.leader();
+  const MemberList& members = membership_.members();
+  const bool is_flat = members.size() <= HeartbeatTree::kMaxFlatSite;
+  std::vector<std::string> addresses;
+  for (const Member* member :
+       SampleMembers(members, is_flat ? members.size() : kMaxPeersToAsk,
+                     RandomId(), {settings_.name, leader.node}))
+    addresses.push_back(member->address);
+  // In a large site this node hears of the leader through others.
+  if (!is_flat && leader.epoch > 0 && leader.node != settings_.name)
+    addresses.push_back(leader.address);
+  return addresses;
+}
+
 void SiteNode::AskPeersThenClaim() {
   claiming_ = true;
   struct PeerPoll {
@@ -156,11 +175,10 @@
   };
   Json::Value params(Json::objectValue);
   params["epoch"] = Json::Int64(election_.leader().epoch);
-  for (const auto& [name, peer] : peers_) {
-    if (name == election_.leader().node) continue;
+  for (const std::string& address : AddressesToAskForLeader()) {
     ++poll->outstanding;
     rpc_.Call(
-        peer.address, "leader_age", params, kAskPeersTimeout,
+        address, "leader_age", params, kAskPeersTimeout,
         [this, poll, finish](const RpcOutcome& outcome) {
           if (outcome.answered) {
             election_.OnLeaderReported(LeaderFromJson(outcome.result["newer"]),
@@ -246,7 +264,7 @@
   if (configuration_ != nullptr) session_->SetConfiguration(configuration_);
   // Another leader may have led in between without asking for it.
   if (handover_.epoch > 0) session_->OnHandover(handover_);
-  UpdatePeers();
+  UpdateMembership();
   session_->Start();
   PollEarlierLeaders(session_);
 }
@@ -260,11 +278,11 @@
   ReadControl();
 }
 
-void SiteNode::RequestTakeover(const Peer& peer) {
+void SiteNode::RequestTakeover(const Member& member) {
   Json::Value params(Json::objectValue);
   params["epoch"] = Json::Int64(session_->epoch());
   rpc_.Call(
-      peer.address, "take_over", params, kTakeOverTimeout,
+      member.address, "take_over", params, kTakeOverTimeout,
       [](const RpcOutcome&) {}, RpcLane::kControl);
 }
 
@@ -274,16 +292,16 @@
   const bool lost_store =
       now - store_failover_.lost_since() > kMaxStoreLostDuration;
   const auto better = election_.BetterLeader(lost_store);
-  const auto peer = better ? peers_.find(*better) : peers_.end();
-  if (peer == peers_.end()) return;
+  const Member* peer = better ? membership_.members().Find(*better) : nullptr;
+  if (peer == nullptr) return;
   next_offer_at_ = now + kOfferInterval;
   LogEvent(Severity::kInfo, "leadership_offered",
-           {{"to", peer->second.name},
-            {"its_capacity", absl::StrCat(peer->second.capacity)},
+           {{"to", peer->name},
+            {"its_capacity", absl::StrCat(peer->capacity)},
             {"own_capacity", absl::StrCat(Capacity())},
             {"lost_store", lost_store ? "yes" : "no"},
             {"epoch", absl::StrCat(session_->epoch())}});
-  RequestTakeover(peer->second);
+  RequestTakeover(*peer);
 }
 
 void SiteNode::ProbeSpeed() {
--- a/keelbridge/daemon/site_node_peers.cc
+++ b/keelbridge/daemon/site_node_peers.cc
@@ -1,12 +1,14 @@
-// Communication between the nodes of a site: heartbeats to the leader, and RPC
-// methods that nodes serve for each other.
+// Communication between the nodes of a site: heartbeats, and RPC methods that
+// nodes serve for each other.
 
 #include <algorithm>
 #include <boost/asio/post.hpp>
+#include <cmath>
 #include <utility>
 
 #include "absl/strings/str_cat.h"
 #include "keelbridge/base/logging.h"
+#include "keelbridge/daemon/membership_messages.h"
 #include "keelbridge/daemon/node_messages.h"
 #include "keelbridge/daemon/site_node.h"
 #include "keelbridge/transport/event_timer.h"
@@ -15,8 +17,8 @@
 namespace keelbridge {
 namespace {
 
-// Each node sends the leader a heartbeat at this interval, or less often in a
-// large site: all nodes together send at most kMaxHeartbeatsPerSecond.
+// Each node sends its parent a heartbeat at this interval. If all nodes send
+// theirs to the leader, it receives at most kMaxHeartbeatsPerSecond.
 constexpr absl::Duration kHeartbeatInterval = absl::Milliseconds(250);
 constexpr double kMaxHeartbeatsPerSecond = 100;
 // A leader is suspect once two heartbeats in a row remain unanswered, but no
@@ -26,25 +28,45 @@
 // A timer may fire this late on a loaded machine.
 constexpr absl::Duration kMaxTimerDelay = absl::Milliseconds(300);
 constexpr absl::Duration kHeartbeatRetryDelay = absl::Milliseconds(40);
-// A peer that was reported within this time is fresh. Only fresh peers are
-// reported to other nodes and used as advisers and relays.
-constexpr absl::Duration kPeerFreshness = absl::Milliseconds(1500);
-// A peer that was not reported for this long is removed.
-constexpr absl::Duration kPeerExpiry = absl::Seconds(30);
+// A parent that has not been in contact with the leader for this long is
+// avoided by its children, and a little later by the nodes below them, which
+// thereby give their parents time to find another way.
+constexpr absl::Duration kMaxParentAge = absl::Seconds(1);
+constexpr absl::Duration kParentAgeStep = absl::Milliseconds(300);
+// The present members are reported upwards at once when they change, but not
+// more often than this.
+constexpr absl::Duration kMinHeartbeatInterval = absl::Milliseconds(100);
+// Number of nodes that may relay a call to the store, in a large site.
+constexpr size_t kStoreRelays = 16;
+// The relative speed of this node is reported in these steps, so that the list
+// of members does not change with every fluctuation.
+constexpr double kSpeedStep = 1.0 / 16;
 // Number of leaders to remember: enough for a minute in which the leader
 // changes every 4 s. A leader that was forgotten only makes a later leader wait
 // longer.
 constexpr size_t kMaxLeadersSeen = 16;
 constexpr int kInvalidParams = -32602;
 
+constexpr absl::Duration kMaxReportedAge = absl::Hours(1);
+
 JsonRpcReply Ok(Json::Value result) { return {std::move(result), 0, ""}; }
 
+// Returns the time since `at` in whole milliseconds, rounded up.
+Json::Int64 AgeMs(absl::Time at) {
+  const absl::Duration age = std::min(SystemNow().mono - at, kMaxReportedAge);
+  return absl::ToInt64Milliseconds(absl::Ceil(age, absl::Milliseconds(1)));
+}
+
 }  // namespace
 
 void SiteNode::AddPeerMethods() {
   peer_server_.Add("heartbeat", [this](const Json::Value& params,
                                        const EventRpcServer::Reply& reply) {
-    reply(Ok(HandleHeartbeat(params)));
+    auto answer = HandleHeartbeat(params);
+    if (answer) return reply(Ok(std::move(answer.value())));
+    LogEvent(Severity::kWarning, "heartbeat_refused",
+             {{"why", answer.error().message}});
+    reply({Json::Value(), kInvalidParams, answer.error().message});
   });
   peer_server_.Add("call", [this](const Json::Value& params,
                                   const EventRpcServer::Reply& reply) {
@@ -115,9 +137,8 @@
     out["newer"] = ToJson(election_.leader());
     if (leads)
       out["age_ms"] = 0;
-    else if (same_epoch && leader_accepts_jobs_)
-      out["age_ms"] = Json::Int64(absl::ToInt64Milliseconds(
-          std::min(SystemNow().mono - leader_answered_at_, absl::Hours(1))));
+    else if (same_epoch && leader_contact_.accepts)
+      out["age_ms"] = AgeMs(leader_contact_.at);
     reply(Ok(out));
   });
   peer_server_.Add("take_over", [this](const Json::Value& params,
@@ -146,199 +167,228 @@
       });
 }
 
-void SiteNode::RecordPeer(const Json::Value& in) {
-  const std::string name = in["node"].asString();
-  if (name.empty() || name == settings_.name) return;
-  Peer& peer = peers_[name];
-  peer.name = name;
-  peer.address = in["address"].asString();
-  peer.zone = in["zone"].asString();
-  peer.store_ok = in["store_ok"].asBool();
-  peer.capacity = in.get("capacity", 1.0).asDouble();
-  peer.last_report = SystemNow().mono;
-}
-
-void SiteNode::RecordLeaderPeers(const Json::Value& answer) {
-  leader_peer_list_version_ = answer["peers_version"].asUInt64();
-  if (!answer.isMember("peers")) {
-    // The leader omits an unchanged list. The answer counts as a new report of
-    // all peers in it.
-    for (const std::string& name : leader_peer_names_) {
-      const auto peer = peers_.find(name);
-      if (peer != peers_.end()) peer->second.last_report = SystemNow().mono;
-    }
-    return;
-  }
-  leader_peer_names_.clear();
-  for (const Json::Value& peer : answer["peers"]) {
-    RecordPeer(peer);
-    leader_peer_names_.push_back(peer["node"].asString());
-  }
+Member SiteNode::DescribeSelf() const {
+  const double steps = std::ceil(speed_.RelativeSpeed() / kSpeedStep);
+  return {settings_.name, settings_.PeerAddress(), settings_.zone,
+          store_failover_.direct(), settings_.Capacity() * steps * kSpeedStep};
 }
 
-Json::Value SiteNode::DescribeSelf() const {
-  Json::Value out(Json::objectValue);
-  out["node"] = settings_.name;
-  out["address"] = settings_.PeerAddress();
-  out["zone"] = settings_.zone;
-  out["store_ok"] = store_failover_.direct();
-  out["capacity"] = Capacity();
-  return out;
+bool SiteNode::InContactWithLeader() const {
+  if (session_ != nullptr && !session_->ended()) return true;
+  return SystemNow().mono - leader_contact_.at < kMaxLeaderContactAge;
 }
 
-void SiteNode::UpdatePeerList() {
+void SiteNode::UpdateMembership() {
   const absl::Time now = SystemNow().mono;
-  Json::Value list(Json::arrayValue);
-  for (const auto& [name, peer] : peers_) {
-    if (now - peer.last_report > kPeerFreshness) continue;
-    Json::Value entry(Json::objectValue);
-    entry["node"] = name;
-    entry["address"] = peer.address;
-    entry["zone"] = peer.zone;
-    entry["store_ok"] = peer.store_ok;
-    entry["capacity"] = peer.capacity;
-    list.append(std::move(entry));
-  }
-  list.append(DescribeSelf());
-  if (list == peer_list_) return;
-  peer_list_ = std::move(list);
-  peer_list_version_ = RandomId();
+  membership_.SetSelf(DescribeSelf());
+  membership_.OnLeader(election_.leader().node, election_.leader().epoch,
+                       election_.Leads(), now);
+  membership_.Update(now);
+  const MembershipView view{membership_.members().changes(),
+                            election_.leader().epoch, election_.Leads(),
+                            InContactWithLeader(),
+                            session_ != nullptr && !session_->ended()};
+  if (view == published_view_) return;
+  published_view_ = view;
+  peers_lost_ = peers_lost_ || membership_.members_lost() > members_lost_;
+  members_lost_ = membership_.members_lost();
+  PublishMembers();
 }
 
-void SiteNode::UpdatePeers() {
-  const absl::Time now = SystemNow().mono;
-  // Peers are reported by the leader. When it stops responding, the candidates
-  // to replace it are the peers in its latest reports.
-  absl::Time latest_report = absl::InfinitePast();
-  for (const auto& [name, peer] : peers_)
-    latest_report = std::max(latest_report, peer.last_report);
+void SiteNode::PublishMembers() {
   std::vector<ElectionPeer> candidates;
-  std::vector<std::string> fresh_peers = {settings_.name};
-  std::vector<std::string> store_relays;
+  std::vector<std::string> advisers = {settings_.name};
   std::vector<OrderRouting::Node> order_relays;
-  for (auto it = peers_.begin(); it != peers_.end();) {
-    const Peer& peer = it->second;
-    if (now - peer.last_report > kPeerExpiry) {
-      it = peers_.erase(it);
-      continue;
-    }
-    const bool is_fresh = now - peer.last_report < kPeerFreshness;
-    peers_lost_ = peers_lost_ || (it->second.was_fresh && !is_fresh);
-    it->second.was_fresh = is_fresh;
-    if (latest_report - peer.last_report < kPeerFreshness)
-      candidates.push_back({peer.name, peer.capacity, peer.store_ok});
-    if (is_fresh) {
-      fresh_peers.push_back(peer.name);
-      order_relays.push_back(
-          {peer.name, peer.address, peer.zone, peer.capacity});
-    }
-    if (peer.store_ok && is_fresh) store_relays.push_back(peer.address);
-    ++it;
+  for (const auto& [name, member] : membership_.members().members()) {
+    if (name == settings_.name) continue;
+    candidates.push_back({name, member.capacity, member.store_ok,
+                          membership_.DepthOf(name) == 1});
+    advisers.push_back(name);
+    order_relays.push_back(
+        {name, member.address, member.zone, member.capacity});
   }
   election_.SetPeers(std::move(candidates));
-  if (store_relays.empty()) {
-    // Until a peer that reaches the store is known, the seeds may reach it.
-    for (const std::string& seed : settings_.seeds) {
-      const std::string address = absl::StrCat(seed.substr(0, seed.find(':')),
-                                               ":", settings_.peer_listen.port);
-      if (address != settings_.peer_listen.ToString())
-        store_relays.push_back(address);
+  election_.SetWatchesLeader(membership_.DepthOf(settings_.name) == 1);
+  store_failover_.SetPeers(StoreRelays());
+  if (session_ == nullptr || session_->ended()) return;
+  session_->SetAdvisers(advisers);
+  order_relay_client_.SetNodes(std::move(order_relays), Capacity());
+}
+
+std::vector<std::string> SiteNode::StoreRelays() const {
+  std::vector<std::string> relays;
+  // While no leader confirms the members, they may be out of reach.
+  if (InContactWithLeader()) {
+    const MemberList& members = membership_.members();
+    const size_t count = members.size() > HeartbeatTree::kMaxFlatSite
+                             ? kStoreRelays
+                             : members.size();
+    for (const Member* member :
+         SampleMembers(members, count, incarnation_, {settings_.name})) {
+      if (member->store_ok) relays.push_back(member->address);
     }
   }
-  store_failover_.SetPeers(std::move(store_relays));
-  if (session_ != nullptr && !session_->ended()) {
-    session_->SetAdvisers(fresh_peers);
-    order_relay_client_.SetNodes(std::move(order_relays), Capacity());
+  if (!relays.empty()) return relays;
+  // Until a peer that reaches the store is known, the seeds may reach it.
+  for (const std::string& seed : settings_.seeds) {
+    const std::string address = absl::StrCat(seed.substr(0, seed.find(':')),
+                                             ":", settings_.peer_listen.port);
+    if (address != settings_.peer_listen.ToString()) relays.push_back(address);
   }
-  UpdatePeerList();
+  return relays;
 }
 
-Json::Value SiteNode::HandleHeartbeat(const Json::Value& params) {
-  RecordPeer(params);
+Result<Json::Value> SiteNode::HandleHeartbeat(const Json::Value& params) {
+  auto report = HeartbeatReportFromJson(params["members"]);
+  if (!report) return report.error();
+  auto applied = MemberList::ApplyResult::kApplied;
+  const HeartbeatReportAnswer members =
+      membership_.HandleReport(report.value(), SystemNow().mono, &applied);
+  LogUnlessApplied(applied, report.value().sender.name);
   const LeaderRecord sender_leader = LeaderFromJson(params["leader"]);
   if (sender_leader.epoch > election_.leader().epoch)
     election_.OnLeaderReported(sender_leader, SystemNow().mono);
   const int64_t version = params["configuration_version"].asInt64();
   if (version > configuration_version())
-    CatchUpWithConfiguration(params["address"].asString(), version);
+    CatchUpWithConfiguration(report.value().sender.address, version);
+  const bool leads = session_ != nullptr && !session_->ended();
   Json::Value out(Json::objectValue);
   out["boot"] = Json::UInt64(incarnation_);
-  out["leads"] = session_ != nullptr && !session_->ended();
-  out["accepts"] = session_ != nullptr && session_->CanAccept();
+  out["leads"] = leads;
+  out["accepts"] = leads ? session_->CanAccept() : leader_contact_.accepts;
+  out["contact_epoch"] =
+      Json::Int64(leads ? session_->epoch() : leader_contact_.epoch);
+  out["contact_age_ms"] = leads ? Json::Int64(0) : AgeMs(leader_contact_.at);
+  out["leader_gone"] = election_.leader_gone();
   out["draining"] = draining_;
   out["leader"] = ToJson(election_.leader());
+  out["members"] = ToJson(members);
   DescribeConfiguration(&out);
-  out["peers_version"] = Json::UInt64(peer_list_version_);
-  if (params["peers_version"].asUInt64() != peer_list_version_)
-    out["peers"] = peer_list_;
   return out;
 }
 
+void SiteNode::LogUnlessApplied(MemberList::ApplyResult result,
+                                const std::string& sender) {
+  // Another base is usual after a lost answer.
+  if (result == MemberList::ApplyResult::kApplied ||
+      result == MemberList::ApplyResult::kOtherBase)
+    return;
+  LogEvent(Severity::kWarning, "members_refused",
+           {{"from", sender}, {"why", ApplyResultName(result)}});
+}
+
 absl::Duration SiteNode::HeartbeatPeriod() const {
-  const auto nodes = static_cast<double>(peers_.size() + 1);
-  return std::max(kHeartbeatInterval,
-                  absl::Seconds(nodes / kMaxHeartbeatsPerSecond));
+  const size_t nodes = membership_.members().size();
+  if (nodes > HeartbeatTree::kMaxFlatSite) return kHeartbeatInterval;
+  return std::max(kHeartbeatInterval, absl::Seconds(static_cast<double>(nodes) /
+                                                    kMaxHeartbeatsPerSecond));
+}
+
+bool SiteNode::HeartbeatDue(absl::Time now) const {
+  if (now >= next_heartbeat_at_) return true;
+  return membership_.HasNews() &&
+         now >= last_heartbeat_at_ + kMinHeartbeatInterval;
+}
+
+absl::Duration SiteNode::SuspectAfter(absl::Duration timeout) const {
+  const int hops_to_parent = membership_.DepthOf(settings_.name) - 1;
+  // Nodes further down hear of the leader later, and do not take the loss of
+  // their parent for that of the leader.
+  if (hops_to_parent > 0)
+    return kMaxSuspectAfter + hops_to_parent * HeartbeatPeriod();
+  const absl::Duration two_failures =
+      HeartbeatPeriod() + kHeartbeatRetryDelay + 2 * timeout + kSuspicionMargin;
+  return std::min(two_failures, kMaxSuspectAfter);
 }
 
 void SiteNode::Heartbeat() {
-  UpdatePeers();
   const LeaderRecord leader = election_.leader();
   const bool is_self = leader.address == settings_.PeerAddress();
   if (leader.epoch == 0 || is_self || heartbeat_in_flight_) return;
   heartbeat_in_flight_ = true;
   const absl::Time now = SystemNow().mono;
+  last_heartbeat_at_ = now;
   next_heartbeat_at_ = now + HeartbeatPeriod();
   const absl::Duration timeout = heartbeat_times_.AnswerTimeout();
-  const absl::Duration two_failures =
-      HeartbeatPeriod() + kHeartbeatRetryDelay + 2 * timeout + kSuspicionMargin;
-  election_.SetSuspectAfter(std::min(two_failures, kMaxSuspectAfter));
-  Json::Value params = DescribeSelf();
+  election_.SetSuspectAfter(SuspectAfter(timeout));
+  const Member* parent = membership_.Parent(now);
+  HeartbeatTarget target{leader, leader.node, leader.address,
+                         parent == nullptr};
+  if (parent != nullptr) {
+    target.name = parent->name;
+    target.address = parent->address;
+  }
+  Json::Value params(Json::objectValue);
+  params["members"] = ToJson(membership_.MakeReport(target.name));
   params["leader"] = ToJson(leader);
-  params["peers_version"] = Json::UInt64(leader_peer_list_version_);
   params["configuration_version"] = Json::Int64(configuration_version());
   rpc_.Call(
-      leader.address, "heartbeat", params, timeout,
-      [this, leader, timeout, sent = now](const RpcOutcome& outcome) {
+      target.address, "heartbeat", params, timeout,
+      [this, target, timeout, sent = now](const RpcOutcome& outcome) {
         heartbeat_in_flight_ = false;
-        OnHeartbeatReply(outcome, leader, sent, timeout);
+        // An answer that lay in the socket while this process was paused says
+        // nothing about the present. An answer in time counts from its arrival,
+        // so that a slow node is not mistaken for an unresponsive one.
+        const bool in_time =
+            SystemNow().mono - sent <= timeout + kMaxTimerDelay;
+        if (outcome.answered && in_time)
+          OnHeartbeatAnswer(outcome.result, target, sent);
+        else
+          OnHeartbeatUnanswered(outcome, target);
       },
       RpcLane::kControl);
 }
 
-void SiteNode::OnHeartbeatReply(const RpcOutcome& outcome,
-                                const LeaderRecord& to, absl::Time sent,
-                                absl::Duration timeout) {
+void SiteNode::OnHeartbeatUnanswered(const RpcOutcome& outcome,
+                                     const HeartbeatTarget& target) {
+  const absl::Time now = SystemNow().mono;
+  membership_.OnNoAnswer(target.name, outcome.refused, now);
+  // A closed port means that the process is gone.
+  if (outcome.refused && target.is_leader &&
+      target.leader.epoch == election_.leader().epoch)
+    election_.OnLeaderGone(now);
+  // After any first failure, such as a broken connection, another heartbeat
+  // follows soon.
+  const bool first = ++failed_heartbeats_ == 1;
+  if (first || !target.is_leader)
+    RunAfter(loop_, kHeartbeatRetryDelay, [this] { Heartbeat(); });
+  if (!first) return;
+  LogEvent(Severity::kWarning,
+           target.is_leader ? "leader_silent" : "parent_silent",
+           {{"node", target.name},
+            {"epoch", absl::StrCat(target.leader.epoch)},
+            {"detail", outcome.answered ? "the answer arrived too late"
+                                        : outcome.error}});
+}
+
+void SiteNode::OnHeartbeatAnswer(const Json::Value& in,
+                                 const HeartbeatTarget& target,
+                                 absl::Time sent) {
   const absl::Time now = SystemNow().mono;
-  // An answer that lay in the socket while this process was paused says nothing
-  // about the present. An answer in time counts from its arrival, so that a
-  // slow leader is not mistaken for an unresponsive one.
-  const bool in_time = now - sent <= timeout + kMaxTimerDelay;
-  if (!outcome.answered || !in_time) {
-    // A closed port means that the process is gone. After any first failure,
-    // such as a broken connection, another heartbeat follows soon.
-    if (outcome.refused && to.epoch == election_.leader().epoch)
-      election_.OnLeaderGone(now);
-    if (++failed_heartbeats_ == 1) {
-      RunAfter(loop_, kHeartbeatRetryDelay, [this] { Heartbeat(); });
-      LogEvent(Severity::kWarning, "leader_silent",
-               {{"leader", to.node},
-                {"epoch", absl::StrCat(to.epoch)},
-                {"detail", outcome.answered ? "the answer arrived too late"
-                                            : outcome.error}});
-    }
-    return;
-  }
   if (failed_heartbeats_ > 0)
-    LogEvent(Severity::kInfo, "leader_back", {{"leader", to.node}});
+    LogEvent(Severity::kInfo, "heartbeat_answered", {{"node", target.name}});
   failed_heartbeats_ = 0;
   heartbeat_times_.OnAnswer(now - sent);
-  const Json::Value& in = outcome.result;
   election_.OnLeaderReported(LeaderFromJson(in["leader"]), now);
-  RecordLeaderPeers(in);
-  OnPeerConfiguration(to.address, in, sent);
-  // The rest of the answer is about the process that was asked, which the
-  // leader named in the answer may have replaced.
-  if (election_.leader().epoch != to.epoch) return;
+  auto members = HeartbeatReportAnswerFromJson(in["members"]);
+  if (members)
+    LogUnlessApplied(membership_.OnAnswer(target.name, members.value()),
+                     target.name);
+  else
+    LogEvent(Severity::kWarning, "members_unreadable",
+             {{"from", target.name}, {"why", members.error().message}});
+  OnPeerConfiguration(target.address, in, sent);
+  // The rest of the answer is about the leader that was known when the
+  // heartbeat was sent; another one may have replaced it.
+  if (election_.leader().epoch != target.leader.epoch) return;
+  if (target.is_leader)
+    OnLeaderAnswer(in, target.leader);
+  else
+    OnParentAnswer(in, target, sent);
+}
+
+void SiteNode::OnLeaderAnswer(const Json::Value& in, const LeaderRecord& to) {
+  const absl::Time now = SystemNow().mono;
   if (in["boot"].asUInt64() != to.incarnation) {
     election_.OnLeaderGone(now);
     return;
@@ -347,10 +397,37 @@
   // suspect.
   if (!in["leads"].asBool()) return;
   election_.OnHeartbeatAnswered(now);
-  leader_accepts_jobs_ = in["accepts"].asBool();
-  leader_answered_at_ = now;
-  if (!leader_accepts_jobs_) return;
-  leaders_seen_.try_emplace(to.epoch, now);
+  RecordLeaderContact({to.epoch, now, in["accepts"].asBool()});
+}
+
+void SiteNode::OnParentAnswer(const Json::Value& in,
+                              const HeartbeatTarget& target, absl::Time sent) {
+  const absl::Time now = SystemNow().mono;
+  const int64_t epoch = target.leader.epoch;
+  const bool knows_leader = in["contact_epoch"].asInt64() == epoch;
+  // The parent computed the age after `sent`, so this time is no later than the
+  // true time of its contact.
+  const absl::Time at =
+      sent - absl::Milliseconds(in["contact_age_ms"].asInt64());
+  const bool is_newer =
+      leader_contact_.epoch != epoch || at > leader_contact_.at;
+  if (knows_leader && is_newer) {
+    election_.OnLeaderConfirmedByPeer(at);
+    RecordLeaderContact({epoch, at, in["accepts"].asBool()});
+  }
+  if (in["leader_gone"].asBool()) return election_.OnLeaderGone(now);
+  const int hops_to_parent = membership_.DepthOf(settings_.name) - 1;
+  const absl::Duration max_age =
+      kMaxParentAge + std::max(0, hops_to_parent - 1) * kParentAgeStep;
+  const bool parent_out_of_contact = !knows_leader || now - at > max_age;
+  if (parent_out_of_contact && now - election_.last_contact() > max_age)
+    membership_.OnParentWithoutLeader(target.name, now);
+}
+
+void SiteNode::RecordLeaderContact(const LeaderContact& contact) {
+  leader_contact_ = contact;
+  if (!contact.accepts) return;
+  leaders_seen_.try_emplace(contact.epoch, contact.at);
   if (leaders_seen_.size() > kMaxLeadersSeen)
     leaders_seen_.erase(leaders_seen_.begin());
 }
@@ -359,14 +436,14 @@
                          std::function<void(AdviceReply)> done) {
   if (action.adviser == settings_.name)
     return ports_.advice->Ask(action.request, action.timeout, std::move(done));
-  const auto peer = peers_.find(action.adviser);
-  if (peer == peers_.end()) {
+  const Member* adviser = membership_.members().Find(action.adviser);
+  if (adviser == nullptr) {
     boost::asio::post(loop_, [done] { done(AdviceReply()); });
     return;
   }
   Json::Value params = ToJson(action.request);
   params["timeout_ms"] = Json::Int64(absl::ToInt64Milliseconds(action.timeout));
-  rpc_.Call(peer->second.address, "advise", params,
+  rpc_.Call(adviser->address, "advise", params,
             action.timeout + absl::Milliseconds(100),
             [done](const RpcOutcome& outcome) {
               done(outcome.answered ? AdviceReplyFromJson(outcome.result)
