Job scheduler: searches and passes that do not grow with the workers

Cause: each placement pass looked at all workers three times (totals of the pools, the most that is free, reservations of the last pass), and each search for advice at all of them again; a new worker was compared with all others, squared at a start with 6,000 workers. Change: totals of pools are kept as workers change; reservations are cleared where there are any; workers are found by machine; above 400 workers a search ends once it has 400 workers with free capacity, visits at most 1,600, and begins where the last one ended, so that searches name different workers.

--- a/keelbridge/coordination/job_scheduler.h
+++ b/keelbridge/coordination/job_scheduler.h
@@ -32,6 +32,7 @@
 
 #include "absl/container/flat_hash_map.h"
 #include "absl/container/flat_hash_set.h"
+#include "absl/functional/function_ref.h"
 #include "absl/time/time.h"
 #include "keelbridge/accounts/account_ledger.h"
 #include "keelbridge/base/clock.h"
@@ -40,6 +41,8 @@
 #include "keelbridge/coordination/crash_history.h"
 #include "keelbridge/coordination/job_timings.h"
 #include "keelbridge/coordination/pool_capacity.h"
+#include "keelbridge/coordination/pool_totals.h"
+#include "keelbridge/coordination/ready_step.h"
 #include "keelbridge/coordination/run_numbers.h"
 #include "keelbridge/coordination/run_stop.h"
 #include "keelbridge/coordination/scheduler_actions.h"
@@ -344,6 +347,7 @@
     // Capacity that steps examined earlier in this placement pass reserve here.
     Resources reserved;
     bool check_scheduled = false;  // The worker is in `scheduled_checks_`.
+    PoolTotals::Counted counted;
     // CPU, in thousandths of a processor, that steps whose calls for advice are
     // in flight expect to use here.
     int32_t expected_cpu_milli = 0;
@@ -354,53 +358,6 @@
     absl::Time busy_until = absl::InfinitePast();
     absl::Time avoid_until = absl::InfinitePast();
   };
-  // A step that has tasks to place, with the keys that order it among the other
-  // steps.
-  struct ReadyStep {
-    Job* job;
-    Round* round;
-    StepState* state;
-    const StepSpec* spec;
-    const Queue* queue;
-    AccountId account;
-    int32_t number;   // Index of the step in its job.
-    int32_t waiting;  // Tasks that may start now; see also `asks_ahead`.
-    // Tasks of the step that this leader has not observed may still run under
-    // the lease of an earlier leader.
-    bool may_run_unobserved;
-    // The recorded placements may be incomplete, so that an unobserved task may
-    // run on any worker.
-    bool placements_incomplete;
-    // The step is long-running, and some of its tasks run nowhere.
-    bool down;
-    // Steps of a lower tier are placed first. 0: the objective of the job can
-    // still be met. 1: the job is late, by less than `kMaxObjectiveFactor`
-    // allows. 2: it is later than that. Negative: see `down`.
-    int tier;
-    // The client account holds more than its share of the site.
-    bool exceeds_share = false;
-    // The latest start that meets the objective.
-    absl::Time latest_start;
-    // The fraction that is left of the time which the job could spend waiting.
-    double slack_left;
-    // The step may reserve capacity in this placement pass.
-    bool may_reserve = false;
-    // A large share of the step's pool is free in this placement pass.
-    bool pool_mostly_idle = false;
-    int32_t pool_workers = 0;
-    // The step has no tasks to place, but some of its tasks must restart soon,
-    // so that it asks for advice ahead of time. `waiting` counts those tasks.
-    bool asks_ahead = false;
-
-    TaskId IdAt(size_t index) const {
-      return {job->id, round->number, number, static_cast<int32_t>(index)};
-    }
-    // `task` is an element of `state->tasks`.
-    TaskId IdOf(const TaskState& task) const {
-      return IdAt(static_cast<size_t>(&task - state->tasks.data()));
-    }
-  };
-
   // job_scheduler.cc
   void MarkDirty(Job& job);
   void EndJob(Job& job, JobState end, std::string why, Now now);
@@ -447,6 +404,10 @@
   bool IsReachable(const Worker& worker, Now now) const;
   // Records for later leaders that this one may assign tasks to the worker.
   void PersistWorker(Worker& worker);
+  void SetRecord(Worker& worker, const WorkerRecord& record);
+  void RemoveFromMachine(Worker& worker);
+  // Observes the other workers that are recorded at the machine of `found`.
+  void ObserveOthersAtMachine(const Worker& found, Now now);
 
   // job_scheduler_departures.cc
   // Takes over when the worker leaves from its new record, which must not have
@@ -770,17 +731,30 @@
   int32_t CountPlacedTasks(const Worker& worker, const ReadyStep& ready) const;
   // Records and logs why the step cannot start.
   void RecordBlocked(ReadyStep& ready, const char* why);
-  // Returns the maximum free amount of each resource over all workers, each
-  // taken separately.
-  Resources MaxFreeResources() const;
   // Reserves capacity for a blocked step if the limits on reserving steps allow
   // it.
   void MaybeReserveCapacity(ReadyStep& step, ReservingSteps& kept, Now now);
   // Requests advice for a blocked step unless other requests already cover the
   // free capacity of the pool.
   void MaybeAskAdvice(ReadyStep& step, const PoolCapacity& pool, Now now);
+
+  // job_scheduler_search.cc
+  // Calls `visit` for workers until it returns false. On a large site only a
+  // part of the workers is visited, beginning after those of the last call.
+  void VisitWorkers(absl::FunctionRef<bool(Worker&)> visit);
+  // Like VisitWorkers(), but visits the workers that are known to be eligible
+  // in any case.
+  void VisitAdviceCandidates(const StepAdvice& advice,
+                             absl::FunctionRef<bool(Worker&)> visit);
+  // Returns the workers that are known to be eligible, ordered by id.
+  std::vector<Worker*> FindKnownWorkers(const StepAdvice& advice);
+  // Call this whenever the worker's pool, capacity or free capacity changed.
+  void CountCapacity(Worker& worker);
   // Returns the capacity of each pool, by pool name.
   std::map<std::string, PoolCapacity> FindPoolCapacity() const;
+  void ClearReservedCapacity();
+
+  // job_scheduler_placement.cc
   // Returns whether the step depends on a step that this leader observed before
   // its end, so that no earlier leader can have started the dependent step.
   static bool DependsOnObservedStep(const Job& job, const Round& round,
@@ -1046,6 +1020,11 @@
   bool backlogged_ = false;
   // Workers to check before the next sweep.
   std::vector<Worker*> scheduled_checks_;
+  std::vector<Worker*> workers_with_reservations_;  // See Worker::reserved.
+  std::string search_cursor_;  // See VisitWorkers(): the id to begin with.
+  PoolTotals pool_totals_;
+  // By the machine in its record: the workers that were found there.
+  absl::flat_hash_map<std::string, std::vector<Worker*>> by_machine_;
   // Workers with ends that are not durable yet.
   std::vector<Worker*> workers_with_unacknowledged_ends_;
   absl::Time next_sweep_ = absl::InfinitePast();
--- a/keelbridge/coordination/job_scheduler_advice.cc
+++ b/keelbridge/coordination/job_scheduler_advice.cc
@@ -56,6 +56,9 @@
 constexpr double kGangAdviserShare = 0.5;
 constexpr size_t kMinExtraGangCalls = 16;
 constexpr size_t kMinNamedWorkers = 4;
+// A search ends once it has found this many workers with free capacity: four
+// times as many as a call may name, so that the emptiest of them are named.
+constexpr size_t kEnoughCandidates = 4 * kMaxNamedWorkers;
 // A call names more workers than it needs while naming them costs at most this
 // share of the fixed cost of the call. A call that names too few workers has to
 // be repeated at its full cost.
@@ -290,29 +293,32 @@
   bool any_fits = false;
   bool any_unknown = false;
   const Resources need = CapacityNeeded(*ready.spec);
-  for (auto& [id, worker] : workers_) {
+  size_t fitting = 0;
+  VisitAdviceCandidates(advice, [&](Worker& worker) {
     // Most workers of a busy site have no free capacity, so the cheapest test
     // comes first.
-    if (!names_extra && !need.FitsIn(worker->free)) continue;
-    if (!MayRun(*worker, ready, now)) continue;
-    if (!advice.tickets.empty() && HasTicket(*worker, ready, now)) {
-      usable += CountFittingTasks(*worker, ready, UnreservedCapacity(*worker));
-      if (HasTicketBeyondNextCall(*worker, ready, now)) continue;
+    if (!names_extra && !need.FitsIn(worker.free)) return true;
+    if (!MayRun(worker, ready, now)) return true;
+    if (!advice.tickets.empty() && HasTicket(worker, ready, now)) {
+      usable += CountFittingTasks(worker, ready, UnreservedCapacity(worker));
+      if (HasTicketBeyondNextCall(worker, ready, now)) return true;
     }
     const int32_t fits =
-        CountFittingTasks(*worker, ready, UnclaimedCapacity(*worker));
-    if (fits < 1 && !names_extra) continue;
-    const auto known = advice.known.find(id);
-    if (known != advice.known.end() && !known->second) continue;
+        CountFittingTasks(worker, ready, UnclaimedCapacity(worker));
+    if (fits < 1 && !names_extra) return true;
+    const auto known = advice.known.find(worker.record.id);
+    if (known != advice.known.end() && !known->second) return true;
     const int32_t fits_when_empty =
-        CountFittingTasks(*worker, ready, worker->record.capacity);
-    if (fits_when_empty < 1) continue;
+        CountFittingTasks(worker, ready, worker.record.capacity);
+    if (fits_when_empty < 1) return true;
     const bool eligible = known != advice.known.end();
     any_fits = any_fits || fits > 0;
     any_unknown = any_unknown || !eligible;
     candidates.push_back(
-        {worker.get(), fits, fits_when_empty, eligible, candidates.size()});
-  }
+        {&worker, fits, fits_when_empty, eligible, candidates.size()});
+    if (fits > 0) ++fitting;
+    return fitting < kEnoughCandidates;
+  });
   // A blocked step learns which workers may run it before there is capacity,
   // and renews the tickets of workers on which capacity is reserved for it.
   const bool asks_ahead = names_extra &&
@@ -374,32 +380,38 @@
   absl::flat_hash_map<std::string, int32_t> own_reserved;
   for (const auto& [id, tasks] : ready.state->reserved)
     own_reserved[id] += tasks;
-  for (auto& [id, worker] : workers_) {
-    if (!MayRun(*worker, ready, now)) continue;
-    const auto known = advice.known.find(id);
+  const double wanted_unknown = kGangMargin * kGangMargin * ready.spec->count /
+                                EligibleShare(*ready.queue);
+  double unknown_fits = 0;
+  VisitAdviceCandidates(advice, [&](Worker& worker) {
+    if (!MayRun(worker, ready, now)) return true;
+    const auto known = advice.known.find(worker.record.id);
     const bool is_known = known != advice.known.end();
-    if (is_known && !known->second) continue;
+    if (is_known && !known->second) return true;
     // Capacity that is reserved for this step is available to it.
-    Resources available = UnreservedCapacity(*worker);
-    const auto own = own_reserved.find(id);
+    Resources available = UnreservedCapacity(worker);
+    const auto own = own_reserved.find(worker.record.id);
     const bool reserved = own != own_reserved.end();
     for (int32_t i = 0; reserved && i < own->second; ++i) available += need;
     const AdviceCandidate candidate{
-        worker.get(),
-        CountFittingTasks(*worker, ready, available),
-        CountFittingTasks(*worker, ready, worker->record.capacity),
+        &worker,
+        CountFittingTasks(worker, ready, available),
+        CountFittingTasks(worker, ready, worker.record.capacity),
         is_known,
         out.eligible.size() + out.unknown.size(),
         reserved};
-    if (candidate.fits_when_empty < 1) continue;
-    if (!is_known) {
-      out.unknown.push_back(candidate);
-    } else {
+    if (candidate.fits_when_empty < 1) return true;
+    if (is_known) {
       out.eligible.push_back(candidate);
       out.eligible_fits += candidate.fits;
       out.eligible_fits_when_empty += candidate.fits_when_empty;
+      return true;
     }
-  }
+    out.unknown.push_back(candidate);
+    unknown_fits += candidate.fits;
+    return unknown_fits < wanted_unknown ||
+           out.unknown.size() < kEnoughCandidates;
+  });
   // Reserved workers come first: other steps may use unreserved capacity while
   // the answer is in transit.
   const auto by_capacity = [](const AdviceCandidate& a,
--- a/keelbridge/coordination/job_scheduler_losses.cc
+++ b/keelbridge/coordination/job_scheduler_losses.cc
@@ -124,6 +124,7 @@
     accounts_.usage.Remove(allocation.account, allocation.account_need);
     work_admission_.rate().RemoveRun(allocation.counted);
   }
+  CountCapacity(worker);
   if (loss == WorkerLoss::kUnresponsive)
     RecordUnresponsiveLoss(worker, allocations, crash, now);
   for (const auto& [key, allocation] : allocations) {
--- a/keelbridge/coordination/job_scheduler_placement.cc
+++ b/keelbridge/coordination/job_scheduler_placement.cc
@@ -19,10 +19,6 @@
 // pauses starve a site with a backlog.
 constexpr absl::Duration kMinPassInterval = absl::Milliseconds(4);
 constexpr absl::Duration kPassIntervalPerStep = absl::Microseconds(4);
-// Advice is requested for at most this multiple of the work that fits into the
-// free capacity, because part of the capacity that a request covers turns out
-// to be unusable.
-constexpr double kAdviceOversubscription = 2.0;
 // Maximum number of tasks started by one placement pass: normally, and when the
 // driver's loop lags by more than `kLagThreshold`. The remaining tasks wait for
 // the next pass, which is delayed by the share `kPassIntervalLagShare` of the
@@ -32,9 +28,11 @@
 constexpr int32_t kMaxStartsWhenLagging = 20;
 constexpr absl::Duration kLagThreshold = absl::Milliseconds(100);
 constexpr double kPassIntervalLagShare = 0.25;
-// Maximum number of searches over all workers for advice candidates in one
-// pass. Each takes about 0.1 ms at 1,100 workers.
+// Maximum number of searches for advice candidates in one pass.
 constexpr int32_t kMaxAdviceSearches = 16;
+// Number of workers with free capacity among which the best one is chosen for a
+// task.
+constexpr size_t kMinUsableWorkers = 400;
 // The time for which a pass may make `kMaxAdviceSearches` searches. A pass that
 // examines late steps makes those of at most `kMaxSkippedPasses` passes.
 constexpr absl::Duration kAdviceSearchPeriod = absl::Milliseconds(20);
@@ -51,11 +49,6 @@
 // tickets. This applies only in an idle pool, and only to gangs for which all
 // of the capacity they need is free.
 constexpr int kMaxReservingReadyGangs = 32;
-// A pool is idle while more than this share of its processors is free. Users
-// consider a job lost if it does not run for 3 s while less than half of the
-// processors are in use, so gangs make concurrent advice calls and reserve
-// capacity there. In a fuller pool that would only delay small tasks.
-constexpr double kIdlePoolShare = 0.4;
 // A site has a backlog when the number of waiting steps exceeds both this
 // number and this share of its workers. Capacity that becomes free there is
 // used at once, and reserving capacity, or preempting runs that must be
@@ -103,7 +96,7 @@
           WorkerOfUnansweredStart(ready, task, now) != nullptr);
 }
 
-std::vector<JobScheduler::ReadyStep> JobScheduler::CollectReadySteps(Now now) {
+std::vector<ReadyStep> JobScheduler::CollectReadySteps(Now now) {
   std::vector<ReadyStep> out;
   figures_.ready_tasks = 0;
   recovery_wait_ = RecoveryWait();
@@ -360,12 +353,12 @@
   concurrent_calls_left_ = ExtraGangCallsLeft(ready);
   short_advisers_busy_ = false;
   long_advisers_busy_ = false;
-  const Resources max_free = MaxFreeResources();
+  const Resources max_free = pool_totals_.MaxFree();
   // Steps ordered after those that will fill all free capacity of their pool do
   // not request advice: the answers would be stale before there is capacity for
   // them.
   std::map<std::string, PoolCapacity> pools = FindPoolCapacity();
-  for (auto& [id, worker] : workers_) worker->reserved = Resources();
+  ClearReservedCapacity();
   ReservingSteps kept;
   figures_.gangs_waiting = 0;
   figures_.steps_without_advice = 0;
@@ -451,32 +444,6 @@
   }
 }
 
-Resources JobScheduler::MaxFreeResources() const {
-  Resources maximum;
-  for (const auto& [id, worker] : workers_) {
-    const Resources& free = worker->free;
-    maximum.cpu_milli = std::max(maximum.cpu_milli, free.cpu_milli);
-    maximum.memory_mib = std::max(maximum.memory_mib, free.memory_mib);
-    maximum.accelerators = std::max(maximum.accelerators, free.accelerators);
-  }
-  return maximum;
-}
-
-std::map<std::string, PoolCapacity> JobScheduler::FindPoolCapacity() const {
-  std::map<std::string, PoolCapacity> pools;
-  for (const auto& [id, worker] : workers_) {
-    PoolCapacity& pool = pools[worker->record.pool];
-    ++pool.workers;
-    pool.free_milli += std::max(0, worker->free.cpu_milli);
-    pool.total_milli += worker->record.capacity.cpu_milli;
-  }
-  for (auto& [name, pool] : pools) {
-    pool.advice_budget_milli = kAdviceOversubscription * pool.free_milli;
-    pool.mostly_idle = pool.free_milli > kIdlePoolShare * pool.total_milli;
-  }
-  return pools;
-}
-
 void JobScheduler::RecordBlocked(ReadyStep& ready, const char* why) {
   if (ready.state->blocked_reason == why) return;
   ready.state->blocked_reason = why;
@@ -587,9 +554,19 @@
     const ReadyStep& ready, Now now) {
   std::vector<Worker*> out;
   if (!ready.queue->advice.needed) {
-    for (auto& [id, worker] : workers_) {
-      if (MayRun(*worker, ready, now)) out.push_back(worker.get());
-    }
+    // A gang needs places for all members at once.
+    const size_t enough =
+        ready.spec->gang
+            ? workers_.size()
+            : kMinUsableWorkers + static_cast<size_t>(ready.waiting);
+    size_t fitting = 0;
+    VisitWorkers([&](Worker& worker) {
+      if (!MayRun(worker, ready, now)) return true;
+      out.push_back(&worker);
+      if (CapacityNeeded(*ready.spec).FitsIn(UnreservedCapacity(worker)))
+        ++fitting;
+      return fitting < enough;
+    });
     return out;
   }
   // Only a few workers have a ticket of the step, so the tickets are looked up
--- a/keelbridge/coordination/job_scheduler_reservations.cc
+++ b/keelbridge/coordination/job_scheduler_reservations.cc
@@ -161,6 +161,8 @@
 void JobScheduler::ReserveOnWorker(Worker& worker, int32_t tasks,
                                    ReadyStep& ready) {
   const Resources need = CapacityNeeded(*ready.spec);
+  if (worker.reserved == Resources())
+    workers_with_reservations_.push_back(&worker);
   for (int32_t i = 0; i < tasks; ++i) worker.reserved += need;
   ready.state->reserved.emplace_back(worker.record.id, tasks);
 }
--- /dev/null
+++ b/keelbridge/coordination/job_scheduler_search.cc
@@ -0,0 +1,94 @@
+// Searches for workers, and totals over them, whose cost does not grow with the
+// number of workers.
+
+#include <algorithm>
+#include <utility>
+
+#include "keelbridge/coordination/job_scheduler.h"
+
+namespace keelbridge {
+namespace {
+
+// A site of at most this many workers is searched as a whole.
+constexpr size_t kMaxFullSearch = 400;
+// The most workers that one search of a larger site visits. The next search
+// continues where it ended, so that consecutive searches name different workers
+// and all workers get their turn on a busy site.
+constexpr size_t kMaxVisitedWorkers = 1600;
+// Advice is requested for at most this multiple of the work that fits into the
+// free capacity, because part of the capacity that a request covers turns out
+// to be unusable.
+constexpr double kAdviceOversubscription = 2.0;
+// A pool is idle while more than this share of its processors is free. Users
+// consider a job lost if it does not run for 3 s while less than half of the
+// processors are in use, so gangs make concurrent advice calls and reserve
+// capacity there. In a fuller pool that would only delay small tasks.
+constexpr double kIdlePoolShare = 0.4;
+
+}  // namespace
+
+void JobScheduler::VisitWorkers(absl::FunctionRef<bool(Worker&)> visit) {
+  if (workers_.size() <= kMaxFullSearch) {
+    for (auto& [id, worker] : workers_) {
+      if (!visit(*worker)) return;
+    }
+    return;
+  }
+  const size_t limit = std::min(workers_.size(), kMaxVisitedWorkers);
+  auto next = workers_.lower_bound(search_cursor_);
+  for (size_t visited = 0; visited < limit; ++visited) {
+    if (next == workers_.end()) next = workers_.begin();
+    Worker& worker = *next->second;
+    ++next;
+    if (!visit(worker)) break;
+  }
+  search_cursor_ = next == workers_.end() ? "" : next->first;
+}
+
+std::vector<JobScheduler::Worker*> JobScheduler::FindKnownWorkers(
+    const StepAdvice& advice) {
+  std::vector<Worker*> known;
+  for (const auto& [id, eligible] : advice.known) {
+    const auto worker = eligible ? workers_.find(id) : workers_.end();
+    if (worker != workers_.end()) known.push_back(worker->second.get());
+  }
+  std::sort(known.begin(), known.end(), [](const Worker* a, const Worker* b) {
+    return a->record.id < b->record.id;
+  });
+  return known;
+}
+
+void JobScheduler::VisitAdviceCandidates(
+    const StepAdvice& advice, absl::FunctionRef<bool(Worker&)> visit) {
+  if (workers_.size() <= kMaxFullSearch) return VisitWorkers(visit);
+  // Workers that may run the step are few, and worth more than others.
+  for (Worker* worker : FindKnownWorkers(advice)) visit(*worker);
+  VisitWorkers([&](Worker& worker) {
+    return advice.known.contains(worker.record.id) || visit(worker);
+  });
+}
+
+void JobScheduler::CountCapacity(Worker& worker) {
+  pool_totals_.Set(&worker.counted,
+                   {worker.record.pool, worker.record.capacity, worker.free});
+}
+
+std::map<std::string, PoolCapacity> JobScheduler::FindPoolCapacity() const {
+  std::map<std::string, PoolCapacity> pools;
+  for (const auto& [name, totals] : pool_totals_.pools()) {
+    PoolCapacity& pool = pools[name];
+    pool.workers = totals.workers;
+    pool.free_milli = static_cast<double>(totals.free_milli);
+    pool.total_milli = static_cast<double>(totals.capacity_milli);
+    pool.advice_budget_milli = kAdviceOversubscription * pool.free_milli;
+    pool.mostly_idle = pool.free_milli > kIdlePoolShare * pool.total_milli;
+  }
+  return pools;
+}
+
+void JobScheduler::ClearReservedCapacity() {
+  for (Worker* worker : std::exchange(workers_with_reservations_, {}))
+    worker->reserved = Resources();
+}
+
+}  // namespace keelbridge
--- a/keelbridge/coordination/job_scheduler_workers.cc
+++ b/keelbridge/coordination/job_scheduler_workers.cc
@@ -60,19 +60,10 @@
   if (is_new) {
     slot = std::make_unique<Worker>();
     slot->free = record.capacity;
-    slot->record = record;
+    SetRecord(*slot, record);
     slot->fence = NextFence(name);
     PersistWorker(*slot);
-    // A machine runs one incarnation at a time. The records do not show which
-    // one, since the record of an ended incarnation may linger, so the other
-    // workers recorded at the machine are observed.
-    for (auto& [id, other] : workers_) {
-      if (id == record.id || other == nullptr || record.machine.empty() ||
-          other->record.machine != record.machine)
-        continue;
-      other->next_observe = now.mono;
-      ScheduleCheck(*other);
-    }
+    ObserveOthersAtMachine(*slot, now);
     // The platform lists only the current incarnation of a worker, so all
     // others are gone from its list.
     for (Worker* other : IncarnationsOf(name)) {
@@ -107,12 +98,42 @@
   if (recorded_as_leaving && !record.draining) PersistWorker(worker);
   const Resources used = worker.record.capacity - worker.free;
   if (!is_new) worker.free = record.capacity - used;
-  worker.record = record;
+  SetRecord(worker, record);
   worker.record_removed = false;
   if (is_new) ScheduleCheck(worker);
   placement_wanted_ = true;
 }
 
+void JobScheduler::SetRecord(Worker& worker, const WorkerRecord& record) {
+  if (worker.record.machine != record.machine) {
+    RemoveFromMachine(worker);
+    if (!record.machine.empty()) by_machine_[record.machine].push_back(&worker);
+  }
+  worker.record = record;
+  CountCapacity(worker);
+}
+
+void JobScheduler::RemoveFromMachine(Worker& worker) {
+  const auto found = by_machine_.find(worker.record.machine);
+  if (found == by_machine_.end()) return;
+  std::vector<Worker*>& workers = found->second;
+  workers.erase(std::remove(workers.begin(), workers.end(), &worker),
+                workers.end());
+  if (workers.empty()) by_machine_.erase(found);
+}
+
+// A machine runs one incarnation at a time. The records do not show which one,
+// since the record of an ended incarnation may linger.
+void JobScheduler::ObserveOthersAtMachine(const Worker& found, Now now) {
+  const auto workers = by_machine_.find(found.record.machine);
+  if (workers == by_machine_.end()) return;
+  for (Worker* other : workers->second) {
+    if (other == &found) continue;
+    other->next_observe = now.mono;
+    ScheduleCheck(*other);
+  }
+}
+
 void JobScheduler::PersistWorker(Worker& worker) {
   worker.leased_by_epoch = epoch_;
   worker.retired = false;
@@ -173,6 +194,7 @@
     UpdatePreemptibility(it->second, task, now);
     CountForAccount(worker, task, it->second);
     worker.free -= need;
+    CountCapacity(worker);
   }
   return it->second;
 }
@@ -181,6 +203,7 @@
   const auto it = worker.allocations.find(key);
   if (it == worker.allocations.end()) return;
   worker.free += it->second.need;
+  CountCapacity(worker);
   accounts_.usage.Remove(it->second.account, it->second.account_need);
   work_admission_.rate().RemoveRun(it->second.counted);
   if (it->second.stop.requested()) worker.stopping -= it->second.need;
@@ -520,6 +543,9 @@
     };
     forget(scheduled_checks_);
     forget(workers_with_unacknowledged_ends_);
+    forget(workers_with_reservations_);
+    RemoveFromMachine(*worker->second);
+    pool_totals_.Remove(&worker->second->counted);
     actions_.push_back(ForgetWorkerAction{id});
     keys_to_drop_.push_back(KnownWorkerKey(id));
     // Otherwise a task that was placed there would wait for all other workers.
--- /dev/null
+++ b/testing/large_site_test.cc
@@ -0,0 +1,82 @@
+// Tests that a leader's decisions do not cost more in a larger site.
+
+#include <doctest/doctest.h>
+
+#include <set>
+#include <string>
+
+#include "testing/support/wide_site.h"
+
+namespace keelbridge::testing {
+namespace {
+
+constexpr int kSmall = 1500;
+constexpr int kLarge = 4 * kSmall;
+// What a decision may cost at four times the size.
+constexpr double kMaxRatio = 1.3;
+
+// Submits the jobs of a few seconds to an idle site and returns how many
+// workers were tried for each start.
+double WorkersTriedPerStart(int workers, const WideSite::Work& work) {
+  constexpr int kJobs = 60;
+  WideSite site(workers, /*advisers=*/300);
+  for (int i = 0; i < kJobs; ++i) {
+    site.Submit(static_cast<JobId>(i + 1), "restore", work);
+    site.RunUntil(absl::Milliseconds(200 + i * 50));
+  }
+  site.RunUntil(absl::Milliseconds(5000));
+  const SchedulerFigures figures = site.driver().scheduler().figures();
+  CHECK(figures.starts >= kJobs * work.count * 9 / 10);
+  return static_cast<double>(figures.workers_tried) /
+         static_cast<double>(figures.starts);
+}
+
+TEST_CASE("large site: a start tries as many workers at four times the size") {
+  WideSite::Work work;
+  SUBCASE("small steps") { work = {4, {14000, 1024, 0}}; }
+  SUBCASE("wide steps") { work = {40, {10000, 1024, 0}}; }
+  SUBCASE("gangs") { work = {20, {18000, 1024, 0}, true}; }
+  const double small = WorkersTriedPerStart(kSmall, work);
+  const double large = WorkersTriedPerStart(kLarge, work);
+  MESSAGE("workers tried for a start: " << small << " at " << kSmall << ", "
+                                        << large << " at " << kLarge);
+  CHECK(large <= kMaxRatio * small);
+}
+
+TEST_CASE("large site: consecutive searches name different workers") {
+  WideSite site(kLarge, /*advisers=*/300);
+  site.driver().advice_calls.clear();
+  for (JobId id = 1; id <= 10; ++id)
+    site.Submit(id, "restore", WideSite::Work{4, {14000, 1024, 0}});
+  site.RunUntil(absl::Milliseconds(200));
+  std::set<std::string> named;
+  size_t names = 0;
+  for (const auto& call : site.driver().advice_calls) {
+    names += call.size();
+    named.insert(call.begin(), call.end());
+  }
+  REQUIRE(site.driver().advice_calls.size() >= 10);
+  CHECK(named.size() == names);
+}
+
+TEST_CASE("large site: a scarce free worker is found however large the site") {
+  // All workers but one are full, and the one is tried within a few searches.
+  WideSite site(kLarge, /*advisers=*/300);
+  site.UseQueues({[] {
+    Queue queue;
+    queue.name = "plain";
+    queue.pool = "pool";
+    return queue;
+  }()});
+  site.Submit(
+      1, "plain",
+      WideSite::Work{kLarge - 1, {60000, 1024, 0}, false, 60000, 60000});
+  site.RunUntil(absl::Seconds(8));
+  REQUIRE(site.Started(1) == kLarge - 1);
+  site.Submit(2, "plain", WideSite::Work{1, {60000, 1024, 0}});
+  site.RunUntil(absl::Seconds(9));
+  CHECK(site.Started(2) == 1);
+}
+
+}  // namespace
+}  // namespace keelbridge::testing
