RPC: parameters and results are moved, not copied

Cause: each message between nodes was copied whole after it was parsed, rows of hundreds of workers among them. Change: the document gives its members away.

--- a/keelbridge/base/json_reader.cc
+++ b/keelbridge/base/json_reader.cc
@@ -54,6 +54,11 @@
   return out.str();
 }
 
+Json::Value JsonDocument::Take(const std::string& name) {
+  if (!root_.isMember(name)) return {};
+  return std::move(root_[name]);
+}
+
 JsonDocument JsonDocument::Parse(std::string text, std::string source) {
   JsonDocument document;
   document.text_ = std::move(text);
--- a/keelbridge/base/json_reader.h
+++ b/keelbridge/base/json_reader.h
@@ -36,6 +36,8 @@
   static JsonDocument Parse(std::string text, std::string source);
 
   const Json::Value& root() const { return root_; }
+  // Moves the member `name` out of the document; null if there is none.
+  Json::Value Take(const std::string& name);
   const std::vector<std::string>& faults() const { return faults_; }
   // Returns all faults, one per line, as an error with code `kInvalid`.
   Error FaultError() const;
--- a/keelbridge/base/json_reader_test.cc
+++ b/keelbridge/base/json_reader_test.cc
@@ -83,5 +83,12 @@
   CHECK(Has(intents.error(), "task_duration_ms: missing"));
 }
 
+TEST_CASE("json document: a member is taken out once") {
+  JsonDocument document = JsonDocument::Parse(R"({"a": [1, 2]})", "test");
+  CHECK(document.Take("a").size() == 2);
+  CHECK(document.Take("a").isNull());
+  CHECK(document.Take("b").isNull());
+}
+
 }  // namespace
 }  // namespace keelbridge
--- a/keelbridge/transport/rpc_frames.cc
+++ b/keelbridge/transport/rpc_frames.cc
@@ -17,14 +17,15 @@
 }
 
 RpcCall ParseRpcCall(const std::string& body) {
-  const JsonDocument document = JsonDocument::Parse(body, "the call");
-  const Json::Value& in = document.root();
+  JsonDocument document = JsonDocument::Parse(body, "the call");
   RpcCall call;
-  call.id = in["id"];
-  call.valid = document.faults().empty() && in["method"].isString();
+  call.id = document.Take("id");
+  const Json::Value& method = document.root()["method"];
+  call.valid = document.faults().empty() && method.isString();
   if (!call.valid) return call;
-  call.method = in["method"].asString();
-  call.params = in["params"];
+  call.method = method.asString();
+  // A message may have thousands of rows, which are not copied.
+  call.params = document.Take("params");
   return call;
 }
 
@@ -43,13 +44,13 @@
 }
 
 RpcOutcome ParseRpcResponse(const std::string& body) {
-  const JsonDocument document = JsonDocument::Parse(body, "the answer");
+  JsonDocument document = JsonDocument::Parse(body, "the answer");
   const Json::Value& answer = document.root();
   RpcOutcome out;
   out.sent = true;
   if (answer.isMember("result")) {
     out.answered = true;
-    out.result = answer["result"];
+    out.result = document.Take("result");
     return out;
   }
   const Json::Value& error = answer["error"];
