Order routing: a zone that is out of reach is not searched node by node

Change: at most twice as many nodes are tried as a zone has relays. Measured: 8 nodes tried in a zone of 20 nodes and of 80 (order_routing_test).

--- a/keelbridge/coordination/order_routing.cc
+++ b/keelbridge/coordination/order_routing.cc
@@ -37,6 +37,19 @@
          options_.direct_workers_per_processor * own_capacity_;
 }
 
+std::vector<const OrderRouting::Node*> OrderRouting::UsableNodes(
+    const std::vector<Node>& nodes, size_t considered, size_t count,
+    absl::Time now) const {
+  std::vector<const Node*> usable;
+  for (size_t i = 0; i < std::min(considered, nodes.size()); ++i) {
+    if (usable.size() == count) break;
+    const auto avoided = avoided_until_.find(nodes[i].name);
+    if (avoided == avoided_until_.end() || avoided->second <= now)
+      usable.push_back(&nodes[i]);
+  }
+  return usable;
+}
+
 const OrderRouting::Node* OrderRouting::RouteOf(const std::string& worker,
                                                 const std::string& zone,
                                                 absl::Time now) const {
@@ -46,19 +59,14 @@
   if (nodes == by_zone_.end() || workers == workers_in_zone_.end())
     return nullptr;
   const size_t relay_count = 1 + workers->second / options_.workers_per_relay;
-  const auto choose = [&](bool avoid) {
-    std::vector<const Node*> candidates;
-    for (const Node& node : nodes->second) {
-      if (candidates.size() == relay_count) break;
-      const auto avoided = avoided_until_.find(node.name);
-      if (!avoid || avoided == avoided_until_.end() || avoided->second <= now)
-        candidates.push_back(&node);
-    }
-    return candidates;
-  };
-  std::vector<const Node*> candidates = choose(true);
-  if (candidates.empty()) candidates = choose(false);
-  return candidates[std::hash<std::string>()(worker) % candidates.size()];
+  std::vector<const Node*> relays = UsableNodes(
+      nodes->second, relay_count * options_.relay_attempts, relay_count, now);
+  if (!relays.empty())
+    return relays[std::hash<std::string>()(worker) % relays.size()];
+  // A failure of the strongest nodes is reported soon. Without any relay, a
+  // leader that overloads its link would send all orders over it.
+  const size_t count = std::min(relay_count, nodes->second.size());
+  return &nodes->second[std::hash<std::string>()(worker) % count];
 }
 
 bool OrderRouting::OnRelayFailure(const std::string& node, absl::Time now) {
--- a/keelbridge/coordination/order_routing.h
+++ b/keelbridge/coordination/order_routing.h
@@ -43,6 +43,10 @@
     // zone has other relays. If the leader sent these orders directly instead,
     // a leader that overloads its link would overload it further.
     absl::Duration avoid_duration = absl::Seconds(2);
+    // Number of nodes of a zone that are tried as relays, as a multiple of the
+    // relays that the zone has. If none of them answers, the zone is likely out
+    // of reach, and trying all others would delay its orders for seconds.
+    size_t relay_attempts = 2;
   };
   struct Node {
     std::string name;
@@ -70,6 +74,11 @@
   bool UsesRelays() const;
 
  private:
+  // Returns up to `count` of the first `considered` nodes that are not avoided.
+  std::vector<const Node*> UsableNodes(const std::vector<Node>& nodes,
+                                       size_t considered, size_t count,
+                                       absl::Time now) const;
+
   const Options options_;
   double own_capacity_ = 1;
   // The nodes of each zone, by descending capacity.
--- a/keelbridge/coordination/order_routing_test.cc
+++ b/keelbridge/coordination/order_routing_test.cc
@@ -2,7 +2,10 @@
 
 #include <doctest/doctest.h>
 
+#include <map>
+#include <set>
 #include <string>
+#include <vector>
 
 namespace keelbridge {
 namespace {
@@ -80,6 +83,29 @@
   CHECK(RelayOf(routing, "e1", "east") == "east");
 }
 
+// A zone that is out of reach has as many nodes as the site is large.
+TEST_CASE("order routing: a bounded number of relays of a zone is tried") {
+  for (const int nodes_in_zone : {20, 80}) {
+    CAPTURE(nodes_in_zone);
+    OrderRouting routing(SmallOptions());
+    std::vector<OrderRouting::Node> nodes;
+    for (int i = 0; i < nodes_in_zone; ++i)
+      nodes.push_back({"n" + std::to_string(i), "a", "west", 0.2});
+    routing.SetNodes(nodes, 0.5);
+    for (int i = 0; i < 20; ++i)
+      routing.AddWorker("w" + std::to_string(i), "west");
+    std::set<std::string> tried;
+    for (int attempt = 0; attempt < 200; ++attempt) {
+      const std::string relay =
+          RelayOf(routing, "w" + std::to_string(attempt % 20), "west");
+      routing.OnRelayFailure(relay, kBegin);
+      tried.insert(relay);
+    }
+    // Twice the four relays of a zone with 20 workers.
+    CHECK(tried.size() == 8);
+  }
+}
+
 TEST_CASE(
     "order routing: orders to a zone without other nodes are sent directly") {
   const OrderRouting routing = TwoZones();
