--- a/keelbridge/daemon/leader_session.h
+++ b/keelbridge/daemon/leader_session.h
@@ -105,7 +105,7 @@
   // Delay before a failed store call is retried.
   static constexpr absl::Duration kRetryDelay = absl::Milliseconds(60);
 
-  enum class Phase { kFencing, kLoadingJobs, kLoadingWorkers, kActive, kEnded };
+  enum class Phase { kFencing, kLoading, kActive, kEnded };
   struct InFlightAppend {
     JobScheduler::Batch batch;
     // Range of the batch's records that the current append carries.
@@ -146,6 +146,8 @@
   void ContinueLoadingWorkers(const NewestReply& page,
                               const std::string& after);
   void OnWorkersLoaded();
+  // Activates the term once the jobs and the list of workers are loaded.
+  void MaybeActivate();
   void PollWorkers();
   void ApplyWorkerRecord(const Record& record);
   // Passes changes in the list of workers to the scheduler.
@@ -229,6 +231,8 @@
   int64_t pages_loaded_ = 0;
   int64_t records_loaded_ = 0;
   int64_t load_retries_ = 0;
+  bool jobs_loaded_ = false;
+  bool workers_loaded_ = false;
   std::vector<KnownWorker> known_workers_;
   int64_t unreadable_workers_ = 0;  // Count within `known_workers_`.
   WorkerList worker_list_;
--- a/keelbridge/daemon/leader_session_loading.cc
+++ b/keelbridge/daemon/leader_session_loading.cc
@@ -1,5 +1,6 @@
-// The first steps of a term: fences earlier leaders, loads the jobs and loads
-// the list of workers. Changes of that list are read throughout the term.
+// The first steps of a term: fences earlier leaders, and loads the jobs and the
+// list of workers at the same time. Changes of that list are read throughout
+// the term.
 
 #include <algorithm>
 #include <utility>
@@ -41,8 +42,9 @@
           self->stream_end_ = reply.end;
           self->load_started_ = SystemNow().mono;
           self->scheduler_.OnEarlierLeadersFenced(self->load_started_);
-          self->phase_ = Phase::kLoadingJobs;
-          return self->LoadJobs("");
+          self->phase_ = Phase::kLoading;
+          self->LoadJobs("");
+          return self->LoadWorkers("");
         }
         if (reply.result == StoreResult::kFenced)
           return self->End("fenced in the store before the term became active");
@@ -118,8 +120,9 @@
   unreadable_jobs_ = records_.unreadable_jobs();
   records_ = JobRecords();
   scheduler_.Load(std::move(jobs), known_workers_, SystemNow());
-  phase_ = Phase::kLoadingWorkers;
-  LoadWorkers("");
+  jobs_loaded_ = true;
+  ApplyWorkerList();
+  MaybeActivate();
 }
 
 void LeaderSession::ContinueLoadingJobs(const NewestReply& page,
@@ -182,7 +185,12 @@
   stuck_pages_ = 0;
   polling_workers_ = false;
   next_worker_poll_ = SystemNow().mono + kWorkerPollInterval;
-  if (phase_ == Phase::kLoadingWorkers) Activate();
+  workers_loaded_ = true;
+  MaybeActivate();
+}
+
+void LeaderSession::MaybeActivate() {
+  if (phase_ == Phase::kLoading && jobs_loaded_ && workers_loaded_) Activate();
 }
 
 void LeaderSession::ApplyWorkerRecord(const Record& record) {
@@ -196,6 +204,8 @@
 }
 
 void LeaderSession::ApplyWorkerList() {
+  // The scheduler learns of the workers of earlier leaders first.
+  if (!jobs_loaded_) return;
   const Now now = SystemNow();
   for (const WorkerList::Change& change : worker_list_.TakeChanges()) {
     if (change.record)
