Job scheduler: searches go zone by zone

Cause: workers were searched in the order of their ids, so a step of four tasks ran in three zones or more, and a cut zone hit some 60 of 100 jobs that ran. Change: above 400 workers a search visits them by zone. A step's call names workers of one or two zones (testing/large_site_test.cc).

--- a/keelbridge/coordination/job_scheduler.h
+++ b/keelbridge/coordination/job_scheduler.h
@@ -30,6 +30,7 @@
 #include <utility>
 #include <vector>
 
+#include "absl/container/btree_map.h"
 #include "absl/container/flat_hash_map.h"
 #include "absl/container/flat_hash_set.h"
 #include "absl/functional/function_ref.h"
@@ -740,7 +741,8 @@
 
   // job_scheduler_search.cc
   // Calls `visit` for workers until it returns false. On a large site only a
-  // part of the workers is visited, beginning after those of the last call.
+  // part of the workers is visited, zone by zone, beginning after those of the
+  // last call.
   void VisitWorkers(absl::FunctionRef<bool(Worker&)> visit);
   // Like VisitWorkers(), but visits the workers that are known to be eligible
   // in any case.
@@ -1021,7 +1023,11 @@
   // Workers to check before the next sweep.
   std::vector<Worker*> scheduled_checks_;
   std::vector<Worker*> workers_with_reservations_;  // See Worker::reserved.
-  std::string search_cursor_;  // See VisitWorkers(): the id to begin with.
+  // The workers by availability zone and id, and the key of the one that the
+  // next search begins with; see VisitWorkers().
+  using SearchKey = std::pair<std::string, std::string>;
+  absl::btree_map<SearchKey, Worker*> search_order_;
+  SearchKey search_cursor_;
   PoolTotals pool_totals_;
   // By the machine in its record: the workers that were found there.
   absl::flat_hash_map<std::string, std::vector<Worker*>> by_machine_;
--- a/keelbridge/coordination/job_scheduler_incarnations.cc
+++ b/keelbridge/coordination/job_scheduler_incarnations.cc
@@ -155,7 +155,10 @@
 }
 
 void JobScheduler::SetIncarnationId(Worker& worker, const std::string& id) {
-  const std::string name = std::exchange(worker.record.id, id);
+  const std::string name = worker.record.id;
+  search_order_.erase({worker.record.zone, name});
+  worker.record.id = id;
+  search_order_[{worker.record.zone, id}] = &worker;
   auto entry = workers_.extract(name);
   entry.key() = id;
   workers_.insert(std::move(entry));
--- a/keelbridge/coordination/job_scheduler_search.cc
+++ b/keelbridge/coordination/job_scheduler_search.cc
@@ -13,7 +13,8 @@
 constexpr size_t kMaxFullSearch = 400;
 // The most workers that one search of a larger site visits. The next search
 // continues where it ended, so that consecutive searches name different workers
-// and all workers get their turn on a busy site.
+// and all workers get their turn on a busy site. The tasks of a step thus run
+// in one or two zones, so that the loss of a zone hits few jobs.
 constexpr size_t kMaxVisitedWorkers = 1600;
 // Advice is requested for at most this multiple of the work that fits into the
 // free capacity, because part of the capacity that a request covers turns out
@@ -34,15 +35,15 @@
     }
     return;
   }
-  const size_t limit = std::min(workers_.size(), kMaxVisitedWorkers);
-  auto next = workers_.lower_bound(search_cursor_);
+  const size_t limit = std::min(search_order_.size(), kMaxVisitedWorkers);
+  auto next = search_order_.lower_bound(search_cursor_);
   for (size_t visited = 0; visited < limit; ++visited) {
-    if (next == workers_.end()) next = workers_.begin();
+    if (next == search_order_.end()) next = search_order_.begin();
     Worker& worker = *next->second;
     ++next;
     if (!visit(worker)) break;
   }
-  search_cursor_ = next == workers_.end() ? "" : next->first;
+  search_cursor_ = next == search_order_.end() ? SearchKey() : next->first;
 }
 
 std::vector<JobScheduler::Worker*> JobScheduler::FindKnownWorkers(
--- a/keelbridge/coordination/job_scheduler_workers.cc
+++ b/keelbridge/coordination/job_scheduler_workers.cc
@@ -109,7 +109,9 @@
     RemoveFromMachine(worker);
     if (!record.machine.empty()) by_machine_[record.machine].push_back(&worker);
   }
+  search_order_.erase({worker.record.zone, worker.record.id});
   worker.record = record;
+  search_order_[{record.zone, record.id}] = &worker;
   CountCapacity(worker);
 }
 
@@ -545,6 +547,7 @@
     forget(workers_with_unacknowledged_ends_);
     forget(workers_with_reservations_);
     RemoveFromMachine(*worker->second);
+    search_order_.erase({worker->second->record.zone, id});
     pool_totals_.Remove(&worker->second->counted);
     actions_.push_back(ForgetWorkerAction{id});
     keys_to_drop_.push_back(KnownWorkerKey(id));
--- a/testing/large_site_test.cc
+++ b/testing/large_site_test.cc
@@ -5,6 +5,7 @@
 #include <set>
 #include <string>
 
+#include "absl/strings/str_cat.h"
 #include "testing/support/wide_site.h"
 
 namespace keelbridge::testing {
@@ -59,6 +60,40 @@
   CHECK(named.size() == names);
 }
 
+// The loss of a zone hits the jobs that have a task there.
+TEST_CASE("large site: the workers named for a step are in few zones") {
+  constexpr int kZones = 5;
+  SchedulerDriver site(1);
+  site.UseAdvice({true, 11, 0.16, 1500});
+  site.UseAdvisers(100);
+  for (int i = 0; i < kLarge; ++i) {
+    WorkerRecord record =
+        SchedulerDriver::RecordOf(absl::StrCat("w", 10000 + i), 64000);
+    record.zone = absl::StrCat("zone-", i % kZones);
+    site.scheduler().OnWorkerRecord(record, site.now());
+    site.reports[record.id];
+  }
+  site.RunUntil(absl::Milliseconds(100));
+  site.advice_calls.clear();
+  constexpr JobId kJobs = 40;
+  for (JobId id = 1; id <= kJobs; ++id) {
+    JobSpec spec;
+    spec.steps.push_back(OneTask());
+    spec.steps[0].count = 4;
+    site.scheduler().Submit(id, "restore", spec, site.now());
+  }
+  site.RunUntil(absl::Milliseconds(300));
+  REQUIRE(site.advice_calls.size() >= kJobs);
+  size_t zones_named = 0;
+  for (const auto& call : site.advice_calls) {
+    std::set<int> zones;
+    for (const std::string& worker : call)
+      zones.insert((std::stoi(worker.substr(1)) - 10000) % kZones);
+    zones_named += zones.size();
+  }
+  CHECK(zones_named <= 2 * site.advice_calls.size());
+}
+
 TEST_CASE("large site: a scarce free worker is found however large the site") {
   // All workers but one are full, and the one is tried within a few searches.
   WideSite site(kLarge, /*advisers=*/300);
