Takeover: pages overlap with their parsing; relays by rendezvous hashing

Cause: a page of records was parsed before the next was asked for; and a relay more or less moved most workers of a zone to other relays, whose connections to them are new. Change: the next page is asked for first; a worker's relay is the one with the highest hash of both names.

--- a/keelbridge/coordination/order_routing.cc
+++ b/keelbridge/coordination/order_routing.cc
@@ -1,11 +1,32 @@
 #include "keelbridge/coordination/order_routing.h"
 
+#include <xxhash.h>
+
 #include <algorithm>
 #include <functional>
 #include <tuple>
 #include <utility>
 
 namespace keelbridge {
+namespace {
+
+// Chooses by rendezvous hashing: if one relay is lost, the workers of the
+// others keep theirs, and with them their connections.
+const OrderRouting::Node* ChooseRelay(
+    const std::vector<const OrderRouting::Node*>& relays,
+    const std::string& worker) {
+  return *std::max_element(
+      relays.begin(), relays.end(),
+      [&worker](const OrderRouting::Node* a, const OrderRouting::Node* b) {
+        const auto weight = [&worker](const OrderRouting::Node* node) {
+          const uint64_t seed = XXH64(node->name.data(), node->name.size(), 0);
+          return XXH64(worker.data(), worker.size(), seed);
+        };
+        return weight(a) < weight(b);
+      });
+}
+
+}  // namespace
 
 void OrderRouting::SetNodes(std::vector<Node> nodes, double own_capacity) {
   own_capacity_ = own_capacity;
@@ -61,12 +82,13 @@
   const size_t relay_count = 1 + workers->second / options_.workers_per_relay;
   std::vector<const Node*> relays = UsableNodes(
       nodes->second, relay_count * options_.relay_attempts, relay_count, now);
-  if (!relays.empty())
-    return relays[std::hash<std::string>()(worker) % relays.size()];
   // A failure of the strongest nodes is reported soon. Without any relay, a
   // leader that overloads its link would send all orders over it.
-  const size_t count = std::min(relay_count, nodes->second.size());
-  return &nodes->second[std::hash<std::string>()(worker) % count];
+  if (relays.empty()) {
+    const size_t count = std::min(relay_count, nodes->second.size());
+    for (size_t i = 0; i < count; ++i) relays.push_back(&nodes->second[i]);
+  }
+  return ChooseRelay(relays, worker);
 }
 
 bool OrderRouting::OnRelayFailure(const std::string& node, absl::Time now) {
--- a/keelbridge/coordination/order_routing_test.cc
+++ b/keelbridge/coordination/order_routing_test.cc
@@ -106,6 +106,28 @@
   }
 }
 
+TEST_CASE("order routing: the loss of a relay moves only its own workers") {
+  OrderRouting routing(SmallOptions());
+  std::vector<OrderRouting::Node> nodes;
+  for (int i = 0; i < 8; ++i)
+    nodes.push_back({"n" + std::to_string(i), "a", "west", 0.2});
+  routing.SetNodes(nodes, 0.5);
+  constexpr int kWorkers = 40;
+  std::map<std::string, std::string> before;
+  for (int i = 0; i < kWorkers; ++i)
+    routing.AddWorker("w" + std::to_string(i), "west");
+  for (int i = 0; i < kWorkers; ++i) {
+    const std::string worker = "w" + std::to_string(i);
+    before[worker] = RelayOf(routing, worker, "west");
+  }
+  routing.OnRelayFailure("n2", kBegin);
+  for (const auto& [worker, relay] : before) {
+    const std::string now = RelayOf(routing, worker, "west");
+    // The relay that takes the place of the lost one may take workers of all.
+    if (relay != "n2") CHECK((now == relay || now == "n7"));
+  }
+}
+
 TEST_CASE(
     "order routing: orders to a zone without other nodes are sent directly") {
   const OrderRouting routing = TwoZones();
--- a/keelbridge/daemon/leader_session.h
+++ b/keelbridge/daemon/leader_session.h
@@ -141,9 +141,9 @@
   void AddJobRecord(const Record& record);
   void OnJobsLoaded(int64_t stream_end);
   void LoadWorkers(const std::string& after);
-  // Like `ContinueLoadingJobs` for the list of workers. Treats the list as
-  // complete if a page repeatedly does not advance.
-  void ContinueLoadingWorkers(const NewestReply& page,
+  // Like `ContinueLoadingJobs` for the list of workers. Returns false if the
+  // list ends at `page` because repeated reads did not advance.
+  bool ContinueLoadingWorkers(const NewestReply& page,
                               const std::string& after);
   void OnWorkersLoaded();
   // Activates the term once the jobs and the list of workers are loaded.
--- a/keelbridge/daemon/leader_session_loading.cc
+++ b/keelbridge/daemon/leader_session_loading.cc
@@ -69,6 +69,8 @@
         }
         ++self->pages_loaded_;
         self->records_loaded_ += static_cast<int64_t>(reply.records.size());
+        // The next page is on its way while this one is parsed.
+        if (reply.more) self->ContinueLoadingJobs(reply, after);
         for (const Record& record : reply.records) self->AddJobRecord(record);
         for (const UnreadableItem& item : reply.unreadable) {
           LogEvent(Severity::kError, "job_record_unreadable",
@@ -77,7 +79,7 @@
                     {"what", item.reason}});
           self->AddJobRecord({item.key, "", -1});
         }
-        if (reply.more) return self->ContinueLoadingJobs(reply, after);
+        if (reply.more) return;
         self->OnJobsLoaded(reply.end);
       });
 }
@@ -150,35 +152,41 @@
         if (reply.result != StoreResult::kDone)
           return self->RunAfterUnlessEnded(
               kRetryDelay, [self, after] { self->LoadWorkers(after); });
+        // Changes are read from the end of the stream as of the first page.
+        if (after.empty()) self->next_worker_offset_ = reply.end;
+        const bool is_cut =
+            reply.more && !self->ContinueLoadingWorkers(reply, after);
         for (const Record& record : reply.records)
           self->ApplyWorkerRecord(record);
         for (const UnreadableItem& item : reply.unreadable)
           self->worker_list_.OnEntry(
               item.key, MakeError(ErrorCode::kInvalid, item.reason));
         self->ApplyWorkerList();
-        // Changes are read from the end of the stream as of the first page.
-        if (after.empty()) self->next_worker_offset_ = reply.end;
-        if (reply.more) return self->ContinueLoadingWorkers(reply, after);
+        if (is_cut) return self->OnWorkersLoaded();
+        if (reply.more) return;
         self->worker_list_.EndFullRead();
         self->ApplyWorkerList();
         self->OnWorkersLoaded();
       });
 }
 
-void LeaderSession::ContinueLoadingWorkers(const NewestReply& page,
+bool LeaderSession::ContinueLoadingWorkers(const NewestReply& page,
                                            const std::string& after) {
   const std::string next = page.NextPageKey();
   if (!next.empty() && next != after) {
     stuck_pages_ = 0;
-    return LoadWorkers(next);
+    LoadWorkers(next);
+    return true;
   }
   // A page without records does not end the list, so it is read again.
-  if (++stuck_pages_ < kMaxStuckPages)
-    return RunAfterUnlessEnded(kRetryDelay, [self = shared_from_this(), after] {
+  if (++stuck_pages_ < kMaxStuckPages) {
+    RunAfterUnlessEnded(kRetryDelay, [self = shared_from_this(), after] {
       self->LoadWorkers(after);
     });
+    return true;
+  }
   LogEvent(Severity::kError, "workers_list_cut", {{"after", after}});
-  OnWorkersLoaded();
+  return false;
 }
 
 void LeaderSession::OnWorkersLoaded() {
