Configuration: in a large site it comes along the tree

Cause: each node polled the store for the configuration, so each change was sent from there to all 585 nodes at once and ended 585 polls: bytes and calls grow by nodes times changes, and the store's 4,000 Mbit/s bound how soon the last has it. Change: a node below a leader that answers takes a newer version from its parent, asks the store if that takes over 0.7 s, and reads the store as before once it has no contact. Limits of the tree are settings, so that processes can be tested.

--- a/keelbridge/daemon/node_settings.cc
+++ b/keelbridge/daemon/node_settings.cc
@@ -40,6 +40,15 @@
   }
 }
 
+void ReadHeartbeatTree(JsonReader& reader, HeartbeatTree::Options* out) {
+  auto max_flat_site = static_cast<int64_t>(out->max_flat_site);
+  reader.OptionalInteger("max_flat_site", 1, 10000, &max_flat_site);
+  out->max_flat_site = static_cast<size_t>(max_flat_site);
+  auto max_children = static_cast<int64_t>(out->max_children);
+  reader.OptionalInteger("max_heartbeat_children", 1, 10000, &max_children);
+  out->max_children = static_cast<size_t>(max_children);
+}
+
 }  // namespace
 
 std::string NodeSettings::PeerAddress() const {
@@ -82,6 +91,7 @@
   reader.OptionalNumber("processor_speed", 0.001, 1024, &out.processor_speed);
   reader.OptionalNumber("direct_workers_per_processor", 0, 1e9,
                         &out.direct_workers_per_processor);
+  ReadHeartbeatTree(reader, &out.heartbeat_tree);
   reader.OptionalNumber("link_mbps", 0.001, 1e7, &out.link_mbps);
   reader.OptionalMillis("lease_ms", 100, 600000, &out.lease);
   reader.OptionalMillis("gang_wait_ms", 1, 600000, &out.gang_wait);
--- a/keelbridge/daemon/node_settings.h
+++ b/keelbridge/daemon/node_settings.h
@@ -14,6 +14,7 @@
 #include "keelbridge/base/logging.h"
 #include "keelbridge/base/result.h"
 #include "keelbridge/coordination/scheduler_policy.h"
+#include "keelbridge/membership/heartbeat_tree.h"
 #include "keelbridge/transport/address.h"
 
 namespace keelbridge {
@@ -44,6 +45,9 @@
   double direct_workers_per_processor = 900;
   double link_mbps = 1000;
 
+  // Of the heartbeats between nodes.
+  HeartbeatTree::Options heartbeat_tree;
+
   absl::Duration lease = absl::Seconds(6);
   absl::Duration gang_wait = absl::Seconds(3);
   // How long a worker takes to stop a run, at most.
--- a/keelbridge/daemon/site_node.cc
+++ b/keelbridge/daemon/site_node.cc
@@ -47,6 +47,12 @@
   return options;
 }
 
+SiteMembership::Options MembershipOptions(const NodeSettings& settings) {
+  SiteMembership::Options options;
+  options.tree = settings.heartbeat_tree;
+  return options;
+}
+
 SiteElection::Options ElectionOptions(const NodeSettings& settings) {
   SiteElection::Options options;
   options.capacity = settings.Capacity();
@@ -70,7 +76,7 @@
       order_relay_server_(loop, *ports.workers, rpc),
       election_(settings_.name, incarnation_, settings_.PeerAddress(),
                 ElectionOptions(settings_)),
-      membership_(DescribeSelf(), incarnation_, SiteMembership::Options()) {}
+      membership_(DescribeSelf(), incarnation_, MembershipOptions(settings_)) {}
 
 void SiteNode::RunPeriodically(absl::Duration period,
                                std::function<void()> step) {
@@ -166,6 +172,10 @@
   metrics_.Set("orders_carried", {}, count(order_relay_server_.forwarded()));
   metrics_.Set("ready", {}, Ready() ? 1 : 0);
   metrics_.Set("leads", {}, session_ != nullptr && session_->active() ? 1 : 0);
+  metrics_.Set("members", {},
+               count(static_cast<int64_t>(membership_.members().size())));
+  metrics_.Set("heartbeat_depth", {},
+               count(membership_.DepthOf(settings_.name)));
   metrics_.Set("configuration_version", {},
                static_cast<double>(configuration_version()));
   metrics_.Set("configuration_unconfirmed_seconds", {},
--- a/keelbridge/daemon/site_node.h
+++ b/keelbridge/daemon/site_node.h
@@ -203,7 +203,13 @@
   // which the first page was requested, `end` the end of the stream then.
   void ReadConfigurationAfter(const std::string& key, absl::Time started_at,
                               int64_t end);
+  // Polls the store for changes, unless they come from the parent.
   void FollowConfiguration();
+  void ResumeFollowingConfiguration();
+  // True if the parent in the tree of heartbeats reports new versions: in a
+  // large site, the polls of all nodes would load the store, and each change
+  // would be transferred from there to all nodes at once.
+  bool ConfigurationComesFromParent() const;
   void FollowConfigurationFrom(int64_t next);
   // Puts the configuration in `document` in force if it is newer. Returns false
   // if it cannot be parsed.
@@ -278,6 +284,9 @@
   // The offset to follow the stream from is unknown until a reload. No long
   // poll is in flight while this is set, so that only one polling loop exists.
   bool configuration_reload_needed_ = true;
+  bool polling_configuration_ = false;  // A long poll is in flight.
+  // When a peer reported a version that is newer than the one in force.
+  absl::Time outdated_since_ = absl::InfinitePast();
   // Number of the current long poll; the answer to an earlier one is ignored.
   int64_t configuration_poll_number_ = 0;
   // The last read of the store failed, and no peer has since confirmed the
--- a/keelbridge/daemon/site_node_configuration.cc
+++ b/keelbridge/daemon/site_node_configuration.cc
@@ -24,6 +24,8 @@
 // Timeout of a probe, whose answer is small. A longer one would gain nothing,
 // because the next probe may start after this time (see `SourceReads`).
 constexpr absl::Duration kProbeTimeout = absl::Milliseconds(500);
+// Time in which a parent transfers a new version, before the store is asked.
+constexpr absl::Duration kParentFetchTime = absl::Milliseconds(700);
 constexpr absl::Duration kFollowWait = absl::Seconds(20);
 constexpr absl::Duration kFollowTimeout = absl::Seconds(22);
 // Ages are reported to peers in whole milliseconds, rounded up, up to a
@@ -68,13 +70,27 @@
   FollowConfiguration();
 }
 
+bool SiteNode::ConfigurationComesFromParent() const {
+  const bool leads = session_ != nullptr && !session_->ended();
+  return !leads && !membership_.is_flat() && InContactWithLeader() &&
+         configuration_ != nullptr;
+}
+
+void SiteNode::ResumeFollowingConfiguration() {
+  if (!polling_configuration_ && !configuration_reload_needed_)
+    FollowConfiguration();
+}
+
 void SiteNode::FollowConfiguration() {
+  polling_configuration_ = !ConfigurationComesFromParent();
+  if (!polling_configuration_) return;
   const int64_t from = configuration_read_offset_;
   const int64_t poll = ++configuration_poll_number_;
   ports_.store->Read(Stream::kConfiguration, from, kFollowWait, kFollowTimeout,
                      [this, from, poll](const ReadReply& reply) {
                        if (poll != configuration_poll_number_)
                          return;  // Superseded by a newer poll.
+                       polling_configuration_ = false;
                        if (reply.result != StoreResult::kDone) {
                          OnConfigurationReadFailed("follow", reply.result,
                                                    reply.message);
@@ -91,8 +107,11 @@
   const bool leads = session_ != nullptr && !session_->ended();
   const auto role =
       leads ? Freshness::Role::kLeader : Freshness::Role::kFollower;
+  // A parent that reports a newer version is asked for it first.
+  const bool parent_has_time = ConfigurationComesFromParent() &&
+                               now - outdated_since_ < kParentFetchTime;
   const bool known_outdated =
-      newest_reported_version_ > configuration_version();
+      newest_reported_version_ > configuration_version() && !parent_has_time;
   return configuration_reload_needed_ || known_outdated ||
          configuration_freshness_.RefreshDue(role, now);
 }
@@ -220,12 +239,15 @@
 
 void SiteNode::CatchUpWithConfiguration(const std::string& peer,
                                         int64_t version) {
+  if (newest_reported_version_ <= configuration_version())
+    outdated_since_ = SystemNow().mono;
   newest_reported_version_ = std::max(newest_reported_version_, version);
   CheckConfiguration();
   // If all nodes fetched a large configuration from the leader at once, its
   // link would be saturated.
-  const bool ask_store =
-      store_failover_.direct() && !configuration_source_lost_;
+  const bool ask_store = store_failover_.direct() &&
+                         !configuration_source_lost_ &&
+                         !ConfigurationComesFromParent();
   if (!ask_store) FetchConfiguration(peer);
 }
 
--- a/keelbridge/daemon/site_node_leading.cc
+++ b/keelbridge/daemon/site_node_leading.cc
@@ -142,7 +142,7 @@
 std::vector<std::string> SiteNode::AddressesToAskForLeader() const {
   const LeaderRecord& leader = election_.leader();
   const MemberList& members = membership_.members();
-  const bool is_flat = members.size() <= HeartbeatTree::kMaxFlatSite;
+  const bool is_flat = membership_.is_flat();
   std::vector<std::string> addresses;
   for (const Member* member :
        SampleMembers(members, is_flat ? members.size() : kMaxPeersToAsk,
@@ -266,6 +266,7 @@
   if (handover_.epoch > 0) session_->OnHandover(handover_);
   UpdateMembership();
   session_->Start();
+  ResumeFollowingConfiguration();
   PollEarlierLeaders(session_);
 }
 
--- a/keelbridge/daemon/site_node_peers.cc
+++ b/keelbridge/daemon/site_node_peers.cc
@@ -220,9 +220,7 @@
   // While no leader confirms the members, they may be out of reach.
   if (InContactWithLeader()) {
     const MemberList& members = membership_.members();
-    const size_t count = members.size() > HeartbeatTree::kMaxFlatSite
-                             ? kStoreRelays
-                             : members.size();
+    const size_t count = membership_.is_flat() ? members.size() : kStoreRelays;
     for (const Member* member :
          SampleMembers(members, count, incarnation_, {settings_.name})) {
       if (member->store_ok) relays.push_back(member->address);
@@ -278,10 +276,10 @@
 }
 
 absl::Duration SiteNode::HeartbeatPeriod() const {
-  const size_t nodes = membership_.members().size();
-  if (nodes > HeartbeatTree::kMaxFlatSite) return kHeartbeatInterval;
-  return std::max(kHeartbeatInterval, absl::Seconds(static_cast<double>(nodes) /
-                                                    kMaxHeartbeatsPerSecond));
+  if (!membership_.is_flat()) return kHeartbeatInterval;
+  const auto nodes = static_cast<double>(membership_.members().size());
+  return std::max(kHeartbeatInterval,
+                  absl::Seconds(nodes / kMaxHeartbeatsPerSecond));
 }
 
 bool SiteNode::HeartbeatDue(absl::Time now) const {
--- a/keelbridge/membership/heartbeat_tree.cc
+++ b/keelbridge/membership/heartbeat_tree.cc
@@ -33,9 +33,10 @@
 }  // namespace
 
 HeartbeatTree::HeartbeatTree(const std::map<std::string, Member>& members,
-                             const std::string& leader) {
+                             const std::string& leader,
+                             const Options& options) {
   nodes_.reserve(members.size());
-  if (members.size() <= kMaxFlatSite) {
+  if (members.size() <= options.max_flat_site) {
     for (const auto& [name, member] : members) nodes_[name] = Node();
     return;
   }
@@ -43,19 +44,19 @@
   for (const auto& [name, member] : members)
     zones[member.zone].push_back(&member);
   for (const auto& [zone, nodes] : zones)
-    AddZone(InTreeOrder(nodes, leader), leader);
+    AddZone(InTreeOrder(nodes, leader), leader, options.max_children);
 }
 
 void HeartbeatTree::AddZone(const std::vector<const Member*>& members,
-                            const std::string& leader) {
+                            const std::string& leader, size_t max_children) {
   const size_t first_parent = parents_.size();
   const size_t parent_count =
-      (members.size() + kMaxChildren - 1) / kMaxChildren;
+      (members.size() + max_children - 1) / max_children;
   for (size_t i = 0; i < parent_count; ++i) parents_.push_back(*members[i]);
   for (size_t i = 0; i < members.size(); ++i) {
     Node node;
     const Member* parent =
-        i == 0 ? nullptr : &parents_[first_parent + (i - 1) / kMaxChildren];
+        i == 0 ? nullptr : &parents_[first_parent + (i - 1) / max_children];
     if (parent != nullptr && parent->name != leader) {
       node.parent = parent;
       node.depth = nodes_.at(parent->name).depth + 1;
--- a/keelbridge/membership/heartbeat_tree.h
+++ b/keelbridge/membership/heartbeat_tree.h
@@ -11,7 +11,7 @@
 //
 // HeartbeatTree performs no I/O and reads no clock.
 //
-//   HeartbeatTree tree(members, "node-a");
+//   HeartbeatTree tree(members, "node-a", HeartbeatTree::Options());
 //   const Member* parent = tree.ParentOf("node-b");
 
 #ifndef KEELBRIDGE_MEMBERSHIP_HEARTBEAT_TREE_H_
@@ -30,15 +30,18 @@
 
 class HeartbeatTree {
  public:
-  // In a site with at most this many nodes, all send heartbeats to the leader.
-  static constexpr size_t kMaxFlatSite = 51;
-  // Maximum number of children of a node in a larger site. The leader has those
-  // of its own zone and the roots of the other zones.
-  static constexpr size_t kMaxChildren = 32;
+  struct Options {
+    // In a site with at most this many nodes, all send heartbeats to the
+    // leader.
+    size_t max_flat_site = 51;
+    // Maximum number of children of a node in a larger site. The leader has
+    // those of its own zone and the roots of the other zones.
+    size_t max_children = 32;
+  };
 
   HeartbeatTree() = default;
   HeartbeatTree(const std::map<std::string, Member>& members,
-                const std::string& leader);
+                const std::string& leader, const Options& options);
   // Not copyable: nodes point to parents.
   HeartbeatTree(HeartbeatTree&&) = default;
   HeartbeatTree& operator=(HeartbeatTree&&) = default;
@@ -58,7 +61,7 @@
   };
   // Adds the members of one zone, which are ordered by closeness to the root.
   void AddZone(const std::vector<const Member*>& members,
-               const std::string& leader);
+               const std::string& leader, size_t max_children);
 
   std::deque<Member> parents_;
   absl::flat_hash_map<std::string, Node> nodes_;  // By name.
--- a/keelbridge/membership/heartbeat_tree_test.cc
+++ b/keelbridge/membership/heartbeat_tree_test.cc
@@ -22,16 +22,17 @@
 }
 
 TEST_CASE("heartbeat tree: a small site is flat") {
-  const HeartbeatTree tree(Members(HeartbeatTree::kMaxFlatSite), "node-0");
+  const HeartbeatTree tree(Members(51), "node-0", HeartbeatTree::Options());
   CHECK(tree.ParentOf("node-30") == nullptr);
   CHECK(tree.DepthOf("node-30") == 1);
 }
 
 TEST_CASE("heartbeat tree: children are limited, zones keep to themselves") {
+  const HeartbeatTree::Options options;
   for (const int count : {52, 150, 600, 1200}) {
     CAPTURE(count);
     const auto members = Members(count);
-    const HeartbeatTree tree(members, "node-3");
+    const HeartbeatTree tree(members, "node-3", options);
     std::map<std::string, size_t> children;
     size_t from_other_zones = 0;
     for (const auto& [name, member] : members) {
@@ -48,14 +49,14 @@
     }
     CHECK(from_other_zones == kZones - 1);
     for (const auto& [name, n] : children)
-      CHECK(n <= HeartbeatTree::kMaxChildren + kZones - 1);
+      CHECK(n <= options.max_children + kZones - 1);
   }
 }
 
 TEST_CASE("heartbeat tree: no leader, unknown nodes, a zone of one node") {
   auto members = Members(100);
   members["alone"] = {"alone", "host:a", "elsewhere", true, 1};
-  const HeartbeatTree tree(members, "");
+  const HeartbeatTree tree(members, "", HeartbeatTree::Options());
   CHECK(tree.ParentOf("alone") == nullptr);
   CHECK(tree.ParentOf("stranger") == nullptr);
   CHECK_FALSE(tree.Contains("stranger"));
--- a/keelbridge/membership/site_membership.cc
+++ b/keelbridge/membership/site_membership.cc
@@ -134,7 +134,7 @@
   if (tree_changes_ == members_.changes() && tree_leader_ == leader_) return;
   tree_changes_ = members_.changes();
   tree_leader_ = leader_;
-  tree_ = HeartbeatTree(members_.members(), leader_);
+  tree_ = HeartbeatTree(members_.members(), leader_, options_.tree);
 }
 
 bool SiteMembership::Avoided(const std::string& name, absl::Time now) const {
@@ -220,8 +220,7 @@
     merge_due_ = true;
   }
   answer.known_subtree = child.subtree.state();
-  const bool is_large_site = members_.size() > HeartbeatTree::kMaxFlatSite;
-  const bool is_assigned = !is_large_site || tree_.Contains(sender);
+  const bool is_assigned = is_flat() || tree_.Contains(sender);
   const Member* parent = tree_.ParentOf(sender);
   if (leads_ && parent != nullptr) {
     answer.parent = *parent;
--- a/keelbridge/membership/site_membership.h
+++ b/keelbridge/membership/site_membership.h
@@ -56,6 +56,7 @@
 class SiteMembership {
  public:
   struct Options {
+    HeartbeatTree::Options tree;
     // A member that sent no heartbeat for this long does not respond.
     absl::Duration member_timeout = absl::Milliseconds(1200);
     // The members below it remain for this long: they notice the loss of their
@@ -110,6 +111,10 @@
   const MemberList& members() const { return members_; }
   const Member& self() const { return self_; }
   bool leads() const { return leads_; }
+  // True if all nodes send their heartbeats to the leader.
+  bool is_flat() const {
+    return members_.size() <= options_.tree.max_flat_site;
+  }
   // Number of hops between `name` and the leader.
   int DepthOf(const std::string& name) const { return tree_.DepthOf(name); }
   // Number of members that stopped responding to this node as their leader.
--- a/testing/support/site_test_cluster.cc
+++ b/testing/support/site_test_cluster.cc
@@ -156,6 +156,10 @@
       options_.proxies && index > 0 ? Host(kSeedHost) : HostOf(0);
   settings["seeds"].append(seed + ":1");
   settings["trace_file"] = absl::StrCat(directory_, "/node-", index, ".spans");
+  if (options_.heartbeat_tree) {
+    settings["max_flat_site"] = 1;
+    settings["max_heartbeat_children"] = 2;
+  }
   settings["stop_grace_s"] = 6;
   settings["store_append_bytes"] = Json::Int64(SiteStore::kMaxAppendBytes);
   std::ofstream(node.settings_path) << ToJsonText(settings);
@@ -239,6 +243,10 @@
   return ReadGauge(index, "keelbridge_node_configuration_version");
 }
 
+int64_t SiteTestCluster::HeartbeatDepth(int index) {
+  return ReadGauge(index, "keelbridge_node_heartbeat_depth");
+}
+
 std::unique_ptr<HttpClient> SiteTestCluster::NewClient(int index) const {
   HttpClient::Options options;
   options.idle_expiry = kClientIdle;
--- a/testing/support/site_test_cluster.h
+++ b/testing/support/site_test_cluster.h
@@ -31,6 +31,9 @@
     // Puts a proxy between each node and the store, in front of each worker,
     // and in front of each node for calls from its peers.
     bool proxies = false;
+    // The nodes send their heartbeats along a tree in which each has at most
+    // two children.
+    bool heartbeat_tree = false;
     // The nodes write their logs to pipes that nobody reads.
     bool blocked_logs = false;
     SitePlatform::Options platform;
@@ -57,6 +60,10 @@
   // if the node does not answer.
   int64_t ConfigurationVersion(int index);
 
+  // Returns the number of hops between the node and the leader, by its own
+  // metrics, or -1 if the node does not answer.
+  int64_t HeartbeatDepth(int index);
+
   bool Ready(int index);
   bool AwaitReady(int count);
 
