Answer times: how many losses mean that answers get lost follows the size

Cause: two workers whose answers were lost within 2 s put the leader into a mode in which each worker is observed every 0.15 s instead of every second, and any further loss kept it there. Change: a half of a percent of the workers must be concerned, two at least, and half as many to prolong the mode; workers that run nothing are not asked more often in it.

--- a/keelbridge/coordination/answer_times.cc
+++ b/keelbridge/coordination/answer_times.cc
@@ -1,6 +1,7 @@
 #include "keelbridge/coordination/answer_times.h"
 
 #include <algorithm>
+#include <iterator>
 
 namespace keelbridge {
 namespace {
@@ -10,6 +11,8 @@
 constexpr double kMeanWeight = 1.0 / 8;
 constexpr double kDeviationWeight = 1.0 / 4;
 constexpr double kTimeoutDeviations = 4;
+// Number of workers whose answers must get lost at the same time.
+constexpr size_t kMinLossyWorkers = 2;
 
 }  // namespace
 
@@ -25,13 +28,20 @@
   mean_ += kMeanWeight * (took - mean_);
 }
 
-void AnswerTimes::OnLost(const std::string& worker, absl::Time now) {
-  const bool several_workers = worker != last_lossy_worker_ &&
-                               now - last_loss_ < options_.correlation_window;
-  if (several_workers || AnswersAreLossy(now))
+void AnswerTimes::OnLost(const std::string& worker, size_t workers,
+                         absl::Time now) {
+  recent_losses_[worker] = now;
+  for (auto it = recent_losses_.begin(); it != recent_losses_.end();) {
+    const bool expired = now - it->second >= options_.correlation_window;
+    it = expired ? recent_losses_.erase(it) : std::next(it);
+  }
+  const auto share = static_cast<size_t>(options_.lossy_worker_share *
+                                         static_cast<double>(workers));
+  const size_t enough = std::max(kMinLossyWorkers, share);
+  // A period that has begun lasts while half as many workers are concerned.
+  const size_t needed = AnswersAreLossy(now) ? enough / 2 : enough;
+  if (recent_losses_.size() >= needed)
     lossy_until_ = now + options_.loss_memory;
-  last_lossy_worker_ = worker;
-  last_loss_ = now;
 }
 
 absl::Duration AnswerTimes::AnswerTimeout() const {
--- a/keelbridge/coordination/answer_times.h
+++ b/keelbridge/coordination/answer_times.h
@@ -12,12 +12,14 @@
 //   AnswerTimes times{AnswerTimes::Options()};
 //   times.OnAnswer(absl::Milliseconds(3));
 //   order.timeout = times.AnswerTimeout();
-//   times.OnLost("worker-a", now);
+//   times.OnLost("worker-a", workers.size(), now);
 //   if (times.AnswersAreLossy(now)) ...
 
 #ifndef KEELBRIDGE_COORDINATION_ANSWER_TIMES_H_
 #define KEELBRIDGE_COORDINATION_ANSWER_TIMES_H_
 
+#include <cstddef>
+#include <map>
 #include <string>
 
 #include "absl/time/time.h"
@@ -31,12 +33,15 @@
     // 75 ms late in bursts while no answer is lost.
     absl::Duration min_timeout = absl::Milliseconds(100);
     absl::Duration max_timeout = absl::Milliseconds(300);
-    // Lost answers of two workers within this interval indicate that answers
-    // get lost. A single worker may be down.
+    // Lost answers of several workers within this interval indicate that
+    // answers get lost. A single worker may be down.
     absl::Duration correlation_window = absl::Seconds(2);
     // Losses come in periods of seconds; each loss prolongs the period by this
     // much.
     absl::Duration loss_memory = absl::Seconds(5);
+    // Answers of at least two workers and this share of all must get lost: in a
+    // large site some workers are always about to start or to end.
+    double lossy_worker_share = 0.005;
   };
 
   explicit AnswerTimes(Options options) : options_(options) {}
@@ -44,8 +49,8 @@
   // Records that an order was answered after `took`.
   void OnAnswer(absl::Duration took);
   // Records that an order or an observation got no answer although the worker
-  // answers others.
-  void OnLost(const std::string& worker, absl::Time now);
+  // answers others. `workers` is the number of workers of the site.
+  void OnLost(const std::string& worker, size_t workers, absl::Time now);
 
   // Returns the time after which an order counts as unanswered.
   absl::Duration AnswerTimeout() const;
@@ -58,8 +63,8 @@
   bool measured_ = false;
   absl::Duration mean_;
   absl::Duration deviation_;
-  std::string last_lossy_worker_;
-  absl::Time last_loss_ = absl::InfinitePast();
+  // By worker: the time of its last loss within the window.
+  std::map<std::string, absl::Time> recent_losses_;
   absl::Time lossy_until_ = absl::InfinitePast();
 };
 
--- a/keelbridge/coordination/answer_times_test.cc
+++ b/keelbridge/coordination/answer_times_test.cc
@@ -25,7 +25,7 @@
     "answer times: one unresponsive worker does not indicate lost answers") {
   AnswerTimes times{AnswerTimes::Options()};
   for (int i = 0; i < 20; ++i)
-    times.OnLost("gone", kNow + absl::Milliseconds(100) * i);
+    times.OnLost("gone", 48, kNow + absl::Milliseconds(100) * i);
   CHECK_FALSE(times.AnswersAreLossy(kNow + absl::Seconds(2)));
 }
 
@@ -33,13 +33,31 @@
     "answer times: concurrent losses of two workers indicate lost answers for "
     "a while") {
   AnswerTimes times{AnswerTimes::Options()};
-  times.OnLost("a", kNow);
-  times.OnLost("b", kNow + absl::Seconds(3));
+  times.OnLost("a", 48, kNow);
+  times.OnLost("b", 48, kNow + absl::Seconds(3));
   CHECK_FALSE(times.AnswersAreLossy(kNow + absl::Seconds(3)));
-  times.OnLost("a", kNow + absl::Seconds(4));
+  times.OnLost("a", 48, kNow + absl::Seconds(4));
   CHECK(times.AnswersAreLossy(kNow + absl::Seconds(8)));
   CHECK_FALSE(times.AnswersAreLossy(kNow + absl::Seconds(10)));
 }
 
+// Workers that start and end lose single answers all the time, the more of them
+// the larger the site.
+TEST_CASE(
+    "answer times: the losses that indicate lost answers follow the size") {
+  const auto lossy_after = [](size_t losses, size_t workers) {
+    AnswerTimes times{AnswerTimes::Options()};
+    for (size_t i = 0; i < losses; ++i)
+      times.OnLost("w" + std::to_string(i), workers,
+                   kNow + absl::Milliseconds(10) * static_cast<double>(i));
+    return times.AnswersAreLossy(kNow + absl::Seconds(1));
+  };
+  CHECK(lossy_after(2, 350));
+  CHECK_FALSE(lossy_after(20, 6000));
+  CHECK(lossy_after(30, 6000));
+  CHECK_FALSE(lossy_after(40, 12000));
+  CHECK(lossy_after(60, 12000));
+}
+
 }  // namespace
 }  // namespace keelbridge
--- a/keelbridge/coordination/job_scheduler.h
+++ b/keelbridge/coordination/job_scheduler.h
@@ -389,6 +389,7 @@
   // still have.
   bool CanBeForgotten(const Worker& worker, Now now) const;
   void TickWorker(Worker& worker, Now now);
+  bool HasRunsWhileAnswersAreLossy(const Worker& worker, Now now) const;
   bool ObservationIsDue(const Worker& worker, Now now) const;
   void SendObservation(Worker& worker, Now now);
   void OnObservationFailed(Worker& worker, const ObserveAction& action,
--- a/keelbridge/coordination/job_scheduler_workers.cc
+++ b/keelbridge/coordination/job_scheduler_workers.cc
@@ -465,7 +465,7 @@
       std::exchange(worker.unanswered_since, absl::InfiniteFuture());
   // A worker that was unreachable for longer has not lost single answers.
   if (since <= now.mono && now.mono - since < kLostAnswerWindow)
-    answer_times_.OnLost(worker.record.id, now.mono);
+    answer_times_.OnLost(worker.record.id, workers_.size(), now.mono);
 }
 
 void JobScheduler::OnObservationFailed(Worker& worker,
@@ -586,6 +586,13 @@
   if (ObservationIsDue(worker, now)) SendObservation(worker, now);
 }
 
+// The answers of a worker that runs nothing announce nothing. If they were
+// asked for more often too, a large site would send most observations to them.
+bool JobScheduler::HasRunsWhileAnswersAreLossy(const Worker& worker,
+                                               Now now) const {
+  return !worker.allocations.empty() && answer_times_.AnswersAreLossy(now.mono);
+}
+
 bool JobScheduler::ObservationIsDue(const Worker& worker, Now now) const {
   if (worker.observe_now)
     return worker.observations_in_flight < kMaxObservationsInFlight;
@@ -595,7 +602,7 @@
   return options_.policy.resolve_unanswered_orders &&
          worker.observations_in_flight == 1 &&
          worker.failed_observations == 0 &&
-         answer_times_.AnswersAreLossy(now.mono) &&
+         HasRunsWhileAnswersAreLossy(worker, now) &&
          now.mono - worker.last_observation_sent >
              kLossyObserveWait + answer_times_.AnswerTimeout();
 }
@@ -639,7 +646,7 @@
 
 void JobScheduler::SendObservation(Worker& worker, Now now) {
   const bool lossy = options_.policy.resolve_unanswered_orders &&
-                     answer_times_.AnswersAreLossy(now.mono);
+                     HasRunsWhileAnswersAreLossy(worker, now);
   ++worker.observations_in_flight;
   worker.last_observation_sent = now.mono;
   ObserveAction action;
