Job scheduler: the crash of many workers is not compared crash by crash

Cause: each crash had the evidence of all recent ones recomputed, each against all workers of the site: crashes squared times workers. Change: workers that do not answer are kept in a set, the other incarnation at a machine is looked up, and above 16 recent crashes the evidence is recomputed once a tick.

--- a/keelbridge/coordination/job_scheduler.cc
+++ b/keelbridge/coordination/job_scheduler.cc
@@ -348,6 +348,7 @@
   }
   SendPendingStarts(now);
   TickWorkers(now);
+  ReviseAttributions();
   const bool due = (placement_wanted_ && now.mono >= no_placement_before_) ||
                    now.mono >= next_placement_;
   tick_had_placement_pass_ = due;
--- a/keelbridge/coordination/job_scheduler.h
+++ b/keelbridge/coordination/job_scheduler.h
@@ -495,7 +495,7 @@
   // Returns the number of other workers that were lost at about the same time
   // and ran no task of the step.
   int CountConcurrentLosses(const TaskId& step, const std::string& worker_id,
-                            absl::Time lost) const;
+                            absl::Time lost);
   // Returns the criteria for the runs that may have crashed the worker.
   static SuspectCriteria FindSuspectCriteria(const Allocations& runs,
                                              absl::Time lost, Now now);
@@ -505,10 +505,10 @@
   // is a suspect.
   void AttributeCrash(const Worker& worker, const RunKey& key,
                       const Allocations& runs, const Crash& crash, Now now);
-  // Recomputes the probability of the crashes attributed at about the time
-  // `lost`. The loss of another worker at that time weakens the evidence
-  // against each task.
-  void ReviseAttributions(absl::Time lost);
+  // Recomputes the probability of the crashes attributed at about the times of
+  // `unrevised_losses_`. The loss of another worker at such a time weakens the
+  // evidence against each task.
+  void ReviseAttributions();
   // Adds a crash to the record of the task, and ends the job if the task is
   // given up.
   void AddTaskCrash(Job& job, const TaskId& id, CrashedRun crash,
@@ -975,6 +975,10 @@
   std::deque<PendingStart> pending_starts_;
   // The crashes of the last minute, oldest first.
   std::deque<PastCrash> recent_crashes_;
+  // The losses since the last call of ReviseAttributions().
+  std::vector<absl::Time> unrevised_losses_;
+  // The workers with a `failing_since`.
+  absl::flat_hash_set<Worker*> failing_workers_;
   std::map<std::string, UnresponsiveLoss> unresponsive_losses_;  // By machine.
   // A worker to which an earlier leader may have assigned tasks has crashed
   // under this leader.
--- a/keelbridge/coordination/job_scheduler_losses.cc
+++ b/keelbridge/coordination/job_scheduler_losses.cc
@@ -49,6 +49,9 @@
 constexpr double kRecentStartPenalty = 1;
 // Workers that are lost within this interval count as lost at the same time.
 constexpr absl::Duration kConcurrentLossWindow = absl::Seconds(1);
+// While more crashes are recent, the evidence that they give together is
+// computed once a tick instead of at each further crash.
+constexpr size_t kMaxCrashesRevisedAtOnce = 16;
 // Maximum number of tasks of one step for which crashes, or runs that may have
 // crashed their worker, are recorded. A few of them suffice to end the job, and
 // the job's record stays small.
@@ -75,13 +78,14 @@
 // A leader that was suspended may discover at the same time that the lease has
 // expired and that another incarnation answers.
 bool JobScheduler::AnotherIncarnationAnswered(const Worker& worker) const {
-  if (worker.record.draining || worker.record.machine.empty()) return false;
-  return std::any_of(workers_.begin(), workers_.end(), [&](const auto& entry) {
-    const Worker& other = *entry.second;
-    return other.record.machine == worker.record.machine &&
-           other.record.id != worker.record.id &&
-           other.last_answer > worker.last_answer;
-  });
+  if (worker.record.draining) return false;
+  const auto found = by_machine_.find(worker.record.machine);
+  if (found == by_machine_.end()) return false;
+  const std::vector<Worker*>& at_machine = found->second;
+  return std::any_of(
+      at_machine.begin(), at_machine.end(), [&](const Worker* other) {
+        return other != &worker && other->last_answer > worker.last_answer;
+      });
 }
 
 absl::Time JobScheduler::LostSince(const Worker& worker, Now now) {
@@ -98,7 +102,9 @@
     crash.earlier_machine_crashes =
         RecordCrash(worker, worker.allocations, crash.lost);
     AttributeUnobservedCrash(worker, now);
-    ReviseAttributions(crash.lost);
+    unrevised_losses_.push_back(crash.lost);
+    if (recent_crashes_.size() <= kMaxCrashesRevisedAtOnce)
+      ReviseAttributions();
   }
   if (worker.allocations.empty()) return;
   crash.criteria = FindSuspectCriteria(worker.allocations, crash.lost, now);
@@ -216,7 +222,7 @@
 // crashed.
 int JobScheduler::CountConcurrentLosses(const TaskId& step,
                                         const std::string& worker_id,
-                                        absl::Time lost) const {
+                                        absl::Time lost) {
   const auto is_concurrent = [&](absl::Time other) {
     return absl::AbsDuration(other - lost) < kConcurrentLossWindow;
   };
@@ -226,15 +232,16 @@
         past.steps.count(step) == 0)
       others.insert(past.worker);
   }
-  for (const auto& [id, other] : workers_) {
-    if (other->failing_since == absl::InfiniteFuture() ||
-        !is_concurrent(other->failing_since) ||
+  figures_.losses_compared +=
+      static_cast<int64_t>(recent_crashes_.size() + failing_workers_.size());
+  for (const Worker* other : failing_workers_) {
+    if (!is_concurrent(other->failing_since) ||
         IsCausedBySuspect(*other, other->failing_since))
       continue;
     const bool ran_it = std::any_of(
         other->allocations.begin(), other->allocations.end(),
         [&](const auto& run) { return IsOfStep(run.first.first, step); });
-    if (!ran_it) others.insert(id);
+    if (!ran_it) others.insert(other->record.id);
   }
   others.erase(worker_id);
   return static_cast<int>(others.size());
@@ -314,9 +321,15 @@
   AddTaskCrash(job, key.first, crashed_run, worker.record.id, now);
 }
 
-void JobScheduler::ReviseAttributions(absl::Time lost) {
+void JobScheduler::ReviseAttributions() {
+  const std::vector<absl::Time> losses = std::exchange(unrevised_losses_, {});
+  if (losses.empty()) return;
   for (const PastCrash& past : recent_crashes_) {
-    if (absl::AbsDuration(past.lost - lost) >= kConcurrentLossWindow) continue;
+    const bool concurrent = std::any_of(
+        losses.begin(), losses.end(), [&past](const absl::Time lost) {
+          return absl::AbsDuration(past.lost - lost) < kConcurrentLossWindow;
+        });
+    if (!concurrent) continue;
     for (const CrashAttribution& attribution : past.attributions) {
       const auto job = jobs_.find(attribution.task.job);
       if (job == jobs_.end() || job->second->Ended()) continue;
@@ -618,6 +631,7 @@
 void JobScheduler::ClearUnresponsiveness(Worker& worker) {
   if (worker.failing_since == absl::InfiniteFuture()) return;
   worker.failing_since = absl::InfiniteFuture();
+  failing_workers_.erase(&worker);
   for (const auto& [key, allocation] : worker.allocations) {
     const auto job = jobs_.find(key.first.job);
     if (job == jobs_.end()) continue;
--- a/keelbridge/coordination/job_scheduler_workers.cc
+++ b/keelbridge/coordination/job_scheduler_workers.cc
@@ -483,6 +483,7 @@
                  now.mono + kObserveRetryDelay + kRetryAfterRefusal);
   if (worker.failing_since == absl::InfiniteFuture()) {
     worker.failing_since = now.mono;
+    failing_workers_.insert(&worker);
     RecordUnresponsiveness(worker, now);
   }
   // The worker has answered another call in the meantime, so it responds.
@@ -547,6 +548,7 @@
     forget(workers_with_unacknowledged_ends_);
     forget(workers_with_reservations_);
     RemoveFromMachine(*worker->second);
+    failing_workers_.erase(worker->second.get());
     search_order_.erase({worker->second->record.zone, id});
     pool_totals_.Remove(&worker->second->counted);
     actions_.push_back(ForgetWorkerAction{id});
--- a/keelbridge/coordination/scheduler_figures.h
+++ b/keelbridge/coordination/scheduler_figures.h
@@ -47,6 +47,8 @@
   int64_t steps_examined = 0;
   int64_t late_steps_examined = 0;
   int64_t workers_tried = 0;
+  // Crashes and unresponsive workers that lost workers were compared with.
+  int64_t losses_compared = 0;
   // Worker reports that were ignored because a later report had arrived.
   int64_t stale_reports_skipped = 0;
   // Waiting work in thousandths of a processor times seconds, if jobs are
--- a/testing/large_site_test.cc
+++ b/testing/large_site_test.cc
@@ -94,6 +94,45 @@
   CHECK(zones_named <= 2 * site.advice_calls.size());
 }
 
+// Lets `crashes` of the workers crash at once and start again, and returns how
+// many losses were compared with each other.
+double LossesCompared(int crashes) {
+  constexpr int kWorkers = 600;
+  SchedulerDriver site(1);
+  const auto name = [](int i) { return absl::StrCat("w", 1000 + i); };
+  for (int i = 0; i < kWorkers; ++i) {
+    site.AddWorker(name(i));
+    site.reports[name(i)];
+  }
+  site.RunUntil(absl::Milliseconds(200));
+  JobSpec spec;
+  spec.steps.push_back(OneTask(8000));
+  spec.steps[0].count = kWorkers;
+  site.scheduler().Submit(kJob, "restore", spec, site.now());
+  site.RunUntil(absl::Milliseconds(800));
+  REQUIRE(site.starts.size() == kWorkers);
+  for (int i = 0; i < crashes; ++i) {
+    site.cut_off.insert(name(i));
+    WorkerRecord next = SchedulerDriver::RecordOf("next-" + name(i), 8000);
+    next.machine = "m-" + name(i);
+    site.scheduler().OnWorkerRecord(next, site.now());
+    site.reports[next.id];
+  }
+  // The runs count as lost once the leases have expired.
+  site.RunUntil(absl::Seconds(12));
+  const SchedulerFigures figures = site.scheduler().figures();
+  CHECK(figures.losses_compared > 0);
+  return static_cast<double>(figures.losses_compared);
+}
+
+TEST_CASE("large site: the crash of many workers costs at most their square") {
+  const double few = LossesCompared(30);
+  const double many = LossesCompared(120);
+  MESSAGE("losses compared: " << few << " for 30 crashes, " << many
+                              << " for 120");
+  CHECK(many <= 16 * kMaxRatio * few);
+}
+
 TEST_CASE("large site: a scarce free worker is found however large the site") {
   // All workers but one are full, and the one is tried within a few searches.
   WideSite site(kLarge, /*advisers=*/300);
