--- a/keelbridge/daemon/membership_messages.cc
+++ b/keelbridge/daemon/membership_messages.cc
@@ -21,7 +21,7 @@
 // Members of a list's state.
 enum StateField : Json::ArrayIndex { kOwner, kVersion, kDigest, kStateFields };
 
-Json::Value MemberToJson(const Member& member) {
+Json::Value MemberToJson(const SiteMember& member) {
   Json::Value row(Json::arrayValue);
   row[kName] = member.name;
   row[kAddress] = member.address;
@@ -31,16 +31,16 @@
   return row;
 }
 
-Result<Member> MemberFromJson(const Json::Value& row) {
+Result<SiteMember> MemberFromJson(const Json::Value& row) {
   const bool readable = row.isArray() && row.size() == kMemberFields &&
                         row[kName].isString() && row[kAddress].isString() &&
                         row[kZone].isString() && row[kStoreOk].isBool() &&
                         row[kCapacity].isNumeric();
   if (!readable || row[kName].asString().empty())
     return MakeError(ErrorCode::kInvalid, "not a member");
-  return Member{row[kName].asString(), row[kAddress].asString(),
-                row[kZone].asString(), row[kStoreOk].asBool(),
-                row[kCapacity].asDouble()};
+  return SiteMember{row[kName].asString(), row[kAddress].asString(),
+                    row[kZone].asString(), row[kStoreOk].asBool(),
+                    row[kCapacity].asDouble()};
 }
 
 Json::Value StateToJson(const ListState& state) {
@@ -66,7 +66,7 @@
   out["base"] = StateToJson(update.base);
   out["state"] = StateToJson(update.state);
   out["changed"] = Json::Value(Json::arrayValue);
-  for (const Member& member : update.changed)
+  for (const SiteMember& member : update.changed)
     out["changed"].append(MemberToJson(member));
   out["removed"] = Json::Value(Json::arrayValue);
   for (const std::string& name : update.removed) out["removed"].append(name);
--- a/keelbridge/daemon/site_node.cc
+++ b/keelbridge/daemon/site_node.cc
@@ -196,7 +196,7 @@
     const bool leads = session_ != nullptr && !session_->ended();
     if (leads) {
       const auto successor = election_.Successor();
-      const Member* member =
+      const SiteMember* member =
           successor ? membership_.members().Find(*successor) : nullptr;
       if (member != nullptr) RequestTakeover(*member);
     }
--- a/keelbridge/daemon/site_node.h
+++ b/keelbridge/daemon/site_node.h
@@ -158,7 +158,7 @@
   std::vector<std::string> StoreRelays() const;
   // True if this node leads or heard of the leader recently.
   bool InContactWithLeader() const;
-  Member DescribeSelf() const;
+  SiteMember DescribeSelf() const;
   void FetchConfiguration(const std::string& address);
   void AskAdvice(const AskAdviceAction& action,
                  std::function<void(AdviceReply)> done);
@@ -194,7 +194,7 @@
   void ProbeSpeed();
   // Returns the capacity for leading, in processors, at the present speed.
   double Capacity() const;
-  void RequestTakeover(const Member& member);
+  void RequestTakeover(const SiteMember& member);
 
   // site_node_configuration.cc
   // Reloads the configuration because the offset to follow it from is unknown.
--- a/keelbridge/daemon/site_node_leading.cc
+++ b/keelbridge/daemon/site_node_leading.cc
@@ -144,7 +144,7 @@
   const MemberList& members = membership_.members();
   const bool is_flat = membership_.is_flat();
   std::vector<std::string> addresses;
-  for (const Member* member :
+  for (const SiteMember* member :
        SampleMembers(members, is_flat ? members.size() : kMaxPeersToAsk,
                      RandomId(), {settings_.name, leader.node}))
     addresses.push_back(member->address);
@@ -279,7 +279,7 @@
   ReadControl();
 }
 
-void SiteNode::RequestTakeover(const Member& member) {
+void SiteNode::RequestTakeover(const SiteMember& member) {
   Json::Value params(Json::objectValue);
   params["epoch"] = Json::Int64(session_->epoch());
   rpc_.Call(
@@ -293,7 +293,8 @@
   const bool lost_store =
       now - store_failover_.lost_since() > kMaxStoreLostDuration;
   const auto better = election_.BetterLeader(lost_store);
-  const Member* peer = better ? membership_.members().Find(*better) : nullptr;
+  const SiteMember* peer =
+      better ? membership_.members().Find(*better) : nullptr;
   if (peer == nullptr) return;
   next_offer_at_ = now + kOfferInterval;
   LogEvent(Severity::kInfo, "leadership_offered",
--- a/keelbridge/daemon/site_node_peers.cc
+++ b/keelbridge/daemon/site_node_peers.cc
@@ -167,7 +167,7 @@
       });
 }
 
-Member SiteNode::DescribeSelf() const {
+SiteMember SiteNode::DescribeSelf() const {
   const double steps = std::ceil(speed_.RelativeSpeed() / kSpeedStep);
   return {settings_.name, settings_.PeerAddress(), settings_.zone,
           store_failover_.direct(), settings_.Capacity() * steps * kSpeedStep};
@@ -221,7 +221,7 @@
   if (InContactWithLeader()) {
     const MemberList& members = membership_.members();
     const size_t count = membership_.is_flat() ? members.size() : kStoreRelays;
-    for (const Member* member :
+    for (const SiteMember* member :
          SampleMembers(members, count, incarnation_, {settings_.name})) {
       if (member->store_ok) relays.push_back(member->address);
     }
@@ -309,7 +309,7 @@
   next_heartbeat_at_ = now + HeartbeatPeriod();
   const absl::Duration timeout = heartbeat_times_.AnswerTimeout();
   election_.SetSuspectAfter(SuspectAfter(timeout));
-  const Member* parent = membership_.Parent(now);
+  const SiteMember* parent = membership_.Parent(now);
   HeartbeatTarget target{leader, leader.node, leader.address,
                          parent == nullptr};
   if (parent != nullptr) {
@@ -434,7 +434,7 @@
                          std::function<void(AdviceReply)> done) {
   if (action.adviser == settings_.name)
     return ports_.advice->Ask(action.request, action.timeout, std::move(done));
-  const Member* adviser = membership_.members().Find(action.adviser);
+  const SiteMember* adviser = membership_.members().Find(action.adviser);
   if (adviser == nullptr) {
     boost::asio::post(loop_, [done] { done(AdviceReply()); });
     return;
--- a/keelbridge/membership/heartbeat_tree.cc
+++ b/keelbridge/membership/heartbeat_tree.cc
@@ -9,11 +9,11 @@
 
 // Orders the members of a zone by closeness to the root: the leader, then by
 // descending capacity. The hash spreads equal members over the tree.
-std::vector<const Member*> InTreeOrder(
-    const std::vector<const Member*>& members, const std::string& leader) {
-  std::vector<std::tuple<bool, double, uint64_t, const Member*>> ordered;
+std::vector<const SiteMember*> InTreeOrder(
+    const std::vector<const SiteMember*>& members, const std::string& leader) {
+  std::vector<std::tuple<bool, double, uint64_t, const SiteMember*>> ordered;
   ordered.reserve(members.size());
-  for (const Member* member : members) {
+  for (const SiteMember* member : members) {
     ordered.emplace_back(member->name != leader, -member->capacity,
                          SaltedNameHash(member->name, 0), member);
   }
@@ -24,7 +24,7 @@
     };
     return key(a) < key(b);
   });
-  std::vector<const Member*> out;
+  std::vector<const SiteMember*> out;
   out.reserve(ordered.size());
   for (const auto& entry : ordered) out.push_back(std::get<3>(entry));
   return out;
@@ -32,7 +32,7 @@
 
 }  // namespace
 
-HeartbeatTree::HeartbeatTree(const std::map<std::string, Member>& members,
+HeartbeatTree::HeartbeatTree(const std::map<std::string, SiteMember>& members,
                              const std::string& leader,
                              const Options& options) {
   nodes_.reserve(members.size());
@@ -40,14 +40,14 @@
     for (const auto& [name, member] : members) nodes_[name] = Node();
     return;
   }
-  std::map<std::string, std::vector<const Member*>> zones;
+  std::map<std::string, std::vector<const SiteMember*>> zones;
   for (const auto& [name, member] : members)
     zones[member.zone].push_back(&member);
   for (const auto& [zone, nodes] : zones)
     AddZone(InTreeOrder(nodes, leader), leader, options.max_children);
 }
 
-void HeartbeatTree::AddZone(const std::vector<const Member*>& members,
+void HeartbeatTree::AddZone(const std::vector<const SiteMember*>& members,
                             const std::string& leader, size_t max_children) {
   const size_t first_parent = parents_.size();
   const size_t parent_count =
@@ -55,7 +55,7 @@
   for (size_t i = 0; i < parent_count; ++i) parents_.push_back(*members[i]);
   for (size_t i = 0; i < members.size(); ++i) {
     Node node;
-    const Member* parent =
+    const SiteMember* parent =
         i == 0 ? nullptr : &parents_[first_parent + (i - 1) / max_children];
     if (parent != nullptr && parent->name != leader) {
       node.parent = parent;
@@ -65,7 +65,7 @@
   }
 }
 
-const Member* HeartbeatTree::ParentOf(const std::string& name) const {
+const SiteMember* HeartbeatTree::ParentOf(const std::string& name) const {
   const auto found = nodes_.find(name);
   return found == nodes_.end() ? nullptr : found->second.parent;
 }
--- a/keelbridge/membership/heartbeat_tree.h
+++ b/keelbridge/membership/heartbeat_tree.h
@@ -12,7 +12,7 @@
 // HeartbeatTree performs no I/O and reads no clock.
 //
 //   HeartbeatTree tree(members, "node-a", HeartbeatTree::Options());
-//   const Member* parent = tree.ParentOf("node-b");
+//   const SiteMember* parent = tree.ParentOf("node-b");
 
 #ifndef KEELBRIDGE_MEMBERSHIP_HEARTBEAT_TREE_H_
 #define KEELBRIDGE_MEMBERSHIP_HEARTBEAT_TREE_H_
@@ -24,7 +24,7 @@
 #include <vector>
 
 #include "absl/container/flat_hash_map.h"
-#include "keelbridge/membership/member.h"
+#include "keelbridge/membership/site_member.h"
 
 namespace keelbridge {
 
@@ -40,7 +40,7 @@
   };
 
   HeartbeatTree() = default;
-  HeartbeatTree(const std::map<std::string, Member>& members,
+  HeartbeatTree(const std::map<std::string, SiteMember>& members,
                 const std::string& leader, const Options& options);
   // Not copyable: nodes point to parents.
   HeartbeatTree(HeartbeatTree&&) = default;
@@ -49,21 +49,21 @@
   bool Contains(const std::string& name) const { return nodes_.contains(name); }
   // Returns the node to which `name` sends its heartbeats. Returns nullptr if
   // that is the leader, and for the leader and nodes that are not members.
-  const Member* ParentOf(const std::string& name) const;
+  const SiteMember* ParentOf(const std::string& name) const;
   // Returns the number of hops from `name` to the leader; 1 for a node that is
   // not a member.
   int DepthOf(const std::string& name) const;
 
  private:
   struct Node {
-    const Member* parent = nullptr;
+    const SiteMember* parent = nullptr;
     int depth = 1;
   };
   // Adds the members of one zone, which are ordered by closeness to the root.
-  void AddZone(const std::vector<const Member*>& members,
+  void AddZone(const std::vector<const SiteMember*>& members,
                const std::string& leader, size_t max_children);
 
-  std::deque<Member> parents_;
+  std::deque<SiteMember> parents_;
   absl::flat_hash_map<std::string, Node> nodes_;  // By name.
 };
 
--- a/keelbridge/membership/member_list.cc
+++ b/keelbridge/membership/member_list.cc
@@ -11,7 +11,7 @@
 
 bool NamesRepeat(const MemberUpdate& update) {
   std::set<std::string> names;
-  for (const Member& member : update.changed) {
+  for (const SiteMember& member : update.changed) {
     if (!names.insert(member.name).second) return true;
   }
   for (const std::string& name : update.removed) {
@@ -27,7 +27,7 @@
          std::tie(b.owner, b.version, b.digest);
 }
 
-bool MemberList::Set(const Member& member) {
+bool MemberList::Set(const SiteMember& member) {
   const auto [entry, added] = members_.try_emplace(member.name, member);
   if (!added) {
     if (entry->second == member) return false;
@@ -48,7 +48,8 @@
   return true;
 }
 
-void MemberList::RemoveUnless(const std::function<bool(const Member&)>& keep) {
+void MemberList::RemoveUnless(
+    const std::function<bool(const SiteMember&)>& keep) {
   std::vector<std::string> removed;
   for (const auto& [name, member] : members_) {
     if (!keep(member)) removed.push_back(name);
@@ -96,7 +97,7 @@
        ++change)
     names.insert(change->name);
   for (const std::string& name : names) {
-    const Member* member = Find(name);
+    const SiteMember* member = Find(name);
     if (member != nullptr)
       update.changed.push_back(*member);
     else
@@ -116,10 +117,10 @@
 uint64_t MemberList::DigestAfter(const MemberUpdate& update) const {
   uint64_t digest = update.whole_list ? 0 : state_.digest;
   const auto subtract = [&](const std::string& name) {
-    const Member* member = update.whole_list ? nullptr : Find(name);
+    const SiteMember* member = update.whole_list ? nullptr : Find(name);
     if (member != nullptr) digest -= HashOf(*member);
   };
-  for (const Member& member : update.changed) {
+  for (const SiteMember& member : update.changed) {
     subtract(member.name);
     digest += HashOf(member);
   }
@@ -141,7 +142,7 @@
     history_.clear();
   }
   // The history serves the copies of this copy.
-  for (const Member& member : update.changed) {
+  for (const SiteMember& member : update.changed) {
     members_[member.name] = member;
     history_.push_back({member.name, update.state});
   }
@@ -155,7 +156,7 @@
   return ApplyResult::kApplied;
 }
 
-const Member* MemberList::Find(const std::string& name) const {
+const SiteMember* MemberList::Find(const std::string& name) const {
   const auto found = members_.find(name);
   return found == members_.end() ? nullptr : &found->second;
 }
--- a/keelbridge/membership/member_list.h
+++ b/keelbridge/membership/member_list.h
@@ -24,7 +24,7 @@
 #include <string>
 #include <vector>
 
-#include "keelbridge/membership/member.h"
+#include "keelbridge/membership/site_member.h"
 
 namespace keelbridge {
 
@@ -46,7 +46,7 @@
   bool whole_list = false;  // `changed` holds all members.
   ListState base;           // The state to which the changes apply.
   ListState state;          // The state that they result in.
-  std::vector<Member> changed;
+  std::vector<SiteMember> changed;
   std::vector<std::string> removed;  // Names.
 
   bool empty() const { return !whole_list && base == state; }
@@ -68,10 +68,10 @@
   };
 
   // Adds or replaces a member. Returns false if it is unchanged.
-  bool Set(const Member& member);
+  bool Set(const SiteMember& member);
   bool Remove(const std::string& name);
   // Keeps only the members for which `keep` returns true.
-  void RemoveUnless(const std::function<bool(const Member&)>& keep);
+  void RemoveUnless(const std::function<bool(const SiteMember&)>& keep);
   // Makes `owner` the owner of the list; the members and the history stay.
   void SetOwner(uint64_t owner) { state_.owner = owner; }
 
@@ -83,8 +83,8 @@
   // reset, so that the next update holds the whole list.
   ApplyResult Apply(const MemberUpdate& update);
 
-  const Member* Find(const std::string& name) const;
-  const std::map<std::string, Member>& members() const { return members_; }
+  const SiteMember* Find(const std::string& name) const;
+  const std::map<std::string, SiteMember>& members() const { return members_; }
   size_t size() const { return members_.size(); }
   const ListState& state() const { return state_; }
   // Number of times that the members changed; unlike the version, it never
@@ -105,7 +105,7 @@
   // Resets the state, so that the next update holds the whole list.
   ApplyResult Fail(ApplyResult result);
 
-  std::map<std::string, Member> members_;  // By name.
+  std::map<std::string, SiteMember> members_;  // By name.
   ListState state_;
   std::deque<Change> history_;
   int64_t changes_ = 0;
--- a/keelbridge/membership/member.cc
+++ b/keelbridge/membership/site_member.cc
@@ -1,4 +1,4 @@
-#include "keelbridge/membership/member.h"
+#include "keelbridge/membership/site_member.h"
 
 #include <xxhash.h>
 
@@ -9,18 +9,18 @@
 namespace keelbridge {
 namespace {
 
-auto Fields(const Member& member) {
+auto Fields(const SiteMember& member) {
   return std::tie(member.name, member.address, member.zone, member.store_ok,
                   member.capacity);
 }
 
 }  // namespace
 
-bool operator==(const Member& a, const Member& b) {
+bool operator==(const SiteMember& a, const SiteMember& b) {
   return Fields(a) == Fields(b);
 }
 
-uint64_t HashOf(const Member& member) {
+uint64_t HashOf(const SiteMember& member) {
   const std::string text =
       absl::StrCat(member.name, "|", member.address, "|", member.zone, "|",
                    member.store_ok ? 1 : 0, "|", member.capacity);
--- a/keelbridge/membership/member.h
+++ b/keelbridge/membership/site_member.h
@@ -1,17 +1,17 @@
 // A node of a site, as the other nodes know it.
 //
-//   Member member{"node-a", "10.0.0.1:7580", "zone-1", true, 0.5};
+//   SiteMember member{"node-a", "10.0.0.1:7580", "zone-1", true, 0.5};
 //   if (member != earlier) Publish(member);
 
-#ifndef KEELBRIDGE_MEMBERSHIP_MEMBER_H_
-#define KEELBRIDGE_MEMBERSHIP_MEMBER_H_
+#ifndef KEELBRIDGE_MEMBERSHIP_SITE_MEMBER_H_
+#define KEELBRIDGE_MEMBERSHIP_SITE_MEMBER_H_
 
 #include <cstdint>
 #include <string>
 
 namespace keelbridge {
 
-struct Member {
+struct SiteMember {
   std::string name;
   std::string address;  // Serves RPCs of other nodes.
   std::string zone;
@@ -20,14 +20,16 @@
   double capacity = 1;
 };
 
-bool operator==(const Member& a, const Member& b);
-inline bool operator!=(const Member& a, const Member& b) { return !(a == b); }
+bool operator==(const SiteMember& a, const SiteMember& b);
+inline bool operator!=(const SiteMember& a, const SiteMember& b) {
+  return !(a == b);
+}
 
 // Returns a hash of all fields. It is the same in all processes.
-uint64_t HashOf(const Member& member);
+uint64_t HashOf(const SiteMember& member);
 // Returns a hash of the name that depends on `salt`.
 uint64_t SaltedNameHash(const std::string& name, uint64_t salt);
 
 }  // namespace keelbridge
 
-#endif  // KEELBRIDGE_MEMBERSHIP_MEMBER_H_
+#endif  // KEELBRIDGE_MEMBERSHIP_SITE_MEMBER_H_
--- a/keelbridge/membership/site_membership.cc
+++ b/keelbridge/membership/site_membership.cc
@@ -17,13 +17,13 @@
 
 }  // namespace
 
-SiteMembership::SiteMembership(Member self, uint64_t incarnation,
+SiteMembership::SiteMembership(SiteMember self, uint64_t incarnation,
                                Options options)
     : incarnation_(incarnation), options_(options), self_(std::move(self)) {
   subtree_.SetOwner(incarnation_);
 }
 
-void SiteMembership::SetSelf(const Member& self) {
+void SiteMembership::SetSelf(const SiteMember& self) {
   if (self == self_) return;
   self_ = self;
   merge_due_ = merge_due_ || leads_;
@@ -57,7 +57,7 @@
     merge_due_ = true;
   }
   if (std::exchange(merge_due_, false)) {
-    const std::map<std::string, Member> vouched = VouchedMembers(now);
+    const std::map<std::string, SiteMember> vouched = VouchedMembers(now);
     if (leads_)
       MergeIntoMembers(vouched, now);
     else
@@ -95,9 +95,9 @@
   }
 }
 
-std::map<std::string, Member> SiteMembership::VouchedMembers(
+std::map<std::string, SiteMember> SiteMembership::VouchedMembers(
     absl::Time now) const {
-  std::map<std::string, Member> vouched;
+  std::map<std::string, SiteMember> vouched;
   for (const auto& [name, child] : children_) {
     for (const auto& [below, member] : child.subtree.members())
       vouched.try_emplace(below, member);
@@ -112,9 +112,9 @@
 }
 
 void SiteMembership::MergeIntoMembers(
-    const std::map<std::string, Member>& vouched, absl::Time now) {
+    const std::map<std::string, SiteMember>& vouched, absl::Time now) {
   const int64_t before = members_.changes();
-  members_.RemoveUnless([&](const Member& member) {
+  members_.RemoveUnless([&](const SiteMember& member) {
     return member.name == self_.name || now < inherited_until_ ||
            vouched.count(member.name) > 0;
   });
@@ -124,9 +124,9 @@
 }
 
 void SiteMembership::MergeIntoSubtree(
-    const std::map<std::string, Member>& vouched) {
+    const std::map<std::string, SiteMember>& vouched) {
   subtree_.RemoveUnless(
-      [&](const Member& member) { return vouched.count(member.name) > 0; });
+      [&](const SiteMember& member) { return vouched.count(member.name) > 0; });
   for (const auto& [name, member] : vouched) subtree_.Set(member);
 }
 
@@ -142,10 +142,10 @@
   return found != avoided_until_.end() && now < found->second;
 }
 
-const Member* SiteMembership::Parent(absl::Time now) const {
+const SiteMember* SiteMembership::Parent(absl::Time now) const {
   if (assigned_parent_ && !Avoided(assigned_parent_->name, now))
     return &*assigned_parent_;
-  const Member* parent = tree_.ParentOf(self_.name);
+  const SiteMember* parent = tree_.ParentOf(self_.name);
   while (parent != nullptr && Avoided(parent->name, now))
     parent = tree_.ParentOf(parent->name);
   return parent;
@@ -221,7 +221,7 @@
   }
   answer.known_subtree = child.subtree.state();
   const bool is_assigned = is_flat() || tree_.Contains(sender);
-  const Member* parent = tree_.ParentOf(sender);
+  const SiteMember* parent = tree_.ParentOf(sender);
   if (leads_ && parent != nullptr) {
     answer.parent = *parent;
     return answer;
@@ -235,10 +235,10 @@
   return answer;
 }
 
-std::vector<const Member*> SampleMembers(
+std::vector<const SiteMember*> SampleMembers(
     const MemberList& members, size_t count, uint64_t salt,
     const std::vector<std::string>& except) {
-  std::vector<std::pair<uint64_t, const Member*>> ordered;
+  std::vector<std::pair<uint64_t, const SiteMember*>> ordered;
   for (const auto& [name, member] : members.members()) {
     const bool excluded =
         std::find(except.begin(), except.end(), name) != except.end();
@@ -248,7 +248,7 @@
   std::partial_sort(ordered.begin(),
                     ordered.begin() + static_cast<std::ptrdiff_t>(count),
                     ordered.end());
-  std::vector<const Member*> sample;
+  std::vector<const SiteMember*> sample;
   for (size_t i = 0; i < count; ++i) sample.push_back(ordered[i].second);
   return sample;
 }
--- a/keelbridge/membership/site_membership.h
+++ b/keelbridge/membership/site_membership.h
@@ -16,7 +16,7 @@
 //
 //   SiteMembership membership(self, incarnation, SiteMembership::Options());
 //   membership.OnLeader("node-b", epoch, false, now);
-//   const Member* parent = membership.Parent(now);  // Null: the leader.
+//   const SiteMember* parent = membership.Parent(now);  // Null: the leader.
 //   Send(membership.MakeReport(name));              // Then OnAnswer().
 //   Reply(membership.HandleReport(report, now));    // On the parent.
 
@@ -31,14 +31,14 @@
 
 #include "absl/time/time.h"
 #include "keelbridge/membership/heartbeat_tree.h"
-#include "keelbridge/membership/member.h"
 #include "keelbridge/membership/member_list.h"
+#include "keelbridge/membership/site_member.h"
 
 namespace keelbridge {
 
 // What a heartbeat states about members.
 struct HeartbeatReport {
-  Member sender;
+  SiteMember sender;
   ListState known_members;  // The sender's copy of the leader's list.
   // Changes of the members below the sender, since the state that the receiver
   // has acknowledged.
@@ -50,7 +50,7 @@
   ListState known_subtree;  // The state of the sender's subtree known here.
   std::optional<MemberUpdate> members;  // Changes of the leader's list.
   // The node to send heartbeats to instead.
-  std::optional<Member> parent;
+  std::optional<SiteMember> parent;
 };
 
 class SiteMembership {
@@ -72,10 +72,10 @@
     absl::Duration pause_threshold = absl::Milliseconds(500);
   };
 
-  SiteMembership(Member self, uint64_t incarnation, Options options);
+  SiteMembership(SiteMember self, uint64_t incarnation, Options options);
 
   // Sets the state of this node.
-  void SetSelf(const Member& self);
+  void SetSelf(const SiteMember& self);
   // Records that `leader` leads under `epoch`. `leads` is true if this process
   // is that leader.
   void OnLeader(const std::string& leader, int64_t epoch, bool leads,
@@ -84,7 +84,7 @@
   void Update(absl::Time now);
 
   // Returns the node to send heartbeats to; nullptr: the leader.
-  const Member* Parent(absl::Time now) const;
+  const SiteMember* Parent(absl::Time now) const;
   // Returns true if the parent does not know the present members below this
   // node yet.
   bool HasNews() const;
@@ -109,7 +109,7 @@
 
   // The members as of the leader's list, including this node once it is listed.
   const MemberList& members() const { return members_; }
-  const Member& self() const { return self_; }
+  const SiteMember& self() const { return self_; }
   bool leads() const { return leads_; }
   // True if all nodes send their heartbeats to the leader.
   bool is_flat() const {
@@ -123,7 +123,7 @@
  private:
   // A node that sends its heartbeats to this one.
   struct Child {
-    Member member;
+    SiteMember member;
     MemberList subtree;
     absl::Time last_report;
   };
@@ -133,17 +133,17 @@
   // Removes children and records that the members must be merged.
   void ExpireChildren(absl::Time now);
   // Returns the members that children vouch for.
-  std::map<std::string, Member> VouchedMembers(absl::Time now) const;
-  void MergeIntoMembers(const std::map<std::string, Member>& vouched,
+  std::map<std::string, SiteMember> VouchedMembers(absl::Time now) const;
+  void MergeIntoMembers(const std::map<std::string, SiteMember>& vouched,
                         absl::Time now);
-  void MergeIntoSubtree(const std::map<std::string, Member>& vouched);
+  void MergeIntoSubtree(const std::map<std::string, SiteMember>& vouched);
   void RebuildTree();
   void Avoid(const std::string& name, absl::Time now);
   bool Avoided(const std::string& name, absl::Time now) const;
 
   const uint64_t incarnation_;
   const Options options_;
-  Member self_;
+  SiteMember self_;
   std::string leader_;
   int64_t epoch_ = 0;
   bool leads_ = false;  // This process is the leader.
@@ -160,7 +160,7 @@
   int64_t tree_changes_ = -1;  // MemberList::changes() as of `tree_`.
   std::string tree_leader_;
   std::map<std::string, absl::Time> avoided_until_;  // By name.
-  std::optional<Member> assigned_parent_;            // Named by the leader.
+  std::optional<SiteMember> assigned_parent_;        // Named by the leader.
   int unanswered_ = 0;  // Heartbeats in a row to the same node.
   std::string acknowledged_by_;
   ListState acknowledged_subtree_;  // As of the last answer of that node.
@@ -168,7 +168,7 @@
 
 // Returns up to `count` members in an order that depends on `salt`, without
 // those named in `except`.
-std::vector<const Member*> SampleMembers(
+std::vector<const SiteMember*> SampleMembers(
     const MemberList& members, size_t count, uint64_t salt,
     const std::vector<std::string>& except);
 
