Job scheduler: advisers are matched by name in one pass

Cause: each change of the members compared all advisers with all: 585 squared. Change: looked up by name. Also a clearer name in the heartbeats.

--- a/keelbridge/coordination/job_scheduler_advice.cc
+++ b/keelbridge/coordination/job_scheduler_advice.cc
@@ -72,13 +72,12 @@
 
 void JobScheduler::SetAdvisers(const std::vector<std::string>& nodes,
                                const std::string& self) {
+  absl::flat_hash_map<std::string, Adviser> known;
+  for (const Adviser& adviser : advisers_) known[adviser.node] = adviser;
   std::vector<Adviser> next;
   for (const std::string& node : nodes) {
-    Adviser adviser;
+    Adviser& adviser = known[node];
     adviser.node = node;
-    for (const Adviser& old : advisers_) {
-      if (old.node == node) adviser = old;
-    }
     next.push_back(adviser);
   }
   // With enough nodes, one or two of them take only short calls.
--- a/keelbridge/daemon/site_node_peers.cc
+++ b/keelbridge/daemon/site_node_peers.cc
@@ -289,11 +289,11 @@
 }
 
 absl::Duration SiteNode::SuspectAfter(absl::Duration timeout) const {
-  const int hops_to_parent = membership_.DepthOf(settings_.name) - 1;
+  const int parent_depth = membership_.DepthOf(settings_.name) - 1;
   // Nodes further down hear of the leader later, and do not take the loss of
   // their parent for that of the leader.
-  if (hops_to_parent > 0)
-    return kMaxSuspectAfter + hops_to_parent * HeartbeatPeriod();
+  if (parent_depth > 0)
+    return kMaxSuspectAfter + parent_depth * HeartbeatPeriod();
   const absl::Duration two_failures =
       HeartbeatPeriod() + kHeartbeatRetryDelay + 2 * timeout + kSuspicionMargin;
   return std::min(two_failures, kMaxSuspectAfter);
@@ -414,9 +414,9 @@
     RecordLeaderContact({epoch, at, in["accepts"].asBool()});
   }
   if (in["leader_gone"].asBool()) return election_.OnLeaderGone(now);
-  const int hops_to_parent = membership_.DepthOf(settings_.name) - 1;
+  const int parent_depth = membership_.DepthOf(settings_.name) - 1;
   const absl::Duration max_age =
-      kMaxParentAge + std::max(0, hops_to_parent - 1) * kParentAgeStep;
+      kMaxParentAge + std::max(0, parent_depth - 1) * kParentAgeStep;
   const bool parent_out_of_contact = !knows_leader || now - at > max_age;
   if (parent_out_of_contact && now - election_.last_contact() > max_age)
     membership_.OnParentWithoutLeader(target.name, now);
