Job scheduler: a zone that does not answer gets no tasks and no calls for advice

Cause: in a zone that is cut off each of 1,200 workers was found out by its own observation, up to 1.5 s later, and each of 111 nodes took a call for advice that ended after 0.5 s and more, until the membership dropped it 2.4 s after its parent: the more nodes and workers, the more jobs meet one. Change: five members of a zone in a row that leave calls unanswered, with no answer from the zone in between, make it silent until one answers, or for 1 s.

--- a/keelbridge/coordination/job_scheduler.h
+++ b/keelbridge/coordination/job_scheduler.h
@@ -51,6 +51,7 @@
 #include "keelbridge/coordination/scheduler_policy.h"
 #include "keelbridge/coordination/worker_loss.h"
 #include "keelbridge/coordination/worker_quota.h"
+#include "keelbridge/coordination/zone_silence.h"
 #include "keelbridge/overload/admission.h"
 #include "keelbridge/overload/work_admission.h"
 #include "keelbridge/protocol/job.h"
@@ -144,9 +145,14 @@
 
   // --- The site ---
   void SetConfiguration(std::shared_ptr<const SiteConfiguration> configuration);
+  // A node that can ask for advice.
+  struct AdviserNode {
+    std::string name;
+    std::string zone;
+  };
   // Sets the nodes that can ask for advice. `nodes` may contain this node,
   // `self`, which is then the first to be reserved for short calls.
-  void SetAdvisers(const std::vector<std::string>& nodes,
+  void SetAdvisers(const std::vector<AdviserNode>& nodes,
                    const std::string& self);
   // While suspended, the scheduler starts nothing and extends no lease, because
   // this leader may have been replaced without having learned of it.
@@ -355,6 +361,7 @@
   };
   struct Adviser {
     std::string node;
+    std::string zone;
     bool short_only = false;  // Takes only short calls.
     absl::Time busy_until = absl::InfinitePast();
     absl::Time avoid_until = absl::InfinitePast();
@@ -1034,6 +1041,9 @@
   absl::btree_map<SearchKey, Worker*> search_order_;
   SearchKey search_cursor_;
   PoolTotals pool_totals_;
+  // Zones whose workers, or whose advisers, leave calls unanswered.
+  ZoneSilence worker_silence_{ZoneSilence::Options()};
+  ZoneSilence adviser_silence_{ZoneSilence::Options()};
   // By the machine in its record: the workers that were found there.
   absl::flat_hash_map<std::string, std::vector<Worker*>> by_machine_;
   // Workers with ends that are not durable yet.
--- a/keelbridge/coordination/job_scheduler_advice.cc
+++ b/keelbridge/coordination/job_scheduler_advice.cc
@@ -70,14 +70,15 @@
 
 }  // namespace
 
-void JobScheduler::SetAdvisers(const std::vector<std::string>& nodes,
+void JobScheduler::SetAdvisers(const std::vector<AdviserNode>& nodes,
                                const std::string& self) {
   absl::flat_hash_map<std::string, Adviser> known;
   for (const Adviser& adviser : advisers_) known[adviser.node] = adviser;
   std::vector<Adviser> next;
-  for (const std::string& node : nodes) {
-    Adviser& adviser = known[node];
-    adviser.node = node;
+  for (const AdviserNode& node : nodes) {
+    Adviser& adviser = known[node.name];
+    adviser.node = node.name;
+    adviser.zone = node.zone;
     next.push_back(adviser);
   }
   // With enough nodes, one or two of them take only short calls.
@@ -94,7 +95,9 @@
   const bool is_short = cost_ms < kShortAdviceMs;
   Adviser* best = nullptr;
   for (Adviser& adviser : advisers_) {
-    if (adviser.avoid_until > now.mono) continue;
+    if (adviser.avoid_until > now.mono ||
+        adviser_silence_.IsSilent(adviser.zone, now.mono))
+      continue;
     if (!is_short && adviser.short_only) continue;
     if (best == nullptr || adviser.busy_until < best->busy_until)
       best = &adviser;
@@ -502,8 +505,12 @@
   const auto found = jobs_.find(action.request.step.job);
   for (Adviser& adviser : advisers_) {
     if (adviser.node != action.adviser) continue;
-    if (!reply.answered && !reply.overloaded)
-      adviser.avoid_until = now.mono + kAdviserAvoidance;
+    if (reply.answered || reply.overloaded) {
+      adviser_silence_.OnAnswered(adviser.zone);
+      continue;
+    }
+    adviser.avoid_until = now.mono + kAdviserAvoidance;
+    adviser_silence_.OnUnanswered(adviser.zone, adviser.node, now.mono);
   }
   if (found == jobs_.end()) return;
   StepState* step = found->second->FindStep(action.request.step);
--- a/keelbridge/coordination/job_scheduler_placement.cc
+++ b/keelbridge/coordination/job_scheduler_placement.cc
@@ -469,6 +469,7 @@
     return false;
   if (worker.suspect_until > now.mono || !IsReachable(worker, now))
     return false;
+  if (worker_silence_.IsSilent(worker.record.zone, now.mono)) return false;
   const auto& labels = worker.record.labels;
   return spec.label.empty() ||
          std::find(labels.begin(), labels.end(), spec.label) != labels.end();
--- a/keelbridge/coordination/job_scheduler_workers.cc
+++ b/keelbridge/coordination/job_scheduler_workers.cc
@@ -156,6 +156,7 @@
 void JobScheduler::UpdateClock(Worker& worker, int64_t clock_ms,
                                absl::Time at) {
   if (clock_ms < 0) return;
+  worker_silence_.OnAnswered(worker.record.zone);
   // Answers on different connections may arrive out of order.
   if (worker.clock_ms >= 0 && clock_ms < worker.clock_ms) return;
   // From the worker's first answer on, this leader may extend its lease.
@@ -286,6 +287,8 @@
       worker.suspect_until = now.mono + kSuspectAfterRefusal;
       break;
     case OrderResult::kNotSent:
+      worker_silence_.OnUnanswered(worker.record.zone, worker.record.id,
+                                   now.mono);
       worker.suspect_until = now.mono + kRetryAfterRefusal;
       break;
     case OrderResult::kBadTicket:
@@ -458,6 +461,7 @@
 
 void JobScheduler::RecordUnanswered(Worker& worker, Now now) {
   worker.unanswered_since = std::min(worker.unanswered_since, now.mono);
+  worker_silence_.OnUnanswered(worker.record.zone, worker.record.id, now.mono);
 }
 
 void JobScheduler::RecordAnswered(Worker& worker, Now now) {
@@ -477,10 +481,13 @@
     return;
   if (reply.result == OrderResult::kUnknown) RecordUnanswered(worker, now);
   // Nothing listens at the worker's address, so a start would fail, too.
-  if (reply.result == OrderResult::kNotSent)
+  if (reply.result == OrderResult::kNotSent) {
+    worker_silence_.OnUnanswered(worker.record.zone, worker.record.id,
+                                 now.mono);
     worker.suspect_until =
         std::max(worker.suspect_until,
                  now.mono + kObserveRetryDelay + kRetryAfterRefusal);
+  }
   if (worker.failing_since == absl::InfiniteFuture()) {
     worker.failing_since = now.mono;
     failing_workers_.insert(&worker);
--- a/keelbridge/daemon/leader_session.cc
+++ b/keelbridge/daemon/leader_session.cc
@@ -456,7 +456,8 @@
   ScheduleCycle();
 }
 
-void LeaderSession::SetAdvisers(const std::vector<std::string>& nodes) {
+void LeaderSession::SetAdvisers(
+    const std::vector<JobScheduler::AdviserNode>& nodes) {
   scheduler_.SetAdvisers(nodes, options_.node);
 }
 
--- a/keelbridge/daemon/site_node_peers.cc
+++ b/keelbridge/daemon/site_node_peers.cc
@@ -197,13 +197,14 @@
 
 void SiteNode::PublishMembers() {
   std::vector<ElectionPeer> candidates;
-  std::vector<std::string> advisers = {settings_.name};
+  std::vector<JobScheduler::AdviserNode> advisers = {
+      {settings_.name, settings_.zone}};
   std::vector<OrderRouting::Node> order_relays;
   for (const auto& [name, member] : membership_.members().members()) {
     if (name == settings_.name) continue;
     candidates.push_back({name, member.capacity, member.store_ok,
                           membership_.DepthOf(name) == 1});
-    advisers.push_back(name);
+    advisers.push_back({name, member.zone});
     order_relays.push_back(
         {name, member.address, member.zone, member.capacity});
   }
--- a/testing/support/scheduler_driver.h
+++ b/testing/support/scheduler_driver.h
@@ -99,13 +99,14 @@
     queue.advice = AdviceTerms();
     configuration->queues.push_back(queue);
     scheduler_.SetConfiguration(configuration);
-    scheduler_.SetAdvisers({"n"}, "n");
+    scheduler_.SetAdvisers({{"n", ""}}, "n");
   }
 
   void UseAdvisers(int count) {
-    std::vector<std::string> nodes;
+    std::vector<JobScheduler::AdviserNode> nodes;
     nodes.reserve(static_cast<size_t>(count));
-    for (int i = 0; i < count; ++i) nodes.push_back("n" + std::to_string(i));
+    for (int i = 0; i < count; ++i)
+      nodes.push_back({"n" + std::to_string(i), ""});
     scheduler_.SetAdvisers(nodes, "n0");
   }
 
--- a/testing/support/site_simulation.cc
+++ b/testing/support/site_simulation.cc
@@ -397,11 +397,11 @@
     leader->scheduler->OnEarlierLeaderSeen(epoch, at);
   leader_start_times_.emplace(leader->epoch, now_);
   leader->scheduler->SetConfiguration(configuration_);
-  std::vector<std::string> advisers;
+  std::vector<JobScheduler::AdviserNode> advisers;
   advisers.reserve(static_cast<size_t>(options_.advisers));
   for (int i = 0; i < options_.advisers; ++i)
-    advisers.push_back(absl::StrCat("node-", i));
-  leader->scheduler->SetAdvisers(advisers, advisers.front());
+    advisers.push_back({absl::StrCat("node-", i), ""});
+  leader->scheduler->SetAdvisers(advisers, advisers.front().name);
   for (WorkerSlot& slot : workers_) {
     const WorkerRecord record = slot.incarnation->record();
     if (Draw() >= options_.unlisted_workers) {
