--- a/keelbridge/coordination/order_routing_test.cc
+++ b/keelbridge/coordination/order_routing_test.cc
@@ -89,6 +89,7 @@
     CAPTURE(nodes_in_zone);
     OrderRouting routing(SmallOptions());
     std::vector<OrderRouting::Node> nodes;
+    nodes.reserve(static_cast<size_t>(nodes_in_zone));
     for (int i = 0; i < nodes_in_zone; ++i)
       nodes.push_back({"n" + std::to_string(i), "a", "west", 0.2});
     routing.SetNodes(nodes, 0.5);
@@ -109,6 +110,7 @@
 TEST_CASE("order routing: the loss of a relay moves only its own workers") {
   OrderRouting routing(SmallOptions());
   std::vector<OrderRouting::Node> nodes;
+  nodes.reserve(8);
   for (int i = 0; i < 8; ++i)
     nodes.push_back({"n" + std::to_string(i), "a", "west", 0.2});
   routing.SetNodes(nodes, 0.5);
--- a/keelbridge/coordination/site_election_test.cc
+++ b/keelbridge/coordination/site_election_test.cc
@@ -224,6 +224,7 @@
   const auto claim_after = [](bool watches_leader) {
     SiteElection node = MakeWithCapacity("node", 1);
     std::vector<ElectionPeer> peers;
+    peers.reserve(8);
     for (int i = 0; i < 8; ++i)
       peers.push_back({"peer" + std::to_string(i), 1, true, i < 4});
     node.OnControlRead({ToRecord(Leader(3, "gone", 7))}, 3, kBegin);
--- a/testing/large_site_test.cc
+++ b/testing/large_site_test.cc
@@ -19,15 +19,15 @@
 // Submits the jobs of a few seconds to an idle site and returns how many
 // workers were tried for each start.
 double WorkersTriedPerStart(int workers, const WideSite::Work& work) {
-  constexpr int kJobs = 60;
+  constexpr JobId kJobs = 60;
   WideSite site(workers, /*advisers=*/300);
-  for (int i = 0; i < kJobs; ++i) {
-    site.Submit(static_cast<JobId>(i + 1), "restore", work);
-    site.RunUntil(absl::Milliseconds(200 + i * 50));
+  for (JobId id = 1; id <= kJobs; ++id) {
+    site.Submit(id, "restore", work);
+    site.RunUntil(absl::Milliseconds(150 + id * 50));
   }
   site.RunUntil(absl::Milliseconds(5000));
   const SchedulerFigures figures = site.driver().scheduler().figures();
-  CHECK(figures.starts >= kJobs * work.count * 9 / 10);
+  CHECK(figures.starts >= int64_t{kJobs} * work.count * 9 / 10);
   return static_cast<double>(figures.workers_tried) /
          static_cast<double>(figures.starts);
 }
