What a second reading of the whole change found

Causes and changes: - A gang whose queue needs no advice saw only the 1,600 workers that one search visits, so a wide one on a large, full site could never start. Gangs look at all workers again (large_site_test: a gang of 1,800 on every third of 6,000). - The workers known to be eligible were collected by two functions, the age of news was written by two; now one each. Index functions of the workers stand together in job_scheduler_search.cc; an unused accessor is gone. - A leader refused the heartbeats of nodes of the version before the tree, so that none of them was ready during a rolling restart. The fuzzer found that a list without an owner was taken, and then sent whole each time; it is refused.

--- a/keelbridge/coordination/job_scheduler.h
+++ b/keelbridge/coordination/job_scheduler.h
@@ -145,11 +145,6 @@
 
   // --- The site ---
   void SetConfiguration(std::shared_ptr<const SiteConfiguration> configuration);
-  // A node that can ask for advice.
-  struct AdviserNode {
-    std::string name;
-    std::string zone;
-  };
   // Sets the nodes that can ask for advice. `nodes` may contain this node,
   // `self`, which is then the first to be reserved for short calls.
   void SetAdvisers(const std::vector<AdviserNode>& nodes,
@@ -413,10 +408,6 @@
   bool IsReachable(const Worker& worker, Now now) const;
   // Records for later leaders that this one may assign tasks to the worker.
   void PersistWorker(Worker& worker);
-  void SetRecord(Worker& worker, const WorkerRecord& record);
-  void RemoveFromMachine(Worker& worker);
-  // Observes the other workers that are recorded at the machine of `found`.
-  void ObserveOthersAtMachine(const Worker& found, Now now);
 
   // job_scheduler_departures.cc
   // Takes over when the worker leaves from its new record, which must not have
@@ -756,6 +747,15 @@
   // in any case.
   void VisitAdviceCandidates(const StepAdvice& advice,
                              absl::FunctionRef<bool(Worker&)> visit);
+  // Returns the workers that may run the step now, tickets aside: all of them,
+  // or on a large site a part that has enough free capacity.
+  std::vector<Worker*> FindAllUsableWorkers(const ReadyStep& ready, Now now);
+  std::vector<Worker*> SampleUsableWorkers(const ReadyStep& ready, Now now);
+  // Replaces the worker's record and indexes the worker by it.
+  void SetRecord(Worker& worker, const WorkerRecord& record);
+  void RemoveFromMachine(Worker& worker);
+  // Observes the other workers that are recorded at the machine of `found`.
+  void ObserveOthersAtMachine(const Worker& found, Now now);
   // Returns the workers that are known to be eligible, ordered by id.
   std::vector<Worker*> FindKnownWorkers(const StepAdvice& advice);
   // Call this whenever the worker's pool, capacity or free capacity changed.
--- a/keelbridge/coordination/job_scheduler_placement.cc
+++ b/keelbridge/coordination/job_scheduler_placement.cc
@@ -30,9 +30,6 @@
 constexpr double kPassIntervalLagShare = 0.25;
 // Maximum number of searches for advice candidates in one pass.
 constexpr int32_t kMaxAdviceSearches = 16;
-// Number of workers with free capacity among which the best one is chosen for a
-// task.
-constexpr size_t kMinUsableWorkers = 400;
 // The time for which a pass may make `kMaxAdviceSearches` searches. A pass that
 // examines late steps makes those of at most `kMaxSkippedPasses` passes.
 constexpr absl::Duration kAdviceSearchPeriod = absl::Milliseconds(20);
@@ -553,23 +550,12 @@
 
 std::vector<JobScheduler::Worker*> JobScheduler::FindUsableWorkers(
     const ReadyStep& ready, Now now) {
-  std::vector<Worker*> out;
   if (!ready.queue->advice.needed) {
-    // A gang needs places for all members at once.
-    const size_t enough =
-        ready.spec->gang
-            ? workers_.size()
-            : kMinUsableWorkers + static_cast<size_t>(ready.waiting);
-    size_t fitting = 0;
-    VisitWorkers([&](Worker& worker) {
-      if (!MayRun(worker, ready, now)) return true;
-      out.push_back(&worker);
-      if (CapacityNeeded(*ready.spec).FitsIn(UnreservedCapacity(worker)))
-        ++fitting;
-      return fitting < enough;
-    });
-    return out;
+    // A gang needs places for all its members at once.
+    return ready.spec->gang ? FindAllUsableWorkers(ready, now)
+                            : SampleUsableWorkers(ready, now);
   }
+  std::vector<Worker*> out;
   // Only a few workers have a ticket of the step, so the tickets are looked up
   // instead of searching all workers.
   for (const auto& [id, ticket] : ready.state->advice.tickets) {
--- a/keelbridge/coordination/job_scheduler_reservations.cc
+++ b/keelbridge/coordination/job_scheduler_reservations.cc
@@ -52,23 +52,14 @@
 
 std::vector<JobScheduler::Worker*> JobScheduler::FindWorkersToReserve(
     const ReadyStep& ready, Now now) {
-  std::vector<Worker*> out;
-  if (!ready.queue->advice.needed) {
-    for (auto& [id, worker] : workers_) {
-      if (MayRun(*worker, ready, now)) out.push_back(worker.get());
-    }
-    return out;
-  }
-  for (const auto& [id, eligible] : ready.state->advice.known) {
-    if (!eligible) continue;
-    const auto found = workers_.find(id);
-    if (found != workers_.end() && MayRun(*found->second, ready, now))
-      out.push_back(found->second.get());
-  }
-  std::sort(out.begin(), out.end(), [](const Worker* a, const Worker* b) {
-    return a->record.id < b->record.id;
-  });
-  return out;
+  if (!ready.queue->advice.needed) return FindAllUsableWorkers(ready, now);
+  std::vector<Worker*> known = FindKnownWorkers(ready.state->advice);
+  const auto unusable = [&](const Worker* worker) {
+    return !MayRun(*worker, ready, now);
+  };
+  known.erase(std::remove_if(known.begin(), known.end(), unusable),
+              known.end());
+  return known;
 }
 
 std::vector<JobScheduler::ReservationOption>
--- a/keelbridge/coordination/job_scheduler_search.cc
+++ b/keelbridge/coordination/job_scheduler_search.cc
@@ -1,5 +1,5 @@
-// Searches for workers, and totals over them, whose cost does not grow with the
-// number of workers.
+// Indexes of the workers, and searches and totals whose cost does not grow with
+// their number.
 
 #include <algorithm>
 #include <utility>
@@ -16,6 +16,9 @@
 // and all workers get their turn on a busy site. The tasks of a step thus run
 // in one or two zones, so that the loss of a zone hits few jobs.
 constexpr size_t kMaxVisitedWorkers = 1600;
+// Number of workers with free capacity among which the best one is chosen for a
+// task.
+constexpr size_t kMinUsableWorkers = 400;
 // Advice is requested for at most this multiple of the work that fits into the
 // free capacity, because part of the capacity that a request covers turns out
 // to be unusable.
@@ -46,6 +49,30 @@
   search_cursor_ = next == search_order_.end() ? SearchKey() : next->first;
 }
 
+std::vector<JobScheduler::Worker*> JobScheduler::FindAllUsableWorkers(
+    const ReadyStep& ready, Now now) {
+  std::vector<Worker*> usable;
+  for (auto& [id, worker] : workers_) {
+    if (MayRun(*worker, ready, now)) usable.push_back(worker.get());
+  }
+  return usable;
+}
+
+std::vector<JobScheduler::Worker*> JobScheduler::SampleUsableWorkers(
+    const ReadyStep& ready, Now now) {
+  const size_t enough = kMinUsableWorkers + static_cast<size_t>(ready.waiting);
+  const Resources need = CapacityNeeded(*ready.spec);
+  std::vector<Worker*> usable;
+  size_t fitting = 0;
+  VisitWorkers([&](Worker& worker) {
+    if (!MayRun(worker, ready, now)) return true;
+    usable.push_back(&worker);
+    if (need.FitsIn(UnreservedCapacity(worker))) ++fitting;
+    return fitting < enough;
+  });
+  return usable;
+}
+
 std::vector<JobScheduler::Worker*> JobScheduler::FindKnownWorkers(
     const StepAdvice& advice) {
   std::vector<Worker*> known;
@@ -69,6 +96,38 @@
   });
 }
 
+void JobScheduler::SetRecord(Worker& worker, const WorkerRecord& record) {
+  if (worker.record.machine != record.machine) {
+    RemoveFromMachine(worker);
+    if (!record.machine.empty()) by_machine_[record.machine].push_back(&worker);
+  }
+  search_order_.erase({worker.record.zone, worker.record.id});
+  worker.record = record;
+  search_order_[{record.zone, record.id}] = &worker;
+  CountCapacity(worker);
+}
+
+void JobScheduler::RemoveFromMachine(Worker& worker) {
+  const auto found = by_machine_.find(worker.record.machine);
+  if (found == by_machine_.end()) return;
+  std::vector<Worker*>& workers = found->second;
+  workers.erase(std::remove(workers.begin(), workers.end(), &worker),
+                workers.end());
+  if (workers.empty()) by_machine_.erase(found);
+}
+
+// A machine runs one incarnation at a time. The records do not show which one,
+// since the record of an ended incarnation may linger.
+void JobScheduler::ObserveOthersAtMachine(const Worker& found, Now now) {
+  const auto workers = by_machine_.find(found.record.machine);
+  if (workers == by_machine_.end()) return;
+  for (Worker* other : workers->second) {
+    if (other == &found) continue;
+    other->next_observe = now.mono;
+    ScheduleCheck(*other);
+  }
+}
+
 void JobScheduler::CountCapacity(Worker& worker) {
   pool_totals_.Set(&worker.counted,
                    {worker.record.pool, worker.record.capacity, worker.free});
--- a/keelbridge/coordination/job_scheduler_workers.cc
+++ b/keelbridge/coordination/job_scheduler_workers.cc
@@ -104,38 +104,6 @@
   placement_wanted_ = true;
 }
 
-void JobScheduler::SetRecord(Worker& worker, const WorkerRecord& record) {
-  if (worker.record.machine != record.machine) {
-    RemoveFromMachine(worker);
-    if (!record.machine.empty()) by_machine_[record.machine].push_back(&worker);
-  }
-  search_order_.erase({worker.record.zone, worker.record.id});
-  worker.record = record;
-  search_order_[{record.zone, record.id}] = &worker;
-  CountCapacity(worker);
-}
-
-void JobScheduler::RemoveFromMachine(Worker& worker) {
-  const auto found = by_machine_.find(worker.record.machine);
-  if (found == by_machine_.end()) return;
-  std::vector<Worker*>& workers = found->second;
-  workers.erase(std::remove(workers.begin(), workers.end(), &worker),
-                workers.end());
-  if (workers.empty()) by_machine_.erase(found);
-}
-
-// A machine runs one incarnation at a time. The records do not show which one,
-// since the record of an ended incarnation may linger.
-void JobScheduler::ObserveOthersAtMachine(const Worker& found, Now now) {
-  const auto workers = by_machine_.find(found.record.machine);
-  if (workers == by_machine_.end()) return;
-  for (Worker* other : workers->second) {
-    if (other == &found) continue;
-    other->next_observe = now.mono;
-    ScheduleCheck(*other);
-  }
-}
-
 void JobScheduler::PersistWorker(Worker& worker) {
   worker.leased_by_epoch = epoch_;
   worker.retired = false;
--- a/keelbridge/coordination/scheduler_actions.h
+++ b/keelbridge/coordination/scheduler_actions.h
@@ -19,6 +19,12 @@
 
 namespace keelbridge {
 
+// A node that can ask for advice.
+struct AdviserNode {
+  std::string name;
+  std::string zone;
+};
+
 // Sends the order to start a run to a worker.
 struct StartAction {
   WorkerRecord worker;
--- a/keelbridge/daemon/leader_session.cc
+++ b/keelbridge/daemon/leader_session.cc
@@ -456,8 +456,7 @@
   ScheduleCycle();
 }
 
-void LeaderSession::SetAdvisers(
-    const std::vector<JobScheduler::AdviserNode>& nodes) {
+void LeaderSession::SetAdvisers(const std::vector<AdviserNode>& nodes) {
   scheduler_.SetAdvisers(nodes, options_.node);
 }
 
--- a/keelbridge/daemon/leader_session.h
+++ b/keelbridge/daemon/leader_session.h
@@ -82,7 +82,7 @@
                         std::function<void(ClientReply)> reply,
                         std::function<void()> dropped);
   void SetConfiguration(std::shared_ptr<const SiteConfiguration> configuration);
-  void SetAdvisers(const std::vector<JobScheduler::AdviserNode>& nodes);
+  void SetAdvisers(const std::vector<AdviserNode>& nodes);
   void OnEarlierLeadersStopped(absl::Time last_order);
   void OnEarlierLeaderSeen(int64_t epoch, absl::Time at) {
     scheduler_.OnEarlierLeaderSeen(epoch, at);
--- a/keelbridge/daemon/membership_messages.cc
+++ b/keelbridge/daemon/membership_messages.cc
@@ -8,8 +8,8 @@
 namespace keelbridge {
 namespace {
 
-// Members of a row that describes a member. A list has many rows, so they are
-// arrays without names.
+// Positions of the fields of a member, and of a list's state below. A list has
+// many members, so they are arrays without names.
 enum MemberField : Json::ArrayIndex {
   kName,
   kAddress,
@@ -18,7 +18,6 @@
   kCapacity,
   kMemberFields
 };
-// Members of a list's state.
 enum StateField : Json::ArrayIndex { kOwner, kVersion, kDigest, kStateFields };
 
 Json::Value MemberToJson(const SiteMember& member) {
@@ -90,6 +89,8 @@
   auto state = StateFromJson(in["state"]);
   if (!state) return state.error();
   update.state = state.value();
+  if (update.state.owner == 0)
+    return MakeError(ErrorCode::kInvalid, "a list without an owner");
   for (const Json::Value& row : in["changed"]) {
     auto member = MemberFromJson(row);
     if (!member) return member.error();
@@ -128,6 +129,19 @@
   return report;
 }
 
+Result<HeartbeatReport> EarlierHeartbeatFromJson(const Json::Value& in) {
+  const bool readable = in.isObject() && in["node"].isString() &&
+                        !in["node"].asString().empty() &&
+                        in["address"].isString() && in["zone"].isString() &&
+                        in["store_ok"].isBool() && in["capacity"].isNumeric();
+  if (!readable) return MakeError(ErrorCode::kInvalid, "not a heartbeat");
+  HeartbeatReport report;
+  report.sender = {in["node"].asString(), in["address"].asString(),
+                   in["zone"].asString(), in["store_ok"].asBool(),
+                   in["capacity"].asDouble()};
+  return report;
+}
+
 Json::Value ToJson(const HeartbeatReportAnswer& answer) {
   Json::Value out(Json::objectValue);
   out["known_subtree"] = StateToJson(answer.known_subtree);
--- a/keelbridge/daemon/membership_messages.h
+++ b/keelbridge/daemon/membership_messages.h
@@ -17,6 +17,9 @@
 // Returns an error if `in` is no report. A list of more than
 // MemberList::kMaxMembers members is refused unread.
 Result<HeartbeatReport> HeartbeatReportFromJson(const Json::Value& in);
+// Reads the heartbeat of a node of an earlier version, which describes only its
+// sender: a direct child without a subtree that keeps no list.
+Result<HeartbeatReport> EarlierHeartbeatFromJson(const Json::Value& in);
 Json::Value ToJson(const HeartbeatReportAnswer& answer);
 Result<HeartbeatReportAnswer> HeartbeatReportAnswerFromJson(
     const Json::Value& in);
--- a/keelbridge/daemon/membership_messages_test.cc
+++ b/keelbridge/daemon/membership_messages_test.cc
@@ -45,6 +45,23 @@
   CHECK(HeartbeatReportFromJson(ToJson(report)));
 }
 
+TEST_CASE("membership messages: the heartbeat of an earlier version is read") {
+  Json::Value in(Json::objectValue);
+  in["node"] = kMember.name;
+  in["address"] = kMember.address;
+  in["zone"] = kMember.zone;
+  in["store_ok"] = kMember.store_ok;
+  in["capacity"] = kMember.capacity;
+  in["peers_version"] = 7;
+  const auto report = EarlierHeartbeatFromJson(in);
+  REQUIRE(report);
+  CHECK(report.value().sender == kMember);
+  CHECK(report.value().subtree.empty());
+  in["store_ok"] = "yes";
+  CHECK_FALSE(EarlierHeartbeatFromJson(in));
+  CHECK_FALSE(EarlierHeartbeatFromJson(Json::Value()));
+}
+
 TEST_CASE("membership messages: what is no report is refused") {
   CHECK_FALSE(HeartbeatReportFromJson(Json::Value()));
   CHECK_FALSE(HeartbeatReportFromJson(Json::Value(Json::objectValue)));
@@ -58,6 +75,7 @@
   SUBCASE("a removed member that is a number") {
     in["subtree"]["removed"][0] = 1;
   }
+  SUBCASE("a list without an owner") { in["subtree"]["state"][0] = 0; }
   SUBCASE("more members than a list may have") {
     in["subtree"]["changed"].resize(MemberList::kMaxMembers + 1);
   }
--- a/keelbridge/daemon/node_messages.cc
+++ b/keelbridge/daemon/node_messages.cc
@@ -12,6 +12,8 @@
 namespace keelbridge {
 namespace {
 
+constexpr absl::Duration kMaxReportedAge = absl::Hours(1);
+
 Json::Value ToJson(const Caller& caller) {
   Json::Value out(Json::objectValue);
   if (!caller.key.empty()) out["key"] = caller.key;
@@ -312,6 +314,12 @@
 
 }  // namespace
 
+Json::Value AgeToJson(absl::Duration age) {
+  const absl::Duration reported =
+      absl::Ceil(std::min(age, kMaxReportedAge), absl::Milliseconds(1));
+  return Json::Int64(absl::ToInt64Milliseconds(reported));
+}
+
 Json::Value ToJson(const ClientCall& call) {
   Json::Value out(Json::objectValue);
   out["kind"] = static_cast<int>(call.kind);
--- a/keelbridge/daemon/node_messages.h
+++ b/keelbridge/daemon/node_messages.h
@@ -15,6 +15,8 @@
 
 namespace keelbridge {
 
+// Returns an age in whole milliseconds, rounded up, of at most an hour.
+Json::Value AgeToJson(absl::Duration age);
 Json::Value ToJson(const ClientCall& call);
 // Returns an error if `in` is not a call that a leader can answer. A submitted
 // job has passed `CheckJobSpec`.
--- a/keelbridge/daemon/site_node.h
+++ b/keelbridge/daemon/site_node.h
@@ -142,6 +142,8 @@
                          absl::Time sent);
   void OnHeartbeatUnanswered(const RpcOutcome& outcome,
                              const HeartbeatTarget& target);
+  // Handles what the answer of the node `from` states about members.
+  void HandleMembersOf(const std::string& from, const Json::Value& in);
   void OnLeaderAnswer(const Json::Value& in, const LeaderRecord& to);
   void OnParentAnswer(const Json::Value& in, const HeartbeatTarget& target,
                       absl::Time sent);
--- a/keelbridge/daemon/site_node_configuration.cc
+++ b/keelbridge/daemon/site_node_configuration.cc
@@ -6,6 +6,7 @@
 #include "absl/strings/str_cat.h"
 #include "keelbridge/base/clock.h"
 #include "keelbridge/base/logging.h"
+#include "keelbridge/daemon/node_messages.h"
 #include "keelbridge/daemon/site_node.h"
 #include "keelbridge/transport/event_timer.h"
 
@@ -28,10 +29,6 @@
 constexpr absl::Duration kParentFetchTime = absl::Milliseconds(700);
 constexpr absl::Duration kFollowWait = absl::Seconds(20);
 constexpr absl::Duration kFollowTimeout = absl::Seconds(22);
-// Ages are reported to peers in whole milliseconds, rounded up, up to a
-// maximum.
-constexpr absl::Duration kAgeUnit = absl::Milliseconds(1);
-constexpr absl::Duration kMaxReportedAge = absl::Hours(1);
 
 }  // namespace
 
@@ -219,9 +216,7 @@
 
 void SiteNode::DescribeConfiguration(Json::Value* out) const {
   (*out)["configuration_version"] = Json::Int64(configuration_version());
-  const absl::Duration age = std::min(ConfigurationAge(), kMaxReportedAge);
-  (*out)["configuration_age_ms"] =
-      Json::Int64(absl::ToInt64Milliseconds(absl::Ceil(age, kAgeUnit)));
+  (*out)["configuration_age_ms"] = AgeToJson(ConfigurationAge());
 }
 
 void SiteNode::OnPeerConfiguration(const std::string& address,
--- a/keelbridge/daemon/site_node_peers.cc
+++ b/keelbridge/daemon/site_node_peers.cc
@@ -47,16 +47,8 @@
 constexpr size_t kMaxLeadersSeen = 16;
 constexpr int kInvalidParams = -32602;
 
-constexpr absl::Duration kMaxReportedAge = absl::Hours(1);
-
 JsonRpcReply Ok(Json::Value result) { return {std::move(result), 0, ""}; }
 
-// Returns the time since `at` in whole milliseconds, rounded up.
-Json::Int64 AgeMs(absl::Time at) {
-  const absl::Duration age = std::min(SystemNow().mono - at, kMaxReportedAge);
-  return absl::ToInt64Milliseconds(absl::Ceil(age, absl::Milliseconds(1)));
-}
-
 }  // namespace
 
 void SiteNode::AddPeerMethods() {
@@ -138,7 +130,7 @@
     if (leads)
       out["age_ms"] = 0;
     else if (same_epoch && leader_contact_.accepts)
-      out["age_ms"] = AgeMs(leader_contact_.at);
+      out["age_ms"] = AgeToJson(SystemNow().mono - leader_contact_.at);
     reply(Ok(out));
   });
   peer_server_.Add("take_over", [this](const Json::Value& params,
@@ -197,8 +189,7 @@
 
 void SiteNode::PublishMembers() {
   std::vector<ElectionPeer> candidates;
-  std::vector<JobScheduler::AdviserNode> advisers = {
-      {settings_.name, settings_.zone}};
+  std::vector<AdviserNode> advisers = {{settings_.name, settings_.zone}};
   std::vector<OrderRouting::Node> order_relays;
   for (const auto& [name, member] : membership_.members().members()) {
     if (name == settings_.name) continue;
@@ -238,7 +229,9 @@
 }
 
 Result<Json::Value> SiteNode::HandleHeartbeat(const Json::Value& params) {
-  auto report = HeartbeatReportFromJson(params["members"]);
+  auto report = params.isMember("members")
+                    ? HeartbeatReportFromJson(params["members"])
+                    : EarlierHeartbeatFromJson(params);
   if (!report) return report.error();
   auto applied = MemberList::ApplyResult::kApplied;
   const HeartbeatReportAnswer members =
@@ -257,7 +250,8 @@
   out["accepts"] = leads ? session_->CanAccept() : leader_contact_.accepts;
   out["contact_epoch"] =
       Json::Int64(leads ? session_->epoch() : leader_contact_.epoch);
-  out["contact_age_ms"] = leads ? Json::Int64(0) : AgeMs(leader_contact_.at);
+  out["contact_age_ms"] = AgeToJson(
+      leads ? absl::ZeroDuration() : SystemNow().mono - leader_contact_.at);
   out["leader_gone"] = election_.leader_gone();
   out["draining"] = draining_;
   out["leader"] = ToJson(election_.leader());
@@ -369,13 +363,8 @@
   failed_heartbeats_ = 0;
   heartbeat_times_.OnAnswer(now - sent);
   election_.OnLeaderReported(LeaderFromJson(in["leader"]), now);
-  auto members = HeartbeatReportAnswerFromJson(in["members"]);
-  if (members)
-    LogUnlessApplied(membership_.OnAnswer(target.name, members.value()),
-                     target.name);
-  else
-    LogEvent(Severity::kWarning, "members_unreadable",
-             {{"from", target.name}, {"why", members.error().message}});
+  // A leader of an earlier version says nothing of members.
+  if (in.isMember("members")) HandleMembersOf(target.name, in["members"]);
   OnPeerConfiguration(target.address, in, sent);
   // The rest of the answer is about the leader that was known when the
   // heartbeat was sent; another one may have replaced it.
@@ -386,6 +375,14 @@
     OnParentAnswer(in, target, sent);
 }
 
+void SiteNode::HandleMembersOf(const std::string& from, const Json::Value& in) {
+  auto members = HeartbeatReportAnswerFromJson(in);
+  if (members)
+    return LogUnlessApplied(membership_.OnAnswer(from, members.value()), from);
+  LogEvent(Severity::kWarning, "members_unreadable",
+           {{"from", from}, {"why", members.error().message}});
+}
+
 void SiteNode::OnLeaderAnswer(const Json::Value& in, const LeaderRecord& to) {
   const absl::Time now = SystemNow().mono;
   if (in["boot"].asUInt64() != to.incarnation) {
--- a/keelbridge/membership/site_membership.h
+++ b/keelbridge/membership/site_membership.h
@@ -110,7 +110,6 @@
   // The members as of the leader's list, including this node once it is listed.
   const MemberList& members() const { return members_; }
   const SiteMember& self() const { return self_; }
-  bool leads() const { return leads_; }
   // True if all nodes send their heartbeats to the leader.
   bool is_flat() const {
     return members_.size() <= options_.tree.max_flat_site;
--- a/testing/large_site_test.cc
+++ b/testing/large_site_test.cc
@@ -2,6 +2,7 @@
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
 #include <set>
 #include <string>
 
@@ -133,6 +134,67 @@
   CHECK(many <= 16 * kMaxRatio * few);
 }
 
+// In a zone that is cut off, each of its nodes leaves a call for advice
+// unanswered.
+int CallsToSilentZone(int advisers) {
+  SchedulerDriver site(1);
+  site.UseAdvice({true, 11, 0.16, 1500});
+  std::vector<AdviserNode> nodes;
+  for (int i = 0; i < advisers; ++i) {
+    nodes.push_back({absl::StrCat("n", i), i % 2 == 0 ? "west" : "east"});
+    if (i % 2 == 0) site.silent_advisers.insert(nodes.back().name);
+  }
+  site.scheduler().SetAdvisers(nodes, "n0");
+  for (int i = 0; i < 200; ++i) {
+    const std::string name = absl::StrCat("w", 1000 + i);
+    site.AddWorker(name, 64000);
+    site.reports[name];
+    site.eligible.insert(name);
+  }
+  site.RunUntil(absl::Milliseconds(100));
+  for (JobId id = 1; id <= 100; ++id) {
+    JobSpec spec;
+    spec.steps.push_back(OneTask());
+    site.scheduler().Submit(id, "restore", spec, site.now());
+    site.RunUntil(absl::Milliseconds(100 + id * 20));
+  }
+  site.RunUntil(absl::Seconds(4));
+  CHECK(site.starts.size() == 100);
+  return static_cast<int>(
+      std::count_if(site.asked_advisers.begin(), site.asked_advisers.end(),
+                    [&](const std::string& node) {
+                      return site.silent_advisers.count(node) > 0;
+                    }));
+}
+
+TEST_CASE(
+    "large site: few calls for advice go to a zone that does not answer") {
+  const int few = CallsToSilentZone(40);
+  const int many = CallsToSilentZone(160);
+  MESSAGE("calls to a silent zone: " << few << " of 20 nodes, " << many
+                                     << " of 80");
+  CHECK(few > 0);
+  CHECK(many <= kMaxRatio * few);
+}
+
+// A gang whose queue needs no advice has to see all the room that there is.
+TEST_CASE("large site: a gang finds its places among all workers") {
+  WideSite site(kLarge, /*advisers=*/1);
+  Queue queue;
+  queue.name = "plain";
+  queue.pool = "pool";
+  site.UseQueues({queue});
+  // Every third worker has room for a member.
+  site.Submit(
+      1, "plain",
+      WideSite::Work{kLarge * 2 / 3, {60000, 1024, 0}, false, 60000, 60000});
+  site.RunUntil(absl::Seconds(8));
+  REQUIRE(site.Started(1) == kLarge * 2 / 3);
+  site.Submit(2, "plain", WideSite::Work{1800, {60000, 1024, 0}, true});
+  site.RunUntil(absl::Seconds(12));
+  CHECK(site.Started(2) == 1800);
+}
+
 TEST_CASE("large site: a scarce free worker is found however large the site") {
   // All workers but one are full, and the one is tried within a few searches.
   WideSite site(kLarge, /*advisers=*/300);
--- a/testing/support/scheduler_driver.h
+++ b/testing/support/scheduler_driver.h
@@ -103,7 +103,7 @@
   }
 
   void UseAdvisers(int count) {
-    std::vector<JobScheduler::AdviserNode> nodes;
+    std::vector<AdviserNode> nodes;
     nodes.reserve(static_cast<size_t>(count));
     for (int i = 0; i < count; ++i)
       nodes.push_back({"n" + std::to_string(i), ""});
@@ -186,7 +186,8 @@
   // Each advice call takes as long as its terms say, and each adviser handles
   // one call at a time.
   bool timed_advice = false;
-  bool hold_batches = false;  // The store accepts no appends.
+  std::set<std::string> silent_advisers;  // They answer no call for advice.
+  bool hold_batches = false;              // The store accepts no appends.
   // A run that a worker was ordered to stop ends `kMaxStopDuration` after the
   // order unless the test has ended it before. Otherwise only the test ends it.
   bool carry_out_stops = true;
@@ -194,6 +195,7 @@
   absl::Duration wall_clock_offset;
   // The workers that each advice call named.
   std::vector<std::vector<std::string>> advice_calls;
+  std::vector<std::string> asked_advisers;  // For each of `advice_calls`.
   // For each worker in `advice_calls`: the processor capacity that the step
   // expects to get there, in thousandths of a processor.
   std::vector<std::vector<int32_t>> expected_uses;
@@ -233,7 +235,8 @@
 
   void AnswerAdvice(const AskAdviceAction& ask) {
     AdviceReply reply;
-    reply.answered = true;
+    reply.answered = silent_advisers.count(ask.adviser) == 0;
+    if (!reply.answered) return scheduler_.OnAdvice(ask, reply, now());
     for (const std::string& worker : ask.request.workers) {
       const bool is_eligible_here = is_eligible
                                         ? is_eligible(ask.request.step, worker)
@@ -311,6 +314,7 @@
                                 now());
     } else if (const auto* ask = std::get_if<AskAdviceAction>(&action)) {
       advice_calls.push_back(ask->request.workers);
+      asked_advisers.push_back(ask->adviser);
       expected_uses.push_back(ask->expected_cpu_milli);
       if (hold_advice)
         held_advice_.push_back(*ask);
--- a/testing/support/site_simulation.cc
+++ b/testing/support/site_simulation.cc
@@ -397,7 +397,7 @@
     leader->scheduler->OnEarlierLeaderSeen(epoch, at);
   leader_start_times_.emplace(leader->epoch, now_);
   leader->scheduler->SetConfiguration(configuration_);
-  std::vector<JobScheduler::AdviserNode> advisers;
+  std::vector<AdviserNode> advisers;
   advisers.reserve(static_cast<size_t>(options_.advisers));
   for (int i = 0; i < options_.advisers; ++i)
     advisers.push_back({absl::StrCat("node-", i), ""});
--- a/testing/support/site_test_cluster.cc
+++ b/testing/support/site_test_cluster.cc
@@ -243,6 +243,10 @@
   return ReadGauge(index, "keelbridge_node_configuration_version");
 }
 
+int64_t SiteTestCluster::MemberCount(int index) {
+  return ReadGauge(index, "keelbridge_node_members");
+}
+
 int64_t SiteTestCluster::HeartbeatDepth(int index) {
   return ReadGauge(index, "keelbridge_node_heartbeat_depth");
 }
--- a/testing/support/site_test_cluster.h
+++ b/testing/support/site_test_cluster.h
@@ -60,6 +60,13 @@
   // if the node does not answer.
   int64_t ConfigurationVersion(int index);
 
+  // Returns the address at which the node serves other nodes.
+  const std::string& PeerAddress(int index) const {
+    return nodes_[Index(index)].peer_address;
+  }
+  // Returns how many members of the site the node knows, by its own metrics, or
+  // -1 if the node does not answer.
+  int64_t MemberCount(int index);
   // Returns the number of hops between the node and the leader, by its own
   // metrics, or -1 if the node does not answer.
   int64_t HeartbeatDepth(int index);
