Sight: what a placement pass ran out of, what workers were tried for, what holds kept off

Cause: of a leader that starts little, nothing told whether its passes end for lack of starts, searches or advisers, what workers are tried for, or whether free capacity is held.

--- a/keelbridge/coordination/job_scheduler.h
+++ b/keelbridge/coordination/job_scheduler.h
@@ -695,6 +695,8 @@
   // Counts the placement pass, and schedules the next one that examines late
   // steps.
   void CountPlacementPass(const std::vector<ReadyStep>& ready, Now now);
+  // Counts what the pass had too little of.
+  void CountWhatRanOut();
   // Records for the passes that defer late steps which jobs they may skip.
   void RecordDeferredJobs(const std::vector<ReadyStep>& ready);
   // Returns how many searches for advice candidates the pass may make.
@@ -710,6 +712,10 @@
   bool PlaceTasks(ReadyStep& ready, bool suspects,
                   const std::vector<Worker*>& usable, WorkerQuota& quota,
                   int32_t* may_start, Now now);
+  // Returns whether a task of the step would fit on one of the workers if
+  // nothing were reserved there.
+  static bool FitsWithoutReservations(const ReadyStep& ready,
+                                      const std::vector<Worker*>& usable);
   // Returns the best worker with capacity for the task, or null if there is
   // none. With `probe`, prefers the worker where a crash would lose the least.
   Worker* FindBestWorker(const ReadyStep& ready, const TaskState& task,
--- a/keelbridge/coordination/job_scheduler_placement.cc
+++ b/keelbridge/coordination/job_scheduler_placement.cc
@@ -284,6 +284,13 @@
                                           kMinLateInterval, kMaxLateInterval);
 }
 
+void JobScheduler::CountWhatRanOut() {
+  if (starts_left_ <= 0) ++figures_.passes_out_of_starts;
+  if (advice_searches_left_ <= 0) ++figures_.passes_out_of_searches;
+  if (short_advisers_busy_ || long_advisers_busy_)
+    ++figures_.passes_out_of_advisers;
+}
+
 // Each late step costs a pass as much as a timely one, and thousands may wait
 // after an overload, so most passes skip their jobs as a whole.
 void JobScheduler::RecordDeferredJobs(const std::vector<ReadyStep>& ready) {
@@ -401,6 +408,7 @@
   figures_.gangs_reserving = kept.gangs + kept.ready_gangs;
   ExplainWaiting(ready, now);
   if (!late_steps_deferred_) RecordDeferredJobs(ready);
+  CountWhatRanOut();
   // Late steps that can use free capacity as fast as the leader can order
   // starts continue in the next pass.
   if (starts_left_ <= 0) next_late_pass_ = now.mono;
@@ -605,6 +613,8 @@
                        : FindBestWorker(ready, task, probe, usable, quota, now);
     if (worker == nullptr && has_open_order) continue;
     if (worker == nullptr) {
+      if (FitsWithoutReservations(ready, usable))
+        ++figures_.blocked_by_reservations;
       RecordBlocked(ready, ready.state->advice.calls_in_flight > 0
                                ? "waits for advice"
                                : AccountLedger::WaitReason(
@@ -621,6 +631,14 @@
   return true;
 }
 
+bool JobScheduler::FitsWithoutReservations(const ReadyStep& ready,
+                                           const std::vector<Worker*>& usable) {
+  const Resources need = CapacityNeeded(*ready.spec);
+  return std::any_of(usable.begin(), usable.end(), [&](const Worker* worker) {
+    return worker->reserved != Resources() && need.FitsIn(worker->free);
+  });
+}
+
 JobScheduler::Worker* JobScheduler::FindBestWorker(
     const ReadyStep& ready, const TaskState& task, bool probe,
     const std::vector<Worker*>& usable, const WorkerQuota& quota,
--- a/keelbridge/coordination/job_scheduler_reservations.cc
+++ b/keelbridge/coordination/job_scheduler_reservations.cc
@@ -52,14 +52,20 @@
 
 std::vector<JobScheduler::Worker*> JobScheduler::FindWorkersToReserve(
     const ReadyStep& ready, Now now) {
-  if (!ready.queue->advice.needed) return FindAllUsableWorkers(ready, now);
-  std::vector<Worker*> known = FindKnownWorkers(ready.state->advice);
-  const auto unusable = [&](const Worker* worker) {
-    return !MayRun(*worker, ready, now);
-  };
-  known.erase(std::remove_if(known.begin(), known.end(), unusable),
-              known.end());
-  return known;
+  const int64_t tried_before = figures_.workers_tried;
+  std::vector<Worker*> usable;
+  if (!ready.queue->advice.needed) {
+    usable = FindAllUsableWorkers(ready, now);
+  } else {
+    usable = FindKnownWorkers(ready.state->advice);
+    const auto unusable = [&](const Worker* worker) {
+      return !MayRun(*worker, ready, now);
+    };
+    usable.erase(std::remove_if(usable.begin(), usable.end(), unusable),
+                 usable.end());
+  }
+  figures_.workers_tried_to_reserve += figures_.workers_tried - tried_before;
+  return usable;
 }
 
 std::vector<JobScheduler::ReservationOption>
--- a/keelbridge/coordination/job_scheduler_search.cc
+++ b/keelbridge/coordination/job_scheduler_search.cc
@@ -88,12 +88,17 @@
 
 void JobScheduler::VisitAdviceCandidates(
     const StepAdvice& advice, absl::FunctionRef<bool(Worker&)> visit) {
-  if (workers_.size() <= kMaxFullSearch) return VisitWorkers(visit);
+  const int64_t tried_before = figures_.workers_tried;
   // Workers that may run the step are few, and worth more than others.
-  for (Worker* worker : FindKnownWorkers(advice)) visit(*worker);
+  const bool known_first = workers_.size() > kMaxFullSearch;
+  if (known_first) {
+    for (Worker* worker : FindKnownWorkers(advice)) visit(*worker);
+  }
   VisitWorkers([&](Worker& worker) {
-    return advice.known.contains(worker.record.id) || visit(worker);
+    return (known_first && advice.known.contains(worker.record.id)) ||
+           visit(worker);
   });
+  figures_.workers_tried_for_advice += figures_.workers_tried - tried_before;
 }
 
 void JobScheduler::SetRecord(Worker& worker, const WorkerRecord& record) {
--- a/keelbridge/coordination/scheduler_figures.h
+++ b/keelbridge/coordination/scheduler_figures.h
@@ -47,6 +47,19 @@
   int64_t steps_examined = 0;
   int64_t late_steps_examined = 0;
   int64_t workers_tried = 0;
+  // The parts of `workers_tried` that were searches for capacity to reserve
+  // and for workers to ask advice about. The rest were searches for workers to
+  // start tasks on.
+  int64_t workers_tried_to_reserve = 0;
+  int64_t workers_tried_for_advice = 0;
+  // Placement passes that had no starts left, no searches for advice left, and
+  // no free adviser for a step that wanted to ask.
+  int64_t passes_out_of_starts = 0;
+  int64_t passes_out_of_searches = 0;
+  int64_t passes_out_of_advisers = 0;
+  // How often a step of single tasks found free capacity on workers that it may
+  // use, all of it reserved for other steps.
+  int64_t blocked_by_reservations = 0;
   // Crashes and unresponsive workers that lost workers were compared with.
   int64_t losses_compared = 0;
   // Worker reports that were ignored because a later report had arrived.
--- a/keelbridge/daemon/leader_session.cc
+++ b/keelbridge/daemon/leader_session.cc
@@ -503,6 +503,12 @@
   set("steps_looked_at", f.steps_examined);
   set("late_steps_looked_at", f.late_steps_examined);
   set("workers_tried", f.workers_tried);
+  set("workers_tried_to_hold", f.workers_tried_to_reserve);
+  set("workers_tried_for_advice", f.workers_tried_for_advice);
+  set("looks_out_of_starts", f.passes_out_of_starts);
+  set("looks_out_of_searches", f.passes_out_of_searches);
+  set("looks_out_of_advisers", f.passes_out_of_advisers);
+  set("steps_kept_off_by_holds", f.blocked_by_reservations);
   set("listings_passed_over", f.stale_reports_skipped);
   set("starts_unanswered", f.starts_unanswered);
   set("timely_work_milli_seconds", f.timely_work_milli_s);
@@ -558,6 +564,12 @@
             {"steps_looked_at", absl::StrCat(f.steps_examined)},
             {"late_steps_looked_at", absl::StrCat(f.late_steps_examined)},
             {"workers_tried", absl::StrCat(f.workers_tried)},
+            {"tried_to_hold", absl::StrCat(f.workers_tried_to_reserve)},
+            {"tried_for_advice", absl::StrCat(f.workers_tried_for_advice)},
+            {"looks_out_of_starts", absl::StrCat(f.passes_out_of_starts)},
+            {"looks_out_of_searches", absl::StrCat(f.passes_out_of_searches)},
+            {"looks_out_of_advisers", absl::StrCat(f.passes_out_of_advisers)},
+            {"kept_off_by_holds", absl::StrCat(f.blocked_by_reservations)},
             {"listings_passed_over", absl::StrCat(f.stale_reports_skipped)},
             {"starts_unanswered", absl::StrCat(f.starts_unanswered)},
             {"stops_sent", absl::StrCat(f.stops_sent)},
