--- a/testing/support/scheduler_driver.h
+++ b/testing/support/scheduler_driver.h
@@ -144,10 +144,13 @@
   // an entry in `reports` is answered with that entry.
   void RunUntil(absl::Duration until) {
     while (now_ < kBegin + until) {
-      now_ += absl::Milliseconds(20);
+      now_ += tick_interval;
       AnswerDueAdvice();
       CarryOutDueStops();
+      const SchedulerFigures before =
+          tick_cost ? scheduler_.figures() : SchedulerFigures();
       scheduler_.Tick(now());
+      if (tick_cost) tick_duration = tick_cost(before, scheduler_.figures());
       scheduler_.OnTickFinished(tick_duration, now());
       if (scheduler_.HasBatch() && !hold_batches) {
         const auto batch = scheduler_.TakeBatch();
@@ -191,7 +194,15 @@
   // A run that a worker was ordered to stop ends `kMaxStopDuration` after the
   // order unless the test has ended it before. Otherwise only the test ends it.
   bool carry_out_stops = true;
+  absl::Duration tick_interval = absl::Milliseconds(20);
   absl::Duration tick_duration;  // Tick duration reported to the scheduler.
+  // If set, computes the duration of a tick from the figures before and after
+  // it.
+  std::function<absl::Duration(const SchedulerFigures&,
+                               const SchedulerFigures&)>
+      tick_cost;
+  // If set, returns the terms of timed advice calls for a step.
+  std::function<AdviceTerms(const TaskId&)> advice_terms_of;
   absl::Duration wall_clock_offset;
   // The workers that each advice call named.
   std::vector<std::vector<std::string>> advice_calls;
@@ -247,10 +258,11 @@
   }
 
   void ScheduleAdvice(const AskAdviceAction& ask) {
+    const AdviceTerms terms =
+        advice_terms_of ? advice_terms_of(ask.request.step) : advice_terms_;
     const double duration_ms =
-        advice_terms_.base_ms +
-        advice_terms_.per_worker_ms *
-            static_cast<double>(ask.request.workers.size());
+        terms.base_ms +
+        terms.per_worker_ms * static_cast<double>(ask.request.workers.size());
     absl::Time& free_at = adviser_free_at_[ask.adviser];
     free_at = std::max(free_at, now_) + absl::Milliseconds(duration_ms);
     scheduled_advice_.emplace(free_at, ask);
--- a/testing/support/wide_site.h
+++ b/testing/support/wide_site.h
@@ -71,7 +71,8 @@
     return (hash >> 8) % 4 == 0;
   }
 
-  // Sets a configuration of these queues, none of which needs advice.
+  // Sets a configuration of these queues. If some need advice, the test sets
+  // its terms and which workers it accepts in the driver, too.
   void UseQueues(const std::vector<Queue>& queues) {
     auto configuration = std::make_shared<SiteConfiguration>();
     configuration->version = 3;
