Job scheduler: a pass may start as many tasks as time has passed since the last one

Cause: a pass starts 60 tasks at most, and the pause after it is twice what it took. Passes that get dearer get rarer, starts fall with them, what waits makes the next ones dearer. Nothing was held off by gangs (0 to 50 steps a second) and advisers were free in all passes, which rules the other two hypotheses out. Change: the limit is 60 for each 20 ms since the last pass, for 120 ms at most. A leader whose loop lags starts 20 for each delay of its passes, as before when passes are cheap. So starts a second no longer fall with the passes.

--- a/keelbridge/coordination/job_scheduler.h
+++ b/keelbridge/coordination/job_scheduler.h
@@ -699,6 +699,8 @@
   void CountWhatRanOut();
   // Records for the passes that defer late steps which jobs they may skip.
   void RecordDeferredJobs(const std::vector<ReadyStep>& ready);
+  // Returns how many tasks the pass may start.
+  int32_t StartLimit(Now now) const;
   // Returns how many searches for advice candidates the pass may make.
   int32_t AdviceSearchLimit(Now now) const;
   static bool IsLate(const ReadyStep& ready);
@@ -1061,6 +1063,7 @@
   absl::Time no_placement_before_ = absl::InfinitePast();
   absl::Time next_late_pass_ = absl::InfinitePast();
   absl::Time last_late_pass_ = absl::InfinitePast();
+  absl::Time last_pass_ = absl::InfinitePast();
   int64_t late_steps_ = 0;  // As of the last pass that examined late steps.
   // Steps that the current pass has skipped with their jobs, and the accounts
   // of these jobs.
--- a/keelbridge/coordination/job_scheduler_placement.cc
+++ b/keelbridge/coordination/job_scheduler_placement.cc
@@ -2,6 +2,7 @@
 // job_scheduler_gangs.cc places gangs, job_scheduler_advice.cc asks for advice.
 
 #include <algorithm>
+#include <cmath>
 #include <limits>
 #include <map>
 #include <string>
@@ -26,6 +27,13 @@
 // starts as many tasks as it can.
 constexpr int32_t kMaxStarts = 60;
 constexpr int32_t kMaxStartsWhenLagging = 20;
+// A pass may start as many tasks for each period since the previous pass, for
+// at most `kMaxStartPeriods`. Otherwise a leader whose passes are slow, and
+// thus rare, would start fewer tasks, and the growing backlog would make its
+// passes still slower. A period is `kStartPeriod`, or the delay of the pass by
+// a lag if that is longer.
+constexpr absl::Duration kStartPeriod = absl::Milliseconds(20);
+constexpr double kMaxStartPeriods = 6;
 constexpr absl::Duration kLagThreshold = absl::Milliseconds(100);
 constexpr double kPassIntervalLagShare = 0.25;
 // Maximum number of searches for advice candidates in one pass.
@@ -318,6 +326,19 @@
   return static_cast<int32_t>(kMaxAdviceSearches * passes);
 }
 
+int32_t JobScheduler::StartLimit(Now now) const {
+  const bool lags = lag_ > kLagThreshold;
+  const int32_t starts = lags ? kMaxStartsWhenLagging : kMaxStarts;
+  if (last_pass_ == absl::InfinitePast()) return starts;
+  const absl::Duration period =
+      lags ? std::max(kStartPeriod, lag_ * kPassIntervalLagShare)
+           : kStartPeriod;
+  const double periods =
+      std::clamp(std::round(absl::FDivDuration(now.mono - last_pass_, period)),
+                 1.0, kMaxStartPeriods);
+  return static_cast<int32_t>(starts * periods);
+}
+
 bool JobScheduler::IsLate(const ReadyStep& ready) { return ready.tier > 0; }
 
 // A partly placed gang keeps its placed members waiting, and a long-running
@@ -349,11 +370,11 @@
   no_placement_before_ =
       now.mono + kMinPassInterval +
       kPassIntervalPerStep * static_cast<double>(ready.size());
-  const bool late = lag_ > kLagThreshold;
-  if (late)
+  if (lag_ > kLagThreshold)
     no_placement_before_ =
         std::max(no_placement_before_, now.mono + lag_ * kPassIntervalLagShare);
-  starts_left_ = late ? kMaxStartsWhenLagging : kMaxStarts;
+  starts_left_ = StartLimit(now);
+  last_pass_ = now.mono;
   concurrent_calls_left_ = ExtraGangCallsLeft(ready);
   short_advisers_busy_ = false;
   long_advisers_busy_ = false;
--- a/keelbridge/coordination/job_scheduler_slow_leader_test.cc
+++ b/keelbridge/coordination/job_scheduler_slow_leader_test.cc
@@ -125,6 +125,7 @@
     for (; now_ < until; now_ += kSubmitInterval) {
       for (size_t kind = 0; kind < kKinds.size(); ++kind) SubmitDue(kind);
       site_.RunUntil(now_ + kSubmitInterval);
+      ForgetAcknowledgedEnds();
     }
   }
 
@@ -142,6 +143,23 @@
     return hash >> 8;
   }
 
+  // Keeps reports short, as workers do.
+  void ForgetAcknowledgedEnds() {
+    SchedulerDriver& driver = site_.driver();
+    for (const ObserveAction& observation : driver.observations) {
+      std::vector<EndedTask>& ended =
+          driver.reports.at(observation.worker.id).ended;
+      ended.erase(std::remove_if(ended.begin(), ended.end(),
+                                 [&](const EndedTask& end) {
+                                   return end.number <=
+                                          observation.order.ends_acknowledged;
+                                 }),
+                  ended.end());
+    }
+    driver.observations.clear();
+    driver.log_lines.clear();
+  }
+
   void SubmitDue(size_t index) {
     const Kind& kind = kKinds[index];
     const bool burst = index == 0 && now_ >= kBurstBegin && now_ < kBurstEnd;
