Test, failing: tasks that do not fit use up the decider's tries of each tick

Cause: a task that waits for another cause than capacity (a spread constraint, headroom) is eligible again once any worker has freed something, and each try counts against the fixed number of tries of a tick. Once more of them wait than that number, what is ordered after them is never tried. Change: a case of one end a tick with 300, 500 and 2,000 such tasks. The bound is the interval at which waiting tasks are tried on every worker again.

--- a/keelbridge/coordination/decider_test.cc
+++ b/keelbridge/coordination/decider_test.cc
@@ -398,5 +398,50 @@
   CHECK(waiting.find("it starts when work ends") != std::string::npos);
 }
 
+// Returns when a task that fits is placed, or -1 if not within
+// `until_ms`, while `waiting` tasks before it do not fit and one run ends each
+// tick.
+int64_t PlacedBehind(int waiting, int64_t until_ms) {
+  constexpr int kWorkers = 200;
+  constexpr int kBudget = 400;
+  constexpr int64_t kTickMs = 20;
+  Decider decider = MakeDecider(NoPreemptionOptions(), kWorkers);
+  std::vector<TaskHandle> short_runs;
+  for (int i = 0; i < kWorkers; ++i) decider.Submit(MakeTask(9, 1), 0);
+  decider.Decide(0, kBudget);
+  for (int i = 0; i < kWorkers; ++i)
+    short_runs.push_back(decider.Submit(MakeTask(1, 1), 0));
+  decider.Decide(0, kBudget);
+  for (int i = 0; i < waiting; ++i) {
+    TaskSpec spread = MakeTask(9, 1);
+    spread.spread = true;
+    spread.group = i;
+    decider.Submit(spread, 0);
+  }
+  const TaskHandle fits = decider.Submit(MakeTask(2, 1), 0);
+  for (int64_t now = kTickMs; now <= until_ms; now += kTickMs) {
+    decider.OnEnded(short_runs.back(), now);
+    short_runs.pop_back();
+    for (const Order& order : decider.Decide(now, kBudget)) {
+      if (order.task == fits) return now;
+    }
+  }
+  return -1;
+}
+
+// Guards against a budget of tries that what cannot be placed uses up in each
+// tick.
+TEST_CASE(
+    "decider: a task that fits is placed within a full pass whatever waits") {
+  const int64_t full_pass_ms = DeciderOptions().full_pass_interval_ms;
+  for (const int waiting : {300, 500, 2000}) {
+    CAPTURE(waiting);
+    const int64_t placed = PlacedBehind(waiting, 3 * full_pass_ms);
+    MESSAGE("placed after " << placed << " ms behind " << waiting);
+    CHECK(placed >= 0);
+    CHECK(placed <= full_pass_ms);
+  }
+}
+
 }  // namespace
 }  // namespace keelbridge
