Job scheduler: a search for advice ends by what its call will name

Cause: a pass makes 16 searches for advice, and each search of a large site went on until it had 400 workers with free capacity, also for a step of four tasks whose call names five. All passes ran out of searches, none out of starts. Change: a search of more than 400 workers ends at four times as many candidates as its call is expected to name, 64 at least and 400 at most as before. The limit of starts grows for 500 ms.

--- a/keelbridge/coordination/job_scheduler.h
+++ b/keelbridge/coordination/job_scheduler.h
@@ -217,6 +217,8 @@
   // Added to the length of a lease on the slowest clock, since a worker's
   // timers may fire late.
   static constexpr absl::Duration kLeaseExpiryMargin = absl::Milliseconds(100);
+  // A site of at most this many workers is searched as a whole.
+  static constexpr size_t kMaxFullSearch = 400;
 
   // A run that uses, or may use, capacity of a worker.
   struct Allocation {
@@ -904,6 +906,8 @@
   // Returns whether the step has reserved capacity on a worker for which its
   // ticket expires soon.
   bool ReservedTicketExpires(const ReadyStep& ready, Now now) const;
+  size_t EnoughCandidates(const ReadyStep& ready, double margin,
+                          size_t cheap_count) const;
   // Returns the learned share of workers that may run a step of the queue.
   double EligibleShare(const Queue& queue) const;
   // A worker that an advice call names.
--- a/keelbridge/coordination/job_scheduler_advice.cc
+++ b/keelbridge/coordination/job_scheduler_advice.cc
@@ -56,9 +56,10 @@
 constexpr double kGangAdviserShare = 0.5;
 constexpr size_t kMinExtraGangCalls = 16;
 constexpr size_t kMinNamedWorkers = 4;
-// A search ends once it has found this many workers with free capacity: four
-// times as many as a call may name, so that the emptiest of them are named.
-constexpr size_t kEnoughCandidates = 4 * kMaxNamedWorkers;
+// A search of a large site ends once it has found this many times the workers
+// that the call is expected to name, so that the emptiest of them are named.
+constexpr double kCandidatesPerName = 4;
+constexpr size_t kMinCandidates = 64;
 // A call names more workers than it needs while naming them costs at most this
 // share of the fixed cost of the call. A call that names too few workers has to
 // be repeated at its full cost.
@@ -285,6 +286,20 @@
   bool reserved = false;  // Capacity is reserved there for the step.
 };
 
+// Returns after how many candidates a search for advice ends. Most steps have a
+// few tasks, and searches use most of the leader's time when many steps wait.
+size_t JobScheduler::EnoughCandidates(const ReadyStep& ready, double margin,
+                                      size_t cheap_count) const {
+  if (workers_.size() <= kMaxFullSearch) return workers_.size();
+  const double names = margin * ready.waiting / EligibleShare(*ready.queue);
+  const size_t most =
+      static_cast<size_t>(kCandidatesPerName) * kMaxNamedWorkers;
+  return std::clamp(
+      static_cast<size_t>(kCandidatesPerName *
+                          std::max(names, static_cast<double>(cheap_count))),
+      kMinCandidates, most);
+}
+
 void JobScheduler::EnsureSingleTaskAdvice(ReadyStep& ready, Now now) {
   if (!TryTakeAdviceSearch(ready, now)) return;
   StepAdvice& advice = ready.state->advice;
@@ -295,6 +310,8 @@
   bool any_fits = false;
   bool any_unknown = false;
   const Resources need = CapacityNeeded(*ready.spec);
+  const size_t enough_candidates = EnoughCandidates(
+      ready, kAdviceMargin, names_extra ? CheapNameCount(*ready.queue) : 0);
   size_t fitting = 0;
   VisitAdviceCandidates(advice, [&](Worker& worker) {
     // Most workers of a busy site have no free capacity, so the cheapest test
@@ -319,7 +336,7 @@
     candidates.push_back(
         {&worker, fits, fits_when_empty, eligible, candidates.size()});
     if (fits > 0) ++fitting;
-    return fitting < kEnoughCandidates;
+    return fitting < enough_candidates;
   });
   // A blocked step learns which workers may run it before there is capacity,
   // and renews the tickets of workers on which capacity is reserved for it.
@@ -384,6 +401,8 @@
     own_reserved[id] += tasks;
   const double wanted_unknown = kGangMargin * kGangMargin * ready.spec->count /
                                 EligibleShare(*ready.queue);
+  const size_t enough_candidates = EnoughCandidates(
+      ready, kGangMargin * kAdviceMargin, CheapNameCount(*ready.queue));
   double unknown_fits = 0;
   VisitAdviceCandidates(advice, [&](Worker& worker) {
     if (!MayRun(worker, ready, now)) return true;
@@ -412,7 +431,7 @@
     out.unknown.push_back(candidate);
     unknown_fits += candidate.fits;
     return unknown_fits < wanted_unknown ||
-           out.unknown.size() < kEnoughCandidates;
+           out.unknown.size() < enough_candidates;
   });
   // Reserved workers come first: other steps may use unreserved capacity while
   // the answer is in transit.
--- a/keelbridge/coordination/job_scheduler_placement.cc
+++ b/keelbridge/coordination/job_scheduler_placement.cc
@@ -33,7 +33,7 @@
 // passes still slower. A period is `kStartPeriod`, or the delay of the pass by
 // a lag if that is longer.
 constexpr absl::Duration kStartPeriod = absl::Milliseconds(20);
-constexpr double kMaxStartPeriods = 6;
+constexpr double kMaxStartPeriods = 25;
 constexpr absl::Duration kLagThreshold = absl::Milliseconds(100);
 constexpr double kPassIntervalLagShare = 0.25;
 // Maximum number of searches for advice candidates in one pass.
--- a/keelbridge/coordination/job_scheduler_search.cc
+++ b/keelbridge/coordination/job_scheduler_search.cc
@@ -9,8 +9,6 @@
 namespace keelbridge {
 namespace {
 
-// A site of at most this many workers is searched as a whole.
-constexpr size_t kMaxFullSearch = 400;
 // The most workers that one search of a larger site visits. The next search
 // continues where it ended, so that consecutive searches name different workers
 // and all workers get their turn on a busy site. The tasks of a step thus run
