Test: a lasting task whose leader froze, beside a worker that left or is silent

SchedulerDriver may begin with earlier leaders that were fenced and have not said that they stopped; its default is as before.

--- a/testing/support/scheduler_driver.h
+++ b/testing/support/scheduler_driver.h
@@ -31,14 +31,25 @@
 // How long a worker takes for a stop that it has accepted, at most.
 constexpr absl::Duration kMaxStopDuration = absl::Milliseconds(900);
 
+// What a leader knows when it begins.
+enum class EarlierLeadersAre {
+  kStopped,
+  kUnconfirmed,  // They were fenced, but may still send orders.
+};
+
 // Simulates a site of workers "a", "b", ... that answer as the test directs.
 class SchedulerDriver {
  public:
-  explicit SchedulerDriver(int64_t epoch, int max_attempts = 2,
-                           SchedulerPolicy policy = SchedulerPolicy())
+  explicit SchedulerDriver(
+      int64_t epoch, int max_attempts = 2,
+      SchedulerPolicy policy = SchedulerPolicy(),
+      EarlierLeadersAre earlier_leaders = EarlierLeadersAre::kStopped)
       : scheduler_(MakeOptions(policy), epoch, kBegin) {
     SetQueue(max_attempts);
-    scheduler_.OnEarlierLeadersStopped(kBegin);
+    if (earlier_leaders == EarlierLeadersAre::kStopped)
+      scheduler_.OnEarlierLeadersStopped(kBegin);
+    else
+      scheduler_.OnEarlierLeadersFenced(kBegin);
   }
 
   // Sets a configuration with one queue, "restore".
