Test, failing: a lasting task waits anew for an order that is long too old

A start without an answer stays on the record of a lasting task that has started again on the same worker (StartTask clears it only once the wait is over, and nothing clears it later). The next leader can't tell when the order was sent, and counts 12 s from the earlier leader's last order. If the run that followed has failed meanwhile and its worker takes no more tasks, the task waits, with room elsewhere.

It takes names that may come back (worker_incarnation.h); where each incarnation has a name of its own nothing is recorded.

--- a/keelbridge/coordination/job_scheduler_unanswered_test.cc
+++ b/keelbridge/coordination/job_scheduler_unanswered_test.cc
@@ -166,5 +166,33 @@
   CHECK(second.starts.size() == 1);
 }
 
+// The order of the first leader is too old to be carried out, and the run that
+// followed it went on for long.
+TEST_CASE(
+    "job scheduler: a long-running task does not wait under a later leader for "
+    "an order that was too old under the earlier one") {
+  SchedulerDriver first(1);
+  UnansweredStartFixture workers(first, LongRunningTask(), Restarts::kSeen);
+  workers.AcceptStarts();
+  first.RunUntil(kSubmittedAt + kMaxOrderDelay + absl::Seconds(8));
+  REQUIRE(first.start_workers == std::vector<std::string>{"a@1000"});
+
+  SchedulerDriver second(2);
+  second.TakeOver(first);
+  for (const char* worker : {"a@1000", "b@1000"}) {
+    second.AddWorker(worker, 4000);
+    second.reports[worker];
+  }
+  second.reports["c@2000"];
+  second.reports["a@1000"].ended = {
+      {1, kTask, first.starts[0].run, RunEnd::kFailed, ""}};
+  // Worker "a" takes no more tasks.
+  WorkerRecord leaving = SchedulerDriver::RecordOf("a@1000", 4000);
+  leaving.draining = true;
+  second.scheduler().OnWorkerRecord(leaving, second.now());
+  second.RunUntil(absl::Seconds(3));
+  CHECK(second.start_workers == std::vector<std::string>{"b@1000"});
+}
+
 }  // namespace
 }  // namespace keelbridge::testing
