--- a/keelbridge/coordination/job_scheduler.h
+++ b/keelbridge/coordination/job_scheduler.h
@@ -906,6 +906,8 @@
   // Returns whether the step has reserved capacity on a worker for which its
   // ticket expires soon.
   bool ReservedTicketExpires(const ReadyStep& ready, Now now) const;
+  // Returns how many workers with free capacity a search for advice looks for.
+  // `margin` is how many times the waiting tasks the call should cover.
   size_t EnoughCandidates(const ReadyStep& ready, double margin,
                           size_t cheap_count) const;
   // Returns the learned share of workers that may run a step of the queue.
--- a/keelbridge/coordination/job_scheduler_advice.cc
+++ b/keelbridge/coordination/job_scheduler_advice.cc
@@ -286,8 +286,8 @@
   bool reserved = false;  // Capacity is reserved there for the step.
 };
 
-// Returns after how many candidates a search for advice ends. Most steps have a
-// few tasks, and searches use most of the leader's time when many steps wait.
+// Most steps have a few tasks, and searches use most of the leader's time when
+// many steps wait.
 size_t JobScheduler::EnoughCandidates(const ReadyStep& ready, double margin,
                                       size_t cheap_count) const {
   if (workers_.size() <= kMaxFullSearch) return workers_.size();
