--- a/keelbridge/coordination/job_scheduler.h
+++ b/keelbridge/coordination/job_scheduler.h
@@ -38,6 +38,7 @@
 #include "keelbridge/accounts/account_ledger.h"
 #include "keelbridge/base/clock.h"
 #include "keelbridge/base/logging.h"
+#include "keelbridge/coordination/allocation.h"
 #include "keelbridge/coordination/answer_times.h"
 #include "keelbridge/coordination/crash_history.h"
 #include "keelbridge/coordination/job_timings.h"
@@ -45,7 +46,6 @@
 #include "keelbridge/coordination/pool_totals.h"
 #include "keelbridge/coordination/ready_step.h"
 #include "keelbridge/coordination/run_numbers.h"
-#include "keelbridge/coordination/run_stop.h"
 #include "keelbridge/coordination/scheduler_actions.h"
 #include "keelbridge/coordination/scheduler_figures.h"
 #include "keelbridge/coordination/scheduler_policy.h"
@@ -220,44 +220,6 @@
   // A site of at most this many workers is searched as a whole.
   static constexpr size_t kMaxFullSearch = 400;
 
-  // A run that uses, or may use, capacity of a worker.
-  struct Allocation {
-    Resources need;
-    // What the run counts for against the maximum of its client account.
-    Resources account_need;
-    AccountId account = kNoAccount;
-    CountedRun counted;  // What it counts for in the site's service rate.
-    // This leader does not want the run on this worker.
-    bool unwanted = false;
-    // The size of the run is unknown because its job's description is gone.
-    bool unknown_size = false;
-    absl::Time start_answered = absl::InfiniteFuture();
-    // When this leader placed the run here or found it here. If the order
-    // waited until the placement was durable: when the order was sent.
-    absl::Time placed;
-    // When this leader sent its order to start the run.
-    absl::Time ordered = absl::InfinitePast();
-    RunStop stop;
-    // This leader found the run running, so its start time is unknown.
-    bool adopted = false;
-    bool resumed = false;  // The run continues from a checkpoint.
-    // A report of this incarnation of the worker contained the run.
-    bool reported = false;
-    // The order to start the run got no answer.
-    bool uncertain = false;
-    absl::Time uncertain_since;
-    // When the run is overdue by its estimate, so that an extra observation is
-    // worth its cost.
-    absl::Time check_at = absl::InfiniteFuture();
-    int32_t percent = 0;
-    absl::Time percent_changed;
-    // A run that saves its progress may be preempted for steps whose queue has
-    // a lower priority number, and thus more urgent work, than
-    // `preemptible_below`, until its job could no longer be in time. 0: it is
-    // not preemptible.
-    int32_t preemptible_below = 0;
-    absl::Time preemptible_until = absl::InfinitePast();
-  };
   struct UnacknowledgedEnd {
     EndedTask end;
     int64_t batch = 0;  // The batch that holds what follows from the end.
--- a/keelbridge/coordination/job_scheduler_workers.cc
+++ b/keelbridge/coordination/job_scheduler_workers.cc
@@ -150,11 +150,9 @@
   return until;
 }
 
-JobScheduler::Allocation& JobScheduler::Allocate(Worker& worker,
-                                                 const TaskId& task,
-                                                 int32_t run,
-                                                 const Resources& need,
-                                                 Now now) {
+Allocation& JobScheduler::Allocate(Worker& worker, const TaskId& task,
+                                   int32_t run, const Resources& need,
+                                   Now now) {
   const auto [it, inserted] = worker.allocations.try_emplace({task, run});
   if (inserted) {
     it->second.need = need;
