--- a/testing/support/scheduler_driver.h
+++ b/testing/support/scheduler_driver.h
@@ -31,14 +31,25 @@
 // How long a worker takes for a stop that it has accepted, at most.
 constexpr absl::Duration kMaxStopDuration = absl::Milliseconds(900);
 
+// What a leader knows when it begins.
+enum class EarlierLeadersAre {
+  kStopped,
+  kUnconfirmed,  // They were fenced, but may still send orders.
+};
+
 // Simulates a site of workers "a", "b", ... that answer as the test directs.
 class SchedulerDriver {
  public:
-  explicit SchedulerDriver(int64_t epoch, int max_attempts = 2,
-                           SchedulerPolicy policy = SchedulerPolicy())
+  explicit SchedulerDriver(
+      int64_t epoch, int max_attempts = 2,
+      SchedulerPolicy policy = SchedulerPolicy(),
+      EarlierLeadersAre earlier_leaders = EarlierLeadersAre::kStopped)
       : scheduler_(MakeOptions(policy), epoch, kBegin) {
     SetQueue(max_attempts);
-    scheduler_.OnEarlierLeadersStopped(kBegin);
+    if (earlier_leaders == EarlierLeadersAre::kStopped)
+      scheduler_.OnEarlierLeadersStopped(kBegin);
+    else
+      scheduler_.OnEarlierLeadersFenced(kBegin);
   }
 
   // Sets a configuration with one queue, "restore".
@@ -151,6 +162,7 @@
           tick_cost ? scheduler_.figures() : SchedulerFigures();
       scheduler_.Tick(now());
       if (tick_cost) tick_duration = tick_cost(before, scheduler_.figures());
+      if (ticks_take_time) now_ += tick_duration;
       scheduler_.OnTickFinished(tick_duration, now());
       if (scheduler_.HasBatch() && !hold_batches) {
         const auto batch = scheduler_.TakeBatch();
@@ -201,6 +213,9 @@
   std::function<absl::Duration(const SchedulerFigures&,
                                const SchedulerFigures&)>
       tick_cost;
+  // The clock advances by the duration of each tick. Nothing else is handled
+  // meanwhile.
+  bool ticks_take_time = false;
   // If set, returns the terms of timed advice calls for a step.
   std::function<AdviceTerms(const TaskId&)> advice_terms_of;
   absl::Duration wall_clock_offset;
