--- a/keelbridge/coordination/decider_test.cc
+++ b/keelbridge/coordination/decider_test.cc
@@ -409,6 +409,7 @@
   std::vector<TaskHandle> short_runs;
   for (int i = 0; i < kWorkers; ++i) decider.Submit(MakeTask(9, 1), 0);
   decider.Decide(0, kBudget);
+  short_runs.reserve(static_cast<size_t>(kWorkers));
   for (int i = 0; i < kWorkers; ++i)
     short_runs.push_back(decider.Submit(MakeTask(1, 1), 0));
   decider.Decide(0, kBudget);
