--- a/review/common/standin.py
+++ b/review/common/standin.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import base64
+import hashlib
 import heapq
 import json
 import os
@@ -18,7 +19,6 @@
 import tempfile
 import time
 import urllib.parse
-import zlib
 
 ROOT = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
 NODE = os.path.join(ROOT, "target/release/keelbridge-node")
@@ -156,6 +156,7 @@
         self.changed = asyncio.Condition()
         self.server = Server(ip, 0, self.handle)
         self.refused = lambda size, what: None
+        self.silent = False
 
     def topic(self, name):
         return self.topics.setdefault(name, Topic())
@@ -171,7 +172,18 @@
         async with self.changed:
             self.changed.notify_all()
 
+    async def fall_silent(self, site, seconds):
+        """Answers nothing for a while, in which the runners' entries lapse. Each runner writes its own again at its
+        next heartbeat, that is within 1.5 s of the return."""
+        self.silent = True
+        await asyncio.sleep(seconds)
+        for runner in site.runners:
+            await self.put("keyed.servers", runner.id, None)
+        self.silent = False
+
     async def handle(self, method, target, headers, body):
+        if self.silent:
+            return None
         url = urllib.parse.urlsplit(target)
         query = dict(urllib.parse.parse_qsl(url.query))
         t = self.topic(query.get("topic", ""))
@@ -264,7 +276,7 @@
         self.stop_at = None
         self.saved = saved
         self.saved_ms = int(saved[:8], 16) if saved else 0
-        self.check = zlib.crc32(task.encode())
+        self.check = hashlib.md5(task.encode()).hexdigest()[:24]
         self.fails = random.random() < plan.get("fails", 0)
 
 
@@ -299,7 +311,7 @@
         await self.write_entry()
 
     async def write_entry(self):
-        if self.up:
+        if self.up and not self.site.store.silent:
             entry = {"service": "desk", "address": "%s:%d" % (self.ip, self.server.port),
                      "zone": self.site.zones[self.index % len(self.site.zones)], "version": "v1", "slots": 8,
                      "state": self.state, "callSequence": int(time.monotonic() * 1000), "machine": "m-%02d" % self.index,
@@ -363,10 +375,10 @@
         return run.saved_ms + int((time.monotonic() - run.at_work) * 1000)
 
     def saved(self, run):
-        """16 hex digits: the work that is done, and of which task it is."""
+        """32 hex digits: the work that is done, and a digest that tells of which task it is."""
         if not run.plan.get("saves"):
             return ""
-        return "%08x%08x" % (self.work_done(run), run.check)
+        return "%08x%s" % (self.work_done(run), run.check)
 
     def advance(self):
         """Ends what is due."""
@@ -462,7 +474,7 @@
 # --- The site -------------------------------------------------------------------------------------------------------
 
 class Site:
-    def __init__(self, folder, runners=8, nodes=3, runner_cpu=64000, runner_memory=131072, max_attempts=3):
+    def __init__(self, folder, runners=8, nodes=3, runner_cpu=64000, runner_memory=131072, max_attempts=3, kind_of=None):
         self.folder = folder
         self.record = Record(os.path.join(folder, "record.txt"))
         self.work = tempfile.mkdtemp(prefix="keelbridge-review.")
@@ -473,6 +485,9 @@
         self.refusals = 0
         self.brief = False   # With many tasks: the record leaves out what each runner begins and ends.
         self.runners = [Runner(self, i, "127.0.2.%d" % (i + 1), runner_cpu, runner_memory) for i in range(runners)]
+        for runner in self.runners:
+            if kind_of:
+                runner.kind = kind_of(runner.index)
         self.nodes = nodes
         self.processes = {}
         self.violations = []
@@ -635,9 +650,10 @@
         pass
 
     async def _beat(self):
+        """Each runner has its own moment within the heartbeat."""
         while True:
-            await asyncio.sleep(HEARTBEAT_S)
             for runner in self.runners:
+                await asyncio.sleep(HEARTBEAT_S / len(self.runners))
                 await runner.write_entry()
 
     async def _advance(self):
