--- a/review/common/standin.py
+++ b/review/common/standin.py
@@ -680,6 +680,11 @@
     if not, 2 if the case could not run."""
     trouble = os.environ.get("TROUBLE", "1") != "0"
 
+    def give_up(*_):  # All that was started is ended on the way out.
+        raise SystemExit(2)
+
+    signal.signal(signal.SIGTERM, give_up)
+
     async def main():
         site = Site(folder, **options)
         try:
