Tell of listed workers that the leader no longer observes

Five explanations could not be told apart: an observation counted as in flight for good, a count below zero, an entry missing from the list, a next observation that is never due, and observations that fail.

--- a/keelbridge/coordination/job_scheduler.h
+++ b/keelbridge/coordination/job_scheduler.h
@@ -37,6 +37,7 @@
 #include "absl/time/time.h"
 #include "keelbridge/accounts/account_ledger.h"
 #include "keelbridge/base/clock.h"
+#include "keelbridge/base/log_rate_limiter.h"
 #include "keelbridge/base/logging.h"
 #include "keelbridge/coordination/allocation.h"
 #include "keelbridge/coordination/answer_times.h"
@@ -279,6 +280,7 @@
     // Send an observation at once, even if another one waits for an end.
     bool observe_now = false;
     absl::Time last_observation_sent = absl::InfinitePast();
+    bool unobserved = false;  // As of the last sweep; see IsUnobserved().
     // When the latest accepted report was requested, and the worker's clock in
     // it. Reports may overtake each other.
     absl::Time report_requested_at = absl::InfinitePast();
@@ -358,6 +360,11 @@
   bool HasRunsWhileAnswersAreLossy(const Worker& worker, Now now) const;
   bool ObservationIsDue(const Worker& worker, Now now) const;
   void SendObservation(Worker& worker, Now now);
+  // Returns whether the platform lists the worker, but this leader has sent it
+  // no observation for much longer than the interval between two.
+  static bool IsUnobserved(const Worker& worker, Now now);
+  // Updates whether the worker is unobserved, and logs that it is from now on.
+  void CheckUnobserved(Worker& worker, Now now);
   void OnObservationFailed(Worker& worker, const ObserveAction& action,
                            const OrderReply& reply, absl::Time sent, Now now);
   // Records that a call to the worker got no answer, or got one.
@@ -1025,6 +1032,7 @@
   // Workers with ends that are not durable yet.
   std::vector<Worker*> workers_with_unacknowledged_ends_;
   absl::Time next_sweep_ = absl::InfinitePast();
+  LogRateLimiter unobserved_log_limiter_;
   bool placement_wanted_ = false;
   // A queue may have become known, or its limit of attempts may have changed.
   bool attempts_unchecked_ = true;
--- a/keelbridge/coordination/job_scheduler_workers.cc
+++ b/keelbridge/coordination/job_scheduler_workers.cc
@@ -43,6 +43,9 @@
 constexpr absl::Duration kSuspectAfterRefusal = absl::Seconds(2);
 // A worker that has answered nothing for this long gets no new tasks.
 constexpr absl::Duration kUnresponsiveAfter = absl::Milliseconds(2500);
+// A listed worker that was sent no observation for this long counts as
+// unobserved. Several times the longest interval between two observations.
+constexpr absl::Duration kUnobservedAfter = absl::Seconds(5);
 // The longest lease of a worker that has announced that it leaves. Its tasks
 // may start elsewhere only once its lease has expired, and it may leave without
 // a last word. Longer than two observations, so that one may get lost.
@@ -505,9 +508,11 @@
   if (now.mono < next_sweep_) return;
   next_sweep_ = now.mono + kSweepPeriod;
   std::vector<std::string> gone;
+  figures_.workers_unobserved = 0;
   for (auto& [id, worker] : workers_) {
     StopRunsBeforeDeparture(*worker, now);
     TickWorker(*worker, now);
+    CheckUnobserved(*worker, now);
     RetireDrainingWorker(*worker);
     if (CanBeForgotten(*worker, now)) gone.push_back(id);
   }
@@ -582,6 +587,35 @@
              kLossyObserveWait + answer_times_.AnswerTimeout();
 }
 
+bool JobScheduler::IsUnobserved(const Worker& worker, Now now) {
+  return !worker.record_removed &&
+         now.mono - worker.last_observation_sent > kUnobservedAfter;
+}
+
+void JobScheduler::CheckUnobserved(Worker& worker, Now now) {
+  const bool was_unobserved = worker.unobserved;
+  worker.unobserved = IsUnobserved(worker, now);
+  if (!worker.unobserved) return;
+  ++figures_.workers_unobserved;
+  if (was_unobserved) return;
+  const auto suppressed = unobserved_log_limiter_.Take(now.mono);
+  if (!suppressed) return;
+  const auto milliseconds = [](absl::Duration time) {
+    return absl::StrCat(absl::ToInt64Milliseconds(time));
+  };
+  LogDecision(
+      "worker_not_observed",
+      {{"worker", worker.record.id},
+       {"for_ms", milliseconds(now.mono - worker.last_observation_sent)},
+       {"due_in_ms", milliseconds(std::max(worker.next_observe - now.mono,
+                                           absl::ZeroDuration()))},
+       {"in_flight", absl::StrCat(worker.observations_in_flight)},
+       {"failed", absl::StrCat(worker.failed_observations)},
+       {"runs", absl::StrCat(worker.allocations.size())},
+       {"lines_left_out", absl::StrCat(*suppressed)}},
+      Severity::kWarning);
+}
+
 absl::Time JobScheduler::OverdueCheckTime(const TaskId& task,
                                           absl::Time now) const {
   const auto job = jobs_.find(task.job);
--- a/keelbridge/coordination/scheduler_figures.h
+++ b/keelbridge/coordination/scheduler_figures.h
@@ -16,6 +16,10 @@
   int64_t running_tasks = 0;
   int64_t workers = 0;
   int64_t workers_reported = 0;  // Workers that have sent a worker report.
+  // Listed workers that were sent no observation for a while, as of the last
+  // check of all workers. Other than 0 shortly after the leader stood still, or
+  // by a fault of the scheduler.
+  int64_t workers_unobserved = 0;
   int64_t cpu_milli_total = 0;
   int64_t cpu_milli_used = 0;
   int64_t starts = 0;
--- a/keelbridge/daemon/leader_session.cc
+++ b/keelbridge/daemon/leader_session.cc
@@ -483,6 +483,7 @@
   set("tasks_on_workers", f.running_tasks);
   set("workers", f.workers);
   set("workers_listed", f.workers_reported);
+  set("workers_unobserved", f.workers_unobserved);
   set("cpu_milli_total", f.cpu_milli_total);
   set("cpu_milli_used", f.cpu_milli_used);
   set("starts", f.starts);
@@ -550,6 +551,7 @@
             {"tasks_on_workers", absl::StrCat(f.running_tasks)},
             {"workers", absl::StrCat(f.workers)},
             {"listed", absl::StrCat(f.workers_reported)},
+            {"unobserved", absl::StrCat(f.workers_unobserved)},
             {"cpu_used", absl::StrCat(f.cpu_milli_used / 1000)},
             {"cpu_total", absl::StrCat(f.cpu_milli_total / 1000)},
             {"advice_calls", absl::StrCat(f.advice_calls)},
--- a/testing/support/scheduler_driver.h
+++ b/testing/support/scheduler_driver.h
@@ -139,6 +139,20 @@
     scheduler_.OnWorkerRecord(RecordOf(id, cpu_milli), now());
   }
 
+  // Delivers the answers that were held since the last call, in the order in
+  // which the calls were made.
+  void DeliverHeldAnswers() {
+    for (const auto& deliver : std::exchange(held_answers_, {})) deliver();
+  }
+  // Delivers one of the held answers. `index` is below `held_answers()`.
+  void DeliverHeldAnswer(size_t index) {
+    const auto found = held_answers_.begin() + static_cast<ptrdiff_t>(index);
+    const auto deliver = std::move(*found);
+    held_answers_.erase(found);
+    deliver();
+  }
+  size_t held_answers() const { return held_answers_.size(); }
+
   // Ends the run on the worker, so that its next report contains the end.
   void End(const std::string& worker, const EndedTask& end) {
     std::vector<RunningTask>& running = reports[worker].running;
@@ -188,6 +202,10 @@
   std::set<std::string> drops_starts;
   // Workers that carry out stop orders while their answers get lost.
   std::set<std::string> loses_stop_answers;
+  // Workers whose answers to observations, or to orders, which they carry out,
+  // arrive only once `DeliverHeldAnswers` is called.
+  std::set<std::string> holds_reports;
+  std::set<std::string> holds_order_answers;
   // Workers that no call reaches. Their runs and stops go on.
   std::set<std::string> cut_off;
   // By an ended incarnation: the current incarnation of the same worker, which
@@ -227,6 +245,7 @@
   std::vector<std::vector<int32_t>> expected_uses;
   std::vector<StartOrder> starts;          // Start orders carried out.
   std::vector<std::string> start_workers;  // For each order in `starts`.
+  std::vector<StartAction> start_actions;  // All start orders sent.
   std::vector<StartOrder> lost_starts;
   std::vector<StopOrder> stops;
   std::vector<std::string> stop_workers;
@@ -259,6 +278,14 @@
     }
   }
 
+  // Delivers an answer of the worker, or holds it if `holding` names the
+  // worker.
+  void Answer(const std::string& worker, const std::set<std::string>& holding,
+              std::function<void()> deliver) {
+    if (holding.count(worker) == 0) return deliver();
+    held_answers_.push_back(std::move(deliver));
+  }
+
   void AnswerAdvice(const AskAdviceAction& ask) {
     AdviceReply reply;
     reply.answered = silent_advisers.count(ask.adviser) == 0;
@@ -337,8 +364,11 @@
         reply.order.result = OrderResult::kFenced;
       fence = std::max(fence, observe->order.fence);
       observations.push_back(*observe);
-      scheduler_.OnObserveReply(*observe, reply, now_ - absl::Milliseconds(1),
-                                now());
+      const absl::Time sent = now_ - absl::Milliseconds(1);
+      Answer(observe->worker.id, holds_reports,
+             [this, observe = *observe, reply, sent] {
+               scheduler_.OnObserveReply(observe, reply, sent, now());
+             });
     } else if (const auto* ask = std::get_if<AskAdviceAction>(&action)) {
       advice_calls.push_back(ask->request.workers);
       asked_advisers.push_back(ask->adviser);
@@ -351,11 +381,15 @@
         AnswerAdvice(*ask);
     } else if (const auto* start = std::get_if<StartAction>(&action)) {
       OrderReply reply;
+      start_actions.push_back(*start);
       const bool lost = drops_starts.count(start->worker.id) > 0 ||
                         cut_off.count(start->worker.id) > 0;
       reply.result = ResultAt(
           start->worker.id, lost ? OrderResult::kUnknown : OrderResult::kDone);
-      scheduler_.OnStartReply(*start, reply, now());
+      Answer(start->worker.id, holds_order_answers,
+             [this, start = *start, reply] {
+               scheduler_.OnStartReply(start, reply, now());
+             });
       if (lost) lost_starts.push_back(start->order);
       if (reply.result != OrderResult::kDone) return;
       starts.push_back(start->order);
@@ -374,7 +408,9 @@
       const OrderResult result = ResultAt(stop->worker.id, OrderResult::kDone);
       const bool lost = loses_stop_answers.count(stop->worker.id) > 0;
       reply.result = lost ? OrderResult::kUnknown : result;
-      scheduler_.OnStopReply(*stop, reply, now());
+      Answer(stop->worker.id, holds_order_answers, [this, stop = *stop, reply] {
+        scheduler_.OnStopReply(stop, reply, now());
+      });
       if (result == OrderResult::kDone && carry_out_stops)
         scheduled_stops_.emplace(now_ + kMaxStopDuration,
                                  std::make_pair(stop->worker.id, stop->order));
@@ -383,6 +419,7 @@
 
   AdviceTerms advice_terms_;
   std::vector<AskAdviceAction> held_advice_;
+  std::vector<std::function<void()>> held_answers_;
   std::multimap<absl::Time, AskAdviceAction> scheduled_advice_;
   std::map<std::string, absl::Time> adviser_free_at_;
   // By the time at which they are carried out: the worker and the order.
