Let an answer count only for the worker that was called

Cause: a worker whose entry is gone and that runs nothing is forgotten, and found again a second later under the same id. Answers found their worker by that id alone, so an answer to an observation of before it was forgotten lowered the new worker's observations in flight. The answer through a relay comes up to 1.5 s later. Then the answer to the new observation lowered the number to -1, at which no observation is due any more. The same answer also set clock, report and last answer of the new worker, and answers to starts and stops found it in the same way: with the clock of an earlier life under the same name, the leader would grant leases that do not end.

Change: each call to a worker has a number, a worker knows its open calls, and an answer counts only if its call is open. What is in flight is the number of open calls, so it cannot drift, and an answer that comes twice counts once. A worker that is found again, or that gets the id of its incarnation (where the count had been reset by hand), has no open calls. Answers that do not count are counted and logged.

Not changed: a worker that still answers is forgotten as soon as its entry is gone and nothing runs there.

--- a/keelbridge/coordination/job_scheduler.h
+++ b/keelbridge/coordination/job_scheduler.h
@@ -43,6 +43,7 @@
 #include "keelbridge/coordination/answer_times.h"
 #include "keelbridge/coordination/crash_history.h"
 #include "keelbridge/coordination/job_timings.h"
+#include "keelbridge/coordination/open_calls.h"
 #include "keelbridge/coordination/pool_capacity.h"
 #include "keelbridge/coordination/pool_totals.h"
 #include "keelbridge/coordination/ready_step.h"
@@ -276,7 +277,8 @@
     // The earliest time at which the worker leaves, by its record. Infinite if
     // it is not draining or has not reported a time.
     absl::Time leaves_at = absl::InfiniteFuture();
-    int observations_in_flight = 0;
+    OpenCalls observations;  // In flight.
+    OpenCalls orders;        // Starts and stops in flight.
     // Send an observation at once, even if another one waits for an end.
     bool observe_now = false;
     absl::Time last_observation_sent = absl::InfinitePast();
@@ -337,6 +339,15 @@
                    Severity severity = Severity::kInfo);
 
   // job_scheduler_workers.cc
+  // Returns the number of a new call, and adds it to `calls`.
+  int64_t OpenCall(OpenCalls& calls);
+  // Sends the order to start a run.
+  void SendStart(Worker& worker, StartAction action);
+  // Returns the worker to which the answer of a call applies. Returns null if
+  // the worker was forgotten, even if it was found again since, or has got
+  // another id.
+  Worker* CloseCall(const std::string& worker_id, OpenCalls Worker::*calls,
+                    int64_t call, Now now);
   void UpdateClock(Worker& worker, int64_t clock_ms, absl::Time at);
   // Returns the end of a lease of the maximum length, in milliseconds of the
   // worker's clock, and records when it expires. Returns 0 if the worker's
@@ -949,6 +960,7 @@
   // By queue: the learned share of workers that may run its steps.
   absl::flat_hash_map<std::string, double> eligible_share_;
   std::vector<Action> actions_;
+  int64_t last_call_ = 0;  // See OpenCall().
 
   int64_t next_batch_ = 1;
   int64_t durable_batch_ = 0;
@@ -1033,6 +1045,7 @@
   std::vector<Worker*> workers_with_unacknowledged_ends_;
   absl::Time next_sweep_ = absl::InfinitePast();
   LogRateLimiter unobserved_log_limiter_;
+  LogRateLimiter ignored_answer_log_limiter_;
   bool placement_wanted_ = false;
   // A queue may have become known, or its limit of attempts may have changed.
   bool attempts_unchecked_ = true;
--- a/keelbridge/coordination/job_scheduler_answers_test.cc
+++ b/keelbridge/coordination/job_scheduler_answers_test.cc
@@ -3,13 +3,21 @@
 #include <doctest/doctest.h>
 
 #include <algorithm>
+#include <cstdint>
+#include <random>
 #include <string>
+#include <vector>
 
 #include "testing/support/scheduler_driver.h"
 
 namespace keelbridge::testing {
 namespace {
 
+// In milliseconds of the worker's clock. A worker of SchedulerDriver begins at
+// 1,000, and leases last 6 s.
+constexpr int64_t kClockOfEarlierLife = 5'000'000;
+constexpr int64_t kLongestLeaseEnd = 20'000;
+
 int64_t CountLines(const SchedulerDriver& site, const std::string& event) {
   return std::count_if(
       site.log_lines.begin(), site.log_lines.end(),
@@ -38,5 +46,147 @@
   CHECK(site.scheduler().figures().workers_unobserved == 0);
 }
 
+// A worker that answers observations with nothing running, and whose answers
+// are held from 100 ms on.
+void AddWorkerWithHeldAnswers(SchedulerDriver& site) {
+  site.AddWorker("a");
+  site.reports["a"];
+  site.RunUntil(absl::Milliseconds(100));
+  site.holds_reports.insert("a");
+  site.RunUntil(absl::Milliseconds(140));
+  REQUIRE(site.held_answers() == 1);
+}
+
+// The platform lists the worker again after the leader has forgotten it.
+void ForgetAndFindAgain(SchedulerDriver& site) {
+  site.scheduler().OnWorkerRemoved("a");
+  site.RunUntil(site.now().mono - kBegin + absl::Milliseconds(100));
+  REQUIRE(site.forgotten_workers == std::vector<std::string>{"a"});
+  site.AddWorker("a");
+  site.RunUntil(site.now().mono - kBegin + absl::Milliseconds(20));
+}
+
+void SubmitOneTask(SchedulerDriver& site) {
+  JobSpec spec;
+  spec.steps = {OneTask()};
+  site.scheduler().Submit(kJob, "restore", spec, site.now());
+}
+
+// Guards against a listed, idle worker that is never observed again, because an
+// answer to an observation of before it was forgotten lowered the number of its
+// observations in flight.
+TEST_CASE(
+    "job scheduler: a worker that was forgotten and found again while it was "
+    "observed is observed on") {
+  SchedulerDriver site(1);
+  AddWorkerWithHeldAnswers(site);
+  ForgetAndFindAgain(site);
+  REQUIRE(site.held_answers() == 2);
+  site.holds_reports.clear();
+  site.DeliverHeldAnswers();
+  CHECK(site.scheduler().figures().answers_ignored == 1);
+  CHECK(CountLines(site, "answer_ignored") == 0);  // Until the next tick.
+  const size_t observed = site.observations.size();
+  site.RunUntil(absl::Milliseconds(600));
+  CHECK(site.observations.size() > observed);
+  CHECK(CountLines(site, "answer_ignored") == 1);
+  SubmitOneTask(site);
+  site.RunUntil(absl::Seconds(1));
+  CHECK(site.starts.size() == 1);
+}
+
+// Guards against a lease by the clock of an earlier life: the new one has not
+// told its clock, and its own reports seem older.
+TEST_CASE(
+    "job scheduler: a report of before a worker was forgotten is not one of "
+    "the worker that was found again") {
+  SchedulerDriver site(1);
+  AddWorkerWithHeldAnswers(site);
+  ObserveAction earlier = site.observations.back();
+  ForgetAndFindAgain(site);
+  ObserveReply late;
+  late.order.result = OrderResult::kDone;
+  late.order.clock_ms = kClockOfEarlierLife;
+  site.scheduler().OnObserveReply(earlier, late, site.now().mono, site.now());
+  SubmitOneTask(site);
+  site.RunUntil(absl::Milliseconds(500));
+  CHECK(site.starts.empty());
+  site.holds_reports.clear();
+  site.DeliverHeldAnswers();
+  site.RunUntil(absl::Seconds(1));
+  REQUIRE(site.starts.size() == 1);
+  CHECK(site.starts[0].lease_until_ms < kLongestLeaseEnd);
+}
+
+// Guards against the same by the answer to an order.
+TEST_CASE(
+    "job scheduler: an answer to a start of before a worker was forgotten does "
+    "not set the clock of the worker that was found again") {
+  SchedulerDriver site(1);
+  site.AddWorker("a");
+  site.reports["a"];
+  site.RunUntil(absl::Milliseconds(100));
+  SubmitOneTask(site);
+  site.holds_order_answers.insert("a");
+  site.RunUntil(absl::Milliseconds(140));
+  REQUIRE(site.start_actions.size() == 1);
+  const StartAction start = site.start_actions[0];
+  // The run is reported, and ends.
+  site.RunUntil(absl::Milliseconds(300));
+  site.End("a", {1, start.order.task, start.order.run, RunEnd::kDone, ""});
+  site.RunUntil(absl::Milliseconds(500));
+  REQUIRE(site.scheduler().Status(kJob) == JobState::kCompleted);
+  ForgetAndFindAgain(site);
+  OrderReply late;
+  late.result = OrderResult::kDone;
+  late.clock_ms = kClockOfEarlierLife;
+  site.scheduler().OnStartReply(start, late, site.now());
+  site.RunUntil(absl::Seconds(1));
+  REQUIRE(site.observations.back().order.lease_until_ms > 0);
+  CHECK(site.observations.back().order.lease_until_ms < kLongestLeaseEnd);
+}
+
+// The entry of a worker comes and goes, and answers arrive in any order. Guards
+// against any order of these events after which the leader has lost sight of a
+// listed worker.
+TEST_CASE(
+    "job scheduler: a listed worker is observed and used whatever calls were "
+    "in flight when it was forgotten") {
+  for (uint32_t seed = 1; seed <= 200; ++seed) {
+    CAPTURE(seed);
+    std::mt19937 random(seed);
+    const auto draw = [&random](size_t below) { return random() % below; };
+    SchedulerDriver site(1);
+    site.AddWorker("a");
+    site.reports["a"];
+    site.holds_reports.insert("a");
+    site.holds_order_answers.insert("a");
+    for (int step = 0; step < 60; ++step) {
+      switch (draw(4)) {
+        case 0:
+          site.scheduler().OnWorkerRemoved("a");
+          break;
+        case 1:
+          site.AddWorker("a");
+          break;
+        default:
+          if (site.held_answers() > 0)
+            site.DeliverHeldAnswer(draw(site.held_answers()));
+      }
+      site.RunUntil(site.now().mono - kBegin +
+                    absl::Milliseconds(20 + draw(100)));
+    }
+    site.holds_reports.clear();
+    site.holds_order_answers.clear();
+    site.DeliverHeldAnswers();
+    site.AddWorker("a");
+    site.RunUntil(site.now().mono - kBegin + absl::Seconds(6));
+    CHECK(site.scheduler().figures().workers_unobserved == 0);
+    SubmitOneTask(site);
+    site.RunUntil(site.now().mono - kBegin + absl::Seconds(1));
+    CHECK(site.starts.size() == 1);
+  }
+}
+
 }  // namespace
 }  // namespace keelbridge::testing
--- a/keelbridge/coordination/job_scheduler_incarnations.cc
+++ b/keelbridge/coordination/job_scheduler_incarnations.cc
@@ -164,7 +164,8 @@
   workers_.insert(std::move(entry));
   // Answers to calls that were sent under the name alone are ignored from now
   // on.
-  worker.observations_in_flight = 0;
+  worker.observations.CloseAll();
+  worker.orders.CloseAll();
   for (auto& [key, allocation] : worker.allocations) {
     allocation.stop.OnAnswersVoid();
     allocation.uncertain = allocation.uncertain || !allocation.reported;
--- a/keelbridge/coordination/job_scheduler_incarnations_test.cc
+++ b/keelbridge/coordination/job_scheduler_incarnations_test.cc
@@ -3,6 +3,7 @@
 #include <doctest/doctest.h>
 
 #include <algorithm>
+#include <optional>
 #include <string>
 
 #include "testing/support/scheduler_driver.h"
@@ -121,15 +122,22 @@
   CHECK(site.observations.back().order.fence > before);
   // A worker that refuses an order with an earlier fence has not necessarily
   // seen another leader.
-  ObserveAction late;
-  late.worker = SchedulerDriver::RecordOf(kSecondIncarnation, 8000);
-  late.order.fence = before;
-  ObserveReply refused;
-  refused.order.result = OrderResult::kFenced;
-  site.scheduler().OnObserveReply(late, refused, site.now().mono, site.now());
+  site.holds_reports.insert(kSecondIncarnation);
+  const auto refuse_next_observation = [&site](std::optional<int64_t> fence) {
+    const size_t sent = site.observations.size();
+    while (site.observations.size() == sent)
+      site.RunUntil(site.now().mono - kBegin + absl::Milliseconds(1));
+    ObserveAction observation = site.observations.back();
+    REQUIRE(observation.worker.id == kSecondIncarnation);
+    observation.order.fence = fence.value_or(observation.order.fence);
+    ObserveReply refused;
+    refused.order.result = OrderResult::kFenced;
+    site.scheduler().OnObserveReply(observation, refused, site.now().mono,
+                                    site.now());
+  };
+  refuse_next_observation(before);
   CHECK_FALSE(site.scheduler().fenced());
-  late.order.fence = site.observations.back().order.fence;
-  site.scheduler().OnObserveReply(late, refused, site.now().mono, site.now());
+  refuse_next_observation(std::nullopt);
   CHECK(site.scheduler().fenced());
 }
 
--- a/keelbridge/coordination/job_scheduler_pending_starts.cc
+++ b/keelbridge/coordination/job_scheduler_pending_starts.cc
@@ -62,7 +62,7 @@
     LogDecision("start_sent", {{"task", TaskIdText(key.first)},
                                {"run", absl::StrCat(key.second)},
                                {"worker", action.worker.id}});
-    actions_.push_back(std::move(action));
+    SendStart(to, std::move(action));
   }
 }
 
--- a/keelbridge/coordination/job_scheduler_placement.cc
+++ b/keelbridge/coordination/job_scheduler_placement.cc
@@ -574,7 +574,7 @@
                {"free_cpu_milli", absl::StrCat(worker.free.cpu_milli)}});
   if (kept) return StartOnceDurable(*ready.job, task, std::move(action));
   allocation.ordered = now.mono;
-  actions_.push_back(std::move(action));
+  SendStart(worker, std::move(action));
 }
 
 std::vector<JobScheduler::Worker*> JobScheduler::FindUsableWorkers(
--- a/keelbridge/coordination/job_scheduler_workers.cc
+++ b/keelbridge/coordination/job_scheduler_workers.cc
@@ -26,7 +26,7 @@
 // this time.
 constexpr absl::Duration kLostAnswerWindow = absl::Seconds(1);
 // The most observations of one worker that may be in flight at a time.
-constexpr int kMaxObservationsInFlight = 3;
+constexpr size_t kMaxObservationsInFlight = 3;
 // A task whose estimate is at most kMaxCheckedEstimateMs is checked when it has
 // run for kOverdueFactor times its estimate, and then every
 // kOverdueCheckPeriod.
@@ -124,6 +124,34 @@
   }
 }
 
+int64_t JobScheduler::OpenCall(OpenCalls& calls) {
+  calls.Open(++last_call_);
+  return last_call_;
+}
+
+void JobScheduler::SendStart(Worker& worker, StartAction action) {
+  action.call = OpenCall(worker.orders);
+  actions_.push_back(std::move(action));
+}
+
+JobScheduler::Worker* JobScheduler::CloseCall(const std::string& worker_id,
+                                              OpenCalls Worker::*calls,
+                                              int64_t call, Now now) {
+  const auto found = workers_.find(worker_id);
+  if (found == workers_.end()) return nullptr;
+  Worker* const worker = found->second.get();
+  if ((worker->*calls).Close(call)) return worker;
+  ++figures_.answers_ignored;
+  if (const auto suppressed = ignored_answer_log_limiter_.Take(now.mono)) {
+    LogDecision("answer_ignored",
+                {{"worker", worker_id},
+                 {"to", calls == &Worker::observations ? "observation"
+                                                       : "start or stop"},
+                 {"lines_left_out", absl::StrCat(*suppressed)}});
+  }
+  return nullptr;
+}
+
 void JobScheduler::UpdateClock(Worker& worker, int64_t clock_ms,
                                absl::Time at) {
   if (clock_ms < 0) return;
@@ -204,9 +232,10 @@
 
 void JobScheduler::OnStartReply(const StartAction& action,
                                 const OrderReply& reply, Now now) {
-  const auto found = workers_.find(action.worker.id);
-  if (found == workers_.end()) return;
-  Worker& worker = *found->second;
+  Worker* const called =
+      CloseCall(action.worker.id, &Worker::orders, action.call, now);
+  if (called == nullptr) return;
+  Worker& worker = *called;
   UpdateClock(worker, reply.clock_ms, now.mono);
   const RunKey key{action.order.task, action.order.run};
   const auto allocation = worker.allocations.find(key);
@@ -321,7 +350,9 @@
     if (stop.NextSend(answers) > now.mono) continue;
     stop.OnSent(now.mono, answers);
     ++figures_.stops_sent;
-    StopAction action{worker.record, {key.first, key.second, worker.fence}};
+    StopAction action{worker.record,
+                      {key.first, key.second, worker.fence},
+                      OpenCall(worker.orders)};
     if (options_.policy.resolve_unanswered_orders)
       action.order.timeout = answer_times_.AnswerTimeout();
     actions_.push_back(std::move(action));
@@ -334,9 +365,10 @@
 
 void JobScheduler::OnStopReply(const StopAction& action,
                                const OrderReply& reply, Now now) {
-  const auto found = workers_.find(action.worker.id);
-  if (found == workers_.end()) return;
-  Worker& worker = *found->second;
+  Worker* const called =
+      CloseCall(action.worker.id, &Worker::orders, action.call, now);
+  if (called == nullptr) return;
+  Worker& worker = *called;
   UpdateClock(worker, reply.clock_ms, now.mono);
   if (reply.result == OrderResult::kFenced)
     HasSeenOwnFence(worker, action.order.fence, now);
@@ -371,10 +403,10 @@
 void JobScheduler::OnObserveReply(const ObserveAction& action,
                                   const ObserveReply& reply, absl::Time sent,
                                   Now now) {
-  const auto found = workers_.find(action.worker.id);
-  if (found == workers_.end()) return;
-  Worker& worker = *found->second;
-  --worker.observations_in_flight;
+  Worker* const called =
+      CloseCall(action.worker.id, &Worker::observations, action.call, now);
+  if (called == nullptr) return;
+  Worker& worker = *called;
   if (reply.order.result == OrderResult::kOtherIncarnation) {
     OnOtherIncarnation(worker, reply.order.incarnation, now);
     worker.next_observe = now.mono + kObserveRetryDelay;
@@ -575,13 +607,11 @@
 
 bool JobScheduler::ObservationIsDue(const Worker& worker, Now now) const {
   if (worker.observe_now)
-    return worker.observations_in_flight < kMaxObservationsInFlight;
-  if (worker.observations_in_flight == 0)
-    return now.mono >= worker.next_observe;
+    return worker.observations.size() < kMaxObservationsInFlight;
+  if (worker.observations.size() == 0) return now.mono >= worker.next_observe;
   // The answer to the observation in flight may be lost.
   return options_.policy.resolve_unanswered_orders &&
-         worker.observations_in_flight == 1 &&
-         worker.failed_observations == 0 &&
+         worker.observations.size() == 1 && worker.failed_observations == 0 &&
          HasRunsWhileAnswersAreLossy(worker, now) &&
          now.mono - worker.last_observation_sent >
              kLossyObserveWait + answer_times_.AnswerTimeout();
@@ -609,7 +639,7 @@
        {"for_ms", milliseconds(now.mono - worker.last_observation_sent)},
        {"due_in_ms", milliseconds(std::max(worker.next_observe - now.mono,
                                            absl::ZeroDuration()))},
-       {"in_flight", absl::StrCat(worker.observations_in_flight)},
+       {"in_flight", absl::StrCat(worker.observations.size())},
        {"failed", absl::StrCat(worker.failed_observations)},
        {"runs", absl::StrCat(worker.allocations.size())},
        {"lines_left_out", absl::StrCat(*suppressed)}},
@@ -656,10 +686,10 @@
 void JobScheduler::SendObservation(Worker& worker, Now now) {
   const bool lossy = options_.policy.resolve_unanswered_orders &&
                      HasRunsWhileAnswersAreLossy(worker, now);
-  ++worker.observations_in_flight;
   worker.last_observation_sent = now.mono;
   ObserveAction action;
   action.worker = worker.record;
+  action.call = OpenCall(worker.observations);
   action.order.fence = worker.fence;
   action.order.ends_acknowledged = worker.ends_acknowledged;
   // The lease of an unresponsive worker is not extended: each attempt might
--- a/keelbridge/coordination/scheduler_actions.h
+++ b/keelbridge/coordination/scheduler_actions.h
@@ -25,20 +25,25 @@
   std::string zone;
 };
 
-// Sends the order to start a run to a worker.
+// Sends the order to start a run to a worker. `call` is the number of the call,
+// unique in a term, by which its answer is recognized (see OpenCalls); so for
+// the other calls to workers.
 struct StartAction {
   WorkerRecord worker;
   StartOrder order;
+  int64_t call = 0;
 };
 // Sends the order to stop a run to a worker.
 struct StopAction {
   WorkerRecord worker;
   StopOrder order;
+  int64_t call = 0;
 };
 // Sends an observation to a worker: asks what runs there and what has ended.
 struct ObserveAction {
   WorkerRecord worker;
   ObserveOrder order;
+  int64_t call = 0;
 };
 // Has a node ask the platform for admission advice.
 struct AskAdviceAction {
--- a/keelbridge/coordination/scheduler_figures.h
+++ b/keelbridge/coordination/scheduler_figures.h
@@ -68,6 +68,8 @@
   int64_t losses_compared = 0;
   // Worker reports that were ignored because a later report had arrived.
   int64_t stale_reports_skipped = 0;
+  // Answers to calls of before the worker was forgotten or got another id.
+  int64_t answers_ignored = 0;
   // Waiting work in thousandths of a processor times seconds, if jobs are
   // admitted by work: of steps that can be in time, and of all others.
   int64_t timely_work_milli_s = 0;
--- a/keelbridge/daemon/leader_session.cc
+++ b/keelbridge/daemon/leader_session.cc
@@ -511,6 +511,7 @@
   set("looks_out_of_advisers", f.passes_out_of_advisers);
   set("steps_kept_off_by_holds", f.blocked_by_reservations);
   set("listings_passed_over", f.stale_reports_skipped);
+  set("answers_ignored", f.answers_ignored);
   set("starts_unanswered", f.starts_unanswered);
   set("timely_work_milli_seconds", f.timely_work_milli_s);
   set("late_work_milli_seconds", f.late_work_milli_s);
@@ -573,6 +574,7 @@
             {"looks_out_of_advisers", absl::StrCat(f.passes_out_of_advisers)},
             {"kept_off_by_holds", absl::StrCat(f.blocked_by_reservations)},
             {"listings_passed_over", absl::StrCat(f.stale_reports_skipped)},
+            {"answers_ignored", absl::StrCat(f.answers_ignored)},
             {"starts_unanswered", absl::StrCat(f.starts_unanswered)},
             {"stops_sent", absl::StrCat(f.stops_sent)},
             {"runs_stopped", absl::StrCat(f.runs_stopped)},
--- a/keelbridge/protocol/site_worker.h
+++ b/keelbridge/protocol/site_worker.h
@@ -134,7 +134,8 @@
                     std::function<void(OrderReply)> done) = 0;
   virtual void Observe(const WorkerRecord& worker, const ObserveOrder& order,
                        std::function<void(ObserveReply)> done) = 0;
-  // Closes the connections to a worker that is gone.
+  // Closes the connections to a worker that is gone. Calls in flight may still
+  // be answered.
   virtual void Forget(const std::string& worker_id) = 0;
 };
 
