Free only the capacity that a call for advice has claimed

A step that asks for advice claims capacity of the workers that it names until the answer comes, and the answer gave it back to whichever worker had the id then. After a worker was forgotten and found again, the answer made it seem larger than it is for the rest of the term, so more steps asked about it than fit. After a worker got the id of its incarnation, nothing gave the claim back, so the worker seemed full for good to steps that ask only where they fit.

Change: a call for advice has a number too, and a worker's claim is the sum of its open calls. It goes with the worker, or with the change of its id.

Two new tests fail on the code before (3 calls instead of 2; no start instead of 1) and pass now.

--- a/keelbridge/coordination/job_scheduler.h
+++ b/keelbridge/coordination/job_scheduler.h
@@ -318,9 +318,9 @@
     Resources reserved;
     bool check_scheduled = false;  // The worker is in `scheduled_checks_`.
     PoolTotals::Counted counted;
-    // CPU, in thousandths of a processor, that steps whose calls for advice are
-    // in flight expect to use here.
-    int32_t expected_cpu_milli = 0;
+    // Calls for advice in flight that name the worker. They claim the CPU, in
+    // thousandths of a processor, that their steps expect to use here.
+    OpenCalls advice_calls;
   };
   struct Adviser {
     std::string node;
--- a/keelbridge/coordination/job_scheduler_advice.cc
+++ b/keelbridge/coordination/job_scheduler_advice.cc
@@ -205,15 +205,15 @@
 
 Resources JobScheduler::UnclaimedCapacity(const Worker& worker) {
   Resources available = UnreservedCapacity(worker);
-  available.cpu_milli -= worker.expected_cpu_milli;
+  available.cpu_milli -= worker.advice_calls.claimed();
   return available;
 }
 
 void JobScheduler::ReleaseExpectedUse(const AskAdviceAction& action) {
-  for (size_t i = 0; i < action.expected_cpu_milli.size(); ++i) {
-    const auto worker = workers_.find(action.request.workers[i]);
+  for (const std::string& id : action.request.workers) {
+    const auto worker = workers_.find(id);
     if (worker != workers_.end())
-      worker->second->expected_cpu_milli -= action.expected_cpu_milli[i];
+      worker->second->advice_calls.Close(action.call);
   }
 }
 
@@ -229,13 +229,14 @@
   ++ready.state->advice.calls_in_flight;
   ++figures_.advice_calls;
   AskAdviceAction action;
+  action.call = ++last_call_;
   action.adviser = adviser->node;
   action.request.step = ready.IdAt(0);
   for (size_t i = 0; i < count; ++i) {
     Worker& worker = *named[i].worker;
     action.request.workers.push_back(worker.record.id);
     action.expected_cpu_milli.push_back(named[i].expected_cpu_milli);
-    worker.expected_cpu_milli += named[i].expected_cpu_milli;
+    worker.advice_calls.Open(action.call, named[i].expected_cpu_milli);
   }
   action.timeout =
       (adviser->busy_until - now.mono) * 1.5 + absl::Milliseconds(500);
@@ -440,7 +441,7 @@
     const auto rank = [](const AdviceCandidate& one) {
       return std::make_tuple(
           one.fits < 1, !one.reserved, -one.fits,
-          one.worker->expected_cpu_milli - one.worker->free.cpu_milli,
+          one.worker->advice_calls.claimed() - one.worker->free.cpu_milli,
           one.number);
     };
     return rank(a) < rank(b);
--- a/keelbridge/coordination/job_scheduler_advice_test.cc
+++ b/keelbridge/coordination/job_scheduler_advice_test.cc
@@ -321,5 +321,70 @@
   CHECK(site.start_workers == std::vector<std::string>{"w"});
 }
 
+// Steps ask only about workers on which they fit.
+SchedulerPolicy NoExtraNames() {
+  SchedulerPolicy policy;
+  policy.name_extra_workers = false;
+  return policy;
+}
+
+JobSpec WholeWorkerJob() {
+  JobSpec spec;
+  spec.steps.push_back(OneTask(8000));
+  return spec;
+}
+
+// Guards against a worker that seems larger than it is after an answer of
+// before it was forgotten: more steps ask about it than fit.
+TEST_CASE(
+    "job scheduler: advice of before a worker was forgotten frees no capacity "
+    "of the worker that was found again") {
+  SchedulerDriver site(1, 2, NoExtraNames());
+  site.UseAdvice();
+  site.UseAdvisers(40);
+  site.hold_advice = true;
+  site.AddWorker("a");
+  site.reports["a"];
+  site.RunUntil(absl::Milliseconds(100));
+  site.scheduler().Submit(1, "restore", WholeWorkerJob(), site.now());
+  site.RunUntil(absl::Milliseconds(200));
+  REQUIRE(site.advice_calls.size() == 1);
+  site.scheduler().OnWorkerRemoved("a");
+  site.RunUntil(absl::Milliseconds(300));
+  REQUIRE(site.forgotten_workers.size() == 1);
+  site.AddWorker("a");
+  site.AnswerHeldAdvice();
+  // The first job may not run here, and does not ask again.
+  for (JobId id = 2; id < 6; ++id)
+    site.scheduler().Submit(id, "restore", WholeWorkerJob(), site.now());
+  site.RunUntil(absl::Milliseconds(600));
+  CHECK(site.advice_calls.size() == 2);
+}
+
+// Guards against a worker that seems full for good, because the answer names it
+// by an id that it has no more.
+TEST_CASE(
+    "job scheduler: advice about a worker's name frees the capacity of its "
+    "incarnation") {
+  SchedulerDriver site(1, 2, NoExtraNames());
+  site.UseAdvice();
+  site.UseAdvisers(40);
+  site.hold_advice = true;
+  site.AddWorker("a");
+  site.reports["a"];
+  site.RunUntil(absl::Milliseconds(100));
+  site.scheduler().Submit(1, "restore", WholeWorkerJob(), site.now());
+  site.RunUntil(absl::Milliseconds(200));
+  REQUIRE(site.advice_calls.size() == 1);
+  site.AddWorker("a@1000");
+  site.reports["a@1000"];
+  site.AnswerHeldAdvice();
+  site.hold_advice = false;
+  site.eligible = {"a@1000"};
+  site.RunUntil(absl::Seconds(3));
+  REQUIRE(site.starts.size() == 1);
+  CHECK(site.start_workers[0] == "a@1000");
+}
+
 }  // namespace
 }  // namespace keelbridge::testing
--- a/keelbridge/coordination/job_scheduler_incarnations.cc
+++ b/keelbridge/coordination/job_scheduler_incarnations.cc
@@ -166,6 +166,7 @@
   // on.
   worker.observations.CloseAll();
   worker.orders.CloseAll();
+  worker.advice_calls.CloseAll();
   for (auto& [key, allocation] : worker.allocations) {
     allocation.stop.OnAnswersVoid();
     allocation.uncertain = allocation.uncertain || !allocation.reported;
--- a/keelbridge/coordination/open_calls_test.cc
+++ b/keelbridge/coordination/open_calls_test.cc
@@ -27,5 +27,18 @@
   CHECK(calls.size() == 1);
 }
 
+TEST_CASE("open calls: a call claims its amount until it is closed") {
+  OpenCalls calls;
+  calls.Open(1, 300);
+  calls.Open(2, 50);
+  CHECK(calls.claimed() == 350);
+  calls.Close(1);
+  calls.Close(1);
+  CHECK(calls.claimed() == 50);
+  calls.CloseAll();
+  calls.Close(2);
+  CHECK(calls.claimed() == 0);
+}
+
 }  // namespace
 }  // namespace keelbridge
--- a/keelbridge/coordination/scheduler_actions.h
+++ b/keelbridge/coordination/scheduler_actions.h
@@ -27,7 +27,7 @@
 
 // Sends the order to start a run to a worker. `call` is the number of the call,
 // unique in a term, by which its answer is recognized (see OpenCalls); so for
-// the other calls to workers.
+// the other calls.
 struct StartAction {
   WorkerRecord worker;
   StartOrder order;
@@ -47,6 +47,7 @@
 };
 // Has a node ask the platform for admission advice.
 struct AskAdviceAction {
+  int64_t call = 0;
   std::string adviser;  // The node that makes the call.
   AdviceRequest request;
   // For each worker in the request: the CPU, in thousandths of a processor,
