Keep the requests in flight of a target that is removed and added again

What callers saw: nothing reported; found by looking for counts that outlive what they belong to. A configuration that no longer names a target dropped the gateway's count of requests in flight there. If the next configuration names it again before they are done, the target gets its full limit anew, and each old request that is done lowers the count of the new ones, so the target is overloaded until the old ones have gone.

Change: a removed target with requests in flight stays known, without receiving requests, until they are done.

The new test fails on the code before (0 in flight instead of 4).

--- a/keelbridge/coordination/router.cc
+++ b/keelbridge/coordination/router.cc
@@ -27,6 +27,11 @@
       by_service_[service].push_back(config.name);
     targets[config.name] = std::move(target);
   }
+  // A target that is removed receives no more requests, but those in flight
+  // count if it is added again before they are done.
+  for (auto& [name, target] : targets_) {
+    if (target.in_flight > 0) targets.try_emplace(name, std::move(target));
+  }
   targets_ = std::move(targets);
 }
 
--- a/keelbridge/coordination/router_test.cc
+++ b/keelbridge/coordination/router_test.cc
@@ -104,5 +104,26 @@
   CHECK(retries <= 0.2 * 10000 + 20);
 }
 
+// Guards against a target that receives more than its limit, because the
+// requests of before it was removed do not count, and lower the count as they
+// are done.
+TEST_CASE("a target that is removed and added again keeps its limit") {
+  Router router({});
+  router.SetConfiguration(MakeConfiguration(1, 4), "z");
+  for (int i = 0; i < 4; ++i)
+    REQUIRE(router.Choose("licence", {}, kNow).has_value());
+  router.SetConfiguration(MakeConfiguration(0, 4), "z");
+  CHECK(router.Choose("licence", {}, kNow).error().code ==
+        ErrorCode::kUnavailable);
+  router.SetConfiguration(MakeConfiguration(1, 4), "z");
+  CHECK(router.InFlight("t0") == 4);
+  CHECK(router.Choose("licence", {}, kNow).error().code ==
+        ErrorCode::kOverloaded);
+  for (int i = 0; i < 4; ++i) router.Done("t0", AttemptResult::kAnswered, kNow);
+  CHECK(router.InFlight("t0") == 0);
+  router.SetConfiguration(MakeConfiguration(0, 4), "z");
+  CHECK(router.ShareOf("t0") == 0);
+}
+
 }  // namespace
 }  // namespace keelbridge
