Choose relays by the workers of this term alone

What callers saw: nothing reported; found by looking for counts that outlive what they belong to. The choice whether a leader sends orders through other nodes, and through how many, counts the workers that got orders. The count lives as long as the process, but workers are removed from it only when the term's scheduler forgets them. So a node that leads again counted the workers of its earlier terms too, though they may have restarted under other ids or be gone, and sent orders through relays (15 ms more each way) that it could carry itself.

Change: the count begins anew with a term.

The new test fails without the reset (1 direct order instead of 2).

--- a/keelbridge/coordination/order_routing.cc
+++ b/keelbridge/coordination/order_routing.cc
@@ -53,6 +53,11 @@
   zone_of_worker_.erase(found);
 }
 
+void OrderRouting::RemoveAllWorkers() {
+  zone_of_worker_.clear();
+  workers_in_zone_.clear();
+}
+
 bool OrderRouting::UsesRelays() const {
   return static_cast<double>(zone_of_worker_.size()) >
          options_.direct_workers_per_processor * own_capacity_;
--- a/keelbridge/coordination/order_routing.h
+++ b/keelbridge/coordination/order_routing.h
@@ -62,6 +62,7 @@
   // Adds or removes a worker that receives orders.
   void AddWorker(const std::string& worker, const std::string& zone);
   void RemoveWorker(const std::string& worker);
+  void RemoveAllWorkers();
   // Returns the relay for orders to `worker`. Returns nullptr if this node
   // sends the order directly, because it has the capacity or knows no other
   // node in that zone. The pointer is valid until the next call of SetNodes().
--- a/keelbridge/daemon/order_relay_client.h
+++ b/keelbridge/daemon/order_relay_client.h
@@ -13,6 +13,7 @@
 //
 //   OrderRelayClient orders(loop, direct, rpc, options);
 //   orders.SetNodes(nodes, own_capacity);
+//   orders.BeginTerm();
 //   orders.Start(worker, order, [](OrderReply reply) { ... });
 
 #ifndef KEELBRIDGE_DAEMON_ORDER_RELAY_CLIENT_H_
@@ -61,6 +62,9 @@
                    EventRpcClient& rpc, Options options);
 
   void SetNodes(std::vector<OrderRouting::Node> nodes, double own_capacity);
+  // To be called when a term of this node begins. Only workers of this term
+  // count for the choice of relays: those of an earlier one may be gone.
+  void BeginTerm() { routing_.RemoveAllWorkers(); }
   // Handles a message of replies from a relay.
   void HandleReplies(const Json::Value& params);
   int64_t relayed() const { return relayed_; }
--- a/keelbridge/daemon/order_relay_client_test.cc
+++ b/keelbridge/daemon/order_relay_client_test.cc
@@ -49,7 +49,7 @@
 // A leader and one relay, each with a server of its own.
 class Pair {
  public:
-  Pair()
+  explicit Pair(double direct_workers = 0)
       : client_(loop),
         leader_server_(loop, {"127.0.0.1", 0, ""}),
         relay_server_(loop, {"127.0.0.1", 0, ""}),
@@ -57,7 +57,7 @@
     const auto leader_port = leader_server_.Start();
     relay_port_ = relay_server_.Start().value();
     OrderRelayClient::Options options;
-    options.routing.direct_workers_per_processor = 0;
+    options.routing.direct_workers_per_processor = direct_workers;
     options.own_address = absl::StrCat("127.0.0.1:", leader_port.value());
     orders = std::make_unique<OrderRelayClient>(loop, direct, client_, options);
     leader_server_.Add(
@@ -225,6 +225,22 @@
   CHECK(pair.direct.starts.size() == 1);
 }
 
+// Guards against a leader that sends orders through relays because of workers
+// of its earlier terms, which may be gone.
+TEST_CASE("relayed orders: only the workers of this term count") {
+  Pair pair(/*direct_workers=*/1);
+  pair.direct.reply.order.result = OrderResult::kDone;
+  WorkerRecord first = pair.Worker();
+  WorkerRecord second = pair.Worker();
+  second.id = "w2";
+  pair.Start(first, absl::Milliseconds(10));
+  pair.Start(second, absl::Milliseconds(10));
+  CHECK(pair.direct.starts.size() == 1);
+  pair.orders->BeginTerm();
+  pair.Start(second, absl::Milliseconds(10));
+  CHECK(pair.direct.starts.size() == 2);
+}
+
 // A relay may still send replies to orders of an earlier process that had the
 // leader's address.
 TEST_CASE(
--- a/keelbridge/daemon/site_node_leading.cc
+++ b/keelbridge/daemon/site_node_leading.cc
@@ -256,6 +256,7 @@
     earlier.push_back(earlier_leader.address);
   earlier_leaders_ = EarlierLeaders(std::move(earlier), last_order_);
   NodePorts ports = ports_;
+  order_relay_client_.BeginTerm();
   ports.workers = &order_relay_client_;
   session_ = std::make_shared<LeaderSession>(
       loop_, ports, std::move(options), election_.leader().epoch, metrics_);
