Keep the progress of a large job in parts that the store takes

Cause: one record held the whole progress of a job. With a checkpoint for each waiting task it took 460 to 620 KB, the store takes 256 KB a record and refuses it each time, and a leader appends one batch after the other, so nothing behind it became durable. A later leader comes to the same record. Two other records could grow in the same way: the description of a job (a letter that is not ASCII takes 6 bytes in it, so a body of 130 KB was enough), and the record of a leaving worker with the tasks that may still run there.

Change: the limit is a setting (store_record_bytes, filled by the platform). Progress that takes more than half of it is kept in parts of 64 tasks, of which only those that change are written again; small jobs stay as they were. Parts are written before the record that names them and dropped after the one that no longer does, so that a leader that is lost between two appends loses nothing. A job whose description is too large is refused at once (400). The record of a leaving worker names at most 1,000 tasks; without names later leaders wait for all, as before there were names. A checkpoint that is too long for a part (2 KB) is left out and logged.

The scheduler test, the test of the leaving worker's record and that of the too large job fail on the code before; the tests of the parts are new with them.

--- a/keelbridge/coordination/job_scheduler.cc
+++ b/keelbridge/coordination/job_scheduler.cc
@@ -3,6 +3,7 @@
 #include "keelbridge/coordination/job_scheduler.h"
 
 #include <algorithm>
+#include <iterator>
 
 #include "absl/strings/str_cat.h"
 #include "keelbridge/state/known_workers.h"
@@ -108,7 +109,7 @@
   for (const JobId id : dirty_jobs_) {
     const auto found = jobs_.find(id);
     if (found == jobs_.end()) continue;
-    batch.records.push_back(ProgressRecord(*found->second));
+    AddProgress(*found->second, batch);
     if (found->second->Ended())
       batch.records.push_back(DropRecord(DescriptionKey(id)));
   }
@@ -119,6 +120,17 @@
   return batch;
 }
 
+void JobScheduler::AddProgress(Job& job, Batch& batch) {
+  ProgressUpdate update = ProgressRecords(job, options_.max_record_bytes);
+  std::move(update.records.begin(), update.records.end(),
+            std::back_inserter(batch.records));
+  if (update.checkpoints_left_out == 0) return;
+  LogDecision("checkpoints_not_kept",
+              {{"job", JobIdText(job.id)},
+               {"count", absl::StrCat(update.checkpoints_left_out)}},
+              Severity::kWarning);
+}
+
 void JobScheduler::OnDurable(int64_t batch) {
   durable_batch_ = std::max(durable_batch_, batch);
   // Workers that still have ends to acknowledge stay in the list.
@@ -313,6 +325,8 @@
     }
     // The description is dropped first: a job with a description but without
     // progress would run again.
+    for (const auto& [key, hash] : job.stored_parts)
+      keys_to_drop_.push_back(key);
     keys_to_drop_.push_back(DescriptionKey(job.id));
     keys_to_drop_.push_back(ProgressKey(job.id));
     LogDecision(
--- a/keelbridge/coordination/job_scheduler.h
+++ b/keelbridge/coordination/job_scheduler.h
@@ -87,6 +87,8 @@
     absl::Duration max_order_delay = absl::Seconds(12);
     // How long a worker takes to stop a run, at most.
     absl::Duration stop_timeout = absl::Seconds(1);
+    // The largest record that the store takes.
+    size_t max_record_bytes = 256 << 10;
     SchedulerPolicy policy;
   };
 
@@ -330,6 +332,8 @@
     absl::Time avoid_until = absl::InfinitePast();
   };
   // job_scheduler.cc
+  // Adds the records that make the progress of the job durable.
+  void AddProgress(Job& job, Batch& batch);
   void MarkDirty(Job& job);
   void EndJob(Job& job, JobState end, std::string why, Now now);
   void StopRunsOf(Job& job);
--- a/keelbridge/coordination/job_scheduler_departures.cc
+++ b/keelbridge/coordination/job_scheduler_departures.cc
@@ -29,6 +29,9 @@
 // run whose expected end is longer ago than this does not progress as expected.
 constexpr absl::Duration kMaxProgressDelay = absl::Milliseconds(1500);
 constexpr double kAllPercent = 100;
+// The most tasks that the record of a leaving worker names: it must fit into
+// one record of the store.
+constexpr size_t kMaxRecordedTasks = 1000;
 
 }  // namespace
 
@@ -127,6 +130,8 @@
       !worker.unacknowledged_ends.empty())
     return;
   std::vector<TaskId> tasks = TasksOn(worker);
+  // Without a list, later leaders take it that any task may run there.
+  if (tasks.size() > kMaxRecordedTasks) return;
   // The recorded tasks include all that are left, so the record stays valid.
   const bool already_recorded =
       std::includes(worker.last_tasks.begin(), worker.last_tasks.end(),
--- a/keelbridge/coordination/job_scheduler_departures_test.cc
+++ b/keelbridge/coordination/job_scheduler_departures_test.cc
@@ -295,5 +295,30 @@
   CHECK(driver.start_workers == std::vector<std::string>{"a", "b"});
 }
 
+// Guards against a record of a worker that is larger than the store ever takes.
+TEST_CASE(
+    "job scheduler: the record of a leaving worker names its tasks only if "
+    "there are not too many") {
+  SchedulerDriver site(1);
+  site.carry_out_stops = false;
+  site.AddWorker("a");
+  for (int32_t i = 0; i < 2000; ++i)
+    site.reports["a"].running.push_back({{kJob, 0, 0, i}, 1, "", 0});
+  site.RunUntil(absl::Milliseconds(100));
+  WorkerRecord leaving = SchedulerDriver::RecordOf("a", 8000);
+  leaving.draining = true;
+  site.scheduler().OnWorkerRecord(leaving, site.now());
+  site.RunUntil(absl::Milliseconds(300));
+  const auto recorded_tasks = [&site] {
+    const Record& record = site.stored_records.at(KnownWorkerKey("a"));
+    CHECK(EncodedSize(record) < 256 << 10);
+    return ParseKnownWorker(record)->last_tasks.size();
+  };
+  CHECK(recorded_tasks() == 0);
+  site.reports["a"].running.resize(3);
+  site.RunUntil(absl::Seconds(2));
+  CHECK(recorded_tasks() == 3);
+}
+
 }  // namespace
 }  // namespace keelbridge::testing
--- a/keelbridge/coordination/job_scheduler_test.cc
+++ b/keelbridge/coordination/job_scheduler_test.cc
@@ -236,5 +236,51 @@
   CHECK(site.scheduler().Status(kJob) == JobState::kFailed);
 }
 
+// Guards against a site that stands still for good: the store never takes the
+// record, and no later one is appended before it.
+TEST_CASE(
+    "job scheduler: a large job whose tasks all wait with a checkpoint is "
+    "written in records that the store takes") {
+  constexpr int32_t kSteps = 6;
+  constexpr int32_t kTasksPerStep = 2000;
+  const std::string checkpoint = "00000bb87a21d94b00000bb87a21d94b";
+  constexpr size_t kMaxRecordBytes = 256 << 10;
+  SchedulerDriver first(2);
+  StepSpec step = OneTask();
+  step.count = kTasksPerStep;
+  JobSpec spec;
+  spec.steps.resize(kSteps, step);
+  first.scheduler().Submit(kJob, "restore", spec, first.now());
+  first.AddWorker("a", /*cpu_milli=*/0);  // Nothing starts again.
+  // All tasks run, and one of them is then done; the others lapse.
+  ObserveReply& report = first.reports["a"];
+  for (int32_t s = 0; s < kSteps; ++s) {
+    for (int32_t i = 0; i < kTasksPerStep; ++i)
+      report.running.push_back({{kJob, 0, s, i}, 1, checkpoint, 0});
+  }
+  first.RunUntil(absl::Milliseconds(300));
+  for (const RunningTask& run : report.running) {
+    const auto number = static_cast<int64_t>(report.ended.size()) + 1;
+    const RunEnd end = number == 1 ? RunEnd::kDone : RunEnd::kLapsed;
+    report.ended.push_back({number, run.task, run.run, end, checkpoint});
+  }
+  report.running.clear();
+  first.RunUntil(absl::Milliseconds(600));
+  for (const auto& [key, record] : first.stored_records) {
+    CAPTURE(key);
+    CHECK(EncodedSize(record) <= kMaxRecordBytes);
+  }
+  SchedulerDriver second(3);
+  second.TakeOver(first);
+  second.AddWorker("a");
+  second.reports["a"];
+  second.RunUntil(absl::Milliseconds(600));
+  REQUIRE_FALSE(second.starts.empty());
+  for (const StartOrder& start : second.starts) {
+    CHECK_FALSE(start.task == kTask);
+    CHECK(start.checkpoint == checkpoint);
+  }
+}
+
 }  // namespace
 }  // namespace keelbridge::testing
--- a/keelbridge/daemon/leader_session.cc
+++ b/keelbridge/daemon/leader_session.cc
@@ -363,6 +363,20 @@
                        *account);
 }
 
+std::optional<ClientReply> LeaderSession::RefuseIfTooLarge(
+    const ClientCall& call) const {
+  const size_t bytes =
+      DescriptionSize(call.job, call.queue, call.spec, call.caller.account);
+  const size_t max_bytes = options_.scheduler.max_record_bytes;
+  if (bytes <= max_bytes) return std::nullopt;
+  const std::string why =
+      absl::StrCat("the job takes ", bytes, " bytes to keep, at most ",
+                   max_bytes, " are possible");
+  LogEvent(Severity::kInfo, "job_refused",
+           {{"job", JobIdText(call.job)}, {"why", why}});
+  return Reply(ClientAnswer::kInvalid, why.c_str());
+}
+
 void LeaderSession::HandleSubmit(const ClientCall& call,
                                  std::function<void(ClientReply)> reply) {
   if (BelongsToAnotherAccount(call))
@@ -378,6 +392,10 @@
                absl::StrCat(absl::ToInt64Milliseconds(refused.retry_after))}});
     return reply(std::move(refused));
   }
+  if (!known) {
+    if (auto too_large = RefuseIfTooLarge(call))
+      return reply(*std::move(too_large));
+  }
   const Now now = SystemNow();
   Admission::Verdict verdict;
   if (!known) {
--- a/keelbridge/daemon/leader_session.h
+++ b/keelbridge/daemon/leader_session.h
@@ -211,6 +211,9 @@
                     std::function<void(ClientReply)> reply);
   void HandleSubmit(const ClientCall& call,
                     std::function<void(ClientReply)> reply);
+  // Returns the reply to the submission of a job whose description is larger
+  // than the store takes, or nullopt if the store takes it.
+  std::optional<ClientReply> RefuseIfTooLarge(const ClientCall& call) const;
   // Returns whether the job was submitted by another account than the caller's.
   bool BelongsToAnotherAccount(const ClientCall& call) const;
   // Returns the reply for a job with an unreadable record. It states neither
--- a/keelbridge/daemon/leader_session_test.cc
+++ b/keelbridge/daemon/leader_session_test.cc
@@ -209,6 +209,40 @@
   CHECK(cancelled == ClientAnswer::kNoSuchJob);
 }
 
+// Guards against a site that takes no more records, because one of them is
+// larger than the store ever takes.
+TEST_CASE(
+    "leader session: a job that is too large to keep is refused, and others "
+    "are accepted") {
+  boost::asio::io_context loop;
+  MemoryStore store(loop);
+  Leader::Parts parts;
+  parts.scheduler.max_record_bytes = 4096;
+  Leader leader(store, 1, parts);
+  leader.session().SetConfiguration(OneQueueConfiguration());
+  RunFor(store, absl::Milliseconds(100));
+  REQUIRE(leader.session().active());
+  const auto submit = [&](JobId job, const std::string& payload) {
+    ClientCall call;
+    call.kind = ClientCallKind::kSubmit;
+    call.queue = kQueue;
+    call.job = job;
+    call.spec.payload = payload;
+    call.spec.steps.emplace_back();
+    std::optional<ClientAnswer> answer;
+    leader.session().Handle(
+        call, [&answer](const ClientReply& reply) { answer = reply.answer; });
+    RunFor(store, absl::Milliseconds(200));
+    return answer;
+  };
+  CHECK(submit(kJob, std::string(5000, 'x')) == ClientAnswer::kInvalid);
+  // A letter of two bytes takes six in the record.
+  std::string letters;
+  for (int i = 0; i < 1000; ++i) letters += "\u00e9";
+  CHECK(submit(kJob, letters) == ClientAnswer::kInvalid);
+  CHECK(submit(kJob, std::string(3000, 'x')) == ClientAnswer::kAccepted);
+}
+
 // Reports that records were appended, but appends none.
 class DropsRecords : public MemoryStoreConnection {
  public:
--- a/keelbridge/daemon/node_settings.cc
+++ b/keelbridge/daemon/node_settings.cc
@@ -87,6 +87,8 @@
   reader.OptionalInteger("most_connections", 4, 65536, &out.max_connections);
   reader.OptionalInteger("store_append_bytes", 1024, 1 << 30,
                          &out.store_append_bytes);
+  reader.OptionalInteger("store_record_bytes", 1024, 1 << 30,
+                         &out.store_record_bytes);
   reader.OptionalNumber("processor_share", 0.001, 1024, &out.processor_share);
   reader.OptionalNumber("processor_speed", 0.001, 1024, &out.processor_speed);
   reader.OptionalNumber("direct_workers_per_processor", 0, 1e9,
--- a/keelbridge/daemon/node_settings.h
+++ b/keelbridge/daemon/node_settings.h
@@ -30,8 +30,9 @@
   Address metrics_listen;          // Port 0: no metrics are served.
   std::vector<std::string> seeds;  // "ip:port" of nodes; only the IP is used.
   Address store;
-  int64_t store_append_bytes = 1 << 20;  // Store's limit for one append.
-  Address advice;                        // Port 0: no advice service.
+  int64_t store_append_bytes = 1 << 20;    // Store's limit for one append.
+  int64_t store_record_bytes = 256 << 10;  // Store's limit for one record.
+  Address advice;                          // Port 0: no advice service.
   std::string trace_file;  // File for spans as OTLP/JSON lines; "": no tracing.
   Severity log_level = Severity::kInfo;
   int64_t max_connections = 1500;  // Maximum number of client connections.
--- a/keelbridge/daemon/site_node_leading.cc
+++ b/keelbridge/daemon/site_node_leading.cc
@@ -239,6 +239,8 @@
   // Half of the store's limit, because headers and framing are not counted.
   options.max_append_bytes =
       static_cast<size_t>(settings_.store_append_bytes) / 2;
+  options.scheduler.max_record_bytes =
+      static_cast<size_t>(settings_.store_record_bytes);
   options.scheduler.lease = settings_.lease;
   options.scheduler.policy = settings_.policy;
   options.scheduler.gang_wait = settings_.gang_wait;
--- a/keelbridge/state/job_table.cc
+++ b/keelbridge/state/job_table.cc
@@ -1,53 +1,57 @@
 #include "keelbridge/state/job_table.h"
 
+#include <xxhash.h>
+
 #include <algorithm>
+#include <limits>
 #include <utility>
 
 #include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_split.h"
 #include "keelbridge/base/json_reader.h"
+#include "keelbridge/state/job_progress.h"
 
 namespace keelbridge {
 namespace {
 
 constexpr char kDescriptionPrefix[] = "d/";
 constexpr char kProgressPrefix[] = "p/";
+constexpr char kPartPrefix[] = "t/";
 constexpr size_t kPrefixLength = 2;
+// The tasks whose progress one part holds. A multiple of four, since done tasks
+// are encoded four to a digit.
+constexpr size_t kTasksPerPart = 64;
+
+// Identifies a part of the progress of a job.
+struct PartId {
+  JobId job = 0;
+  int32_t round = 0;
+  size_t step = 0;
+  size_t begin = 0;  // Index of the first task.
+};
 
-// Returns which tasks of `step` are done, as one hex digit for each four tasks.
-// The first task is the lowest bit.
-std::string FormatDoneBits(const StepState& step) {
-  static constexpr char kDigits[] = "0123456789abcdef";
-  std::string bits((step.tasks.size() + 3) / 4, '0');
-  for (size_t i = 0; i < step.tasks.size(); ++i) {
-    if (step.tasks[i].phase != TaskPhase::kDone) continue;
-    char& digit = bits[i / 4];
-    const int value =
-        absl::ascii_isdigit(digit) ? digit - '0' : digit - 'a' + 10;
-    digit = kDigits[value | (1 << (i % 4))];
-  }
-  return bits;
-}
-
-// Marks the tasks of `step` that `in` lists as done. Returns false if `in` is
-// not a valid bit string for the step.
-bool ReadDoneBits(const Json::Value& in, StepState* step) {
-  if (!in.isString()) return false;
-  const std::string bits = in.asString();
-  const size_t digits = (step->tasks.size() + 3) / 4;
-  if (bits.size() > digits) return false;
-  for (size_t i = 0; i < bits.size() * 4; ++i) {
-    const char digit = bits[i / 4];
-    const bool is_letter = digit >= 'a' && digit <= 'f';
-    if (!is_letter && !absl::ascii_isdigit(digit)) return false;
-    const int value = is_letter ? digit - 'a' + 10 : digit - '0';
-    if ((value >> (i % 4) & 1) == 0) continue;
-    if (i >= step->tasks.size()) return false;
-    step->tasks[i].phase = TaskPhase::kDone;
-    ++step->done;
-  }
-  return true;
+std::string PartKey(const PartId& part) {
+  return absl::StrCat(kPartPrefix, JobIdText(part.job), "/", part.round, ".",
+                      part.step, ".", part.begin);
+}
+
+bool ParsePartKey(const std::string& key, PartId* part) {
+  const std::vector<std::string> halves =
+      absl::StrSplit(key.substr(kPrefixLength), '/');
+  if (halves.size() != 2 || !ParseJobId(halves[0], &part->job)) return false;
+  const std::vector<std::string> numbers = absl::StrSplit(halves[1], '.');
+  return numbers.size() == 3 && absl::SimpleAtoi(numbers[0], &part->round) &&
+         absl::SimpleAtoi(numbers[1], &part->step) &&
+         absl::SimpleAtoi(numbers[2], &part->begin);
+}
+
+uint64_t HashOf(const std::string& text) {
+  return XXH64(text.data(), text.size(), 0);
+}
+
+TaskRange RangeOf(const StepState& step, size_t number, size_t begin) {
+  return {number, begin, std::min(begin + kTasksPerPart, step.tasks.size())};
 }
 
 // Reads the end of the job from a progress record; kQueued if the job has not
@@ -62,15 +66,6 @@
   return *end != JobState::kQueued && in["ended_ms"].isInt64();
 }
 
-Json::Value CrashToJson(const CrashedRun& crash) {
-  Json::Value out(Json::objectValue);
-  out["run"] = crash.run;
-  out["ran_ms"] = Json::Int64(crash.ran_ms);
-  out["chance"] = crash.chance;
-  if (crash.begun) out["begun"] = true;
-  return out;
-}
-
 bool IsBoolOrMissing(const Json::Value& in, const char* key) {
   return !in.isMember(key) || in[key].isBool();
 }
@@ -79,216 +74,6 @@
   return !in.isMember(key) || in[key].isString();
 }
 
-bool ReadCrash(const Json::Value& in, CrashedRun* crash) {
-  const bool has_valid_types =
-      in.isObject() && in["run"].isInt() && in["ran_ms"].isInt64() &&
-      in["chance"].isNumeric() && IsBoolOrMissing(in, "begun");
-  if (!has_valid_types) return false;
-  crash->run = in["run"].asInt();
-  crash->ran_ms = in["ran_ms"].asInt64();
-  crash->chance = in["chance"].asDouble();
-  crash->begun = in["begun"].asBool();
-  return crash->chance >= 0 && crash->chance <= 1;
-}
-
-Json::Value CrashSuspectToJson(const CrashSuspect& crash_suspect) {
-  Json::Value out(Json::objectValue);
-  out["worker"] = crash_suspect.worker;
-  out["run"] = crash_suspect.run;
-  out["since_ms"] = Json::Int64(crash_suspect.since_ms);
-  if (crash_suspect.ran_ms >= 0)
-    out["ran_ms"] = Json::Int64(crash_suspect.ran_ms);
-  if (crash_suspect.begun) out["begun"] = true;
-  return out;
-}
-
-bool ReadCrashSuspect(const Json::Value& in, CrashSuspect* crash_suspect) {
-  const bool has_valid_types =
-      in.isObject() && in["worker"].isString() && in["run"].isInt() &&
-      in["since_ms"].isInt64() &&
-      (!in.isMember("ran_ms") || in["ran_ms"].isInt64()) &&
-      IsBoolOrMissing(in, "begun");
-  if (!has_valid_types) return false;
-  crash_suspect->worker = in["worker"].asString();
-  crash_suspect->run = in["run"].asInt();
-  crash_suspect->since_ms = in["since_ms"].asInt64();
-  crash_suspect->ran_ms = in.get("ran_ms", -1).asInt64();
-  crash_suspect->begun = in["begun"].asBool();
-  return true;
-}
-
-bool ReadUnanswered(const Json::Value& in, UnansweredStart* start) {
-  const bool has_valid_types = in.isObject() && in["worker"].isString() &&
-                               !in["worker"].asString().empty() &&
-                               in["run"].isInt();
-  if (!has_valid_types) return false;
-  start->worker = in["worker"].asString();
-  start->run = in["run"].asInt();
-  return true;
-}
-
-Json::Value RoundToJson(const Job& job, const Round& round) {
-  Json::Value out(Json::objectValue);
-  out["round"] = round.number;
-  out["done"] = Json::Value(Json::arrayValue);
-  for (size_t s = 0; s < round.steps.size(); ++s) {
-    const StepState& step = round.steps[s];
-    out["done"].append(step.done > 0 ? FormatDoneBits(step) : std::string());
-    for (size_t i = 0; i < step.tasks.size(); ++i) {
-      const TaskState& task = step.tasks[i];
-      const std::string key = absl::StrCat(s, ".", i);
-      for (const int32_t run : task.failed_runs)
-        out["failed_runs"][key].append(run);
-      for (const CrashedRun& crash : task.crashes)
-        out["crashes"][key].append(CrashToJson(crash));
-      if (!task.crash_suspect.worker.empty() && task.phase != TaskPhase::kDone)
-        out["exposed"][key] = CrashSuspectToJson(task.crash_suspect);
-      if (!task.unanswered.worker.empty() && task.phase != TaskPhase::kDone) {
-        Json::Value& start = out["unanswered"][key];
-        start["worker"] = task.unanswered.worker;
-        start["run"] = task.unanswered.run;
-      }
-      const bool has_checkpoint =
-          !task.checkpoint.empty() && task.phase == TaskPhase::kWaiting;
-      if (has_checkpoint) out["checkpoints"][key] = task.checkpoint;
-      if (task.placed_on.empty() || !job.HasPersistedPlacements(s)) continue;
-      out["placed"][key].append(task.placed_on);
-      out["placed"][key].append(task.run);
-    }
-  }
-  return out;
-}
-
-TaskState* FindTaskByKey(Round& round, const std::string& key) {
-  const std::vector<std::string> parts = absl::StrSplit(key, '.');
-  size_t step = 0;
-  size_t index = 0;
-  if (parts.size() != 2 || !absl::SimpleAtoi(parts[0], &step) ||
-      !absl::SimpleAtoi(parts[1], &index))
-    return nullptr;
-  if (step >= round.steps.size() || index >= round.steps[step].tasks.size())
-    return nullptr;
-  return &round.steps[step].tasks[index];
-}
-
-// Reads the placements of a job that persists them. A placement that cannot be
-// read must not be mistaken for a task that runs nowhere, so one such placement
-// marks all placements of the job as not persisted.
-void ReadPlacements(const Json::Value& in, Job* job, Round& round) {
-  if (!in.isNull() && !in.isObject()) {
-    job->placements_persisted = false;
-    return;
-  }
-  for (const std::string& key : in.getMemberNames()) {
-    const Json::Value& placed = in[key];
-    TaskState* task = FindTaskByKey(round, key);
-    const bool readable = task != nullptr && placed.isArray() &&
-                          placed.size() == 2 && placed[0].isString() &&
-                          placed[1].isInt();
-    if (!readable) {
-      job->placements_persisted = false;
-      return;
-    }
-    task->placed_on = placed[0].asString();
-    task->run = std::max(task->run, placed[1].asInt());
-  }
-}
-
-bool IsObjectOrMissing(const Json::Value& in, const char* key) {
-  return !in.isMember(key) || in[key].isObject();
-}
-
-bool ReadDone(const Json::Value& done, Round& round) {
-  if (!done.isArray() || done.size() > round.steps.size()) return false;
-  for (Json::ArrayIndex s = 0; s < done.size(); ++s) {
-    if (!ReadDoneBits(done[s], &round.steps[s])) return false;
-  }
-  return true;
-}
-
-bool ReadFailedRuns(const Json::Value& in, Round& round) {
-  for (const std::string& key : in.getMemberNames()) {
-    TaskState* task = FindTaskByKey(round, key);
-    if (task == nullptr || !in[key].isArray()) return false;
-    for (const Json::Value& run : in[key]) {
-      if (!run.isInt()) return false;
-      task->failed_runs.push_back(run.asInt());
-      task->run = std::max(task->run, run.asInt());
-    }
-  }
-  return true;
-}
-
-bool ReadCrashes(const Json::Value& in, Round& round) {
-  for (const std::string& key : in.getMemberNames()) {
-    TaskState* task = FindTaskByKey(round, key);
-    if (task == nullptr || !in[key].isArray()) return false;
-    for (const Json::Value& item : in[key]) {
-      CrashedRun crash;
-      if (!ReadCrash(item, &crash)) return false;
-      task->crashes.push_back(crash);
-      task->run = std::max(task->run, crash.run);
-    }
-  }
-  return true;
-}
-
-bool ReadCrashSuspects(const Json::Value& in, Round& round) {
-  for (const std::string& key : in.getMemberNames()) {
-    TaskState* task = FindTaskByKey(round, key);
-    if (task == nullptr || !ReadCrashSuspect(in[key], &task->crash_suspect))
-      return false;
-    task->run = std::max(task->run, task->crash_suspect.run);
-  }
-  return true;
-}
-
-bool ReadUnansweredStarts(const Json::Value& in, Round& round) {
-  for (const std::string& key : in.getMemberNames()) {
-    TaskState* task = FindTaskByKey(round, key);
-    if (task == nullptr || !ReadUnanswered(in[key], &task->unanswered))
-      return false;
-    task->run = std::max(task->run, task->unanswered.run);
-  }
-  return true;
-}
-
-bool ReadCheckpoints(const Json::Value& in, Round& round) {
-  for (const std::string& key : in.getMemberNames()) {
-    TaskState* task = FindTaskByKey(round, key);
-    if (task == nullptr || !in[key].isString()) return false;
-    task->checkpoint = in[key].asString();
-  }
-  return true;
-}
-
-// Adds the round that `in` describes to `job`. Returns false if it cannot be
-// read: if it were taken for a round without progress, its tasks would run
-// again.
-bool ReadRound(const Json::Value& in, Job* job) {
-  const bool has_valid_types = in.isObject() && in["round"].isInt() &&
-                               IsObjectOrMissing(in, "failed_runs") &&
-                               IsObjectOrMissing(in, "crashes") &&
-                               IsObjectOrMissing(in, "exposed") &&
-                               IsObjectOrMissing(in, "unanswered") &&
-                               IsObjectOrMissing(in, "checkpoints");
-  if (!has_valid_types) return false;
-  const int32_t number = in["round"].asInt();
-  const int32_t rounds = std::max(1, job->spec.rounds);
-  if (number < 0 || number >= rounds || job->FindRound(number) != nullptr)
-    return false;
-  Round& round = job->AddRound(number);
-  const bool read = (!in.isMember("done") || ReadDone(in["done"], round)) &&
-                    ReadFailedRuns(in["failed_runs"], round) &&
-                    ReadCrashes(in["crashes"], round) &&
-                    ReadCrashSuspects(in["exposed"], round) &&
-                    ReadUnansweredStarts(in["unanswered"], round) &&
-                    ReadCheckpoints(in["checkpoints"], round);
-  if (read && job->placements_persisted)
-    ReadPlacements(in["placed"], job, round);
-  return read;
-}
-
 bool ReadProgress(const Json::Value& in, Job* job) {
   const bool has_valid_types =
       IsBoolOrMissing(in, "begun") && IsBoolOrMissing(in, "placements_kept") &&
@@ -308,6 +93,63 @@
       [job](const Json::Value& round) { return ReadRound(round, job); });
 }
 
+// Returns the round `number`, which a part of its progress names, or null if it
+// is done or does not exist. Adds a round of which only parts were written.
+Round* FindOrAddRound(int32_t number, Job* job) {
+  if (Round* round = job->FindRound(number)) return round;
+  if (number < job->rounds_done || number >= std::max(1, job->spec.rounds))
+    return nullptr;
+  job->AddRound(number);
+  std::sort(job->rounds.begin(), job->rounds.end(),
+            [](const Round& a, const Round& b) { return a.number < b.number; });
+  return job->FindRound(number);
+}
+
+// Reads a part of the progress. Returns false if it cannot be read.
+bool ReadPart(const PartId& part, const Json::Value& in, Job* job) {
+  Round* const round = FindOrAddRound(part.round, job);
+  if (round == nullptr) return true;
+  if (part.step >= round->steps.size()) return false;
+  return ReadTasksOf(RangeOf(round->steps[part.step], part.step, part.begin),
+                     in, job, *round);
+}
+
+// Appends the parts of a round that have changed since they were last written.
+void AppendChangedParts(const Round& round, size_t max_checkpoint_bytes,
+                        Job& job, std::set<std::string>& keys,
+                        ProgressUpdate& out) {
+  for (size_t s = 0; s < round.steps.size(); ++s) {
+    const StepState& step = round.steps[s];
+    for (size_t begin = 0; begin < step.tasks.size(); begin += kTasksPerPart) {
+      const std::string key = PartKey({job.id, round.number, s, begin});
+      const Json::Value value =
+          TasksToJson(job, round, RangeOf(step, s, begin), max_checkpoint_bytes,
+                      &out.checkpoints_left_out);
+      const auto stored = job.stored_parts.find(key);
+      if (value.empty() && stored == job.stored_parts.end()) continue;
+      keys.insert(key);
+      std::string text = ToJsonText(value);
+      const uint64_t hash = HashOf(text);
+      if (stored != job.stored_parts.end() && stored->second == hash) continue;
+      job.stored_parts[key] = hash;
+      out.records.push_back(Record{key, std::move(text)});
+    }
+  }
+}
+
+// Appends records that drop the stored parts whose keys are not in `keys`.
+void DropParts(const std::set<std::string>& keys, Job& job,
+               ProgressUpdate& out) {
+  for (auto it = job.stored_parts.begin(); it != job.stored_parts.end();) {
+    if (keys.count(it->first) > 0) {
+      ++it;
+      continue;
+    }
+    out.records.push_back(DropRecord(it->first));
+    it = job.stored_parts.erase(it);
+  }
+}
+
 // Returns null if the description cannot be read.
 std::unique_ptr<Job> ReadDescription(JobId id, const Json::Value& in) {
   JobSpec spec;
@@ -420,7 +262,18 @@
   return Record{DescriptionKey(job.id), ToJsonText(value)};
 }
 
-Record ProgressRecord(const Job& job) {
+size_t DescriptionSize(JobId id, const std::string& queue, const JobSpec& spec,
+                       const std::string& account) {
+  Job job(id, queue, spec, std::numeric_limits<int64_t>::max());
+  job.account = account;
+  job.excess = true;
+  return EncodedSize(DescriptionRecord(job));
+}
+
+namespace {
+
+// `in_parts`: the progress of the rounds is in records of its own.
+Record MakeProgressRecord(const Job& job, bool in_parts) {
   Json::Value value(Json::objectValue);
   if (job.begun) value["begun"] = true;
   if (job.rounds_done > 0) value["rounds_done"] = job.rounds_done;
@@ -429,19 +282,86 @@
     value["ended_ms"] = Json::Int64(job.ended_ms);
     value["queue"] = job.queue;
     if (!job.account.empty()) value["account"] = job.account;
-  } else {
-    if (job.placements_persisted) value["placements_kept"] = true;
-    for (const Round& round : job.rounds)
-      value["rounds"].append(RoundToJson(job, round));
+    return Record{ProgressKey(job.id), ToJsonText(value)};
+  }
+  if (job.placements_persisted) value["placements_kept"] = true;
+  for (const Round& round : job.rounds) {
+    Json::Value& out = value["rounds"].append(Json::objectValue);
+    if (in_parts)
+      out["round"] = round.number;
+    else
+      out = RoundToJson(job, round);
   }
   return Record{ProgressKey(job.id), ToJsonText(value)};
 }
 
+}  // namespace
+
+Record ProgressRecord(const Job& job) {
+  return MakeProgressRecord(job, /*in_parts=*/false);
+}
+
+ProgressUpdate ProgressRecords(Job& job, size_t max_record_bytes) {
+  ProgressUpdate out;
+  if (job.Ended()) {
+    out.records.push_back(ProgressRecord(job));
+    DropParts({}, job, out);
+    return out;
+  }
+  if (job.stored_parts.empty()) {
+    Record whole = ProgressRecord(job);
+    if (EncodedSize(whole) <= max_record_bytes / 2) {
+      out.records.push_back(std::move(whole));
+      return out;
+    }
+  }
+  // The parts come before the record that names them, and are dropped after
+  // the one that no longer does: of a batch, the first records may become
+  // durable without the others.
+  std::set<std::string> keys;
+  for (const Round& round : job.rounds)
+    AppendChangedParts(round, max_record_bytes / 2 / kTasksPerPart, job, keys,
+                       out);
+  out.records.push_back(MakeProgressRecord(job, /*in_parts=*/true));
+  DropParts(keys, job, out);
+  return out;
+}
+
 Record DropRecord(std::string key) {
   return Record{std::move(key), std::nullopt};
 }
 
+void JobRecords::AddPart(const Record& record) {
+  PartId part;
+  if (!ParsePartKey(record.key, &part)) {
+    ++unreadable_;
+    return;
+  }
+  if (!record.value.has_value()) {
+    parts_[part.job].erase(record.key);
+    return;
+  }
+  parts_[part.job][record.key] = *record.value;
+}
+
+bool JobRecords::ReadParts(Job* job) const {
+  const auto parts = parts_.find(job->id);
+  if (parts == parts_.end()) return true;
+  for (const auto& [key, text] : parts->second) {
+    job->stored_parts[key] = HashOf(text);
+    if (job->Ended()) continue;
+    PartId part;
+    const JsonDocument document = JsonDocument::Parse(text, key);
+    if (!document.faults().empty() || !ParsePartKey(key, &part) ||
+        !ReadPart(part, document.root(), job))
+      return false;
+  }
+  return true;
+}
+
 void JobRecords::Add(const Record& record) {
+  if (record.key.compare(0, kPrefixLength, kPartPrefix) == 0)
+    return AddPart(record);
   JobId id = 0;
   if (record.key.size() <= kPrefixLength ||
       !ParseJobId(record.key.substr(kPrefixLength), &id)) {
@@ -471,9 +391,10 @@
     if (unreadable_jobs_.count(id) > 0) continue;
     auto job = ReadDescription(id, value);
     const auto progress = progress_.find(id);
-    const bool read =
-        job != nullptr && (progress == progress_.end() ||
-                           ReadProgress(progress->second, job.get()));
+    const bool read = job != nullptr &&
+                      (progress == progress_.end() ||
+                       ReadProgress(progress->second, job.get())) &&
+                      ReadParts(job.get());
     if (!read) {
       RecordUnreadable(id);
       continue;
@@ -489,7 +410,7 @@
     JobState end = JobState::kQueued;
     if (ReadEnd(value, &end) && end == JobState::kQueued) continue;
     auto job = std::make_unique<Job>(id, "", JobSpec(), 0);
-    if (!ReadProgress(value, job.get())) {
+    if (!ReadProgress(value, job.get()) || !ReadParts(job.get())) {
       RecordUnreadable(id);
       continue;
     }
--- a/keelbridge/state/job_table.h
+++ b/keelbridge/state/job_table.h
@@ -2,7 +2,9 @@
 //
 // Each job has two records: a description, written once, and a progress record,
 // rewritten whenever something happens that a later leader must know: a run's
-// end was acknowledged, the job was cancelled, or the job ended. Placements are
+// end was acknowledged, the job was cancelled, or the job ended. The store
+// takes only records up to some size, so the progress of a large job is kept in
+// further records, its parts. Placements are
 // not recorded, because the workers report what they run. The exception is
 // long-running tasks: there are few of them, and without a recorded placement a
 // later leader would have to wait for the lease of every unresponsive worker to
@@ -194,6 +196,9 @@
   std::string end_reason;            // Why the job ended, for the log.
   int64_t description_batch = 0;     // The batch that holds the description.
   int64_t end_batch = 0;             // The batch that holds the end.
+  // By key: a hash of each part of the progress that the store holds. Empty
+  // while one record holds all progress; see `ProgressRecords`.
+  std::map<std::string, uint64_t> stored_parts;
 
   bool Ended() const { return end != JobState::kQueued; }
   // Adds round `number`, with all its tasks waiting.
@@ -218,7 +223,22 @@
 std::string DescriptionKey(JobId id);
 std::string ProgressKey(JobId id);
 Record DescriptionRecord(const Job& job);
+// The encoded size in bytes of the description of a job that is submitted.
+size_t DescriptionSize(JobId id, const std::string& queue, const JobSpec& spec,
+                       const std::string& account);
+// The whole progress in one record, however large.
 Record ProgressRecord(const Job& job);
+// What has to be written for the progress of a job to be durable.
+struct ProgressUpdate {
+  std::vector<Record> records;  // To be written in this order.
+  // Checkpoints that are too long to be kept.
+  int64_t checkpoints_left_out = 0;
+};
+// Returns the progress as records of at most `max_record_bytes` each. Progress
+// that takes more than half of that is kept in parts from then on, of which
+// only those that have changed are written again. Counts the records as
+// written.
+ProgressUpdate ProgressRecords(Job& job, size_t max_record_bytes);
 // The record that drops `key` from the store.
 Record DropRecord(std::string key);
 
@@ -236,9 +256,15 @@
 
  private:
   void RecordUnreadable(JobId id);
+  void AddPart(const Record& record);
+  // Adds the parts of its progress to the job. Returns false if one cannot be
+  // read.
+  bool ReadParts(Job* job) const;
 
   std::map<JobId, Json::Value> descriptions_;
   std::map<JobId, Json::Value> progress_;
+  // By job and key: the encoded parts of the progress.
+  std::map<JobId, std::map<std::string, std::string>> parts_;
   int64_t unreadable_ = 0;
   std::set<JobId> unreadable_jobs_;
 };
--- a/keelbridge/state/job_table_test.cc
+++ b/keelbridge/state/job_table_test.cc
@@ -2,9 +2,13 @@
 
 #include <doctest/doctest.h>
 
+#include <cstdint>
+#include <map>
 #include <memory>
+#include <random>
 #include <string>
 #include <utility>
+#include <vector>
 
 namespace keelbridge {
 namespace {
@@ -225,5 +229,196 @@
   CHECK(records.unreadable_jobs().count(kId) == 1);
 }
 
+// The store's limit for one record in the tests below.
+constexpr size_t kMaxRecordBytes = 64 << 10;
+
+// A job whose progress is too large for one record: every task waits with a
+// checkpoint.
+Job LargeJob() {
+  JobSpec spec;
+  StepSpec step;
+  step.count = 1000;
+  spec.steps = {step, step, step};
+  spec.steps[2].count = 37;
+  Job job(kId, "serve", spec, 1000);
+  job.begun = true;
+  job.AddRound(0);
+  for (StepState& state : job.rounds[0].steps) {
+    for (size_t i = 0; i < state.tasks.size(); ++i)
+      state.tasks[i].checkpoint =
+          "00000bb87a21d94b00000bb87a21d94b" + std::to_string(i);
+  }
+  return job;
+}
+
+void MarkDone(Job& job, size_t step, size_t task) {
+  StepState& state = job.rounds[0].steps[step];
+  if (state.tasks[task].phase == TaskPhase::kDone) return;
+  state.tasks[task].phase = TaskPhase::kDone;
+  ++state.done;
+}
+
+// The newest record of each key, as the store keeps them.
+class StoredRecords {
+ public:
+  void Apply(const Record& record) {
+    if (record.value)
+      by_key_[record.key] = record;
+    else
+      by_key_.erase(record.key);
+  }
+  void Apply(const std::vector<Record>& records) {
+    for (const Record& record : records) Apply(record);
+  }
+  std::unique_ptr<Job> Recover() const {
+    JobRecords records;
+    for (const auto& [key, record] : by_key_) records.Add(record);
+    JobTable jobs = records.Build();
+    return jobs.count(kId) == 0 ? nullptr : std::move(jobs.at(kId));
+  }
+  size_t size() const { return by_key_.size(); }
+
+ private:
+  std::map<std::string, Record> by_key_;
+};
+
+// Guards against a progress record that the store never takes: it stops the
+// whole site, since no later record is appended before it.
+TEST_CASE(
+    "job table: no record of a large job's progress is larger than the store "
+    "takes") {
+  Job job = LargeJob();
+  MarkDone(job, 0, 0);
+  MarkDone(job, 1, 999);
+  MarkDone(job, 2, 36);
+  job.rounds[0].steps[1].tasks[500].failed_runs = {1, 7};
+  REQUIRE(EncodedSize(ProgressRecord(job)) > kMaxRecordBytes);
+  const ProgressUpdate update = ProgressRecords(job, kMaxRecordBytes);
+  for (const Record& record : update.records)
+    CHECK(EncodedSize(record) <= kMaxRecordBytes);
+  CHECK(update.checkpoints_left_out == 0);
+  StoredRecords store;
+  store.Apply(DescriptionRecord(job));
+  store.Apply(update.records);
+  const auto recovered = store.Recover();
+  REQUIRE(recovered != nullptr);
+  CHECK(*ProgressRecord(*recovered).value == *ProgressRecord(job).value);
+  CHECK(recovered->rounds[0].steps[1].done == 1);
+  CHECK(recovered->stored_parts == job.stored_parts);
+}
+
+TEST_CASE("job table: only the parts of the progress that change are written") {
+  Job job = LargeJob();
+  ProgressRecords(job, kMaxRecordBytes);
+  MarkDone(job, 0, 70);
+  MarkDone(job, 0, 71);
+  MarkDone(job, 2, 0);
+  const ProgressUpdate update = ProgressRecords(job, kMaxRecordBytes);
+  CHECK(update.records.size() == 3);  // Two parts, and what names them.
+}
+
+TEST_CASE("job table: small progress stays in one record") {
+  Job job = LongRunningJob();
+  const ProgressUpdate update = ProgressRecords(job, kMaxRecordBytes);
+  REQUIRE(update.records.size() == 1);
+  CHECK(*update.records[0].value == *ProgressRecord(job).value);
+}
+
+// A leader may be lost after any of the records, and each update follows from
+// the one before. Guards against a task that runs again although its end was
+// durable, or acknowledged and forgotten.
+TEST_CASE(
+    "job table: a leader that is lost between two records of an update loses "
+    "nothing that was durable before") {
+  for (uint32_t seed = 1; seed <= 20; ++seed) {
+    CAPTURE(seed);
+    std::mt19937 random(seed);
+    Job job = LargeJob();
+    // As written by a version that keeps all progress in one record.
+    MarkDone(job, 0, 5);
+    StoredRecords store;
+    store.Apply(DescriptionRecord(job));
+    store.Apply(ProgressRecord(job));
+    for (int update = 0; update < 4; ++update) {
+      const auto before = store.Recover();
+      REQUIRE(before != nullptr);
+      for (int end = 0; end < 30; ++end) {
+        const size_t step = random() % 3;
+        MarkDone(job, step, random() % job.rounds[0].steps[step].tasks.size());
+      }
+      const auto records = ProgressRecords(job, kMaxRecordBytes).records;
+      const size_t lost_after = random() % records.size();
+      for (size_t i = 0; i < records.size(); ++i) {
+        store.Apply(records[i]);
+        if (i != lost_after) continue;
+        const auto recovered = store.Recover();
+        REQUIRE(recovered != nullptr);
+        for (size_t s = 0; s < 3; ++s) {
+          const StepState& then = before->rounds[0].steps[s];
+          const StepState& now = recovered->rounds[0].steps[s];
+          for (size_t t = 0; t < then.tasks.size(); ++t) {
+            if (then.tasks[t].phase == TaskPhase::kDone)
+              CHECK(now.tasks[t].phase == TaskPhase::kDone);
+          }
+        }
+      }
+      CHECK(*ProgressRecord(*store.Recover()).value ==
+            *ProgressRecord(job).value);
+    }
+  }
+}
+
+TEST_CASE("job table: an ended job keeps no parts of its progress") {
+  Job job = LargeJob();
+  StoredRecords store;
+  store.Apply(DescriptionRecord(job));
+  store.Apply(ProgressRecords(job, kMaxRecordBytes).records);
+  REQUIRE(store.size() > 2);
+  job.end = JobState::kCompleted;
+  const auto records = ProgressRecords(job, kMaxRecordBytes).records;
+  // A leader that is lost before the parts are dropped leaves them to the next.
+  store.Apply(records[0]);
+  const auto recovered = store.Recover();
+  REQUIRE(recovered != nullptr);
+  CHECK(recovered->Ended());
+  CHECK(recovered->stored_parts.size() == store.size() - 2);
+  store.Apply(records);
+  CHECK(store.size() == 2);
+}
+
+TEST_CASE("job table: the parts of a round are dropped once it is done") {
+  Job job = LargeJob();
+  job.spec.rounds = 3;
+  job.AddRound(1);
+  job.rounds[1].steps[0].tasks[3].checkpoint = "kept";
+  StoredRecords store;
+  store.Apply(DescriptionRecord(job));
+  store.Apply(ProgressRecords(job, kMaxRecordBytes).records);
+  job.rounds.pop_front();
+  job.rounds_done = 1;
+  store.Apply(ProgressRecords(job, kMaxRecordBytes).records);
+  CHECK(store.size() == 3);
+  const auto recovered = store.Recover();
+  REQUIRE(recovered->rounds.size() == 1);
+  CHECK(recovered->rounds[0].number == 1);
+  CHECK(recovered->rounds[0].steps[0].tasks[3].checkpoint == "kept");
+}
+
+TEST_CASE("job table: an unreadable part is not taken for a missing one") {
+  Job job = LargeJob();
+  ProgressRecords(job, kMaxRecordBytes);
+  const std::string key = job.stored_parts.begin()->first;
+  for (const char* value :
+       {"", "[]", R"({"done":7})", R"({"done":"zz"})", R"({"failed_runs":7})"})
+    CheckUnreadable(key, value);
+}
+
+TEST_CASE("job table: a checkpoint that is too long for a part is left out") {
+  Job job = LargeJob();
+  job.rounds[0].steps[0].tasks[0].checkpoint = std::string(5000, 'x');
+  const ProgressUpdate update = ProgressRecords(job, kMaxRecordBytes);
+  CHECK(update.checkpoints_left_out == 1);
+}
+
 }  // namespace
 }  // namespace keelbridge
