Tell a refusal by the store that lasts from an outage

It still sends the append again: leaving a record out could lose an end that was acknowledged, or a job that was accepted.

--- a/keelbridge/daemon/leader_session.h
+++ b/keelbridge/daemon/leader_session.h
@@ -113,7 +113,8 @@
     size_t count = 0;
     int64_t sequence = 0;
     int tries = 0;
-    int open_tries = 0;  // Tries that are not answered yet.
+    int open_tries = 0;    // Tries that are not answered yet.
+    bool invalid = false;  // The store has said that it never takes it.
   };
   // A reply that waits until a batch is durable.
   struct Waiter {
@@ -167,6 +168,9 @@
   void OnAppended(const AppendReply& reply, int64_t append_number,
                   absl::Time sent);
   void OnAppendFailed(const AppendReply& reply, absl::Time sent);
+  // Logs once that the store never takes the current append, and what its
+  // largest record is.
+  void LogInvalidAppend(const AppendReply& reply);
   // Returns whether the stream ends where it must after the current append, and
   // stores the new end. If it does not, records are missing or another writer
   // appended after the fence.
--- a/keelbridge/daemon/leader_session_appends.cc
+++ b/keelbridge/daemon/leader_session_appends.cc
@@ -59,6 +59,7 @@
   ++appends_started_;
   in_flight_append_->tries = 0;
   in_flight_append_->open_tries = 0;
+  in_flight_append_->invalid = false;
   in_flight_append_->count =
       CountForAppend(in_flight_append_->batch.records, in_flight_append_->begin,
                      options_.max_append_bytes);
@@ -114,8 +115,28 @@
       });
 }
 
+void LeaderSession::LogInvalidAppend(const AppendReply& reply) {
+  if (std::exchange(in_flight_append_->invalid, true)) return;
+  const auto first = in_flight_append_->batch.records.begin() +
+                     static_cast<ptrdiff_t>(in_flight_append_->begin);
+  const auto largest = std::max_element(
+      first, first + static_cast<ptrdiff_t>(in_flight_append_->count),
+      [](const Record& a, const Record& b) {
+        return EncodedSize(a) < EncodedSize(b);
+      });
+  LogFields fields = {{"epoch", absl::StrCat(epoch_)},
+                      {"records", absl::StrCat(in_flight_append_->count)},
+                      {"detail", reply.message}};
+  if (in_flight_append_->count > 0) {
+    fields.emplace_back("largest", largest->key);
+    fields.emplace_back("bytes", absl::StrCat(EncodedSize(*largest)));
+  }
+  LogEvent(Severity::kError, "append_invalid", fields);
+}
+
 void LeaderSession::OnAppendFailed(const AppendReply& reply, absl::Time sent) {
   --in_flight_append_->open_tries;
+  if (reply.result == StoreResult::kInvalid) LogInvalidAppend(reply);
   if (failing_since_ == absl::InfiniteFuture()) {
     failing_since_ = sent;
     LogEvent(
--- a/keelbridge/protocol/record_store.cc
+++ b/keelbridge/protocol/record_store.cc
@@ -20,6 +20,8 @@
       return "sequence";
     case StoreResult::kRefused:
       return "refused";
+    case StoreResult::kInvalid:
+      return "invalid";
     case StoreResult::kGone:
       return "gone";
     case StoreResult::kUnknown:
--- a/keelbridge/protocol/record_store.h
+++ b/keelbridge/protocol/record_store.h
@@ -61,6 +61,7 @@
   kFenced,    // A higher epoch was set.
   kSequence,  // The sequence is not the next one.
   kRefused,   // Not executed: the store is overloaded, down, or full.
+  kInvalid,   // Not executed, and the same call never will be.
   kGone,      // The records asked for are no longer kept.
   kUnknown,   // No answer: an append may have been executed, or may be later.
 };
