Hand over when the lease of a lost worker ends

Cause: a new leader counts the lease of a worker that it does not reach from the last order of the leader before, to whichever worker. The leader before had not extended this worker's lease since it stopped answering, and knew when it ends, but did not hand that over.

Change: the handover says for each worker that does not answer, leaves or is off the list how much longer its lease lasts, if that worker had reported to this leader: then no earlier leader can have granted a later one. The next leader adds it to the time at which the answer arrives less the age of the handover, which is never earlier than the truth. It counts only if the worker's record names no later leader, as for the tasks that may be left there.

--- a/keelbridge/coordination/job_scheduler.h
+++ b/keelbridge/coordination/job_scheduler.h
@@ -178,7 +178,7 @@
   void OnEarlierLeadersStopped(absl::Time last_order);
   // Returns what the next leader cannot learn from the store. To be called once
   // this leader sends no more orders.
-  LeaderHandover Handover() const;
+  LeaderHandover Handover(absl::Time now) const;
   // Applies the handover of an earlier leader to the workers that this leader
   // has not reached.
   void OnHandover(const LeaderHandover& handover, Now now);
@@ -253,6 +253,8 @@
     std::vector<TaskId> last_tasks;
     // The corresponding tasks in the record of an earlier leader.
     std::vector<TaskId> last_tasks_of_earlier;
+    // By a handover: when the last lease of earlier leaders has expired.
+    absl::Time earlier_lease_end = absl::InfiniteFuture();
     Resources free;
     Allocations allocations;
     // Resources of the allocations whose runs should stop.
@@ -426,6 +428,8 @@
   // job_scheduler_handover.cc
   // Returns the tasks that may run on the worker, in ascending order.
   static std::vector<TaskId> TasksOn(const Worker& worker);
+  // Returns how long the worker's lease lasts from `now` on, at most.
+  static absl::Duration LeaseLeft(const Worker& worker, absl::Time now);
   // Returns, by the name of the worker, the tasks with a start that was given
   // up without an answer.
   std::map<std::string, std::set<TaskId>> UnansweredStartTasks() const;
@@ -609,8 +613,9 @@
   // Returns after how long a lease that starts now has expired, even on the
   // slowest clock.
   absl::Duration MaxLeaseDuration() const;
-  // Returns until when an earlier leader may have extended the worker's lease.
-  absl::Time LatestEarlierLeaseGrant(const Worker& worker) const;
+  // Returns by when the last lease that an earlier leader may have granted to
+  // the worker has expired.
+  absl::Time EarlierLeaseEnd(const Worker& worker) const;
   // Returns whether the worker can have no run that this leader does not know
   // of.
   bool IsAccountedFor(const Worker& worker, Now now) const;
--- a/keelbridge/coordination/job_scheduler_durations_test.cc
+++ b/keelbridge/coordination/job_scheduler_durations_test.cc
@@ -58,7 +58,10 @@
   CHECK(site.Learned() == 1);
   site.End(RunEnd::kDone);
   CHECK(site.Learned() > 1.05);
-  CHECK(site.driver().scheduler().Handover().durations.size() == 1);
+  CHECK(site.driver()
+            .scheduler()
+            .Handover(site.driver().now().mono)
+            .durations.size() == 1);
   const auto ended = std::find_if(
       site.driver().log_lines.begin(), site.driver().log_lines.end(),
       [](const LogAction& line) { return line.event == "job_ended"; });
--- a/keelbridge/coordination/job_scheduler_frozen_leader_test.cc
+++ b/keelbridge/coordination/job_scheduler_frozen_leader_test.cc
@@ -64,7 +64,8 @@
   void Thaw(SchedulerDriver& second) {
     EarlierLeaders earlier({kFrozenNode}, absl::InfinitePast());
     earlier.OnStopped(kFrozenNode, kFrozen, second.now().mono);
-    second.scheduler().OnHandover(first_.scheduler().Handover(), second.now());
+    second.scheduler().OnHandover(
+        first_.scheduler().Handover(first_.now().mono), second.now());
     REQUIRE(earlier.AllStopped());
     second.scheduler().OnEarlierLeadersStopped(earlier.LastOrderTime());
   }
--- a/keelbridge/coordination/job_scheduler_handover.cc
+++ b/keelbridge/coordination/job_scheduler_handover.cc
@@ -1,5 +1,6 @@
 // Hands over to the next leader what this one knows and could not make durable.
 
+#include <algorithm>
 #include <map>
 #include <set>
 #include <string>
@@ -40,10 +41,14 @@
   return tasks;
 }
 
+absl::Duration JobScheduler::LeaseLeft(const Worker& worker, absl::Time now) {
+  return std::max(worker.lease_expires_at - now, absl::ZeroDuration());
+}
+
 // Workers that stay report to the next leader themselves, so that the handover
 // holds only the others. It is part of the answer that says that this leader
 // has stopped, which must arrive in time over slow links.
-LeaderHandover JobScheduler::Handover() const {
+LeaderHandover JobScheduler::Handover(absl::Time now) const {
   const std::map<std::string, std::set<TaskId>> unanswered =
       UnansweredStartTasks();
   LeaderHandover handover;
@@ -57,7 +62,11 @@
     out.worker = id;
     for (const UnacknowledgedEnd& one : worker->unacknowledged_ends)
       out.ends.push_back(one.end);
-    out.remaining_known = leaves && worker->reported && !worker->ended;
+    const bool known = worker->reported && !worker->ended;
+    // Covers earlier leaders too: their fence was lower when the worker first
+    // reported to this one.
+    if (known) out.lease_left = LeaseLeft(*worker, now);
+    out.remaining_known = leaves && known;
     if (out.remaining_known) {
       const std::vector<TaskId> placed = TasksOn(*worker);
       std::set<TaskId> remaining(placed.begin(), placed.end());
@@ -66,8 +75,7 @@
         remaining.insert(late->second.begin(), late->second.end());
       out.remaining.assign(remaining.begin(), remaining.end());
     }
-    if (out.remaining_known || !out.ends.empty())
-      handover.workers.push_back(std::move(out));
+    if (known || !out.ends.empty()) handover.workers.push_back(std::move(out));
   }
   handover.returns = work_admission_.returns().Export(kMaxReturnsHandedOver);
   return handover;
@@ -87,8 +95,11 @@
       ends += ApplyHandedOverEnd(worker, end, handover.epoch, now) ? 1 : 0;
     // A later leader that assigned tasks to the worker is named by its record:
     // no leader assigns any before its record of the worker is durable.
-    if (!from.remaining_known || worker.leased_by_epoch != handover.epoch)
-      continue;
+    if (worker.leased_by_epoch != handover.epoch) continue;
+    if (from.lease_left)
+      worker.earlier_lease_end =
+          now.mono - handover.age + *from.lease_left + kLeaseExpiryMargin;
+    if (!from.remaining_known) continue;
     worker.retired_by_earlier = from.remaining.empty();
     worker.last_tasks_of_earlier = from.remaining;
   }
--- a/keelbridge/coordination/job_scheduler_handover_test.cc
+++ b/keelbridge/coordination/job_scheduler_handover_test.cc
@@ -71,7 +71,8 @@
   SchedulerDriver second(2);
   TakeOver(second, first);
   REQUIRE(second.starts.empty());
-  second.scheduler().OnHandover(first.scheduler().Handover(), second.now());
+  second.scheduler().OnHandover(first.scheduler().Handover(first.now().mono),
+                                second.now());
   second.RunUntil(absl::Seconds(1) + kMaxRestartDelay);
   REQUIRE(second.starts.size() == 1);
   CHECK(second.starts[0].task == TaskId{kJob, 0, 1, 0});
@@ -89,7 +90,8 @@
   EndHeardByFirst(first, RunEnd::kStopped, "saved");
   SchedulerDriver second(2);
   TakeOver(second, first);
-  second.scheduler().OnHandover(first.scheduler().Handover(), second.now());
+  second.scheduler().OnHandover(first.scheduler().Handover(first.now().mono),
+                                second.now());
   second.RunUntil(absl::Seconds(1) + kMaxRestartDelay);
   REQUIRE(second.starts.size() == 1);
   CHECK(second.starts[0].checkpoint == "saved");
@@ -105,7 +107,7 @@
   EndHeardByFirst(first, RunEnd::kFailed);
   SchedulerDriver second(2);
   TakeOver(second, first);
-  const LeaderHandover handover = first.scheduler().Handover();
+  const LeaderHandover handover = first.scheduler().Handover(first.now().mono);
   second.scheduler().OnHandover(handover, second.now());
   second.scheduler().OnHandover(handover, second.now());
   second.RunUntil(absl::Seconds(2));
@@ -127,7 +129,8 @@
   first.RunUntil(kCutAt + absl::Milliseconds(500));
   SchedulerDriver second(2);
   TakeOver(second, first);
-  second.scheduler().OnHandover(first.scheduler().Handover(), second.now());
+  second.scheduler().OnHandover(first.scheduler().Handover(first.now().mono),
+                                second.now());
   second.RunUntil(absl::Seconds(5));
   CHECK(second.starts.empty());
   second.RunUntil(absl::Seconds(1) + kLeaseOver);
@@ -165,7 +168,8 @@
   second.reports["b"];
   second.RunUntil(absl::Seconds(1));
   REQUIRE(second.starts.empty());
-  second.scheduler().OnHandover(first.scheduler().Handover(), second.now());
+  second.scheduler().OnHandover(first.scheduler().Handover(first.now().mono),
+                                second.now());
   second.RunUntil(absl::Seconds(1) + kMaxRestartDelay);
   CHECK(second.starts.size() == 1);
 }
@@ -189,7 +193,8 @@
   REQUIRE(second.start_workers[0] == "leaving");
   SchedulerDriver third(3);
   TakeOver(third, second);
-  third.scheduler().OnHandover(first.scheduler().Handover(), third.now());
+  third.scheduler().OnHandover(first.scheduler().Handover(first.now().mono),
+                               third.now());
   third.RunUntil(absl::Seconds(5));
   CHECK(third.starts.empty());
 }
@@ -205,18 +210,20 @@
   SchedulerDriver second(2);
   TakeOver(second, first);
   second.hold_batches = true;
-  second.scheduler().OnHandover(first.scheduler().Handover(), second.now());
+  second.scheduler().OnHandover(first.scheduler().Handover(first.now().mono),
+                                second.now());
   SchedulerDriver third(3);
   third.TakeOver(first);
   third.AddWorker("b");
   third.reports["b"];
   third.RunUntil(absl::Seconds(1));
-  third.scheduler().OnHandover(second.scheduler().Handover(), third.now());
+  third.scheduler().OnHandover(second.scheduler().Handover(second.now().mono),
+                               third.now());
   third.RunUntil(absl::Seconds(1) + kMaxRestartDelay);
   REQUIRE(third.starts.size() == 1);
   CHECK(third.starts[0].task == TaskId{kJob, 0, 1, 0});
   third.RunUntil(absl::Seconds(5));
-  CHECK(third.scheduler().Handover().workers.empty());
+  CHECK(third.scheduler().Handover(third.now().mono).workers.empty());
 }
 
 // Guards against ends that count twice: a worker that the new leader reaches
@@ -234,7 +241,7 @@
   second.reports["b"];
   second.RunUntil(absl::Seconds(1));
   REQUIRE(second.starts.size() == 1);
-  LeaderHandover handover = first.scheduler().Handover();
+  LeaderHandover handover = first.scheduler().Handover(first.now().mono);
   REQUIRE(handover.workers.size() == 1);
   REQUIRE(handover.workers[0].ends.size() == 1);
   // A number that the worker has not reached shows that it is not looked at.
@@ -265,7 +272,8 @@
   REQUIRE(first.lost_starts.size() == 1);
   first.next_incarnations["w@1"] = "w@2";
   first.RunUntil(kCutAt + absl::Milliseconds(80));
-  for (const WorkerHandover& worker : first.scheduler().Handover().workers) {
+  for (const WorkerHandover& worker :
+       first.scheduler().Handover(first.now().mono).workers) {
     CAPTURE(worker.worker);
     const bool names_task =
         std::find(worker.remaining.begin(), worker.remaining.end(), kTask) !=
@@ -287,7 +295,7 @@
   SchedulerDriver second(2);
   TakeOver(second, first);
   REQUIRE(second.starts.empty());
-  LeaderHandover handover = first.scheduler().Handover();
+  LeaderHandover handover = first.scheduler().Handover(first.now().mono);
   REQUIRE(handover.workers.size() == 1);
   // The worker left with a task of another job.
   handover.workers[0].remaining = {{kJob + 1, 0, 0, 0}};
@@ -308,11 +316,94 @@
   EndHeardByFirst(first, RunEnd::kStopped, "first");
   SchedulerDriver third(3);
   TakeOver(third, first);
-  third.scheduler().OnHandover(first.scheduler().Handover(), third.now());
+  third.scheduler().OnHandover(first.scheduler().Handover(first.now().mono),
+                               third.now());
   third.RunUntil(absl::Seconds(1) + kMaxRestartDelay);
   REQUIRE(third.starts.size() == 1);
   CHECK(third.starts[0].checkpoint.empty());
 }
 
+// A leader loses sight of "a", on which the only task lasts, 5 s before it
+// hands over.
+void LoseWorkerThenHandOver(SchedulerDriver& first) {
+  first.AddWorker("a");
+  first.reports["a"];
+  first.RunUntil(absl::Milliseconds(100));
+  JobSpec spec;
+  spec.steps = {LongRunningTask()};
+  first.scheduler().Submit(kJob, "restore", spec, first.now());
+  first.RunUntil(absl::Seconds(1));
+  REQUIRE(first.starts.size() == 1);
+  first.cut_off.insert("a");
+  first.RunUntil(absl::Seconds(5));
+  first.scheduler().OnWorkerRemoved("a");
+  first.RunUntil(absl::Seconds(6));
+}
+
+// Guards against a lasting task that is away for two leases: the next leader
+// counted the lease from the handover, not from when it was last extended.
+TEST_CASE(
+    "job scheduler: a handover does not begin the wait for a lost worker "
+    "anew") {
+  for (const absl::Duration age : {absl::Seconds(0), absl::Milliseconds(500)}) {
+    CAPTURE(age);
+    SchedulerDriver first(1);
+    LoseWorkerThenHandOver(first);
+    SchedulerDriver second(2);
+    second.TakeOver(first);
+    second.AddWorker("b");
+    second.reports["b"];
+    LeaderHandover handover = first.scheduler().Handover(first.now().mono);
+    handover.age = age;
+    second.scheduler().OnHandover(handover, second.now());
+    // The lease was extended at 1 s, and lasts for 6.2 s on a slow clock.
+    second.RunUntil(absl::Seconds(1) - age);
+    CHECK(second.starts.empty());
+    second.RunUntil(absl::Milliseconds(1700) - age);
+    CHECK(second.starts.size() == 1);
+  }
+}
+
+// Guards against a second run beside the first: a leader in between may have
+// extended the lease.
+TEST_CASE(
+    "job scheduler: a handover says nothing of the lease that a later leader "
+    "granted") {
+  SchedulerDriver first(1);
+  LoseWorkerThenHandOver(first);
+  SchedulerDriver second(2);
+  second.TakeOver(first);
+  second.stored_records = first.stored_records;
+  second.AddWorker("a");
+  second.reports["a"] = first.reports["a"];
+  second.RunUntil(absl::Seconds(1));
+  SchedulerDriver third(3);
+  third.TakeOver(second);
+  third.AddWorker("b");
+  third.reports["b"];
+  third.scheduler().OnHandover(first.scheduler().Handover(first.now().mono),
+                               third.now());
+  third.RunUntil(absl::Seconds(6));
+  CHECK(third.starts.empty());
+  third.RunUntil(kLeaseOver);
+  CHECK(third.starts.size() == 1);
+}
+
+// Guards against a lease end that a leader hands over without knowing what
+// earlier leaders granted.
+TEST_CASE(
+    "job scheduler: a leader that a worker never answered hands over no end of "
+    "its lease") {
+  SchedulerDriver first(1);
+  LoseWorkerThenHandOver(first);
+  SchedulerDriver second(2);
+  second.TakeOver(first);
+  second.AddWorker("a");
+  second.RunUntil(absl::Seconds(1));
+  for (const WorkerHandover& worker :
+       second.scheduler().Handover(second.now().mono).workers)
+    CHECK_FALSE(worker.lease_left.has_value());
+}
+
 }  // namespace
 }  // namespace keelbridge::testing
--- a/keelbridge/coordination/job_scheduler_overload_test.cc
+++ b/keelbridge/coordination/job_scheduler_overload_test.cc
@@ -102,7 +102,8 @@
   }
   site.RunFor(absl::Milliseconds(100));
   CHECK(site.driver.scheduler().figures().timely_work_milli_s == 0);
-  CHECK(site.driver.scheduler().Handover().returns.empty());
+  CHECK(
+      site.driver.scheduler().Handover(site.driver.now().mono).returns.empty());
 }
 
 TEST_CASE("job scheduler: a few jobs of much work are an overload") {
@@ -178,7 +179,8 @@
     Site next(2);
     next.RunFor(earlier.driver.now().mono - next.driver.now().mono);
     if (handed_over) {
-      const LeaderHandover handover = earlier.driver.scheduler().Handover();
+      const LeaderHandover handover =
+          earlier.driver.scheduler().Handover(earlier.driver.now().mono);
       REQUIRE(handover.returns.size() == 1);
       CHECK(handover.returns[0].job == refused);
       next.driver.scheduler().OnHandover(handover, next.driver.now());
--- a/keelbridge/coordination/job_scheduler_recovery.cc
+++ b/keelbridge/coordination/job_scheduler_recovery.cc
@@ -25,8 +25,14 @@
 // not from when the last of that leader's successors was fenced. Otherwise each
 // successor would wait for a full lease: with three changes of leader in 11 s,
 // the tasks of a worker that had ended were down for 30 s.
-absl::Time JobScheduler::LatestEarlierLeaseGrant(const Worker& worker) const {
-  return LatestEarlierOrder(worker.leased_by_epoch);
+//
+// An earlier leader that could be asked has said when its lease of a worker
+// that it did not reach either ends. Otherwise each planned stop of a leader
+// would begin the wait for a lost worker anew.
+absl::Time JobScheduler::EarlierLeaseEnd(const Worker& worker) const {
+  return std::min(
+      worker.earlier_lease_end,
+      LatestEarlierOrder(worker.leased_by_epoch) + MaxLeaseDuration());
 }
 
 absl::Time JobScheduler::LatestEarlierOrder(int64_t epoch) const {
@@ -45,8 +51,7 @@
 // after each change of leader.
 bool JobScheduler::IsAccountedFor(const Worker& worker, Now now) const {
   return worker.reported || worker.retired_by_earlier ||
-         !worker.known_to_earlier_leader ||
-         now.mono > LatestEarlierLeaseGrant(worker) + MaxLeaseDuration();
+         !worker.known_to_earlier_leader || now.mono > EarlierLeaseEnd(worker);
 }
 
 bool JobScheduler::AllAccountedFor(Now now) const {
@@ -123,13 +128,11 @@
   for (const auto& [id, worker] : workers_) {
     if (IsAccountedFor(*worker, now)) continue;
     ++unaccounted;
-    if (last == nullptr ||
-        LatestEarlierLeaseGrant(*worker) > LatestEarlierLeaseGrant(*last))
+    if (last == nullptr || EarlierLeaseEnd(*worker) > EarlierLeaseEnd(*last))
       last = worker.get();
   }
   if (last == nullptr) return;
-  const absl::Duration left =
-      LatestEarlierLeaseGrant(*last) + MaxLeaseDuration() - now.mono;
+  const absl::Duration left = EarlierLeaseEnd(*last) - now.mono;
   LogDecision("recovered_work_waits",
               {{"tasks", absl::StrCat(recovery_wait_.tasks)},
                {"first", TaskIdText(recovery_wait_.first)},
--- a/keelbridge/daemon/leader_session.cc
+++ b/keelbridge/daemon/leader_session.cc
@@ -86,7 +86,7 @@
 
 void LeaderSession::End(const std::string& why) {
   if (ended()) return;
-  if (active()) handover_ = scheduler_.Handover();
+  if (active()) handover_ = scheduler_.Handover(SystemNow().mono);
   phase_ = Phase::kEnded;
   LogEvent(Severity::kWarning, "term_ended",
            {{"epoch", absl::StrCat(epoch_)}, {"why", why}});
--- a/keelbridge/daemon/node_messages.cc
+++ b/keelbridge/daemon/node_messages.cc
@@ -78,6 +78,7 @@
   out["worker"] = worker.worker;
   out["ends"] = Json::Value(Json::arrayValue);
   for (const EndedTask& end : worker.ends) out["ends"].append(ToRow(end));
+  if (worker.lease_left) out["lease_left_ms"] = AgeToJson(*worker.lease_left);
   if (!worker.remaining_known) return out;
   out["remaining"] = Json::Value(Json::arrayValue);
   for (const TaskId& task : worker.remaining)
@@ -95,6 +96,11 @@
     if (!end) return std::nullopt;
     worker.ends.push_back(*std::move(end));
   }
+  if (in.isMember("lease_left_ms")) {
+    const int64_t left_ms = in["lease_left_ms"].asInt64();
+    if (left_ms < 0) return std::nullopt;
+    worker.lease_left = absl::Milliseconds(left_ms);
+  }
   if (!in.isMember("remaining")) return worker;
   // A worker whose remaining tasks cannot be read must not be mistaken for one
   // on which nothing runs.
@@ -300,6 +306,9 @@
   LeaderHandover handover;
   handover.epoch = in["epoch"].asInt64();
   if (handover.epoch <= 0 || !in["workers"].isArray()) return std::nullopt;
+  const int64_t age_ms = in["age_ms"].asInt64();
+  if (age_ms < 0) return std::nullopt;
+  handover.age = absl::Milliseconds(age_ms);
   for (const Json::Value& item : in["workers"]) {
     std::optional<WorkerHandover> worker = ReadWorkerHandover(item);
     if (!worker) return std::nullopt;
@@ -408,6 +417,8 @@
 Json::Value ToJson(const LeaderHandover& handover) {
   Json::Value out(Json::objectValue);
   out["epoch"] = Json::Int64(handover.epoch);
+  out["age_ms"] = Json::Int64(
+      absl::ToInt64Milliseconds(std::min(handover.age, kMaxReportedAge)));
   out["workers"] = Json::Value(Json::arrayValue);
   for (const WorkerHandover& worker : handover.workers)
     out["workers"].append(ToJson(worker));
--- a/keelbridge/daemon/node_messages_test.cc
+++ b/keelbridge/daemon/node_messages_test.cc
@@ -94,9 +94,15 @@
   worker.worker = "i-2";
   worker.remaining_known = true;
   worker.remaining = {{7, 0, 1, 3}};
+  worker.lease_left = absl::Microseconds(1'200'100);
   handover.workers.push_back(worker);
+  handover.age = absl::Microseconds(340'900);
   const auto read = LeaderHandoverFromJson(ToJson(handover));
   REQUIRE(read.has_value());
+  CHECK_FALSE(read->workers[0].lease_left.has_value());
+  // Rounded so that the lease does not seem to end earlier.
+  CHECK(read->workers[1].lease_left == absl::Milliseconds(1201));
+  CHECK(read->age == absl::Milliseconds(340));
   CHECK(ToJson(*read) == ToJson(handover));
   REQUIRE(read->workers.size() == 2);
   CHECK(read->workers[0].ends[0].checkpoint == "saved");
@@ -207,7 +213,7 @@
     CHECK(read->returns.empty());
   }
   // More than a handover holds.
-  Json::Value many = ToJson(LeaderHandover{3, {}, {}, {{7, 1, 1, 1, 1, true}}});
+  Json::Value many = ToJson(LeaderHandover{3, {}, {}, {}, {{7, 1, 1, 1, 1, true}}});
   const Json::Value row = many["returns"][0];
   for (size_t i = 0; i < kMaxReturnsHandedOver; ++i)
     many["returns"].append(row);
@@ -272,7 +278,13 @@
         R"({"epoch":3,"workers":[{"worker":"i-1","ends":[],)"
         R"("remaining":["x"]}]})",
         R"({"epoch":3,"workers":[{"worker":"i-1","ends":[],)"
-        R"("remaining":[{}]}]})"}) {
+        R"("remaining":[{}]}]})",
+        R"({"epoch":3,"age_ms":-1,"workers":[]})",
+        R"({"epoch":3,"age_ms":"x","workers":[]})",
+        R"({"epoch":3,"workers":[{"worker":"i-1","ends":[],)"
+        R"("lease_left_ms":-1}]})",
+        R"({"epoch":3,"workers":[{"worker":"i-1","ends":[],)"
+        R"("lease_left_ms":"x"}]})"}) {
     CAPTURE(text);
     CHECK_FALSE(LeaderHandoverFromJson(Message(text)).has_value());
   }
--- a/keelbridge/daemon/site_node.h
+++ b/keelbridge/daemon/site_node.h
@@ -183,6 +183,8 @@
   void Reaffirm();
   void BeginTerm();
   void OnTermEnded(const std::string& why);
+  // Returns what the latest term of this node has to hand over, as of now.
+  LeaderHandover CurrentHandover() const;
   // Passes the handover of the earlier leader at `address` to the session.
   void OnHandoverMessage(const std::string& address,
                          const Json::Value& message);
@@ -318,6 +320,7 @@
   // What the latest term of this node has to hand over; epoch 0 if this process
   // has not led.
   LeaderHandover handover_;
+  absl::Time handover_created_;  // When that term ended.
   // Number of times in this term that the store became reachable again, as of
   // the last reaffirmation.
   int64_t reaffirmed_store_recoveries_ = 0;
--- a/keelbridge/daemon/site_node_leading.cc
+++ b/keelbridge/daemon/site_node_leading.cc
@@ -266,7 +266,7 @@
     session_->OnEarlierLeaderSeen(epoch, at);
   if (configuration_ != nullptr) session_->SetConfiguration(configuration_);
   // Another leader may have led in between without asking for it.
-  if (handover_.epoch > 0) session_->OnHandover(handover_);
+  if (handover_.epoch > 0) session_->OnHandover(CurrentHandover());
   UpdateMembership();
   session_->Start();
   ResumeFollowingConfiguration();
@@ -277,11 +277,20 @@
   (void)why;
   // A term that was never active knows nothing, so the handover of an earlier
   // one is kept.
-  if (session_->handover()) handover_ = *session_->handover();
+  if (session_->handover()) {
+    handover_ = *session_->handover();
+    handover_created_ = SystemNow().mono;
+  }
   election_.StepDown(SystemNow().mono);
   ReadControl();
 }
 
+LeaderHandover SiteNode::CurrentHandover() const {
+  LeaderHandover handover = handover_;
+  handover.age = SystemNow().mono - handover_created_;
+  return handover;
+}
+
 void SiteNode::RequestTakeover(const SiteMember& member) {
   Json::Value params(Json::objectValue);
   params["epoch"] = Json::Int64(session_->epoch());
--- a/keelbridge/daemon/site_node_peers.cc
+++ b/keelbridge/daemon/site_node_peers.cc
@@ -116,7 +116,7 @@
     out["idle_ms"] = Json::Int64(
         absl::ToInt64Milliseconds(SystemNow().mono - LastOrderTime()));
     if (!out["leads"].asBool() && handover_.epoch > 0)
-      out["handover"] = ToJson(handover_);
+      out["handover"] = ToJson(CurrentHandover());
     reply(Ok(out));
   });
   // Returns the time since the leader last answered this node, in milliseconds.
--- a/keelbridge/protocol/leader_handover.h
+++ b/keelbridge/protocol/leader_handover.h
@@ -8,7 +8,7 @@
 // handover. Without it, that leader would wait for the worker's lease and then
 // repeat tasks that are done.
 //
-//   LeaderHandover handover = earlier_scheduler.Handover();
+//   LeaderHandover handover = earlier_scheduler.Handover(now);
 //   Json::Value message = ToJson(handover);  // daemon/node_messages.h
 //   scheduler.OnHandover(handover, now);
 
@@ -17,9 +17,11 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
+#include "absl/time/time.h"
 #include "keelbridge/protocol/job.h"
 #include "keelbridge/protocol/queue_durations.h"
 #include "keelbridge/protocol/site_worker.h"
@@ -31,6 +33,10 @@
   // Ends of runs that the leader has heard and not acknowledged to the worker,
   // in the order of their numbers.
   std::vector<EndedTask> ends;
+  // How long after the handover was created the last lease of this leader and
+  // of earlier ones ends, so that nothing of theirs runs on the worker any
+  // more. Nullopt if it is not known.
+  std::optional<absl::Duration> lease_left;
   // `remaining` names every task that may still run on the worker by an order
   // of this leader or an earlier one.
   bool remaining_known = false;
@@ -79,7 +85,8 @@
 
 // A leader creates it once it sends no more orders.
 struct LeaderHandover {
-  int64_t epoch = 0;  // Of the leader; 0: the node has not led.
+  int64_t epoch = 0;   // Of the leader; 0: the node has not led.
+  absl::Duration age;  // The time from its creation until it was sent.
   // Those that may report nothing to the next leader: they leave, are off the
   // platform's list or do not answer.
   std::vector<WorkerHandover> workers;
--- a/testing/site_durations_test.cc
+++ b/testing/site_durations_test.cc
@@ -212,7 +212,7 @@
   SubmitUnderestimated(site, absl::Seconds(20), UnderestimatedStep(2));
   site.Run(absl::Seconds(30));
   CHECK(site.scheduler()->durations().empty());
-  CHECK(site.scheduler()->Handover().durations.empty());
+  CHECK(site.scheduler()->Handover(absl::InfinitePast()).durations.empty());
 }
 
 // A leader that learns of its successor hands over what it has learned; one
--- a/testing/support/site_simulation.cc
+++ b/testing/support/site_simulation.cc
@@ -444,7 +444,7 @@
   const bool done = to.handed_over.count(from.epoch) > 0;
   if (done || !from.dead || from.process_ended) return;
   to.handed_over.insert(from.epoch);
-  to.scheduler->OnHandover(from.scheduler->Handover(), CurrentTime());
+  to.scheduler->OnHandover(from.scheduler->Handover(now_), CurrentTime());
 }
 
 void SiteSimulation::RunOnLeader(const std::shared_ptr<Leader>& leader,
