Reckon with all workers of a gang when one of them crashes

Cause: the chance that a sound run loses its worker was reckoned with one worker. A gang is lost with any of its workers, so a gang as wide as its pool is blamed for every crash of the pool: three crashes 0.9 s after the start had a chance of 1e-4 by that, and of 8e-3 with eight workers.

Change: the chance grows with the number of workers that the run was assigned to. Crashes right after the start still tell: three after 10 ms on eight workers are given up as before. What is not changed: four early crashes in a row are given up whatever their chance, and a run that an earlier leader started counts as on one worker.

Both new tests fail on the code before (the verdict's by the field that is new, the scheduler's with the job shown as failed).

--- a/keelbridge/coordination/crash_verdict.cc
+++ b/keelbridge/coordination/crash_verdict.cc
@@ -41,8 +41,9 @@
                           absl::ToDoubleSeconds(kMeanTimeBetweenCrashes);
   const double site_rate = context.recent_other_crashes /
                            (workers * absl::ToDoubleSeconds(kSiteCrashWindow));
-  const double time_chance =
-      absl::ToDoubleSeconds(ran + kTimingError) * (own_rate + site_rate);
+  const double time_chance = absl::ToDoubleSeconds(ran + kTimingError) *
+                             (own_rate + site_rate) *
+                             std::max(1, context.run_workers);
   const bool wave = context.concurrent_other_losses >= kMinWaveLosses;
   const double wave_chance =
       wave ? static_cast<double>(context.concurrent_other_losses) / workers : 0;
--- a/keelbridge/coordination/crash_verdict.h
+++ b/keelbridge/coordination/crash_verdict.h
@@ -47,10 +47,13 @@
   // One task does not cause the simultaneous loss of many workers.
   int concurrent_other_losses = 0;
   int site_workers = 1;
+  // Workers that the run was on: several if it is the run of a gang, which is
+  // lost with any of them.
+  int run_workers = 1;
 };
 
-// Returns the probability that a sound task loses its worker within `ran` of
-// its start.
+// Returns the probability that a sound task, or gang, loses a worker within
+// `ran` of its start.
 double ChanceCrashProbability(absl::Duration ran, const CrashContext& context);
 
 // Returns the probability that a sound task has, by chance, at least as many
--- a/keelbridge/coordination/crash_verdict_test.cc
+++ b/keelbridge/coordination/crash_verdict_test.cc
@@ -39,6 +39,16 @@
   CHECK(ShouldGiveUp(Crashes(3, absl::Milliseconds(10), wave)));
 }
 
+// Guards against a sound gang that is given up, because each crash of any of
+// its workers counts as if it had been on a single one.
+TEST_CASE("crash verdict: a wide gang loses one of its workers more easily") {
+  CrashContext gang;
+  gang.run_workers = 8;
+  CHECK(ShouldGiveUp(Crashes(3, absl::Milliseconds(900))));
+  CHECK_FALSE(ShouldGiveUp(Crashes(3, absl::Milliseconds(900), gang)));
+  CHECK(ShouldGiveUp(Crashes(3, absl::Milliseconds(10), gang)));
+}
+
 TEST_CASE(
     "crash verdict: a task is given up after four early crashes in any case") {
   CrashContext worst_case;
--- a/keelbridge/coordination/job_scheduler.h
+++ b/keelbridge/coordination/job_scheduler.h
@@ -449,6 +449,9 @@
   // may be carried out by `next`, the worker's current incarnation. `next` is
   // null if no other incarnation is known.
   void HandleWorkerLoss(Worker& worker, WorkerLoss loss, Worker* next, Now now);
+  // Returns to how many workers the run was assigned: 1 unless it is the run of
+  // a gang.
+  int CountWorkersOfRun(const RunKey& key) const;
   static absl::Duration RunDurationUntil(const Allocation& allocation,
                                          absl::Time lost);
   // Which of the runs on a lost worker may have crashed it.
--- a/keelbridge/coordination/job_scheduler_losses.cc
+++ b/keelbridge/coordination/job_scheduler_losses.cc
@@ -157,9 +157,11 @@
     if (allocation.adopted || ran >= kSuspectCrashWindow ||
         !IsSuspectRun(allocation, crash.lost, crash.criteria, now))
       continue;
+    CrashContext context;
+    context.run_workers = CountWorkersOfRun(key);
     loss.runs.push_back({key.first,
                          {key.second, absl::ToInt64Milliseconds(ran),
-                          ChanceCrashProbability(ran, CrashContext()),
+                          ChanceCrashProbability(ran, context),
                           allocation.start_answered <= now.mono}});
   }
   unresponsive_losses_[worker.record.machine] = std::move(loss);
@@ -182,6 +184,16 @@
   }
 }
 
+int JobScheduler::CountWorkersOfRun(const RunKey& key) const {
+  const auto job = jobs_.find(key.first.job);
+  const StepState* step =
+      job != jobs_.end() ? job->second->FindStep(key.first) : nullptr;
+  if (step == nullptr) return 1;
+  // A run that an earlier leader started counts as on one worker.
+  if (step->gang_run != key.second) return 1;
+  return static_cast<int>(step->gang_workers.size());
+}
+
 absl::Duration JobScheduler::RunDurationUntil(const Allocation& allocation,
                                               absl::Time lost) {
   return std::max(absl::ZeroDuration(), lost - allocation.placed);
@@ -313,6 +325,7 @@
   context.concurrent_other_losses =
       CountConcurrentLosses(step, worker.record.id, crash.lost);
   context.site_workers = static_cast<int>(workers_.size());
+  context.run_workers = CountWorkersOfRun(key);
   crashed_run.chance =
       ChanceCrashProbability(absl::Milliseconds(crashed_run.ran_ms), context);
   recent_crashes_.back().attributions.push_back(
--- a/keelbridge/coordination/job_scheduler_losses_test.cc
+++ b/keelbridge/coordination/job_scheduler_losses_test.cc
@@ -233,6 +233,35 @@
   CHECK(runs.size() >= kMinCrashes);
 }
 
+// Guards against a sound gang that is given up, because it is blamed for every
+// crash of any of its workers as if it were on a single one.
+TEST_CASE(
+    "job scheduler: a sound gang as wide as its pool is not given up for three "
+    "crashes") {
+  constexpr int kWorkers = 8;
+  CrashingSite site(1, kWorkers, 8000);
+  StepSpec gang = OneTask(8000);
+  gang.gang = true;
+  gang.count = kWorkers;
+  site.gangs = {7};
+  site.work = absl::InfiniteDuration();
+  site.Submit(7, gang);
+  absl::Duration time;
+  for (int crash = 0; crash < 3; ++crash) {
+    const size_t started = site.driver.starts.size();
+    while (site.driver.starts.size() < started + kWorkers) {
+      time += absl::Milliseconds(20);
+      REQUIRE(time < absl::Seconds(60));
+      site.Run(time);
+    }
+    time += absl::Milliseconds(900);
+    site.Run(time);
+    site.Crash(site.driver.start_workers.back());
+  }
+  site.Run(time + absl::Seconds(10));
+  CHECK(site.Status(7) == JobState::kRunning);
+}
+
 TEST_CASE(
     "job scheduler: a long-running task that crashes its workers is given up") {
   CrashingSite site(1, 4);
--- a/keelbridge/coordination/job_scheduler_placement.cc
+++ b/keelbridge/coordination/job_scheduler_placement.cc
@@ -539,6 +539,11 @@
   task.run = run;
   task.observed = true;
   task.worker = worker.record.id;
+  if (ready.spec->gang) {
+    if (std::exchange(ready.state->gang_run, run) != run)
+      ready.state->gang_workers.clear();
+    ready.state->gang_workers.insert(worker.record.id);
+  }
   StartAction action;
   action.worker = worker.record;
   action.order.task = id;
--- a/keelbridge/state/job_table.h
+++ b/keelbridge/state/job_table.h
@@ -134,6 +134,10 @@
   StepAdvice advice;
   absl::Time ready_since = absl::InfiniteFuture();
   absl::Time gang_started = absl::InfinitePast();
+  // The latest run of a gang under this leader, and the workers that it was
+  // assigned to. They count after its members have ended, too.
+  int32_t gang_run = 0;
+  std::set<std::string> gang_workers;
   // Workers on which capacity is reserved, each with the number of tasks of
   // this step that the reservation is for.
   std::vector<std::pair<std::string, int32_t>> reserved;
