Move a worker's state and the calls to workers out of the scheduler's file

What a scheduler knows of a worker is now in scheduled_worker.h, and what matches answers to calls in job_scheduler_calls.cc. No change of behaviour: declarations and functions are as they were.

--- a/keelbridge/coordination/job_scheduler.h
+++ b/keelbridge/coordination/job_scheduler.h
@@ -48,6 +48,7 @@
 #include "keelbridge/coordination/pool_totals.h"
 #include "keelbridge/coordination/ready_step.h"
 #include "keelbridge/coordination/run_numbers.h"
+#include "keelbridge/coordination/scheduled_worker.h"
 #include "keelbridge/coordination/scheduler_actions.h"
 #include "keelbridge/coordination/scheduler_figures.h"
 #include "keelbridge/coordination/scheduler_policy.h"
@@ -224,108 +225,7 @@
   // A site of at most this many workers is searched as a whole.
   static constexpr size_t kMaxFullSearch = 400;
 
-  struct UnacknowledgedEnd {
-    EndedTask end;
-    int64_t batch = 0;  // The batch that holds what follows from the end.
-  };
-  using RunKey = std::pair<TaskId, int32_t>;
-  using Allocations = std::map<RunKey, Allocation>;
-  struct Worker {
-    WorkerRecord record;
-    // The batch whose record informs later leaders of this worker.
-    int64_t known_at_batch = 0;
-    // The epoch of the last leader that may have assigned tasks to the worker
-    // or extended its lease.
-    int64_t leased_by_epoch = 0;
-    // The worker is retired: this leader's record of it says that it leaves,
-    // runs nothing and gets no more tasks.
-    bool retired = false;
-    // The record of an earlier leader says that the worker is retired.
-    bool retired_by_earlier = false;
-    // An earlier leader may have assigned tasks to the worker. A leader assigns
-    // none before its record of the worker is durable.
-    bool known_to_earlier_leader = false;
-    // See KnownWorker. True once this leader has received a report of the
-    // worker.
-    bool persists_placements = true;
-    // If not empty, this leader's record says that the worker leaves and that
-    // only these tasks may still run there.
-    std::vector<TaskId> last_tasks;
-    // The corresponding tasks in the record of an earlier leader.
-    std::vector<TaskId> last_tasks_of_earlier;
-    // By a handover: when the last lease of earlier leaders has expired.
-    absl::Time earlier_lease_end = absl::InfiniteFuture();
-    Resources free;
-    Allocations allocations;
-    // Resources of the allocations whose runs should stop.
-    Resources stopping;
-    // There may be a run that should stop, or a start that got no answer.
-    bool unresolved = false;
-    // The earliest `check_at` of the allocations.
-    absl::Time next_check = absl::InfiniteFuture();
-    // Allocations of unknown size. While there is one, nothing else starts.
-    int runs_of_unknown_size = 0;
-    // This leader has received a full report under its own fence.
-    bool reported = false;
-    // The worker restarted under the same name.
-    bool restarted = false;
-    // Another incarnation has answered in place of this one, which has ended.
-    // Runs that it may not have reported were moved to that one.
-    bool ended = false;
-    // Runs of the previous incarnation were moved to this one.
-    bool inherited_runs = false;
-    // Higher than the fences of all earlier incarnations. An incarnation that
-    // has seen this fence refuses late orders to earlier incarnations.
-    int64_t fence = 0;
-    bool record_removed = false;
-    // The earliest time at which the worker leaves, by its record. Infinite if
-    // it is not draining or has not reported a time.
-    absl::Time leaves_at = absl::InfiniteFuture();
-    OpenCalls observations;  // In flight.
-    OpenCalls orders;        // Starts and stops in flight.
-    // Send an observation at once, even if another one waits for an end.
-    bool observe_now = false;
-    absl::Time last_observation_sent = absl::InfinitePast();
-    bool unobserved = false;  // As of the last sweep; see IsUnobserved().
-    // When the latest accepted report was requested, and the worker's clock in
-    // it. Reports may overtake each other.
-    absl::Time report_requested_at = absl::InfinitePast();
-    int64_t report_clock_ms = -1;
-    bool ends_reported_late = false;  // See MayReportEndsLate.
-    absl::Time next_observe = absl::InfinitePast();
-    absl::Time last_answer = absl::InfinitePast();
-    // When the first order or observation got no answer since the worker last
-    // answered one.
-    absl::Time unanswered_since = absl::InfiniteFuture();
-    // When the first observation after the last successful one failed.
-    absl::Time failing_since = absl::InfiniteFuture();
-    int failed_observations = 0;
-    // Ends up to this number are acknowledged to the worker.
-    int64_t ends_acknowledged = 0;
-    // Ends up to this number were processed by this leader.
-    int64_t ends_processed = 0;
-    // Ends that are not durable yet.
-    std::deque<UnacknowledgedEnd> unacknowledged_ends;
-    int64_t clock_ms = -1;
-    // When `clock_ms` was received.
-    absl::Time clock_at;
-    // By this time the lease has expired, so that all runs have ended.
-    absl::Time lease_expires_at = absl::InfinitePast();
-    // The worker gets no new tasks before this time, because it failed tasks or
-    // refused or did not receive orders.
-    absl::Time suspect_until = absl::InfinitePast();
-    // A suspect task was started here, by itself. Nothing else starts here
-    // until the worker has answered after this time.
-    absl::Time probation_until = absl::InfinitePast();
-    int failures_in_row = 0;
-    // Capacity that steps examined earlier in this placement pass reserve here.
-    Resources reserved;
-    bool check_scheduled = false;  // The worker is in `scheduled_checks_`.
-    PoolTotals::Counted counted;
-    // Calls for advice in flight that name the worker. They claim the CPU, in
-    // thousandths of a processor, that their steps expect to use here.
-    OpenCalls advice_calls;
-  };
+  using Worker = ScheduledWorker;
   struct Adviser {
     std::string node;
     std::string zone;
@@ -344,7 +244,7 @@
   void LogDecision(std::string event, LogFields fields,
                    Severity severity = Severity::kInfo);
 
-  // job_scheduler_workers.cc
+  // job_scheduler_calls.cc
   // Returns the number of a new call, and adds it to `calls`.
   int64_t OpenCall(OpenCalls& calls);
   // Sends the order to start a run.
@@ -354,6 +254,13 @@
   // another id.
   Worker* CloseCall(const std::string& worker_id, OpenCalls Worker::*calls,
                     int64_t call, Now now);
+  // Returns whether the platform lists the worker, but this leader has sent it
+  // no observation for much longer than the interval between two.
+  static bool IsUnobserved(const Worker& worker, Now now);
+  // Updates whether the worker is unobserved, and logs that it is from now on.
+  void CheckUnobserved(Worker& worker, Now now);
+
+  // job_scheduler_workers.cc
   void UpdateClock(Worker& worker, int64_t clock_ms, absl::Time at);
   // Returns the end of a lease of the maximum length, in milliseconds of the
   // worker's clock, and records when it expires. Returns 0 if the worker's
@@ -377,11 +284,6 @@
   bool HasRunsWhileAnswersAreLossy(const Worker& worker, Now now) const;
   bool ObservationIsDue(const Worker& worker, Now now) const;
   void SendObservation(Worker& worker, Now now);
-  // Returns whether the platform lists the worker, but this leader has sent it
-  // no observation for much longer than the interval between two.
-  static bool IsUnobserved(const Worker& worker, Now now);
-  // Updates whether the worker is unobserved, and logs that it is from now on.
-  void CheckUnobserved(Worker& worker, Now now);
   void OnObservationFailed(Worker& worker, const ObserveAction& action,
                            const OrderReply& reply, absl::Time sent, Now now);
   // Records that a call to the worker got no answer, or got one.
--- a/keelbridge/daemon/node_messages_test.cc
+++ b/keelbridge/daemon/node_messages_test.cc
@@ -213,7 +213,8 @@
     CHECK(read->returns.empty());
   }
   // More than a handover holds.
-  Json::Value many = ToJson(LeaderHandover{3, {}, {}, {}, {{7, 1, 1, 1, 1, true}}});
+  Json::Value many =
+      ToJson(LeaderHandover{3, {}, {}, {}, {{7, 1, 1, 1, 1, true}}});
   const Json::Value row = many["returns"][0];
   for (size_t i = 0; i < kMaxReturnsHandedOver; ++i)
     many["returns"].append(row);
