Two findings of the linter and of a last read

A test captured a structured binding, which the linter cannot read, and a reason went through a C string without need. No change of behaviour.

--- a/keelbridge/coordination/job_scheduler_test.cc
+++ b/keelbridge/coordination/job_scheduler_test.cc
@@ -266,9 +266,9 @@
   }
   report.running.clear();
   first.RunUntil(absl::Milliseconds(600));
-  for (const auto& [key, record] : first.stored_records) {
-    CAPTURE(key);
-    CHECK(EncodedSize(record) <= kMaxRecordBytes);
+  for (const auto& stored : first.stored_records) {
+    CAPTURE(stored.first);
+    CHECK(EncodedSize(stored.second) <= kMaxRecordBytes);
   }
   SchedulerDriver second(3);
   second.TakeOver(first);
--- a/keelbridge/daemon/leader_session.cc
+++ b/keelbridge/daemon/leader_session.cc
@@ -374,7 +374,7 @@
                    max_bytes, " are possible");
   LogEvent(Severity::kInfo, "job_refused",
            {{"job", JobIdText(call.job)}, {"why", why}});
-  return Reply(ClientAnswer::kInvalid, why.c_str());
+  return Reply(ClientAnswer::kInvalid, why);
 }
 
 void LeaderSession::HandleSubmit(const ClientCall& call,
