--- a/testing/fuzz/job_records_fuzzer.cc
+++ b/testing/fuzz/job_records_fuzzer.cc
@@ -7,6 +7,9 @@
 
 namespace {
 
+// So small that the progress of most jobs is written in parts.
+constexpr size_t kMaxRecordBytes = 128;
+
 keelbridge::Record ParseRecordLine(const std::string& line) {
   keelbridge::Record record;
   const size_t space = line.find(' ');
@@ -41,6 +44,7 @@
     CheckRounds(*job);
     (void)DescriptionRecord(*job);
     (void)ProgressRecord(*job);
+    (void)ProgressRecords(*job, kMaxRecordBytes);
   }
   return 0;
 }
