Tell in each append when it was begun

Cause: a leader that cannot be asked counted as giving orders for 6 s after the next one wrote its fence, itself 1.5 s after the loss. In truth it stops 4.5 s after its last confirmed append, but nothing told when that was: appends carried no time, and those that only confirm the leader left no trace in the log.

Change: each append holds a record of when it was begun, on the leader's steady clock. A leader counts its 4.5 s from there instead of from the last try, so that the newest record in the log is never older than its last confirmation. The next leader bounds its predecessor's orders by it, only if the record is of the leader just before: one in between may have left none.

The new scheduler test fails without the bound.

--- a/keelbridge/coordination/job_scheduler.h
+++ b/keelbridge/coordination/job_scheduler.h
@@ -85,6 +85,14 @@
     // How long an unreachable earlier leader may go on extending leases after
     // it was fenced in the store.
     absl::Duration earlier_leader_grace = absl::Seconds(6);
+    // How long a leader goes on giving orders after it began the last append
+    // that the store has confirmed. Shorter than `earlier_leader_grace`, since
+    // the rates of two clocks may differ.
+    absl::Duration MaxUnconfirmed() const {
+      return earlier_leader_grace - kConfirmationMargin;
+    }
+    static constexpr absl::Duration kConfirmationMargin =
+        absl::Milliseconds(1500);
     // How late a worker may carry out an order that it has not answered.
     absl::Duration max_order_delay = absl::Seconds(12);
     // How long a worker takes to stop a run, at most.
@@ -178,6 +186,10 @@
   // Reports what is known here of the steady clock of the leader of `epoch`, an
   // earlier one. Must be called before `Load`.
   void OnEarlierLeaderClock(int64_t epoch, const LeaderClock& clock);
+  // Reports when the last append of an earlier leader began. It is of use only
+  // if that leader is the last one before this one: the appends of any other
+  // may not show who led after it.
+  void OnEarlierLeaderAppend(const LeaderTime& appended);
   // Reports that the earlier leaders give no more orders. They gave the last
   // order no later than `last_order`.
   void OnEarlierLeadersStopped(absl::Time last_order);
--- a/keelbridge/coordination/job_scheduler_lease_ends_test.cc
+++ b/keelbridge/coordination/job_scheduler_lease_ends_test.cc
@@ -234,5 +234,40 @@
   CHECK(known->lease_over.has_value());
 }
 
+// Guards against orders of an earlier leader that count as over too early.
+TEST_CASE(
+    "job scheduler: the last append of the leader before bounds its orders") {
+  const KnownWorker lost{SchedulerDriver::RecordOf("a", 8000), 4, false, true};
+  struct Case {
+    const char* what;
+    int64_t epoch;  // Of the leader of which an append is known.
+    bool clock_heard;
+    absl::Duration start_after;
+  };
+  // The append began 1 s before this leader did.
+  const absl::Duration kBounded = absl::Milliseconds(3500) + kMaxLease;
+  for (const Case& one :
+       {Case{"the leader before", 4, true, kBounded},
+        Case{"a leader before others", 3, true, kGrace + kMaxLease},
+        Case{"a clock that was never heard", 4, false, kGrace + kMaxLease}}) {
+    CAPTURE(one.what);
+    Successor fifth(5);
+    const absl::Time shown = absl::UnixEpoch() + absl::Hours(70);
+    if (one.clock_heard) {
+      LeaderClock clock;
+      clock.OnReading(shown, kBegin - absl::Seconds(1));
+      fifth.site.scheduler().OnEarlierLeaderClock(one.epoch, clock);
+    }
+    fifth.site.Recover(OneTask(), {lost});
+    fifth.site.scheduler().OnEarlierLeaderAppend({one.epoch, shown});
+    fifth.site.AddWorker("b");
+    fifth.site.reports["b"];
+    fifth.site.RunUntil(one.start_after - absl::Milliseconds(100));
+    CHECK(fifth.site.starts.empty());
+    fifth.site.RunUntil(one.start_after + kMaxStartDelay);
+    CHECK(fifth.site.starts.size() == 1);
+  }
+}
+
 }  // namespace
 }  // namespace keelbridge::testing
--- a/keelbridge/coordination/job_scheduler_recovery.cc
+++ b/keelbridge/coordination/job_scheduler_recovery.cc
@@ -161,6 +161,24 @@
   if (epoch < epoch_) earlier_leader_clocks_.insert_or_assign(epoch, clock);
 }
 
+// Leaders before that one were fenced before it appended anything, so that they
+// stop earlier.
+void JobScheduler::OnEarlierLeaderAppend(const LeaderTime& appended) {
+  const auto clock = earlier_leader_clocks_.find(appended.epoch);
+  if (appended.epoch != epoch_ - 1 || clock == earlier_leader_clocks_.end())
+    return;
+  const absl::Time until =
+      clock->second.LatestLocalTime(appended.at + options_.MaxUnconfirmed());
+  LogDecision("earlier_leader_bounded",
+              {{"epoch", absl::StrCat(appended.epoch)},
+               {"orders_end_earlier_by_ms",
+                absl::StrCat(absl::ToInt64Milliseconds(
+                    earlier_leaders_active_until_ - until))}});
+  if (until >= earlier_leaders_active_until_) return;
+  earlier_leaders_active_until_ = until;
+  placement_wanted_ = true;
+}
+
 void JobScheduler::OnEarlierLeadersStopped(absl::Time last_order) {
   earlier_leader_stopped_ = true;
   // The list of leaders that were asked may be incomplete: another one may have
--- a/keelbridge/daemon/leader_session.cc
+++ b/keelbridge/daemon/leader_session.cc
@@ -29,10 +29,6 @@
 constexpr absl::Duration kMetricsInterval = absl::Seconds(1);
 // A longer gap between two ticks means that this process was suspended.
 constexpr absl::Duration kStallThreshold = absl::Milliseconds(1500);
-// Other leaders assume that this leader starts no runs and extends no leases
-// once `earlier_leader_grace` has passed since its last confirmation. It stops
-// this much earlier.
-constexpr absl::Duration kConfirmationMargin = absl::Milliseconds(1500);
 constexpr absl::Duration kRetryAfter = absl::Seconds(1);
 // Maximum waiting time and number of calls that arrive before the term is
 // active.
@@ -160,8 +156,7 @@
   }
   last_tick_ = now.mono;
   const bool confirmation_expired =
-      now.mono - last_append_sent_ >
-      options_.scheduler.earlier_leader_grace - kConfirmationMargin;
+      now.mono - confirmed_at_ > options_.scheduler.MaxUnconfirmed();
   scheduler_.SetSuspended(stalled_ || confirmation_expired);
   scheduler_.Tick(now);
   const Now tick_end = SystemNow();
--- a/keelbridge/daemon/leader_session.h
+++ b/keelbridge/daemon/leader_session.h
@@ -116,6 +116,7 @@
     size_t begin = 0;
     size_t count = 0;
     int64_t sequence = 0;
+    absl::Time begun;  // Before the first try of the first part.
     int tries = 0;
     int open_tries = 0;    // Tries that are not answered yet.
     bool invalid = false;  // The store has said that it never takes it.
@@ -246,6 +247,8 @@
   bool workers_loaded_ = false;
   std::vector<KnownWorker> known_workers_;
   int64_t unreadable_workers_ = 0;  // Count within `known_workers_`.
+  // The last append of an earlier leader, if it has left a record of it.
+  std::optional<LeaderTime> earlier_append_;
   WorkerList worker_list_;
   LogRateLimiter entry_log_limiter_;
   int stuck_pages_ = 0;  // Consecutive pages of workers that did not advance.
@@ -262,6 +265,9 @@
   absl::Time last_flush_ = absl::InfinitePast();
   // When the last successful append was sent.
   absl::Time last_append_sent_ = absl::InfinitePast();
+  // When the last confirmed append, or the fence, was begun. Later leaders
+  // learn this time from the append, so no order is given for long after it.
+  absl::Time confirmed_at_ = absl::InfinitePast();
   absl::Duration append_latency_ = absl::Milliseconds(10);  // Smoothed.
   absl::Time failing_since_ = absl::InfiniteFuture();
   OutageRetry outage_retry_{OutageRetry::Options()};
--- a/keelbridge/daemon/leader_session_appends.cc
+++ b/keelbridge/daemon/leader_session_appends.cc
@@ -7,6 +7,7 @@
 #include "absl/strings/str_cat.h"
 #include "keelbridge/base/logging.h"
 #include "keelbridge/daemon/leader_session.h"
+#include "keelbridge/state/leader_append.h"
 
 namespace keelbridge {
 namespace {
@@ -50,6 +51,9 @@
   }
   in_flight_append_ = std::make_unique<InFlightAppend>();
   in_flight_append_->batch = scheduler_.TakeBatch();
+  in_flight_append_->begun = now;
+  std::vector<Record>& records = in_flight_append_->batch.records;
+  records.insert(records.begin(), LeaderAppendRecord({epoch_, now}));
   confirmation_requested_ = false;
   last_flush_ = now;
   BeginAppend();
@@ -174,6 +178,7 @@
     return End("the store does not contain what this leader appended");
   append_latency_ += kLatencyWeight * (now.mono - sent - append_latency_);
   last_append_sent_ = sent;
+  confirmed_at_ = in_flight_append_->begun;
   if (sent >= last_stall_end_) stalled_ = false;
   metrics_.Observe("append_seconds", {},
                    absl::ToDoubleSeconds(now.mono - sent));
--- a/keelbridge/daemon/leader_session_loading.cc
+++ b/keelbridge/daemon/leader_session_loading.cc
@@ -9,6 +9,7 @@
 #include "keelbridge/base/logging.h"
 #include "keelbridge/daemon/leader_session.h"
 #include "keelbridge/state/known_workers.h"
+#include "keelbridge/state/leader_append.h"
 
 namespace keelbridge {
 namespace {
@@ -39,6 +40,7 @@
         if (self->ended()) return;
         if (reply.result == StoreResult::kDone) {
           self->last_append_sent_ = sent;
+          self->confirmed_at_ = sent;
           self->stream_end_ = reply.end;
           self->load_started_ = SystemNow().mono;
           self->scheduler_.OnEarlierLeadersFenced(self->load_started_);
@@ -85,6 +87,10 @@
 }
 
 void LeaderSession::AddJobRecord(const Record& record) {
+  if (IsLeaderAppendKey(record.key)) {
+    earlier_append_ = ParseLeaderAppend(record);
+    return;
+  }
   const auto worker = ParseKnownWorker(record);
   if (!worker) return records_.Add(record);
   known_workers_.push_back(*worker);
@@ -122,6 +128,7 @@
   unreadable_jobs_ = records_.unreadable_jobs();
   records_ = JobRecords();
   scheduler_.Load(std::move(jobs), known_workers_, SystemNow());
+  if (earlier_append_) scheduler_.OnEarlierLeaderAppend(*earlier_append_);
   jobs_loaded_ = true;
   ApplyWorkerList();
   MaybeActivate();
