--- a/keelbridge/coordination/job_scheduler.h
+++ b/keelbridge/coordination/job_scheduler.h
@@ -290,15 +290,6 @@
                absl::Time retry_at);
   // Acknowledges the ends that have become durable to the worker.
   void AcknowledgeDurableEnds(Worker& worker);
-  // Notes whether this process stood still since the tick before, so that all
-  // workers have to be asked before any is given up.
-  void CheckStandstill(Now now);
-  // Returns whether the worker has runs and its lease has expired, so that they
-  // have ended.
-  static bool HasRunsBeyondLease(const Worker& worker, Now now);
-  // Returns whether the worker's runs have to be given up: it does not answer,
-  // and its lease has expired.
-  bool IsLost(const Worker& worker, Now now) const;
   // Has the next `Tick` check the worker, instead of only the next sweep.
   void ScheduleCheck(Worker& worker);
   void TickWorkers(Now now);
@@ -1001,9 +992,6 @@
   // Workers with ends that are not durable yet.
   std::vector<Worker*> workers_with_unacknowledged_ends_;
   absl::Time next_sweep_ = absl::InfinitePast();
-  absl::Time last_tick_ = absl::InfiniteFuture();
-  // When this process last ran again after it had stood still.
-  absl::Time resumed_at_ = absl::InfinitePast();
   LogRateLimiter unobserved_log_limiter_;
   LogRateLimiter ignored_answer_log_limiter_;
   bool placement_wanted_ = false;
--- a/keelbridge/coordination/job_scheduler_workers.cc
+++ b/keelbridge/coordination/job_scheduler_workers.cc
@@ -36,8 +36,6 @@
 // have ended by then too.
 constexpr double kOverdueQuantile = 0.9;
 constexpr absl::Duration kOverdueCheckPeriod = absl::Milliseconds(250);
-// A longer gap between two ticks means that this process stood still.
-constexpr absl::Duration kMaxTickGap = absl::Milliseconds(1500);
 // How long to wait for a worker report to show the outcome of a start that got
 // no answer, before the run is stopped.
 constexpr absl::Duration kUncertainTimeout = absl::Milliseconds(300);
@@ -454,8 +452,6 @@
       HasSeenOwnFence(worker, action.order.fence, now))
     return;
   if (reply.result == OrderResult::kUnknown) RecordUnanswered(worker, now);
-  worker.failed_observation_sent =
-      std::max(worker.failed_observation_sent, sent);
   // Nothing listens at the worker's address, so a start would fail, too.
   if (reply.result == OrderResult::kNotSent) {
     worker_silence_.OnUnanswered(worker.record.zone, worker.record.id,
@@ -507,34 +503,7 @@
   scheduled_checks_.push_back(&worker);
 }
 
-// What workers answered meanwhile was not read, and the ends of their runs were
-// reported to nobody.
-void JobScheduler::CheckStandstill(Now now) {
-  const absl::Duration gap = now.mono - std::exchange(last_tick_, now.mono);
-  if (gap <= kMaxTickGap) return;
-  resumed_at_ = now.mono;
-  for (const auto& [id, worker] : workers_) {
-    if (worker->allocations.empty()) continue;
-    worker->observe_now = true;
-    ScheduleCheck(*worker);
-  }
-}
-
-bool JobScheduler::HasRunsBeyondLease(const Worker& worker, Now now) {
-  return !worker.allocations.empty() &&
-         worker.lease_expires_at != absl::InfinitePast() &&
-         now.mono > worker.lease_expires_at;
-}
-
-bool JobScheduler::IsLost(const Worker& worker, Now now) const {
-  const bool may_be_lost = worker.reported || worker.inherited_runs;
-  const bool asked = worker.failed_observation_sent >= resumed_at_;
-  return may_be_lost && asked && !IsReachable(worker, now) &&
-         !worker.allocations.empty() && now.mono > worker.lease_expires_at;
-}
-
 void JobScheduler::TickWorkers(Now now) {
-  CheckStandstill(now);
   for (Worker* worker : std::exchange(scheduled_checks_, {})) {
     worker->check_scheduled = false;
     TickWorker(*worker, now);
@@ -587,7 +556,9 @@
 }
 
 void JobScheduler::TickWorker(Worker& worker, Now now) {
-  if (IsLost(worker, now))
+  const bool may_be_lost = worker.reported || worker.inherited_runs;
+  if (!worker.allocations.empty() && may_be_lost && !IsReachable(worker, now) &&
+      now.mono > worker.lease_expires_at)
     HandleWorkerLoss(worker,
                      AnotherIncarnationAnswered(worker)
                          ? WorkerLoss::kCrash
@@ -667,11 +638,9 @@
   // The lease of an unresponsive worker is not extended: each attempt might
   // extend it without an answer, so that the leader could not know when it
   // expires. Nor is a lease extended before the record that informs later
-  // leaders of it is durable, nor if its runs are over by it: a worker that
-  // does not answer would seem to keep them.
-  const bool extend = !suspended_ && worker.failed_observations == 0 &&
-                      MayExtendLease(worker) &&
-                      !HasRunsBeyondLease(worker, now);
+  // leaders of it is durable.
+  const bool extend =
+      !suspended_ && worker.failed_observations == 0 && MayExtendLease(worker);
   action.order.lease_until_ms = extend ? GrantLease(worker, now.mono) : 0;
   const bool wait = worker.reported && worker.unacknowledged_ends.empty() &&
                     worker.failed_observations == 0 && !worker.observe_now;
--- a/keelbridge/coordination/scheduled_worker.h
+++ b/keelbridge/coordination/scheduled_worker.h
@@ -109,8 +109,6 @@
   // When the first observation after the last successful one failed.
   absl::Time failing_since = absl::InfiniteFuture();
   int failed_observations = 0;
-  // When the latest observation that failed was sent.
-  absl::Time failed_observation_sent = absl::InfinitePast();
   // Ends up to this number are acknowledged to the worker.
   int64_t ends_acknowledged = 0;
   // Ends up to this number were processed by this leader.
