--- a/keelbridge/coordination/job_scheduler_lease_ends_test.cc
+++ b/keelbridge/coordination/job_scheduler_lease_ends_test.cc
@@ -269,5 +269,27 @@
   }
 }
 
+// Guards against a lease that counts as over by a record that says something
+// else: the worker would be taken for free of runs.
+TEST_CASE("known workers: a lease end is read as written, or not at all") {
+  KnownWorker known{SchedulerDriver::RecordOf("a", 8000), 7};
+  known.lease_over = LeaderTime{8, kBegin + absl::Microseconds(100)};
+  const auto read = ParseKnownWorker(KnownWorkerRecord(known));
+  REQUIRE(read.has_value());
+  REQUIRE(read->lease_over.has_value());
+  CHECK(read->lease_over->epoch == 8);
+  // Rounded up, so that the lease does not seem to end earlier.
+  CHECK(read->lease_over->at == kBegin + absl::Milliseconds(1));
+  for (const char* text :
+       {R"({"lease_over_ms":"x"})", R"({"lease_over_ms":1.5})",
+        R"({"lease_over_ms":5,"lease_over_clock":{}})"}) {
+    CAPTURE(text);
+    const auto odd = ParseKnownWorker(Record{KnownWorkerKey("a"), text});
+    REQUIRE(odd.has_value());
+    CHECK(odd->unreadable);
+    CHECK_FALSE(odd->lease_over.has_value());
+  }
+}
+
 }  // namespace
 }  // namespace keelbridge::testing
