Put what bounds earlier leaders' orders into a module of its own

`EarlierOrders` holds what it and the recovery file held of fences, stops, leaders seen, their clocks and last appends, and is tested by itself. What a leader's record says of a worker, and whether its lease may be extended, moves to scheduled_worker. No behaviour changes, except that `earlier_leader_bounded` is logged only where it bounds more.

Dead since each append holds a record: the cases without records in the session's appends, and the comment that told of them. The ceiling of a time is Abseil's. Tests share what was there twice.

--- a/keelbridge/coordination/job_scheduler.cc
+++ b/keelbridge/coordination/job_scheduler.cc
@@ -28,7 +28,7 @@
 JobScheduler::JobScheduler(Options options, int64_t epoch, absl::Time started)
     : options_(options),
       epoch_(epoch),
-      earlier_leaders_active_until_(started + options.earlier_leader_grace) {}
+      earlier_orders_(options.earlier_leader_grace, epoch, started) {}
 
 void JobScheduler::Load(JobTable jobs, const std::vector<KnownWorker>& workers,
                         Now now) {
@@ -58,7 +58,9 @@
     worker.persists_placements = known.persists_placements;
     worker.last_tasks_of_earlier = known.last_tasks;
     worker.restarted = known.restarted;
-    worker.earlier_lease_end = LatestLeaseEnd(known);
+    if (known.lease_over)
+      worker.earlier_lease_end =
+          earlier_orders_.LatestLocalTime(*known.lease_over);
     if (known.restarted) last_restart_seen_ = now.mono;
     // The worker gets no new tasks until the platform lists it.
     worker.record_removed = true;
@@ -96,7 +98,8 @@
   for (const std::string& id : unpersisted_workers_) {
     const auto found = workers_.find(id);
     if (found == workers_.end()) continue;
-    batch.records.push_back(KnownWorkerRecord(DescribeWorker(*found->second)));
+    batch.records.push_back(
+        KnownWorkerRecord(DescribeWorker(*found->second, epoch_)));
   }
   unpersisted_workers_.clear();
   for (const JobId id : undescribed_jobs_) {
--- a/keelbridge/coordination/job_scheduler.h
+++ b/keelbridge/coordination/job_scheduler.h
@@ -42,8 +42,8 @@
 #include "keelbridge/coordination/allocation.h"
 #include "keelbridge/coordination/answer_times.h"
 #include "keelbridge/coordination/crash_history.h"
+#include "keelbridge/coordination/earlier_orders.h"
 #include "keelbridge/coordination/job_timings.h"
-#include "keelbridge/coordination/leader_clock.h"
 #include "keelbridge/coordination/open_calls.h"
 #include "keelbridge/coordination/pool_capacity.h"
 #include "keelbridge/coordination/pool_totals.h"
@@ -85,14 +85,6 @@
     // How long an unreachable earlier leader may go on extending leases after
     // it was fenced in the store.
     absl::Duration earlier_leader_grace = absl::Seconds(6);
-    // How long a leader goes on giving orders after it began the last append
-    // that the store has confirmed. Shorter than `earlier_leader_grace`, since
-    // the rates of two clocks may differ.
-    absl::Duration MaxUnconfirmed() const {
-      return earlier_leader_grace - kConfirmationMargin;
-    }
-    static constexpr absl::Duration kConfirmationMargin =
-        absl::Milliseconds(1500);
     // How late a worker may carry out an order that it has not answered.
     absl::Duration max_order_delay = absl::Seconds(12);
     // How long a worker takes to stop a run, at most.
@@ -174,24 +166,16 @@
   // leave most of the driver's time to incoming events, however expensive a
   // pass is.
   void OnTickFinished(absl::Duration took, Now now);
-  // Reports that the earlier leaders were fenced in the store. The time for
-  // which an unreachable earlier leader may go on extending leases counts from
-  // `now`, not from the claim of leadership. Orders from before the fence count
-  // from `now` at the earliest, even if earlier leaders are known to have
-  // stopped, because the list of leaders that were asked may be incomplete.
-  void OnEarlierLeadersFenced(absl::Time now);
-  // Reports that the leader of `epoch`, an earlier one, was active at `at`, so
-  // that it had fenced all leaders before itself by then.
-  void OnEarlierLeaderSeen(int64_t epoch, absl::Time at);
-  // Reports what is known here of the steady clock of the leader of `epoch`, an
-  // earlier one. Must be called before `Load`.
-  void OnEarlierLeaderClock(int64_t epoch, const LeaderClock& clock);
-  // Reports when the last append of an earlier leader began. It is of use only
-  // if that leader is the last one before this one: the appends of any other
-  // may not show who led after it.
-  void OnEarlierLeaderAppend(const LeaderTime& appended);
-  // Reports that the earlier leaders give no more orders. They gave the last
-  // order no later than `last_order`.
+  // Reports what is learned of the orders of earlier leaders. See
+  // `EarlierOrders`. Clocks must be reported before `Load`.
+  void OnEarlierLeadersFenced(absl::Time now) { earlier_orders_.OnFenced(now); }
+  void OnEarlierLeaderSeen(int64_t epoch, absl::Time at) {
+    earlier_orders_.OnLeaderSeen(epoch, at);
+  }
+  void OnEarlierLeaderClock(int64_t epoch, const LeaderClock& clock) {
+    earlier_orders_.OnLeaderClock(epoch, clock);
+  }
+  void OnEarlierLeaderAppend(const LeaderTime& begun);
   void OnEarlierLeadersStopped(absl::Time last_order);
   // Returns what the next leader cannot learn from the store. To be called once
   // this leader sends no more orders.
@@ -316,17 +300,9 @@
   void PersistWorker(Worker& worker);
 
   // job_scheduler_lease_ends.cc
-  // Returns what this leader's record of the worker says.
-  KnownWorker DescribeWorker(const Worker& worker) const;
-  // Returns by when the lease that an earlier leader's record tells of has
-  // expired. The infinite future if it tells of none.
-  absl::Time LatestLeaseEnd(const KnownWorker& known) const;
   // Returns by when the last lease of the worker, by this or an earlier leader,
   // has expired. The infinite future if it is not known.
   absl::Time LastLeaseEnd(const Worker& worker) const;
-  // Returns whether the worker's lease may be extended: no record says, or is
-  // about to say, when the last one ends.
-  bool MayExtendLease(const Worker& worker) const;
   // Records when the last lease of a worker that does not answer has expired.
   void RecordLeaseEnd(Worker& worker, Now now);
   // Takes such a record back, because the worker answers.
@@ -546,8 +522,6 @@
                                   Now now);
 
   // job_scheduler_recovery.cc
-  // Returns until when the leader of that epoch may have given orders.
-  absl::Time LatestEarlierOrder(int64_t epoch) const;
   // Returns after how long a lease that starts now has expired, even on the
   // slowest clock.
   absl::Duration MaxLeaseDuration() const;
@@ -942,13 +916,7 @@
   Admission admission_{Admission::Options()};
   WorkAdmission work_admission_{WorkAdmission::Options()};
   int64_t starts_at_last_pass_ = 0;
-  // Until when earlier leaders may give orders.
-  absl::Time earlier_leaders_active_until_;
-  absl::Time earlier_leaders_fenced_at_ = absl::InfinitePast();
-  bool earlier_leader_stopped_ = false;  // OnEarlierLeadersStopped was called.
-  // By epoch: when the leader was first seen to be active.
-  std::map<int64_t, absl::Time> earlier_leaders_seen_;
-  std::map<int64_t, LeaderClock> earlier_leader_clocks_;  // By epoch.
+  EarlierOrders earlier_orders_;
   // The recovered tasks that wait for workers, as of the last placement pass.
   struct RecoveryWait {
     int64_t tasks = 0;
--- a/keelbridge/coordination/job_scheduler_lease_ends.cc
+++ b/keelbridge/coordination/job_scheduler_lease_ends.cc
@@ -26,34 +26,6 @@
 
 }  // namespace
 
-KnownWorker JobScheduler::DescribeWorker(const Worker& worker) const {
-  const bool leased_by_this = worker.leased_by_epoch == epoch_;
-  KnownWorker known;
-  known.worker = worker.record;
-  known.epoch = worker.leased_by_epoch;
-  known.retired = leased_by_this ? worker.retired : worker.retired_by_earlier;
-  known.persists_placements = worker.persists_placements;
-  known.last_tasks =
-      leased_by_this ? worker.last_tasks : worker.last_tasks_of_earlier;
-  known.restarted = worker.restarted;
-  if (worker.recorded_lease_end != absl::InfiniteFuture())
-    known.lease_over = LeaderTime{epoch_, worker.recorded_lease_end};
-  return known;
-}
-
-absl::Time JobScheduler::LatestLeaseEnd(const KnownWorker& known) const {
-  if (!known.lease_over) return absl::InfiniteFuture();
-  const auto clock = earlier_leader_clocks_.find(known.lease_over->epoch);
-  return clock == earlier_leader_clocks_.end()
-             ? absl::InfiniteFuture()
-             : clock->second.LatestLocalTime(known.lease_over->at);
-}
-
-bool JobScheduler::MayExtendLease(const Worker& worker) const {
-  return worker.known_at_batch <= durable_batch_ &&
-         worker.recorded_lease_end == absl::InfiniteFuture();
-}
-
 // The lease of a worker that has reported to this leader covers those of
 // earlier leaders: their fence was lower when it first reported.
 absl::Time JobScheduler::LastLeaseEnd(const Worker& worker) const {
--- a/keelbridge/coordination/job_scheduler_lease_ends_test.cc
+++ b/keelbridge/coordination/job_scheduler_lease_ends_test.cc
@@ -19,6 +19,9 @@
 // How long a leader that cannot be asked may go on giving orders.
 constexpr absl::Duration kGrace = absl::Seconds(6);
 
+// How long the second of three leaders leads.
+constexpr absl::Duration kTerm = absl::Milliseconds(1500);
+
 // A leader has one lasting task on "a", which is lost at `kLost`.
 constexpr absl::Duration kLost = absl::Seconds(1);
 
@@ -73,12 +76,26 @@
   CHECK(second.site.starts.size() == 1);
 }
 
-// Guards against the same wait with each further leader, of which some hear the
-// first one only through records.
+// A third leader takes over from the second, which led for `kTerm` and reached
+// the worker as little. `passed` is how long the worker was lost before that
+// term.
+void CheckThirdLeader(const Successor& second, absl::Duration passed) {
+  Successor third(3);
+  third.site.HearClockOf(second.site);
+  third.TakeOver(second.site);
+  const absl::Duration left = kMaxLease - passed - kTerm;
+  third.site.RunUntil(left - absl::Milliseconds(100));
+  CHECK(third.site.starts.empty());
+  // Each change of the clock adds a little, since rates may differ.
+  third.site.RunUntil(left + absl::Milliseconds(300) + kMaxStartDelay);
+  CHECK(third.site.starts.size() == 1);
+}
+
+// Guards against the same wait with each further leader, of which the third has
+// heard the first one's clock from nobody.
 TEST_CASE(
     "job scheduler: the wait for a lost worker does not begin anew however "
     "often leaders are lost") {
-  constexpr absl::Duration kTerm = absl::Milliseconds(1500);
   SchedulerDriver first(1);
   LoseWorker(first);
   first.RunUntil(kLost + kTerm);
@@ -86,15 +103,7 @@
   second.site.HearClockOf(first);
   second.TakeOver(first);
   second.site.RunUntil(kTerm);
-  Successor third(3);
-  third.site.HearClockOf(second.site);
-  third.TakeOver(second.site);
-  const absl::Duration left = kMaxLease - 2 * kTerm;
-  third.site.RunUntil(left - absl::Milliseconds(100));
-  CHECK(third.site.starts.empty());
-  // Each change of the clock adds a little, since rates may differ.
-  third.site.RunUntil(left + absl::Milliseconds(200) + kMaxStartDelay);
-  CHECK(third.site.starts.size() == 1);
+  CheckThirdLeader(second, kTerm);
 }
 
 // Guards against a planned stop followed by the loss of the next leader: only
@@ -103,7 +112,6 @@
     "job scheduler: what a handover tells of a lost worker outlives the leader "
     "that received it") {
   constexpr absl::Duration kHandedOver = absl::Milliseconds(800);
-  constexpr absl::Duration kTerm = absl::Milliseconds(1500);
   SchedulerDriver first(1);
   LoseWorker(first);
   first.RunUntil(kLost + kHandedOver);
@@ -113,14 +121,7 @@
   second.site.scheduler().OnHandover(
       first.scheduler().Handover(first.now().mono), second.site.now());
   second.site.RunUntil(kTerm);
-  Successor third(3);
-  third.site.HearClockOf(second.site);
-  third.TakeOver(second.site);
-  const absl::Duration left = kMaxLease - kHandedOver - kTerm;
-  third.site.RunUntil(left - absl::Milliseconds(100));
-  CHECK(third.site.starts.empty());
-  third.site.RunUntil(left + absl::Milliseconds(300) + kMaxStartDelay);
-  CHECK(third.site.starts.size() == 1);
+  CheckThirdLeader(second, kHandedOver);
 }
 
 // Guards against a second run beside the first: the time is on a clock that
@@ -234,41 +235,6 @@
   CHECK(known->lease_over.has_value());
 }
 
-// Guards against orders of an earlier leader that count as over too early.
-TEST_CASE(
-    "job scheduler: the last append of the leader before bounds its orders") {
-  const KnownWorker lost{SchedulerDriver::RecordOf("a", 8000), 4, false, true};
-  struct Case {
-    const char* what;
-    int64_t epoch;  // Of the leader of which an append is known.
-    bool clock_heard;
-    absl::Duration start_after;
-  };
-  // The append began 1 s before this leader did.
-  const absl::Duration kBounded = absl::Milliseconds(3500) + kMaxLease;
-  for (const Case& one :
-       {Case{"the leader before", 4, true, kBounded},
-        Case{"a leader before others", 3, true, kGrace + kMaxLease},
-        Case{"a clock that was never heard", 4, false, kGrace + kMaxLease}}) {
-    CAPTURE(one.what);
-    Successor fifth(5);
-    const absl::Time shown = absl::UnixEpoch() + absl::Hours(70);
-    if (one.clock_heard) {
-      LeaderClock clock;
-      clock.OnReading(shown, kBegin - absl::Seconds(1));
-      fifth.site.scheduler().OnEarlierLeaderClock(one.epoch, clock);
-    }
-    fifth.site.Recover(OneTask(), {lost});
-    fifth.site.scheduler().OnEarlierLeaderAppend({one.epoch, shown});
-    fifth.site.AddWorker("b");
-    fifth.site.reports["b"];
-    fifth.site.RunUntil(one.start_after - absl::Milliseconds(100));
-    CHECK(fifth.site.starts.empty());
-    fifth.site.RunUntil(one.start_after + kMaxStartDelay);
-    CHECK(fifth.site.starts.size() == 1);
-  }
-}
-
 // Guards against a lease that counts as over by a record that says something
 // else: the worker would be taken for free of runs.
 TEST_CASE("known workers: a lease end is read as written, or not at all") {
--- a/keelbridge/coordination/job_scheduler_pending_starts.cc
+++ b/keelbridge/coordination/job_scheduler_pending_starts.cc
@@ -35,7 +35,8 @@
     Allocation& allocation = found->second;
     const Worker& at = *worker->second;
     const bool stays = !at.record.draining && !at.record_removed &&
-                       IsReachable(at, now) && MayExtendLease(at);
+                       IsReachable(at, now) &&
+                       MayExtendLease(at, durable_batch_);
     // The worker's capacity may have shrunk while the store was unavailable,
     // and the worker would carry out the order nevertheless.
     const bool fits = Resources().FitsIn(at.free);
--- a/keelbridge/coordination/job_scheduler_placement.cc
+++ b/keelbridge/coordination/job_scheduler_placement.cc
@@ -485,7 +485,7 @@
   const StepSpec& spec = *ready.spec;
   if (worker.record.pool != ready.queue->pool) return false;
   if (!worker.reported || worker.record.draining || worker.record_removed ||
-      !MayExtendLease(worker))
+      !MayExtendLease(worker, durable_batch_))
     return false;
   if (worker.runs_of_unknown_size > 0 || IsOnProbation(worker)) return false;
   // The worker may have just been disconnected. A run that is started there now
--- a/keelbridge/coordination/job_scheduler_recovery.cc
+++ b/keelbridge/coordination/job_scheduler_recovery.cc
@@ -32,15 +32,7 @@
 absl::Time JobScheduler::EarlierLeaseEnd(const Worker& worker) const {
   return std::min(
       worker.earlier_lease_end,
-      LatestEarlierOrder(worker.leased_by_epoch) + MaxLeaseDuration());
-}
-
-absl::Time JobScheduler::LatestEarlierOrder(int64_t epoch) const {
-  const auto successor = earlier_leaders_seen_.upper_bound(epoch);
-  if (successor == earlier_leaders_seen_.end())
-    return earlier_leaders_active_until_;
-  return std::min(earlier_leaders_active_until_,
-                  successor->second + options_.earlier_leader_grace);
+      earlier_orders_.UntilOf(worker.leased_by_epoch) + MaxLeaseDuration());
 }
 
 // Runs that an earlier leader may have started on a worker that this leader has
@@ -55,8 +47,7 @@
 }
 
 bool JobScheduler::AllAccountedFor(Now now) const {
-  if (now.mono > earlier_leaders_active_until_ + MaxLeaseDuration())
-    return true;
+  if (now.mono > earlier_orders_.Until() + MaxLeaseDuration()) return true;
   return std::all_of(workers_.begin(), workers_.end(), [&](const auto& entry) {
     return IsAccountedFor(*entry.second, now);
   });
@@ -74,7 +65,7 @@
 // 26 tasks delayed 8,508 recovered tasks by 10 s.
 JobScheduler::Unobserved JobScheduler::FindUnobserved(Now now) const {
   Unobserved unobserved;
-  if (now.mono > earlier_leaders_active_until_ + MaxLeaseDuration())
+  if (now.mono > earlier_orders_.Until() + MaxLeaseDuration())
     return unobserved;
   for (const auto& [id, worker] : workers_) {
     if (IsAccountedFor(*worker, now)) continue;
@@ -145,48 +136,19 @@
               Severity::kWarning);
 }
 
-void JobScheduler::OnEarlierLeadersFenced(absl::Time now) {
-  earlier_leaders_fenced_at_ = now;
-  earlier_leaders_active_until_ =
-      earlier_leader_stopped_ ? std::max(earlier_leaders_active_until_, now)
-                              : now + options_.earlier_leader_grace;
-}
-
-void JobScheduler::OnEarlierLeaderSeen(int64_t epoch, absl::Time at) {
-  if (epoch < epoch_) earlier_leaders_seen_.try_emplace(epoch, at);
-}
-
-void JobScheduler::OnEarlierLeaderClock(int64_t epoch,
-                                        const LeaderClock& clock) {
-  if (epoch < epoch_) earlier_leader_clocks_.insert_or_assign(epoch, clock);
-}
-
-// Leaders before that one were fenced before it appended anything, so that they
-// stop earlier.
-void JobScheduler::OnEarlierLeaderAppend(const LeaderTime& appended) {
-  const auto clock = earlier_leader_clocks_.find(appended.epoch);
-  if (appended.epoch != epoch_ - 1 || clock == earlier_leader_clocks_.end())
-    return;
-  const absl::Time until =
-      clock->second.LatestLocalTime(appended.at + options_.MaxUnconfirmed());
+void JobScheduler::OnEarlierLeaderAppend(const LeaderTime& begun) {
+  const absl::Time before = earlier_orders_.Until();
+  if (!earlier_orders_.OnLastAppend(begun)) return;
+  placement_wanted_ = true;
+  const absl::Duration earlier = before - earlier_orders_.Until();
   LogDecision("earlier_leader_bounded",
-              {{"epoch", absl::StrCat(appended.epoch)},
+              {{"epoch", absl::StrCat(begun.epoch)},
                {"orders_end_earlier_by_ms",
-                absl::StrCat(absl::ToInt64Milliseconds(
-                    earlier_leaders_active_until_ - until))}});
-  if (until >= earlier_leaders_active_until_) return;
-  earlier_leaders_active_until_ = until;
-  placement_wanted_ = true;
+                absl::StrCat(absl::ToInt64Milliseconds(earlier))}});
 }
 
 void JobScheduler::OnEarlierLeadersStopped(absl::Time last_order) {
-  earlier_leader_stopped_ = true;
-  // The list of leaders that were asked may be incomplete: another one may have
-  // given orders until the fence.
-  const absl::Time until = std::max(last_order, earlier_leaders_fenced_at_);
-  if (until >= earlier_leaders_active_until_) return;
-  earlier_leaders_active_until_ = until;
-  placement_wanted_ = true;
+  if (earlier_orders_.OnStopped(last_order)) placement_wanted_ = true;
 }
 
 }  // namespace keelbridge
--- a/keelbridge/coordination/job_scheduler_unanswered.cc
+++ b/keelbridge/coordination/job_scheduler_unanswered.cc
@@ -104,8 +104,9 @@
   if (start.worker.empty()) return false;
   const int64_t epoch = EpochOfRun(start.run);
   const absl::Time may_arrive_until =
-      epoch == epoch_ ? start.may_arrive_until
-                      : LatestEarlierOrder(epoch) + options_.max_order_delay;
+      epoch == epoch_
+          ? start.may_arrive_until
+          : earlier_orders_.UntilOf(epoch) + options_.max_order_delay;
   return now.mono < may_arrive_until;
 }
 
--- a/keelbridge/coordination/job_scheduler_workers.cc
+++ b/keelbridge/coordination/job_scheduler_workers.cc
@@ -135,7 +135,7 @@
 }
 
 int64_t JobScheduler::GrantLease(Worker& worker, absl::Time now) {
-  if (worker.clock_ms < 0 || !MayExtendLease(worker)) return 0;
+  if (worker.clock_ms < 0 || !MayExtendLease(worker, durable_batch_)) return 0;
   const int64_t since = absl::ToInt64Milliseconds(now - worker.clock_at);
   const absl::Duration granted = worker.record.draining
                                      ? std::min(options_.lease, kLeavingLease)
@@ -639,8 +639,8 @@
   // extend it without an answer, so that the leader could not know when it
   // expires. Nor is a lease extended before the record that informs later
   // leaders of it is durable.
-  const bool extend =
-      !suspended_ && worker.failed_observations == 0 && MayExtendLease(worker);
+  const bool extend = !suspended_ && worker.failed_observations == 0 &&
+                      MayExtendLease(worker, durable_batch_);
   action.order.lease_until_ms = extend ? GrantLease(worker, now.mono) : 0;
   const bool wait = worker.reported && worker.unacknowledged_ends.empty() &&
                     worker.failed_observations == 0 && !worker.observe_now;
--- a/keelbridge/coordination/scheduled_worker.h
+++ b/keelbridge/coordination/scheduled_worker.h
@@ -20,6 +20,7 @@
 #include "keelbridge/protocol/job.h"
 #include "keelbridge/protocol/resources.h"
 #include "keelbridge/protocol/site_worker.h"
+#include "keelbridge/state/known_workers.h"
 
 namespace keelbridge {
 
@@ -136,6 +137,13 @@
   OpenCalls advice_calls;
 };
 
+// Returns whether a leader whose batches are durable up to `durable_batch` may
+// extend the worker's lease: later leaders know of it, and no record says when
+// the last lease ends.
+bool MayExtendLease(const ScheduledWorker& worker, int64_t durable_batch);
+// Returns the record that a leader of `epoch` leaves of the worker.
+KnownWorker DescribeWorker(const ScheduledWorker& worker, int64_t epoch);
+
 }  // namespace keelbridge
 
 #endif  // KEELBRIDGE_COORDINATION_SCHEDULED_WORKER_H_
--- a/keelbridge/daemon/leader_session.cc
+++ b/keelbridge/daemon/leader_session.cc
@@ -156,7 +156,8 @@
   }
   last_tick_ = now.mono;
   const bool confirmation_expired =
-      now.mono - confirmed_at_ > options_.scheduler.MaxUnconfirmed();
+      now.mono - confirmed_at_ >
+      MaxUnconfirmed(options_.scheduler.earlier_leader_grace);
   scheduler_.SetSuspended(stalled_ || confirmation_expired);
   scheduler_.Tick(now);
   const Now tick_end = SystemNow();
--- a/keelbridge/daemon/leader_session_appends.cc
+++ b/keelbridge/daemon/leader_session_appends.cc
@@ -14,8 +14,8 @@
 
 // Minimum time between two appends, so that several changes share one append.
 constexpr absl::Duration kMinFlushInterval = absl::Milliseconds(15);
-// Without records to write, an empty append at this interval confirms that this
-// node still leads.
+// Without changes to write, an append at this interval confirms that this node
+// still leads.
 constexpr absl::Duration kRenewInterval = absl::Milliseconds(1500);
 // Replaces `kRenewInterval` while a call waits for confirmation that a job does
 // not exist. Each append has a price, and such callers can wait briefly.
@@ -67,10 +67,7 @@
   in_flight_append_->count =
       CountForAppend(in_flight_append_->batch.records, in_flight_append_->begin,
                      options_.max_append_bytes);
-  // An append without records only checks the epoch and uses no sequence
-  // number.
-  in_flight_append_->sequence = next_sequence_;
-  if (in_flight_append_->count > 0) ++next_sequence_;
+  in_flight_append_->sequence = next_sequence_++;
   SendAppend();
 }
 
@@ -128,14 +125,12 @@
       [](const Record& a, const Record& b) {
         return EncodedSize(a) < EncodedSize(b);
       });
-  LogFields fields = {{"epoch", absl::StrCat(epoch_)},
-                      {"records", absl::StrCat(in_flight_append_->count)},
-                      {"detail", reply.message}};
-  if (in_flight_append_->count > 0) {
-    fields.emplace_back("largest", largest->key);
-    fields.emplace_back("bytes", absl::StrCat(EncodedSize(*largest)));
-  }
-  LogEvent(Severity::kError, "append_invalid", fields);
+  LogEvent(Severity::kError, "append_invalid",
+           {{"epoch", absl::StrCat(epoch_)},
+            {"records", absl::StrCat(in_flight_append_->count)},
+            {"detail", reply.message},
+            {"largest", largest->key},
+            {"bytes", absl::StrCat(EncodedSize(*largest))}});
 }
 
 void LeaderSession::OnAppendFailed(const AppendReply& reply, absl::Time sent) {
--- a/keelbridge/state/leader_time.h
+++ b/keelbridge/state/leader_time.h
@@ -23,8 +23,8 @@
 // Returns the time in milliseconds, rounded up so that what it bounds does not
 // seem to end earlier.
 inline int64_t CeilToMillis(absl::Time time) {
-  return absl::ToUnixMillis(time + absl::Milliseconds(1) -
-                            absl::Nanoseconds(1));
+  return absl::ToInt64Milliseconds(
+      absl::Ceil(time - absl::UnixEpoch(), absl::Milliseconds(1)));
 }
 
 }  // namespace keelbridge
--- a/testing/site_simulation_test.cc
+++ b/testing/site_simulation_test.cc
@@ -71,6 +71,24 @@
   }
 }
 
+// Lets the site work on. Its long-running tasks must never be away for too
+// long; once they are cancelled, all jobs must end.
+void RunToEnd(SiteSimulation& site, const std::vector<JobId>& long_running) {
+  site.Run(absl::Seconds(60));
+  CAPTURE(absl::StrJoin(site.violations(), "\n"));
+  CHECK(site.violations().empty());
+  CHECK(site.max_down_time() < kMaxDownTime);
+  for (const JobId id : long_running) site.Cancel(id);
+  site.Run(absl::Seconds(40));
+  CheckAllJobsEnded(site);
+}
+
+std::vector<JobId> SubmitLongRunning(SiteSimulation& site, int jobs) {
+  std::vector<JobId> ids;
+  for (int i = 0; i < jobs; ++i) ids.push_back(site.Submit(LongRunning(3)));
+  return ids;
+}
+
 // Submits four jobs per second for `seconds`: gangs, jobs of two steps and jobs
 // of a single step.
 void SubmitLoad(SiteSimulation& site, int seconds) {
@@ -256,10 +274,7 @@
     if (options.advice) options.workers = 24;
     SiteSimulation site(options);
     SubmitLoad(site, 12);
-    std::vector<JobId> long_running;
-    long_running.reserve(4);
-    for (int i = 0; i < 4; ++i)
-      long_running.push_back(site.Submit(LongRunning(3)));
+    const std::vector<JobId> long_running = SubmitLongRunning(site, 4);
     std::mt19937_64 random(seed);
     for (int i = 0; i < 9; ++i) {
       const auto at = absl::Milliseconds(500 + random() % 22000);
@@ -285,13 +300,7 @@
         });
       });
     }
-    site.Run(absl::Seconds(60));
-    CAPTURE(absl::StrJoin(site.violations(), "\n"));
-    CHECK(site.violations().empty());
-    CHECK(site.max_down_time() < kMaxDownTime);
-    for (const JobId id : long_running) site.Cancel(id);
-    site.Run(absl::Seconds(40));
-    CheckAllJobsEnded(site);
+    RunToEnd(site, long_running);
   }
 }
 
@@ -306,10 +315,7 @@
   options.late_orders = seed % 4 == 0 ? 0.03 : 0;
   SiteSimulation site(options);
   SubmitLoad(site, 16);
-  std::vector<JobId> long_running;
-  long_running.reserve(6);
-  for (int i = 0; i < 6; ++i)
-    long_running.push_back(site.Submit(LongRunning(3)));
+  const std::vector<JobId> long_running = SubmitLongRunning(site, 6);
   std::mt19937_64 random(seed);
   for (int i = 0; i < 8; ++i) {
     const auto at = absl::Milliseconds(500 + random() % 20000);
@@ -333,13 +339,7 @@
       if (kind == 3) site.StoreDown(away);
     });
   }
-  site.Run(absl::Seconds(60));
-  CAPTURE(absl::StrJoin(site.violations(), "\n"));
-  CHECK(site.violations().empty());
-  CHECK(site.max_down_time() < kMaxDownTime);
-  for (const JobId id : long_running) site.Cancel(id);
-  site.Run(absl::Seconds(40));
-  CheckAllJobsEnded(site);
+  RunToEnd(site, long_running);
 }
 
 // Guards against a second run beside the first by a leader that trusts a record
