--- a/testing/site_simulation_test.cc
+++ b/testing/site_simulation_test.cc
@@ -85,6 +85,7 @@
 
 std::vector<JobId> SubmitLongRunning(SiteSimulation& site, int jobs) {
   std::vector<JobId> ids;
+  ids.reserve(jobs);
   for (int i = 0; i < jobs; ++i) ids.push_back(site.Submit(LongRunning(3)));
   return ids;
 }
