Tell an order that had no connection from a worker that was not reached

Cause: the HTTP client reported a request that found no connection as one to a peer that could not be reached, and the scheduler booked that as the worker's silence. So did a relay that took no more orders.

Change: a result of its own, kNotAttempted, from the client and through relays. It is no evidence for the silence of a worker or a zone, nor of a crash. An observation that was not attempted extends no lease. An older leader that gets the new value from a newer relay takes the order for unanswered, as it does with any row it cannot read.

The test of unknown results names the next free value; it asks as much as before.

--- a/keelbridge/coordination/job_scheduler_answers_test.cc
+++ b/keelbridge/coordination/job_scheduler_answers_test.cc
@@ -146,6 +146,77 @@
   CHECK(site.observations.back().order.lease_until_ms < kLongestLeaseEnd);
 }
 
+// Adds workers "w0", "w1", ... in one zone that answer observations.
+void AddWorkersOfZone(SchedulerDriver& site, int count) {
+  for (int i = 0; i < count; ++i) {
+    const std::string id = "w" + std::to_string(i);
+    WorkerRecord record = SchedulerDriver::RecordOf(id, 2000);
+    record.zone = "zone-1";
+    site.scheduler().OnWorkerRecord(record, site.now());
+    site.reports[id];
+  }
+}
+
+// Guards against a leader that takes its own lack of connections for the
+// silence of the workers, and then of their zone.
+TEST_CASE(
+    "job scheduler: a leader without a free connection does not make a worker "
+    "or its zone suspect") {
+  constexpr int kWorkers = 8;
+  SchedulerDriver site(1);
+  AddWorkersOfZone(site, kWorkers);
+  site.RunUntil(absl::Milliseconds(100));
+  for (int i = 0; i < kWorkers; ++i)
+    site.no_connection.insert("w" + std::to_string(i));
+  // Stops answering by observations, which would show that the zone is there.
+  for (int i = 0; i < kWorkers; ++i)
+    site.holds_reports.insert("w" + std::to_string(i));
+  JobSpec spec;
+  spec.steps = {OneTask()};
+  spec.steps[0].count = kWorkers;
+  site.scheduler().Submit(kJob, "restore", spec, site.now());
+  site.RunUntil(absl::Milliseconds(140));
+  REQUIRE(site.start_actions.size() >= kWorkers);
+  REQUIRE(site.starts.empty());
+  site.no_connection.clear();
+  site.RunUntil(absl::Milliseconds(300));
+  CHECK(site.starts.size() == kWorkers);
+}
+
+// Whether a durable record names a run that may have crashed its worker.
+bool RecordsCrashSuspect(const SchedulerDriver& site) {
+  return std::any_of(site.stored_records.begin(), site.stored_records.end(),
+                     [](const auto& entry) {
+                       return entry.second.value->find("ran_ms") !=
+                              std::string::npos;
+                     });
+}
+
+// Guards against a task that is suspected of crashing its worker because the
+// leader had no connection for an observation.
+TEST_CASE(
+    "job scheduler: an observation that was not attempted is no sign of a "
+    "crash, and extends no lease") {
+  for (const bool attempted : {true, false}) {
+    CAPTURE(attempted);
+    SchedulerDriver site(1);
+    site.AddWorker("a");
+    site.reports["a"];
+    site.RunUntil(absl::Milliseconds(100));
+    SubmitOneTask(site);
+    site.RunUntil(absl::Milliseconds(140));
+    REQUIRE(site.starts.size() == 1);
+    (attempted ? site.cut_off : site.no_connection).insert("a");
+    site.RunUntil(absl::Seconds(2));
+    CHECK(RecordsCrashSuspect(site) == attempted);
+    CHECK(site.observations.back().order.lease_until_ms == 0);
+    site.cut_off.clear();
+    site.no_connection.clear();
+    site.RunUntil(absl::Seconds(3));
+    CHECK(site.observations.back().order.lease_until_ms > 0);
+  }
+}
+
 // The entry of a worker comes and goes, and answers arrive in any order. Guards
 // against any order of these events after which the leader has lost sight of a
 // listed worker.
--- a/keelbridge/coordination/job_scheduler_workers.cc
+++ b/keelbridge/coordination/job_scheduler_workers.cc
@@ -259,6 +259,10 @@
                                    now.mono);
       worker.suspect_until = now.mono + kRetryAfterRefusal;
       break;
+    case OrderResult::kNotAttempted:
+      // Says nothing of the worker, but another order would wait in vain too.
+      worker.suspect_until = now.mono + kRetryAfterRefusal;
+      break;
     case OrderResult::kBadTicket:
       if (StepState* step = job != nullptr ? job->FindStep(key.first) : nullptr)
         step->advice.tickets.erase(action.worker.id);
@@ -357,6 +361,7 @@
       RecordUnanswered(worker, now);
       return allocation.stop.OnUnanswered();
     case OrderResult::kNotSent:
+    case OrderResult::kNotAttempted:
       return allocation.stop.OnUnanswered();
     default:
       return allocation.stop.OnRefused();
@@ -460,7 +465,10 @@
         std::max(worker.suspect_until,
                  now.mono + kObserveRetryDelay + kRetryAfterRefusal);
   }
-  if (worker.failing_since == absl::InfiniteFuture()) {
+  // An observation that was not attempted is no sign of a lost worker. It
+  // counts as failed all the same, so that the lease is not extended meanwhile.
+  const bool attempted = reply.result != OrderResult::kNotAttempted;
+  if (attempted && worker.failing_since == absl::InfiniteFuture()) {
     worker.failing_since = now.mono;
     failing_workers_.insert(&worker);
     RecordUnresponsiveness(worker, now);
--- a/keelbridge/daemon/order_messages.cc
+++ b/keelbridge/daemon/order_messages.cc
@@ -146,7 +146,7 @@
   RelayedReply out;
   out.number = row[0].asInt64();
   OrderReply& order = out.reply.order;
-  if (!ReadEnum(row[1], OrderResult::kUnknown, &order.result))
+  if (!ReadEnum(row[1], OrderResult::kNotAttempted, &order.result))
     return std::nullopt;
   order.clock_ms = row[2].asInt64();
   order.message = row[3].asString();
--- a/keelbridge/daemon/order_messages_test.cc
+++ b/keelbridge/daemon/order_messages_test.cc
@@ -44,10 +44,10 @@
 TEST_CASE("order messages: a reply with an unknown result or end is rejected") {
   const std::string end =
       "[7,0,1000,\"\",[],[[1,\"5c0e7a21d94b36f8.0.1.19\",2,";
-  CHECK(ReplyFromRow(ParseRow("[7,10,1000,\"\"]")).has_value());
+  CHECK(ReplyFromRow(ParseRow("[7,11,1000,\"\"]")).has_value());
   CHECK(ReplyFromRow(ParseRow(end + "5,\"\"]],false]")).has_value());
   for (const std::string& text :
-       {std::string("[7,11,1000,\"\"]"), std::string("[7,-1,1000,\"\"]"),
+       {std::string("[7,12,1000,\"\"]"), std::string("[7,-1,1000,\"\"]"),
         std::string("[7,null,1000,\"\"]"), end + "6,\"\"]],false]",
         end + "-1,\"\"]],false]"}) {
     CAPTURE(text);
--- a/keelbridge/daemon/order_relay_client.cc
+++ b/keelbridge/daemon/order_relay_client.cc
@@ -201,7 +201,7 @@
     const bool sent = found->second.sent;
     Finish(number, sent ? UnansweredReply(OrderResult::kUnknown,
                                           "no answer through the relay")
-                        : UnansweredReply(OrderResult::kNotSent,
+                        : UnansweredReply(OrderResult::kNotAttempted,
                                           "the relay takes no orders"));
   }
   if (!pending_.empty()) ScheduleSweep();
--- a/keelbridge/daemon/order_relay_client_test.cc
+++ b/keelbridge/daemon/order_relay_client_test.cc
@@ -5,6 +5,7 @@
 #include <doctest/doctest.h>
 
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
 #include <memory>
 #include <optional>
@@ -206,6 +207,22 @@
         OrderResult::kNotSent);
 }
 
+// Guards against workers that are taken for silent because the relay
+// acknowledges nothing: the orders behind the messages in flight were not sent.
+TEST_CASE(
+    "relayed orders: an order that a relay has no room for is reported as not "
+    "attempted") {
+  Pair pair;
+  boost::asio::ip::tcp::acceptor silent(
+      pair.loop, {boost::asio::ip::make_address("127.0.0.1"), 0});
+  pair.UseRelay(absl::StrCat("127.0.0.1:", silent.local_endpoint().port()));
+  // Two messages, with one order each, are in flight.
+  pair.Start(pair.Worker(), absl::Milliseconds(50));
+  pair.Start(pair.Worker(), absl::Milliseconds(50));
+  CHECK(pair.Start(pair.Worker(), absl::Milliseconds(850)) ==
+        OrderResult::kNotAttempted);
+}
+
 // The worker may have received the order, so it must not be reported as not
 // executed.
 TEST_CASE("relayed orders: an order without a reply has an unknown result") {
--- a/keelbridge/daemon/store_failover.cc
+++ b/keelbridge/daemon/store_failover.cc
@@ -50,7 +50,7 @@
 // Returns whether the store certainly did not execute the call, so that it may
 // be sent over another path.
 bool CertainlyNotExecuted(const HttpOutcome& outcome) {
-  if (!outcome.response) return outcome.failure == SendFailure::kNothingSent;
+  if (!outcome.response) return NothingWasSent(outcome.failure);
   return IsUnavailable(outcome);
 }
 
@@ -217,7 +217,7 @@
              [reply = std::move(reply)](const HttpOutcome& outcome) {
                Json::Value out(Json::objectValue);
                out["status"] = outcome.response ? outcome.response->status : 0;
-               out["sent"] = outcome.failure != SendFailure::kNothingSent;
+               out["sent"] = !NothingWasSent(outcome.failure);
                if (outcome.response)
                  out["body"] = absl::Base64Escape(outcome.response->body);
                reply({out, 0, ""});
--- a/keelbridge/protocol/platform_clients.cc
+++ b/keelbridge/protocol/platform_clients.cc
@@ -30,7 +30,7 @@
 }
 
 Error ErrorWithoutAnswer(const HttpOutcome& outcome) {
-  if (outcome.failure == SendFailure::kNothingSent)
+  if (NothingWasSent(outcome.failure))
     return MakeError(ErrorCode::kUnavailable, outcome.message);
   const std::string what =
       outcome.response ? absl::StrCat("status ", outcome.response->status,
--- a/keelbridge/protocol/site_worker.cc
+++ b/keelbridge/protocol/site_worker.cc
@@ -26,6 +26,8 @@
       return "not_sent";
     case OrderResult::kUnknown:
       return "unknown";
+    case OrderResult::kNotAttempted:
+      return "not_attempted";
   }
   return "unknown";
 }
--- a/keelbridge/protocol/site_worker.h
+++ b/keelbridge/protocol/site_worker.h
@@ -71,6 +71,10 @@
   kInvalid,    // The worker does not understand the order.
   kNotSent,    // No byte was sent: the order is never executed.
   kUnknown,    // No answer: the order may have been executed, or may be later.
+  // No byte was sent, because this node had no connection to send it on, or the
+  // relay took no more orders. It is never executed, and it says nothing of the
+  // worker.
+  kNotAttempted,
 };
 
 const char* OrderResultName(OrderResult result);
--- a/keelbridge/protocol/verdict.h
+++ b/keelbridge/protocol/verdict.h
@@ -44,8 +44,7 @@
 
 // Returns the verdict on a request that received no answer.
 inline Verdict VerdictFromFailure(SendFailure failure) {
-  return failure == SendFailure::kNothingSent ? Verdict::kDidNotRun
-                                              : Verdict::kMayHaveRun;
+  return NothingWasSent(failure) ? Verdict::kDidNotRun : Verdict::kMayHaveRun;
 }
 
 }  // namespace keelbridge
--- a/keelbridge/transport/event_http_client.cc
+++ b/keelbridge/transport/event_http_client.cc
@@ -340,7 +340,8 @@
   pending->deadline = SystemNow().mono + timeout;
   if (closed_ || waiting_.size() >= options_.max_waiting) {
     asio::post(loop_, [pending] {
-      pending->callback(Failure(SendFailure::kNothingSent, "too many waiting"));
+      pending->callback(
+          Failure(SendFailure::kNotAttempted, "too many waiting"));
     });
     return;
   }
@@ -361,7 +362,7 @@
   const auto at = std::find(waiting_.begin(), waiting_.end(), pending);
   if (at == waiting_.end()) return;
   waiting_.erase(at);
-  pending->callback(Failure(SendFailure::kNothingSent, "no free connection"));
+  pending->callback(Failure(SendFailure::kNotAttempted, "no free connection"));
 }
 
 void EventHttpClient::Impl::Dispatch() {
@@ -412,7 +413,7 @@
   waiting_.clear();
   for (const auto& pending : waiting) {
     asio::post(loop_, [pending] {
-      pending->callback(Failure(SendFailure::kNothingSent, "client closed"));
+      pending->callback(Failure(SendFailure::kNotAttempted, "client closed"));
     });
   }
   for (const auto& connection : busy_)
--- a/keelbridge/transport/event_http_client_test.cc
+++ b/keelbridge/transport/event_http_client_test.cc
@@ -113,6 +113,29 @@
   }
 }
 
+// Guards against a busy client that is taken for an unreachable peer.
+TEST_CASE(
+    "event http client: a request that finds no free connection tells that "
+    "from a peer that cannot be reached") {
+  ProxyFixture fixture;
+  std::vector<std::shared_ptr<std::optional<HttpOutcome>>> busy;
+  for (size_t i = 0; i < ProxyFixture::ClientOptions().max_connections; ++i)
+    busy.push_back(fixture.Send(Get("/held"), 4 * kTimeout));
+  const auto waiting = fixture.Send(Get("/"));
+  REQUIRE(fixture.Await(waiting, 2 * kTimeout));
+  CHECK((*waiting)->failure == SendFailure::kNotAttempted);
+  CHECK(NothingWasSent((*waiting)->failure));
+  EventHttpClient unreachable(fixture.loop, {"127.0.0.1", 1, ""},
+                              ProxyFixture::ClientOptions());
+  std::optional<HttpOutcome> refused;
+  unreachable.Send(Get("/"), kTimeout,
+                   [&](HttpOutcome outcome) { refused = std::move(outcome); });
+  fixture.Run(kTimeout);
+  REQUIRE(refused.has_value());
+  CHECK(refused->failure == SendFailure::kNothingSent);
+  CHECK(NothingWasSent(refused->failure));
+}
+
 TEST_CASE("event http client: a slow response does not fail other calls") {
   ProxyFixture fixture;
   fixture.OpenIdleConnections(4);
--- a/keelbridge/transport/http_client.h
+++ b/keelbridge/transport/http_client.h
@@ -61,8 +61,17 @@
   kNone,         // There is a response.
   kNothingSent,  // No byte was sent: the peer cannot have seen the request.
   kMayHaveSent,  // The peer may have received the whole request.
+  // The client had no connection for the request. Nothing was sent, and nothing
+  // is known of the peer.
+  kNotAttempted,
 };
 
+// Returns whether the peer certainly has not seen a request that failed so.
+inline bool NothingWasSent(SendFailure failure) {
+  return failure == SendFailure::kNothingSent ||
+         failure == SendFailure::kNotAttempted;
+}
+
 // The result of a request: a response, or the reason why there is none.
 struct HttpOutcome {
   std::optional<HttpResponse> response;
--- a/keelbridge/transport/rpc_client.cc
+++ b/keelbridge/transport/rpc_client.cc
@@ -49,7 +49,7 @@
   };
   const JsonRpcReply reply = CallJsonRpc(method, params, transport);
   if (outcome.failure != SendFailure::kNone) {
-    const bool nothing_sent = outcome.failure == SendFailure::kNothingSent;
+    const bool nothing_sent = NothingWasSent(outcome.failure);
     return MakeError(
         nothing_sent ? ErrorCode::kUnavailable : ErrorCode::kUnknown,
         outcome.message);
--- a/testing/support/scheduler_driver.h
+++ b/testing/support/scheduler_driver.h
@@ -206,6 +206,8 @@
   // Workers that answer that another incarnation runs at their address.
   std::set<std::string> other_incarnations;
   std::set<std::string> down;  // Workers at whose address nothing listens.
+  // Workers to which the leader has no connection free.
+  std::set<std::string> no_connection;
   // Workers that neither answer nor carry out start orders.
   std::set<std::string> drops_starts;
   // Workers that carry out stop orders while their answers get lost.
@@ -269,6 +271,7 @@
     if (other_incarnations.count(worker) > 0)
       return OrderResult::kOtherIncarnation;
     if (down.count(worker) > 0) return OrderResult::kNotSent;
+    if (no_connection.count(worker) > 0) return OrderResult::kNotAttempted;
     return fallback;
   }
 
