Send a worker starts at the pace at which it answers them

What callers saw: a wide step of small tasks on few large workers got under way slowly or not at all.

Cause: a placement pass sent each start that fits a worker's capacity at once, and nothing learned how many of them the worker takes.

Change: a window for each worker bounds the orders in flight, as in TCP congestion control: one more for each window of prompt answers, half after a late answer, none, or no connection. It begins at 16, never closes (4, one a connection) and begins anew after 5 s without use. A start that it does not admit waits as a task, which can move to another worker; the answer to an order causes the next placement pass. A step that lacks nothing but slots reserves no capacity and asks for no advice. The members of a gang are sent together whatever the window, and starts that wait for a durable placement are not counted until they are sent. Stops wait for no slot.

Setting max_starts_in_flight (4 to 4096, 64); figures starts_not_attempted and steps_held_by_start_windows.

--- a/keelbridge/coordination/job_scheduler.h
+++ b/keelbridge/coordination/job_scheduler.h
@@ -92,6 +92,8 @@
     // The largest record that the store takes.
     size_t max_record_bytes = 256 << 10;
     SchedulerPolicy policy;
+    // Bounds the starts in flight to each worker.
+    StartWindow::Options start_window;
   };
 
   // `epoch` identifies this leader. It is unique and higher than the epochs of
@@ -248,7 +250,13 @@
   // Returns the number of a new call, and adds it to `calls`.
   int64_t OpenCall(OpenCalls& calls);
   // Sends the order to start a run.
-  void SendStart(Worker& worker, StartAction action);
+  void SendStart(Worker& worker, StartAction action, Now now);
+  // Lets the worker's start window follow what became of a start.
+  void UpdateStartWindow(Worker& worker, const StartAction& action,
+                         OrderResult result, Now now);
+  static bool HasStartSlot(const Worker& worker, Now now) {
+    return worker.start_window.Admits(worker.orders.size(), now.mono);
+  }
   // Returns the worker to which the answer of a call applies. Returns null if
   // the worker was forgotten, even if it was found again since, or has got
   // another id.
@@ -632,6 +640,11 @@
   // Returns a score for the task on the worker; lower is better.
   static double PlacementScore(const Worker& worker, const ReadyStep& ready,
                                const TaskState& task);
+  // Returns whether one of the workers has capacity for a task of the step and
+  // only lacks a slot in its start window. Such workers cause a placement pass
+  // once they have one.
+  bool WaitsForStartSlot(ReadyStep& ready, const std::vector<Worker*>& usable,
+                         const WorkerQuota& quota, Now now);
   void StartTask(ReadyStep& ready, int32_t index, int32_t run, Worker& worker,
                  Now now);
   // Returns whether the worker may be assigned tasks of the step now, apart
--- a/keelbridge/coordination/job_scheduler_answers_test.cc
+++ b/keelbridge/coordination/job_scheduler_answers_test.cc
@@ -173,10 +173,10 @@
     site.holds_reports.insert("w" + std::to_string(i));
   JobSpec spec;
   spec.steps = {OneTask()};
-  spec.steps[0].count = kWorkers;
-  site.scheduler().Submit(kJob, "restore", spec, site.now());
+  for (JobId job = 1; job <= kWorkers; ++job)
+    site.scheduler().Submit(job, "restore", spec, site.now());
   site.RunUntil(absl::Milliseconds(140));
-  REQUIRE(site.start_actions.size() >= kWorkers);
+  REQUIRE(site.start_actions.size() == kWorkers);
   REQUIRE(site.starts.empty());
   site.no_connection.clear();
   site.RunUntil(absl::Milliseconds(300));
--- a/keelbridge/coordination/job_scheduler_calls.cc
+++ b/keelbridge/coordination/job_scheduler_calls.cc
@@ -20,11 +20,35 @@
   return last_call_;
 }
 
-void JobScheduler::SendStart(Worker& worker, StartAction action) {
+void JobScheduler::SendStart(Worker& worker, StartAction action, Now now) {
   action.call = OpenCall(worker.orders);
+  action.sent = now.mono;
+  worker.start_window.OnSent(now.mono);
   actions_.push_back(std::move(action));
 }
 
+void JobScheduler::UpdateStartWindow(Worker& worker, const StartAction& action,
+                                     OrderResult result, Now now) {
+  switch (result) {
+    case OrderResult::kNotSent:
+      break;  // Nothing listens there, which says nothing of the pace.
+    case OrderResult::kNotAttempted:
+      ++figures_.starts_not_attempted;
+      worker.start_window.OnUnanswered(action.sent, now.mono);
+      break;
+    case OrderResult::kUnknown:
+    case OrderResult::kUnhealthy:
+      worker.start_window.OnUnanswered(action.sent, now.mono);
+      break;
+    default: {
+      const size_t in_flight = worker.orders.size() + 1;
+      worker.start_window.OnAnswered(action.sent, now.mono - action.sent,
+                                     action.order.timeout, in_flight, now.mono);
+    }
+  }
+  if (std::exchange(worker.starts_held, false)) placement_wanted_ = true;
+}
+
 JobScheduler::Worker* JobScheduler::CloseCall(const std::string& worker_id,
                                               OpenCalls Worker::*calls,
                                               int64_t call, Now now) {
--- a/keelbridge/coordination/job_scheduler_pending_starts.cc
+++ b/keelbridge/coordination/job_scheduler_pending_starts.cc
@@ -63,7 +63,7 @@
     LogDecision("start_sent", {{"task", TaskIdText(key.first)},
                                {"run", absl::StrCat(key.second)},
                                {"worker", action.worker.id}});
-    SendStart(to, std::move(action));
+    SendStart(to, std::move(action), now);
   }
 }
 
--- a/keelbridge/coordination/job_scheduler_placement.cc
+++ b/keelbridge/coordination/job_scheduler_placement.cc
@@ -418,7 +418,7 @@
                     AccountLedger::WaitReason(*step.job, step.exceeds_share,
                                               "no worker has room"));
     }
-    if (step.waiting == 0) continue;
+    if (step.waiting == 0 || step.waits_for_start_slot) continue;
     if (step.spec->gang) ++figures_.gangs_waiting;
     step.pool_mostly_idle = pool.mostly_idle;
     MaybeReserveCapacity(step, kept, now);
@@ -579,7 +579,7 @@
                {"free_cpu_milli", absl::StrCat(worker.free.cpu_milli)}});
   if (kept) return StartOnceDurable(*ready.job, task, std::move(action));
   allocation.ordered = now.mono;
-  SendStart(worker, std::move(action));
+  SendStart(worker, std::move(action), now);
 }
 
 std::vector<JobScheduler::Worker*> JobScheduler::FindUsableWorkers(
@@ -638,6 +638,8 @@
         has_open_order ? WorkerOfUnansweredStart(ready, task, now)
                        : FindBestWorker(ready, task, probe, usable, quota, now);
     if (worker == nullptr && has_open_order) continue;
+    if (worker == nullptr && WaitsForStartSlot(ready, usable, quota, now))
+      return false;
     if (worker == nullptr) {
       if (FitsWithoutReservations(ready, usable))
         ++figures_.blocked_by_reservations;
@@ -657,6 +659,25 @@
   return true;
 }
 
+// The wait lasts about as long as the worker takes to answer, so it is not
+// logged in each pass.
+bool JobScheduler::WaitsForStartSlot(ReadyStep& ready,
+                                     const std::vector<Worker*>& usable,
+                                     const WorkerQuota& quota, Now now) {
+  for (Worker* worker : usable) {
+    if (HasStartSlot(*worker, now) || IsOnProbation(*worker) ||
+        !quota.Allows(worker->record.id) ||
+        CountFittingTasks(*worker, ready, UnreservedCapacity(*worker)) < 1)
+      continue;
+    worker->starts_held = true;
+    ready.waits_for_start_slot = true;
+  }
+  if (!ready.waits_for_start_slot) return false;
+  ++figures_.steps_held_by_start_windows;
+  ready.state->blocked_reason = "waits for a slot in a worker's start window";
+  return true;
+}
+
 bool JobScheduler::FitsWithoutReservations(const ReadyStep& ready,
                                            const std::vector<Worker*>& usable) {
   const Resources need = CapacityNeeded(*ready.spec);
@@ -673,6 +694,7 @@
   double best_score = 0;
   for (Worker* worker : usable) {
     if (IsOnProbation(*worker) || !quota.Allows(worker->record.id) ||
+        !HasStartSlot(*worker, now) ||
         CountFittingTasks(*worker, ready, UnreservedCapacity(*worker)) < 1)
       continue;
     const double score =
--- a/keelbridge/coordination/job_scheduler_workers.cc
+++ b/keelbridge/coordination/job_scheduler_workers.cc
@@ -57,6 +57,7 @@
     SetIncarnationId(*known_by_name->second, record.id);
   auto& slot = workers_[record.id];
   const bool is_new = slot == nullptr;
+    slot->start_window = StartWindow(options_.start_window);
   if (is_new) {
     slot = std::make_unique<Worker>();
     slot->free = record.capacity;
@@ -207,6 +208,7 @@
   if (called == nullptr) return;
   Worker& worker = *called;
   UpdateClock(worker, reply.clock_ms, now.mono);
+  UpdateStartWindow(worker, action, reply.result, now);
   const RunKey key{action.order.task, action.order.run};
   const auto allocation = worker.allocations.find(key);
   if (reply.result != OrderResult::kDone) {
--- a/keelbridge/coordination/ready_step.h
+++ b/keelbridge/coordination/ready_step.h
@@ -50,6 +50,8 @@
   // A large share of the step's pool is free in this placement pass.
   bool pool_mostly_idle = false;
   int32_t pool_workers = 0;
+  // Its next task fits a worker to which no further start may be in flight.
+  bool waits_for_start_slot = false;
   // The step has no tasks to place, but some of its tasks must restart soon,
   // so that it asks for advice ahead of time. `waiting` counts those tasks.
   bool asks_ahead = false;
--- a/keelbridge/coordination/scheduled_worker.h
+++ b/keelbridge/coordination/scheduled_worker.h
@@ -17,6 +17,7 @@
 #include "keelbridge/coordination/allocation.h"
 #include "keelbridge/coordination/open_calls.h"
 #include "keelbridge/coordination/pool_totals.h"
+#include "keelbridge/coordination/start_window.h"
 #include "keelbridge/protocol/job.h"
 #include "keelbridge/protocol/resources.h"
 #include "keelbridge/protocol/site_worker.h"
@@ -93,6 +94,10 @@
   absl::Time leaves_at = absl::InfiniteFuture();
   OpenCalls observations;  // In flight.
   OpenCalls orders;        // Starts and stops in flight.
+  // Limits the starts in flight.
+  StartWindow start_window;
+  // A step waits because the window admits no start.
+  bool starts_held = false;
   // Send an observation at once, even if another one waits for an end.
   bool observe_now = false;
   absl::Time last_observation_sent = absl::InfinitePast();
--- a/keelbridge/coordination/scheduler_actions.h
+++ b/keelbridge/coordination/scheduler_actions.h
@@ -32,6 +32,7 @@
   WorkerRecord worker;
   StartOrder order;
   int64_t call = 0;
+  absl::Time sent;  // By the steady clock, when it was decided to send it.
 };
 // Sends the order to stop a run to a worker.
 struct StopAction {
--- a/keelbridge/coordination/scheduler_figures.h
+++ b/keelbridge/coordination/scheduler_figures.h
@@ -26,6 +26,11 @@
   int64_t starts_refused = 0;
   // Starts without an answer whose run no worker has reported either.
   int64_t starts_unanswered = 0;
+  // Starts that found no connection, or no room at a relay.
+  int64_t starts_not_attempted = 0;
+  // How often a placement pass left tasks of a step waiting because the windows
+  // of the workers with capacity admitted no further start.
+  int64_t steps_held_by_start_windows = 0;
   int64_t preemptions = 0;  // Runs preempted for more urgent work.
   int64_t advice_calls = 0;
   int64_t ends_done = 0;
--- a/keelbridge/daemon/leader_session.cc
+++ b/keelbridge/daemon/leader_session.cc
@@ -502,6 +502,8 @@
   set("cpu_milli_used", f.cpu_milli_used);
   set("starts", f.starts);
   set("starts_refused", f.starts_refused);
+  set("starts_not_attempted", f.starts_not_attempted);
+  set("steps_held_by_start_windows", f.steps_held_by_start_windows);
   set("runs_yielded", f.preemptions);
   set("advice_calls", f.advice_calls);
   set("ends_done", f.ends_done);
@@ -560,43 +562,46 @@
   metrics_.Set("loop_lag_seconds", {}, absl::ToDoubleSeconds(longest_lag_));
   const auto lag_ms = absl::ToInt64Milliseconds(longest_lag_);
   longest_lag_ = absl::ZeroDuration();
-  LogEvent(Severity::kInfo, "site_figures",
-           {{"jobs", absl::StrCat(f.jobs)},
-            {"tasks_ready", absl::StrCat(f.ready_tasks)},
-            {"tasks_on_workers", absl::StrCat(f.running_tasks)},
-            {"workers", absl::StrCat(f.workers)},
-            {"listed", absl::StrCat(f.workers_reported)},
-            {"unobserved", absl::StrCat(f.workers_unobserved)},
-            {"cpu_used", absl::StrCat(f.cpu_milli_used / 1000)},
-            {"cpu_total", absl::StrCat(f.cpu_milli_total / 1000)},
-            {"advice_calls", absl::StrCat(f.advice_calls)},
-            {"starts", absl::StrCat(f.starts)},
-            {"refused", absl::StrCat(f.starts_refused)},
-            {"recovered_waiting", absl::StrCat(f.recovered_waiting)},
-            {"cpu_held", absl::StrCat(f.cpu_milli_reserved / 1000)},
-            {"gangs_waiting", absl::StrCat(f.gangs_waiting)},
-            {"gangs_holding", absl::StrCat(f.gangs_reserving)},
-            {"steps_not_asking", absl::StrCat(f.steps_without_advice)},
-            {"looks", absl::StrCat(f.placement_passes)},
-            {"steps_looked_at", absl::StrCat(f.steps_examined)},
-            {"late_steps_looked_at", absl::StrCat(f.late_steps_examined)},
-            {"workers_tried", absl::StrCat(f.workers_tried)},
-            {"tried_to_hold", absl::StrCat(f.workers_tried_to_reserve)},
-            {"tried_for_advice", absl::StrCat(f.workers_tried_for_advice)},
-            {"looks_out_of_starts", absl::StrCat(f.passes_out_of_starts)},
-            {"looks_out_of_searches", absl::StrCat(f.passes_out_of_searches)},
-            {"looks_out_of_advisers", absl::StrCat(f.passes_out_of_advisers)},
-            {"kept_off_by_holds", absl::StrCat(f.blocked_by_reservations)},
-            {"listings_passed_over", absl::StrCat(f.stale_reports_skipped)},
-            {"answers_ignored", absl::StrCat(f.answers_ignored)},
-            {"starts_unanswered", absl::StrCat(f.starts_unanswered)},
-            {"stops_sent", absl::StrCat(f.stops_sent)},
-            {"runs_stopped", absl::StrCat(f.runs_stopped)},
-            {"timely_work_s", absl::StrCat(f.timely_work_milli_s / 1000)},
-            {"late_work_s", absl::StrCat(f.late_work_milli_s / 1000)},
-            {"deciding_ms",
-             absl::StrCat(absl::ToInt64Milliseconds(total_decision_time_))},
-            {"longest_lag_ms", absl::StrCat(lag_ms)}});
+  LogEvent(
+      Severity::kInfo, "site_figures",
+      {{"jobs", absl::StrCat(f.jobs)},
+       {"tasks_ready", absl::StrCat(f.ready_tasks)},
+       {"tasks_on_workers", absl::StrCat(f.running_tasks)},
+       {"workers", absl::StrCat(f.workers)},
+       {"listed", absl::StrCat(f.workers_reported)},
+       {"unobserved", absl::StrCat(f.workers_unobserved)},
+       {"cpu_used", absl::StrCat(f.cpu_milli_used / 1000)},
+       {"cpu_total", absl::StrCat(f.cpu_milli_total / 1000)},
+       {"advice_calls", absl::StrCat(f.advice_calls)},
+       {"starts", absl::StrCat(f.starts)},
+       {"refused", absl::StrCat(f.starts_refused)},
+       {"not_attempted", absl::StrCat(f.starts_not_attempted)},
+       {"held_by_start_windows", absl::StrCat(f.steps_held_by_start_windows)},
+       {"recovered_waiting", absl::StrCat(f.recovered_waiting)},
+       {"cpu_held", absl::StrCat(f.cpu_milli_reserved / 1000)},
+       {"gangs_waiting", absl::StrCat(f.gangs_waiting)},
+       {"gangs_holding", absl::StrCat(f.gangs_reserving)},
+       {"steps_not_asking", absl::StrCat(f.steps_without_advice)},
+       {"looks", absl::StrCat(f.placement_passes)},
+       {"steps_looked_at", absl::StrCat(f.steps_examined)},
+       {"late_steps_looked_at", absl::StrCat(f.late_steps_examined)},
+       {"workers_tried", absl::StrCat(f.workers_tried)},
+       {"tried_to_hold", absl::StrCat(f.workers_tried_to_reserve)},
+       {"tried_for_advice", absl::StrCat(f.workers_tried_for_advice)},
+       {"looks_out_of_starts", absl::StrCat(f.passes_out_of_starts)},
+       {"looks_out_of_searches", absl::StrCat(f.passes_out_of_searches)},
+       {"looks_out_of_advisers", absl::StrCat(f.passes_out_of_advisers)},
+       {"kept_off_by_holds", absl::StrCat(f.blocked_by_reservations)},
+       {"listings_passed_over", absl::StrCat(f.stale_reports_skipped)},
+       {"answers_ignored", absl::StrCat(f.answers_ignored)},
+       {"starts_unanswered", absl::StrCat(f.starts_unanswered)},
+       {"stops_sent", absl::StrCat(f.stops_sent)},
+       {"runs_stopped", absl::StrCat(f.runs_stopped)},
+       {"timely_work_s", absl::StrCat(f.timely_work_milli_s / 1000)},
+       {"late_work_s", absl::StrCat(f.late_work_milli_s / 1000)},
+       {"deciding_ms",
+        absl::StrCat(absl::ToInt64Milliseconds(total_decision_time_))},
+       {"longest_lag_ms", absl::StrCat(lag_ms)}});
 }
 
 }  // namespace keelbridge
--- a/keelbridge/daemon/node_settings.cc
+++ b/keelbridge/daemon/node_settings.cc
@@ -49,6 +49,15 @@
   out->max_children = static_cast<size_t>(max_children);
 }
 
+void ReadStartWindow(JsonReader& reader, StartWindow::Options* out) {
+  constexpr int64_t kMaxStartsInFlight = 4096;
+  int64_t max = out->max;
+  reader.OptionalInteger("max_starts_in_flight", out->min, kMaxStartsInFlight,
+                         &max);
+  out->max = static_cast<int32_t>(max);
+  out->initial = std::min(out->initial, out->max);
+}
+
 }  // namespace
 
 std::string NodeSettings::PeerAddress() const {
@@ -94,6 +103,7 @@
   reader.OptionalNumber("direct_workers_per_processor", 0, 1e9,
                         &out.direct_workers_per_processor);
   ReadHeartbeatTree(reader, &out.heartbeat_tree);
+  ReadStartWindow(reader, &out.start_window);
   reader.OptionalNumber("link_mbps", 0.001, 1e7, &out.link_mbps);
   reader.OptionalMillis("lease_ms", 100, 600000, &out.lease);
   reader.OptionalMillis("gang_wait_ms", 1, 600000, &out.gang_wait);
--- a/keelbridge/daemon/node_settings.h
+++ b/keelbridge/daemon/node_settings.h
@@ -14,6 +14,7 @@
 #include "keelbridge/base/logging.h"
 #include "keelbridge/base/result.h"
 #include "keelbridge/coordination/scheduler_policy.h"
+#include "keelbridge/coordination/start_window.h"
 #include "keelbridge/membership/heartbeat_tree.h"
 #include "keelbridge/transport/address.h"
 
@@ -46,6 +47,9 @@
   double direct_workers_per_processor = 900;
   double link_mbps = 1000;
 
+  // Bounds the starts in flight to each worker.
+  StartWindow::Options start_window;
+
   // Of the heartbeats between nodes.
   HeartbeatTree::Options heartbeat_tree;
 
--- a/keelbridge/daemon/site_node_leading.cc
+++ b/keelbridge/daemon/site_node_leading.cc
@@ -242,6 +242,7 @@
   options.scheduler.max_record_bytes =
       static_cast<size_t>(settings_.store_record_bytes);
   options.scheduler.lease = settings_.lease;
+  options.scheduler.start_window = settings_.start_window;
   options.scheduler.policy = settings_.policy;
   options.scheduler.gang_wait = settings_.gang_wait;
   options.scheduler.stop_timeout = settings_.stop_timeout;
