Let no lease outlast a leader's last append by much, and say so in it

What callers saw: LOST.

Cause: no record tells of a worker that was lost within a second of its leader. A leader may give orders until 4.5 s after its last confirmed append, and each may extend any lease by its whole length, so the next leader waits for both one after the other.

Change: a lease ends 11 s after the append that was confirmed last was begun, at the latest (1 s more than the lease; 10.5 s where the lease is shorter, as long as runs outlasted an outage before). Appends are at most 1.5 s apart, so that leases are granted in full but for half a second. Each append says by when all leases are over, also those of earlier leaders, and the next leader counts from that.

Why it is sound: what the store has confirmed is in the log, so the newest record is of the last confirmed append or a later one. The time includes the rates of the workers' clocks; it is mapped to the next leader's clock as the other recorded times are. A record without it (an earlier version) bounds nothing.

Tests: 'leases of a leader that was lost with a worker end soon after its last append', 'the leader before may say when all leases are over', and 60 simulated seeds with leases of 10 s ('lost leaders' appends bound leases').

--- a/keelbridge/coordination/earlier_orders.cc
+++ b/keelbridge/coordination/earlier_orders.cc
@@ -13,9 +13,12 @@
   return grace - kConfirmationMargin;
 }
 
-EarlierOrders::EarlierOrders(absl::Duration grace, int64_t epoch,
-                             absl::Time started)
-    : grace_(grace), epoch_(epoch), until_(started + grace) {}
+EarlierOrders::EarlierOrders(absl::Duration grace, absl::Duration max_lease,
+                             int64_t epoch, absl::Time started)
+    : grace_(grace),
+      max_lease_(max_lease),
+      epoch_(epoch),
+      until_(started + grace) {}
 
 void EarlierOrders::OnFenced(absl::Time now) {
   fenced_at_ = now;
@@ -41,6 +44,13 @@
   return true;
 }
 
+bool EarlierOrders::OnLeasesOver(const LeaderTime& over) {
+  if (over.epoch != epoch_ - 1) return false;
+  const absl::Time before = LeasesUntil();
+  leases_over_ = std::min(leases_over_, LatestLocalTime(over));
+  return LeasesUntil() < before;
+}
+
 bool EarlierOrders::OnStopped(absl::Time last_order) {
   stopped_ = true;
   // The list of leaders that were asked may be incomplete: another one may have
@@ -57,6 +67,14 @@
   return std::min(until_, successor->second + grace_);
 }
 
+absl::Time EarlierOrders::LeasesUntil() const {
+  return std::min(until_ + max_lease_, leases_over_);
+}
+
+absl::Time EarlierOrders::LeasesUntilOf(int64_t epoch) const {
+  return std::min(UntilOf(epoch) + max_lease_, leases_over_);
+}
+
 absl::Time EarlierOrders::LatestLocalTime(const LeaderTime& time) const {
   const auto clock = clocks_.find(time.epoch);
   return clock == clocks_.end() ? absl::InfiniteFuture()
--- a/keelbridge/coordination/job_scheduler.cc
+++ b/keelbridge/coordination/job_scheduler.cc
@@ -28,7 +28,8 @@
 JobScheduler::JobScheduler(Options options, int64_t epoch, absl::Time started)
     : options_(options),
       epoch_(epoch),
-      earlier_orders_(options.earlier_leader_grace, epoch, started) {}
+      earlier_orders_(options.earlier_leader_grace, MaxLeaseDuration(), epoch,
+                      started) {}
 
 void JobScheduler::Load(JobTable jobs, const std::vector<KnownWorker>& workers,
                         Now now) {
--- a/keelbridge/coordination/job_scheduler.h
+++ b/keelbridge/coordination/job_scheduler.h
@@ -65,6 +65,7 @@
 #include "keelbridge/protocol/site_worker.h"
 #include "keelbridge/state/job_table.h"
 #include "keelbridge/state/known_workers.h"
+#include "keelbridge/state/leader_append.h"
 
 namespace keelbridge {
 
@@ -91,9 +92,9 @@
     absl::Duration stop_timeout = absl::Seconds(1);
     // The largest record that the store takes.
     size_t max_record_bytes = 256 << 10;
-    SchedulerPolicy policy;
     // Bounds the starts in flight to each worker.
     StartWindow::Options start_window;
+    SchedulerPolicy policy;
   };
 
   // `epoch` identifies this leader. It is unique and higher than the epochs of
@@ -116,6 +117,13 @@
   Batch TakeBatch();
   // Reports that the batch and all batches before it are durable.
   void OnDurable(int64_t batch);
+  // Reports that the store has confirmed an append that was begun at `begun`,
+  // or the fence. Before the first report leases are not limited by it.
+  void OnConfirmed(absl::Time begun) { confirmed_at_ = begun; }
+  // Returns by when all leases have expired that this leader may grant while an
+  // append begun at `append_begun` is the last confirmed one, and all leases of
+  // earlier leaders.
+  absl::Time LeasesOver(absl::Time append_begun) const;
 
   // --- Clients ---
   // Decides whether to accept a new job of a client account, "" for none.
@@ -177,7 +185,7 @@
   void OnEarlierLeaderClock(int64_t epoch, const LeaderClock& clock) {
     earlier_orders_.OnLeaderClock(epoch, clock);
   }
-  void OnEarlierLeaderAppend(const LeaderTime& begun);
+  void OnEarlierLeaderAppend(const LeaderAppend& append);
   void OnEarlierLeadersStopped(absl::Time last_order);
   // Returns what the next leader cannot learn from the store. To be called once
   // this leader sends no more orders.
@@ -224,6 +232,8 @@
   // Added to the length of a lease on the slowest clock, since a worker's
   // timers may fire late.
   static constexpr absl::Duration kLeaseExpiryMargin = absl::Milliseconds(100);
+  // A worker that has answered nothing for this long gets no new tasks.
+  static constexpr absl::Duration kUnresponsiveAfter = absl::Milliseconds(2500);
   // A site of at most this many workers is searched as a whole.
   static constexpr size_t kMaxFullSearch = 400;
 
@@ -311,6 +321,9 @@
   // Returns by when the last lease of the worker, by this or an earlier leader,
   // has expired. The infinite future if it is not known.
   absl::Time LastLeaseEnd(const Worker& worker) const;
+  // Returns until when a lease may last if the last confirmed append was begun
+  // at `confirmed`.
+  absl::Time LatestLeaseEnd(absl::Time confirmed) const;
   // Records when the last lease of a worker that does not answer has expired.
   void RecordLeaseEnd(Worker& worker, Now now);
   // Takes such a record back, because the worker answers.
@@ -627,6 +640,11 @@
                   int32_t* may_start, Now now);
   // Returns whether a task of the step would fit on one of the workers if
   // nothing were reserved there.
+  // Returns whether one of the workers has capacity for a task of the step and
+  // only lacks a slot in its start window. Such workers cause a placement pass
+  // once they have one.
+  bool WaitsForStartSlot(ReadyStep& ready, const std::vector<Worker*>& usable,
+                         const WorkerQuota& quota, Now now);
   static bool FitsWithoutReservations(const ReadyStep& ready,
                                       const std::vector<Worker*>& usable);
   // Returns the best worker with capacity for the task, or null if there is
@@ -640,11 +658,6 @@
   // Returns a score for the task on the worker; lower is better.
   static double PlacementScore(const Worker& worker, const ReadyStep& ready,
                                const TaskState& task);
-  // Returns whether one of the workers has capacity for a task of the step and
-  // only lacks a slot in its start window. Such workers cause a placement pass
-  // once they have one.
-  bool WaitsForStartSlot(ReadyStep& ready, const std::vector<Worker*>& usable,
-                         const WorkerQuota& quota, Now now);
   void StartTask(ReadyStep& ready, int32_t index, int32_t run, Worker& worker,
                  Now now);
   // Returns whether the worker may be assigned tasks of the step now, apart
@@ -898,6 +911,7 @@
 
   int64_t next_batch_ = 1;
   int64_t durable_batch_ = 0;
+  absl::Time confirmed_at_ = absl::InfiniteFuture();  // See OnConfirmed().
   bool batch_needed_ = false;
   std::set<std::string> unpersisted_workers_;
   std::set<JobId> undescribed_jobs_;
--- a/keelbridge/coordination/job_scheduler_lease_ends.cc
+++ b/keelbridge/coordination/job_scheduler_lease_ends.cc
@@ -7,6 +7,11 @@
 // worker. So it records the end of the lease soon after the worker fell silent,
 // and extends the lease no more until a later record takes that back durably.
 //
+// A leader that is lost within moments of a worker has no time for such a
+// record. So each append says by when all leases have expired that the leader
+// grants on the strength of it: no lease outlasts the last confirmed append by
+// more than a limit.
+//
 // A leader that does not reach a worker either records what it knows of the
 // leases of earlier leaders, so that no change of leader begins the wait anew.
 
@@ -23,9 +28,31 @@
 // A worker that answered no observation for this long has not just lost one
 // answer. Each record must be taken back before the lease is extended again.
 constexpr absl::Duration kMinSilence = absl::Seconds(1);
+// No lease lasts for longer than this after the last confirmed append was
+// begun, or than the lease itself and `kLeaseSlack`. So the leases that a lost
+// leader granted end soon, while runs outlast an outage of the store.
+constexpr absl::Duration kMinRunTimeWithoutStore = absl::Milliseconds(10500);
+// Most appends are begun less than this before a lease is granted, so that it
+// is granted in full.
+constexpr absl::Duration kLeaseSlack = absl::Seconds(1);
 
 }  // namespace
 
+absl::Time JobScheduler::LatestLeaseEnd(absl::Time confirmed) const {
+  return confirmed +
+         std::max(options_.lease + kLeaseSlack, kMinRunTimeWithoutStore);
+}
+
+// A lease is a time of the worker's clock, which counts from the worker's last
+// answer and may run slow.
+absl::Time JobScheduler::LeasesOver(absl::Time append_begun) const {
+  const absl::Duration longest = LatestLeaseEnd(append_begun) - append_begun +
+                                 kUnresponsiveAfter * options_.max_clock_drift;
+  return std::max(append_begun + longest / (1.0 - options_.max_clock_drift) +
+                      kLeaseExpiryMargin,
+                  earlier_orders_.LeasesUntil());
+}
+
 // The lease of a worker that has reported to this leader covers those of
 // earlier leaders: their fence was lower when it first reported.
 absl::Time JobScheduler::LastLeaseEnd(const Worker& worker) const {
--- a/keelbridge/coordination/job_scheduler_lease_ends_test.cc
+++ b/keelbridge/coordination/job_scheduler_lease_ends_test.cc
@@ -45,8 +45,9 @@
 
 // A leader of `epoch` that takes over from a lost one, which it cannot ask.
 struct Successor {
-  explicit Successor(int64_t epoch)
-      : site(epoch, 2, SchedulerPolicy(), EarlierLeadersAre::kUnconfirmed) {}
+  explicit Successor(int64_t epoch, const JobScheduler::Options& options =
+                                        JobScheduler::Options())
+      : site(epoch, options, EarlierLeadersAre::kUnconfirmed) {}
   void TakeOver(const SchedulerDriver& earlier) {
     site.stored_records = earlier.stored_records;
     site.TakeOver(earlier);
@@ -124,6 +125,48 @@
   CheckThirdLeader(second, kHandedOver);
 }
 
+// Guards against a lasting task that is away for the time for which a lost
+// leader may have given orders and a lease: worker and leader were lost
+// together, so that no record could tell of the worker.
+TEST_CASE(
+    "job scheduler: leases of a leader that was lost with a worker end soon "
+    "after its last append") {
+  constexpr absl::Duration kLongLease = absl::Seconds(10);
+  JobScheduler::Options options;
+  options.lease = kLongLease;
+  SchedulerDriver first(1, options);
+  first.AddWorker("a");
+  first.reports["a"];
+  first.RunUntil(absl::Milliseconds(100));
+  JobSpec spec;
+  spec.steps = {LongRunningTask()};
+  first.scheduler().Submit(kJob, "restore", spec, first.now());
+  const absl::Time append = kBegin + absl::Milliseconds(500);
+  first.RunUntil(append - kBegin);
+  first.scheduler().OnConfirmed(append);
+  const LeaderAppend record{{1, append}, first.scheduler().LeasesOver(append)};
+  // It goes on without the store, and extends the lease as far as it may.
+  first.RunUntil(absl::Seconds(4));
+  int64_t latest_ms = 0;
+  for (const ObserveAction& observe : first.observations)
+    latest_ms = std::max(latest_ms, observe.order.lease_until_ms);
+  // The clocks of the driver's workers begin at 1 s.
+  const absl::Time latest = kBegin + absl::Milliseconds(latest_ms - 1000);
+  CHECK(latest <= *record.leases_over);
+  CHECK(latest > append + kLongLease);
+  CHECK(*record.leases_over < append + kLongLease + absl::Milliseconds(1500));
+
+  Successor second(2, options);
+  second.site.HearClockOf(first);
+  second.TakeOver(first);
+  second.site.scheduler().OnEarlierLeaderAppend(record);
+  const absl::Duration left = *record.leases_over - first.now().mono;
+  second.site.RunUntil(left - absl::Milliseconds(100));
+  CHECK(second.site.starts.empty());
+  second.site.RunUntil(left + absl::Milliseconds(300) + kMaxStartDelay);
+  CHECK(second.site.starts.size() == 1);
+}
+
 // Guards against a second run beside the first: the time is on a clock that
 // this leader does not know.
 TEST_CASE(
--- a/keelbridge/coordination/job_scheduler_recovery.cc
+++ b/keelbridge/coordination/job_scheduler_recovery.cc
@@ -30,9 +30,8 @@
 // that it did not reach either ends. Otherwise each planned stop of a leader
 // would begin the wait for a lost worker anew.
 absl::Time JobScheduler::EarlierLeaseEnd(const Worker& worker) const {
-  return std::min(
-      worker.earlier_lease_end,
-      earlier_orders_.UntilOf(worker.leased_by_epoch) + MaxLeaseDuration());
+  return std::min(worker.earlier_lease_end,
+                  earlier_orders_.LeasesUntilOf(worker.leased_by_epoch));
 }
 
 // Runs that an earlier leader may have started on a worker that this leader has
@@ -47,7 +46,7 @@
 }
 
 bool JobScheduler::AllAccountedFor(Now now) const {
-  if (now.mono > earlier_orders_.Until() + MaxLeaseDuration()) return true;
+  if (now.mono > earlier_orders_.LeasesUntil()) return true;
   return std::all_of(workers_.begin(), workers_.end(), [&](const auto& entry) {
     return IsAccountedFor(*entry.second, now);
   });
@@ -65,8 +64,7 @@
 // 26 tasks delayed 8,508 recovered tasks by 10 s.
 JobScheduler::Unobserved JobScheduler::FindUnobserved(Now now) const {
   Unobserved unobserved;
-  if (now.mono > earlier_orders_.Until() + MaxLeaseDuration())
-    return unobserved;
+  if (now.mono > earlier_orders_.LeasesUntil()) return unobserved;
   for (const auto& [id, worker] : workers_) {
     if (IsAccountedFor(*worker, now)) continue;
     const std::vector<TaskId>& tasks = worker->last_tasks_of_earlier;
@@ -136,15 +134,25 @@
               Severity::kWarning);
 }
 
-void JobScheduler::OnEarlierLeaderAppend(const LeaderTime& begun) {
-  const absl::Time before = earlier_orders_.Until();
-  if (!earlier_orders_.OnLastAppend(begun)) return;
+void JobScheduler::OnEarlierLeaderAppend(const LeaderAppend& append) {
+  const absl::Time orders = earlier_orders_.Until();
+  const absl::Time leases = earlier_orders_.LeasesUntil();
+  bool bounded = earlier_orders_.OnLastAppend(append.begun);
+  if (append.leases_over)
+    bounded = earlier_orders_.OnLeasesOver(
+                  {append.begun.epoch, *append.leases_over}) ||
+              bounded;
+  if (!bounded) return;
   placement_wanted_ = true;
-  const absl::Duration earlier = before - earlier_orders_.Until();
+  const auto earlier_by_ms = [](absl::Time before, absl::Time after) {
+    return absl::StrCat(absl::ToInt64Milliseconds(before - after));
+  };
   LogDecision("earlier_leader_bounded",
-              {{"epoch", absl::StrCat(begun.epoch)},
+              {{"epoch", absl::StrCat(append.begun.epoch)},
                {"orders_end_earlier_by_ms",
-                absl::StrCat(absl::ToInt64Milliseconds(earlier))}});
+                earlier_by_ms(orders, earlier_orders_.Until())},
+               {"leases_end_earlier_by_ms",
+                earlier_by_ms(leases, earlier_orders_.LeasesUntil())}});
 }
 
 void JobScheduler::OnEarlierLeadersStopped(absl::Time last_order) {
--- a/keelbridge/coordination/job_scheduler_workers.cc
+++ b/keelbridge/coordination/job_scheduler_workers.cc
@@ -41,8 +41,6 @@
 constexpr absl::Duration kUncertainTimeout = absl::Milliseconds(300);
 constexpr absl::Duration kRetryAfterRefusal = absl::Milliseconds(100);
 constexpr absl::Duration kSuspectAfterRefusal = absl::Seconds(2);
-// A worker that has answered nothing for this long gets no new tasks.
-constexpr absl::Duration kUnresponsiveAfter = absl::Milliseconds(2500);
 // The longest lease of a worker that has announced that it leaves. Its tasks
 // may start elsewhere only once its lease has expired, and it may leave without
 // a last word. Longer than two observations, so that one may get lost.
@@ -57,9 +55,9 @@
     SetIncarnationId(*known_by_name->second, record.id);
   auto& slot = workers_[record.id];
   const bool is_new = slot == nullptr;
-    slot->start_window = StartWindow(options_.start_window);
   if (is_new) {
     slot = std::make_unique<Worker>();
+    slot->start_window = StartWindow(options_.start_window);
     slot->free = record.capacity;
     SetRecord(*slot, record);
     slot->fence = NextFence(name);
@@ -141,7 +139,9 @@
   const absl::Duration granted = worker.record.draining
                                      ? std::min(options_.lease, kLeavingLease)
                                      : options_.lease;
-  const int64_t lease = absl::ToInt64Milliseconds(granted);
+  const int64_t lease = absl::ToInt64Milliseconds(
+      std::min(granted, LatestLeaseEnd(confirmed_at_) - now));
+  if (lease <= 0) return 0;
   const int64_t until = worker.clock_ms + since + lease;
   const absl::Duration longest =
       absl::Milliseconds(static_cast<double>(since + lease) /
--- a/keelbridge/daemon/leader_session.h
+++ b/keelbridge/daemon/leader_session.h
@@ -160,6 +160,7 @@
   void ApplyWorkerList();
 
   // leader_session_appends.cc
+  void SetConfirmed(absl::Time begun);
   void MaybeFlush();
   absl::Duration AppendTimeout(int tries) const;
   // Starts the append of the current batch's next part, under a sequence number
@@ -248,7 +249,7 @@
   std::vector<KnownWorker> known_workers_;
   int64_t unreadable_workers_ = 0;  // Count within `known_workers_`.
   // The last append of an earlier leader, if it has left a record of it.
-  std::optional<LeaderTime> earlier_append_;
+  std::optional<LeaderAppend> earlier_append_;
   WorkerList worker_list_;
   LogRateLimiter entry_log_limiter_;
   int stuck_pages_ = 0;  // Consecutive pages of workers that did not advance.
@@ -266,7 +267,8 @@
   // When the last successful append was sent.
   absl::Time last_append_sent_ = absl::InfinitePast();
   // When the last confirmed append, or the fence, was begun. Later leaders
-  // learn this time from the append, so no order is given for long after it.
+  // learn this time from the append, so no order is given for long after it,
+  // and no lease outlasts it by much.
   absl::Time confirmed_at_ = absl::InfinitePast();
   absl::Duration append_latency_ = absl::Milliseconds(10);  // Smoothed.
   absl::Time failing_since_ = absl::InfiniteFuture();
--- a/keelbridge/daemon/leader_session_appends.cc
+++ b/keelbridge/daemon/leader_session_appends.cc
@@ -38,6 +38,11 @@
 
 }  // namespace
 
+void LeaderSession::SetConfirmed(absl::Time begun) {
+  confirmed_at_ = begun;
+  scheduler_.OnConfirmed(begun);
+}
+
 void LeaderSession::MaybeFlush() {
   if (in_flight_append_) return;
   const absl::Time now = SystemNow().mono;
@@ -53,7 +58,9 @@
   in_flight_append_->batch = scheduler_.TakeBatch();
   in_flight_append_->begun = now;
   std::vector<Record>& records = in_flight_append_->batch.records;
-  records.insert(records.begin(), LeaderAppendRecord({epoch_, now}));
+  records.insert(
+      records.begin(),
+      LeaderAppendRecord({{epoch_, now}, scheduler_.LeasesOver(now)}));
   confirmation_requested_ = false;
   last_flush_ = now;
   BeginAppend();
@@ -173,7 +180,7 @@
     return End("the store does not contain what this leader appended");
   append_latency_ += kLatencyWeight * (now.mono - sent - append_latency_);
   last_append_sent_ = sent;
-  confirmed_at_ = in_flight_append_->begun;
+  SetConfirmed(in_flight_append_->begun);
   if (sent >= last_stall_end_) stalled_ = false;
   metrics_.Observe("append_seconds", {},
                    absl::ToDoubleSeconds(now.mono - sent));
--- a/keelbridge/daemon/leader_session_loading.cc
+++ b/keelbridge/daemon/leader_session_loading.cc
@@ -40,7 +40,7 @@
         if (self->ended()) return;
         if (reply.result == StoreResult::kDone) {
           self->last_append_sent_ = sent;
-          self->confirmed_at_ = sent;
+          self->SetConfirmed(sent);
           self->stream_end_ = reply.end;
           self->load_started_ = SystemNow().mono;
           self->scheduler_.OnEarlierLeadersFenced(self->load_started_);
--- a/keelbridge/daemon/leader_session_test.cc
+++ b/keelbridge/daemon/leader_session_test.cc
@@ -539,14 +539,16 @@
     REQUIRE(leader.session().active());
   }
   const absl::Time after = SystemNow().mono;
-  std::optional<LeaderTime> last;
+  std::optional<LeaderAppend> last;
   for (const Record& record : store.Newest(Stream::kJobs, "").records) {
     if (IsLeaderAppendKey(record.key)) last = ParseLeaderAppend(record);
   }
   REQUIRE(last.has_value());
-  CHECK(last->epoch == 1);
-  CHECK(last->at > before + absl::Milliseconds(1000));
-  CHECK(last->at <= after + absl::Milliseconds(1));
+  CHECK(last->begun.epoch == 1);
+  CHECK(last->begun.at > before + absl::Milliseconds(1000));
+  CHECK(last->begun.at <= after + absl::Milliseconds(1));
+  REQUIRE(last->leases_over.has_value());
+  CHECK(*last->leases_over > last->begun.at);
 }
 
 // A reply that lay in the socket while this process was suspended only confirms
--- a/testing/fuzz/leader_append_fuzzer.cc
+++ b/testing/fuzz/leader_append_fuzzer.cc
@@ -11,8 +11,9 @@
   if (!appended) return 0;
   const auto again =
       keelbridge::ParseLeaderAppend(keelbridge::LeaderAppendRecord(*appended));
-  fuzz::Require(
-      again && again->epoch == appended->epoch && again->at == appended->at,
-      "the record of an append survives a round trip");
+  fuzz::Require(again && again->begun.epoch == appended->begun.epoch &&
+                    again->begun.at == appended->begun.at &&
+                    again->leases_over == appended->leases_over,
+                "the record of an append survives a round trip");
   return 0;
 }
--- a/testing/site_simulation_test.cc
+++ b/testing/site_simulation_test.cc
@@ -307,9 +307,9 @@
 
 // Workers fall silent for up to two leases, for good or not, and leaders are
 // lost, replaced and frozen before, meanwhile and after.
-void RunWithSilentWorkers(uint64_t seed) {
+void RunWithSilentWorkers(uint64_t seed, SiteSimulation::Options options =
+                                             SiteSimulation::Options()) {
   CAPTURE(seed);
-  SiteSimulation::Options options;
   options.seed = seed;
   options.reusable_names = false;
   options.lost_answers = seed % 3 == 0 ? 0.03 : 0;
@@ -357,6 +357,28 @@
   for (uint64_t seed = 1001; seed <= 2000; ++seed) RunWithSilentWorkers(seed);
 }
 
+// Leases of 10 s that are bounded by the leader's last append.
+void RunWithTellingLeaders(uint64_t seed) {
+  SiteSimulation::Options options;
+  options.tells_appends = true;
+  options.lease = absl::Seconds(10);
+  RunWithSilentWorkers(seed, options);
+}
+
+// Guards against a second run beside the first by a leader that trusts the last
+// append of a lost one.
+TEST_CASE("site: no task runs twice as lost leaders' appends bound leases") {
+  for (uint64_t seed = 1; seed <= 60; ++seed) RunWithTellingLeaders(seed);
+}
+
+// By hand: --no-skip.
+TEST_CASE(
+    "site: no task runs twice as lost leaders' appends bound leases, a "
+    "thousand seeds" *
+    doctest::skip()) {
+  for (uint64_t seed = 1001; seed <= 2000; ++seed) RunWithTellingLeaders(seed);
+}
+
 // Returns the longest time from the end of a run that did not succeed until the
 // next run of its task begins, or until `now`.
 absl::Duration LongestRestartDelay(const SiteSimulation& site) {
--- a/testing/support/scheduler_driver.h
+++ b/testing/support/scheduler_driver.h
@@ -44,7 +44,13 @@
       int64_t epoch, int max_attempts = 2,
       SchedulerPolicy policy = SchedulerPolicy(),
       EarlierLeadersAre earlier_leaders = EarlierLeadersAre::kStopped)
-      : epoch_(epoch), scheduler_(MakeOptions(policy), epoch, kBegin) {
+      : SchedulerDriver(epoch, MakeOptions(policy), earlier_leaders,
+                        max_attempts) {}
+  SchedulerDriver(
+      int64_t epoch, const JobScheduler::Options& options,
+      EarlierLeadersAre earlier_leaders = EarlierLeadersAre::kStopped,
+      int max_attempts = 2)
+      : epoch_(epoch), scheduler_(options, epoch, kBegin) {
     SetQueue(max_attempts);
     if (earlier_leaders == EarlierLeadersAre::kStopped)
       scheduler_.OnEarlierLeadersStopped(kBegin);
--- a/testing/support/site_simulation.cc
+++ b/testing/support/site_simulation.cc
@@ -15,6 +15,10 @@
 constexpr absl::Duration kStep = absl::Milliseconds(5);
 constexpr absl::Duration kOrderTimeout = absl::Milliseconds(500);
 constexpr absl::Duration kAppendRetry = absl::Milliseconds(60);
+// How often a leader appends that has nothing to write.
+constexpr absl::Duration kRenewInterval = absl::Milliseconds(1500);
+constexpr absl::Duration kEarlierLeaderGrace =
+    JobScheduler::Options().earlier_leader_grace;
 constexpr absl::Duration kGangTimeout = absl::Seconds(3);
 constexpr absl::Duration kRecordRemovalDelay = absl::Seconds(3);
 constexpr absl::Duration kPollEarlierLeadersInterval = absl::Milliseconds(300);
@@ -382,6 +386,7 @@
   leader->epoch = ++store_epoch_;
   JobScheduler::Options options;
   options.policy = options_.policy;
+  options.lease = options_.lease;
   leader->scheduler =
       std::make_unique<JobScheduler>(options, leader->epoch, now_);
   JobRecords records;
@@ -400,6 +405,10 @@
     leader->scheduler->OnEarlierLeaderClock(epoch, clock);
   }
   leader->scheduler->Load(records.Build(), known, CurrentTime());
+  if (options_.tells_appends) {
+    if (last_append_) leader->scheduler->OnEarlierLeaderAppend(*last_append_);
+    Confirm(*leader, now_);
+  }
   for (const auto& [epoch, at] : leader_start_times_)
     leader->scheduler->OnEarlierLeaderSeen(epoch, at);
   leader_start_times_.emplace(leader->epoch, now_);
@@ -474,6 +483,8 @@
       Tick(leader);
     });
   }
+  if (options_.tells_appends)
+    leader->scheduler->SetSuspended(IsUnconfirmed(*leader));
   leader->scheduler->Tick(CurrentTime());
   ExecuteActions(leader);
   Append(leader);
@@ -481,13 +492,32 @@
   After(absl::Milliseconds(20), [this, leader] { Tick(leader); });
 }
 
+bool SiteSimulation::IsUnconfirmed(const Leader& leader) const {
+  const bool stood_still =
+      leader.frozen_until > absl::InfinitePast() &&
+      leader.frozen_until - leader.frozen_at > kMaxSuspension &&
+      leader.confirmed_at < leader.frozen_until;
+  return stood_still ||
+         now_ - leader.confirmed_at > MaxUnconfirmed(kEarlierLeaderGrace);
+}
+
+void SiteSimulation::Confirm(Leader& leader, absl::Time begun) {
+  leader.confirmed_at = begun;
+  leader.scheduler->OnConfirmed(begun);
+}
+
 void SiteSimulation::Append(const std::shared_ptr<Leader>& leader) {
-  if (leader->appending || !leader->scheduler->HasBatch()) return;
+  const bool renew =
+      options_.tells_appends && now_ - leader->last_append > kRenewInterval;
+  if (leader->appending || !(renew || leader->scheduler->HasBatch())) return;
   leader->appending = true;
+  leader->last_append = now_;
+  const LeaderAppend append{{leader->epoch, now_},
+                            leader->scheduler->LeasesOver(now_)};
   const auto batch =
       std::make_shared<JobScheduler::Batch>(leader->scheduler->TakeBatch());
   const auto attempt = std::make_shared<std::function<void()>>();
-  *attempt = [this, leader, batch, attempt] {
+  *attempt = [this, leader, batch, attempt, append] {
     if (leader->dead && Draw() < 0.5) return;  // The append was never sent.
     if (now_ < store_down_until_) {
       After(kAppendRetry, [attempt] { (*attempt)(); });
@@ -503,9 +533,11 @@
       else
         store_.erase(record.key);
     }
-    After(options_.store_delay, [this, leader, batch] {
-      RunOnLeader(leader, [leader, batch] {
+    last_append_ = append;
+    After(options_.store_delay, [this, leader, batch, append] {
+      RunOnLeader(leader, [this, leader, batch, append] {
         leader->appending = false;
+        if (options_.tells_appends) Confirm(*leader, append.begun.at);
         leader->scheduler->OnDurable(batch->number);
         auto it = leader->on_durable.begin();
         while (it != leader->on_durable.end() && it->first <= batch->number) {
--- a/testing/support/site_simulation.h
+++ b/testing/support/site_simulation.h
@@ -53,6 +53,10 @@
     std::vector<Queue> queues;
     std::vector<ClientAccount> accounts;
     int advisers = 1;  // Number of nodes that can request advice.
+    // Leaders append regularly and tell in each append when their leases end,
+    // as a LeaderSession does.
+    bool tells_appends = false;
+    absl::Duration lease = absl::Seconds(6);  // The longest that a leader asks.
     // The duration of a run differs from its estimate by up to this share.
     double estimate_error = 0.5;
     SchedulerPolicy policy;
@@ -141,6 +145,8 @@
     bool process_ended = false;
     std::set<int64_t> handed_over;  // Epochs of earlier leaders.
     bool appending = false;
+    absl::Time last_append = absl::InfinitePast();
+    absl::Time confirmed_at = absl::InfinitePast();
     absl::Time frozen_at = absl::InfinitePast();
     absl::Time frozen_until = absl::InfinitePast();
     absl::Time last_order = absl::InfinitePast();
@@ -185,6 +191,10 @@
   void StartLeader();
   void Tick(const std::shared_ptr<Leader>& leader);
   void ExecuteActions(const std::shared_ptr<Leader>& leader);
+  // Whether the leader gives no orders, since the store has not confirmed it
+  // for long, or not since it stood still.
+  bool IsUnconfirmed(const Leader& leader) const;
+  void Confirm(Leader& leader, absl::Time begun);
   void Append(const std::shared_ptr<Leader>& leader);
   // Starts an incarnation under a new worker id, or under the previous one if
   // `keep_id` is set.
@@ -232,6 +242,7 @@
   std::multimap<absl::Time, std::function<void()>> queue_;
   std::map<std::string, std::string> store_;
   int64_t store_epoch_ = 0;
+  std::optional<LeaderAppend> last_append_;  // In the store.
   absl::Time store_down_until_ = absl::InfinitePast();
   std::shared_ptr<Leader> current_;
   std::vector<std::shared_ptr<Leader>> leaders_;      // All, ordered by epoch.
