--- a/keelbridge/coordination/job_scheduler_start_window_test.cc
+++ b/keelbridge/coordination/job_scheduler_start_window_test.cc
@@ -34,6 +34,15 @@
   site.holds_order_answers.insert("large");
 }
 
+// Worker "large" has as many starts in flight as its window admits, of a job of
+// `kTasks` tasks.
+void FillWindow(SchedulerDriver& site) {
+  AddWorkerWithHeldAnswers(site);
+  site.scheduler().Submit(kJob, "restore", JobOfTasks(kTasks), site.now());
+  site.RunUntil(absl::Milliseconds(160));
+  REQUIRE(site.start_actions.size() == kWindow.initial);
+}
+
 std::set<TaskId> StartedTasks(const SchedulerDriver& site) {
   std::set<TaskId> tasks;
   for (const StartAction& start : site.start_actions)
@@ -47,10 +56,7 @@
     "job scheduler: starts in flight to a worker never exceed its window, and "
     "each task is ordered once") {
   SchedulerDriver site(1);
-  AddWorkerWithHeldAnswers(site);
-  site.scheduler().Submit(kJob, "restore", JobOfTasks(kTasks), site.now());
-  site.RunUntil(absl::Milliseconds(160));
-  CHECK(site.start_actions.size() == kWindow.initial);
+  FillWindow(site);
   CHECK(site.scheduler().figures().steps_held_by_start_windows > 0);
   absl::Duration now = absl::Milliseconds(160);
   while (StartedTasks(site).size() < kTasks && now < absl::Seconds(2)) {
@@ -67,9 +73,7 @@
     "job scheduler: a step that waits for a window causes no placement passes "
     "until an order is answered") {
   SchedulerDriver site(1);
-  AddWorkerWithHeldAnswers(site);
-  site.scheduler().Submit(kJob, "restore", JobOfTasks(kTasks), site.now());
-  site.RunUntil(absl::Milliseconds(160));
+  FillWindow(site);
   const int64_t before = site.scheduler().figures().steps_held_by_start_windows;
   site.RunUntil(absl::Milliseconds(220));
   CHECK(site.scheduler().figures().steps_held_by_start_windows - before <= 1);
@@ -85,10 +89,7 @@
     "job scheduler: held starts move to another worker as soon as that one has "
     "room") {
   SchedulerDriver site(1);
-  AddWorkerWithHeldAnswers(site);
-  site.scheduler().Submit(kJob, "restore", JobOfTasks(kTasks), site.now());
-  site.RunUntil(absl::Milliseconds(160));
-  REQUIRE(site.start_actions.size() == kWindow.initial);
+  FillWindow(site);
   site.AddWorker("other", kLargeWorkerCpu);
   site.reports["other"];
   site.RunUntil(absl::Milliseconds(500));
@@ -100,10 +101,7 @@
 // Guards against a stop that waits behind starts.
 TEST_CASE("job scheduler: a stop overtakes held starts") {
   SchedulerDriver site(1);
-  AddWorkerWithHeldAnswers(site);
-  site.scheduler().Submit(kJob, "restore", JobOfTasks(kTasks), site.now());
-  site.RunUntil(absl::Milliseconds(160));
-  REQUIRE(site.start_actions.size() == kWindow.initial);
+  FillWindow(site);
   site.scheduler().Cancel(kJob, site.now());
   site.RunUntil(absl::Milliseconds(240));
   CHECK(site.stops.size() == kWindow.initial);
