Hold back a task whose unknown failures may have used up its attempts

Cause: a leader that is cut off from the store hears of failures that it cannot make durable, and starts the task again. The next leader finds that run, so that it takes the task for known, and when the run fails it starts the task anew, while workers that have not reported yet hold the earlier failures.

Why it works: runs of an epoch are numbered, so the number of the run that was found bounds how many may have failed before it; the description of a job now says which epoch accepted it, and where a leader came in between the number bounds nothing. If the unknown ones could use up the attempts the task waits, as recovered tasks that were not seen do, until all workers have reported or their leases are over.

--- a/keelbridge/coordination/job_scheduler.cc
+++ b/keelbridge/coordination/job_scheduler.cc
@@ -159,6 +159,7 @@
   auto job = std::make_unique<Job>(id, queue, std::move(spec),
                                    ToMillis(now.wall - terms.age));
   job->account = account;
+  job->accepted_epoch = epoch_;
   // The client counts from its first try.
   job->accepted_at = now.mono - terms.age;
   job->admitted_late = terms.late;
--- a/keelbridge/coordination/job_scheduler.h
+++ b/keelbridge/coordination/job_scheduler.h
@@ -566,9 +566,14 @@
   };
   Unobserved FindUnobserved(Now now) const;
   // Returns whether this leader has not observed the recovered task and a
-  // worker that is not accounted for may run it.
+  // worker that is not accounted for may run it, or may have failed it for the
+  // last time.
   bool WaitsForEarlierLease(const ReadyStep& ready, const TaskState& task,
                             Now now) const;
+  // Returns whether a task that this leader observed may have failed so often
+  // under earlier leaders that it must not start again.
+  static bool MayHaveUsedUpAttempts(const ReadyStep& ready,
+                                    const TaskState& task);
   // Counts the tasks of a step that wait for leases of earlier leaders.
   void CountWaitingForRecovery(const ReadyStep& ready, Now now);
   // Logs which recovered tasks wait, for which workers, and how long at most.
--- a/keelbridge/coordination/job_scheduler_runs.cc
+++ b/keelbridge/coordination/job_scheduler_runs.cc
@@ -232,10 +232,15 @@
     task->worker = worker.record.id;
     task->run = running.run;
     task->observed = true;
+    StepState* step = job->FindStep(running.task);
+    const bool is_gang =
+        job->spec.steps[static_cast<size_t>(running.task.step)].gang;
+    TaskState& history = is_gang ? step->tasks.front() : *task;
+    if (EpochOfRun(running.run) < epoch_)
+      history.adopted_run = std::max(history.adopted_run, running.run);
     if (!running.checkpoint.empty()) task->checkpoint = running.checkpoint;
     job->begun = true;
     RecordPlacement(*job, running.task, worker.record.id);
-    StepState* step = job->FindStep(running.task);
     if (step->gang_started == absl::InfinitePast())
       step->gang_started = now.mono;
     LogDecision("run_adopted", {{"task", TaskIdText(running.task)},
--- a/keelbridge/state/job_table.cc
+++ b/keelbridge/state/job_table.cc
@@ -160,6 +160,9 @@
                                    in["accepted_ms"].asInt64());
   job->account = in["account"].asString();
   job->excess = in["excess"].isBool() && in["excess"].asBool();
+  // Absent in records of earlier versions.
+  if (in["accepted_epoch"].isInt64())
+    job->accepted_epoch = in["accepted_epoch"].asInt64();
   return job;
 }
 
@@ -259,6 +262,7 @@
   if (!job.account.empty()) value["account"] = job.account;
   if (job.excess) value["excess"] = true;
   value["accepted_ms"] = Json::Int64(job.accepted_ms);
+  value["accepted_epoch"] = Json::Int64(job.accepted_epoch);
   return Record{DescriptionKey(job.id), ToJsonText(value)};
 }
 
@@ -267,6 +271,7 @@
   Job job(id, queue, spec, std::numeric_limits<int64_t>::max());
   job.account = account;
   job.excess = true;
+  job.accepted_epoch = std::numeric_limits<int64_t>::max();
   return EncodedSize(DescriptionRecord(job));
 }
 
--- a/keelbridge/state/job_table.h
+++ b/keelbridge/state/job_table.h
@@ -103,6 +103,9 @@
   UnansweredStart unanswered;
   // This leader started the task or found it running.
   bool observed = false;
+  // The latest run of an earlier leader that this leader found running; 0 if
+  // there is none. A gang keeps it at its first task.
+  int32_t adopted_run = 0;
   std::string worker;     // The worker that the task is assigned to, if any.
   std::string failed_on;  // The worker of the latest failure.
   // For a task of a job with persisted placements: the only worker that may run
@@ -175,7 +178,9 @@
   // The client account that submitted the job; empty if there is none.
   std::string account;
   JobSpec spec;
-  int64_t accepted_ms;       // Wall clock.
+  int64_t accepted_ms;  // Wall clock.
+  // Epoch of the leader that accepted the job; 0 if it is unknown.
+  int64_t accepted_epoch = 0;
   absl::Time accepted_at;    // Steady clock of this process.
   std::deque<Round> rounds;  // The rounds that are due and not done.
   int32_t rounds_done = 0;   // All lower-numbered rounds are done and dropped.
