Go on with the tasks that a limited pass of the decider has not tried

Cause: what waits for another cause than room is tried again whenever room is freed anywhere, in each tick on a busy cell, and uses up the 400 tries of the tick.

Change: a call that goes on with one that ran out of tries leaves what that one tried until all others had their turn. Calls that try everything behave as before.

--- a/keelbridge/coordination/decider.cc
+++ b/keelbridge/coordination/decider.cc
@@ -330,10 +330,12 @@
     next_full_pass_ms_ = now_ms + options_.full_pass_interval_ms;
     queue_.UnblockAll();
   }
+  queue_.BeginCall(/*goes_on=*/std::exchange(budget_used_up_, true));
   while (budget-- > 0) {
     const TaskQueue::Offer offer = queue_.Next(shares_);
     if (offer.task == kNoTask) {
       queue_.ClearFreedCapacity();
+      budget_used_up_ = false;
       break;
     }
     const PlacementOutcome outcome = TryPlace(offer, now_ms, orders);
--- a/keelbridge/coordination/decider.h
+++ b/keelbridge/coordination/decider.h
@@ -262,6 +262,7 @@
   std::deque<Decision> decisions_;
   DeciderCounts counts_;
   int64_t next_full_pass_ms_ = 0;
+  bool budget_used_up_ = false;  // In the last call of Decide().
   int32_t sequence_ = 0;
 };
 
--- a/keelbridge/coordination/task_queue.cc
+++ b/keelbridge/coordination/task_queue.cc
@@ -77,14 +77,31 @@
 
 bool TaskQueue::IsEligible(const ShapeQueue& queue) const {
   if (!queue.blocked) return true;
-  if (!queue.waits_for_capacity) return queue.freed_seen < freed_.size();
+  if (!queue.waits_for_capacity) {
+    const bool tried_before =
+        round_begin_ <= queue.blocked_in_call && queue.blocked_in_call < call_;
+    return !tried_before && queue.freed_seen < freed_.size();
+  }
   for (size_t i = queue.freed_seen; i < freed_.size(); ++i) {
     if (queue.need.FitsIn(freed_[i].free)) return true;
   }
   return false;
 }
 
-TaskQueue::Offer TaskQueue::Next(const std::vector<double>& shares) const {
+void TaskQueue::BeginCall(bool goes_on) {
+  ++call_;
+  if (!goes_on) round_begin_ = call_;
+}
+
+TaskQueue::Offer TaskQueue::Next(const std::vector<double>& shares) {
+  const Offer offer = NextInRound(shares);
+  if (offer.task != kNoTask || round_begin_ == call_) return offer;
+  round_begin_ = call_;
+  return NextInRound(shares);
+}
+
+TaskQueue::Offer TaskQueue::NextInRound(
+    const std::vector<double>& shares) const {
   Offer offer;
   const ShapeQueue* best = nullptr;
   double best_share = 0;
@@ -119,6 +136,7 @@
   it->second.blocked = true;
   it->second.waits_for_capacity = waits_for_capacity;
   it->second.freed_seen = freed_.size();
+  it->second.blocked_in_call = call_;
 }
 
 void TaskQueue::AddFreedCapacity(WorkerId worker, const Resources& free) {
--- a/keelbridge/coordination/task_queue.h
+++ b/keelbridge/coordination/task_queue.h
@@ -6,7 +6,12 @@
 // shape, which is a class of tasks with equal needs, the shape is blocked until
 // capacity is freed. A full cell thus costs little.
 //
+// A caller that tries a limited number of tasks at a time may stop before it
+// has tried all. Its next calls then go on with the tasks that were not tried
+// yet, rather than with those that were just tried in vain.
+//
 //   queue.Push(id, row, now_ms);
+//   queue.BeginCall(/*goes_on=*/false);
 //   TaskQueue::Offer next = queue.Next(shares);
 //   // No worker has capacity for this need now.
 //   queue.Block(row, true);
@@ -66,9 +71,12 @@
     // If empty, any worker may be tried.
     std::vector<WorkerId> candidate_workers;
   };
+  // Begins a series of calls of `Next`. `goes_on`: the series before ended
+  // while there were tasks to try.
+  void BeginCall(bool goes_on);
   // Returns the task to try next. `shares` is each team's share divided by its
   // quota.
-  Offer Next(const std::vector<double>& shares) const;
+  Offer Next(const std::vector<double>& shares);
 
   // Offers no task of this rank, team and shape again before capacity is freed.
   // `waits_for_capacity` means that the tasks wait only for capacity on a
@@ -95,6 +103,7 @@
     bool waits_for_capacity = false;
     // Size of `freed_` when the shape was blocked.
     size_t freed_seen = 0;
+    int64_t blocked_in_call = 0;  // See `call_`.
   };
   struct FreedCapacity {
     WorkerId worker = kNoWorker;
@@ -107,6 +116,8 @@
   int64_t PromotionTime(const TaskRow& row) const;
   ShapeQueues& QueuesOf(const TaskRow& row);
   bool IsEligible(const ShapeQueue& queue) const;
+  // As `Next`, without those that the calls before have tried in this round.
+  Offer NextInRound(const std::vector<double>& shares) const;
 
   const Options options_;
   // Indexed by rank, then by team.
@@ -116,6 +127,10 @@
   // Capacity freed since the last `UnblockAll` or `ClearFreedCapacity`.
   std::vector<FreedCapacity> freed_;
   size_t size_ = 0;
+  // The number of the present call, and of the first one in which a task was
+  // tried that need not be tried again before all others were.
+  int64_t call_ = 0;
+  int64_t round_begin_ = 0;
 };
 
 }  // namespace keelbridge
