Record until when an order without an answer may be carried out

The record of such a start named worker and run, not the time, and stayed once the time was over.

Change: the record says until when, on the sender's steady clock, which later leaders map to theirs as they do for lease ends. A task whose later run goes on loses the record once the order is too old; one that waits keeps it, since a run that the order began late would have to end first. The tasks with such a record are kept in a set, which replaces two walks over all tasks.

--- a/keelbridge/coordination/job_scheduler.cc
+++ b/keelbridge/coordination/job_scheduler.cc
@@ -69,7 +69,7 @@
   if (options_.policy.share_over_time)
     accounts_.Rebuild(jobs_, SiteCapacity(), now.mono);
   unpersisted_workers_.clear();
-  unanswered_starts_ = true;
+  LoadUnansweredStarts();
   LoadCrashSuspects();
   placement_wanted_ = true;
   LogRecoveryWait(now);
@@ -356,6 +356,7 @@
   if (now.mono >= next_housekeeping_) {
     next_housekeeping_ = now.mono + kHousekeepingPeriod;
     DropEnded(now);
+    DropPastUnansweredStarts(now);
   }
   if (now.mono >= next_rounds_) {
     next_rounds_ = now.mono + kRoundsPeriod;
--- a/keelbridge/coordination/job_scheduler.h
+++ b/keelbridge/coordination/job_scheduler.h
@@ -533,9 +533,16 @@
   // Returns whether the task may not start on other workers because an earlier
   // order to start it may still be carried out.
   bool WaitsForUnansweredStart(const TaskState& task, Now now) const;
+  // Returns until when the order may be carried out.
+  absl::Time LatestArrival(const UnansweredStart& start) const;
+  // Finds the unanswered starts that earlier leaders recorded.
+  void LoadUnansweredStarts();
+  // Drops the records of orders that are too old to be carried out and whose
+  // tasks have later runs, so that no later leader waits for them.
+  void DropPastUnansweredStarts(Now now);
   // Returns whether the order was carried out late and that run of the task
-  // still has to end.
-  bool HasRunOfUnansweredStart(const ReadyStep& ready, const TaskState& task);
+  // `id` still has to end.
+  bool HasRunOfUnansweredStart(const TaskId& id, const TaskState& task);
   // Returns the only worker that may start a task with an unanswered start: the
   // one that the order was sent to, since it drops the order once it has
   // received a later run. Returns null if there is none.
@@ -904,7 +911,8 @@
   std::map<std::string, int64_t> fences_;
   // When this leader last learned that a worker restarted under its name.
   absl::Time last_restart_seen_ = absl::InfinitePast();
-  bool unanswered_starts_ = false;  // Some task may have one.
+  // The tasks with a start that may be unanswered. Contains all such tasks.
+  std::set<TaskId> unanswered_starts_;
   std::shared_ptr<const SiteConfiguration> configuration_;
   AccountLedger accounts_;
   JobTimings job_timings_;
--- a/keelbridge/coordination/job_scheduler_accounts.cc
+++ b/keelbridge/coordination/job_scheduler_accounts.cc
@@ -30,8 +30,7 @@
 void JobScheduler::CountPossibleRuns(Now now) {
   accounts_.usage.ClearPossible();
   // Only then is there a run that this leader does not know of.
-  if (!unobserved_.Any() && !unanswered_starts_) return;
-  unanswered_starts_ = false;
+  if (!unobserved_.Any() && unanswered_starts_.empty()) return;
   for (const auto& [id, job] : active_) {
     if (!job->account.empty()) CountPossibleRunsOf(*job, now);
   }
@@ -49,7 +48,6 @@
   for (const Round& round : job.rounds) {
     for (size_t s = 0; s < round.steps.size(); ++s) {
       for (const TaskState& task : round.steps[s].tasks) {
-        unanswered_starts_ |= !task.unanswered.worker.empty();
         if (task.phase != TaskPhase::kWaiting) continue;
         const Resources& need = job.spec.steps[s].need;
         if (may_run_unobserved && !task.observed)
--- a/keelbridge/coordination/job_scheduler_handover.cc
+++ b/keelbridge/coordination/job_scheduler_handover.cc
@@ -25,18 +25,12 @@
 std::map<std::string, std::set<TaskId>> JobScheduler::UnansweredStartTasks()
     const {
   std::map<std::string, std::set<TaskId>> tasks;
-  for (const auto& [id, job] : active_) {
-    for (const Round& round : job->rounds) {
-      for (size_t s = 0; s < round.steps.size(); ++s) {
-        const std::vector<TaskState>& states = round.steps[s].tasks;
-        for (size_t i = 0; i < states.size(); ++i) {
-          const std::string& worker = states[i].unanswered.worker;
-          if (worker.empty()) continue;
-          tasks[worker].insert({id, round.number, static_cast<int32_t>(s),
-                                static_cast<int32_t>(i)});
-        }
-      }
-    }
+  for (const TaskId& id : unanswered_starts_) {
+    const auto job = active_.find(id.job);
+    const TaskState* task =
+        job != active_.end() ? job->second->FindTask(id) : nullptr;
+    if (task != nullptr && !task->unanswered.worker.empty())
+      tasks[task->unanswered.worker].insert(id);
   }
   return tasks;
 }
--- a/keelbridge/coordination/job_scheduler_placement.cc
+++ b/keelbridge/coordination/job_scheduler_placement.cc
@@ -96,7 +96,7 @@
                             Now now) {
   return task.phase == TaskPhase::kWaiting && task.retry_at <= now.mono &&
          !WaitsForEarlierLease(ready, task, now) &&
-         !HasRunOfUnansweredStart(ready, task) &&
+         !HasRunOfUnansweredStart(ready.IdOf(task), task) &&
          (!WaitsForUnansweredStart(task, now) ||
           WorkerOfUnansweredStart(ready, task, now) != nullptr);
 }
--- a/keelbridge/coordination/job_scheduler_unanswered.cc
+++ b/keelbridge/coordination/job_scheduler_unanswered.cc
@@ -79,8 +79,8 @@
       !step.long_running || !silent || WorkersRestartedRecently(now);
   if (step.duplicates || !may_wait) return;
   const std::string name = ParseWorkerIncarnation(worker.record.id).name;
-  task->unanswered = {name, key.second, may_arrive_until};
-  unanswered_starts_ = true;
+  task->unanswered = {name, key.second, LeaderTime{epoch_, may_arrive_until}};
+  unanswered_starts_.insert(key.first);
   MarkDirty(*job->second);
   LogDecision(
       "start_unanswered",
@@ -101,19 +101,57 @@
 bool JobScheduler::WaitsForUnansweredStart(const TaskState& task,
                                            Now now) const {
   const UnansweredStart& start = task.unanswered;
-  if (start.worker.empty()) return false;
-  const int64_t epoch = EpochOfRun(start.run);
-  const absl::Time may_arrive_until =
-      epoch == epoch_
-          ? start.may_arrive_until
-          : earlier_orders_.UntilOf(epoch) + options_.max_order_delay;
-  return now.mono < may_arrive_until;
+  return !start.worker.empty() && now.mono < LatestArrival(start);
 }
 
-bool JobScheduler::HasRunOfUnansweredStart(const ReadyStep& ready,
+absl::Time JobScheduler::LatestArrival(const UnansweredStart& start) const {
+  const std::optional<LeaderTime>& until = start.may_arrive_until;
+  if (until && until->epoch == epoch_) return until->at;
+  const absl::Time latest =
+      earlier_orders_.UntilOf(EpochOfRun(start.run)) + options_.max_order_delay;
+  return until ? std::min(latest, earlier_orders_.LatestLocalTime(*until))
+               : latest;
+}
+
+void JobScheduler::LoadUnansweredStarts() {
+  for (const auto& [id, job] : active_) {
+    for (const Round& round : job->rounds) {
+      for (size_t s = 0; s < round.steps.size(); ++s) {
+        const std::vector<TaskState>& tasks = round.steps[s].tasks;
+        for (size_t i = 0; i < tasks.size(); ++i) {
+          if (tasks[i].unanswered.worker.empty()) continue;
+          unanswered_starts_.insert({id, round.number, static_cast<int32_t>(s),
+                                     static_cast<int32_t>(i)});
+        }
+      }
+    }
+  }
+}
+
+// A task that waits keeps its record: if the order is carried out late, the
+// task must not start before that run has ended.
+void JobScheduler::DropPastUnansweredStarts(Now now) {
+  for (auto it = unanswered_starts_.begin(); it != unanswered_starts_.end();) {
+    const auto job = active_.find(it->job);
+    TaskState* task =
+        job != active_.end() ? job->second->FindTask(*it) : nullptr;
+    const bool recorded = task != nullptr && !task->unanswered.worker.empty();
+    if (recorded && (task->phase == TaskPhase::kWaiting ||
+                     WaitsForUnansweredStart(*task, now) ||
+                     HasRunOfUnansweredStart(*it, *task))) {
+      ++it;
+      continue;
+    }
+    if (recorded)
+      ClearUnansweredStart(*job->second, *task, task->unanswered.run);
+    it = unanswered_starts_.erase(it);
+  }
+}
+
+bool JobScheduler::HasRunOfUnansweredStart(const TaskId& id,
                                            const TaskState& task) {
   if (task.unanswered.worker.empty()) return false;
-  const RunKey run{ready.IdOf(task), task.unanswered.run};
+  const RunKey run{id, task.unanswered.run};
   const std::vector<Worker*> incarnations =
       IncarnationsOf(task.unanswered.worker);
   return std::any_of(
--- a/keelbridge/coordination/job_scheduler_unanswered_test.cc
+++ b/keelbridge/coordination/job_scheduler_unanswered_test.cc
@@ -166,6 +166,31 @@
   CHECK(second.starts.size() == 1);
 }
 
+// Guards against a wait that begins anew with each leader: the earlier one knew
+// until when its order can be carried out.
+TEST_CASE(
+    "job scheduler: a later leader does not begin the wait for an earlier "
+    "one's "
+    "start anew") {
+  constexpr absl::Duration kWaited = absl::Seconds(5);
+  SchedulerDriver first(1);
+  UnansweredStartFixture workers(first, OneTask(), Restarts::kSeen);
+  first.RunUntil(kSubmittedAt + kWaited);
+  REQUIRE(first.starts.empty());
+  SchedulerDriver second(2);
+  second.HearClockOf(first);
+  second.TakeOver(first);
+  for (const char* worker : {"a@1000", "b@1000"}) {
+    second.AddWorker(worker);
+    second.reports[worker];
+  }
+  second.reports["c@2000"];
+  second.RunUntil(kMaxOrderDelay - kWaited - absl::Milliseconds(100));
+  CHECK(second.starts.empty());
+  second.RunUntil(kMaxOrderDelay - kWaited + absl::Seconds(1));
+  CHECK(second.starts.size() == 1);
+}
+
 // The order of the first leader is too old to be carried out, and the run that
 // followed it went on for long.
 TEST_CASE(
--- a/keelbridge/state/job_progress.cc
+++ b/keelbridge/state/job_progress.cc
@@ -110,6 +110,10 @@
   if (!has_valid_types) return false;
   start->worker = in["worker"].asString();
   start->run = in["run"].asInt();
+  if (in["until_clock"].isInt64() && in["until_ms"].isInt64())
+    start->may_arrive_until =
+        LeaderTime{in["until_clock"].asInt64(),
+                   absl::FromUnixMillis(in["until_ms"].asInt64())};
   return true;
 }
 
@@ -133,6 +137,10 @@
       Json::Value& start = out["unanswered"][key];
       start["worker"] = task.unanswered.worker;
       start["run"] = task.unanswered.run;
+      if (const auto& until = task.unanswered.may_arrive_until) {
+        start["until_clock"] = Json::Int64(until->epoch);
+        start["until_ms"] = Json::Int64(CeilToMillis(until->at));
+      }
     }
     if (!task.checkpoint.empty() && task.phase == TaskPhase::kWaiting) {
       if (task.checkpoint.size() <= max_checkpoint_bytes)
--- a/keelbridge/state/job_table.h
+++ b/keelbridge/state/job_table.h
@@ -25,6 +25,7 @@
 #include <deque>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <utility>
@@ -34,6 +35,7 @@
 #include "absl/time/time.h"
 #include "keelbridge/protocol/job.h"
 #include "keelbridge/protocol/record_store.h"
+#include "keelbridge/state/leader_time.h"
 
 namespace keelbridge {
 
@@ -83,10 +85,10 @@
   // order.
   std::string worker;
   int32_t run = 0;
-  // Latest time at which the order may arrive. Known only to the leader that
-  // sent the order; a later leader derives it from the time by which that
-  // leader must have stopped.
-  absl::Time may_arrive_until = absl::InfinitePast();
+  // Latest time at which the order may arrive, on the clock of the leader that
+  // sent it. Absent in records of earlier versions: a later leader then derives
+  // it from the time by which that leader must have stopped.
+  std::optional<LeaderTime> may_arrive_until{};
 };
 
 struct TaskState {
--- a/keelbridge/state/job_table_test.cc
+++ b/keelbridge/state/job_table_test.cc
@@ -175,6 +175,8 @@
   task.crash_suspect = {"w-1", 6, 12345, 40, true};
   task.unanswered.worker = "w-2";
   task.unanswered.run = 5;
+  task.unanswered.may_arrive_until =
+      LeaderTime{3, absl::FromUnixMillis(8000) + absl::Microseconds(1)};
   JobRecords records;
   records.Add(DescriptionRecord(job));
   records.Add(ProgressRecord(job));
@@ -189,6 +191,9 @@
   CHECK_FALSE(read.crashes[1].begun);
   CHECK(read.unanswered.worker == "w-2");
   CHECK(read.unanswered.run == 5);
+  REQUIRE(read.unanswered.may_arrive_until);
+  CHECK(read.unanswered.may_arrive_until->epoch == 3);
+  CHECK(read.unanswered.may_arrive_until->at == absl::FromUnixMillis(8001));
   CHECK(read.crash_suspect.worker == "w-1");
   CHECK(read.crash_suspect.run == 6);
   CHECK(read.crash_suspect.since_ms == 12345);
