Move what only one file uses out of the scheduler's header

Twelve static members were used in one file each and needed no private state; they are functions there. A worker's start slot belongs to scheduled_worker.h, and the capacity that a waiting step finds is a struct of the one file that computes it. No change of behaviour.

--- a/keelbridge/coordination/job_scheduler.h
+++ b/keelbridge/coordination/job_scheduler.h
@@ -264,9 +264,6 @@
   // Lets the worker's start window follow what became of a start.
   void UpdateStartWindow(Worker& worker, const StartAction& action,
                          OrderResult result, Now now);
-  static bool HasStartSlot(const Worker& worker, Now now) {
-    return worker.start_window.Admits(worker.orders.size(), now.mono);
-  }
   // Returns the worker to which the answer of a call applies. Returns null if
   // the worker was forgotten, even if it was found again since, or has got
   // another id.
@@ -334,11 +331,6 @@
   // replaced `worker.record` yet.
   static void UpdateDeparture(Worker& worker, const WorkerRecord& record,
                               Now now);
-  // Returns when the run is expected to end, by its `expected` duration and the
-  // progress that it has reported. Returns the infinite future if it should
-  // have ended already.
-  static absl::Time ExpectedEnd(const Allocation& run, absl::Duration expected,
-                                Now now);
   // Stops the runs that are not expected to end before the worker leaves, as
   // late as their ends can still be reported. Gangs are stopped as a whole.
   void StopRunsBeforeDeparture(Worker& worker, Now now);
@@ -360,8 +352,6 @@
   // job_scheduler_handover.cc
   // Returns the tasks that may run on the worker, in ascending order.
   static std::vector<TaskId> TasksOn(const Worker& worker);
-  // Returns how long the worker's lease lasts from `now` on, at most.
-  static absl::Duration LeaseLeft(const Worker& worker, absl::Time now);
   // Returns, by the name of the worker, the tasks with a start that was given
   // up without an answer.
   std::map<std::string, std::set<TaskId>> UnansweredStartTasks() const;
@@ -374,9 +364,6 @@
   // Returns whether another incarnation of the worker's machine has answered
   // more recently than the worker.
   bool AnotherIncarnationAnswered(const Worker& worker) const;
-  // Returns since when the worker may be lost: the time of the first unanswered
-  // observation or order.
-  static absl::Time LostSince(const Worker& worker, Now now);
   // Handles the loss of a worker. Its tasks wait again, except those whose runs
   // may be carried out by `next`, the worker's current incarnation. `next` is
   // null if no other incarnation is known.
@@ -384,8 +371,6 @@
   // Returns to how many workers the run was assigned: 1 unless it is the run of
   // a gang.
   int CountWorkersOfRun(const RunKey& key) const;
-  static absl::Duration RunDurationUntil(const Allocation& allocation,
-                                         absl::Time lost);
   // Which of the runs on a lost worker may have crashed it.
   struct SuspectCriteria {
     // Only runs that were shorter than this when the worker was lost.
@@ -577,10 +562,6 @@
   // last time.
   bool WaitsForEarlierLease(const ReadyStep& ready, const TaskState& task,
                             Now now) const;
-  // Returns whether a task that this leader observed may have failed so often
-  // under earlier leaders that it must not start again.
-  static bool MayHaveUsedUpAttempts(const ReadyStep& ready,
-                                    const TaskState& task);
   // Counts the tasks of a step that wait for leases of earlier leaders.
   void CountWaitingForRecovery(const ReadyStep& ready, Now now);
   // Logs which recovered tasks wait, for which workers, and how long at most.
@@ -618,8 +599,6 @@
   // job_scheduler_placement.cc
   void PlaceAll(Now now);
   std::vector<ReadyStep> CollectReadySteps(Now now);
-  // Returns whether `a` is placed before `b`.
-  static bool IsPlacedBefore(const ReadyStep& a, const ReadyStep& b);
   // Reports the backlog and the starts since the last pass to the admission
   // control.
   void ReportBacklog(const std::vector<ReadyStep>& ready, Now now);
@@ -639,10 +618,6 @@
   int32_t StartLimit(Now now) const;
   // Returns how many searches for advice candidates the pass may make.
   int32_t AdviceSearchLimit(Now now) const;
-  static bool IsLate(const ReadyStep& ready);
-  // Returns whether the step may wait for a later pass when late steps are
-  // skipped.
-  static bool MayDefer(const ReadyStep& ready);
   void PlaceSingleTasks(ReadyStep& ready, Now now);
   // Starts at most `may_start` waiting tasks: the suspects if `suspects`, else
   // the others. Returns false if no more tasks of the step can start in this
@@ -650,15 +625,11 @@
   bool PlaceTasks(ReadyStep& ready, bool suspects,
                   const std::vector<Worker*>& usable, WorkerQuota& quota,
                   int32_t* may_start, Now now);
-  // Returns whether a task of the step would fit on one of the workers if
-  // nothing were reserved there.
   // Returns whether one of the workers has capacity for a task of the step and
   // only lacks a slot in its start window. Such workers cause a placement pass
   // once they have one.
   bool WaitsForStartSlot(ReadyStep& ready, const std::vector<Worker*>& usable,
                          const WorkerQuota& quota, Now now);
-  static bool FitsWithoutReservations(const ReadyStep& ready,
-                                      const std::vector<Worker*>& usable);
   // Returns the best worker with capacity for the task, or null if there is
   // none. With `probe`, prefers the worker where a crash would lose the least.
   Worker* FindBestWorker(const ReadyStep& ready, const TaskState& task,
@@ -667,9 +638,6 @@
   // Returns the workers that may run the step now, with a ticket where one is
   // needed.
   std::vector<Worker*> FindUsableWorkers(const ReadyStep& ready, Now now);
-  // Returns a score for the task on the worker; lower is better.
-  static double PlacementScore(const Worker& worker, const ReadyStep& ready,
-                               const TaskState& task);
   void StartTask(ReadyStep& ready, int32_t index, int32_t run, Worker& worker,
                  Now now);
   // Returns whether the worker may be assigned tasks of the step now, apart
@@ -714,10 +682,6 @@
   void ClearReservedCapacity();
 
   // job_scheduler_placement.cc
-  // Returns whether the step depends on a step that this leader observed before
-  // its end, so that no earlier leader can have started the dependent step.
-  static bool DependsOnObservedStep(const Job& job, const Round& round,
-                                    size_t step);
   // Returns whether the task waits and no retry delay, earlier lease or
   // unanswered order forbids starting it now.
   bool MayStart(const ReadyStep& ready, const TaskState& task, Now now);
@@ -749,16 +713,7 @@
   bool LimitToAccount(ReadyStep& ready);
 
   // job_scheduler_waiting.cc
-  // The capacity that is available to a waiting step. `fits` and the fields
-  // named after it count tasks of the step.
-  struct WaitingCapacity {
-    int64_t fits = 0;             // On all workers of the pool.
-    int64_t fits_eligible = 0;    // On workers known to be eligible.
-    int64_t fits_unreserved = 0;  // On these, without reserved capacity.
-    int64_t fits_ticketed = 0;    // On eligible workers with a valid ticket.
-    int32_t eligible_workers = 0;
-    int32_t ineligible_workers = 0;  // Known not to be eligible.
-  };
+  struct WaitingCapacity;
   WaitingCapacity FindWaitingCapacity(const ReadyStep& ready, Now now) const;
   // Logs some of the steps that have waited for long, at most once per
   // interval.
@@ -864,9 +819,6 @@
   // at most `max_calls`.
   void AskAdvice(ReadyStep& ready, const std::vector<NamedWorker>& named,
                  size_t max_calls, Now now);
-  // Returns the processors, in thousandths, that `tasks` tasks of the step are
-  // expected to use on one worker. Counts at most the waiting tasks.
-  static int32_t ExpectedMilli(const ReadyStep& ready, double tasks);
   // Undoes the expected use of workers that an answered call had named.
   void ReleaseExpectedUse(const AskAdviceAction& action);
   // Returns the free capacity of a worker that is not reserved.
--- a/keelbridge/coordination/job_scheduler_advice.cc
+++ b/keelbridge/coordination/job_scheduler_advice.cc
@@ -69,6 +69,14 @@
 // of the leader in proportion to the workers that it names.
 constexpr size_t kMaxStepsForExtraNames = 20;
 
+// Returns the processors, in thousandths, that `tasks` tasks of the step are
+// expected to use on one worker. Counts at most the waiting tasks.
+int32_t ExpectedMilli(const ReadyStep& ready, double tasks) {
+  if (ready.spec->best_effort) return 0;
+  const double limit = std::min(tasks, static_cast<double>(ready.waiting));
+  return static_cast<int32_t>(limit * ready.spec->need.cpu_milli);
+}
+
 }  // namespace
 
 void JobScheduler::SetAdvisers(const std::vector<AdviserNode>& nodes,
@@ -271,12 +279,6 @@
   }
 }
 
-int32_t JobScheduler::ExpectedMilli(const ReadyStep& ready, double tasks) {
-  if (ready.spec->best_effort) return 0;
-  const double limit = std::min(tasks, static_cast<double>(ready.waiting));
-  return static_cast<int32_t>(limit * ready.spec->need.cpu_milli);
-}
-
 struct JobScheduler::AdviceCandidate {
   Worker* worker;
   int32_t fits;  // Number of tasks that fit now.
--- a/keelbridge/coordination/job_scheduler_departures.cc
+++ b/keelbridge/coordination/job_scheduler_departures.cc
@@ -33,6 +33,22 @@
 // one record of the store.
 constexpr size_t kMaxRecordedTasks = 1000;
 
+// Returns when the run is expected to end, by its `expected` duration and the
+// progress that it has reported. Returns the infinite future if it should
+// have ended already.
+absl::Time ExpectedEnd(const Allocation& run, absl::Duration expected,
+                       Now now) {
+  const double done = run.percent / kAllPercent;
+  absl::Duration left = expected * (1 - done);
+  // A run that started from a checkpoint, or before this leader, seems to be
+  // faster than it is, so that its estimate decides.
+  const absl::Duration ran = run.percent_changed - run.placed;
+  if (run.percent > 0 && ran >= kMinPaceDuration)
+    left = std::max(left, ran * ((1 - done) / done));
+  const absl::Time end = run.percent_changed + left;
+  return now.mono > end + kMaxProgressDelay ? absl::InfiniteFuture() : end;
+}
+
 }  // namespace
 
 // The same record may be read again later, so an unchanged remaining time is
@@ -49,19 +65,6 @@
   worker.leaves_at = now.mono + absl::Milliseconds(record.leaves_in_ms);
 }
 
-absl::Time JobScheduler::ExpectedEnd(const Allocation& run,
-                                     absl::Duration expected, Now now) {
-  const double done = run.percent / kAllPercent;
-  absl::Duration left = expected * (1 - done);
-  // A run that started from a checkpoint, or before this leader, seems to be
-  // faster than it is, so that its estimate decides.
-  const absl::Duration ran = run.percent_changed - run.placed;
-  if (run.percent > 0 && ran >= kMinPaceDuration)
-    left = std::max(left, ran * ((1 - done) / done));
-  const absl::Time end = run.percent_changed + left;
-  return now.mono > end + kMaxProgressDelay ? absl::InfiniteFuture() : end;
-}
-
 // A run that ends with its worker is lost with all that it has not saved, and
 // its task waits until the worker's lease expires, because the leader cannot
 // distinguish a worker that has left from one that is disconnected. A run that
--- a/keelbridge/coordination/job_scheduler_handover.cc
+++ b/keelbridge/coordination/job_scheduler_handover.cc
@@ -11,6 +11,14 @@
 #include "keelbridge/protocol/worker_incarnation.h"
 
 namespace keelbridge {
+namespace {
+
+// Returns how long the worker's lease lasts from `now` on, at most.
+absl::Duration LeaseLeft(const ScheduledWorker& worker, absl::Time now) {
+  return std::max(worker.lease_expires_at - now, absl::ZeroDuration());
+}
+
+}  // namespace
 
 std::vector<TaskId> JobScheduler::TasksOn(const Worker& worker) {
   std::vector<TaskId> tasks;
@@ -35,10 +43,6 @@
   return tasks;
 }
 
-absl::Duration JobScheduler::LeaseLeft(const Worker& worker, absl::Time now) {
-  return std::max(worker.lease_expires_at - now, absl::ZeroDuration());
-}
-
 // Workers that stay report to the next leader themselves, so that the handover
 // holds only the others. It is part of the answer that says that this leader
 // has stopped, which must arrive in time over slow links.
--- a/keelbridge/coordination/job_scheduler_losses.cc
+++ b/keelbridge/coordination/job_scheduler_losses.cc
@@ -73,6 +73,16 @@
          kMaxCrashRecordsPerStep;
 }
 
+// Returns since when the worker may be lost: the time of the first unanswered
+// observation or order.
+absl::Time LostSince(const ScheduledWorker& worker, Now now) {
+  return std::min({now.mono, worker.failing_since, worker.unanswered_since});
+}
+
+absl::Duration RunDurationUntil(const Allocation& allocation, absl::Time lost) {
+  return std::max(absl::ZeroDuration(), lost - allocation.placed);
+}
+
 }  // namespace
 
 // A leader that was suspended may discover at the same time that the lease has
@@ -88,10 +98,6 @@
       });
 }
 
-absl::Time JobScheduler::LostSince(const Worker& worker, Now now) {
-  return std::min({now.mono, worker.failing_since, worker.unanswered_since});
-}
-
 void JobScheduler::HandleWorkerLoss(Worker& worker, WorkerLoss loss,
                                     Worker* next, Now now) {
   Crash crash;
@@ -194,11 +200,6 @@
   return static_cast<int>(step->gang_workers.size());
 }
 
-absl::Duration JobScheduler::RunDurationUntil(const Allocation& allocation,
-                                              absl::Time lost) {
-  return std::max(absl::ZeroDuration(), lost - allocation.placed);
-}
-
 // A suspect task had just been started on the worker. The loss is evidence
 // against that task, not against the machine or the site.
 bool JobScheduler::IsCausedBySuspect(const Worker& worker, absl::Time lost) {
--- a/keelbridge/coordination/job_scheduler_placement.cc
+++ b/keelbridge/coordination/job_scheduler_placement.cc
@@ -82,16 +82,67 @@
 constexpr double kFailedOnWorkerPenalty = 20;
 constexpr double kFailingWorkerPenalty = 5;
 
-}  // namespace
+// Returns whether `a` is placed before `b`.
+bool IsPlacedBefore(const ReadyStep& a, const ReadyStep& b) {
+  const auto rank = [](const ReadyStep& step) {
+    // Work beyond its account's entitlement waits with the late work, so that
+    // it does not delay timely work of others, whatever its priority.
+    const int tier = step.tier == 0 && step.job->excess ? 1 : step.tier;
+    return std::make_tuple(tier, step.queue->priority, step.exceeds_share,
+                           step.latest_start, step.job->id);
+  };
+  return rank(a) < rank(b);
+}
+
+bool IsLate(const ReadyStep& ready) { return ready.tier > 0; }
+
+// Returns whether the step may wait for a later pass when late steps are
+// skipped.
+//
+// A partly placed gang keeps its placed members waiting, and a long-running
+// task serves users of its own; neither may be delayed.
+bool MayDefer(const ReadyStep& ready) {
+  const bool begun = ready.spec->gang && ready.waiting < ready.spec->count;
+  return IsLate(ready) && !begun && !ready.spec->long_running;
+}
 
-bool JobScheduler::DependsOnObservedStep(const Job& job, const Round& round,
-                                         size_t step) {
+// Returns whether a task of the step would fit on one of the workers if
+// nothing were reserved there.
+bool FitsWithoutReservations(const ReadyStep& ready,
+                             const std::vector<ScheduledWorker*>& usable) {
+  const Resources need = CapacityNeeded(*ready.spec);
+  return std::any_of(
+      usable.begin(), usable.end(), [&](const ScheduledWorker* worker) {
+        return worker->reserved != Resources() && need.FitsIn(worker->free);
+      });
+}
+
+// Returns a score for the task on the worker; lower is better.
+double PlacementScore(const ScheduledWorker& worker, const ReadyStep& ready,
+                      const TaskState& task) {
+  const Resources left = worker.free - ready.spec->need;
+  // Prefers the fullest worker that fits, to keep contiguous capacity for tasks
+  // with large needs.
+  double score = DominantShare(left, worker.record.capacity);
+  if (!ready.spec->rack.empty() && worker.record.rack != ready.spec->rack)
+    score += kOtherRackPenalty;
+  if (worker.record.id == task.failed_on) score += kFailedOnWorkerPenalty;
+  if (!task.failed_runs.empty() && worker.failures_in_row > 0)
+    score += kFailingWorkerPenalty;
+  return score;
+}
+
+// Returns whether the step depends on a step that this leader observed before
+// its end, so that no earlier leader can have started the dependent step.
+bool DependsOnObservedStep(const Job& job, const Round& round, size_t step) {
   const std::vector<int32_t>& after = job.spec.steps[step].after;
   return std::any_of(after.begin(), after.end(), [&](int32_t before) {
     return round.steps[static_cast<size_t>(before)].observed_before_end;
   });
 }
 
+}  // namespace
+
 bool JobScheduler::MayStart(const ReadyStep& ready, const TaskState& task,
                             Now now) {
   return task.phase == TaskPhase::kWaiting && task.retry_at <= now.mono &&
@@ -181,17 +232,6 @@
   return out;
 }
 
-bool JobScheduler::IsPlacedBefore(const ReadyStep& a, const ReadyStep& b) {
-  const auto rank = [](const ReadyStep& step) {
-    // Work beyond its account's entitlement waits with the late work, so that
-    // it does not delay timely work of others, whatever its priority.
-    const int tier = step.tier == 0 && step.job->excess ? 1 : step.tier;
-    return std::make_tuple(tier, step.queue->priority, step.exceeds_share,
-                           step.latest_start, step.job->id);
-  };
-  return rank(a) < rank(b);
-}
-
 bool JobScheduler::IsDown(const ReadyStep& ready, Now now) {
   if (!ready.spec->long_running || ready.spec->gang) return false;
   const std::vector<TaskState>& tasks = ready.state->tasks;
@@ -339,15 +379,6 @@
   return static_cast<int32_t>(starts * periods);
 }
 
-bool JobScheduler::IsLate(const ReadyStep& ready) { return ready.tier > 0; }
-
-// A partly placed gang keeps its placed members waiting, and a long-running
-// task serves users of its own; neither may be delayed.
-bool JobScheduler::MayDefer(const ReadyStep& ready) {
-  const bool begun = ready.spec->gang && ready.waiting < ready.spec->count;
-  return IsLate(ready) && !begun && !ready.spec->long_running;
-}
-
 void JobScheduler::PlaceAll(Now now) {
   if (configuration_ == nullptr || suspended_) return;
   if (std::exchange(attempts_unchecked_, false)) FailExhaustedJobs(now);
@@ -678,14 +709,6 @@
   return true;
 }
 
-bool JobScheduler::FitsWithoutReservations(const ReadyStep& ready,
-                                           const std::vector<Worker*>& usable) {
-  const Resources need = CapacityNeeded(*ready.spec);
-  return std::any_of(usable.begin(), usable.end(), [&](const Worker* worker) {
-    return worker->reserved != Resources() && need.FitsIn(worker->free);
-  });
-}
-
 JobScheduler::Worker* JobScheduler::FindBestWorker(
     const ReadyStep& ready, const TaskState& task, bool probe,
     const std::vector<Worker*>& usable, const WorkerQuota& quota,
@@ -706,19 +729,4 @@
   return best;
 }
 
-double JobScheduler::PlacementScore(const Worker& worker,
-                                    const ReadyStep& ready,
-                                    const TaskState& task) {
-  const Resources left = worker.free - ready.spec->need;
-  // Prefers the fullest worker that fits, to keep contiguous capacity for tasks
-  // with large needs.
-  double score = DominantShare(left, worker.record.capacity);
-  if (!ready.spec->rack.empty() && worker.record.rack != ready.spec->rack)
-    score += kOtherRackPenalty;
-  if (worker.record.id == task.failed_on) score += kFailedOnWorkerPenalty;
-  if (!task.failed_runs.empty() && worker.failures_in_row > 0)
-    score += kFailingWorkerPenalty;
-  return score;
-}
-
 }  // namespace keelbridge
--- a/keelbridge/coordination/job_scheduler_recovery.cc
+++ b/keelbridge/coordination/job_scheduler_recovery.cc
@@ -14,6 +14,31 @@
 // first one. Workers that still exist have answered by then.
 constexpr absl::Duration kRecoveryLogPeriod = absl::Seconds(1);
 
+// Returns whether a task that this leader observed may have failed so often
+// under earlier leaders that it must not start again.
+//
+// An earlier leader may have started the task again after failures that it
+// could not make durable. The workers of these runs still have to report them.
+bool MayHaveUsedUpAttempts(const ReadyStep& ready, const TaskState& task) {
+  if (ready.spec->long_running) return false;
+  const TaskState& history =
+      ready.spec->gang ? ready.state->tasks.front() : task;
+  const int32_t adopted = history.adopted_run;
+  if (adopted == 0) return false;
+  const int64_t epoch = EpochOfRun(adopted);
+  // The numbers of this leader's runs do not tell how many runs there were
+  // under the leaders before it.
+  if (epoch > ready.job->accepted_epoch) return true;
+  const int32_t first_run = FirstRunOfEpoch(epoch);
+  const std::vector<int32_t>& failed = history.failed_runs;
+  const auto known_before = std::count_if(
+      failed.begin(), failed.end(),
+      [&](int32_t run) { return first_run <= run && run < adopted; });
+  const auto unknown_before = adopted - first_run - known_before;
+  return static_cast<int64_t>(failed.size()) + unknown_before >=
+         ready.queue->max_attempts;
+}
+
 }  // namespace
 
 absl::Duration JobScheduler::MaxLeaseDuration() const {
@@ -92,29 +117,6 @@
   return worker == workers_.end() || !IsAccountedFor(*worker->second, now);
 }
 
-// An earlier leader may have started the task again after failures that it
-// could not make durable. The workers of these runs still have to report them.
-bool JobScheduler::MayHaveUsedUpAttempts(const ReadyStep& ready,
-                                         const TaskState& task) {
-  if (ready.spec->long_running) return false;
-  const TaskState& history =
-      ready.spec->gang ? ready.state->tasks.front() : task;
-  const int32_t adopted = history.adopted_run;
-  if (adopted == 0) return false;
-  const int64_t epoch = EpochOfRun(adopted);
-  // The numbers of this leader's runs do not tell how many runs there were
-  // under the leaders before it.
-  if (epoch > ready.job->accepted_epoch) return true;
-  const int32_t first_run = FirstRunOfEpoch(epoch);
-  const std::vector<int32_t>& failed = history.failed_runs;
-  const auto known_before = std::count_if(
-      failed.begin(), failed.end(),
-      [&](int32_t run) { return first_run <= run && run < adopted; });
-  const auto unknown_before = adopted - first_run - known_before;
-  return static_cast<int64_t>(failed.size()) + unknown_before >=
-         ready.queue->max_attempts;
-}
-
 void JobScheduler::CountWaitingForRecovery(const ReadyStep& ready, Now now) {
   const std::vector<TaskState>& tasks = ready.state->tasks;
   for (size_t i = 0; i < tasks.size(); ++i) {
--- a/keelbridge/coordination/job_scheduler_waiting.cc
+++ b/keelbridge/coordination/job_scheduler_waiting.cc
@@ -18,6 +18,17 @@
 
 }  // namespace
 
+// The capacity that is available to a waiting step. `fits` and the fields
+// named after it count tasks of the step.
+struct JobScheduler::WaitingCapacity {
+  int64_t fits = 0;             // On all workers of the pool.
+  int64_t fits_eligible = 0;    // On workers known to be eligible.
+  int64_t fits_unreserved = 0;  // On these, without reserved capacity.
+  int64_t fits_ticketed = 0;    // On eligible workers with a valid ticket.
+  int32_t eligible_workers = 0;
+  int32_t ineligible_workers = 0;  // Known not to be eligible.
+};
+
 JobScheduler::WaitingCapacity JobScheduler::FindWaitingCapacity(
     const ReadyStep& ready, Now now) const {
   const StepAdvice& advice = ready.state->advice;
--- a/keelbridge/coordination/scheduled_worker.cc
+++ b/keelbridge/coordination/scheduled_worker.cc
@@ -7,6 +7,10 @@
          worker.recorded_lease_end == absl::InfiniteFuture();
 }
 
+bool HasStartSlot(const ScheduledWorker& worker, Now now) {
+  return worker.start_window.Admits(worker.orders.size(), now.mono);
+}
+
 KnownWorker DescribeWorker(const ScheduledWorker& worker, int64_t epoch) {
   const bool leased_by_this = worker.leased_by_epoch == epoch;
   KnownWorker known;
--- a/keelbridge/coordination/scheduled_worker.h
+++ b/keelbridge/coordination/scheduled_worker.h
@@ -14,6 +14,7 @@
 #include <vector>
 
 #include "absl/time/time.h"
+#include "keelbridge/base/clock.h"
 #include "keelbridge/coordination/allocation.h"
 #include "keelbridge/coordination/open_calls.h"
 #include "keelbridge/coordination/pool_totals.h"
@@ -146,6 +147,8 @@
 // extend the worker's lease: later leaders know of it, and no record says when
 // the last lease ends.
 bool MayExtendLease(const ScheduledWorker& worker, int64_t durable_batch);
+// Returns whether the worker's start window admits another start.
+bool HasStartSlot(const ScheduledWorker& worker, Now now);
 // Returns the record that a leader of `epoch` leaves of the worker.
 KnownWorker DescribeWorker(const ScheduledWorker& worker, int64_t epoch);
 
