--- a/testing/site_simulation_test.cc
+++ b/testing/site_simulation_test.cc
@@ -380,6 +380,54 @@
   for (uint64_t seed = 1001; seed <= 2000; ++seed) RunWithTellingLeaders(seed);
 }
 
+// Leaders lose the store, hear of failures that they cannot make durable, and
+// end. The workers of some of these runs answer the next leader later than
+// others, but before their leases are over.
+void RunWithLeadersWithoutStore(uint64_t seed) {
+  constexpr int kOutages = 4;
+  constexpr absl::Duration kStoreDown = absl::Milliseconds(2500);
+  constexpr absl::Duration kCut = absl::Seconds(2);
+  CAPTURE(seed);
+  SiteSimulation::Options options;
+  options.seed = seed;
+  options.reusable_names = false;
+  options.failing_runs = 0.5;
+  SiteSimulation site(options);
+  SubmitLoad(site, 16);
+  std::mt19937_64 random(seed);
+  for (int i = 0; i < kOutages; ++i) {
+    const auto down_at = absl::Milliseconds(1500 + 4000 * i + random() % 500);
+    const auto lost_at = down_at + absl::Milliseconds(1000 + random() % 1500);
+    const auto cut_at = lost_at - absl::Milliseconds(random() % 500);
+    const int worker = static_cast<int>(random() % 8);
+    site.After(down_at, [&site] { site.StoreDown(kStoreDown); });
+    site.After(cut_at, [&site, worker] {
+      for (int w = worker; w < worker + 3; ++w) site.CutWorker(w % 8, kCut);
+    });
+    site.After(lost_at,
+               [&site] { site.ReplaceLeader(absl::Milliseconds(100), false); });
+  }
+  site.Run(absl::Seconds(60));
+  CheckAllJobsEnded(site);
+}
+
+// Guards against a start beyond the limit of attempts by a leader that knows
+// only some of the failures.
+TEST_CASE(
+    "site: no task starts beyond its attempts as leaders lose the store and "
+    "end") {
+  for (uint64_t seed = 1; seed <= 60; ++seed) RunWithLeadersWithoutStore(seed);
+}
+
+// By hand: --no-skip.
+TEST_CASE(
+    "site: no task starts beyond its attempts as leaders lose the store and "
+    "end, a thousand seeds" *
+    doctest::skip()) {
+  for (uint64_t seed = 1001; seed <= 2000; ++seed)
+    RunWithLeadersWithoutStore(seed);
+}
+
 // Returns the longest time from the end of a run that did not succeed until the
 // next run of its task begins, or until `now`.
 absl::Duration LongestRestartDelay(const SiteSimulation& site) {
