--- a/testing/site_simulation_test.cc
+++ b/testing/site_simulation_test.cc
@@ -380,13 +380,15 @@
   for (uint64_t seed = 1001; seed <= 2000; ++seed) RunWithTellingLeaders(seed);
 }
 
+constexpr absl::Duration kStoreOutage = absl::Milliseconds(2500);
+// Shorter than what is left of a lease.
+constexpr absl::Duration kWorkerCut = absl::Seconds(2);
+
 // Leaders lose the store, hear of failures that they cannot make durable, and
 // end. The workers of some of these runs answer the next leader later than
 // others, but before their leases are over.
 void RunWithLeadersWithoutStore(uint64_t seed) {
   constexpr int kOutages = 4;
-  constexpr absl::Duration kStoreDown = absl::Milliseconds(2500);
-  constexpr absl::Duration kCut = absl::Seconds(2);
   CAPTURE(seed);
   SiteSimulation::Options options;
   options.seed = seed;
@@ -400,9 +402,10 @@
     const auto lost_at = down_at + absl::Milliseconds(1000 + random() % 1500);
     const auto cut_at = lost_at - absl::Milliseconds(random() % 500);
     const int worker = static_cast<int>(random() % 8);
-    site.After(down_at, [&site] { site.StoreDown(kStoreDown); });
+    site.After(down_at, [&site] { site.StoreDown(kStoreOutage); });
     site.After(cut_at, [&site, worker] {
-      for (int w = worker; w < worker + 3; ++w) site.CutWorker(w % 8, kCut);
+      for (int w = worker; w < worker + 3; ++w)
+        site.CutWorker(w % 8, kWorkerCut);
     });
     site.After(lost_at,
                [&site] { site.ReplaceLeader(absl::Milliseconds(100), false); });
