--- a/testing/fakes/site_fakes_main.cc
+++ b/testing/fakes/site_fakes_main.cc
@@ -19,6 +19,11 @@
 ABSL_FLAG(int, workers, 6, "workers");
 ABSL_FLAG(int, cpu_milli, 16000,
           "CPU capacity of a worker, in thousandths of a processor");
+ABSL_FLAG(bool, advice, true, "tasks need advice");
+ABSL_FLAG(absl::Duration, start_duration, absl::ZeroDuration(),
+          "how long a worker takes for a start, one after the other");
+ABSL_FLAG(absl::Duration, first_worker_slow_after, absl::InfiniteDuration(),
+          "time after which the first worker takes ten times as long");
 ABSL_FLAG(
     std::string, ready_file, "",
     "file for the addresses of the services, written once they are ready");
@@ -32,6 +37,10 @@
   keelbridge::testing::SitePlatform::Options options;
   options.workers = absl::GetFlag(FLAGS_workers);
   options.capacity.cpu_milli = absl::GetFlag(FLAGS_cpu_milli);
+  options.advice = absl::GetFlag(FLAGS_advice);
+  options.start_duration = absl::GetFlag(FLAGS_start_duration);
+  options.first_worker_slow_after =
+      absl::GetFlag(FLAGS_first_worker_slow_after);
   keelbridge::testing::SitePlatform platform(loop, options);
   platform.store().SetMaxAppendBytes(kMaxAppendBytes);
   platform.PublishConfiguration(1);
--- a/testing/fakes/site_platform.cc
+++ b/testing/fakes/site_platform.cc
@@ -36,6 +36,8 @@
 // part of the range.
 constexpr absl::Duration kMinLateDelay = absl::Seconds(1);
 constexpr absl::Duration kLateDelayRange = absl::Seconds(3);
+// How many times as long a slow worker takes for a start.
+constexpr int kSlowWorker = 10;
 constexpr absl::Duration kGangTimeout = absl::Seconds(3);
 
 Json::Value Parse(const std::string& text) {
@@ -306,6 +308,9 @@
              });
     return;
   }
+  if (request.path == kStartPath &&
+      options_.start_duration > absl::ZeroDuration())
+    return QueueStart(index, body, std::move(reply));
   const std::optional<OrderReply> done =
       ExecuteOrder(incarnation, request.path, body);
   if (lost)
@@ -315,6 +320,26 @@
                : JsonResponse(404, Json::Value(Json::objectValue)));
 }
 
+void SitePlatform::QueueStart(int index, const Json::Value& body,
+                              EventHttpServer::Reply reply) {
+  const absl::Time now = SystemNow().mono;
+  const bool slow =
+      index == 0 && now - began_ > options_.first_worker_slow_after;
+  Slot& slot = slots_[static_cast<size_t>(index)];
+  slot.starts_taken_at = std::max(now, slot.starts_taken_at) +
+                         options_.start_duration * (slow ? kSlowWorker : 1);
+  RunAfter(slot.starts_taken_at - now, [this, index, body,
+                                        reply = std::move(reply)]() mutable {
+    SiteWorker& incarnation = *slots_[static_cast<size_t>(index)].incarnation;
+    if (!incarnation.alive()) {
+      unanswered_.push_back(std::move(reply));
+      return;
+    }
+    const auto done = ExecuteOrder(incarnation, kStartPath, body);
+    if (done) reply(OrderAnswer(*done));
+  });
+}
+
 std::optional<OrderReply> SitePlatform::ExecuteOrder(SiteWorker& incarnation,
                                                      const std::string& path,
                                                      const Json::Value& body) {
--- a/testing/fakes/site_platform.h
+++ b/testing/fakes/site_platform.h
@@ -27,6 +27,7 @@
 #include <utility>
 #include <vector>
 
+#include "keelbridge/base/clock.h"
 #include "keelbridge/protocol/client_account.h"
 #include "keelbridge/transport/event_http_server.h"
 #include "testing/fakes/fault_proxy.h"
@@ -59,6 +60,11 @@
     // Workers report when they started, as on a platform where they may restart
     // under the same name.
     bool reports_start_times = true;
+    // How long a worker takes for an order to start a run. It takes one after
+    // the other.
+    absl::Duration start_duration;
+    // After this time the first worker takes `kSlowWorker` times as long.
+    absl::Duration first_worker_slow_after = absl::InfiniteDuration();
     // Without accounts, calls need no key.
     std::vector<ClientAccount> accounts;
   };
@@ -123,6 +129,8 @@
     int name_count = 0;         // Number of ids used so far.
     // Orders to start runs that the next incarnation executes.
     std::vector<Json::Value> delayed_starts;
+    // When the worker has taken all starts that it has received.
+    absl::Time starts_taken_at = absl::InfinitePast();
     // Limit on the resources of concurrent runs. A capacity that was reduced by
     // `ShrinkWorker` is enforced only after nodes had time to learn of it.
     Resources capacity_limit;
@@ -154,6 +162,9 @@
   void RecordRun(const SiteRun& run, bool begins);
   void ScheduleCrash(const SiteRun& run);
   Slot* FindSlot(const std::string& worker);
+  // Answers an order to start a run once the worker has taken it.
+  void QueueStart(int index, const Json::Value& body,
+                  EventHttpServer::Reply reply);
   void RunAfter(absl::Duration delay, std::function<void()> step);
   void Advance();
   void AdvanceGangs(absl::Time now);
@@ -180,6 +191,7 @@
   double lost_order_replies_ = 0;
   double late_orders_ = 0;
   bool delays_next_start_ = false;
+  const absl::Time began_ = SystemNow().mono;
   std::vector<SiteRun> runs_;
   std::map<TaskId, std::string> completed_on_;
   std::map<std::pair<TaskId, int32_t>, absl::Time> gang_done_at_;
--- a/testing/site_load_main.cc
+++ b/testing/site_load_main.cc
@@ -35,6 +35,9 @@
 ABSL_FLAG(absl::Duration, length, absl::Seconds(10), "duration of the load");
 ABSL_FLAG(std::vector<std::string>, pids, {},
           "ids of the processes whose processor time is measured");
+ABSL_FLAG(int, wide_steps, 0,
+          "if positive, first submits one job of so many steps of 1,000 small "
+          "tasks each");
 ABSL_FLAG(uint64_t, first_job, 1, "number of the first job");
 
 namespace {
@@ -59,6 +62,23 @@
                       "}]}");
 }
 
+constexpr int kWideStepTasks = 1000;
+
+// A job of steps that are all due at once, of tasks that outlast the load.
+std::string WideJobBody(int steps) {
+  std::string plans;
+  std::string specs;
+  for (int i = 0; i < steps; ++i) {
+    absl::StrAppend(&plans, i > 0 ? "," : "",
+                    "{\\\"cpu\\\":20,\\\"memory\\\":1,\\\"work_ms\\\":600000}");
+    absl::StrAppend(&specs, i > 0 ? "," : "", "{\"count\":", kWideStepTasks,
+                    ",\"cpu\":20,\"memoryRequestMb\":1,"
+                    "\"estimatedMs\":600000}");
+  }
+  return absl::StrCat("{\"taskSpec\":\"[", plans, "]\",\"steps\":[", specs,
+                      "]}");
+}
+
 // Returns the processor time in seconds that a process has used so far, or 0 if
 // it cannot be read.
 double ProcessorSeconds(const std::string& pid) {
@@ -95,6 +115,9 @@
 
   void Start() {
     start_time_ = keelbridge::SystemNow().mono;
+    const int wide_steps = absl::GetFlag(FLAGS_wide_steps);
+    if (wide_steps > 0)
+      Submit(absl::GetFlag(FLAGS_first_job), WideJobBody(wide_steps));
     Tick();
   }
 
@@ -114,7 +137,10 @@
     const absl::Duration elapsed = keelbridge::SystemNow().mono - start_time_;
     const auto due = static_cast<uint64_t>(
         absl::ToDoubleSeconds(elapsed) * absl::GetFlag(FLAGS_jobs_per_second));
-    while (sent_ < due) Submit(absl::GetFlag(FLAGS_first_job) + sent_++);
+    while (sent_ < due) {
+      const uint64_t number = absl::GetFlag(FLAGS_first_job) + sent_++;
+      Submit(number, JobBody(number));
+    }
     if (elapsed > absl::GetFlag(FLAGS_length)) return;
     timer_.expires_after(absl::ToChronoNanoseconds(kTickInterval));
     timer_.async_wait([this](boost::system::error_code error) {
@@ -122,14 +148,14 @@
     });
   }
 
-  void Submit(uint64_t number) {
+  void Submit(uint64_t number, std::string body) {
     HttpRequest request;
     request.method = "POST";
     request.path = absl::StrCat(keelbridge::testing::kSitePrefix,
                                 absl::Hex(number, absl::kZeroPad16));
     request.headers.emplace_back("Host", keelbridge::testing::kSiteHost);
     request.headers.emplace_back("Content-Type", "application/json");
-    request.body = JobBody(number);
+    request.body = std::move(body);
     const absl::Time sent = keelbridge::SystemNow().mono;
     nodes_[number % nodes_.size()]->Send(
         std::move(request), kCallTimeout,
