--- /dev/null
+++ b/review/10/run.sh
@@ -0,0 +1,6 @@
+#!/usr/bin/env bash
+# Runs the case: exit status 1 if the rule was broken, 0 if it held, 2 if the
+# case could not run. TROUBLE=0 leaves the disruption out.
+cd "$(dirname "$0")"
+export PYTHONDONTWRITEBYTECODE=1
+exec python3 case.py
