--- a/review/common2/standin.py
+++ b/review/common2/standin.py
@@ -9,6 +9,7 @@
 import base64
 import json
 import os
+import random
 import shutil
 import signal
 import socket
@@ -309,8 +310,8 @@
         self.sequence = getattr(self, "sequence", 0) + 1
         return self.sequence
 
-    async def start(self):
-        self.address = await self.server.start()
+    async def start(self, port=0):
+        self.address = await self.server.start(port)
         self.write_entry()
 
     def crash(self):
@@ -323,6 +324,15 @@
         self.server.server.close()
         self.server.reset_all()
 
+    async def next_life(self):
+        """The next life on this machine, at the same address under a new id."""
+        name = "%s%08x" % (self.name[:24], (int(self.name[24:], 16) + 0x10000) & 0xffffffff)
+        life = Runner(self.site, name, self.capacity, self.labels, self.zone, self.service)
+        life.machine = self.machine
+        await life.start(int(self.address.split(":")[1]))
+        self.site.runners[self.site.runners.index(self)] = life
+        return life
+
     def set_cut(self, cut):
         """Behind a cut a runner works on; nothing passes either way."""
         self.cut = cut
@@ -488,10 +498,19 @@
         return await self.process.wait()
 
 
-def free_port():
-    with socket.socket() as s:
-        s.bind(("127.0.0.1", 0))
-        return s.getsockname()[1]
+def free_port(taken=set()):  # The default lives on: no port is given twice.
+    """A free port below those that outgoing connections get."""
+    while True:
+        port = random.randint(20000, 30000)
+        if port in taken:
+            continue
+        with socket.socket() as s:
+            try:
+                s.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        taken.add(port)
+        return port
 
 
 class Site:
