--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,8 +1,9 @@
-"""Tasks that last end by themselves with `done`: they aren't started again. See
-claim.txt."""
+"""The leader is killed while tasks that fill run on every runner: work handed in
+afterwards never starts. See claim.txt."""
 import asyncio
 import json
 import os
+import signal
 import sys
 import time
 
@@ -10,48 +11,64 @@
 sys.path.insert(0, os.path.join(HERE, "..", "common2"))
 import standin  # noqa: E402
 
-PAIR, SINGLE = "0000000000070001", "0000000000070002"
-# The tasks that end by themselves once, and how.
-ENDING = {PAIR + ".0.0.0": "done", PAIR + ".0.0.1": "failed", SINGLE + ".0.0.0": "done"}
+RUNNERS, CPU = 6, 16000
+FILLING = "0000000000080000"
+CALM_S = 3 + 4  # contactMs, and the 4 s before the 3 s that are judged.
+WAIT_S = 20
 
 
-def lasting(count):
-    return {"taskSpec": "serve", "steps": [
-        {"count": count, "cpu": 1000, "memoryRequestMb": 256, "estimatedMs": 500,
-         "longRunning": True}]}
+async def case(site, trouble):
+    site.work = lambda runner, order: (
+        {} if order["task"].startswith(FILLING) else {"ms": 500})
+    await site.start(nodes=3, runners=RUNNERS)
+    # One task that fills on each runner: its cpu isn't counted against the room.
+    status, _ = await site.call(site.nodes[0], "POST", FILLING, {
+        "taskSpec": "fill", "steps": [
+            {"count": RUNNERS, "cpu": CPU, "memoryRequestMb": 1024, "estimatedMs": 500,
+             "longRunning": True, "fills": True, "antiAffinity": 1}]})
+    if status != 200:
+        raise standin.CouldNotRun("the filling job was not accepted")
 
+    async def all_filled():
+        return len([run for run in site.runs if run["ended"] is None]) == RUNNERS
+    await site.until(all_filled, 10, "all runners have a task that fills")
+    await work(site, "0000000000080001", "before")
+    if trouble:
+        leader = await site.leader()
+        if leader is None:
+            raise standin.CouldNotRun("nobody leads")
+        leader.signal(signal.SIGKILL)
+        await leader.ended()
+        await asyncio.sleep(3.5)
+        await leader.start()
+    await site.until(site.all_ready, 20, "the nodes are ready again")
+    await asyncio.sleep(CALM_S)
+    return await work(site, "0000000000080002", "after")
 
-async def case(site, trouble):
-    left = dict(ENDING) if trouble else {}
-
-    def work(runner, order):
-        how = left.pop(order["task"], None)
-        return {"ms": 4000, "how": how} if how else {}
-
-    site.work = work
-    await site.start(nodes=3, runners=6)
-    for job, count in ((PAIR, 2), (SINGLE, 1)):
-        status, _ = await site.call(site.nodes[0], "POST", job, lasting(count))
-        if status != 200:
-            raise standin.CouldNotRun("a job was not accepted")
-    # The tasks end after 4 s. From 6 s after a task's last run on, it may run
-    # nowhere for less than 3 s; the calls leave one second more.
-    await asyncio.sleep(4 + 6 + 3 + 1)
-    broken = []
-    for job, count in ((PAIR, 2), (SINGLE, 1)):
-        status, out = await site.call(site.nodes[1], "GET", job)
-        for index in range(count):
-            task = "%s.0.0.%d" % (job, index)
-            runs = [run for run in site.runs if run["task"] == task]
-            if not runs:
-                raise standin.CouldNotRun("%s has not begun" % task)
-            if all(run["ended"] for run in runs):
-                last = runs[-1]
-                broken.append("LOST: %s runs nowhere for %.1f s after its run %d ended "
-                              "`%s`; the job is shown as %s, and nobody cancelled it" % (
-                                  task, time.monotonic() - last["ended"], last["run"],
-                                  last["how"], json.loads(out or b"{}").get("state")))
-    return broken
+
+async def work(site, job, when):
+    """Hands in work for a third of the site's room, and says what broke."""
+    for _ in range(20):
+        status, _ = await site.call(site.nodes[1], "POST", job, {
+            "taskSpec": "work", "steps": [
+                {"count": 4, "cpu": CPU // 2, "memoryRequestMb": 1024, "estimatedMs": 500}]})
+        if status == 200:
+            break
+        await asyncio.sleep(0.5)
+    else:
+        raise standin.CouldNotRun("work was not accepted")
+    begin = time.monotonic()
+    while time.monotonic() < begin + WAIT_S:
+        runs = [run for run in site.runs if run["task"].startswith(job)]
+        if len([run for run in runs if run["how"] == "done"]) == 4:
+            return []
+        await asyncio.sleep(0.1)
+    status, out = await site.call(site.nodes[1], "GET", job)
+    idle = [run for run in site.runs if run["ended"] is None]
+    return ["LOST: the job handed in %s the kill has nothing running for %.1f s and is "
+            "shown as %s; %d runs were begun, and %d tasks run on the site, all filling" % (
+                when, time.monotonic() - begin, json.loads(out or b"{}").get("state"),
+                len(runs), len(idle))]
 
 
 standin.run_case(case, HERE)
--- a/review/9/case.py
+++ b/review/9/case.py
@@ -1,5 +1,5 @@
-"""One runner of ten goes down and up by turns: a sound job that lasts is shown as
-failed and stopped on all ten. See claim.txt."""
+"""Tasks that last end by themselves with `done`: they aren't started again. See
+claim.txt."""
 import asyncio
 import json
 import os
@@ -10,46 +10,48 @@
 sys.path.insert(0, os.path.join(HERE, "..", "common2"))
 import standin  # noqa: E402
 
-RUNNERS = 10
-PERIOD_S = 1.4  # srv_flap: gap_s
-FOR_S = 6.5  # srv_flap: for_s
-JOB = "0000000000090001"
+PAIR, SINGLE = "0000000000070001", "0000000000070002"
+# The tasks that end by themselves once, and how.
+ENDING = {PAIR + ".0.0.0": "done", PAIR + ".0.0.1": "failed", SINGLE + ".0.0.0": "done"}
+
+
+def lasting(count):
+    return {"taskSpec": "serve", "steps": [
+        {"count": count, "cpu": 1000, "memoryRequestMb": 256, "estimatedMs": 500,
+         "longRunning": True}]}
 
 
 async def case(site, trouble):
-    site.work = lambda runner, order: {}
-    await site.start(nodes=3, runners=RUNNERS)
-    status, _ = await site.call(site.nodes[0], "POST", JOB, {
-        "taskSpec": "serve", "steps": [
-            {"count": RUNNERS, "cpu": 1000, "memoryRequestMb": 256, "estimatedMs": 500,
-             "longRunning": True, "antiAffinity": 1}]})
-    if status != 200:
-        raise standin.CouldNotRun("the job was not accepted")
-
-    async def all_run():
-        return len([run for run in site.runs if run["ended"] is None]) == RUNNERS
-    await site.until(all_run, 10, "a task runs on each runner")
-    await asyncio.sleep(2)
-    begin = time.monotonic()
-    runner = site.runners[3]
-    while trouble and time.monotonic() < begin + FOR_S:
-        site.record.write("%s goes down" % runner.name)
-        runner.crash()
-        await asyncio.sleep(PERIOD_S / 2)
-        site.store.put("keyed.servers", runner.name, b"")
-        runner = await runner.next_life()
-        site.record.write("%s is up" % runner.name)
-        await asyncio.sleep(PERIOD_S / 2)
-    # finish_s is 14.
-    await asyncio.sleep(14)
-    status, out = await site.call(site.nodes[1], "GET", JOB)
-    state = json.loads(out or b"{}").get("state")
-    failed = [run for run in site.runs if run["how"] == "failed"]
-    left = [run for run in site.runs if run["ended"] is None]
-    if state == "failed":
-        return ["LOST: the job is shown as failed, after %d ends `failed`; %d of its %d "
-                "tasks run" % (len(failed), len(left), RUNNERS)]
-    return []
+    left = dict(ENDING) if trouble else {}
+
+    def work(runner, order):
+        how = left.pop(order["task"], None)
+        return {"ms": 4000, "how": how} if how else {}
+
+    site.work = work
+    await site.start(nodes=3, runners=6)
+    for job, count in ((PAIR, 2), (SINGLE, 1)):
+        status, _ = await site.call(site.nodes[0], "POST", job, lasting(count))
+        if status != 200:
+            raise standin.CouldNotRun("a job was not accepted")
+    # The tasks end after 4 s. From 6 s after a task's last run on, it may run
+    # nowhere for less than 3 s; the calls leave one second more.
+    await asyncio.sleep(4 + 6 + 3 + 1)
+    broken = []
+    for job, count in ((PAIR, 2), (SINGLE, 1)):
+        status, out = await site.call(site.nodes[1], "GET", job)
+        for index in range(count):
+            task = "%s.0.0.%d" % (job, index)
+            runs = [run for run in site.runs if run["task"] == task]
+            if not runs:
+                raise standin.CouldNotRun("%s has not begun" % task)
+            if all(run["ended"] for run in runs):
+                last = runs[-1]
+                broken.append("LOST: %s runs nowhere for %.1f s after its run %d ended "
+                              "`%s`; the job is shown as %s, and nobody cancelled it" % (
+                                  task, time.monotonic() - last["ended"], last["run"],
+                                  last["how"], json.loads(out or b"{}").get("state")))
+    return broken
 
 
 standin.run_case(case, HERE)
--- a/review/common2/standin.py
+++ b/review/common2/standin.py
@@ -22,10 +22,6 @@
 NODE = os.path.join(ROOT, "target", "release", "keelbridge-node")
 
 
-def now_ms():
-    return time.monotonic() * 1000
-
-
 class Record:
     """The case's record.txt: what was sent, answered and run."""
 
