--- a/review/common2/standin.py
+++ b/review/common2/standin.py
@@ -666,9 +666,10 @@
                 print(line)
             code = 1 if broken else 0
             record.write("the rule was broken" if broken else "the rule held")
-        except (CouldNotRun, asyncio.TimeoutError) as e:
+        except Exception as e:  # Whatever fails here says nothing of the rule.
             record.write("could not run: %r" % e)
             print("could not run: %r" % e)
+            code = 2
         finally:
             await site.stop()
     asyncio.new_event_loop().run_until_complete(main())
