--- a/review/7/case.py
+++ b/review/7/case.py
@@ -14,7 +14,8 @@
 RUNNERS, CPU = 6, 16000
 FILLING = "0000000000080000"
 CALM_S = 3 + 4  # contactMs, and the 4 s before the 3 s that are judged.
-WAIT_S = 20
+IDLE_S = 3  # LOST: nothing running for 3 s.
+WATCH_S = 20
 
 
 async def case(site, trouble):
@@ -58,17 +59,22 @@
     else:
         raise standin.CouldNotRun("work was not accepted")
     begin = time.monotonic()
-    while time.monotonic() < begin + WAIT_S:
+    in_time = False  # A task of the job ran within 3 s.
+    while time.monotonic() < begin + WATCH_S:
         runs = [run for run in site.runs if run["task"].startswith(job)]
+        in_time = in_time or any(run["began"] <= begin + IDLE_S for run in runs)
         if len([run for run in runs if run["how"] == "done"]) == 4:
-            return []
+            break
         await asyncio.sleep(0.1)
+    if in_time:
+        return []
     status, out = await site.call(site.nodes[1], "GET", job)
     idle = [run for run in site.runs if run["ended"] is None]
-    return ["LOST: the job handed in %s the kill has nothing running for %.1f s and is "
+    return ["LOST: the job handed in %s the kill has nothing running for %.1f s of the %.1f s watched and is "
             "shown as %s; %d runs were begun, and %d tasks run on the site, all filling" % (
-                when, time.monotonic() - begin, json.loads(out or b"{}").get("state"),
+                when, min([run["began"] for run in runs], default=time.monotonic()) - begin,
+                time.monotonic() - begin, json.loads(out or b"{}").get("state"),
                 len(runs), len(idle))]
 
 
-standin.run_case(case, HERE)
+standin.run_case(case, os.path.join(HERE, "record.txt"))
--- a/review/9/case.py
+++ b/review/9/case.py
@@ -45,13 +45,17 @@
             runs = [run for run in site.runs if run["task"] == task]
             if not runs:
                 raise standin.CouldNotRun("%s has not begun" % task)
-            if all(run["ended"] for run in runs):
-                last = runs[-1]
+            # LOST: runs nowhere for 3 s, from 6 s after its last run on.
+            ends = [run["ended"] or time.monotonic() for run in runs]
+            begins = [run["began"] for run in runs[1:]] + [time.monotonic()]
+            gaps = [begin - end for begin, end in zip(begins, ends)]
+            if max(gaps) >= 6 + 3:
+                last = runs[gaps.index(max(gaps))]
                 broken.append("LOST: %s runs nowhere for %.1f s after its run %d ended "
                               "`%s`; the job is shown as %s, and nobody cancelled it" % (
-                                  task, time.monotonic() - last["ended"], last["run"],
+                                  task, max(gaps), last["run"],
                                   last["how"], json.loads(out or b"{}").get("state")))
     return broken
 
 
-standin.run_case(case, HERE)
+standin.run_case(case, os.path.join(HERE, "record.txt"))
--- a/review/common2/standin.py
+++ b/review/common2/standin.py
@@ -646,11 +646,12 @@
         return 0, b""
 
 
-def run_case(case, folder):
+def run_case(case, record_path):
     """Runs the coroutine case(site, trouble) and exits: 1 broken, 0 held, 2 not run.
+    What was sent, answered and run is written to record_path.
     The case returns a list of what broke."""
     trouble = os.environ.get("TROUBLE", "1") != "0"
-    record = Record(os.path.join(folder, "record.txt"))
+    record = Record(record_path)
     if not os.path.exists(NODE):
         print("build the deploy file's program first")
         sys.exit(2)
@@ -658,6 +659,10 @@
 
     async def main():
         nonlocal code
+        # A stopped script ends its nodes too.
+        for number in (signal.SIGTERM, signal.SIGINT):
+            asyncio.get_running_loop().add_signal_handler(
+                number, asyncio.current_task().cancel)
         site = Site(record)
         try:
             broken = await asyncio.wait_for(case(site, trouble), 110)
@@ -672,7 +677,10 @@
             code = 2
         finally:
             await site.stop()
-    asyncio.new_event_loop().run_until_complete(main())
+    try:
+        asyncio.new_event_loop().run_until_complete(main())
+    except asyncio.CancelledError:
+        code = 2
     # Connections may still be open; nothing is left to be done for them.
     sys.stdout.flush()
     os._exit(code)
