A run occupies the same whoever books it: best-effort runs found by a new leader

Callers saw: beside long-running best-effort tasks, accepted work never started once the leader had changed, though no processor was in use but by what fills (LOST).

Cause: the leader that starts a run books CapacityNeeded(step), which leaves out the processors of a best-effort task; the one that finds the run on its worker booked StepSpec::need, all that the client had asked for.

Evidence: cpu_milli_used of a leader that adopted such a run was 8000 where the leader before had 0.

Change: JobScheduler::Allocate is the only place that books a run, and reckons its size itself; callers pass none. The field is StepSpec::requested now, read through CapacityNeeded (workers' room, score of a place, rate of work) and AccountCharge (an account's use, maximum and share, as before). A run whose job is gone, moved to a worker's next incarnation, counts as of unknown size there too.

Why it works: no caller can name another size, whichever way the run was learned of.

--- a/keelbridge/accounts/account_history.cc
+++ b/keelbridge/accounts/account_history.cc
@@ -37,9 +37,9 @@
 }
 
 double EstimatedWork(const StepSpec& step, const ResourceTotals& capacity) {
-  ResourceTotals need;
-  need += step.need;
-  return DominantShareOf(need, capacity) * step.count *
+  ResourceTotals charge;
+  charge += AccountCharge(step);
+  return DominantShareOf(charge, capacity) * step.count *
          absl::ToDoubleSeconds(absl::Milliseconds(step.estimated_ms));
 }
 
--- a/keelbridge/accounts/account_history_test.cc
+++ b/keelbridge/accounts/account_history_test.cc
@@ -135,7 +135,7 @@
   AccountHistory history;
   JobSpec spec;
   spec.steps.emplace_back();
-  spec.steps[0].need = {1000, 1000, 1};
+  spec.steps[0].requested = {1000, 1000, 1};
   spec.steps[0].estimated_ms = 1000;
   CHECK(EstimatedWork(spec, ResourceTotals()) == 0);
   history.OnTime(usage, ResourceTotals(), kBegin);
--- a/keelbridge/accounts/account_ledger.cc
+++ b/keelbridge/accounts/account_ledger.cc
@@ -56,7 +56,7 @@
   const bool fits = std::all_of(
       spec.steps.begin(), spec.steps.end(), [&](const StepSpec& step) {
         const int32_t together = step.gang ? step.count : 1;
-        return usage.FitsMaximum(account, step.need, together);
+        return usage.FitsMaximum(account, AccountCharge(step), together);
       });
   if (!fits) return absl::InfiniteDuration();
   return backlog.MinWait(account, priority, usage.MaximumOf(account));
--- a/keelbridge/accounts/account_ledger_test.cc
+++ b/keelbridge/accounts/account_ledger_test.cc
@@ -25,7 +25,7 @@
 JobSpec OneStep(int32_t count, bool gang) {
   StepSpec step;
   step.count = count;
-  step.need = kNeed;
+  step.requested = kNeed;
   step.gang = gang;
   JobSpec spec;
   spec.steps = {step};
--- a/keelbridge/coordination/allocation.h
+++ b/keelbridge/coordination/allocation.h
@@ -1,7 +1,7 @@
 // What a job scheduler knows of a run on a worker.
 //
 //   Allocation& run = worker.allocations[{task, run_number}];
-//   run.need = spec.need;
+//   run.need = CapacityNeeded(step);
 //   run.placed = now.mono;
 
 #ifndef KEELBRIDGE_COORDINATION_ALLOCATION_H_
@@ -19,7 +19,7 @@
 
 // A run that uses, or may use, capacity of a worker.
 struct Allocation {
-  Resources need;
+  Resources need;  // What it occupies; see CapacityNeeded().
   // What the run counts for against the maximum of its client account.
   Resources account_need;
   AccountId account = kNoAccount;
--- a/keelbridge/coordination/job_scheduler_accounts.cc
+++ b/keelbridge/coordination/job_scheduler_accounts.cc
@@ -17,7 +17,7 @@
   allocation.account = accounts_.usage.IdOf(job.account);
   // A run whose size is no longer known counts as all that its worker can run.
   allocation.account_need = step < job.spec.steps.size()
-                                ? job.spec.steps[step].need
+                                ? AccountCharge(job.spec.steps[step])
                                 : worker.record.capacity;
   accounts_.usage.Add(allocation.account, allocation.account_need);
   const Queue* queue = FindQueue(job);
@@ -49,11 +49,11 @@
     for (size_t s = 0; s < round.steps.size(); ++s) {
       for (const TaskState& task : round.steps[s].tasks) {
         if (task.phase != TaskPhase::kWaiting) continue;
-        const Resources& need = job.spec.steps[s].need;
+        const Resources& charge = AccountCharge(job.spec.steps[s]);
         if (may_run_unobserved && !task.observed)
-          accounts_.usage.AddUnobserved(account, need);
+          accounts_.usage.AddUnobserved(account, charge);
         else if (WaitsForUnansweredStart(task, now))
-          accounts_.usage.AddUnanswered(account, need);
+          accounts_.usage.AddUnanswered(account, charge);
       }
     }
   }
@@ -93,8 +93,8 @@
 }
 
 bool JobScheduler::LimitToAccount(ReadyStep& ready) {
-  const int32_t fits =
-      accounts_.usage.CountFits(ready.account, ready.spec->need, ready.waiting);
+  const int32_t fits = accounts_.usage.CountFits(
+      ready.account, AccountCharge(*ready.spec), ready.waiting);
   const bool blocked = fits < (ready.spec->gang ? ready.waiting : 1);
   if (blocked) {
     ready.state->reserved.clear();
--- a/keelbridge/coordination/job_scheduler_advice.cc
+++ b/keelbridge/coordination/job_scheduler_advice.cc
@@ -74,7 +74,7 @@
 int32_t ExpectedMilli(const ReadyStep& ready, double tasks) {
   if (ready.spec->best_effort) return 0;
   const double limit = std::min(tasks, static_cast<double>(ready.waiting));
-  return static_cast<int32_t>(limit * ready.spec->need.cpu_milli);
+  return static_cast<int32_t>(limit * CapacityNeeded(*ready.spec).cpu_milli);
 }
 
 }  // namespace
--- a/keelbridge/coordination/job_scheduler_advice_test.cc
+++ b/keelbridge/coordination/job_scheduler_advice_test.cc
@@ -234,7 +234,7 @@
   }
   JobSpec spec;
   spec.steps.push_back(OneTask());
-  spec.steps.back().need = {5, 1, 0};
+  spec.steps.back().requested = {5, 1, 0};
   spec.steps.back().count = 4;
   for (JobId id = 1; id <= jobs; ++id)
     site.scheduler().Submit(id, "restore", spec, site.now());
--- a/keelbridge/coordination/job_scheduler_departures_test.cc
+++ b/keelbridge/coordination/job_scheduler_departures_test.cc
@@ -177,7 +177,7 @@
   site.RunUntil(absl::Milliseconds(100));
   JobSpec spec;
   spec.steps = {TaskOf(absl::Seconds(17))};
-  spec.steps[0].need.cpu_milli = 8000;
+  spec.steps[0].requested.cpu_milli = 8000;
   spec.steps[0].count = 2;
   spec.steps[0].gang = true;
   site.scheduler().Submit(kJob, "restore", spec, site.now());
--- a/keelbridge/coordination/job_scheduler_gangs.cc
+++ b/keelbridge/coordination/job_scheduler_gangs.cc
@@ -44,7 +44,8 @@
       TaskState& task = ready.state->tasks[static_cast<size_t>(index)];
       // A member whose run ended cannot join that run again.
       if (task.run >= run || task.retry_at > now.mono) continue;
-      if (accounts_.usage.CountFits(ready.account, ready.spec->need, 1) < 1)
+      if (accounts_.usage.CountFits(ready.account, AccountCharge(*ready.spec),
+                                    1) < 1)
         break;
       for (Worker* worker : usable) {
         if (CountFittingTasks(*worker, ready, UnreservedCapacity(*worker)) < 1)
--- a/keelbridge/coordination/job_scheduler_incarnations.cc
+++ b/keelbridge/coordination/job_scheduler_incarnations.cc
@@ -109,7 +109,7 @@
 void JobScheduler::MoveToNextIncarnation(const Worker& worker, Worker& next,
                                          const RunKey& key,
                                          const Allocation& run, Now now) {
-  Allocation& moved = Allocate(next, key.first, key.second, run.need, now);
+  Allocation& moved = Allocate(next, key.first, key.second, now);
   moved.uncertain = true;
   moved.uncertain_since = now.mono;
   if (IsStartUnanswered(run, now)) moved.ordered = run.ordered;
--- a/keelbridge/coordination/job_scheduler_placement.cc
+++ b/keelbridge/coordination/job_scheduler_placement.cc
@@ -120,7 +120,7 @@
 // Returns a score for the task on the worker; lower is better.
 double PlacementScore(const ScheduledWorker& worker, const ReadyStep& ready,
                       const TaskState& task) {
-  const Resources left = worker.free - ready.spec->need;
+  const Resources left = worker.free - CapacityNeeded(*ready.spec);
   // Prefers the fullest worker that fits, to keep contiguous capacity for tasks
   // with large needs.
   double score = DominantShare(left, worker.record.capacity);
@@ -267,11 +267,12 @@
   for (const ReadyStep& step : ready) {
     if (step.tier != 0) continue;
     const int32_t priority = step.queue->priority;
-    accounts_.backlog.Add(step.account, priority, step.spec->need, step.waiting,
+    accounts_.backlog.Add(step.account, priority, AccountCharge(*step.spec),
+                          step.waiting,
                           absl::Milliseconds(step.spec->estimated_ms));
     // Tasks that their account may not start now delay no others.
-    const int32_t startable =
-        accounts_.usage.CountFits(step.account, step.spec->need, step.waiting);
+    const int32_t startable = accounts_.usage.CountFits(
+        step.account, AccountCharge(*step.spec), step.waiting);
     auto& timely =
         step.exceeds_share ? backlog.timely_over_share : backlog.timely;
     timely[priority] += startable;
@@ -294,8 +295,8 @@
   for (const ReadyStep& step : ready) {
     if (IsLate(step) && late_steps_deferred_) continue;
     const WorkAmount work = WorkOf(
-        *step.spec,
-        accounts_.usage.CountFits(step.account, step.spec->need, step.waiting));
+        *step.spec, accounts_.usage.CountFits(
+                        step.account, AccountCharge(*step.spec), step.waiting));
     const WorkRank rank{step.queue->priority, step.exceeds_share};
     if (step.tier == 0)
       waiting.timely.Add(rank, step.latest_start, work);
@@ -562,8 +563,7 @@
                              Worker& worker, Now now) {
   TaskState& task = ready.state->tasks[static_cast<size_t>(index)];
   const TaskId id = ready.IdOf(task);
-  Allocation& allocation =
-      Allocate(worker, id, run, CapacityNeeded(*ready.spec), now);
+  Allocation& allocation = Allocate(worker, id, run, now);
   allocation.resumed = !task.checkpoint.empty();
   const bool unobserved = ready.job->recovered && !task.observed;
   task.phase = TaskPhase::kStarting;
--- a/keelbridge/coordination/job_scheduler_placement_test.cc
+++ b/keelbridge/coordination/job_scheduler_placement_test.cc
@@ -15,7 +15,7 @@
 
 StepSpec LargeLongRunningTask() {
   StepSpec step = LongRunningTask();
-  step.need.cpu_milli = 6000;
+  step.requested.cpu_milli = 6000;
   return step;
 }
 
--- a/keelbridge/coordination/job_scheduler_runs.cc
+++ b/keelbridge/coordination/job_scheduler_runs.cc
@@ -208,17 +208,7 @@
     }
     return;
   }
-  // If the job's description is gone, the resources that the run uses are
-  // unknown.
-  const bool described =
-      job != nullptr &&
-      static_cast<size_t>(running.task.step) < job->spec.steps.size();
-  const Resources need =
-      described ? job->spec.steps[static_cast<size_t>(running.task.step)].need
-                : Resources();
-  Allocation& added = Allocate(worker, running.task, running.run, need, now);
-  added.unknown_size = !described;
-  if (!described) ++worker.runs_of_unknown_size;
+  Allocation& added = Allocate(worker, running.task, running.run, now);
   added.start_answered = now.mono;
   added.adopted = true;
   added.reported = true;
--- a/keelbridge/coordination/job_scheduler_start_window_test.cc
+++ b/keelbridge/coordination/job_scheduler_start_window_test.cc
@@ -22,7 +22,7 @@
   spec.steps = {OneTask()};
   spec.steps[0].count = count;
   spec.steps[0].gang = gang;
-  spec.steps[0].need.memory_mib = 0;
+  spec.steps[0].requested.memory_mib = 0;
   return spec;
 }
 
--- a/keelbridge/coordination/job_scheduler_workers.cc
+++ b/keelbridge/coordination/job_scheduler_workers.cc
@@ -152,22 +152,33 @@
   return until;
 }
 
+std::optional<Resources> JobScheduler::CapacityOf(const TaskId& task) const {
+  const auto job = jobs_.find(task.job);
+  if (job == jobs_.end()) return std::nullopt;
+  const std::vector<StepSpec>& steps = job->second->spec.steps;
+  const auto step = static_cast<size_t>(task.step);
+  if (step >= steps.size()) return std::nullopt;
+  return CapacityNeeded(steps[step]);
+}
+
 Allocation& JobScheduler::Allocate(Worker& worker, const TaskId& task,
-                                   int32_t run, const Resources& need,
-                                   Now now) {
+                                   int32_t run, Now now) {
   const auto [it, inserted] = worker.allocations.try_emplace({task, run});
-  if (inserted) {
-    it->second.need = need;
-    it->second.placed = now.mono;
-    it->second.percent_changed = now.mono;
-    it->second.check_at = OverdueCheckTime(task, now.mono);
-    worker.next_check = std::min(worker.next_check, it->second.check_at);
-    UpdatePreemptibility(it->second, task, now);
-    CountForAccount(worker, task, it->second);
-    worker.free -= need;
-    CountCapacity(worker);
-  }
-  return it->second;
+  Allocation& allocation = it->second;
+  if (!inserted) return allocation;
+  const std::optional<Resources> capacity = CapacityOf(task);
+  allocation.need = capacity.value_or(Resources());
+  allocation.unknown_size = !capacity.has_value();
+  if (allocation.unknown_size) ++worker.runs_of_unknown_size;
+  allocation.placed = now.mono;
+  allocation.percent_changed = now.mono;
+  allocation.check_at = OverdueCheckTime(task, now.mono);
+  worker.next_check = std::min(worker.next_check, allocation.check_at);
+  UpdatePreemptibility(allocation, task, now);
+  CountForAccount(worker, task, allocation);
+  worker.free -= allocation.need;
+  CountCapacity(worker);
+  return allocation;
 }
 
 void JobScheduler::Release(Worker& worker, const RunKey& key) {
--- a/keelbridge/daemon/leader_session_entries_test.cc
+++ b/keelbridge/daemon/leader_session_entries_test.cc
@@ -156,7 +156,7 @@
     call.queue = kQueue;
     call.job = job;
     call.spec.steps.emplace_back();
-    call.spec.steps[0].need = {1000, 1024, 0};
+    call.spec.steps[0].requested = {1000, 1024, 0};
     session->Handle(call, [](const ClientReply&) {});
   }
   void Run(absl::Duration time = kSettle) {
--- a/keelbridge/daemon/leader_session_test.cc
+++ b/keelbridge/daemon/leader_session_test.cc
@@ -473,7 +473,7 @@
 void StoreJobAndWorker(MemoryStore& store, const std::string& worker) {
   JobSpec spec;
   spec.steps.emplace_back();
-  spec.steps[0].need = {1000, 1024, 0};
+  spec.steps[0].requested = {1000, 1024, 0};
   AppendOrder order;
   order.stream = Stream::kJobs;
   order.records = {DescriptionRecord(Job(kJob, kQueue, spec, 0)),
@@ -885,7 +885,7 @@
   call.queue = kQueue;
   call.spec.steps.emplace_back();
   call.spec.steps[0].count = 100;
-  call.spec.steps[0].need = {1000, 64, 0};
+  call.spec.steps[0].requested = {1000, 64, 0};
   call.spec.steps[0].estimated_ms = 10000;
   std::optional<ClientReply> refused;
   for (call.job = 1; call.job < 50; ++call.job) {
--- a/keelbridge/overload/waiting_work_test.cc
+++ b/keelbridge/overload/waiting_work_test.cc
@@ -12,7 +12,7 @@
 TEST_CASE("waiting work: work is tasks times processors times duration") {
   StepSpec step;
   step.count = 5;
-  step.need = {2000, 100, 0};
+  step.requested = {2000, 100, 0};
   step.estimated_ms = 3000;
   CHECK(WorkOf(step, 4).cpu_milli_seconds == doctest::Approx(24000));
   CHECK(WorkOf(step, 4).tasks == 4);
--- a/keelbridge/protocol/job.cc
+++ b/keelbridge/protocol/job.cc
@@ -20,8 +20,8 @@
   };
   if (step.count < 1 || step.count > kMaxTasksPerStep)
     return fault(absl::StrCat("count must be from 1 to ", kMaxTasksPerStep));
-  if (step.need.cpu_milli < 0 || step.need.memory_mib < 0 ||
-      step.need.accelerators < 0)
+  if (step.requested.cpu_milli < 0 || step.requested.memory_mib < 0 ||
+      step.requested.accelerators < 0)
     return fault("resources must not be negative");
   for (const int32_t dependency : step.after) {
     if (dependency < 0 || static_cast<size_t>(dependency) >= number)
@@ -40,9 +40,9 @@
 Json::Value StepToJson(const StepSpec& step) {
   Json::Value out(Json::objectValue);
   out["count"] = step.count;
-  SetIfNotDefault(out, "cpu_milli", step.need.cpu_milli);
-  SetIfNotDefault(out, "memory_mib", step.need.memory_mib);
-  SetIfNotDefault(out, "accelerators", step.need.accelerators);
+  SetIfNotDefault(out, "cpu_milli", step.requested.cpu_milli);
+  SetIfNotDefault(out, "memory_mib", step.requested.memory_mib);
+  SetIfNotDefault(out, "accelerators", step.requested.accelerators);
   if (step.estimated_ms != 0)
     out["estimated_ms"] = Json::Int64(step.estimated_ms);
   for (const int32_t dependency : step.after) out["after"].append(dependency);
@@ -64,7 +64,7 @@
 StepSpec StepFromJson(const Json::Value& in) {
   StepSpec step;
   step.count = in["count"].asInt();
-  step.need = ResourcesFromJson(in);
+  step.requested = ResourcesFromJson(in);
   step.estimated_ms = in["estimated_ms"].asInt64();
   for (const Json::Value& dependency : in["after"])
     step.after.push_back(dependency.asInt());
--- a/keelbridge/protocol/job.h
+++ b/keelbridge/protocol/job.h
@@ -61,8 +61,10 @@
 bool ParseTaskId(const std::string& text, TaskId* id);
 
 struct StepSpec {
-  int32_t count = 1;           // Number of tasks, which are all alike.
-  Resources need;              // Of each task.
+  int32_t count = 1;  // Number of tasks, which are all alike.
+  // What the client asks for each task. `CapacityNeeded` says what of it a run
+  // occupies, and `AccountCharge` what counts for its client account.
+  Resources requested;
   int64_t estimated_ms = 0;    // The client's rough estimate of a task's time.
   std::vector<int32_t> after;  // Earlier steps whose tasks must be done first.
   bool checkpoints = false;    // A later run can continue from saved progress.
@@ -82,11 +84,18 @@
 // Returns the capacity that one task of `step` occupies on a worker. A
 // best-effort task occupies no processor time.
 inline Resources CapacityNeeded(const StepSpec& step) {
-  Resources need = step.need;
+  Resources need = step.requested;
   if (step.best_effort) need.cpu_milli = 0;
   return need;
 }
 
+// Returns what one running task of `step` counts for in the use, the maximum
+// and the share of its client account. The processor time that a best-effort
+// task may use counts too: the account may have it running.
+inline const Resources& AccountCharge(const StepSpec& step) {
+  return step.requested;
+}
+
 struct JobSpec {
   std::string payload;  // Passed to every task unchanged.
   std::vector<StepSpec> steps;
--- a/testing/site_accounts_test.cc
+++ b/testing/site_accounts_test.cc
@@ -21,7 +21,7 @@
 StepSpec Step(int32_t count, int32_t cpu_milli, int64_t estimated_ms) {
   StepSpec step;
   step.count = count;
-  step.need = {cpu_milli, 2048, 0};
+  step.requested = {cpu_milli, 2048, 0};
   step.estimated_ms = estimated_ms;
   step.checkpoints = true;
   return step;
--- a/testing/site_durations_test.cc
+++ b/testing/site_durations_test.cc
@@ -99,7 +99,7 @@
   void Submit(const Drawn& drawn) {
     StepSpec step;
     step.count = kTasks;
-    step.need = {4000, 8192, 0};
+    step.requested = {4000, 8192, 0};
     step.estimated_ms = absl::ToInt64Milliseconds(drawn.estimate);
     JobSpec spec;
     spec.steps = {step};
@@ -166,7 +166,7 @@
   StepSpec step;
   step.count = count;
   step.gang = gang;
-  step.need = {4000, 8192, 0};
+  step.requested = {4000, 8192, 0};
   step.estimated_ms = kEstimateMs;
   return step;
 }
--- a/testing/site_load_test.cc
+++ b/testing/site_load_test.cc
@@ -30,7 +30,7 @@
   JobSpec spec;
   StepSpec step;
   step.count = count;
-  step.need = need;
+  step.requested = need;
   step.estimated_ms = estimated_ms;
   step.checkpoints = checkpoints;
   spec.steps.push_back(step);
--- a/testing/site_shares_test.cc
+++ b/testing/site_shares_test.cc
@@ -82,7 +82,7 @@
 JobSpec OneStep(int32_t count, int32_t cpu_milli, int64_t ms, bool gang) {
   StepSpec step;
   step.count = count;
-  step.need = {cpu_milli, 1024, 0};
+  step.requested = {cpu_milli, 1024, 0};
   step.estimated_ms = ms;
   step.gang = gang;
   JobSpec spec;
--- a/testing/site_simulation_test.cc
+++ b/testing/site_simulation_test.cc
@@ -24,7 +24,7 @@
 StepSpec Step(int32_t count, int32_t cpu_milli, int64_t estimated_ms) {
   StepSpec step;
   step.count = count;
-  step.need = {cpu_milli, 1024, 0};
+  step.requested = {cpu_milli, 1024, 0};
   step.estimated_ms = estimated_ms;
   return step;
 }
@@ -463,7 +463,7 @@
     std::mt19937_64 random(seed);
     for (int i = 0; i < 8; ++i) {
       JobSpec spec = i % 4 == 0 ? Gang() : SingleStep(0);
-      spec.steps[0].need.cpu_milli = 3000;
+      spec.steps[0].requested.cpu_milli = 3000;
       spec.steps[0].estimated_ms =
           4000 + static_cast<int64_t>(random() % 16000);
       spec.steps[0].checkpoints = i % 2 == 0;
--- a/testing/support/scheduler_driver.h
+++ b/testing/support/scheduler_driver.h
@@ -450,7 +450,7 @@
 
 inline StepSpec OneTask(int32_t cpu_milli = 2000) {
   StepSpec step;
-  step.need = {cpu_milli, 1024, 0};
+  step.requested = {cpu_milli, 1024, 0};
   step.estimated_ms = 1000;
   return step;
 }
--- a/testing/support/site_simulation.cc
+++ b/testing/support/site_simulation.cc
@@ -129,7 +129,7 @@
       jobs_[order.task.job].spec.steps[static_cast<size_t>(order.task.step)];
   const double deviation = options_.estimate_error;
   SiteRunPlan plan;
-  plan.need = step.need;
+  plan.need = step.requested;
   plan.work = absl::Milliseconds(step.estimated_ms) *
               (1 - deviation + 2 * deviation * Draw());
   const auto& true_work = jobs_[order.task.job].true_work;
--- a/testing/support/wide_site.h
+++ b/testing/support/wide_site.h
@@ -101,7 +101,7 @@
   static JobSpec SpecOf(const Work& work) {
     JobSpec spec;
     spec.steps.push_back(OneTask());
-    spec.steps[0].need = work.need;
+    spec.steps[0].requested = work.need;
     spec.steps[0].gang = work.gang;
     spec.steps[0].count = work.count;
     spec.steps[0].estimated_ms = work.estimated_ms;
