A cancel of a job that has not arrived is on record before it is answered

Cause: a cancel of a job that the leader does not know left no trace.

Change: EarlyCancels keeps a mark of each such cancel, in the jobs' stream, and the answer 410 waits for the append that holds it. That append was made before too (it confirms the leader), so a crowd of cancels costs none more. A job under a marked id gets 503 and has not run. Marks last as long as an ended job is remembered, are bounded in number and per account, never driven out, and refuse only jobs that their caller could have cancelled.

Why it works: whatever makes the call late, it ends at a leader, and every leader has the mark before anyone was told of the cancel.

--- a/keelbridge/coordination/job_scheduler.cc
+++ b/keelbridge/coordination/job_scheduler.cc
@@ -28,6 +28,7 @@
 JobScheduler::JobScheduler(Options options, int64_t epoch, absl::Time started)
     : options_(options),
       epoch_(epoch),
+      early_cancels_({options.ended_retention}),
       earlier_orders_(options.earlier_leader_grace, MaxLeaseDuration(), epoch,
                       started) {}
 
@@ -115,6 +116,8 @@
     if (found->second->Ended())
       batch.records.push_back(DropRecord(DescriptionKey(id)));
   }
+  std::vector<Record> cancels = early_cancels_.TakeRecords();
+  std::move(cancels.begin(), cancels.end(), std::back_inserter(batch.records));
   undescribed_jobs_.clear();
   dirty_jobs_.clear();
   keys_to_drop_.clear();
@@ -356,6 +359,7 @@
   if (now.mono >= next_housekeeping_) {
     next_housekeeping_ = now.mono + kHousekeepingPeriod;
     DropEnded(now);
+    early_cancels_.DropExpired(now.mono);
     DropPastUnansweredStarts(now);
   }
   if (now.mono >= next_rounds_) {
--- a/keelbridge/coordination/job_scheduler.h
+++ b/keelbridge/coordination/job_scheduler.h
@@ -36,6 +36,7 @@
 #include "absl/functional/function_ref.h"
 #include "absl/time/time.h"
 #include "keelbridge/accounts/account_ledger.h"
+#include "keelbridge/accounts/early_cancels.h"
 #include "keelbridge/base/clock.h"
 #include "keelbridge/base/log_rate_limiter.h"
 #include "keelbridge/base/logging.h"
@@ -144,6 +145,10 @@
   // the job counts as cancelled, 0 if its end is durable already, or nullopt if
   // there is no such job.
   std::optional<int64_t> Cancel(JobId id, Now now);
+  // The cancels of jobs that had not arrived. `Submit` takes no notice of them:
+  // who calls it asks first. A change is durable with the batch `NextBatch()`,
+  // which it does not bring about by itself.
+  EarlyCancels& early_cancels() { return early_cancels_; }
   // Returns nullopt if there is no such job.
   std::optional<JobState> Status(JobId id) const;
   // The end of a job that is decided but not durable yet.
@@ -871,6 +876,7 @@
   std::set<TaskId> unanswered_starts_;
   std::shared_ptr<const SiteConfiguration> configuration_;
   AccountLedger accounts_;
+  EarlyCancels early_cancels_;
   JobTimings job_timings_;
   std::vector<Adviser> advisers_;
   // By queue: the learned share of workers that may run its steps.
--- a/keelbridge/daemon/leader_session.cc
+++ b/keelbridge/daemon/leader_session.cc
@@ -373,6 +373,48 @@
   return Reply(ClientAnswer::kInvalid, why);
 }
 
+std::optional<ClientReply> LeaderSession::RefuseIfCancelled(
+    const ClientCall& call, Now now) {
+  const auto left = scheduler_.early_cancels().TimeLeft(
+      call.job, call.caller.account, now.mono);
+  if (!left) return std::nullopt;
+  ClientReply refused =
+      RetryLaterReply("the job was cancelled before it arrived");
+  // Only then does the id name a new job.
+  refused.retry_after = *left;
+  metrics_.Count("jobs_cancelled_before_arrival_total", {});
+  LogEvent(Severity::kInfo, "job_refused",
+           {{"job", JobIdText(call.job)},
+            {"queue", call.queue},
+            {"account", call.caller.account},
+            {"why", refused.message},
+            {"retry_after_ms",
+             absl::StrCat(absl::ToInt64Milliseconds(refused.retry_after))}});
+  return refused;
+}
+
+void LeaderSession::HandleCancel(const ClientCall& call,
+                                 std::function<void(ClientReply)> reply) {
+  if (BelongsToAnotherAccount(call))
+    return reply(Reply(ClientAnswer::kNoSuchJob));
+  const Now now = SystemNow();
+  const auto batch = scheduler_.Cancel(call.job, now);
+  if (batch) {
+    return ReplyWhenDurable(*batch, Reply(ClientAnswer::kAccepted),
+                            std::move(reply));
+  }
+  // The call that hands the job in may still be on its way. The answer that
+  // there is no such job is given once later leaders know of the cancel.
+  const bool marked =
+      !CanAccept() ||  // The cancel is refused below.
+      scheduler_.early_cancels().Add(
+          call.job, {call.caller.account, call.caller.queue_allows_anonymous},
+          now.mono);
+  if (marked) return ReplyNoSuchJobOnceConfirmed(call, std::move(reply));
+  metrics_.Count("early_cancels_refused_total", {});
+  reply(RetryLaterReply("too many cancels of jobs that do not exist"));
+}
+
 void LeaderSession::HandleSubmit(const ClientCall& call,
                                  std::function<void(ClientReply)> reply) {
   if (BelongsToAnotherAccount(call))
@@ -388,11 +430,13 @@
                absl::StrCat(absl::ToInt64Milliseconds(refused.retry_after))}});
     return reply(std::move(refused));
   }
+  const Now now = SystemNow();
   if (!known) {
+    if (auto cancelled = RefuseIfCancelled(call, now))
+      return reply(*std::move(cancelled));
     if (auto too_large = RefuseIfTooLarge(call))
       return reply(*std::move(too_large));
   }
-  const Now now = SystemNow();
   Admission::Verdict verdict;
   if (!known) {
     verdict =
@@ -432,25 +476,18 @@
 void LeaderSession::Handle(const ClientCall& call,
                            std::function<void(ClientReply)> reply) {
   if (auto denied = CheckCaller(call)) return reply(*std::move(denied));
-  const Now now = SystemNow();
   const bool has_job = call.kind != ClientCallKind::kWaiting;
   if (has_job && unreadable_jobs_.count(call.job) > 0)
     return reply(UnreadableJobReply(call));
   switch (call.kind) {
     case ClientCallKind::kSubmit:
       return HandleSubmit(call, std::move(reply));
-    case ClientCallKind::kCancel: {
-      if (BelongsToAnotherAccount(call))
-        return reply(Reply(ClientAnswer::kNoSuchJob));
-      const auto batch = scheduler_.Cancel(call.job, now);
-      if (!batch) return ReplyNoSuchJobOnceConfirmed(call, std::move(reply));
-      return ReplyWhenDurable(*batch, Reply(ClientAnswer::kAccepted),
-                              std::move(reply));
-    }
+    case ClientCallKind::kCancel:
+      return HandleCancel(call, std::move(reply));
     case ClientCallKind::kStatus:
       return HandleStatus(call, std::move(reply));
     case ClientCallKind::kWaiting: {
-      if (now.mono - last_append_sent_ > kMaxWaitingCountAge)
+      if (SystemNow().mono - last_append_sent_ > kMaxWaitingCountAge)
         return reply(RetryLaterReply("the count may be old"));
       ClientReply answer = Reply(ClientAnswer::kWaiting);
       const auto waiting = scheduler_.QueuedJobs();
@@ -493,6 +530,7 @@
     metrics_.Set(name, {}, static_cast<double>(value));
   };
   set("jobs", f.jobs);
+  set("early_cancels", static_cast<int64_t>(scheduler_.early_cancels().size()));
   set("tasks_ready", f.ready_tasks);
   set("tasks_on_workers", f.running_tasks);
   set("workers", f.workers);
--- a/keelbridge/daemon/leader_session.h
+++ b/keelbridge/daemon/leader_session.h
@@ -221,6 +221,12 @@
                     std::function<void(ClientReply)> reply);
   void HandleSubmit(const ClientCall& call,
                     std::function<void(ClientReply)> reply);
+  // Cancels a job, or remembers the cancel for a job that may yet arrive.
+  void HandleCancel(const ClientCall& call,
+                    std::function<void(ClientReply)> reply);
+  // Returns the reply to the submission of a job that was cancelled before it
+  // arrived, or nullopt if it was not.
+  std::optional<ClientReply> RefuseIfCancelled(const ClientCall& call, Now now);
   // Returns the reply to the submission of a job whose description is larger
   // than the store takes, or nullopt if the store takes it.
   std::optional<ClientReply> RefuseIfTooLarge(const ClientCall& call) const;
--- a/keelbridge/daemon/leader_session_loading.cc
+++ b/keelbridge/daemon/leader_session_loading.cc
@@ -91,6 +91,11 @@
     earlier_append_ = ParseLeaderAppend(record);
     return;
   }
+  if (IsEarlyCancelKey(record.key)) {
+    if (const auto cancel = ParseEarlyCancel(record))
+      scheduler_.early_cancels().Load(*cancel, SystemNow().mono);
+    return;
+  }
   const auto worker = ParseKnownWorker(record);
   if (!worker) return records_.Add(record);
   known_workers_.push_back(*worker);
@@ -114,6 +119,7 @@
            {{"epoch", absl::StrCat(epoch_)},
             {"jobs", absl::StrCat(jobs.size())},
             {"ended", absl::StrCat(ended)},
+            {"early_cancels", absl::StrCat(scheduler_.early_cancels().size())},
             {"unreadable", absl::StrCat(records_.unreadable())},
             {"unreadable_workers", absl::StrCat(unreadable_workers_)},
             {"records", absl::StrCat(records_loaded_)},
--- a/testing/support/site_test_cluster.cc
+++ b/testing/support/site_test_cluster.cc
@@ -271,10 +271,11 @@
 }
 
 HttpOutcome SiteTestCluster::Call(int index, const std::string& method,
-                                  uint64_t job, const std::string& body) {
+                                  uint64_t job, const std::string& body,
+                                  absl::Duration timeout) {
   HttpRequest request{method, absl::StrCat(kSitePrefix, JobIdText(job)),
                       RequestHeaders(), body, "application/json"};
-  return SendRequest(index, request);
+  return SendRequest(index, request, timeout);
 }
 
 bool SiteTestCluster::SubmitAnywhere(uint64_t job, const std::string& body) {
--- a/testing/support/site_test_cluster.h
+++ b/testing/support/site_test_cluster.h
@@ -79,7 +79,8 @@
   HttpHeaders RequestHeaders() const;
   // Sends a client call about a job to one node.
   HttpOutcome Call(int index, const std::string& method, uint64_t job,
-                   const std::string& body = "");
+                   const std::string& body = "",
+                   absl::Duration timeout = absl::Seconds(3));
   // Tries the nodes in turn until one accepts the job. Returns false on
   // timeout.
   bool SubmitAnywhere(uint64_t job, const std::string& body);
