A long-running task starts again however its run ends

Cause: OnRunEnded marked every task that ended `done` as done for good. Whether a task lasts was looked at for ends `failed` only.

A task that an earlier version recorded as done waits for its next start. A task whose runs end within 10 s starts again at once the first time, then after 0.25 s, doubling up to 2 s (users allow it to be away for 6 s); this holds for `failed` too, which only the suspicion of workers had held back.

Why it works: a long-running task has no way to become done but its job's end.

--- a/keelbridge/coordination/job_scheduler.h
+++ b/keelbridge/coordination/job_scheduler.h
@@ -581,6 +581,10 @@
   // durable. Returns false if it was processed before.
   bool ProcessEnd(Worker& worker, const EndedTask& end, Now now);
   void OnRunEnded(Worker& worker, const EndedTask& end, Now now);
+  // Returns when a long-running task whose run has ended may start again, and
+  // counts runs that end soon after their start.
+  absl::Time RestartTime(const Worker& worker, TaskState& task,
+                         const EndedTask& end, Now now);
   void OnTaskDone(Job& job, const EndedTask& end, Now now);
   void OnTaskFailed(Worker& worker, Job& job, const EndedTask& end, Now now);
   // Ends jobs with a task that has used all its attempts. The configuration
--- a/keelbridge/coordination/job_scheduler_runs.cc
+++ b/keelbridge/coordination/job_scheduler_runs.cc
@@ -14,6 +14,13 @@
 // assigned no tasks for `kSuspectDuration`.
 constexpr int kMaxConsecutiveFailures = 2;
 constexpr absl::Duration kSuspectDuration = absl::Seconds(5);
+// A long-running task that has run for less than this may end at once again.
+constexpr absl::Duration kShortRun = absl::Seconds(10);
+// Its first restart is immediate. The next ones wait, each twice as long, so
+// that it costs its workers and this leader little. By the users' rule a task
+// may be away for 6 s.
+constexpr absl::Duration kMinRestartDelay = absl::Milliseconds(250);
+constexpr absl::Duration kMaxRestartDelay = absl::Seconds(2);
 
 }  // namespace
 
@@ -151,14 +158,20 @@
   if (task != nullptr && end.run > task->run) task->run = end.run;
   if (task != nullptr) ClearUnansweredStart(*job, *task, end.run);
   if (job != nullptr) job->begun = true;
+  const bool long_running = task != nullptr && job->IsLongRunning(end.task);
+  const absl::Time restart_at =
+      long_running ? RestartTime(worker, *task, end, now) : now.mono;
   if (end.end == RunEnd::kDone) {
     ++figures_.ends_done;
     const auto run = worker.allocations.find(key);
-    if (run != worker.allocations.end() && !run->second.adopted)
+    if (run != worker.allocations.end() && !run->second.adopted &&
+        !long_running)
       work_admission_.rate().OnRunDone(run->second.counted,
                                        now.mono - run->second.placed);
     worker.failures_in_row = 0;
-    if (task != nullptr && task->phase != TaskPhase::kDone && !job->Ended()) {
+    // A long-running task is done only with its job.
+    if (task != nullptr && task->phase != TaskPhase::kDone && !job->Ended() &&
+        !long_running) {
       if (current && task->observed)
         job->FindStep(end.task)->observed_before_end = true;
       LearnDuration(worker, *job, end, now);
@@ -176,10 +189,33 @@
       task->phase != TaskPhase::kDone)
     task->checkpoint = end.checkpoint;
   if (current && task->phase != TaskPhase::kDone)
-    Requeue(end.task, end.run, worker.record.id, now.mono);
+    Requeue(end.task, end.run, worker.record.id, restart_at);
   Release(worker, key);
 }
 
+absl::Time JobScheduler::RestartTime(const Worker& worker, TaskState& task,
+                                     const EndedTask& end, Now now) {
+  const bool ended_by_itself =
+      end.end == RunEnd::kDone || end.end == RunEnd::kFailed;
+  const auto run = worker.allocations.find({end.task, end.run});
+  // How long a run lasted that this leader has not started is unknown.
+  const bool measured = run != worker.allocations.end() && !run->second.adopted;
+  if (!ended_by_itself || !measured) return now.mono;
+  if (now.mono - run->second.placed >= kShortRun) {
+    task.short_runs = 0;
+    return now.mono;
+  }
+  if (++task.short_runs == 1) return now.mono;
+  absl::Duration delay = kMinRestartDelay;
+  for (int i = 2; i < task.short_runs && delay < kMaxRestartDelay; ++i)
+    delay *= 2;
+  LogDecision("restart_delayed",
+              {{"task", TaskIdText(end.task)},
+               {"short_runs", absl::StrCat(task.short_runs)},
+               {"delay_ms", absl::StrCat(absl::ToInt64Milliseconds(delay))}});
+  return now.mono + std::min(delay, kMaxRestartDelay);
+}
+
 void JobScheduler::OnRunReported(Worker& worker, const RunningTask& running,
                                  Now now) {
   const RunKey key{running.task, running.run};
--- a/keelbridge/state/job_progress.cc
+++ b/keelbridge/state/job_progress.cc
@@ -279,6 +279,19 @@
   return read;
 }
 
+// Earlier versions recorded a long-running task as done once a run of it ended
+// as done. Such a task waits for its next start.
+void ReopenLongRunningTasks(const Job& job, Round& round) {
+  for (size_t s = 0; s < round.steps.size(); ++s) {
+    if (!job.spec.steps[s].long_running) continue;
+    StepState& step = round.steps[s];
+    step.done = 0;
+    for (TaskState& task : step.tasks) {
+      if (task.phase == TaskPhase::kDone) task.phase = TaskPhase::kWaiting;
+    }
+  }
+}
+
 }  // namespace
 
 Json::Value RoundToJson(const Job& job, const Round& round) {
@@ -302,8 +315,10 @@
   if (number < 0 || number >= rounds || job->FindRound(number) != nullptr)
     return false;
   Round& round = job->AddRound(number);
-  return (!in.isMember("done") || ReadDone(in["done"], round)) &&
-         ReadTasks(in, job, round);
+  const bool read = (!in.isMember("done") || ReadDone(in["done"], round)) &&
+                    ReadTasks(in, job, round);
+  if (read) ReopenLongRunningTasks(*job, round);
+  return read;
 }
 
 Json::Value TasksToJson(const Job& job, const Round& round,
@@ -329,8 +344,11 @@
     if (step.tasks[i].phase == TaskPhase::kDone) --step.done;
     step.tasks[i] = TaskState();
   }
-  return (!in.isMember("done") || ReadDoneBits(in["done"], range, &step)) &&
-         ReadTasks(in, job, round);
+  const bool read =
+      (!in.isMember("done") || ReadDoneBits(in["done"], range, &step)) &&
+      ReadTasks(in, job, round);
+  if (read) ReopenLongRunningTasks(*job, round);
+  return read;
 }
 
 }  // namespace keelbridge
--- a/keelbridge/state/job_table.cc
+++ b/keelbridge/state/job_table.cc
@@ -244,6 +244,11 @@
                      [](const StepSpec& step) { return step.long_running; });
 }
 
+bool Job::IsLongRunning(const TaskId& id) const {
+  const auto step = static_cast<size_t>(id.step);
+  return step < spec.steps.size() && spec.steps[step].long_running;
+}
+
 bool Job::HasPersistedPlacements(size_t step) const {
   return placements_persisted && spec.steps[step].long_running;
 }
--- a/keelbridge/state/job_table.h
+++ b/keelbridge/state/job_table.h
@@ -117,6 +117,9 @@
   std::string checkpoint;
   absl::Time retry_at = absl::InfinitePast();
   int32_t preemptions = 0;  // How often the task was preempted.
+  // The latest runs of a long-running task that ended by themselves soon after
+  // their start, without a longer one in between.
+  int32_t short_runs = 0;
 };
 
 // What the advice service has answered so far on which workers may run a step.
@@ -222,6 +225,9 @@
   bool RoundDone(const Round& round) const;
   // Whether any step of the job is long-running.
   bool HasLongRunningStep() const;
+  // Whether the task is of a long-running step. Such a task is never done: it
+  // starts again however its runs end, until the job is cancelled.
+  bool IsLongRunning(const TaskId& id) const;
   // Whether the progress record names the workers on which tasks of `step` were
   // started.
   bool HasPersistedPlacements(size_t step) const;
