Job scheduler: look a task up anew after its end may have dropped its round

Callers saw nothing in a release build; nodes built with the address sanitizer ended.

Cause: OnRunEnded went on to read, and could write, the task of an end after OnTaskDone had dropped its round (job.rounds.pop_front()).

Evidence: the new test in a sanitizer build before the change: heap-use-after-free, READ of size 4 in OnRunEnded, freed under OnTaskDone.

Change: the task is looked up again; Requeue makes its own checks.

--- a/keelbridge/coordination/job_scheduler_runs.cc
+++ b/keelbridge/coordination/job_scheduler_runs.cc
@@ -185,11 +185,12 @@
     ++figures_.ends_other;
     if (end.end == RunEnd::kStopped) ++figures_.runs_stopped;
   }
+  // The end of the last task of a round drops the round with its tasks.
+  task = job != nullptr ? job->FindTask(end.task) : nullptr;
   if (task != nullptr && !end.checkpoint.empty() &&
       task->phase != TaskPhase::kDone)
     task->checkpoint = end.checkpoint;
-  if (current && task->phase != TaskPhase::kDone)
-    Requeue(end.task, end.run, worker.record.id, restart_at);
+  if (current) Requeue(end.task, end.run, worker.record.id, restart_at);
   Release(worker, key);
 }
 
