An odd member of a job's progress does not end the leader that loads it

Other operators reported that one odd entry of another writer ended the machines that read the list again and again. Looked for here in every reader.

Callers would have seen: nobody leads any more; each leader's process ends as it loads (LOST, processes that end by themselves).

Cause: ReadEnd checked `ended_ms` only beside an `end`; ReadProgress read it in any case, and the JSON library throws for other types and sizes.

Change: `ended_ms` is checked wherever it stands; such a job counts as one that cannot be read.

--- a/keelbridge/daemon/leader_session_entries_test.cc
+++ b/keelbridge/daemon/leader_session_entries_test.cc
@@ -199,7 +199,12 @@
   cluster.Run();
   CHECK(cluster.workers.contacted == kOnlyGood);
   CHECK(cluster.RunCount("i-good") == 2);
-  CHECK(absl::StrContains(cluster.metrics.Text(), "workers 1\n"));
+  const std::string metrics = cluster.metrics.Text();
+  CHECK(absl::StrContains(metrics, "workers 1\n"));
+  // Each is counted once, however often it is read.
+  const size_t foreign = testing::ForeignEntries(kService, kAddress).size();
+  CHECK(absl::StrContains(
+      metrics, absl::StrCat("worker_entries_refused_total ", foreign, "\n")));
 }
 
 TEST_CASE(
--- a/keelbridge/state/job_table.cc
+++ b/keelbridge/state/job_table.cc
@@ -58,12 +58,13 @@
 // ended. Returns false if the end cannot be read.
 bool ReadEnd(const Json::Value& in, JobState* end) {
   *end = JobState::kQueued;
+  if (in.isMember("ended_ms") && !in["ended_ms"].isInt64()) return false;
   if (!in.isMember("end")) return true;
   for (const JobState state :
        {JobState::kCompleted, JobState::kFailed, JobState::kCancelled}) {
     if (in["end"] == JobStateName(state)) *end = state;
   }
-  return *end != JobState::kQueued && in["ended_ms"].isInt64();
+  return *end != JobState::kQueued && in.isMember("ended_ms");
 }
 
 bool IsBoolOrMissing(const Json::Value& in, const char* key) {
--- a/testing/fakes/foreign_entries.cc
+++ b/testing/fakes/foreign_entries.cc
@@ -5,11 +5,16 @@
 #include <functional>
 
 #include "absl/strings/str_cat.h"
+#include "absl/strings/str_replace.h"
 #include "keelbridge/base/json_reader.h"
+#include "testing/fakes/odd_documents.h"
 
 namespace keelbridge::testing {
 namespace {
 
+// Stands for a value that the JSON library cannot hold.
+constexpr char kPlaceholder[] = "@odd value@";
+
 Json::Value ValidEntry(const std::string& service, const std::string& address) {
   Json::Value out(Json::objectValue);
   out["service"] = service;
@@ -65,6 +70,36 @@
       [](Json::Value& entry) { entry["capacity"]["cpu"] = 2000000000; });
   add_modified([](Json::Value& entry) { entry["labels"] = "a"; });
   add_modified([](Json::Value& entry) { entry["slots"] = "eight"; });
+  const auto add_replaced = [&](const std::string& member,
+                                const std::string& text) {
+    Json::Value entry = ValidEntry(service, address);
+    entry[member] = kPlaceholder;
+    add(absl::StrReplaceAll(ToJsonText(entry),
+                            {{absl::StrCat("\"", kPlaceholder, "\""), text}}));
+  };
+  // Very deeply nested.
+  for (const std::string& nested :
+       {NestedArrays(200), NestedArrays(100'000), NestedObjects(30'000),
+        std::string(100'000, '[')}) {
+    add_replaced("unknown", nested);
+    add_replaced("capacity", nested);
+  }
+  // Numbers that are too large.
+  for (const char* number : {"1e999", "9223372036854775808",
+                             "18446744073709551616", "-9223372036854775809"}) {
+    add_replaced("born", number);
+    add_replaced("remainingMs", number);
+    add_replaced("slots", number);
+    add_replaced("capacity",
+                 absl::StrCat("{\"cpu\":", number, ",\"memoryRequestMb\":1}"));
+  }
+  add_replaced("unknown", "1e999");
+  // Ports out of range.
+  for (const char* port :
+       {"", "0", "-1", "65536", "70000", "99999999999999999999"})
+    add_modified([&](Json::Value& entry) {
+      entry["address"] = absl::StrCat("127.0.0.1:", port);
+    });
   const std::string valid_entry = ValidWorkerEntry(service, address);
   add("{}");
   add("[]");
--- a/testing/fakes/foreign_entries.h
+++ b/testing/fakes/foreign_entries.h
@@ -22,7 +22,8 @@
                              const std::string& address);
 
 // Returns one entry of each kind: a field that is missing, of the wrong type or
-// out of range, an unknown state or service, and bytes that are not a record.
+// out of range, an unknown state or service, deep nesting, numbers that are too
+// large, a port that is none, and bytes that are not a record.
 // Every entry with an address has `address`; all ids start with "foreign-".
 std::vector<ForeignEntry> ForeignEntries(const std::string& service,
                                          const std::string& address);
--- a/testing/site_entries_test.cc
+++ b/testing/site_entries_test.cc
@@ -10,6 +10,8 @@
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_join.h"
 #include "absl/time/clock.h"
+#include "keelbridge/state/job_table.h"
+#include "testing/fakes/odd_documents.h"
 #include "testing/support/site_test_cluster.h"
 #include "testing/support/zone_test_cluster.h"
 
@@ -45,6 +47,8 @@
   REQUIRE(cluster.AwaitReady(kNodes));
 }
 
+// Guards against: one odd entry ended the processes that read the list again
+// and again, or they stopped following it (LOST).
 TEST_CASE("site entries: worker entries of other writers are skipped") {
   SiteTestCluster::Options options;
   options.nodes = kNodes;
@@ -61,6 +65,7 @@
   CheckJobsComplete(cluster, 5, 8);
   ReplaceLeader(cluster);
   CheckJobsComplete(cluster, 9, 12);
+  REQUIRE(cluster.AwaitReady(kNodes));
   CHECK(CountForeignEntryCalls(cluster) == 0);
   CHECK(cluster.Violations().empty());
 }
@@ -81,6 +86,15 @@
     put("p/00000000000000ac", R"({"end":{},"rounds":7})");
     put("w/i-lost", R"({"machine":[],"labels":{"a":1},"epoch":"x"})");
     put("w/i-0-0", "{");
+    put("d/00000000000000ad", NestedArrays(100'000));
+    put("p/00000000000000ad", R"({"ended_ms":1e999})");
+    JobSpec spec;
+    spec.steps.resize(1);
+    const Record described = DescriptionRecord(Job(0xae, "restore", spec, 1));
+    put(described.key, *described.value);
+    put("p/00000000000000ae", R"({"ended_ms":1e300})");
+    put("c/00000000000000af", NestedObjects(30'000));
+    put("w/i-deep", std::string(100'000, '['));
     put("x", "y");
     platform.store().AddUnreadableItems("keyed.keelbridge-jobs");
   });
@@ -103,8 +117,11 @@
     for (const char* document :
          {R"({"version":50})", R"({"version":51,"routes":"x","services":[]})",
           R"({"version":52,"routes":[7],"services":[{"name":"desk"}]})",
-          R"({"version":"x","routes":[],"services":[]})", "no record"})
+          R"({"version":"x","routes":[],"services":[]})", "no record",
+          R"({"version":1e999})", R"({"version":18446744073709551616})"})
       platform.store().Put("keyed.op", "config", document);
+    platform.store().Put("keyed.op", "config", NestedArrays(100'000));
+    platform.store().Put("keyed.op", "config", NestedObjects(30'000));
   });
   absl::SleepFor(absl::Seconds(1));
   for (int node = 0; node < kNodes; ++node)
