Addresses: a port is plain digits

Callers saw: an entry of another writer with the port "+80", " 80", "80 " or "080" was taken for that of a worker; the leader called it and started work there ("foreign entries: a leader neither contacts nor uses them ..." failed so with these entries).

Cause: the conversion of numbers accepts blanks, signs and leading zeros.

Change: ParseAddress takes a port only in the form that it writes itself.

--- a/keelbridge/transport/address.cc
+++ b/keelbridge/transport/address.cc
@@ -2,6 +2,9 @@
 
 #include <arpa/inet.h>
 
+#include <algorithm>
+
+#include "absl/strings/ascii.h"
 #include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
 
@@ -16,6 +19,15 @@
          inet_pton(AF_INET6, text.c_str(), buffer) == 1;
 }
 
+// Reads a port as `Address::ToString` writes it. Returns false for other forms
+// of a number, which the conversion itself accepts: blanks, signs, zeros ahead.
+bool ReadPort(const std::string& text, int* port) {
+  const bool plain = !text.empty() &&
+                     std::all_of(text.begin(), text.end(), absl::ascii_isdigit);
+  if (!plain || (text.size() > 1 && text[0] == '0')) return false;
+  return absl::SimpleAtoi(text, port) && *port <= kMaxPort;
+}
+
 }  // namespace
 
 std::string Address::ToString() const {
@@ -38,10 +50,8 @@
   const size_t colon = host_port.rfind(':');
   if (colon == std::string::npos) return fail("has no port");
   address.ip = host_port.substr(0, colon);
-  if (!absl::SimpleAtoi(host_port.substr(colon + 1), &address.port) ||
-      address.port < 0 || address.port > kMaxPort) {
+  if (!ReadPort(host_port.substr(colon + 1), &address.port))
     return fail("has no port from 0 to 65535");
-  }
   if (!IsIpAddress(address.ip)) return fail("does not start with an IP number");
   return address;
 }
--- a/testing/fakes/foreign_entries.cc
+++ b/testing/fakes/foreign_entries.cc
@@ -94,9 +94,9 @@
                  absl::StrCat("{\"cpu\":", number, ",\"memoryRequestMb\":1}"));
   }
   add_replaced("unknown", "1e999");
-  // Ports out of range.
-  for (const char* port :
-       {"", "0", "-1", "65536", "70000", "99999999999999999999"})
+  // Ports out of range, or in another form.
+  for (const char* port : {"", "0", "-1", "65536", "70000",
+                           "99999999999999999999", "+80", " 80", "80 ", "080"})
     add_modified([&](Json::Value& entry) {
       entry["address"] = absl::StrCat("127.0.0.1:", port);
     });
