A job that lasts is never failed for crashes of its workers

Callers saw: one worker of ten went down and up by turns, and a sound job that lasts was shown as failed; its nine other tasks were stopped (LOST).

Cause: the verdict that a task crashes its workers (ShouldGiveUp) ended the job, also one that lasts. The users' pages: such tasks "are to be started again however they end", and "are under no such limit" of attempts.

Change: for a step that lasts the verdict leads to a pause of 3 s after each further crash; a suspect still starts alone, on the worker with least to lose. Jobs that end are given up as before.

--- a/keelbridge/coordination/job_scheduler_losses.cc
+++ b/keelbridge/coordination/job_scheduler_losses.cc
@@ -56,6 +56,13 @@
 // crashed their worker, are recorded. A few of them suffice to end the job, and
 // the job's record stays small.
 constexpr int kMaxCrashRecordsPerStep = 64;
+// A long-running task is never given up: it has no limit of attempts. While the
+// evidence says that it crashes its workers, each further start of its step
+// comes this long after the last crash became known. By the users' rule a task
+// may be away for 6 s, and has then 3 s to start.
+constexpr absl::Duration kCrashingStepPause = absl::Seconds(3);
+// Maximum number of crashes that are kept of a long-running task.
+constexpr size_t kMaxCrashesOfLongRunningTask = 8;
 
 TaskId StepIdOf(TaskId task) {
   task.index = 0;
@@ -395,14 +402,22 @@
     step.suspected = true;
     step.proven = false;
   }
-  const bool given_up = ShouldGiveUp(history.crashes);
+  if (spec.long_running &&
+      history.crashes.size() > kMaxCrashesOfLongRunningTask)
+    history.crashes.erase(history.crashes.begin());
+  const bool crashes_workers = ShouldGiveUp(history.crashes);
+  const bool given_up = crashes_workers && !spec.long_running;
+  if (crashes_workers && spec.long_running)
+    step.paused_until = now.mono + kCrashingStepPause;
   LogDecision("crash_held_against_task",
               {{"task", TaskIdText(id)},
                {"run", absl::StrCat(crash.run)},
                {"worker", worker},
                {"ran_ms", absl::StrCat(crash.ran_ms)},
                {"evidence", DescribeCrashes(history.crashes)},
-               {"verdict", given_up ? "given up" : "to be tried again"}},
+               {"verdict", given_up          ? "given up"
+                           : crashes_workers ? "to be tried again after a pause"
+                                             : "to be tried again"}},
               Severity::kWarning);
   if (!given_up) return;
   EndJob(job, JobState::kFailed,
--- a/keelbridge/coordination/job_scheduler_placement.cc
+++ b/keelbridge/coordination/job_scheduler_placement.cc
@@ -146,6 +146,7 @@
 bool JobScheduler::MayStart(const ReadyStep& ready, const TaskState& task,
                             Now now) {
   return task.phase == TaskPhase::kWaiting && task.retry_at <= now.mono &&
+         ready.state->paused_until <= now.mono &&
          !WaitsForEarlierLease(ready, task, now) &&
          !HasRunOfUnansweredStart(ready.IdOf(task), task) &&
          (!WaitsForUnansweredStart(task, now) ||
