--- a/keelbridge/coordination/job_scheduler.cc
+++ b/keelbridge/coordination/job_scheduler.cc
@@ -19,6 +19,9 @@
 constexpr absl::Duration kMaxPlacementInterval = absl::Milliseconds(100);
 // The pause after a placement pass, as a multiple of the duration of the pass.
 constexpr double kPlacementPauseFactor = 2.0;
+// How far the clocks of two leaders may be apart. A run of a round that is due
+// only later than this was not started by a leader of this site.
+constexpr absl::Duration kMaxClockDifference = absl::Seconds(30);
 // An upper bound for that pause, since a tick also takes long when the process
 // was suspended during it.
 constexpr absl::Duration kMaxPlacementPause = absl::Milliseconds(200);
@@ -307,17 +310,34 @@
 
 void JobScheduler::AddDueRounds(Job& job, Now now) {
   if (job.spec.rounds == 0 || job.Ended()) return;
-  int32_t next =
-      job.rounds.empty() ? job.rounds_done : job.rounds.back().number + 1;
-  while (next < job.spec.rounds) {
-    const int64_t due =
-        job.spec.first_round_ms + next * job.spec.round_interval_ms;
-    if (ToMillis(now.wall) < due) return;
+  const int64_t wall_ms = ToMillis(now.wall);
+  for (Round& round : job.rounds) {
+    if (round.due || wall_ms < job.DueTime(round.number)) continue;
+    round.due = true;
+    placement_wanted_ = true;
+  }
+  int32_t next = job.NextRound();
+  while (next < job.spec.rounds && wall_ms >= job.DueTime(next)) {
     job.AddRound(next++);
     placement_wanted_ = true;
   }
 }
 
+void JobScheduler::AddRoundsOfRun(Job& job, const TaskId& task, Now now) {
+  const bool missing = !job.Ended() && task.round < job.spec.rounds &&
+                       task.round >= job.NextRound();
+  if (!missing) return;
+  const int64_t wall_ms = ToMillis(now.wall);
+  if (job.DueTime(task.round) >
+      wall_ms + absl::ToInt64Milliseconds(kMaxClockDifference))
+    return;
+  while (job.NextRound() <= task.round) {
+    Round& round = job.AddRound(job.NextRound());
+    round.due = wall_ms >= job.DueTime(round.number);
+  }
+  LogDecision("round_added_by_report", {{"task", TaskIdText(task)}});
+}
+
 void JobScheduler::DropEnded(Now now) {
   // Uses the monotonic clock, since the wall clock may jump.
   const absl::Time before = now.mono - options_.ended_retention;
--- a/keelbridge/coordination/job_scheduler.h
+++ b/keelbridge/coordination/job_scheduler.h
@@ -145,9 +145,8 @@
   // the job counts as cancelled, 0 if its end is durable already, or nullopt if
   // there is no such job.
   std::optional<int64_t> Cancel(JobId id, Now now);
-  // The cancels of jobs that had not arrived. `Submit` takes no notice of them:
-  // who calls it asks first. A change is durable with the batch `NextBatch()`,
-  // which it does not bring about by itself.
+  // The cancels of jobs that had not arrived. `Submit` does not ask for them. A
+  // change is written with the next batch, and brings about none.
   EarlyCancels& early_cancels() { return early_cancels_; }
   // Returns nullopt if there is no such job.
   std::optional<JobState> Status(JobId id) const;
@@ -257,6 +256,8 @@
   void EndJob(Job& job, JobState end, std::string why, Now now);
   void StopRunsOf(Job& job);
   void AddDueRounds(Job& job, Now now);
+  // Adds the round of a reported run, and those before it, if they are missing.
+  void AddRoundsOfRun(Job& job, const TaskId& task, Now now);
   void DropEnded(Now now);
   void LogDecision(std::string event, LogFields fields,
                    Severity severity = Severity::kInfo);
@@ -581,8 +582,7 @@
   // durable. Returns false if it was processed before.
   bool ProcessEnd(Worker& worker, const EndedTask& end, Now now);
   void OnRunEnded(Worker& worker, const EndedTask& end, Now now);
-  // Returns when a long-running task whose run has ended may start again, and
-  // counts runs that end soon after their start.
+  // Returns when a long-running task may start again, and counts short runs.
   absl::Time RestartTime(const Worker& worker, TaskState& task,
                          const EndedTask& end, Now now);
   void OnTaskDone(Job& job, const EndedTask& end, Now now);
--- a/keelbridge/coordination/job_scheduler_placement.cc
+++ b/keelbridge/coordination/job_scheduler_placement.cc
@@ -177,6 +177,7 @@
     const Queue* queue = FindQueue(*job);
     if (queue == nullptr) continue;
     for (Round& round : job->rounds) {
+      if (!round.due) continue;
       for (size_t s = 0; s < round.steps.size(); ++s) {
         StepState& step = round.steps[s];
         const StepSpec& spec = job->spec.steps[s];
@@ -210,8 +211,7 @@
         const absl::Duration objective = timing.objective;
         const absl::Duration age =
             job->spec.rounds > 0
-                ? absl::Milliseconds(wall_ms - job->spec.first_round_ms -
-                                     round.number * job->spec.round_interval_ms)
+                ? absl::Milliseconds(wall_ms - job->DueTime(round.number))
                 : now.mono - job->accepted_at;
         const absl::Duration left = objective - age - timing.work_from[s];
         ready.down = IsDown(ready, now);
--- a/keelbridge/coordination/job_scheduler_rounds_test.cc
+++ b/keelbridge/coordination/job_scheduler_rounds_test.cc
@@ -43,5 +43,71 @@
   CHECK(site.scheduler().Status(kJob) == JobState::kCompleted);
 }
 
+// Guards against: an end that an earlier leader handed over was dropped and
+// acknowledged, because the new leader had not added the job's times yet, and
+// the task ran again after it was done (TWICE).
+TEST_CASE(
+    "job scheduler: a handed-over end counts for a scheduled job of which "
+    "nothing is recorded yet") {
+  SchedulerDriver first(1);
+  StartJob(first, ScheduledJob(OneTask(), 1, 0));
+  REQUIRE(first.starts.size() == 1);
+  WorkerRecord leaving = SchedulerDriver::RecordOf("a", 8000);
+  leaving.draining = true;
+  first.scheduler().OnWorkerRecord(leaving, first.now());
+  first.hold_batches = true;
+  first.End("a", {1, kTask, first.starts[0].run, RunEnd::kDone, ""});
+  first.RunUntil(absl::Seconds(1));
+
+  SchedulerDriver second(2);
+  second.TakeOver(first);
+  second.scheduler().OnHandover(first.scheduler().Handover(first.now().mono),
+                                second.now());
+  second.reports["b"];
+  second.AddWorker("b");
+  second.RunUntil(absl::Seconds(20));
+  CHECK(second.starts.empty());
+  CHECK(second.scheduler().Status(kJob) == JobState::kCompleted);
+}
+
+// Guards against: a run of a time that is not due yet by the clock of the new
+// leader was stopped as unwanted.
+TEST_CASE(
+    "job scheduler: a run of a time that is due only by an earlier leader's "
+    "clock goes on, and nothing else of that time starts before it is due") {
+  StepSpec step = OneTask(8000);
+  step.count = 2;  // One of them fits.
+  SchedulerDriver first(1);
+  StartJob(first, ScheduledJob(step, 1, 0));
+  REQUIRE(first.starts.size() == 1);
+
+  SchedulerDriver second(2);
+  second.wall_clock_offset = -absl::Seconds(4);
+  second.TakeOver(first);
+  second.reports = first.reports;
+  second.reports["b"];
+  for (const char* worker : {"a", "b"}) second.AddWorker(worker);
+  second.RunUntil(absl::Seconds(3));
+  CHECK(second.stops.empty());
+  CHECK(second.starts.empty());
+  CHECK(second.scheduler().figures().running_tasks == 1);
+  second.RunUntil(absl::Seconds(5));
+  REQUIRE(second.starts.size() == 1);
+  CHECK(second.starts[0].task != first.starts[0].task);
+}
+
+// Guards against: a report names a time far ahead, for which all times before
+// it would be added.
+TEST_CASE(
+    "job scheduler: a run of a time that cannot be due yet is not wanted") {
+  SchedulerDriver site(1);
+  StartJob(site, ScheduledJob(OneTask(), 1 << 30, 60'000));
+  const TaskId far{kJob, 1 << 29, 0, 0};
+  site.reports["a"].running.push_back({far, 1, "", 0});
+  site.RunUntil(absl::Seconds(3));
+  REQUIRE(site.stops.size() >= 1);
+  CHECK(site.stops[0].task == far);
+}
+
 }  // namespace
 }  // namespace keelbridge::testing
--- a/keelbridge/coordination/job_scheduler_runs.cc
+++ b/keelbridge/coordination/job_scheduler_runs.cc
@@ -148,6 +148,7 @@
   const RunKey key{end.task, end.run};
   const auto found = jobs_.find(end.task.job);
   Job* job = found != jobs_.end() ? found->second.get() : nullptr;
+  if (job != nullptr) AddRoundsOfRun(*job, end.task, now);
   TaskState* task = job != nullptr ? job->FindTask(end.task) : nullptr;
   LogDecision("run_ended", {{"task", TaskIdText(end.task)},
                             {"run", absl::StrCat(end.run)},
@@ -222,6 +223,7 @@
   const RunKey key{running.task, running.run};
   const auto found = jobs_.find(running.task.job);
   Job* job = found != jobs_.end() ? found->second.get() : nullptr;
+  if (job != nullptr) AddRoundsOfRun(*job, running.task, now);
   TaskState* task = job != nullptr ? job->FindTask(running.task) : nullptr;
   const auto allocation = worker.allocations.find(key);
   if (allocation != worker.allocations.end()) {
--- a/keelbridge/state/job_table.cc
+++ b/keelbridge/state/job_table.cc
@@ -209,6 +209,14 @@
   return nullptr;
 }
 
+int32_t Job::NextRound() const {
+  return rounds.empty() ? rounds_done : rounds.back().number + 1;
+}
+
+int64_t Job::DueTime(int32_t round) const {
+  return spec.first_round_ms + round * spec.round_interval_ms;
+}
+
 StepState* Job::FindStep(const TaskId& id) {
   Round* round = FindRound(id.round);
   if (round == nullptr || id.step < 0 ||
--- a/keelbridge/state/job_table.h
+++ b/keelbridge/state/job_table.h
@@ -175,6 +175,9 @@
 
 struct Round {
   int32_t number = 0;
+  // False if it is not due yet by the clock of this leader, but a run of it was
+  // reported, which an earlier leader has started.
+  bool due = true;
   std::vector<StepState> steps;
 };
 
@@ -221,6 +224,10 @@
   // Adds round `number`, with all its tasks waiting.
   Round& AddRound(int32_t number);
   Round* FindRound(int32_t number);
+  // The number of the round after the last one in `rounds`.
+  int32_t NextRound() const;
+  // When the round is due, in milliseconds of the wall clock.
+  int64_t DueTime(int32_t round) const;
   StepState* FindStep(const TaskId& id);
   TaskState* FindTask(const TaskId& id);
   // Whether all tasks of the steps that `step` depends on are done.
