--- a/keelbridge/daemon/leader_session.h
+++ b/keelbridge/daemon/leader_session.h
@@ -193,12 +193,14 @@
   // other are merged.
   void ScheduleCycle();
   void ExecuteActions(const std::vector<Action>& actions);
+  void RunAfterUnlessEnded(absl::Duration delay, std::function<void()> step);
+  void PublishMetrics();
+
+  // leader_session_calls.cc
   // Calls `reply` with `answer` once `batch` is durable; immediately if `batch`
   // is 0.
   void ReplyWhenDurable(int64_t batch, ClientReply answer,
                         std::function<void(ClientReply)> reply);
-  void RunAfterUnlessEnded(absl::Duration delay, std::function<void()> step);
-  void PublishMetrics();
   // Drops queued calls whose deadline is not after `deadline`.
   void DropQueuedCalls(absl::Time deadline);
   void DropExpiredCalls();
