--- a/keelbridge/coordination/job_scheduler.h
+++ b/keelbridge/coordination/job_scheduler.h
@@ -290,9 +290,6 @@
   // Counts a run that the worker has, or may have, by what its step occupies.
   Allocation& Allocate(Worker& worker, const TaskId& task, int32_t run,
                        Now now);
-  // Returns what a run of the task occupies on a worker, or nullopt if that is
-  // unknown, because the description of its job is gone.
-  std::optional<Resources> CapacityOf(const TaskId& task) const;
   void Release(Worker& worker, const RunKey& key);
   // Returns the task of a run that ended without success to the waiting tasks.
   void Requeue(const TaskId& task, int32_t run, const std::string& worker,
--- a/keelbridge/coordination/job_scheduler_runs.cc
+++ b/keelbridge/coordination/job_scheduler_runs.cc
@@ -159,20 +159,19 @@
   if (task != nullptr && end.run > task->run) task->run = end.run;
   if (task != nullptr) ClearUnansweredStart(*job, *task, end.run);
   if (job != nullptr) job->begun = true;
-  const bool long_running = task != nullptr && job->IsLongRunning(end.task);
-  const absl::Time restart_at =
-      long_running ? RestartTime(worker, *task, end, now) : now.mono;
+  const bool open =
+      task != nullptr && task->phase != TaskPhase::kDone && !job->Ended();
+  // A long-running task is done only with its job.
+  const bool long_running = job != nullptr && job->IsLongRunning(end.task);
   if (end.end == RunEnd::kDone) {
     ++figures_.ends_done;
+    worker.failures_in_row = 0;
     const auto run = worker.allocations.find(key);
     if (run != worker.allocations.end() && !run->second.adopted &&
         !long_running)
       work_admission_.rate().OnRunDone(run->second.counted,
                                        now.mono - run->second.placed);
-    worker.failures_in_row = 0;
-    // A long-running task is done only with its job.
-    if (task != nullptr && task->phase != TaskPhase::kDone && !job->Ended() &&
-        !long_running) {
+    if (open && !long_running) {
       if (current && task->observed)
         job->FindStep(end.task)->observed_before_end = true;
       LearnDuration(worker, *job, end, now);
@@ -180,8 +179,7 @@
     }
   } else if (end.end == RunEnd::kFailed) {
     ++figures_.ends_failed;
-    if (task != nullptr && task->phase != TaskPhase::kDone && !job->Ended())
-      OnTaskFailed(worker, *job, end, now);
+    if (open) OnTaskFailed(worker, *job, end, now);
   } else {
     ++figures_.ends_other;
     if (end.end == RunEnd::kStopped) ++figures_.runs_stopped;
@@ -191,7 +189,11 @@
   if (task != nullptr && !end.checkpoint.empty() &&
       task->phase != TaskPhase::kDone)
     task->checkpoint = end.checkpoint;
-  if (current) Requeue(end.task, end.run, worker.record.id, restart_at);
+  if (current && task != nullptr) {
+    const absl::Time restart_at =
+        long_running ? RestartTime(worker, *task, end, now) : now.mono;
+    Requeue(end.task, end.run, worker.record.id, restart_at);
+  }
   Release(worker, key);
 }
 
--- a/keelbridge/coordination/job_scheduler_workers.cc
+++ b/keelbridge/coordination/job_scheduler_workers.cc
@@ -46,6 +46,17 @@
 // a last word. Longer than two observations, so that one may get lost.
 constexpr absl::Duration kLeavingLease = absl::Seconds(3);
 
+// Returns what a run of the task occupies on a worker, or nullopt if that is
+// unknown, because the description of its job is gone.
+std::optional<Resources> CapacityOf(const JobTable& jobs, const TaskId& task) {
+  const auto job = jobs.find(task.job);
+  if (job == jobs.end()) return std::nullopt;
+  const std::vector<StepSpec>& steps = job->second->spec.steps;
+  const auto step = static_cast<size_t>(task.step);
+  if (step >= steps.size()) return std::nullopt;
+  return CapacityNeeded(steps[step]);
+}
+
 }  // namespace
 
 void JobScheduler::OnWorkerRecord(const WorkerRecord& record, Now now) {
@@ -152,21 +163,12 @@
   return until;
 }
 
-std::optional<Resources> JobScheduler::CapacityOf(const TaskId& task) const {
-  const auto job = jobs_.find(task.job);
-  if (job == jobs_.end()) return std::nullopt;
-  const std::vector<StepSpec>& steps = job->second->spec.steps;
-  const auto step = static_cast<size_t>(task.step);
-  if (step >= steps.size()) return std::nullopt;
-  return CapacityNeeded(steps[step]);
-}
-
 Allocation& JobScheduler::Allocate(Worker& worker, const TaskId& task,
                                    int32_t run, Now now) {
   const auto [it, inserted] = worker.allocations.try_emplace({task, run});
   Allocation& allocation = it->second;
   if (!inserted) return allocation;
-  const std::optional<Resources> capacity = CapacityOf(task);
+  const std::optional<Resources> capacity = CapacityOf(jobs_, task);
   allocation.need = capacity.value_or(Resources());
   allocation.unknown_size = !capacity.has_value();
   if (allocation.unknown_size) ++worker.runs_of_unknown_size;
