Job scheduler: a run of a long-running task is short below 1 s, not 10 s

Callers would have seen: a task whose runs fail after some seconds, several times in a row, was away for up to 2.1 s, though its worker was reachable.

--- a/keelbridge/coordination/job_scheduler_runs.cc
+++ b/keelbridge/coordination/job_scheduler_runs.cc
@@ -15,7 +15,7 @@
 constexpr int kMaxConsecutiveFailures = 2;
 constexpr absl::Duration kSuspectDuration = absl::Seconds(5);
 // A long-running task that has run for less than this may end at once again.
-constexpr absl::Duration kShortRun = absl::Seconds(10);
+constexpr absl::Duration kShortRun = absl::Seconds(1);
 // Its first restart is immediate. The next ones wait, each twice as long, so
 // that it costs its workers and this leader little. By the users' rule a task
 // may be away for 6 s.
