Give up a job that lasts again, unless others of its tasks are at work

"A job that lasts is never failed for crashes of its workers" went too far.

Cause: it let no verdict end such a job.

--- a/keelbridge/coordination/job_scheduler.h
+++ b/keelbridge/coordination/job_scheduler.h
@@ -428,6 +428,8 @@
   // given up.
   void AddTaskCrash(Job& job, const TaskId& id, CrashedRun crash,
                     const std::string& worker, Now now);
+  // Whether other tasks of the task's long-running step are at work.
+  bool HasSoundSibling(Job& job, const TaskId& id, Now now);
   // Attributes the crash of a worker to runs that are known only from the
   // durable record of an earlier leader.
   void AttributeUnobservedCrash(const Worker& worker, Now now);
--- a/keelbridge/coordination/job_scheduler_losses.cc
+++ b/keelbridge/coordination/job_scheduler_losses.cc
@@ -56,10 +56,10 @@
 // crashed their worker, are recorded. A few of them suffice to end the job, and
 // the job's record stays small.
 constexpr int kMaxCrashRecordsPerStep = 64;
-// A long-running task is never given up: it has no limit of attempts. While the
-// evidence says that it crashes its workers, each further start of its step
-// comes this long after the last crash became known. By the users' rule a task
-// may be away for 6 s, and has then 3 s to start.
+// A job that lasts is not ended while others of its tasks are at work: a task
+// that would be given up then starts again this long after its last crash
+// became known. By the users' rule a task may be away for 6 s, and has then 3 s
+// to start.
 constexpr absl::Duration kCrashingStepPause = absl::Seconds(3);
 // Maximum number of crashes that are kept of a long-running task.
 constexpr size_t kMaxCrashesOfLongRunningTask = 8;
@@ -406,18 +406,18 @@
       history.crashes.size() > kMaxCrashesOfLongRunningTask)
     history.crashes.erase(history.crashes.begin());
   const bool crashes_workers = ShouldGiveUp(history.crashes);
-  const bool given_up = crashes_workers && !spec.long_running;
-  if (crashes_workers && spec.long_running)
-    step.paused_until = now.mono + kCrashingStepPause;
+  const bool spared = crashes_workers && HasSoundSibling(job, id, now);
+  const bool given_up = crashes_workers && !spared;
+  if (spared) step.paused_until = now.mono + kCrashingStepPause;
   LogDecision("crash_held_against_task",
               {{"task", TaskIdText(id)},
                {"run", absl::StrCat(crash.run)},
                {"worker", worker},
                {"ran_ms", absl::StrCat(crash.ran_ms)},
                {"evidence", DescribeCrashes(history.crashes)},
-               {"verdict", given_up          ? "given up"
-                           : crashes_workers ? "to be tried again after a pause"
-                                             : "to be tried again"}},
+               {"verdict", given_up ? "given up"
+                           : spared ? "to be tried again after a pause"
+                                    : "to be tried again"}},
               Severity::kWarning);
   if (!given_up) return;
   EndJob(job, JobState::kFailed,
@@ -427,6 +427,19 @@
          now);
 }
 
+bool JobScheduler::HasSoundSibling(Job& job, const TaskId& id, Now now) {
+  const StepSpec& spec = job.spec.steps[static_cast<size_t>(id.step)];
+  // The members of a gang run together, and end with each other.
+  if (!spec.long_running || spec.gang) return false;
+  TaskId sibling = id;
+  for (sibling.index = 0; sibling.index < spec.count; ++sibling.index) {
+    if (sibling.index != id.index &&
+        HasRunFor(*job.FindTask(sibling), sibling, kSuspectCrashWindow, now))
+      return true;
+  }
+  return false;
+}
+
 // A leader that is replaced before another incarnation answers cannot attribute
 // the crash. Its successor does so from the durable record.
 void JobScheduler::AttributeUnobservedCrash(const Worker& worker, Now now) {
--- a/keelbridge/state/job_table.h
+++ b/keelbridge/state/job_table.h
@@ -160,7 +160,7 @@
   // At least one task of the step has recorded crashes.
   bool crashed = false;
   // Nothing of the step starts before this time. Set for a long-running step
-  // with a task that seems to crash its workers.
+  // with a task that seems to crash its workers while others are at work.
   absl::Time paused_until = absl::InfinitePast();
   // Index of the task that was started to find out whether the step's tasks
   // crash workers; -1 if there is none.
