--- a/review/11/case.py
+++ b/review/11/case.py
@@ -7,8 +7,8 @@
 
 
 async def case(site, trouble):
-    # Fourteen runners, so that two of them are a share of 0.143.
-    runners = [Runner(site, "127.0.0.%d" % (100 + n), "m%d" % n) for n in range(14)]
+    # Fifteen runners, so that two of them are a share of 0.133.
+    runners = [Runner(site, "127.0.0.%d" % (100 + n), "m%d" % n) for n in range(15)]
     await site.start_platform(runners)
     for number in (1, 2, 3):
         site.start_node(number)
