--- a/review/common3/standin.py
+++ b/review/common3/standin.py
@@ -251,9 +251,31 @@
         return int((now() - self.born) * 1000)
 
     def entry(self):
-        return {"service": self.service, "address": self.server.address, "zone": "zone-1", "version": "1",
-                "slots": 8, "state": self.state, "coldRemainingMs": 0, "callSequence": self.sequence,
-                "capacity": self.capacity, "labels": self.labels, "machine": self.machine}
+        entry = {"service": self.service, "address": self.server.address, "zone": "zone-1", "version": "1",
+                 "slots": 8, "state": self.state, "coldRemainingMs": 0, "callSequence": self.sequence,
+                 "capacity": self.capacity, "labels": self.labels, "machine": self.machine}
+        if self.state == "draining":
+            entry["remainingMs"] = max(0, int((self.leaves_at - now()) * 1000))
+        return entry
+
+    def write_entry(self):
+        self.site.store.put_key("keyed.servers", self.id, self.entry())
+
+    async def drain(self, serves_s):
+        """Says that it drains, serves on for `serves_s`, and ends."""
+        self.state, self.leaves_at = "draining", now() + serves_s
+        self.site.record("runner_drains", runner=self.id, serves_s=serves_s)
+        self.write_entry()
+        await asyncio.sleep(serves_s)
+        self.site.record("runner_left", runner=self.id)
+        self.up = False
+        for task in self.tasks:
+            task.cancel()
+        for task, info in list(self.running.items()):
+            self.site.run_over(self, task, info, "left")
+        self.running = {}
+        await self.server.stop()
+        self.site.store.put_key("keyed.servers", self.id, None)
 
     async def beat(self):
         while True:
