--- a/review/11/case.py
+++ b/review/11/case.py
@@ -3,7 +3,8 @@
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "../common3"))
 from standin import Runner, Server, now, run_case
 
-JOB = "000000000009a001"
+JOBS = ["000000000009a001", "000000000009a002", "000000000009a003"]
+GANG_MS = {JOBS[0]: 2800, JOBS[1]: 3200, JOBS[2]: 3600}
 CUT_S = 5.5  # for_s of zone_cut in the site file
 
 
@@ -91,8 +92,9 @@
     async def clock(self):
         while True:
             for task, info in self.running.items():
-                if task.split(".")[2] == "0" and info["over_at"] == float("inf") and len(self.site.gang) == 6:
-                    info["over_at"] = max(self.site.gang) + 4.0
+                job, _, step, _ = task.split(".")
+                if step == "0" and info["over_at"] == float("inf") and len(self.site.gang[job]) == 6:
+                    info["over_at"] = max(self.site.gang[job]) + GANG_MS[job] / 1000
             await asyncio.sleep(0)
             for task, info in list(self.running.items()):
                 if info["stop_at"] is not None and now() >= info["stop_at"]:
@@ -106,14 +108,14 @@
 
 async def case(site, trouble):
     zones = Zones(site)
-    site.gang = []
+    site.gang = {job: [] for job in JOBS}  # when the members began
     runners = []
     await site.store.server.start("127.0.0.1")
     site.configure()
     for n in range(6):
         runner = GangRunner(site, "127.0.0.%d" % (100 + n), "m%d" % n)
         runner.zones, runner.zone = zones, "zone-%d" % (1 + n // 2)
-        runner.start_hook = lambda task, run: site.gang.append(now()) if task.split(".")[2] == "0" else None
+        runner.start_hook = lambda task, run: site.gang[task[:16]].append(now()) if task.split(".")[2] == "0" else None
         runner.way = Way(zones, runner.zone, lambda runner=runner: runner.server.address)
         await runner.way.start(runner.host)
         await runner.start()
@@ -136,12 +138,13 @@
         raise SystemExit(2)
     plan = json.dumps({"0": {}, "1": {"ms": 3000}})
     body = {"taskSpec": plan, "steps": [
-        {"count": 6, "cpu": 2000, "memoryRequestMb": 512, "estimatedMs": 4000, "gang": True, "antiAffinity": 1},
+        {"count": 6, "cpu": 2000, "memoryRequestMb": 512, "estimatedMs": 3000, "gang": True, "antiAffinity": 1},
         {"count": 1, "cpu": 1000, "memoryRequestMb": 512, "estimatedMs": 3000, "dependsOn": [0]}]}
-    status, _ = await site.call(leader, "POST", "/work/" + JOB, body)
-    if status != 200:
-        raise SystemExit(2)
-    while len(site.gang) < 6:
+    for job in JOBS:
+        status, _ = await site.call(leader, "POST", "/work/" + job, body)
+        if status != 200:
+            raise SystemExit(2)
+    while any(len(members) < 6 for members in site.gang.values()):
         await asyncio.sleep(0.02)
         if now() > 40:
             raise SystemExit(2)
@@ -153,14 +156,15 @@
         zones.cut_zone = None
         site.record("zone_back")
     await asyncio.sleep(12)
-    runs = [run for run in site.runs if run["task"] == JOB + ".0.1.0"]
+    runs = [run for run in site.runs if run["task"].split(".")[2] == "1"]
     broken = []
     for a in runs:
         for b in runs:
-            if a is not b and a["begin"] <= b["begin"] < (a["end"] or now()):
+            if a is not b and a["task"] == b["task"] and a["begin"] <= b["begin"] < (a["end"] or now()):
                 broken.append("TWICE: %s run %d on %s (%.2f to %.2f s) beside run %d on %s (from %.2f s)" % (
                     a["task"], a["run"], a["runner"], a["begin"], a["end"] or now(), b["run"], b["runner"], b["begin"]))
-    await site.call(1, "GET", "/work/" + JOB)
+    for job in JOBS:
+        await site.call(1, "GET", "/work/" + job)
     return broken
 
 
