--- a/review/11/case.py
+++ b/review/11/case.py
@@ -3,8 +3,8 @@
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "../common3"))
 from standin import Runner, Server, now, run_case
 
-JOBS = ["000000000009a001", "000000000009a002", "000000000009a003"]
-GANG_MS = {JOBS[0]: 2800, JOBS[1]: 3200, JOBS[2]: 3600}
+JOBS = ["000000000009a00%d" % n for n in range(7)]
+GANG_MS = {job: 2400 + 300 * n for n, job in enumerate(JOBS)}  # they end 1.4 to 3.2 s after the cut
 CUT_S = 5.5  # for_s of zone_cut in the site file
 
 
@@ -138,10 +138,10 @@
         raise SystemExit(2)
     plan = json.dumps({"0": {}, "1": {"ms": 3000}})
     body = {"taskSpec": plan, "steps": [
-        {"count": 6, "cpu": 2000, "memoryRequestMb": 512, "estimatedMs": 3000, "gang": True, "antiAffinity": 1},
-        {"count": 1, "cpu": 1000, "memoryRequestMb": 512, "estimatedMs": 3000, "dependsOn": [0]}]}
+        {"count": 6, "cpu": 1000, "memoryRequestMb": 512, "estimatedMs": 3000, "gang": True, "antiAffinity": 1},
+        {"count": 1, "cpu": 100, "memoryRequestMb": 512, "estimatedMs": 3000, "dependsOn": [0]}]}
     for job in JOBS:
-        status, _ = await site.call(leader, "POST", "/work/" + job, body)
+        status, _ = await site.call(leader, "POST", "/jobs/" + job, body)
         if status != 200:
             raise SystemExit(2)
     while any(len(members) < 6 for members in site.gang.values()):
@@ -164,7 +164,7 @@
                 broken.append("TWICE: %s run %d on %s (%.2f to %.2f s) beside run %d on %s (from %.2f s)" % (
                     a["task"], a["run"], a["runner"], a["begin"], a["end"] or now(), b["run"], b["runner"], b["begin"]))
     for job in JOBS:
-        await site.call(1, "GET", "/work/" + job)
+        await site.call(1, "GET", "/jobs/" + job)
     return broken
 
 
--- a/review/12/case.py
+++ b/review/12/case.py
@@ -33,7 +33,7 @@
                 await asyncio.sleep(1)
     await asyncio.sleep(3)
     # The lasting job is cancelled. Nothing runs any more.
-    status, _ = await site.call(2, "DELETE", "/work/" + LASTS)
+    status, _ = await site.call(2, "DELETE", "/jobs/" + LASTS)
     if status != 200:
         raise SystemExit(2)
     await asyncio.sleep(3)
@@ -49,7 +49,7 @@
     broken = []
     for job in (SMALL, BATCH):
         starts = [run["begin"] for run in site.runs if run["task"].startswith(job)]
-        await site.call(1, "GET", "/work/" + job)
+        await site.call(1, "GET", "/jobs/" + job)
         if not starts or min(starts) - handed_in > 3:
             broken.append("LOST: accepted job %s has had nothing running for %.0f s; %d runners of 8 cores are up and run "
                           "%d tasks" % (job, now() - handed_in, len(alive), running))
--- a/review/common3/standin.py
+++ b/review/common3/standin.py
@@ -392,7 +392,7 @@
         self.runners, self.nodes = [], {}
         self.runs = []  # [task, run, runner id, begin, end or None, how]
         self.version = 0
-        self.routes = [{"name": "q0", "host": "desk.example", "pathPrefix": "/work/", "service": "desk",
+        self.routes = [{"name": "q0", "host": "desk.example", "pathPrefix": "/jobs/", "service": "desk",
                         "priority": 0, "maxAttempts": 3, "stretch": 2.0, "targetLatencyMs": 1000}]
         self.services = [{"name": "desk", "admissionCheck": False}]
 
@@ -502,7 +502,7 @@
     async def submit(self, job, body, nodes=(1, 2, 3), tries=20):
         """Hands a job in until it is taken or refused for good. Returns whether it was taken."""
         for attempt in range(tries):
-            status, _ = await self.call(nodes[attempt % len(nodes)], "POST", "/work/" + job, body)
+            status, _ = await self.call(nodes[attempt % len(nodes)], "POST", "/jobs/" + job, body)
             if status == 200:
                 return True
             await asyncio.sleep(0.5)
