The step after a gang starts on one side of a cut only

Cause: a new leader took one observed end of a step as proof that no earlier leader can have learned that the step is done (observed_before_end). The end of any member makes a gang done, and the earlier leader hears it from a member on its side. The same proof fails for an end that was handed over, for copies, and where a record names a task of the next step on a leaving worker.

Why it works: EarlierKnowledge is told of each end that makes tasks done and alone decides whether an earlier leader may take the step for done: not if it lacks an end that the step needs. For a gang it lacks it only if all members were observed in that run. A record that names a task binds in any case.

--- a/keelbridge/coordination/job_scheduler.h
+++ b/keelbridge/coordination/job_scheduler.h
@@ -560,8 +560,9 @@
   bool PlacementsMayBeMissing(Now now) const;
   // The tasks that workers which are not accounted for may run.
   struct Unobserved {
+    // One of them has no record of the tasks that it may run.
     bool any_task = false;
-    std::set<TaskId> tasks;  // Empty if `any_task` is set.
+    std::set<TaskId> tasks;  // Those that the records of the others name.
 
     bool Any() const { return any_task || !tasks.empty(); }
   };
@@ -579,12 +580,14 @@
   // job_scheduler_runs.cc
   // Processes an end of a run on the worker and remembers it until it is
   // durable. Returns false if it was processed before.
-  bool ProcessEnd(Worker& worker, const EndedTask& end, Now now);
-  void OnRunEnded(Worker& worker, const EndedTask& end, Now now);
+  bool ProcessEnd(Worker& worker, const EndedTask& end, EndSource source,
+                  Now now);
+  void OnRunEnded(Worker& worker, const EndedTask& end, EndSource source,
+                  Now now);
   // Returns when a long-running task may start again, and counts short runs.
   absl::Time RestartTime(const Worker& worker, TaskState& task,
                          const EndedTask& end, Now now);
-  void OnTaskDone(Job& job, const EndedTask& end, Now now);
+  void OnTaskDone(Job& job, const LearnedEnd& learned, Now now);
   void OnTaskFailed(Worker& worker, Job& job, const EndedTask& end, Now now);
   // Ends jobs with a task that has used all its attempts. The configuration
   // that is in force now decides, because a failure may have been reported
--- a/keelbridge/coordination/job_scheduler_handover.cc
+++ b/keelbridge/coordination/job_scheduler_handover.cc
@@ -119,7 +119,7 @@
                                       int64_t epoch, Now now) {
   // A leader in between may have saved a later checkpoint of the task.
   if (epoch != epoch_ - 1) end.checkpoint.clear();
-  if (!ProcessEnd(worker, end, now)) return false;
+  if (!ProcessEnd(worker, end, EndSource::kEarlierLeader, now)) return false;
   const auto job = jobs_.find(end.task.job);
   if (job == jobs_.end()) return true;
   const TaskState* task = job->second->FindTask(end.task);
--- a/keelbridge/coordination/job_scheduler_placement.cc
+++ b/keelbridge/coordination/job_scheduler_placement.cc
@@ -132,12 +132,13 @@
   return score;
 }
 
-// Returns whether the step depends on a step that this leader observed before
-// its end, so that no earlier leader can have started the dependent step.
-bool DependsOnObservedStep(const Job& job, const Round& round, size_t step) {
+// Returns whether an earlier leader may have started tasks of the step. It has
+// not if it cannot have taken all steps before it for done.
+bool MayHaveBegunEarlier(const Job& job, const Round& round, size_t step) {
   const std::vector<int32_t>& after = job.spec.steps[step].after;
-  return std::any_of(after.begin(), after.end(), [&](int32_t before) {
-    return round.steps[static_cast<size_t>(before)].observed_before_end;
+  return std::all_of(after.begin(), after.end(), [&](int32_t before) {
+    return round.steps[static_cast<size_t>(before)]
+        .earlier_knowledge.MayTakeStepForDone();
   });
 }
 
@@ -191,8 +192,9 @@
         ready.queue = queue;
         ready.account = accounts_.usage.IdOf(job->account);
         ready.number = static_cast<int32_t>(s);
-        ready.may_run_unobserved = job->recovered && unobserved_.Any() &&
-                                   !DependsOnObservedStep(*job, round, s);
+        ready.may_run_unobserved = job->recovered && unobserved_.Any();
+        ready.may_have_begun_earlier =
+            ready.may_run_unobserved && MayHaveBegunEarlier(*job, round, s);
         ready.placements_incomplete = placements_incomplete;
         for (const TaskState& task : step.tasks)
           ready.waiting += MayStart(ready, task, now) ? 1 : 0;
--- a/keelbridge/coordination/job_scheduler_recovery.cc
+++ b/keelbridge/coordination/job_scheduler_recovery.cc
@@ -93,7 +93,7 @@
   for (const auto& [id, worker] : workers_) {
     if (IsAccountedFor(*worker, now)) continue;
     const std::vector<TaskId>& tasks = worker->last_tasks_of_earlier;
-    if (tasks.empty()) return {true, {}};
+    unobserved.any_task = unobserved.any_task || tasks.empty();
     unobserved.tasks.insert(tasks.begin(), tasks.end());
   }
   return unobserved;
@@ -103,13 +103,16 @@
 // placed on. Without recorded placements, a single unresponsive worker delayed
 // all long-running tasks: one of them was down for 15 s although its own worker
 // had reported its failure at once.
+//
+// A record that names the task shows that an earlier leader started it. Without
+// one it may have done so only if it may have taken the steps before for done.
 bool JobScheduler::WaitsForEarlierLease(const ReadyStep& ready,
                                         const TaskState& task, Now now) const {
   if (!ready.may_run_unobserved) return false;
   if (task.observed) return MayHaveUsedUpAttempts(ready, task);
   if (ready.placements_incomplete ||
       !ready.job->HasPersistedPlacements(static_cast<size_t>(ready.number))) {
-    if (unobserved_.any_task) return true;
+    if (unobserved_.any_task && ready.may_have_begun_earlier) return true;
     return unobserved_.tasks.count(ready.IdOf(task)) > 0;
   }
   if (task.placed_on.empty()) return false;
--- a/keelbridge/coordination/job_scheduler_runs.cc
+++ b/keelbridge/coordination/job_scheduler_runs.cc
@@ -24,7 +24,8 @@
 
 }  // namespace
 
-void JobScheduler::OnTaskDone(Job& job, const EndedTask& end, Now now) {
+void JobScheduler::OnTaskDone(Job& job, const LearnedEnd& learned, Now now) {
+  const EndedTask& end = learned.end;
   StepState* step = job.FindStep(end.task);
   TaskState* task = job.FindTask(end.task);
   if (step == nullptr || task == nullptr) return;
@@ -47,6 +48,7 @@
     one.checkpoint.clear();
     ++step->done;
   };
+  step->earlier_knowledge.OnEnd(spec, step->tasks, learned);
   if (spec.gang) {
     for (int32_t i = 0; i < spec.count; ++i) finish(i);
   } else {
@@ -55,6 +57,13 @@
   MarkDirty(job);
   placement_wanted_ = true;
   job.deferred_steps = 0;  // The next step may be in time.
+  if (step->done == spec.count && job.recovered && unobserved_.any_task &&
+      step->earlier_knowledge.MayTakeStepForDone())
+    LogDecision("next_step_may_have_begun",
+                {{"job", JobIdText(job.id)},
+                 {"step_done", absl::StrCat(end.task.step)},
+                 {"last_end", TaskIdText(end.task)},
+                 {"worker", learned.worker}});
   Round* round = job.FindRound(end.task.round);
   if (round == nullptr || !job.RoundDone(*round)) return;
   if (job.spec.rounds == 0) {
@@ -133,9 +142,10 @@
   }
 }
 
-bool JobScheduler::ProcessEnd(Worker& worker, const EndedTask& end, Now now) {
+bool JobScheduler::ProcessEnd(Worker& worker, const EndedTask& end,
+                              EndSource source, Now now) {
   if (end.number <= worker.ends_processed) return false;
-  OnRunEnded(worker, end, now);
+  OnRunEnded(worker, end, source, now);
   worker.ends_processed = end.number;
   if (worker.unacknowledged_ends.empty())
     workers_with_unacknowledged_ends_.push_back(&worker);
@@ -144,7 +154,8 @@
   return true;
 }
 
-void JobScheduler::OnRunEnded(Worker& worker, const EndedTask& end, Now now) {
+void JobScheduler::OnRunEnded(Worker& worker, const EndedTask& end,
+                              EndSource source, Now now) {
   const RunKey key{end.task, end.run};
   const auto found = jobs_.find(end.task.job);
   Job* job = found != jobs_.end() ? found->second.get() : nullptr;
@@ -172,10 +183,8 @@
       work_admission_.rate().OnRunDone(run->second.counted,
                                        now.mono - run->second.placed);
     if (open && !long_running) {
-      if (current && task->observed)
-        job->FindStep(end.task)->observed_before_end = true;
       LearnDuration(worker, *job, end, now);
-      OnTaskDone(*job, end, now);
+      OnTaskDone(*job, {end, worker.record.id, source}, now);
     }
   } else if (end.end == RunEnd::kFailed) {
     ++figures_.ends_failed;
--- a/keelbridge/coordination/job_scheduler_workers.cc
+++ b/keelbridge/coordination/job_scheduler_workers.cc
@@ -428,7 +428,8 @@
   }
   worker.report_clock_ms = reply.order.clock_ms;
   worker.report_requested_at = std::max(worker.report_requested_at, sent);
-  for (const EndedTask& end : reply.ended) ProcessEnd(worker, end, now);
+  for (const EndedTask& end : reply.ended)
+    ProcessEnd(worker, end, EndSource::kWorker, now);
   for (const RunningTask& running : reply.running)
     OnRunReported(worker, running, now);
   GiveUpMissingRuns(worker, reply, sent, now);
--- a/keelbridge/coordination/ready_step.h
+++ b/keelbridge/coordination/ready_step.h
@@ -30,6 +30,8 @@
   // Tasks of the step that this leader has not observed may still run under
   // the lease of an earlier leader.
   bool may_run_unobserved;
+  // An earlier leader may have started tasks of the step without a record.
+  bool may_have_begun_earlier;
   // The recorded placements may be incomplete, so that an unobserved task may
   // run on any worker.
   bool placements_incomplete;
--- a/keelbridge/state/job_table.h
+++ b/keelbridge/state/job_table.h
@@ -35,6 +35,7 @@
 #include "absl/time/time.h"
 #include "keelbridge/protocol/job.h"
 #include "keelbridge/protocol/record_store.h"
+#include "keelbridge/state/earlier_knowledge.h"
 #include "keelbridge/state/leader_time.h"
 
 namespace keelbridge {
@@ -151,9 +152,7 @@
   std::vector<std::pair<std::string, int32_t>> reserved;
   // When the reservations are next reconsidered.
   absl::Time next_reservation_at = absl::InfinitePast();
-  // This leader observed a task of the step before the task was done. So no
-  // earlier leader can have started a step that depends on this one.
-  bool observed_before_end = false;
+  EarlierKnowledge earlier_knowledge;
   // A worker crashed soon after it was assigned a task of this step. The step's
   // tasks then start one at a time until one of them has run for a while.
   bool suspected = false;
