Room held for a task that moves is given back

Cause: what is reserved on a worker was written in two places and cleared by a list that only one of them fed. MoveTaskFromLeavingWorker was the other: each move kept room until the leader changed, and the moved task itself could not use it.

Why it works: CapacityReservations alone changes what is reserved and knows each worker with any. A move holds its room while the run stops, for 2 s at most, and no longer if the job, the run or the new worker is gone; then the task is placed before all others.

--- a/keelbridge/coordination/job_scheduler.cc
+++ b/keelbridge/coordination/job_scheduler.cc
@@ -419,7 +419,7 @@
     out.cpu_milli_used +=
         worker->record.capacity.cpu_milli - worker->free.cpu_milli;
     out.running_tasks += static_cast<int64_t>(worker->allocations.size());
-    out.cpu_milli_reserved += std::clamp(worker->reserved.cpu_milli, 0,
+    out.cpu_milli_reserved += std::clamp(worker->reserved.amount().cpu_milli, 0,
                                          std::max(0, worker->free.cpu_milli));
   }
   const WaitingWork& waiting = work_admission_.waiting();
--- a/keelbridge/coordination/job_scheduler.h
+++ b/keelbridge/coordination/job_scheduler.h
@@ -42,6 +42,7 @@
 #include "keelbridge/base/logging.h"
 #include "keelbridge/coordination/allocation.h"
 #include "keelbridge/coordination/answer_times.h"
+#include "keelbridge/coordination/capacity_reservations.h"
 #include "keelbridge/coordination/crash_history.h"
 #include "keelbridge/coordination/earlier_orders.h"
 #include "keelbridge/coordination/job_timings.h"
@@ -54,6 +55,7 @@
 #include "keelbridge/coordination/scheduler_actions.h"
 #include "keelbridge/coordination/scheduler_figures.h"
 #include "keelbridge/coordination/scheduler_policy.h"
+#include "keelbridge/coordination/task_moves.h"
 #include "keelbridge/coordination/worker_loss.h"
 #include "keelbridge/coordination/worker_quota.h"
 #include "keelbridge/coordination/zone_silence.h"
@@ -355,6 +357,9 @@
   // Stops one task on a leaving worker if another worker has capacity for it
   // now, so that the task starts there.
   void MoveTaskFromLeavingWorker(ReadyStep& ready, Now now);
+  // Sets capacity aside for a task that is being moved. Returns false if the
+  // move is over.
+  bool HoldCapacityForMove(const TaskId& id, const TaskMove& move, Now now);
 
   // job_scheduler_handover.cc
   // Returns the tasks that may run on the worker, in ascending order.
@@ -694,14 +699,13 @@
   void CountCapacity(Worker& worker);
   // Returns the capacity of each pool, by pool name.
   std::map<std::string, PoolCapacity> FindPoolCapacity() const;
-  void ClearReservedCapacity();
 
   // job_scheduler_placement.cc
   // Returns whether the task waits and no retry delay, earlier lease or
   // unanswered order forbids starting it now.
   bool MayStart(const ReadyStep& ready, const TaskState& task, Now now);
   // Returns whether tasks of a long-running step have been down for longer than
-  // is tolerated.
+  // is tolerated, or have stopped to be moved.
   bool IsDown(const ReadyStep& ready, Now now);
   // Returns the number of tasks of a long-running step that will start again
   // soon, when the lease of their unresponsive worker expires.
@@ -838,7 +842,7 @@
   void ReleaseExpectedUse(const AskAdviceAction& action);
   // Returns the free capacity of a worker that is not reserved.
   static Resources UnreservedCapacity(const Worker& worker) {
-    return worker.free - worker.reserved;
+    return worker.free - worker.reserved.amount();
   }
   // Returns the free capacity of a worker that is neither reserved nor expected
   // to be used by pending advice calls.
@@ -953,7 +957,8 @@
   bool backlogged_ = false;
   // Workers to check before the next sweep.
   std::vector<Worker*> scheduled_checks_;
-  std::vector<Worker*> workers_with_reservations_;  // See Worker::reserved.
+  CapacityReservations reservations_;
+  TaskMoves moves_;
   // The workers by availability zone and id, and the key of the one that the
   // next search begins with; see VisitWorkers().
   using SearchKey = std::pair<std::string, std::string>;
--- a/keelbridge/coordination/job_scheduler_departures.cc
+++ b/keelbridge/coordination/job_scheduler_departures.cc
@@ -29,6 +29,9 @@
 // run whose expected end is longer ago than this does not progress as expected.
 constexpr absl::Duration kMaxProgressDelay = absl::Milliseconds(1500);
 constexpr double kAllPercent = 100;
+// How long capacity is held for a task that is being moved: a stop and the call
+// that reports its end. A stop that takes longer has most likely got lost.
+constexpr absl::Duration kMaxMoveDuration = absl::Seconds(2);
 // The most tasks that the record of a leaving worker names: it must fit into
 // one record of the store.
 constexpr size_t kMaxRecordedTasks = 1000;
@@ -171,19 +174,49 @@
   const std::vector<int32_t> leaving =
       FindTasksOnLeavingWorkers(*ready.spec, *ready.state);
   if (leaving.empty()) return;
+  const TaskState& task =
+      ready.state->tasks[static_cast<size_t>(leaving.front())];
+  const TaskId id = ready.IdOf(task);
   for (Worker* to : FindUsableWorkers(ready, now)) {
     if (CountFittingTasks(*to, ready, UnreservedCapacity(*to)) < 1) continue;
-    const TaskState& task =
-        ready.state->tasks[static_cast<size_t>(leaving.front())];
-    const TaskId id = ready.IdOf(task);
+    if (ready.spec->max_per_worker > 0 &&
+        CountPlacedTasks(*to, ready) + moves_.CountMovesTo(to->record.id, id) >=
+            ready.spec->max_per_worker)
+      continue;
     LogDecision("task_moves", {{"task", TaskIdText(id)},
                                {"run", absl::StrCat(task.run)},
                                {"worker", task.worker},
+                               {"to", to->record.id},
                                {"why", "its worker leaves"}});
     RequestStop(*workers_.at(task.worker), {id, task.run});
-    to->reserved += CapacityNeeded(*ready.spec);
+    moves_.Begin(id, {task.run, to->record.id, now.mono + kMaxMoveDuration});
+    reservations_.Add(*to, CapacityNeeded(*ready.spec));
     return;
   }
 }
 
+// Otherwise other work could take the capacity during the stop, and the task
+// would be down until capacity of its size is free again. Once it has stopped,
+// the task is placed before all others, so nothing is set aside any more.
+bool JobScheduler::HoldCapacityForMove(const TaskId& id, const TaskMove& move,
+                                       Now now) {
+  const auto job = active_.find(id.job);
+  const TaskState* task =
+      job != active_.end() ? job->second->FindTask(id) : nullptr;
+  const auto to = workers_.find(move.to);
+  if (task == nullptr || task->run != move.run || to == workers_.end() ||
+      now.mono >= move.until)
+    return false;
+  if (to->second->record.draining || to->second->record_removed ||
+      !IsReachable(*to->second, now))
+    return false;
+  if (task->phase == TaskPhase::kStopping) {
+    const auto step = static_cast<size_t>(id.step);
+    reservations_.Add(*to->second,
+                      CapacityNeeded(job->second->spec.steps[step]));
+  }
+  return task->phase == TaskPhase::kStopping ||
+         task->phase == TaskPhase::kWaiting;
+}
+
 }  // namespace keelbridge
--- a/keelbridge/coordination/job_scheduler_placement.cc
+++ b/keelbridge/coordination/job_scheduler_placement.cc
@@ -111,10 +111,11 @@
 bool FitsWithoutReservations(const ReadyStep& ready,
                              const std::vector<ScheduledWorker*>& usable) {
   const Resources need = CapacityNeeded(*ready.spec);
-  return std::any_of(
-      usable.begin(), usable.end(), [&](const ScheduledWorker* worker) {
-        return worker->reserved != Resources() && need.FitsIn(worker->free);
-      });
+  return std::any_of(usable.begin(), usable.end(),
+                     [&](const ScheduledWorker* worker) {
+                       return worker->reserved.amount() != Resources() &&
+                              need.FitsIn(worker->free);
+                     });
 }
 
 // Returns a score for the task on the worker; lower is better.
@@ -239,9 +240,10 @@
   if (!ready.spec->long_running || ready.spec->gang) return false;
   const std::vector<TaskState>& tasks = ready.state->tasks;
   return std::any_of(tasks.begin(), tasks.end(), [&](const TaskState& task) {
-    return (task.run > 0 || ready.job->recovered) &&
-           MayStart(ready, task, now) &&
-           now.mono - task.retry_at > kToleratedDowntime;
+    const bool may_start =
+        (task.run > 0 || ready.job->recovered) && MayStart(ready, task, now);
+    return may_start && (now.mono - task.retry_at > kToleratedDowntime ||
+                         moves_.IsMoving(ready.IdOf(task), task.run));
   });
 }
 
@@ -418,7 +420,10 @@
   // not request advice: the answers would be stale before there is capacity for
   // them.
   std::map<std::string, PoolCapacity> pools = FindPoolCapacity();
-  ClearReservedCapacity();
+  reservations_.Clear();
+  moves_.KeepIf([&](const TaskId& task, const TaskMove& move) {
+    return HoldCapacityForMove(task, move, now);
+  });
   ReservingSteps kept;
   figures_.gangs_waiting = 0;
   figures_.steps_without_advice = 0;
--- a/keelbridge/coordination/job_scheduler_reservations.cc
+++ b/keelbridge/coordination/job_scheduler_reservations.cc
@@ -75,7 +75,7 @@
     ReservationOption option;
     option.worker = worker;
     option.fits_when_empty = CountFittingTasks(
-        *worker, ready, worker->record.capacity - worker->reserved);
+        *worker, ready, worker->record.capacity - worker->reserved.amount());
     if (option.fits_when_empty < 1) continue;
     option.candidate.free_capacity =
         UnreservedCapacity(*worker) + worker->stopping;
@@ -158,9 +158,7 @@
 void JobScheduler::ReserveOnWorker(Worker& worker, int32_t tasks,
                                    ReadyStep& ready) {
   const Resources need = CapacityNeeded(*ready.spec);
-  if (worker.reserved == Resources())
-    workers_with_reservations_.push_back(&worker);
-  for (int32_t i = 0; i < tasks; ++i) worker.reserved += need;
+  for (int32_t i = 0; i < tasks; ++i) reservations_.Add(worker, need);
   ready.state->reserved.emplace_back(worker.record.id, tasks);
 }
 
--- a/keelbridge/coordination/job_scheduler_search.cc
+++ b/keelbridge/coordination/job_scheduler_search.cc
@@ -149,9 +149,4 @@
   return pools;
 }
 
-void JobScheduler::ClearReservedCapacity() {
-  for (Worker* worker : std::exchange(workers_with_reservations_, {}))
-    worker->reserved = Resources();
-}
-
 }  // namespace keelbridge
--- a/keelbridge/coordination/job_scheduler_workers.cc
+++ b/keelbridge/coordination/job_scheduler_workers.cc
@@ -552,7 +552,7 @@
     };
     forget(scheduled_checks_);
     forget(workers_with_unacknowledged_ends_);
-    forget(workers_with_reservations_);
+    reservations_.Forget(*worker->second);
     RemoveFromMachine(*worker->second);
     failing_workers_.erase(worker->second.get());
     search_order_.erase({worker->second->record.zone, id});
--- a/keelbridge/coordination/scheduled_worker.h
+++ b/keelbridge/coordination/scheduled_worker.h
@@ -16,6 +16,7 @@
 #include "absl/time/time.h"
 #include "keelbridge/base/clock.h"
 #include "keelbridge/coordination/allocation.h"
+#include "keelbridge/coordination/capacity_reservations.h"
 #include "keelbridge/coordination/open_calls.h"
 #include "keelbridge/coordination/pool_totals.h"
 #include "keelbridge/coordination/start_window.h"
@@ -134,8 +135,8 @@
   // until the worker has answered after this time.
   absl::Time probation_until = absl::InfinitePast();
   int failures_in_row = 0;
-  // Capacity that steps examined earlier in this placement pass reserve here.
-  Resources reserved;
+  // Capacity that this placement pass has set aside here so far.
+  ReservedCapacity reserved;
   bool check_scheduled = false;  // The worker is in `scheduled_checks_`.
   PoolTotals::Counted counted;
   // Calls for advice in flight that name the worker. They claim the CPU, in
