A task whose time is over is not looked up blindly

Cause: a crash is held against a task by its id, and weighed again as another worker is found to have crashed at that moment. By then the task's time may be done and dropped while its job goes on; both look-ups gave null and were dereferenced.

An answer for an earlier job of the same id shifted by -1; it does not any more (by reading).

--- a/keelbridge/coordination/crash_history.h
+++ b/keelbridge/coordination/crash_history.h
@@ -38,6 +38,21 @@
   std::vector<CrashAttribution> attributions;  // Made for this crash.
 };
 
+// Which of the runs on a lost worker may have crashed it.
+struct SuspectCriteria {
+  // Only runs that were shorter than this when the worker was lost.
+  absl::Duration max_run_duration = absl::InfiniteDuration();
+  bool begun_only = false;  // Only runs that are known to have begun.
+};
+
+// A crash, or a possible crash, of a worker.
+struct WorkerCrash {
+  absl::Time lost;  // The time of the first sign of the crash.
+  // Recorded crashes of the same machine that no suspect task explains.
+  int earlier_machine_crashes = 0;
+  SuspectCriteria criteria;
+};
+
 // The runs that were lost with an unresponsive worker.
 struct UnresponsiveLoss {
   std::string worker;
--- a/keelbridge/coordination/job_scheduler.cc
+++ b/keelbridge/coordination/job_scheduler.cc
@@ -152,6 +152,12 @@
   placement_wanted_ = true;
 }
 
+bool JobScheduler::VisitOpenTask(
+    const TaskId& id, absl::FunctionRef<void(const FoundTask&)> visit) {
+  const auto job = active_.find(id.job);
+  return job != active_.end() && job->second->VisitTask(id, visit);
+}
+
 void JobScheduler::MarkDirty(Job& job) { dirty_jobs_.insert(job.id); }
 
 int64_t JobScheduler::Submit(JobId id, const std::string& queue, JobSpec spec,
--- a/keelbridge/coordination/job_scheduler.h
+++ b/keelbridge/coordination/job_scheduler.h
@@ -50,6 +50,7 @@
 #include "keelbridge/coordination/pool_capacity.h"
 #include "keelbridge/coordination/pool_totals.h"
 #include "keelbridge/coordination/ready_step.h"
+#include "keelbridge/coordination/recovery_wait.h"
 #include "keelbridge/coordination/run_numbers.h"
 #include "keelbridge/coordination/scheduled_worker.h"
 #include "keelbridge/coordination/scheduler_actions.h"
@@ -244,17 +245,14 @@
   static constexpr size_t kMaxFullSearch = 400;
 
   using Worker = ScheduledWorker;
-  struct Adviser {
-    std::string node;
-    std::string zone;
-    bool short_only = false;  // Takes only short calls.
-    absl::Time busy_until = absl::InfinitePast();
-    absl::Time avoid_until = absl::InfinitePast();
-  };
   // job_scheduler.cc
   // Adds the records that make the progress of the job durable.
   void AddProgress(Job& job, Batch& batch);
   void MarkDirty(Job& job);
+  // Calls `visit` if the job has not ended and the task is there, and returns
+  // whether it is.
+  bool VisitOpenTask(const TaskId& id,
+                     absl::FunctionRef<void(const FoundTask&)> visit);
   void EndJob(Job& job, JobState end, std::string why, Now now);
   void StopRunsOf(Job& job);
   void AddDueRounds(Job& job, Now now);
@@ -345,8 +343,8 @@
   void StopRunsBeforeDeparture(Worker& worker, Now now);
   // Stops the run, or the gang that it belongs to, if it is not expected to end
   // before the worker leaves.
-  void StopRunBeforeDeparture(Worker& worker, const RunKey& key,
-                              const Allocation& run, Now now);
+  void StopRunBeforeDeparture(Worker& worker, const FoundTask& found,
+                              int32_t number, const Allocation& run, Now now);
   // Records for later leaders that a draining worker gets no more tasks, and
   // which tasks may still run there.
   void RetireDrainingWorker(Worker& worker);
@@ -382,20 +380,7 @@
   void HandleWorkerLoss(Worker& worker, WorkerLoss loss, Worker* next, Now now);
   // Returns to how many workers the run was assigned: 1 unless it is the run of
   // a gang.
-  int CountWorkersOfRun(const RunKey& key) const;
-  // Which of the runs on a lost worker may have crashed it.
-  struct SuspectCriteria {
-    // Only runs that were shorter than this when the worker was lost.
-    absl::Duration max_run_duration = absl::InfiniteDuration();
-    bool begun_only = false;  // Only runs that are known to have begun.
-  };
-  // A crash, or a possible crash, of a worker.
-  struct Crash {
-    absl::Time lost;  // The time of the first sign of the crash.
-    // Recorded crashes of the same machine that no suspect task explains.
-    int earlier_machine_crashes = 0;
-    SuspectCriteria criteria;
-  };
+  int CountWorkersOfRun(const RunKey& key);
   // Returns whether a suspect task had been started on the worker shortly
   // before it was lost.
   static bool IsCausedBySuspect(const Worker& worker, absl::Time lost);
@@ -403,7 +388,7 @@
   // expired. `AttributeUnresponsiveLosses` attributes the crash to them if
   // another incarnation answers at the worker's machine.
   void RecordUnresponsiveLoss(const Worker& worker, const Allocations& runs,
-                              const Crash& crash, Now now);
+                              const WorkerCrash& crash, Now now);
   // Called when `answering` answers. Attributes the earlier loss of an
   // unresponsive worker at the same machine, if that worker was another
   // incarnation.
@@ -423,28 +408,34 @@
                            const SuspectCriteria& criteria, Now now);
   // Attributes the crash of a worker to a run that was lost with it, if the run
   // is a suspect.
-  void AttributeCrash(const Worker& worker, const RunKey& key,
-                      const Allocations& runs, const Crash& crash, Now now);
+  void AttributeCrash(const FoundTask& found, const Worker& worker, int32_t run,
+                      const Allocations& runs, const WorkerCrash& crash,
+                      Now now);
   // Recomputes the probability of the crashes attributed at about the times of
   // `unrevised_losses_`. The loss of another worker at such a time weakens the
   // evidence against each task.
   void ReviseAttributions();
+  void ReviseAttribution(const FoundTask& found,
+                         const CrashAttribution& attribution,
+                         const PastCrash& past);
   // Adds a crash to the record of the task, and ends the job if the task is
   // given up.
-  void AddTaskCrash(Job& job, const TaskId& id, CrashedRun crash,
+  void AddTaskCrash(const FoundTask& found, CrashedRun crash,
                     const std::string& worker, Now now);
   // Whether other tasks of the task's long-running step are at work.
-  bool HasSoundSibling(Job& job, const TaskId& id, Now now);
+  bool HasSoundSibling(const FoundTask& found, Now now);
   // Attributes the crash of a worker to runs that are known only from the
   // durable record of an earlier leader.
   void AttributeUnobservedCrash(const Worker& worker, Now now);
+  void AttributeCrashToSuspect(const FoundTask& found, const Worker& worker,
+                               Now now);
   // Loads the recorded suspects of crashes from the jobs of earlier leaders.
   void LoadCrashSuspects();
   // Records on the task that the run may crash, or have crashed, its worker.
-  void RecordCrashSuspect(Job& job, const TaskId& id, CrashSuspect run);
+  void RecordCrashSuspect(const FoundTask& found, CrashSuspect run);
   // Records the start of a recovered task that this leader had not observed.
-  void RecordUnobservedStart(const ReadyStep& ready, const TaskId& task,
-                             const StartAction& action, Now now);
+  void RecordUnobservedStart(const FoundTask& found, const StartAction& action,
+                             Now now);
   // Records the runs that may have crashed a worker that stops responding.
   void RecordUnresponsiveness(Worker& worker, Now now);
   // Returns whether workers crashed during the task's most recent runs.
@@ -563,15 +554,7 @@
   // Returns whether a worker that is not accounted for was last used by a
   // leader that recorded no placements.
   bool PlacementsMayBeMissing(Now now) const;
-  // The tasks that workers which are not accounted for may run.
-  struct Unobserved {
-    // One of them has no record of the tasks that it may run.
-    bool any_task = false;
-    std::set<TaskId> tasks;  // Those that the records of the others name.
-
-    bool Any() const { return any_task || !tasks.empty(); }
-  };
-  Unobserved FindUnobserved(Now now) const;
+  UnobservedTasks FindUnobserved(Now now) const;
   // Returns whether this leader has not observed the recovered task and a
   // worker that is not accounted for may run it, or may have failed it for the
   // last time.
@@ -592,14 +575,20 @@
   // Returns when a long-running task may start again, and counts short runs.
   absl::Time RestartTime(const Worker& worker, TaskState& task,
                          const EndedTask& end, Now now);
-  void OnTaskDone(Job& job, const LearnedEnd& learned, Now now);
-  void OnTaskFailed(Worker& worker, Job& job, const EndedTask& end, Now now);
+  // May drop the round of the task.
+  void OnTaskDone(const FoundTask& found, const LearnedEnd& learned, Now now);
+  void OnTaskFailed(Worker& worker, const FoundTask& found,
+                    const EndedTask& end, Now now);
   // Ends jobs with a task that has used all its attempts. The configuration
   // that is in force now decides, because a failure may have been reported
   // before the queue was known.
   void FailExhaustedJobs(Now now);
   const Queue* FindQueue(const Job& job) const;  // Null if unknown.
   void OnRunReported(Worker& worker, const RunningTask& running, Now now);
+  // Assigns a run that this leader did not start to its task. Returns false if
+  // the task does not need it.
+  bool AdoptRun(const Worker& worker, const FoundTask& found,
+                const RunningTask& running, Now now);
   // Gives up the runs that a worker's report does not contain although it would
   // if they were there.
   void GiveUpMissingRuns(Worker& worker, const ObserveReply& reply,
@@ -609,11 +598,12 @@
   // Returns whether ends in the report requested at `sent` may be old.
   bool MayReportEndsLate(const Worker& worker, absl::Time sent) const;
   // Learns from the end of a run that makes a task done for the first time.
-  void LearnDuration(const Worker& worker, Job& job, const EndedTask& end,
-                     Now now);
+  void LearnDuration(const Worker& worker, const FoundTask& found,
+                     const EndedTask& end, Now now);
   // Returns how long the run took, or of a gang that of all its members, or
   // nullopt if that is not known well.
-  std::optional<absl::Duration> MeasureRun(const Worker& worker, Job& job,
+  std::optional<absl::Duration> MeasureRun(const Worker& worker,
+                                           const FoundTask& found,
                                            const EndedTask& end, Now now) const;
 
   // job_scheduler_placement.cc
@@ -868,6 +858,8 @@
   size_t ExtraGangCallsLeft(const std::vector<ReadyStep>& ready) const;
   // Returns the interval between two candidate searches of a step.
   absl::Duration AdviceSearchInterval() const;
+  void OnAdviceFor(const FoundTask& found, const AskAdviceAction& action,
+                   const AdviceReply& reply, Now now);
   // Returns whether the step may search for advice candidates now, and counts
   // the search.
   bool TryTakeAdviceSearch(const ReadyStep& ready, Now now);
@@ -929,13 +921,9 @@
   WorkAdmission work_admission_{WorkAdmission::Options()};
   int64_t starts_at_last_pass_ = 0;
   EarlierOrders earlier_orders_;
-  // The recovered tasks that wait for workers, as of the last placement pass.
-  struct RecoveryWait {
-    int64_t tasks = 0;
-    TaskId first;
-  };
+  // As of the last placement pass.
   RecoveryWait recovery_wait_;
-  Unobserved unobserved_;  // As of the last placement pass.
+  UnobservedTasks unobserved_;
   bool recovery_wait_logged_ = false;
   absl::Time next_recovery_log_ = absl::InfinitePast();
   absl::Time next_waiting_log_ = absl::InfinitePast();
--- a/keelbridge/coordination/job_scheduler_advice.cc
+++ b/keelbridge/coordination/job_scheduler_advice.cc
@@ -100,7 +100,7 @@
   advisers_ = std::move(next);
 }
 
-JobScheduler::Adviser* JobScheduler::FindFreeAdviser(double cost_ms, Now now) {
+Adviser* JobScheduler::FindFreeAdviser(double cost_ms, Now now) {
   const bool is_short = cost_ms < kShortAdviceMs;
   Adviser* best = nullptr;
   for (Adviser& adviser : advisers_) {
@@ -524,7 +524,6 @@
 void JobScheduler::OnAdvice(const AskAdviceAction& action,
                             const AdviceReply& reply, Now now) {
   ReleaseExpectedUse(action);
-  const auto found = jobs_.find(action.request.step.job);
   for (Adviser& adviser : advisers_) {
     if (adviser.node != action.adviser) continue;
     if (reply.answered || reply.overloaded) {
@@ -534,14 +533,19 @@
     adviser.avoid_until = now.mono + kAdviserAvoidance;
     adviser_silence_.OnUnanswered(adviser.zone, adviser.node, now.mono);
   }
-  if (found == jobs_.end()) return;
-  StepState* step = found->second->FindStep(action.request.step);
-  if (step == nullptr) return;
-  StepAdvice& advice = step->advice;
+  VisitOpenTask(action.request.step, [&](const FoundTask& found) {
+    OnAdviceFor(found, action, reply, now);
+  });
+}
+
+void JobScheduler::OnAdviceFor(const FoundTask& found,
+                               const AskAdviceAction& action,
+                               const AdviceReply& reply, Now now) {
+  StepAdvice& advice = found.step.advice;
   advice.calls_in_flight = std::max(0, advice.calls_in_flight - 1);
   advice.next_ask_at =
-      now.mono +
-      kAskAgainDelay * (1 << std::min(advice.ask_count - 1, kMaxDoublings));
+      now.mono + kAskAgainDelay *
+                     (1 << std::clamp(advice.ask_count - 1, 0, kMaxDoublings));
   placement_wanted_ = true;
   LogDecision("advice_answered",
               {{"job", JobIdText(action.request.step.job)},
@@ -554,7 +558,7 @@
     advice.next_ask_at = now.mono + kAdviceRetry;
     return;
   }
-  const Queue* queue = configuration_->FindQueueByName(found->second->queue);
+  const Queue* queue = configuration_->FindQueueByName(found.job.queue);
   if (queue == nullptr) return;
   int64_t newly_known = 0;
   int64_t newly_eligible = 0;
--- a/keelbridge/coordination/job_scheduler_departures.cc
+++ b/keelbridge/coordination/job_scheduler_departures.cc
@@ -77,28 +77,29 @@
   if (suspended_ || now.mono < worker.leaves_at - kDepartureMargin) return;
   // The end of a run on a worker that does not answer would not be heard.
   if (!IsReachable(worker, now) || worker.failed_observations > 0) return;
-  for (const auto& [key, run] : worker.allocations)
-    StopRunBeforeDeparture(worker, key, run, now);
+  for (const auto& one : worker.allocations) {
+    VisitOpenTask(one.first.first, [&](const FoundTask& found) {
+      StopRunBeforeDeparture(worker, found, one.first.second, one.second, now);
+    });
+  }
 }
 
-void JobScheduler::StopRunBeforeDeparture(Worker& worker, const RunKey& key,
-                                          const Allocation& run, Now now) {
+void JobScheduler::StopRunBeforeDeparture(Worker& worker,
+                                          const FoundTask& found,
+                                          int32_t number, const Allocation& run,
+                                          Now now) {
   // A run whose start is unanswered is considered once the outcome is known.
   if (run.stop.requested() || run.uncertain || run.start_answered > now.mono)
     return;
-  const auto found = jobs_.find(key.first.job);
-  if (found == jobs_.end() || found->second->Ended()) return;
-  const TaskState* task = found->second->FindTask(key.first);
-  const StepState* step = found->second->FindStep(key.first);
-  if (task == nullptr || step == nullptr || task->run != key.second ||
-      task->worker != worker.record.id || task->phase == TaskPhase::kDone)
+  const TaskState& task = found.task;
+  if (task.run != number || task.worker != worker.record.id ||
+      task.phase == TaskPhase::kDone)
     return;
-  const StepSpec& spec =
-      found->second->spec.steps[static_cast<size_t>(key.first.step)];
+  const StepSpec& spec = found.spec;
   // Long-running tasks never end by themselves; see MoveTaskFromLeavingWorker.
   if (spec.long_running) return;
   const absl::Duration expected =
-      job_timings_.learner().ExpectedRun(found->second->queue, spec);
+      job_timings_.learner().ExpectedRun(found.job.queue, spec);
   const absl::Time end = ExpectedEnd(run, expected, now);
   const absl::Time end_by = worker.leaves_at - kMinTimeLeftAtEnd;
   if (end <= end_by) return;
@@ -110,8 +111,8 @@
   };
   LogDecision(
       "run_moves",
-      {{"task", TaskIdText(key.first)},
-       {"run", absl::StrCat(key.second)},
+      {{"task", TaskIdText(found.id)},
+       {"run", absl::StrCat(number)},
        {"worker", worker.record.id},
        {"why", spec.gang ? "its worker leaves before its gang can end"
                          : "its worker leaves before the run can end"},
@@ -119,9 +120,9 @@
        {"ends_in_ms", end == absl::InfiniteFuture() ? "unknown" : in_ms(end)},
        {"percent", absl::StrCat(run.percent)}});
   if (spec.gang)
-    StopGang(key.first, *step);
+    StopGang(found.id, found.step);
   else
-    RequestStop(worker, key);
+    RequestStop(worker, {found.id, number});
 }
 
 // A worker that has left does not answer the next leader. Without this record
--- a/keelbridge/coordination/job_scheduler_durations.cc
+++ b/keelbridge/coordination/job_scheduler_durations.cc
@@ -29,36 +29,36 @@
              options_.max_observe_wait + kMaxReportPause;
 }
 
-void JobScheduler::LearnDuration(const Worker& worker, Job& job,
+void JobScheduler::LearnDuration(const Worker& worker, const FoundTask& found,
                                  const EndedTask& end, Now now) {
-  const StepSpec& spec = job.spec.steps[static_cast<size_t>(end.task.step)];
+  const StepSpec& spec = found.spec;
   // The duration of a best-effort run depends on what runs beside it.
   if (!options_.policy.learn_durations || spec.long_running || spec.best_effort)
     return;
-  const StepState* step = job.FindStep(end.task);
-  const bool completes = spec.gang || step->done + 1 >= spec.count;
-  job_timings_.learner().OnTaskDone(
-      job.queue, spec, end.task, MeasureRun(worker, job, end, now), completes);
+  const bool completes = spec.gang || found.step.done + 1 >= spec.count;
+  job_timings_.learner().OnTaskDone(found.job.queue, spec, end.task,
+                                    MeasureRun(worker, found, end, now),
+                                    completes);
 }
 
 // A gang begins once its last member has started, and all members end together.
 std::optional<absl::Duration> JobScheduler::MeasureRun(const Worker& worker,
-                                                       Job& job,
+                                                       const FoundTask& found,
                                                        const EndedTask& end,
                                                        Now now) const {
   if (worker.ends_reported_late || lag_ > kMaxMeasuringLag || suspended_ ||
       answer_times_.AnswersAreLossy(now.mono))
     return std::nullopt;
-  const StepSpec& spec = job.spec.steps[static_cast<size_t>(end.task.step)];
+  const StepSpec& spec = found.spec;
   const int32_t first = spec.gang ? 0 : end.task.index;
   const int32_t last = spec.gang ? spec.count - 1 : end.task.index;
   absl::Time begin = absl::InfinitePast();
   for (int32_t i = first; i <= last; ++i) {
     TaskId member = end.task;
     member.index = i;
-    const TaskState* task = job.FindTask(member);
-    if (task == nullptr || task->run != end.run) return std::nullopt;
-    const auto on = workers_.find(task->worker);
+    const TaskState& task = found.step.tasks[static_cast<size_t>(i)];
+    if (task.run != end.run) return std::nullopt;
+    const auto on = workers_.find(task.worker);
     if (on == workers_.end()) return std::nullopt;
     const auto found = on->second->allocations.find({member, end.run});
     if (found == on->second->allocations.end()) return std::nullopt;
--- a/keelbridge/coordination/job_scheduler_losses.cc
+++ b/keelbridge/coordination/job_scheduler_losses.cc
@@ -107,7 +107,7 @@
 
 void JobScheduler::HandleWorkerLoss(Worker& worker, WorkerLoss loss,
                                     Worker* next, Now now) {
-  Crash crash;
+  WorkerCrash crash;
   crash.lost = LostSince(worker, now);
   const bool crashed = loss == WorkerLoss::kCrash &&
                        (worker.reported || worker.known_to_earlier_leader);
@@ -146,8 +146,11 @@
   CountCapacity(worker);
   if (loss == WorkerLoss::kUnresponsive)
     RecordUnresponsiveLoss(worker, allocations, crash, now);
-  for (const auto& [key, allocation] : allocations) {
-    if (crashed) AttributeCrash(worker, key, allocations, crash, now);
+  for (const auto& lost : allocations) {
+    if (!crashed) break;
+    VisitOpenTask(lost.first.first, [&](const FoundTask& found) {
+      AttributeCrash(found, worker, lost.first.second, allocations, crash, now);
+    });
   }
   for (const auto& [key, allocation] : allocations) {
     if (next != nullptr && MayRunOnNextIncarnation(worker, allocation))
@@ -161,7 +164,7 @@
 // its machine.
 void JobScheduler::RecordUnresponsiveLoss(const Worker& worker,
                                           const Allocations& runs,
-                                          const Crash& crash, Now now) {
+                                          const WorkerCrash& crash, Now now) {
   if (worker.record.draining || worker.record.machine.empty()) return;
   UnresponsiveLoss loss;
   loss.worker = worker.record.id;
@@ -188,23 +191,22 @@
   unresponsive_losses_.erase(found);
   // The same incarnation answers again: the worker was only unresponsive.
   if (loss.worker == answering.record.id) return;
-  for (const auto& [id, crash] : loss.runs) {
-    const auto job = jobs_.find(id.job);
-    if (job == jobs_.end() || job->second->Ended()) continue;
-    const TaskState* task = job->second->FindTask(id);
-    if (task != nullptr && task->phase != TaskPhase::kDone)
-      AddTaskCrash(*job->second, id, crash, loss.worker, now);
+  for (const auto& lost : loss.runs) {
+    VisitOpenTask(lost.first, [&](const FoundTask& found) {
+      if (found.task.phase != TaskPhase::kDone)
+        AddTaskCrash(found, lost.second, loss.worker, now);
+    });
   }
 }
 
-int JobScheduler::CountWorkersOfRun(const RunKey& key) const {
-  const auto job = jobs_.find(key.first.job);
-  const StepState* step =
-      job != jobs_.end() ? job->second->FindStep(key.first) : nullptr;
-  if (step == nullptr) return 1;
-  // A run that an earlier leader started counts as on one worker.
-  if (step->gang_run != key.second) return 1;
-  return static_cast<int>(step->gang_workers.size());
+// A run that an earlier leader started counts as on one worker.
+int JobScheduler::CountWorkersOfRun(const RunKey& key) {
+  int workers = 1;
+  VisitOpenTask(key.first, [&](const FoundTask& found) {
+    if (found.step.gang_run == key.second)
+      workers = static_cast<int>(found.step.gang_workers.size());
+  });
+  return workers;
 }
 
 // A suspect task had just been started on the worker. The loss is evidence
@@ -270,8 +272,8 @@
 // A run that began just before the crash is by far the likelier cause, so runs
 // that began earlier are not blamed. Otherwise sound long-running tasks that
 // share workers with crashing tasks would accumulate crashes.
-JobScheduler::SuspectCriteria JobScheduler::FindSuspectCriteria(
-    const Allocations& runs, absl::Time lost, Now now) {
+SuspectCriteria JobScheduler::FindSuspectCriteria(const Allocations& runs,
+                                                  absl::Time lost, Now now) {
   absl::Duration latest = absl::InfiniteDuration();
   for (const auto& [key, run] : runs) {
     if (run.start_answered <= now.mono && !run.adopted)
@@ -295,32 +297,29 @@
   return RunDurationUntil(allocation, lost) < criteria.max_run_duration;
 }
 
-void JobScheduler::AttributeCrash(const Worker& worker, const RunKey& key,
-                                  const Allocations& runs, const Crash& crash,
-                                  Now now) {
-  const auto found = jobs_.find(key.first.job);
-  if (found == jobs_.end() || found->second->Ended()) return;
-  Job& job = *found->second;
-  const TaskState* task = job.FindTask(key.first);
-  const bool current = task != nullptr && task->run == key.second &&
-                       task->worker == worker.record.id &&
-                       task->phase != TaskPhase::kDone;
+void JobScheduler::AttributeCrash(const FoundTask& found, const Worker& worker,
+                                  int32_t run, const Allocations& runs,
+                                  const WorkerCrash& crash, Now now) {
+  const TaskState& task = found.task;
+  const bool current = task.run == run && task.worker == worker.record.id &&
+                       task.phase != TaskPhase::kDone;
   if (!current) return;
+  const RunKey key{found.id, run};
   const Allocation& allocation = runs.at(key);
-  const CrashSuspect& crash_suspect = task->crash_suspect;
-  const bool recorded_before = crash_suspect.worker == worker.record.id &&
-                               crash_suspect.run == key.second;
+  const CrashSuspect& crash_suspect = task.crash_suspect;
+  const bool recorded_before =
+      crash_suspect.worker == worker.record.id && crash_suspect.run == run;
   // The run has outlived a change of leader, so its running time is unknown.
   if (allocation.adopted && !recorded_before) return;
   CrashedRun crashed_run;
-  crashed_run.run = key.second;
+  crashed_run.run = run;
   crashed_run.begun = allocation.start_answered <= now.mono;
   if (!IsSuspectRun(allocation, crash.lost, crash.criteria, now)) return;
   crashed_run.ran_ms =
       allocation.adopted
           ? std::max<int64_t>(0, ToMillis(now.wall) - crash_suspect.since_ms)
           : absl::ToInt64Milliseconds(RunDurationUntil(allocation, crash.lost));
-  const TaskId step = StepIdOf(key.first);
+  const TaskId step = StepIdOf(found.id);
   CrashContext context;
   context.earlier_machine_crashes = crash.earlier_machine_crashes;
   context.recent_other_crashes = static_cast<int>(std::count_if(
@@ -337,9 +336,9 @@
   crashed_run.chance =
       ChanceCrashProbability(absl::Milliseconds(crashed_run.ran_ms), context);
   recent_crashes_.back().attributions.push_back(
-      {key.first, crashed_run.run, absl::Milliseconds(crashed_run.ran_ms),
+      {found.id, crashed_run.run, absl::Milliseconds(crashed_run.ran_ms),
        context});
-  AddTaskCrash(job, key.first, crashed_run, worker.record.id, now);
+  AddTaskCrash(found, crashed_run, worker.record.id, now);
 }
 
 void JobScheduler::ReviseAttributions() {
@@ -352,33 +351,31 @@
         });
     if (!concurrent) continue;
     for (const CrashAttribution& attribution : past.attributions) {
-      const auto job = jobs_.find(attribution.task.job);
-      if (job == jobs_.end() || job->second->Ended()) continue;
-      StepState& step = *job->second->FindStep(attribution.task);
-      const StepSpec& spec =
-          job->second->spec.steps[static_cast<size_t>(attribution.task.step)];
-      std::vector<CrashedRun>& history =
-          spec.gang ? step.tasks.front().crashes
-                    : job->second->FindTask(attribution.task)->crashes;
-      CrashContext context = attribution.context;
-      context.concurrent_other_losses = CountConcurrentLosses(
-          StepIdOf(attribution.task), past.worker, past.lost);
-      const double chance = ChanceCrashProbability(attribution.ran, context);
-      for (CrashedRun& crash : history) {
-        if (crash.run != attribution.run || crash.chance >= chance) continue;
-        crash.chance = chance;
-        MarkDirty(*job->second);
-      }
+      VisitOpenTask(attribution.task, [&](const FoundTask& found) {
+        ReviseAttribution(found, attribution, past);
+      });
     }
   }
 }
 
-void JobScheduler::AddTaskCrash(Job& job, const TaskId& id, CrashedRun crash,
+void JobScheduler::ReviseAttribution(const FoundTask& found,
+                                     const CrashAttribution& attribution,
+                                     const PastCrash& past) {
+  CrashContext context = attribution.context;
+  context.concurrent_other_losses =
+      CountConcurrentLosses(StepIdOf(found.id), past.worker, past.lost);
+  const double chance = ChanceCrashProbability(attribution.ran, context);
+  for (CrashedRun& crash : found.history().crashes) {
+    if (crash.run != attribution.run || crash.chance >= chance) continue;
+    crash.chance = chance;
+    MarkDirty(found.job);
+  }
+}
+
+void JobScheduler::AddTaskCrash(const FoundTask& found, CrashedRun crash,
                                 const std::string& worker, Now now) {
-  StepState& step = *job.FindStep(id);
-  TaskState& task = *job.FindTask(id);
-  const StepSpec& spec = job.spec.steps[static_cast<size_t>(id.step)];
-  TaskState& history = spec.gang ? step.tasks.front() : task;
+  const auto& [id, job, step, task, spec] = found;
+  TaskState& history = found.history();
   if (task.crash_suspect.run == crash.run) task.crash_suspect = CrashSuspect();
   MarkDirty(job);
   if (absl::Milliseconds(crash.ran_ms) >= kSoundRunDuration) {
@@ -406,7 +403,7 @@
       history.crashes.size() > kMaxCrashesOfLongRunningTask)
     history.crashes.erase(history.crashes.begin());
   const bool crashes_workers = ShouldGiveUp(history.crashes);
-  const bool spared = crashes_workers && HasSoundSibling(job, id, now);
+  const bool spared = crashes_workers && HasSoundSibling(found, now);
   const bool given_up = crashes_workers && !spared;
   if (spared) step.paused_until = now.mono + kCrashingStepPause;
   LogDecision("crash_held_against_task",
@@ -427,15 +424,16 @@
          now);
 }
 
-bool JobScheduler::HasSoundSibling(Job& job, const TaskId& id, Now now) {
-  const StepSpec& spec = job.spec.steps[static_cast<size_t>(id.step)];
+bool JobScheduler::HasSoundSibling(const FoundTask& found, Now now) {
   // The members of a gang run together, and end with each other.
-  if (!spec.long_running || spec.gang) return false;
-  TaskId sibling = id;
-  for (sibling.index = 0; sibling.index < spec.count; ++sibling.index) {
-    if (sibling.index != id.index &&
-        HasRunFor(*job.FindTask(sibling), sibling, kSuspectCrashWindow, now))
+  if (!found.spec.long_running || found.spec.gang) return false;
+  TaskId sibling = found.id;
+  sibling.index = 0;
+  for (const TaskState& task : found.step.tasks) {
+    if (&task != &found.task &&
+        HasRunFor(task, sibling, kSuspectCrashWindow, now))
       return true;
+    ++sibling.index;
   }
   return false;
 }
@@ -448,31 +446,36 @@
   const std::vector<TaskId> tasks = std::move(crash_suspect->second);
   crash_suspects_.erase(crash_suspect);
   for (const TaskId& id : tasks) {
-    const auto found = jobs_.find(id.job);
-    if (found == jobs_.end() || found->second->Ended()) continue;
-    TaskState* task = found->second->FindTask(id);
-    if (task == nullptr || task->phase != TaskPhase::kWaiting ||
-        task->observed || task->crash_suspect.worker != worker.record.id)
-      continue;
-    const CrashSuspect& run = task->crash_suspect;
-    CrashedRun crash;
-    crash.run = run.run;
-    crash.begun = run.begun;
-    crash.ran_ms = run.ran_ms >= 0 ? run.ran_ms
-                                   : std::max<int64_t>(
-                                         0, ToMillis(now.wall) - run.since_ms);
-    CrashContext context;
-    context.site_workers = static_cast<int>(workers_.size());
-    context.concurrent_other_losses = CountConcurrentLosses(
-        StepIdOf(id), worker.record.id, recent_crashes_.back().lost);
-    crash.chance =
-        ChanceCrashProbability(absl::Milliseconds(crash.ran_ms), context);
-    recent_crashes_.back().attributions.push_back(
-        {id, crash.run, absl::Milliseconds(crash.ran_ms), context});
-    AddTaskCrash(*found->second, id, crash, worker.record.id, now);
+    VisitOpenTask(id, [&](const FoundTask& found) {
+      AttributeCrashToSuspect(found, worker, now);
+    });
   }
 }
 
+void JobScheduler::AttributeCrashToSuspect(const FoundTask& found,
+                                           const Worker& worker, Now now) {
+  const TaskState& task = found.task;
+  const CrashSuspect& run = task.crash_suspect;
+  if (task.phase != TaskPhase::kWaiting || task.observed ||
+      run.worker != worker.record.id)
+    return;
+  CrashedRun crash;
+  crash.run = run.run;
+  crash.begun = run.begun;
+  crash.ran_ms = run.ran_ms >= 0
+                     ? run.ran_ms
+                     : std::max<int64_t>(0, ToMillis(now.wall) - run.since_ms);
+  PastCrash& past = recent_crashes_.back();
+  CrashContext context;
+  context.site_workers = static_cast<int>(workers_.size());
+  context.concurrent_other_losses =
+      CountConcurrentLosses(StepIdOf(found.id), worker.record.id, past.lost);
+  const absl::Duration ran = absl::Milliseconds(crash.ran_ms);
+  crash.chance = ChanceCrashProbability(ran, context);
+  past.attributions.push_back({found.id, crash.run, ran, context});
+  AddTaskCrash(found, crash, worker.record.id, now);
+}
+
 void JobScheduler::LoadCrashSuspects() {
   for (const auto& [id, job] : active_) {
     for (Round& round : job->rounds) {
@@ -492,16 +495,15 @@
   }
 }
 
-void JobScheduler::RecordCrashSuspect(Job& job, const TaskId& id,
+void JobScheduler::RecordCrashSuspect(const FoundTask& found,
                                       CrashSuspect run) {
-  TaskState& task = *job.FindTask(id);
-  const bool full = task.crash_suspect.worker.empty() &&
-                    CrashRecordsFull(*job.FindStep(id), [](const TaskState& t) {
+  const bool full = found.task.crash_suspect.worker.empty() &&
+                    CrashRecordsFull(found.step, [](const TaskState& t) {
                       return !t.crash_suspect.worker.empty();
                     });
   if (full) return;
-  task.crash_suspect = std::move(run);
-  MarkDirty(job);
+  found.task.crash_suspect = std::move(run);
+  MarkDirty(found.job);
 }
 
 // A leader that is lost together with the worker, before any sign of the crash,
@@ -509,16 +511,14 @@
 // caused it. Once it learns of such a crash, the successor therefore records
 // each start of a recovered task that it has not observed. If it is lost in the
 // same way, the next leader knows the task.
-void JobScheduler::RecordUnobservedStart(const ReadyStep& ready,
-                                         const TaskId& task,
+void JobScheduler::RecordUnobservedStart(const FoundTask& found,
                                          const StartAction& action, Now now) {
   if (!unobserved_worker_crashed_ ||
       unobserved_starts_recorded_ >= kMaxUnobservedStartRecords)
     return;
   ++unobserved_starts_recorded_;
-  RecordCrashSuspect(
-      *ready.job, task,
-      {action.worker.id, action.order.run, ToMillis(now.wall), -1, false});
+  RecordCrashSuspect(found, {action.worker.id, action.order.run,
+                             ToMillis(now.wall), -1, false});
 }
 
 // Another leader may have to determine later what crashed the worker, so the
@@ -528,22 +528,23 @@
   const absl::Time lost = LostSince(worker, now);
   const SuspectCriteria criteria =
       FindSuspectCriteria(worker.allocations, lost, now);
-  for (const auto& [key, allocation] : worker.allocations) {
-    const auto job = jobs_.find(key.first.job);
+  for (const auto& one : worker.allocations) {
+    const auto& [task, run] = one.first;
+    const Allocation& allocation = one.second;
     const absl::Duration ran = RunDurationUntil(allocation, lost);
-    if (job == jobs_.end() || job->second->Ended() || allocation.adopted ||
-        ran >= kSuspectCrashWindow ||
+    if (allocation.adopted || ran >= kSuspectCrashWindow ||
         !IsSuspectRun(allocation, lost, criteria, now))
       continue;
-    const TaskState* task = job->second->FindTask(key.first);
-    if (task == nullptr || task->run != key.second ||
-        task->worker != worker.record.id)
-      continue;
     const bool begun = allocation.start_answered <= now.mono;
-    RecordCrashSuspect(*job->second, key.first,
-                       {worker.record.id, key.second,
-                        ToMillis(now.wall - (now.mono - allocation.placed)),
-                        absl::ToInt64Milliseconds(ran), begun});
+    const CrashSuspect suspect{
+        worker.record.id, run,
+        ToMillis(now.wall - (now.mono - allocation.placed)),
+        absl::ToInt64Milliseconds(ran), begun};
+    VisitOpenTask(task, [&](const FoundTask& found) {
+      if (found.task.run == suspect.run &&
+          found.task.worker == worker.record.id)
+        RecordCrashSuspect(found, suspect);
+    });
   }
 }
 
@@ -653,19 +654,17 @@
 
 void JobScheduler::PutOnProbation(ReadyStep& ready, int32_t index,
                                   Worker& worker, Now now) {
-  const TaskState& task = ready.state->tasks[static_cast<size_t>(index)];
-  const TaskId id = ready.IdOf(task);
+  const FoundTask found = ready.TaskAt(static_cast<size_t>(index));
   worker.probation_until = now.mono + kProbationTime;
   if (ready.state->suspected && !ready.spec->gang) {
     ready.state->probe_task = index;
     ready.state->probe_ends_at = worker.probation_until;
   }
   RecordCrashSuspect(
-      *ready.job, id,
-      {worker.record.id, task.run, ToMillis(now.wall), -1, false});
+      found, {worker.record.id, found.task.run, ToMillis(now.wall), -1, false});
   LogDecision("start_on_probation",
-              {{"task", TaskIdText(id)},
-               {"run", absl::StrCat(task.run)},
+              {{"task", TaskIdText(found.id)},
+               {"run", absl::StrCat(found.task.run)},
                {"worker", worker.record.id},
                {"beside", absl::StrCat(worker.allocations.size() - 1)}});
 }
@@ -674,15 +673,13 @@
   if (worker.failing_since == absl::InfiniteFuture()) return;
   worker.failing_since = absl::InfiniteFuture();
   failing_workers_.erase(&worker);
-  for (const auto& [key, allocation] : worker.allocations) {
-    const auto job = jobs_.find(key.first.job);
-    if (job == jobs_.end()) continue;
-    TaskState* task = job->second->FindTask(key.first);
-    if (task == nullptr || task->crash_suspect.worker != worker.record.id ||
-        task->crash_suspect.ran_ms < 0)
-      continue;
-    task->crash_suspect.ran_ms = -1;
-    MarkDirty(*job->second);
+  for (const auto& one : worker.allocations) {
+    VisitOpenTask(one.first.first, [&](const FoundTask& found) {
+      CrashSuspect& suspect = found.task.crash_suspect;
+      if (suspect.worker != worker.record.id || suspect.ran_ms < 0) return;
+      suspect.ran_ms = -1;
+      MarkDirty(found.job);
+    });
   }
 }
 
--- a/keelbridge/coordination/job_scheduler_placement.cc
+++ b/keelbridge/coordination/job_scheduler_placement.cc
@@ -605,7 +605,9 @@
   task.crash_suspect = CrashSuspect();
   if (!WaitsForUnansweredStart(task, now))
     ClearUnansweredStart(*ready.job, task, task.unanswered.run);
-  if (unobserved) RecordUnobservedStart(ready, id, action, now);
+  if (unobserved)
+    RecordUnobservedStart(ready.TaskAt(static_cast<size_t>(index)), action,
+                          now);
   const bool kept =
       ready.job->HasPersistedPlacements(static_cast<size_t>(ready.number)) ||
       MustBeDurable(ready, task);
--- a/keelbridge/coordination/job_scheduler_recovery.cc
+++ b/keelbridge/coordination/job_scheduler_recovery.cc
@@ -87,8 +87,8 @@
 // A worker that leaves gets no more tasks, so its record can name the tasks
 // that may still run there. Without these names, 14 workers that had left with
 // 26 tasks delayed 8,508 recovered tasks by 10 s.
-JobScheduler::Unobserved JobScheduler::FindUnobserved(Now now) const {
-  Unobserved unobserved;
+UnobservedTasks JobScheduler::FindUnobserved(Now now) const {
+  UnobservedTasks unobserved;
   if (now.mono > earlier_orders_.LeasesUntil()) return unobserved;
   for (const auto& [id, worker] : workers_) {
     if (IsAccountedFor(*worker, now)) continue;
--- a/keelbridge/coordination/job_scheduler_rounds_test.cc
+++ b/keelbridge/coordination/job_scheduler_rounds_test.cc
@@ -3,6 +3,7 @@
 #include <doctest/doctest.h>
 
 #include <string>
+#include <vector>
 
 #include "testing/support/scheduler_driver.h"
 
@@ -109,5 +110,73 @@
   CHECK(site.stops[0].task == far);
 }
 
+// A scheduled job has lost a run of `step` with the worker "a". At that moment
+// "b" fell silent. The run was repeated, the job's first time is over and
+// dropped, and the next one is not due.
+class DroppedTimeSite {
+ public:
+  explicit DroppedTimeSite(const StepSpec& step) : driver_(1) {
+    AddWorkers({"a"});
+    driver_.RunUntil(absl::Milliseconds(100));
+    driver_.scheduler().Submit(kJob, "restore", ScheduledJob(step, 2, 60'000),
+                               driver_.now());
+    driver_.RunUntil(absl::Milliseconds(300));
+    REQUIRE(driver_.starts.size() == static_cast<size_t>(step.count));
+    AddWorkers({"b", "c"});
+    driver_.RunUntil(absl::Milliseconds(500));
+    driver_.other_incarnations.insert("a");
+    driver_.cut_off.insert("b");
+    driver_.RunUntil(absl::Seconds(3));
+    EndAllOn("c");
+    driver_.RunUntil(absl::Seconds(6));
+    REQUIRE(driver_.scheduler().figures().running_tasks == 0);
+  }
+
+  SchedulerDriver& driver() { return driver_; }
+  void AddWorkers(const std::vector<std::string>& names) {
+    for (const std::string& name : names) {
+      driver_.reports[name];
+      driver_.AddWorker(name);
+    }
+  }
+
+ private:
+  void EndAllOn(const std::string& worker) {
+    int64_t number = 0;
+    const std::vector<RunningTask> running = driver_.reports[worker].running;
+    REQUIRE(!running.empty());
+    for (const RunningTask& run : running)
+      driver_.End(worker, {++number, run.task, run.run, RunEnd::kDone, ""});
+  }
+
+  SchedulerDriver driver_;
+};
+
+// Guards against a leader that ends by itself (Fault): the evidence of the
+// first crash is computed again, against a task that is not there any more.
+TEST_CASE(
+    "job scheduler: a worker that crashed at the same moment as one with a "
+    "task whose time is over since does not end the leader") {
+  DroppedTimeSite site(OneTask());
+  site.driver().cut_off.erase("b");
+  site.driver().other_incarnations.insert("b");
+  site.driver().RunUntil(absl::Seconds(7));
+  CHECK(site.driver().scheduler().Status(kJob) == JobState::kRunning);
+}
+
+// Guards against the same where the crash is held against a gang.
+TEST_CASE(
+    "job scheduler: a worker that crashed at the same moment as one with a "
+    "gang whose time is over since does not end the leader") {
+  StepSpec gang = OneTask();
+  gang.gang = true;
+  gang.count = 3;
+  DroppedTimeSite site(gang);
+  site.driver().cut_off.erase("b");
+  site.driver().other_incarnations.insert("b");
+  site.driver().RunUntil(absl::Seconds(7));
+  CHECK(site.driver().scheduler().Status(kJob) == JobState::kRunning);
+}
+
 }  // namespace
 }  // namespace keelbridge::testing
--- a/keelbridge/coordination/job_scheduler_runs.cc
+++ b/keelbridge/coordination/job_scheduler_runs.cc
@@ -24,14 +24,14 @@
 
 }  // namespace
 
-void JobScheduler::OnTaskDone(Job& job, const LearnedEnd& learned, Now now) {
+void JobScheduler::OnTaskDone(const FoundTask& found, const LearnedEnd& learned,
+                              Now now) {
   const EndedTask& end = learned.end;
-  StepState* step = job.FindStep(end.task);
-  TaskState* task = job.FindTask(end.task);
-  if (step == nullptr || task == nullptr) return;
-  const StepSpec& spec = job.spec.steps[static_cast<size_t>(end.task.step)];
+  Job& job = found.job;
+  StepState& step = found.step;
+  const StepSpec& spec = found.spec;
   const auto finish = [&](int32_t index) {
-    TaskState& one = step->tasks[static_cast<size_t>(index)];
+    TaskState& one = step.tasks[static_cast<size_t>(index)];
     if (one.phase == TaskPhase::kDone) return;
     if (!one.worker.empty()) {
       const auto worker = workers_.find(one.worker);
@@ -46,9 +46,9 @@
     one.phase = TaskPhase::kDone;
     one.worker.clear();
     one.checkpoint.clear();
-    ++step->done;
+    ++step.done;
   };
-  step->earlier_knowledge.OnEnd(spec, step->tasks, learned);
+  step.earlier_knowledge.OnEnd(spec, step.tasks, learned);
   if (spec.gang) {
     for (int32_t i = 0; i < spec.count; ++i) finish(i);
   } else {
@@ -57,8 +57,8 @@
   MarkDirty(job);
   placement_wanted_ = true;
   job.deferred_steps = 0;  // The next step may be in time.
-  if (step->done == spec.count && job.recovered && unobserved_.any_task &&
-      step->earlier_knowledge.MayTakeStepForDone())
+  if (step.done == spec.count && job.recovered && unobserved_.any_task &&
+      step.earlier_knowledge.MayTakeStepForDone())
     LogDecision("next_step_may_have_begun",
                 {{"job", JobIdText(job.id)},
                  {"step_done", absl::StrCat(end.task.step)},
@@ -78,16 +78,13 @@
     EndJob(job, JobState::kCompleted, "all rounds are done", now);
 }
 
-void JobScheduler::OnTaskFailed(Worker& worker, Job& job, const EndedTask& end,
-                                Now now) {
-  StepState* step = job.FindStep(end.task);
-  TaskState* task = job.FindTask(end.task);
-  if (step == nullptr || task == nullptr) return;
-  const StepSpec& spec = job.spec.steps[static_cast<size_t>(end.task.step)];
-  TaskState& history = spec.gang ? step->tasks.front() : *task;
-  std::vector<int32_t>& failed = history.failed_runs;
+void JobScheduler::OnTaskFailed(Worker& worker, const FoundTask& found,
+                                const EndedTask& end, Now now) {
+  Job& job = found.job;
+  const StepSpec& spec = found.spec;
+  std::vector<int32_t>& failed = found.history().failed_runs;
   if (std::find(failed.begin(), failed.end(), end.run) != failed.end()) return;
-  task->failed_on = worker.record.id;
+  found.task.failed_on = worker.record.id;
   if (!spec.long_running) failed.push_back(end.run);
   if (failed.size() <= 1 &&
       ++worker.failures_in_row >= kMaxConsecutiveFailures) {
@@ -183,12 +180,17 @@
       work_admission_.rate().OnRunDone(run->second.counted,
                                        now.mono - run->second.placed);
     if (open && !long_running) {
-      LearnDuration(worker, *job, end, now);
-      OnTaskDone(*job, {end, worker.record.id, source}, now);
+      job->VisitTask(end.task, [&](const FoundTask& found) {
+        LearnDuration(worker, found, end, now);
+        OnTaskDone(found, {end, worker.record.id, source}, now);
+      });
     }
   } else if (end.end == RunEnd::kFailed) {
     ++figures_.ends_failed;
-    if (open) OnTaskFailed(worker, *job, end, now);
+    if (open)
+      job->VisitTask(end.task, [&](const FoundTask& found) {
+        OnTaskFailed(worker, found, end, now);
+      });
   } else {
     ++figures_.ends_other;
     if (end.end == RunEnd::kStopped) ++figures_.runs_stopped;
@@ -263,31 +265,11 @@
   added.adopted = true;
   added.reported = true;
   added.percent = running.percent;
-  const bool wanted = task != nullptr && !job->Ended() &&
-                      task->phase == TaskPhase::kWaiting &&
-                      running.run >= task->run;
-  if (wanted) {
-    ClearUnansweredStart(*job, *task, running.run);
-    task->phase = TaskPhase::kRunning;
-    task->worker = worker.record.id;
-    task->run = running.run;
-    task->observed = true;
-    StepState* step = job->FindStep(running.task);
-    const bool is_gang =
-        job->spec.steps[static_cast<size_t>(running.task.step)].gang;
-    TaskState& history = is_gang ? step->tasks.front() : *task;
-    if (EpochOfRun(running.run) < epoch_)
-      history.adopted_run = std::max(history.adopted_run, running.run);
-    if (!running.checkpoint.empty()) task->checkpoint = running.checkpoint;
-    job->begun = true;
-    RecordPlacement(*job, running.task, worker.record.id);
-    if (step->gang_started == absl::InfinitePast())
-      step->gang_started = now.mono;
-    LogDecision("run_adopted", {{"task", TaskIdText(running.task)},
-                                {"run", absl::StrCat(running.run)},
-                                {"worker", worker.record.id}});
-    return;
-  }
+  bool adopted = false;
+  VisitOpenTask(running.task, [&](const FoundTask& found) {
+    adopted = AdoptRun(worker, found, running, now);
+  });
+  if (adopted) return;
   added.unwanted = true;
   MarkStopping(worker, added);
   ScheduleCheck(worker);
@@ -297,6 +279,29 @@
                                {"job_known", job != nullptr ? "yes" : "no"}});
 }
 
+bool JobScheduler::AdoptRun(const Worker& worker, const FoundTask& found,
+                            const RunningTask& running, Now now) {
+  auto& [id, job, step, task, spec] = found;
+  if (task.phase != TaskPhase::kWaiting || running.run < task.run) return false;
+  ClearUnansweredStart(job, task, running.run);
+  task.phase = TaskPhase::kRunning;
+  task.worker = worker.record.id;
+  task.run = running.run;
+  task.observed = true;
+  if (EpochOfRun(running.run) < epoch_) {
+    int32_t& adopted_run = found.history().adopted_run;
+    adopted_run = std::max(adopted_run, running.run);
+  }
+  if (!running.checkpoint.empty()) task.checkpoint = running.checkpoint;
+  job.begun = true;
+  RecordPlacement(job, id, worker.record.id);
+  if (step.gang_started == absl::InfinitePast()) step.gang_started = now.mono;
+  LogDecision("run_adopted", {{"task", TaskIdText(id)},
+                              {"run", absl::StrCat(running.run)},
+                              {"worker", worker.record.id}});
+  return true;
+}
+
 void JobScheduler::GiveUpMissingRuns(Worker& worker, const ObserveReply& reply,
                                      absl::Time sent, Now now) {
   std::set<RunKey> reported;
--- a/keelbridge/coordination/job_scheduler_workers.cc
+++ b/keelbridge/coordination/job_scheduler_workers.cc
@@ -279,8 +279,9 @@
       worker.suspect_until = now.mono + kRetryAfterRefusal;
       break;
     case OrderResult::kBadTicket:
-      if (StepState* step = job != nullptr ? job->FindStep(key.first) : nullptr)
-        step->advice.tickets.erase(action.worker.id);
+      VisitOpenTask(key.first, [&](const FoundTask& found) {
+        found.step.advice.tickets.erase(action.worker.id);
+      });
       break;
     case OrderResult::kNoCapacity:
       worker.suspect_until = now.mono + kRetryAfterRefusal;
--- a/keelbridge/coordination/ready_step.h
+++ b/keelbridge/coordination/ready_step.h
@@ -61,6 +61,9 @@
   TaskId IdAt(size_t index) const {
     return {job->id, round->number, number, static_cast<int32_t>(index)};
   }
+  FoundTask TaskAt(size_t index) const {
+    return {IdAt(index), *job, *state, state->tasks[index], *spec};
+  }
   // `task` is an element of `state->tasks`.
   TaskId IdOf(const TaskState& task) const {
     return IdAt(static_cast<size_t>(&task - state->tasks.data()));
--- a/keelbridge/coordination/scheduler_actions.h
+++ b/keelbridge/coordination/scheduler_actions.h
@@ -25,6 +25,15 @@
   std::string zone;
 };
 
+// What a scheduler knows of such a node. Times are of the steady clock.
+struct Adviser {
+  std::string node;
+  std::string zone;
+  bool short_only = false;  // Takes only short calls.
+  absl::Time busy_until = absl::InfinitePast();
+  absl::Time avoid_until = absl::InfinitePast();
+};
+
 // Sends the order to start a run to a worker. `call` is the number of the call,
 // unique in a term, by which its answer is recognized (see OpenCalls); so for
 // the other calls.
--- a/keelbridge/state/job_table.cc
+++ b/keelbridge/state/job_table.cc
@@ -233,6 +233,15 @@
   return &step->tasks[static_cast<size_t>(id.index)];
 }
 
+bool Job::VisitTask(const TaskId& id,
+                    absl::FunctionRef<void(const FoundTask&)> visit) {
+  TaskState* task = FindTask(id);
+  if (task == nullptr) return false;
+  visit({id, *this, *FindStep(id), *task,
+         spec.steps[static_cast<size_t>(id.step)]});
+  return true;
+}
+
 bool Job::StepReady(const Round& round, size_t step) const {
   for (const int32_t dependency : spec.steps[step].after) {
     const StepState& earlier = round.steps[static_cast<size_t>(dependency)];
--- a/keelbridge/state/job_table.h
+++ b/keelbridge/state/job_table.h
@@ -32,6 +32,7 @@
 #include <vector>
 
 #include "absl/container/flat_hash_map.h"
+#include "absl/functional/function_ref.h"
 #include "absl/time/time.h"
 #include "keelbridge/protocol/job.h"
 #include "keelbridge/protocol/record_store.h"
@@ -180,6 +181,8 @@
   std::vector<StepState> steps;
 };
 
+struct FoundTask;
+
 struct Job {
   Job(JobId id_in, std::string queue_in, JobSpec spec_in, int64_t accepted_in);
 
@@ -227,8 +230,12 @@
   int32_t NextRound() const;
   // When the round is due, in milliseconds of the wall clock.
   int64_t DueTime(int32_t round) const;
-  StepState* FindStep(const TaskId& id);
+  // Returns null if the task is not there: its round may be done and dropped,
+  // or an earlier job of the same id may have had more steps.
   TaskState* FindTask(const TaskId& id);
+  // Calls `visit` if the task is there, and returns whether it is.
+  bool VisitTask(const TaskId& id,
+                 absl::FunctionRef<void(const FoundTask&)> visit);
   // Whether all tasks of the steps that `step` depends on are done.
   bool StepReady(const Round& round, size_t step) const;
   bool RoundDone(const Round& round) const;
@@ -240,6 +247,23 @@
   // Whether the progress record names the workers on which tasks of `step` were
   // started.
   bool HasPersistedPlacements(size_t step) const;
+
+ private:
+  StepState* FindStep(const TaskId& id);
+};
+
+// A task that is there, with what it belongs to. Code that works on a task for
+// which only an id was kept takes a FoundTask, so that the task was looked up.
+// Not to be kept: it is valid until a round of the job is dropped.
+struct FoundTask {
+  TaskId id;
+  Job& job;
+  StepState& step;
+  TaskState& task;
+  const StepSpec& spec;
+
+  // The task that keeps the failures and crashes of this one.
+  TaskState& history() const { return spec.gang ? step.tasks.front() : task; }
 };
 
 // The jobs by id. The address of a job does not change.
