Crashes of one machine convict a task later

Cause: the verdict on tasks that crash their workers counted crashes and not machines. From the second crash on, the task is a suspect, and the machine's earlier crashes no longer speak for it.

Red on with the test of this commit: "job scheduler: sound tasks that need one machine complete after it went down and up by turns".

Why it works: each crash is kept with its machine. Users accept two more starts after three crashes; "a task that crashes the only machine is given up" shows the bound. On two machines the verdict is as before.

--- a/keelbridge/coordination/crash_verdict.cc
+++ b/keelbridge/coordination/crash_verdict.cc
@@ -32,6 +32,33 @@
 // other crashes may be unknown because the leader changed in between.
 constexpr size_t kMaxConsecutiveCrashes = 4;
 constexpr size_t kMinEarlyCrashes = 3;
+// Crashes of a single machine do not show whether the task or the machine is
+// the cause: a machine may go down and up by turns. Users accept two more
+// starts of a task after three crashes.
+constexpr size_t kMinCrashesOfOneMachine = 5;
+
+bool AreTooMany(const std::vector<CrashedRun>& crashes) {
+  if (crashes.empty()) return false;
+  const auto begun = std::count_if(crashes.begin(), crashes.end(),
+                                   [](const CrashedRun& c) { return c.begun; });
+  const size_t min_crashes = begun >= 2 ? kMinCrashes : kMinCrashesUnconfirmed;
+  if (crashes.size() < min_crashes) return false;
+  const auto early =
+      std::count_if(crashes.begin(), crashes.end(), [](const CrashedRun& c) {
+        return absl::Milliseconds(c.ran_ms) < kSuspectCrashWindow;
+      });
+  return ChanceCrashesProbability(crashes) <= kMaxChance ||
+         (crashes.size() >= kMaxConsecutiveCrashes &&
+          static_cast<size_t>(early) >= kMinEarlyCrashes);
+}
+
+bool AreOfOneMachine(const std::vector<CrashedRun>& crashes) {
+  const std::string& machine = crashes.front().machine;
+  return !machine.empty() && std::all_of(crashes.begin(), crashes.end(),
+                                         [&](const CrashedRun& crash) {
+                                           return crash.machine == machine;
+                                         });
+}
 
 }  // namespace
 
@@ -65,19 +92,16 @@
   return std::max(0.0, 1 - fewer);
 }
 
+CrashVerdict JudgeCrashes(const std::vector<CrashedRun>& crashes) {
+  if (!AreTooMany(crashes)) return CrashVerdict::kTryAgain;
+  const bool machine_may_be_cause =
+      crashes.size() < kMinCrashesOfOneMachine && AreOfOneMachine(crashes);
+  return machine_may_be_cause ? CrashVerdict::kTryAgainLater
+                              : CrashVerdict::kGiveUp;
+}
+
 bool ShouldGiveUp(const std::vector<CrashedRun>& crashes) {
-  if (crashes.empty()) return false;
-  const auto begun = std::count_if(crashes.begin(), crashes.end(),
-                                   [](const CrashedRun& c) { return c.begun; });
-  const size_t min_crashes = begun >= 2 ? kMinCrashes : kMinCrashesUnconfirmed;
-  if (crashes.size() < min_crashes) return false;
-  const auto early =
-      std::count_if(crashes.begin(), crashes.end(), [](const CrashedRun& c) {
-        return absl::Milliseconds(c.ran_ms) < kSuspectCrashWindow;
-      });
-  return ChanceCrashesProbability(crashes) <= kMaxChance ||
-         (crashes.size() >= kMaxConsecutiveCrashes &&
-          static_cast<size_t>(early) >= kMinEarlyCrashes);
+  return JudgeCrashes(crashes) == CrashVerdict::kGiveUp;
 }
 
 std::string DescribeCrashes(const std::vector<CrashedRun>& crashes) {
--- a/keelbridge/coordination/crash_verdict.h
+++ b/keelbridge/coordination/crash_verdict.h
@@ -10,7 +10,7 @@
 //   context.site_workers = 48;
 //   double chance = ChanceCrashProbability(absl::Milliseconds(50), context);
 //   task.crashes.push_back({run, 50, chance, /*begun=*/true});
-//   if (ShouldGiveUp(task.crashes)) ...
+//   if (JudgeCrashes(task.crashes) == CrashVerdict::kGiveUp) ...
 
 #ifndef KEELBRIDGE_COORDINATION_CRASH_VERDICT_H_
 #define KEELBRIDGE_COORDINATION_CRASH_VERDICT_H_
@@ -60,8 +60,16 @@
 // crashes as `crashes` lists.
 double ChanceCrashesProbability(const std::vector<CrashedRun>& crashes);
 
-// Returns whether the consecutive crashes during a task's runs are attributed
-// to the task itself.
+enum class CrashVerdict {
+  kTryAgain,
+  // The task is a suspect, and so is the only machine that it crashed on.
+  kTryAgainLater,
+  kGiveUp,  // The task crashes its workers.
+};
+
+// Judges the consecutive crashes during a task's runs.
+CrashVerdict JudgeCrashes(const std::vector<CrashedRun>& crashes);
+// Returns whether the crashes are attributed to the task itself.
 bool ShouldGiveUp(const std::vector<CrashedRun>& crashes);
 
 // Describes the crashes for an operator, for example "2 workers crashed under
--- a/keelbridge/coordination/job_scheduler_losses.cc
+++ b/keelbridge/coordination/job_scheduler_losses.cc
@@ -61,6 +61,10 @@
 // became known. By the users' rule a task may be away for 6 s, and has then 3 s
 // to start.
 constexpr absl::Duration kCrashingStepPause = absl::Seconds(3);
+// A task whose crashes were all on one machine starts again this long after the
+// last one became known, so that a machine that goes down and up by turns has
+// stayed up for a while.
+constexpr absl::Duration kSuspectMachinePause = kSuspectCrashWindow;
 // Maximum number of crashes that are kept of a long-running task.
 constexpr size_t kMaxCrashesOfLongRunningTask = 8;
 
@@ -175,10 +179,11 @@
       continue;
     CrashContext context;
     context.run_workers = CountWorkersOfRun(key);
-    loss.runs.push_back({key.first,
-                         {key.second, absl::ToInt64Milliseconds(ran),
-                          ChanceCrashProbability(ran, context),
-                          allocation.start_answered <= now.mono}});
+    loss.runs.push_back(
+        {key.first,
+         {key.second, absl::ToInt64Milliseconds(ran),
+          ChanceCrashProbability(ran, context),
+          allocation.start_answered <= now.mono, worker.record.machine}});
   }
   unresponsive_losses_[worker.record.machine] = std::move(loss);
 }
@@ -314,6 +319,7 @@
   CrashedRun crashed_run;
   crashed_run.run = run;
   crashed_run.begun = allocation.start_answered <= now.mono;
+  crashed_run.machine = worker.record.machine;
   if (!IsSuspectRun(allocation, crash.lost, crash.criteria, now)) return;
   crashed_run.ran_ms =
       allocation.adopted
@@ -402,10 +408,14 @@
   if (spec.long_running &&
       history.crashes.size() > kMaxCrashesOfLongRunningTask)
     history.crashes.erase(history.crashes.begin());
-  const bool crashes_workers = ShouldGiveUp(history.crashes);
-  const bool spared = crashes_workers && HasSoundSibling(found, now);
-  const bool given_up = crashes_workers && !spared;
+  const CrashVerdict verdict = JudgeCrashes(history.crashes);
+  const bool spared =
+      verdict == CrashVerdict::kGiveUp && HasSoundSibling(found, now);
+  const bool given_up = verdict == CrashVerdict::kGiveUp && !spared;
+  const bool pauses = spared || verdict == CrashVerdict::kTryAgainLater;
   if (spared) step.paused_until = now.mono + kCrashingStepPause;
+  if (verdict == CrashVerdict::kTryAgainLater)
+    step.paused_until = now.mono + kSuspectMachinePause;
   LogDecision("crash_held_against_task",
               {{"task", TaskIdText(id)},
                {"run", absl::StrCat(crash.run)},
@@ -413,7 +423,7 @@
                {"ran_ms", absl::StrCat(crash.ran_ms)},
                {"evidence", DescribeCrashes(history.crashes)},
                {"verdict", given_up ? "given up"
-                           : spared ? "to be tried again after a pause"
+                           : pauses ? "to be tried again after a pause"
                                     : "to be tried again"}},
               Severity::kWarning);
   if (!given_up) return;
@@ -462,6 +472,7 @@
   CrashedRun crash;
   crash.run = run.run;
   crash.begun = run.begun;
+  crash.machine = worker.record.machine;
   crash.ran_ms = run.ran_ms >= 0
                      ? run.ran_ms
                      : std::max<int64_t>(0, ToMillis(now.wall) - run.since_ms);
--- a/keelbridge/coordination/job_scheduler_losses_test.cc
+++ b/keelbridge/coordination/job_scheduler_losses_test.cc
@@ -170,6 +170,35 @@
   CHECK(site.Status(7) == JobState::kCompleted);
 }
 
+// Guards against sound jobs that are failed, without an end that failed, since
+// the only machine that they may run on goes down and up by turns (LOST).
+TEST_CASE(
+    "job scheduler: sound tasks that need one machine complete after it went "
+    "down and up by turns") {
+  CrashingSite site(1, 1);
+  site.work = absl::Milliseconds(2500);
+  site.down_for = absl::Milliseconds(1400);
+  for (JobId job = 7; job <= 8; ++job) site.Submit(job, OneTask());
+  for (int i = 0; i < 3; ++i) {
+    site.Run(absl::Milliseconds(500 + 2800 * i));
+    site.Crash(site.WorkerAt("m0"));
+  }
+  site.Run(absl::Seconds(30));
+  for (JobId job = 7; job <= 8; ++job)
+    CHECK(site.Status(job) == JobState::kCompleted);
+}
+
+// Guards against a task that is tried without end on the only machine that it
+// may run on.
+TEST_CASE("job scheduler: a task that crashes the only machine is given up") {
+  CrashingSite site(1, 1);
+  site.Submit(7, OneTask());
+  site.crashes = [](const TaskId& task) { return task.job == 7; };
+  site.Run(absl::Seconds(60));
+  CHECK(site.Status(7) == JobState::kFailed);
+  CHECK(site.StartsOf(7) <= kMaxStartsOfCrashingTask);
+}
+
 TEST_CASE("job scheduler: waves of crashes fail no sound task") {
   CrashingSite site(1, 20);
   site.work = absl::Seconds(2);
--- a/keelbridge/state/job_progress.cc
+++ b/keelbridge/state/job_progress.cc
@@ -58,6 +58,7 @@
   out["ran_ms"] = Json::Int64(crash.ran_ms);
   out["chance"] = crash.chance;
   if (crash.begun) out["begun"] = true;
+  if (!crash.machine.empty()) out["machine"] = crash.machine;
   return out;
 }
 
@@ -68,12 +69,14 @@
 bool ReadCrash(const Json::Value& in, CrashedRun* crash) {
   const bool has_valid_types =
       in.isObject() && in["run"].isInt() && in["ran_ms"].isInt64() &&
-      in["chance"].isNumeric() && IsBoolOrMissing(in, "begun");
+      in["chance"].isNumeric() && IsBoolOrMissing(in, "begun") &&
+      (!in.isMember("machine") || in["machine"].isString());
   if (!has_valid_types) return false;
   crash->run = in["run"].asInt();
   crash->ran_ms = in["ran_ms"].asInt64();
   crash->chance = in["chance"].asDouble();
   crash->begun = in["begun"].asBool();
+  crash->machine = in["machine"].asString();
   return crash->chance >= 0 && crash->chance <= 1;
 }
 
--- a/keelbridge/state/job_table.h
+++ b/keelbridge/state/job_table.h
@@ -63,6 +63,7 @@
   double chance = 0;
   // The worker had confirmed that the run started.
   bool begun = false;
+  std::string machine;  // The machine of the worker; empty if it is unknown.
 };
 
 // A run that may be about to crash its worker, or whose worker stopped
