--- a/testing/site_scheduled_jobs_test.cc
+++ b/testing/site_scheduled_jobs_test.cc
@@ -46,7 +46,7 @@
     }
     if (Draw(4) == 0) return spec;
     spec.rounds = 2 + Draw(5);
-    spec.first_round_ms = absl::ToUnixMillis(now) + 100 * Draw(10);
+    spec.first_round_ms = absl::ToUnixMillis(now) + int64_t{100} * Draw(10);
     spec.round_interval_ms = 300 + 100 * Draw(20);
     return spec;
   }
