--- a/keelbridge/coordination/job_scheduler_cut_leader_test.cc
+++ b/keelbridge/coordination/job_scheduler_cut_leader_test.cc
@@ -20,6 +20,9 @@
 constexpr int32_t kNextTasks = 8;
 // Users consider a job lost if it could run but does not for this long.
 constexpr absl::Duration kMaxRestartDelay = absl::Seconds(3);
+// For how long a leader gives orders after its last confirmed append.
+const absl::Duration kLongestWithoutStore =
+    MaxUnconfirmed(JobScheduler::Options().earlier_leader_grace);
 // Twice the longest lease that the driver's workers grant.
 constexpr absl::Duration kAllLeasesOver = absl::Seconds(12);
 
@@ -467,6 +470,34 @@
   CHECK(waited <= kMaxRestartDelay);
 }
 
+// Guards against a double start: the lease of a worker that leaves is shorter
+// than a leader goes on without the store, and the new leader extends it.
+TEST_CASE(
+    "job scheduler: a leader that is cut off does not start again what a "
+    "leaving worker may run under the next leader") {
+  SchedulerDriver first(1);
+  first.AddWorker("a");
+  first.reports["a"];
+  first.RunUntil(absl::Milliseconds(100));
+  first.scheduler().Submit(kJob, "restore", OneStepJob(1), first.now());
+  first.RunUntil(absl::Milliseconds(300));
+  REQUIRE(first.start_workers == std::vector<std::string>{"a"});
+  first.AddWorker("cut");
+  first.reports["cut"];
+  WorkerRecord leaves = SchedulerDriver::RecordOf("a", 8000);
+  leaves.draining = true;
+  first.scheduler().OnWorkerRecord(leaves, first.now());
+  const absl::Duration cut = absl::Seconds(8);
+  first.RunUntil(cut);
+  REQUIRE(first.stops.empty());
+  // The new leader finds the run on "a" and extends the worker's lease.
+  first.scheduler().OnConfirmed(first.now().mono);
+  first.hold_batches = true;
+  first.cut_off.insert("a");
+  first.RunUntil(cut + kLongestWithoutStore);
+  CHECK(first.starts.size() == 1);
+}
+
 // Shows the case that does not wait: the new leader saw a task of the earlier
 // step at work before its end.
 TEST_CASE(
